--- a/pkg/backend/wire.go
+++ b/pkg/backend/wire.go
@@ -25,6 +25,9 @@
 	// the outcome.Reason names shed, draining, version_gone, range_not_held,
 	// deadline.
 	HeaderNotRun = "X-Not-Run"
+	// HeaderRetryAfterMS carries, on a refusal, when to ask again in whole
+	// milliseconds. It is finer than Retry-After and goes before it.
+	HeaderRetryAfterMS = "X-Retry-After-Ms"
 	// HeaderDraining is "true" on every response of a server that is leaving.
 	HeaderDraining = "X-Draining"
 	// HeaderLoad carries the share of slots in use, a decimal number.
