--- /dev/null
+++ b/pkg/policy/defaults.go
@@ -0,0 +1,96 @@
+package policy
+
+import "time"
+
+// The parameters of the default policies.
+const (
+	defaultHedgeQuantile = 0.97
+	defaultHedgeFloor    = time.Millisecond
+	defaultCoverage      = 1.0
+	defaultGrace         = 10 * time.Millisecond
+	defaultRecords       = 10
+	defaultMaxQueued     = 256
+	defaultMaxAttempts   = 3
+	defaultExtraShare    = 0.05
+	defaultExtraBurst    = 10
+)
+
+// Defaults returns the specification that stands in for every field that an
+// operator leaves out: each kind's policy, and the parameters of that policy
+// and of the others of its kind. Hedge.Delay has no default for "fixed".
+func Defaults() Spec {
+	return Spec{
+		Replica: ReplicaSpec{Policy: ReplicaTwoChoices},
+		Hedge: HedgeSpec{
+			Policy:   HedgeQuantile,
+			Delay:    Duration(defaultHedgeFloor),
+			Quantile: defaultHedgeQuantile,
+		},
+		Stop: StopSpec{
+			Policy:   StopRuleAll,
+			Coverage: defaultCoverage,
+			Grace:    Duration(defaultGrace),
+			Records:  defaultRecords,
+		},
+		Admission: AdmissionSpec{Policy: AdmissionDeadlineAware, MaxQueued: defaultMaxQueued},
+		Retry:     RetrySpec{Policy: RetryDeadlineAware, MaxAttempts: defaultMaxAttempts},
+		ExtraLoad: ExtraLoadSpec{Share: defaultExtraShare, Burst: defaultExtraBurst},
+	}
+}
+
+// Merge returns base with every kind replaced that override names: a kind is
+// taken as a whole from override if its Policy (for ExtraLoad: Share) is set.
+func Merge(base, override Spec) Spec {
+	merged := base
+	if override.Replica.Policy != "" {
+		merged.Replica = override.Replica
+	}
+	if override.Hedge.Policy != "" {
+		merged.Hedge = override.Hedge
+	}
+	if override.Stop.Policy != "" {
+		merged.Stop = override.Stop
+	}
+	if override.Admission.Policy != "" {
+		merged.Admission = override.Admission
+	}
+	if override.Retry.Policy != "" {
+		merged.Retry = override.Retry
+	}
+	if override.ExtraLoad.Share != 0 {
+		merged.ExtraLoad = override.ExtraLoad
+	}
+	return merged
+}
+
+// withDefaults fills every field that is empty.
+func withDefaults(spec Spec) Spec {
+	defaults := Defaults()
+	fill(&spec.Replica.Policy, defaults.Replica.Policy)
+	fill(&spec.Hedge.Policy, defaults.Hedge.Policy)
+	if spec.Hedge.Policy != HedgeFixed {
+		fill(&spec.Hedge.Delay, defaults.Hedge.Delay)
+	}
+	fill(&spec.Hedge.Quantile, defaults.Hedge.Quantile)
+	fill(&spec.Stop.Policy, defaults.Stop.Policy)
+	if spec.Stop.Policy != StopRuleFirst {
+		fill(&spec.Stop.Coverage, defaults.Stop.Coverage)
+	}
+	fill(&spec.Stop.Grace, defaults.Stop.Grace)
+	fill(&spec.Stop.Records, defaults.Stop.Records)
+	fill(&spec.Admission.Policy, defaults.Admission.Policy)
+	fill(&spec.Admission.MaxQueued, defaults.Admission.MaxQueued)
+	fill(&spec.Retry.Policy, defaults.Retry.Policy)
+	fill(&spec.Retry.MaxAttempts, defaults.Retry.MaxAttempts)
+	fill(&spec.ExtraLoad.Share, defaults.ExtraLoad.Share)
+	fill(&spec.ExtraLoad.Burst, defaults.ExtraLoad.Burst)
+	return spec
+}
+
+// fill sets an empty field to its default.
+func fill[T comparable](field *T, standard T) {
+	var empty T
+	if *field == empty {
+		*field = standard
+	}
+}
--- /dev/null
+++ b/pkg/policy/field_errors.go
@@ -0,0 +1,35 @@
+package policy
+
+import "strings"
+
+// FieldError is one bad field of a specification.
+type FieldError struct {
+	// Path is the field as operators write it, for example "hedge.quantile".
+	Path string `json:"path" yaml:"path"`
+	// Message says what is wrong and what is wanted.
+	Message string `json:"message" yaml:"message"`
+}
+
+// Error implements error.
+func (e FieldError) Error() string { return e.Path + ": " + e.Message }
+
+// FieldErrors lists every bad field of a specification.
+type FieldErrors []FieldError
+
+// Error implements error, with one field after the other.
+func (e FieldErrors) Error() string {
+	texts := make([]string, 0, len(e))
+	for _, field := range e {
+		texts = append(texts, field.Error())
+	}
+	return strings.Join(texts, "; ")
+}
+
+// Prefixed returns the same errors with prefix and a dot before each path.
+func (e FieldErrors) Prefixed(prefix string) FieldErrors {
+	prefixed := make(FieldErrors, 0, len(e))
+	for _, field := range e {
+		prefixed = append(prefixed, FieldError{Path: prefix + "." + field.Path, Message: field.Message})
+	}
+	return prefixed
+}
--- /dev/null
+++ b/pkg/policy/hedge.go
@@ -0,0 +1,80 @@
+package policy
+
+import "time"
+
+// The hedge policies.
+const (
+	HedgeNone     = "none"
+	HedgeFixed    = "fixed"
+	HedgeQuantile = "quantile"
+)
+
+var hedges = newRegistry(KindHedge, map[string]Factory[HedgeSpec, HedgePolicy]{
+	HedgeNone:     func(HedgeSpec) (HedgePolicy, FieldErrors) { return noHedge{}, nil },
+	HedgeFixed:    newFixedHedge,
+	HedgeQuantile: newQuantileHedge,
+})
+
+// medianQuantile is the quantile that stands for a typical sub-request.
+const medianQuantile = 0.5
+
+// noHedge is the baseline.
+type noHedge struct{}
+
+// Delay implements HedgePolicy.
+func (noHedge) Delay(HedgeObservation) (time.Duration, bool) { return 0, false }
+
+// fixedHedge waits for the same time always.
+type fixedHedge struct{ delay time.Duration }
+
+func newFixedHedge(spec HedgeSpec) (HedgePolicy, FieldErrors) {
+	var wrong FieldErrors
+	if spec.Delay <= 0 {
+		wrong.add("delay", "%s: want a time above 0 for policy %q", spec.Delay.Std(), HedgeFixed)
+	}
+	wrong.checkHedgeDelay(spec.Delay)
+	return fixedHedge{delay: spec.Delay.Std()}, wrong
+}
+
+// Delay implements HedgePolicy.
+func (h fixedHedge) Delay(observed HedgeObservation) (time.Duration, bool) {
+	return h.delay, h.delay < observed.Remaining
+}
+
+// quantileHedge waits until a sub-request is slower than most.
+type quantileHedge struct {
+	quantile float64
+	floor    time.Duration
+}
+
+func newQuantileHedge(spec HedgeSpec) (HedgePolicy, FieldErrors) {
+	var wrong FieldErrors
+	if !(spec.Quantile > 0 && spec.Quantile < 1) {
+		wrong.add("quantile", "%v: want a number above 0 and below 1", spec.Quantile)
+	}
+	if spec.Delay < 0 {
+		wrong.add("delay", "%s: want no negative time", spec.Delay.Std())
+	}
+	wrong.checkHedgeDelay(spec.Delay)
+	return quantileHedge{quantile: spec.Quantile, floor: spec.Delay.Std()}, wrong
+}
+
+// Delay implements HedgePolicy. There is no hedge while too few latencies were
+// seen, nor if a typical sub-request would not end in the time that remains.
+func (h quantileHedge) Delay(observed HedgeObservation) (time.Duration, bool) {
+	usual := observed.Quantile(h.quantile)
+	if usual <= 0 {
+		return 0, false
+	}
+	delay := max(usual, h.floor)
+	if delay+observed.Quantile(medianQuantile) > observed.Remaining {
+		return 0, false
+	}
+	return delay, true
+}
+
+func (e *FieldErrors) checkHedgeDelay(delay Duration) {
+	if delay.Std() > maxHedgeDelay {
+		e.add("delay", "%s: want at most %s", delay.Std(), maxHedgeDelay)
+	}
+}
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -135,6 +135,9 @@
 	Queued   int
 	// QueuedAhead counts the waiting requests that would be served first.
 	QueuedAhead int
+	// QueuedAlike counts the waiting requests of the same tenant and class that
+	// came first.
+	QueuedAlike int
 	// Limit is the number of requests that the gate runs at once now.
 	Limit int
 	// DrainRate is the measured rate of finished requests per second; zero if
--- /dev/null
+++ b/pkg/policy/replica.go
@@ -0,0 +1,125 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// The replica policies.
+const (
+	ReplicaRandom        = "random"
+	ReplicaLeastInFlight = "least_in_flight"
+	ReplicaTwoChoices    = "two_choices"
+)
+
+var replicas = newRegistry(KindReplica, map[string]Factory[ReplicaSpec, ReplicaChooser]{
+	ReplicaRandom:        func(ReplicaSpec) (ReplicaChooser, FieldErrors) { return randomReplica{}, nil },
+	ReplicaLeastInFlight: func(ReplicaSpec) (ReplicaChooser, FieldErrors) { return leastInFlight{}, nil },
+	ReplicaTwoChoices:    func(ReplicaSpec) (ReplicaChooser, FieldErrors) { return twoChoices{}, nil },
+})
+
+// The weights of what is known of a replica.
+const (
+	// distancePenalty is how many times as good a replica must be for each
+	// step of zone distance.
+	distancePenalty = 2.0
+	// failurePenalty is how many times as bad a replica counts whose recent
+	// sub-requests all failed.
+	failurePenalty = 20.0
+	// reportedLoadWeight is small because reports lag and mislead: a server
+	// that reports a full load counts as a fifth worse than an idle one.
+	reportedLoadWeight = 0.2
+	// leastWeight keeps a cold server's score finite.
+	leastWeight = 0.01
+	// presumedLatency stands for the latency of a replica that has not
+	// answered yet. It is low, so that new replicas are tried.
+	presumedLatency = time.Millisecond
+)
+
+// randomReplica is the baseline: any replica with the same chance.
+type randomReplica struct{}
+
+// Choose implements ReplicaChooser.
+func (randomReplica) Choose(candidates []ReplicaState, random *rand.Rand) int {
+	if len(candidates) == 0 {
+		return -1
+	}
+	return random.IntN(len(candidates))
+}
+
+// leastInFlight takes the replica with the fewest sub-requests in flight for
+// its limit and weight.
+type leastInFlight struct{}
+
+// Choose implements ReplicaChooser. Ties are broken at random.
+func (leastInFlight) Choose(candidates []ReplicaState, random *rand.Rand) int {
+	best, bestScore, ties := -1, 0.0, 0
+	for index := range candidates {
+		score := occupancy(&candidates[index]) * distanceFactor(&candidates[index])
+		switch {
+		case best < 0 || score < bestScore:
+			best, bestScore, ties = index, score, 1
+		case score == bestScore:
+			ties++
+			if random.IntN(ties) == 0 {
+				best = index
+			}
+		}
+	}
+	return best
+}
+
+// twoChoices takes the better of two replicas drawn at random, so that many
+// nodes with the same stale picture do not all rush to the same server.
+type twoChoices struct{}
+
+// Choose implements ReplicaChooser.
+func (twoChoices) Choose(candidates []ReplicaState, random *rand.Rand) int {
+	count := len(candidates)
+	if count == 0 {
+		return -1
+	}
+	first := random.IntN(count)
+	if count == 1 {
+		return first
+	}
+	second := random.IntN(count - 1)
+	if second >= first {
+		second++
+	}
+	if expectedCost(&candidates[second]) < expectedCost(&candidates[first]) {
+		return second
+	}
+	return first
+}
+
+// expectedCost is the latency that a sub-request is expected to see at the
+// replica, made worse by failures, distance and reported load.
+func expectedCost(state *ReplicaState) float64 {
+	latency := state.Latency
+	if latency <= 0 {
+		latency = presumedLatency
+	}
+	cost := float64(latency) * occupancy(state)
+	cost *= 1 + failurePenalty*state.FailureShare
+	cost *= distanceFactor(state)
+	if state.ReportedLoad > 0 {
+		cost *= 1 + reportedLoadWeight*min(state.ReportedLoad, 1)
+	}
+	return cost
+}
+
+// occupancy is the share of the node's limit that would be in use with one
+// more sub-request, raised for a server that is to get less than its share.
+func occupancy(state *ReplicaState) float64 {
+	limit := float64(max(state.Limit, 1))
+	return float64(state.InFlight+1) / (limit * max(state.Weight, leastWeight))
+}
+
+func distanceFactor(state *ReplicaState) float64 {
+	factor := 1.0
+	for range state.ZoneDistance {
+		factor *= distancePenalty
+	}
+	return factor
+}
--- /dev/null
+++ b/pkg/policy/retry.go
@@ -0,0 +1,109 @@
+package policy
+
+import (
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+)
+
+// The retry policies.
+const (
+	RetryNone          = "none"
+	RetryImmediate     = "immediate"
+	RetryDeadlineAware = "deadline_aware"
+)
+
+var retries = newRegistry(KindRetry, map[string]Factory[RetrySpec, RetryPolicy]{
+	RetryNone:          func(RetrySpec) (RetryPolicy, FieldErrors) { return noRetry{}, nil },
+	RetryImmediate:     newImmediateRetry,
+	RetryDeadlineAware: newDeadlineAwareRetry,
+})
+
+// The wait of the deadline-aware policy before the second and later retries.
+const (
+	// backoffShare is the first wait as a share of the typical latency.
+	backoffShare = 0.5
+	// backoffGrowth multiplies the wait from one retry to the next.
+	backoffGrowth = 3
+	// backoffUnknown stands for the first wait while no latency is known.
+	backoffUnknown = time.Millisecond
+	// backoffAtMost bounds the wait.
+	backoffAtMost = 50 * time.Millisecond
+)
+
+// noRetry is the baseline.
+type noRetry struct{}
+
+// Decide implements RetryPolicy.
+func (noRetry) Decide(RetryState) RetryDecision { return RetryDecision{} }
+
+// immediateRetry tries again at once, whatever went wrong, until the attempts
+// are used up.
+type immediateRetry struct{ maxAttempts int }
+
+func newImmediateRetry(spec RetrySpec) (RetryPolicy, FieldErrors) {
+	return immediateRetry{maxAttempts: spec.MaxAttempts}, validateAttempts(spec)
+}
+
+// Decide implements RetryPolicy.
+func (r immediateRetry) Decide(state RetryState) RetryDecision {
+	return RetryDecision{Retry: state.Attempts < r.maxAttempts && state.Remaining > 0}
+}
+
+// deadlineAwareRetry tries again only where that can help: the failure is not
+// the request's own fault, and a typical sub-request fits the time that
+// remains. The first retry goes at once, later ones wait longer each time.
+type deadlineAwareRetry struct{ maxAttempts int }
+
+func newDeadlineAwareRetry(spec RetrySpec) (RetryPolicy, FieldErrors) {
+	return deadlineAwareRetry{maxAttempts: spec.MaxAttempts}, validateAttempts(spec)
+}
+
+// Decide implements RetryPolicy.
+func (r deadlineAwareRetry) Decide(state RetryState) RetryDecision {
+	if state.Attempts >= r.maxAttempts || isFinal(state.Reason) {
+		return RetryDecision{}
+	}
+	delay := retryDelay(state)
+	if state.Remaining <= 0 || delay+state.TypicalLatency > state.Remaining {
+		return RetryDecision{}
+	}
+	return RetryDecision{Retry: true, Delay: delay}
+}
+
+// isFinal reports whether another replica would give the same failure.
+func isFinal(reason outcome.Reason) bool {
+	switch reason {
+	case outcome.ReasonInvalid, outcome.ReasonDeadline, outcome.ReasonCancelled, outcome.ReasonDuplicate:
+		return true
+	default:
+		return false
+	}
+}
+
+// retryDelay returns no wait for the first retry, which goes to a different
+// replica. A part that failed twice is likely to be overloaded at every
+// replica, so the wait then grows with each attempt.
+func retryDelay(state RetryState) time.Duration {
+	if state.Attempts <= 1 {
+		return 0
+	}
+	delay := time.Duration(backoffShare * float64(state.TypicalLatency))
+	if delay <= 0 {
+		delay = backoffUnknown
+	}
+	for range state.Attempts - 2 {
+		delay *= backoffGrowth
+		if delay >= backoffAtMost {
+			return backoffAtMost
+		}
+	}
+	return min(delay, backoffAtMost)
+}
+
+func validateAttempts(spec RetrySpec) FieldErrors {
+	var wrong FieldErrors
+	wrong.checkAtLeast("max_attempts", spec.MaxAttempts, 1)
+	wrong.checkAtMost("max_attempts", spec.MaxAttempts, maxAttempts)
+	return wrong
+}
