--- /dev/null
+++ b/internal/lab/load/run.go
@@ -0,0 +1,183 @@
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+)
+
+// Streams of the seed, so that arrivals don't depend on the mix.
+const (
+	arrivalStream = iota + 1
+	requestStream
+)
+
+// runner is the state of one run.
+type runner struct {
+	options  Options
+	client   *client
+	recorder *recorder
+	progress progress
+	// start is the time zero of the schedule.
+	start time.Time
+	// slots bounds the outstanding requests.
+	slots   chan struct{}
+	waiting sync.WaitGroup
+}
+
+// Run sends the load and waits for the last answer. If ctx is cancelled it
+// stops sending, cancels what is outstanding and returns what was measured
+// with the error of ctx.
+func Run(ctx context.Context, options Options) (*Result, error) {
+	options, err := options.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	r := &runner{
+		options:  options,
+		client:   newClient(options),
+		recorder: newRecorder(options.Arm),
+		slots:    make(chan struct{}, options.MaxOutstanding),
+	}
+	defer r.client.close()
+	stopProgress := r.startProgress()
+	defer stopProgress()
+
+	r.start = time.Now()
+	before := sampleProcessor()
+	r.sendAll(ctx)
+	use := sampleProcessor().since(before)
+	r.waiting.Wait()
+	return r.result(use), ctx.Err()
+}
+
+func (r *runner) startProgress() (stop func()) {
+	if r.options.Progress == nil {
+		return func() {}
+	}
+	done := make(chan struct{})
+	var running sync.WaitGroup
+	running.Go(func() { r.progress.run(r.options.Progress, done) })
+	return func() {
+		close(done)
+		running.Wait()
+	}
+}
+
+// sendAll starts each request at its intended time. It never waits for answers.
+func (r *runner) sendAll(ctx context.Context) {
+	arrivals := newSchedule(r.options, rand.New(rand.NewPCG(r.options.Seed, arrivalStream)))
+	requests := newGenerator(r.options, rand.New(rand.NewPCG(r.options.Seed, requestStream)))
+	for {
+		next, more := arrivals.following()
+		if !more {
+			return
+		}
+		intended := r.start.Add(next.at)
+		if !sleepUntil(ctx, intended) {
+			return
+		}
+		r.launch(ctx, requests.draw(next.step), intended)
+	}
+}
+
+func sleepUntil(ctx context.Context, moment time.Time) bool {
+	wait := time.Until(moment)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// launch starts a request unless too many are outstanding.
+func (r *runner) launch(ctx context.Context, request *Request, intended time.Time) {
+	measured := request.step != warmupStep
+	r.progress.offered.Add(1)
+	sent := true
+	select {
+	case r.slots <- struct{}{}:
+	default:
+		sent = false
+	}
+	if measured {
+		r.recorder.arrived(sent)
+	}
+	if !sent {
+		return
+	}
+	r.progress.outstanding.Add(1)
+	r.waiting.Go(func() {
+		defer func() { <-r.slots }()
+		defer r.progress.outstanding.Add(-1)
+		if measured {
+			r.recorder.started(time.Since(intended))
+		}
+		done := r.converse(ctx, request, intended)
+		r.progress.finished(done)
+		if measured {
+			r.recorder.record(done, r.start.Add(r.options.Warmup))
+		}
+	})
+}
+
+// converse runs the exchanges of one request: the first, those after refusals,
+// and the caller's own repeat. The repeat is observed but not measured.
+func (r *runner) converse(ctx context.Context, request *Request, intended time.Time) finished {
+	attempt := 1
+	last := r.exchange(ctx, request, attempt)
+	for r.comesBack(last) && sleepUntil(ctx, time.Now().Add(retryAfter(last))) {
+		attempt++
+		last = r.exchange(ctx, request, attempt)
+	}
+	if request.Repeat {
+		r.exchange(ctx, request, attempt+1)
+	}
+	return finished{request: request, intended: intended, last: last, exchanges: attempt}
+}
+
+func (r *runner) exchange(ctx context.Context, request *Request, attempt int) *Exchange {
+	exchange := r.client.send(ctx, request, attempt)
+	if r.options.Observer != nil {
+		r.options.Observer.Observe(exchange)
+	}
+	return exchange
+}
+
+// comesBack reports whether the caller asks again: only after a refusal that
+// says when, and that tells that the request did not run.
+func (r *runner) comesBack(last *Exchange) bool {
+	if !r.options.HonourRetryAfter || last.Attempt >= r.options.MaxAttempts {
+		return false
+	}
+	return last.Refused() && last.Outcome() == outcome.NotRun &&
+		last.Problem != nil && last.Problem.RetryAfterMS > 0
+}
+
+func retryAfter(last *Exchange) time.Duration {
+	return time.Duration(last.Problem.RetryAfterMS) * time.Millisecond
+}
+
+func (r *runner) result(use Processor) *Result {
+	result := &Result{
+		Name:      r.options.Name,
+		Seed:      r.options.Seed,
+		Started:   r.start,
+		Steps:     r.options.Steps,
+		Processor: use,
+	}
+	for _, step := range r.options.Steps {
+		result.DurationS += step.Duration.Std().Seconds()
+	}
+	r.recorder.fill(result)
+	return result
+}
