Name the answering process in hints

Cause: a drain header on a late answer of a process that has since been replaced would mark its successor as leaving. Change: optional header X-Instance and Hints.Instance; a refusal for draining counts as a drain hint. Conclusion: additive; a server that leaves the header out behaves as before.

--- a/pkg/backend/backend.go
+++ b/pkg/backend/backend.go
@@ -53,6 +53,9 @@
 // it may lag or mislead.
 type Hints struct {
 	Draining bool
+	// Instance is the Status.Instance of the process that answered, or empty
+	// if not said.
+	Instance string
 	// Load is the share of slots in use, or negative if not said.
 	Load float64
 	// NewestVersion is the newest index version that the server serves, or
--- a/pkg/backend/httpbackend/header.go
+++ b/pkg/backend/httpbackend/header.go
@@ -12,6 +12,7 @@
 
 	"github.com/bramblemast/bramblemast/pkg/backend"
 	"github.com/bramblemast/bramblemast/pkg/keyspace"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/target"
 )
 
@@ -49,7 +50,9 @@
 // counts as not said.
 func parseHints(header http.Header) backend.Hints {
 	hints := backend.Hints{
-		Draining: header.Get(backend.HeaderDraining) == "true",
+		Draining: header.Get(backend.HeaderDraining) == "true" ||
+			header.Get(backend.HeaderNotRun) == string(outcome.ReasonDraining),
+		Instance: header.Get(backend.HeaderInstance),
 		Load:     unknownLoad,
 	}
 	if text := header.Get(backend.HeaderLoad); text != "" {
--- a/pkg/backend/wire.go
+++ b/pkg/backend/wire.go
@@ -30,6 +30,9 @@
 	HeaderRetryAfterMS = "X-Retry-After-Ms"
 	// HeaderDraining is "true" on every response of a server that is leaving.
 	HeaderDraining = "X-Draining"
+	// HeaderInstance carries Status.Instance, so that a late answer of a server
+	// that has restarted is not taken for one of its new process.
+	HeaderInstance = "X-Instance"
 	// HeaderLoad carries the share of slots in use, a decimal number.
 	HeaderLoad = "X-Load"
 	// HeaderNewestVersion carries the newest index version that is served.
