--- /dev/null
+++ b/pkg/peer/dispatch.go
@@ -0,0 +1,174 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/peer/peerpb"
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+// stepHandle is the step of errors that a peer's handler gave.
+const stepHandle = "handle peer request"
+
+// busyRetryAfter is when to ask a node again whose handlers are all busy.
+const busyRetryAfter = 200 * time.Millisecond
+
+// dispatcher finds and runs the handlers of a transport.
+type dispatcher struct {
+	node target.NodeID
+	// slots bounds the handlers that run at once.
+	slots chan struct{}
+	mutex sync.RWMutex
+	// handlers is guarded by mutex.
+	handlers map[Kind]Handler
+}
+
+func newDispatcher(node target.NodeID, maxHandlers int) *dispatcher {
+	return &dispatcher{
+		node:     node,
+		slots:    make(chan struct{}, maxHandlers),
+		handlers: make(map[Kind]Handler),
+	}
+}
+
+// Handle registers the handler of a kind; a later one replaces an earlier one.
+func (d *dispatcher) Handle(kind Kind, handler Handler) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.handlers[kind] = handler
+}
+
+// tryAcquire takes a handler slot; false if all are taken.
+func (d *dispatcher) tryAcquire() bool {
+	select {
+	case d.slots <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+// release gives a handler slot back.
+func (d *dispatcher) release() { <-d.slots }
+
+// serve runs the handler of a request and returns the reply.
+func (d *dispatcher) serve(ctx context.Context, request *peerpb.Frame) *peerpb.Frame {
+	d.mutex.RLock()
+	handler := d.handlers[Kind(request.Kind)]
+	d.mutex.RUnlock()
+	if handler == nil {
+		return d.refuse(request, outcome.ReasonInvalid, errors.Errorf("no handler for %q", request.Kind), 0)
+	}
+	if request.TimeoutMs > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(request.TimeoutMs)*time.Millisecond)
+		defer cancel()
+	}
+	message, err := handler(ctx, target.NodeID(request.From), request.Body)
+	if err != nil {
+		return d.fail(request, err)
+	}
+	body, err := marshal(message)
+	if err != nil {
+		return d.fail(request, errors.Wrap(err, "encode reply"))
+	}
+	return &peerpb.Frame{Id: request.Id, Reply: true, From: string(d.node), Body: body}
+}
+
+// busy refuses a request because every handler slot is taken.
+func (d *dispatcher) busy(request *peerpb.Frame) *peerpb.Frame {
+	return d.refuse(request, outcome.ReasonOverloaded, errors.New("all handlers are busy"), busyRetryAfter)
+}
+
+// refuse returns the reply to a request that certainly did not run.
+func (d *dispatcher) refuse(request *peerpb.Frame, reason outcome.Reason, cause error, retryAfter time.Duration) *peerpb.Frame {
+	return &peerpb.Frame{
+		Id:           request.Id,
+		Reply:        true,
+		From:         string(d.node),
+		Error:        cause.Error(),
+		Refused:      true,
+		Reason:       string(reason),
+		RetryAfterMs: uint64(retryAfter.Milliseconds()),
+	}
+}
+
+// fail returns the reply to a request whose handler gave an error.
+func (d *dispatcher) fail(request *peerpb.Frame, cause error) *peerpb.Frame {
+	reply := &peerpb.Frame{
+		Id:      request.Id,
+		Reply:   true,
+		From:    string(d.node),
+		Error:   cause.Error(),
+		Refused: outcome.Of(cause) == outcome.NotRun,
+		Reason:  string(outcome.ReasonOf(cause)),
+	}
+	var typed *outcome.Error
+	if errors.As(cause, &typed) {
+		reply.RetryAfterMs = uint64(typed.RetryAfter.Milliseconds())
+	}
+	return reply
+}
+
+// resultOf decodes a reply into message, or returns the error that it carries.
+func resultOf(reply *peerpb.Frame, address Address, decode func(body []byte) error) error {
+	if reply.Error != "" {
+		return remoteError(reply, address)
+	}
+	if err := decode(reply.Body); err != nil {
+		return &outcome.Error{
+			Step:   "decode reply",
+			Peer:   string(address),
+			Reason: outcome.ReasonCorruptResponse,
+			Cause:  err,
+		}
+	}
+	return nil
+}
+
+// remoteError returns the error that a peer's handler gave.
+func remoteError(reply *peerpb.Frame, address Address) error {
+	known := outcome.Unknown
+	if reply.Refused {
+		known = outcome.NotRun
+	}
+	return &outcome.Error{
+		Step:       stepHandle,
+		Peer:       string(address),
+		Outcome:    known,
+		Reason:     outcome.Reason(reply.Reason),
+		RetryAfter: time.Duration(reply.RetryAfterMs) * time.Millisecond,
+		Cause:      errors.New(reply.Error),
+	}
+}
+
+// IsRemote reports whether err was given by the peer's handler, which shows
+// that the peer is alive and was reached.
+func IsRemote(err error) bool {
+	var typed *outcome.Error
+	return errors.As(err, &typed) && typed.Step == stepHandle
+}
+
+// timeoutOf returns the time that is left in ctx in milliseconds, at least 1;
+// zero if there is no deadline.
+func timeoutOf(ctx context.Context) uint64 {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return uint64(max(time.Until(deadline).Milliseconds(), 1))
+}
+
+// contextError returns the error of a call whose context ended.
+func contextError(ctx context.Context, step string, address Address, known outcome.Outcome) error {
+	reason := outcome.ReasonDeadline
+	if errors.Is(ctx.Err(), context.Canceled) {
+		reason = outcome.ReasonCancelled
+	}
+	return &outcome.Error{Step: step, Peer: string(address), Outcome: known, Reason: reason, Cause: ctx.Err()}
+}
