Read the platform's machine list

Cause: the catalog needs the published service-discovery JSON as typed entries. Weighed: refusing a document with one bad entry would let one typing error hide all servers; instead the good entries stand and every bad one is listed.

--- /dev/null
+++ b/pkg/machinelist/client.go
@@ -0,0 +1,96 @@
+package machinelist
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+)
+
+// Defaults of ClientOptions.
+const (
+	DefaultTimeout  = 5 * time.Second
+	DefaultMaxBytes = 32 << 20
+)
+
+// ClientOptions sets up a Client.
+type ClientOptions struct {
+	// URL is where the list is published.
+	URL string
+	// Timeout bounds one fetch; zero means DefaultTimeout.
+	Timeout time.Duration
+	// MaxBytes bounds the document; zero means DefaultMaxBytes, enough for
+	// 90,000 servers in groups of one.
+	MaxBytes int64
+	// HTTP is the client to use; nil means one of its own.
+	HTTP *http.Client
+}
+
+// Client fetches the machine list. It is safe for concurrent use.
+type Client struct {
+	options ClientOptions
+}
+
+// NewClient returns a client.
+func NewClient(options ClientOptions) *Client {
+	if options.Timeout <= 0 {
+		options.Timeout = DefaultTimeout
+	}
+	if options.MaxBytes <= 0 {
+		options.MaxBytes = DefaultMaxBytes
+	}
+	if options.HTTP == nil {
+		options.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	}
+	return &Client{options: options}
+}
+
+// Fetch reads the list once. The error is an EntryErrors if only some entries
+// are bad; the good ones are returned with it. Any other error is an
+// *outcome.Error with step and peer, and the list is nil.
+func (c *Client) Fetch(ctx context.Context) (List, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
+	defer cancel()
+	document, err := c.read(ctx)
+	if err != nil {
+		return nil, c.failed("fetch machine list", outcome.ReasonUnreachable, err)
+	}
+	list, err := Parse(document)
+	var bad EntryErrors
+	if err != nil && !errors.As(err, &bad) {
+		return nil, c.failed("parse machine list", outcome.ReasonCorruptResponse, err)
+	}
+	return list, err
+}
+
+func (c *Client) failed(step string, reason outcome.Reason, cause error) error {
+	return &outcome.Error{Step: step, Peer: c.options.URL, Reason: reason, Cause: cause}
+}
+
+func (c *Client) read(ctx context.Context) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.options.URL, nil)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Accept", "application/json")
+	answer, err := c.options.HTTP.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("status %d", answer.StatusCode)
+	}
+	document, err := io.ReadAll(io.LimitReader(answer.Body, c.options.MaxBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(document)) > c.options.MaxBytes {
+		return nil, errors.Errorf("document is larger than %d bytes", c.options.MaxBytes)
+	}
+	return document, nil
+}
