Query executor: pin, plan, fan-out, merge, coverage, deadline

Cause: nothing answers a request yet; the node needs the executor's interface to be wired to. Weighed: one channel of results against a list that the event loop takes as a whole; the list was taken, because a burst of answers then costs one wake-up and a late goroutine never blocks. The division of the key space is a shortest path over shard boundaries, so that parents and children of a split may be present at once; a greedy choice by replica count was ruled out, since it can leave gaps that another choice covers.

--- a/pkg/keyspace/range.go
+++ b/pkg/keyspace/range.go
@@ -104,6 +104,12 @@
 	return index < len(s.ranges) && s.ranges[index].Overlaps(r)
 }
 
+// Covers reports whether every position of r is in the set.
+func (s *Set) Covers(r Range) bool {
+	index := s.firstEndingAfter(r.Start)
+	return index < len(s.ranges) && s.ranges[index].Covers(r)
+}
+
 // Add inserts r if it is valid and no position of it is in the set yet, and
 // reports whether it did. A range that overlaps the set is refused as a whole,
 // so that nothing is ever counted twice.
--- /dev/null
+++ b/pkg/query/adapters.go
@@ -0,0 +1,70 @@
+package query
+
+import (
+	"context"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/budget"
+	"github.com/bramblemast/bramblemast/pkg/limit"
+	"github.com/bramblemast/bramblemast/pkg/policy"
+	"github.com/bramblemast/bramblemast/pkg/target"
+	"github.com/bramblemast/bramblemast/pkg/template"
+)
+
+// ServerLimits returns the node's server limits as Limits.
+func ServerLimits(servers *limit.Servers) Limits { return serverLimits{servers: servers} }
+
+type serverLimits struct{ servers *limit.Servers }
+
+func (l serverLimits) TryAcquire(server target.ServerID) (Permit, bool) {
+	permit, ok := l.servers.TryAcquire(server)
+	if !ok {
+		return nil, false
+	}
+	return permit, true
+}
+
+func (l serverLimits) Acquire(ctx context.Context, server target.ServerID) (Permit, error) {
+	permit, err := l.servers.Acquire(ctx, server)
+	if err != nil {
+		return nil, err
+	}
+	return permit, nil
+}
+
+func (l serverLimits) Observe(server target.ServerID) limit.Observation {
+	return l.servers.Observe(server)
+}
+
+// ExtraLoadBudgets returns the node's budgets as Budgets.
+func ExtraLoadBudgets(pool *budget.Pool) Budgets { return extraLoadBudgets{pool: pool} }
+
+type extraLoadBudgets struct{ pool *budget.Pool }
+
+func (b extraLoadBudgets) For(key template.Key, arm string, spec policy.ExtraLoadSpec) Budget {
+	return b.pool.For(key, arm, spec)
+}
+
+// ignoreEvents is the Observer of an executor that was given none.
+type ignoreEvents struct{}
+
+func (ignoreEvents) SubRequestFinished(target.Target, AttemptKind, time.Duration, error) {}
+func (ignoreEvents) LateResponse(target.Service)                                         {}
+func (ignoreEvents) CorruptResponse(target.Service, target.ServerID)                     {}
+func (ignoreEvents) Restarted(target.Service, target.Version, target.Version)            {}
+
+// unlimited is the Limits of an executor that was given none.
+type unlimited struct{}
+
+func (unlimited) TryAcquire(target.ServerID) (Permit, bool)                { return unlimited{}, true }
+func (unlimited) Acquire(context.Context, target.ServerID) (Permit, error) { return unlimited{}, nil }
+func (unlimited) Observe(target.ServerID) limit.Observation                { return limit.Observation{Limit: 1} }
+func (unlimited) Release(limit.Result)                                     {}
+
+// noExtraLoad is the Budgets of an executor that was given none.
+type noExtraLoad struct{}
+
+func (noExtraLoad) For(template.Key, string, policy.ExtraLoadSpec) Budget { return noExtraLoad{} }
+func (noExtraLoad) Earn(int)                                              {}
+func (noExtraLoad) TrySpend() bool                                        { return false }
+func (noExtraLoad) Refund()                                               {}
--- /dev/null
+++ b/pkg/query/launch.go
@@ -0,0 +1,167 @@
+package query
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/backend"
+	"github.com/bramblemast/bramblemast/pkg/catalog"
+	"github.com/bramblemast/bramblemast/pkg/policy"
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+// fanOut sends the first sub-request for each part of the pinned layout.
+func (p *pass) fanOut() {
+	p.parts = make([]partState, 0, len(p.pinned.parts))
+	p.slab = make([]attempt, len(p.pinned.parts))
+	hedgeAt := p.hedgeTime()
+	primaries := 0
+	for i := range p.pinned.parts {
+		if p.open(&p.pinned.parts[i], hedgeAt) {
+			primaries++
+		}
+	}
+	if p.execution.restarts == 0 {
+		p.execution.budget.Earn(primaries)
+	}
+	p.afterStranding()
+}
+
+// open adds a part and sends its first sub-request. It reports whether there
+// was a server to send it to.
+func (p *pass) open(plan *plannedPart, hedgeAt time.Duration) bool {
+	p.parts = append(p.parts, partState{plan: plan, hedgeAt: never, retryAt: never})
+	index := len(p.parts) - 1
+	if !p.launch(index, Primary, false) {
+		p.strand(index)
+		return false
+	}
+	p.scheduleHedge(index, hedgeAt)
+	return true
+}
+
+// launch sends a sub-request for a part. It reports whether there was a server
+// to send it to; for a hedge, one with a free permit.
+func (p *pass) launch(index int, kind AttemptKind, paid bool) bool {
+	part := &p.parts[index]
+	candidate, permit := p.choose(part, kind)
+	if candidate < 0 {
+		return false
+	}
+	part.tried |= 1 << candidate
+	part.attempts++
+	part.sent++
+	x := p.execution
+	x.attempts++
+	x.count(kind, 1)
+	started := p.newAttempt()
+	started.pass = p
+	started.kind = kind
+	started.part = index
+	started.permit = permit
+	started.paid = paid
+	started.ctx, started.cancel = context.WithCancel(x.work)
+	started.request = p.subRequest(part.plan, part.plan.candidates[candidate].ID)
+	part.keep(started)
+	p.outstanding++
+	go started.run()
+	return true
+}
+
+// newAttempt returns an unused attempt.
+func (p *pass) newAttempt() *attempt {
+	if len(p.slab) == 0 {
+		return &attempt{}
+	}
+	unused := &p.slab[0]
+	p.slab = p.slab[1:]
+	return unused
+}
+
+func (p *pass) subRequest(plan *plannedPart, server target.ServerID) backend.Request {
+	x := p.execution
+	return backend.Request{
+		Target:         newTarget(x.request.Template.Service, plan, server, p.pinned.version),
+		RequestID:      x.request.ID,
+		Attempt:        x.attempts,
+		Tenant:         x.request.Template.Tenant,
+		Query:          x.request.Query,
+		Limit:          x.request.Limit,
+		Payload:        x.request.Payload,
+		IdempotencyKey: x.request.IdempotencyKey,
+	}
+}
+
+// choose picks a candidate of the part, with a permit if one is free. Without
+// a free permit it returns the first choice, for which the attempt waits; a
+// hedge does not wait. The index is negative if there is no candidate.
+func (p *pass) choose(part *partState, kind AttemptKind) (int, Permit) {
+	p.collect(part, kind)
+	x := p.execution
+	limits := x.executor.options.Limits
+	first := -1
+	for len(p.indices) > 0 {
+		chosen := x.request.Policies.Replica.Choose(p.replicas, x.random)
+		if chosen < 0 || chosen >= len(p.indices) {
+			chosen = 0
+		}
+		candidate := p.indices[chosen]
+		permit, free := limits.TryAcquire(part.plan.candidates[candidate].ID)
+		if free {
+			return candidate, permit
+		}
+		if first < 0 {
+			first = candidate
+		}
+		p.indices = slices.Delete(p.indices, chosen, chosen+1)
+		p.replicas = slices.Delete(p.replicas, chosen, chosen+1)
+	}
+	if kind == Hedge {
+		return -1, nil
+	}
+	return first, nil
+}
+
+// collect lists the candidates to choose from: active replicas that were not
+// tried yet, else ejected ones, else (but not for a hedge) those tried before.
+func (p *pass) collect(part *partState, kind AttemptKind) {
+	p.indices, p.replicas = p.indices[:0], p.replicas[:0]
+	candidates := part.plan.candidates
+	active := part.plan.active
+	p.collectFrom(part, 0, active, false)
+	if len(p.indices) == 0 {
+		p.collectFrom(part, active, len(candidates), false)
+	}
+	if len(p.indices) == 0 && kind != Hedge {
+		p.collectFrom(part, 0, len(candidates), true)
+	}
+}
+
+func (p *pass) collectFrom(part *partState, from, to int, tried bool) {
+	for i := from; i < to; i++ {
+		if part.tried&(1<<i) != 0 != tried {
+			continue
+		}
+		server := part.plan.candidates[i]
+		if slices.Contains(p.refused, server.ID) {
+			continue
+		}
+		p.indices = append(p.indices, i)
+		p.replicas = append(p.replicas, p.replicaState(server))
+	}
+}
+
+func (p *pass) replicaState(server *catalog.Server) policy.ReplicaState {
+	observed := p.execution.executor.options.Limits.Observe(server.ID)
+	return policy.ReplicaState{
+		Server:       server.ID,
+		ZoneDistance: server.ZoneDistance,
+		InFlight:     observed.InFlight,
+		Limit:        max(observed.Limit, 1),
+		Latency:      observed.Latency,
+		FailureShare: observed.FailureShare,
+		Weight:       server.Weight,
+		ReportedLoad: server.ReportedLoad,
+	}
+}
--- /dev/null
+++ b/pkg/query/pass.go
@@ -0,0 +1,323 @@
+package query
+
+import (
+	"math"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/backend"
+	"github.com/bramblemast/bramblemast/pkg/catalog"
+	"github.com/bramblemast/bramblemast/pkg/keyspace"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/policy"
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+// never is a moment after every deadline.
+const never = time.Duration(math.MaxInt64)
+
+// partStatus is the state of one part of a pass.
+type partStatus int
+
+const (
+	// open means that the part is not covered and may yet be.
+	open partStatus = iota
+	covered
+	// stranded means that no server is known to hold the part.
+	stranded
+	// givenUp means that no further sub-request is sent for the part.
+	givenUp
+	// replaced means that other parts stand for the range of this one.
+	replaced
+)
+
+// partState is one part of a pass.
+type partState struct {
+	plan   *plannedPart
+	status partStatus
+	// running are the attempts without a result: an attempt and its hedge.
+	running [2]*attempt
+	// tried has a bit for each of the plan's candidates that was asked.
+	tried uint64
+	// attempts counts all attempts, and sent those that were sent.
+	attempts int
+	sent     int
+	// hedgeAt and retryAt are when a hedge or a retry is due, since the start
+	// of the execution.
+	hedgeAt time.Duration
+	retryAt time.Duration
+}
+
+// isRunning reports whether an attempt has no result yet.
+func (s *partState) isRunning() bool { return s.running[0] != nil || s.running[1] != nil }
+
+// drop takes an attempt off the running ones.
+func (s *partState) drop(finished *attempt) {
+	for i := range s.running {
+		if s.running[i] == finished {
+			s.running[i] = nil
+		}
+	}
+}
+
+// keep puts an attempt among the running ones.
+func (s *partState) keep(started *attempt) {
+	if s.running[0] == nil {
+		s.running[0] = started
+		return
+	}
+	s.running[1] = started
+}
+
+// pass is the work on one request at one index version. All fields but the
+// inbox belong to the goroutine of Execute.
+type pass struct {
+	execution *execution
+	inbox     *inbox
+	view      *catalog.View
+	pinned    *layout
+	parts     []partState
+	// slab holds the attempts of the fan-out, to allocate them at once.
+	slab []attempt
+
+	covered     keyspace.Set
+	merged      top
+	matches     uint64
+	scoreSum    int64
+	outstanding int
+	// scheduled counts the parts with a retry to come.
+	scheduled int
+	// strandedParts counts the parts that no known server holds.
+	strandedParts int
+	// refused are servers that the plan no longer fits.
+	refused []target.ServerID
+	fatal   *outcome.Error
+	restart *layout
+
+	// now is the time since the start of the execution at the current event.
+	now time.Duration
+	// reachedAt is when the coverage reached the stop rule's target share.
+	reachedAt time.Duration
+	// nextDue is the earliest hedge or retry; recheckAt is when the stop rule
+	// wants to be asked again.
+	nextDue   time.Duration
+	recheckAt time.Duration
+	// hedgeDue is what hedgeTime returned at hedgeAsked.
+	hedgeDue   time.Duration
+	hedgeAsked time.Duration
+	// fresh is true if parts were covered since the last partial.
+	fresh         bool
+	nextPartialAt time.Duration
+	announced     bool
+
+	// replicas and indices are scratch space for the choice of a replica.
+	replicas []policy.ReplicaState
+	indices  []int
+}
+
+func newPass(x *execution, view *catalog.View, pinned *layout) *pass {
+	return &pass{
+		execution:  x,
+		inbox:      newInbox(),
+		view:       view,
+		pinned:     pinned,
+		merged:     top{limit: x.request.Limit},
+		reachedAt:  never,
+		nextDue:    never,
+		recheckAt:  never,
+		hedgeAsked: never,
+	}
+}
+
+// run fans out and waits until the pass ends.
+func (p *pass) run() ending {
+	p.tick()
+	p.fanOut()
+	timer := time.NewTimer(never)
+	defer timer.Stop()
+	for {
+		if ended, done := p.decide(); done {
+			ended.awaited = p.awaited()
+			return ended
+		}
+		p.sendPartial()
+		p.wait(timer)
+		p.tick()
+		p.absorb()
+		p.fireDue()
+		p.revisit()
+	}
+}
+
+// tick reads the clock.
+func (p *pass) tick() { p.now = time.Since(p.execution.started) }
+
+// total is the time from the start of the execution to its deadline.
+func (x *execution) total() time.Duration { return x.deadline.Sub(x.started) }
+
+// remaining is the time until the deadline.
+func (p *pass) remaining() time.Duration { return p.execution.total() - p.now }
+
+// wait blocks until something happens or is due.
+func (p *pass) wait(timer *time.Timer) {
+	due := min(p.execution.total(), p.nextDue, p.recheckAt)
+	if p.fresh && p.execution.partial != nil {
+		due = min(due, p.nextPartialAt)
+	}
+	timer.Reset(max(due-p.now, 0))
+	select {
+	case <-p.inbox.ready:
+	case <-timer.C:
+	case <-p.execution.caller.Done():
+	}
+}
+
+// decide tells whether the pass has ended, and how.
+func (p *pass) decide() (ending, bool) {
+	x := p.execution
+	switch {
+	case x.caller.Err() != nil && p.covered.Width() < p.pinned.asked.Width():
+		return ending{failure: p.cancelled()}, true
+	case p.fatal != nil:
+		return ending{failure: p.fatal}, true
+	case p.covered.Width() == p.pinned.asked.Width():
+		return ending{reason: policy.StopAllParts}, true
+	case p.remaining() <= 0:
+		return ending{reason: policy.StopDeadline}, true
+	case p.restart != nil:
+		return ending{restart: p.restart}, true
+	case p.outstanding == 0 && p.scheduled == 0:
+		return ending{reason: policy.StopExhausted}, true
+	case x.request.Template.NotRepeatable:
+		return ending{}, false
+	}
+	decision := x.request.Policies.Stop.Decide(p.progress())
+	if decision.Stop {
+		return ending{reason: decision.Reason}, true
+	}
+	p.recheckAt = never
+	if decision.Recheck > 0 {
+		p.recheckAt = p.now + decision.Recheck
+	}
+	return ending{}, false
+}
+
+func (p *pass) progress() policy.Progress {
+	progress := policy.Progress{
+		CoveredWidth: p.covered.Width(),
+		TotalWidth:   p.pinned.asked.Width(),
+		Records:      p.merged.count(),
+		Outstanding:  p.outstanding,
+		Elapsed:      p.now,
+		Remaining:    p.remaining(),
+	}
+	if p.reachedAt == never && progress.Share() >= p.execution.request.Policies.Stop.TargetShare() {
+		p.reachedAt = p.now
+	}
+	if p.reachedAt != never {
+		progress.SinceCoverage = p.now - p.reachedAt
+	}
+	return progress
+}
+
+// absorb takes in the attempts that have finished.
+func (p *pass) absorb() {
+	for finished := p.inbox.take(); finished != nil; finished = finished.next {
+		p.settle(finished)
+	}
+}
+
+// settle takes in one finished attempt.
+func (p *pass) settle(finished *attempt) {
+	if finished.detached {
+		p.dropLate(finished)
+		return
+	}
+	p.outstanding--
+	part := &p.parts[finished.part]
+	part.drop(finished)
+	if finished.err == nil && !p.covered.Add(finished.response.Range) {
+		finished.observer().CorruptResponse(finished.request.Target.Service, finished.request.Target.Server)
+		finished.err = unknown(stepCheck, finished.request.Target.Server, outcome.ReasonCorruptResponse, errRepeated)
+	}
+	if finished.err != nil {
+		p.failed(finished)
+		return
+	}
+	p.execution.mayHaveRun++
+	p.merge(finished.response)
+	part.status = covered
+	p.release(part, outlasted)
+}
+
+// merge adds an answer whose range was just covered.
+func (p *pass) merge(response *backend.Response) {
+	p.merged.add(response.Records)
+	p.matches += response.Matches
+	p.scoreSum += response.ScoreSum
+	p.fresh = true
+}
+
+// release ends the attempts of a part that are no longer wanted.
+func (p *pass) release(part *partState, cause attemptState) {
+	for _, running := range part.running {
+		if running == nil {
+			continue
+		}
+		p.outstanding--
+		part.drop(running)
+		if running.end(cause) {
+			p.uncount(running)
+		} else {
+			p.execution.mayHaveRun++
+		}
+	}
+}
+
+// uncount takes back an attempt that was never sent.
+func (p *pass) uncount(unsent *attempt) {
+	p.execution.count(unsent.kind, -1)
+	p.parts[unsent.part].sent--
+	if unsent.paid {
+		p.execution.budget.Refund()
+	}
+}
+
+// dropLate counts an answer that is no longer wanted.
+func (p *pass) dropLate(finished *attempt) {
+	if finished.err == nil {
+		finished.observer().LateResponse(finished.request.Target.Service)
+	}
+}
+
+// close ends what still runs. Answers that arrive from now on are dropped by
+// their own goroutines.
+func (p *pass) close(ended ending) {
+	cause := stopped
+	if ended.reason == policy.StopDeadline {
+		cause = expired
+	}
+	for finished := p.inbox.close(); finished != nil; finished = finished.next {
+		p.dropLate(finished)
+		if finished.detached {
+			continue
+		}
+		p.outstanding--
+		p.parts[finished.part].drop(finished)
+		p.account(finished)
+	}
+	for i := range p.parts {
+		p.release(&p.parts[i], cause)
+	}
+}
+
+// account counts the end of an attempt that gave no answer to merge.
+func (p *pass) account(finished *attempt) {
+	switch {
+	case !finished.wasSent():
+		p.uncount(finished)
+	case outcome.Of(finished.err) == outcome.NotRun:
+		p.execution.load.NotRun++
+	default:
+		p.execution.mayHaveRun++
+	}
+}
--- a/pkg/query/query.go
+++ b/pkg/query/query.go
@@ -53,7 +53,9 @@
 	Coverage   Coverage
 	StopReason policy.StopReason
 	ExtraLoad  ExtraLoad
-	Elapsed    time.Duration
+	// Restarts is how often the query started anew on a newer version.
+	Restarts int
+	Elapsed  time.Duration
 }
 
 // Coverage states which part of the asked key space an answer covers.
@@ -102,12 +104,17 @@
 
 // Partial is an early state of an answer, for callers that stream.
 type Partial struct {
-	Version  target.Version
-	Records  []backend.Record
-	Coverage Coverage
+	// Restarted is true on the first partial after the query started anew on a
+	// newer version: what earlier partials said is void.
+	Restarted bool
+	Version   target.Version
+	Records   []backend.Record
+	Coverage  Coverage
 }
 
 // PartialFunc receives early states of an answer, one at a time and in order.
 // All partials and the final answer of one request carry the same version,
-// except after a restart on a newer version, which Restarted announces.
+// except after a restart on a newer version, which Restarted announces. The
+// function runs on the query's event loop and must return quickly; it owns the
+// slices of the partial.
 type PartialFunc func(partial Partial)
--- /dev/null
+++ b/pkg/query/replan.go
@@ -0,0 +1,171 @@
+package query
+
+import (
+	"slices"
+
+	"github.com/bramblemast/bramblemast/pkg/catalog"
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+// reroute sends a part elsewhere after its server refused, on evidence before
+// it ran anything, because the plan no longer fits. The refused sub-request
+// caused no load, so the new one is not paid from the budget.
+func (p *pass) reroute(index int) {
+	part := &p.parts[index]
+	if part.attempts >= maxAttempts {
+		part.status = givenUp
+		return
+	}
+	if p.currentView() == p.view && p.hasUntried(part) {
+		p.relaunch(index, p.rerouteKind(part), false)
+		return
+	}
+	p.replan(index)
+	p.afterStranding()
+}
+
+// rerouteKind is Primary while nothing was sent for the part.
+func (p *pass) rerouteKind(part *partState) AttemptKind {
+	if part.sent == 0 {
+		return Primary
+	}
+	return Retry
+}
+
+func (p *pass) currentView() *catalog.View {
+	view := p.execution.executor.options.Catalog.View(p.execution.request.Template.Service)
+	if view == nil {
+		return p.view
+	}
+	return view
+}
+
+func (p *pass) hasUntried(part *partState) bool {
+	for i, server := range part.plan.candidates {
+		if part.tried&(1<<i) == 0 && !p.isRefused(server.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *pass) isRefused(server target.ServerID) bool { return slices.Contains(p.refused, server) }
+
+// replan divides the range of one uncovered part anew, from the current view
+// and at the same version: after a split its pieces come from the children,
+// after a merge it is a piece of the parent.
+func (p *pass) replan(index int) {
+	p.view = p.currentView()
+	old := p.parts[index]
+	if old.status == stranded {
+		p.strandedParts--
+	}
+	fresh := newLayout(p.view, p.pinned.version, old.plan.keys, p.isRefused)
+	if fresh.reachable == 0 {
+		p.strand(index)
+		return
+	}
+	p.parts[index].status = replaced
+	for i := range fresh.parts {
+		p.openPiece(&old, &fresh.parts[i])
+	}
+}
+
+// openPiece adds a part that stands for a piece of an older one.
+func (p *pass) openPiece(old *partState, plan *plannedPart) {
+	p.parts = append(p.parts, partState{
+		plan:     plan,
+		tried:    triedOf(old, plan),
+		attempts: old.attempts,
+		sent:     old.sent,
+		hedgeAt:  never,
+		retryAt:  never,
+	})
+	index := len(p.parts) - 1
+	if !p.launch(index, p.rerouteKind(old), false) {
+		p.strand(index)
+		return
+	}
+	p.scheduleHedge(index, p.hedgeTime())
+}
+
+// triedOf returns the bits of the new plan's candidates that were tried for
+// the old part.
+func triedOf(old *partState, plan *plannedPart) uint64 {
+	var tried uint64
+	for i, server := range plan.candidates {
+		at := slices.IndexFunc(old.plan.candidates, func(known *catalog.Server) bool { return known.ID == server.ID })
+		if at >= 0 && old.tried&(1<<at) != 0 {
+			tried |= 1 << i
+		}
+	}
+	return tried
+}
+
+// strand marks a part that no known server holds at the pinned version.
+func (p *pass) strand(index int) {
+	p.parts[index].status = stranded
+	p.strandedParts++
+}
+
+// afterStranding looks for a newer version to restart on, if some part is out
+// of reach at the pinned one.
+func (p *pass) afterStranding() {
+	if p.strandedParts == 0 || !p.mayRestart() {
+		return
+	}
+	reachable := p.reachable()
+	x := p.execution
+	view := p.currentView()
+	newest := x.executor.layouts.of(view).pin(x.request.Key)
+	if newest == nil || newest.version <= p.pinned.version {
+		return
+	}
+	if newest.reachable == newest.asked.Width() || newest.reachable > reachable {
+		p.view = view
+		p.restart = newest
+	}
+}
+
+// reachable counts the positions that are covered or may yet be.
+func (p *pass) reachable() uint32 {
+	var width uint32
+	for i := range p.parts {
+		switch p.parts[i].status {
+		case open, covered:
+			width += p.parts[i].plan.keys.Width()
+		}
+	}
+	return width
+}
+
+// mayRestart reports whether the request may start anew: nothing that may run
+// only once has run, and enough time is left.
+func (p *pass) mayRestart() bool {
+	x := p.execution
+	options := &x.executor.options
+	switch {
+	case x.restarts >= options.MaxRestarts:
+		return false
+	case x.request.Template.NotRepeatable && (x.mayHaveRun > 0 || p.outstanding > 0):
+		return false
+	case float64(p.remaining()) < options.RestartShare*float64(x.total()):
+		return false
+	default:
+		return p.remaining() > x.quantile(typicalQuantile)
+	}
+}
+
+// revisit tries the stranded parts again if the catalog has news.
+func (p *pass) revisit() {
+	if p.strandedParts == 0 || p.currentView() == p.view {
+		return
+	}
+	p.view = p.currentView()
+	for i := range len(p.parts) {
+		if p.parts[i].status == stranded && p.parts[i].attempts < maxAttempts {
+			p.replan(i)
+		}
+	}
+	p.afterStranding()
+}
--- /dev/null
+++ b/pkg/query/tiling.go
@@ -0,0 +1,179 @@
+package query
+
+import (
+	"slices"
+
+	"github.com/bramblemast/bramblemast/pkg/catalog"
+	"github.com/bramblemast/bramblemast/pkg/keyspace"
+)
+
+// shard is one distinct range that servers hold at one version.
+type shard struct {
+	group string
+	keys  keyspace.Range
+	// candidates are the servers that may be asked, active ones first. A shard
+	// without any still tells where the layout's parts lie.
+	candidates []*catalog.Server
+	active     int
+}
+
+// plannedPart is one part of a plan. It is immutable.
+type plannedPart struct {
+	shard
+	// cut is true if no server's shard has exactly this range: the part is a
+	// piece of larger shards.
+	cut bool
+}
+
+// scarcityUnit scales the cost of a position that has one active replica.
+const scarcityUnit = 1 << 16
+
+// ejectedPenalty is how many times worse a position is that has only ejected
+// replicas.
+const ejectedPenalty = 4
+
+// cost orders plans; smaller is better, the first field that differs decides.
+type cost struct {
+	// missing counts positions that no server can be asked for.
+	missing uint32
+	// cut counts positions in parts that are no whole shard.
+	cut uint32
+	// scarcity grows as positions have fewer replicas.
+	scarcity uint64
+	parts    int
+}
+
+func (c cost) plus(part plannedPart) cost {
+	width := part.keys.Width()
+	c.parts++
+	if part.cut {
+		c.cut += width
+	}
+	switch {
+	case part.active > 0:
+		c.scarcity += uint64(width) * scarcityUnit / uint64(part.active)
+	case len(part.candidates) > 0:
+		c.scarcity += uint64(width) * scarcityUnit * ejectedPenalty / uint64(len(part.candidates))
+	default:
+		c.missing += width
+	}
+	return c
+}
+
+func (c cost) less(other cost) bool {
+	switch {
+	case c.missing != other.missing:
+		return c.missing < other.missing
+	case c.cut != other.cut:
+		return c.cut < other.cut
+	case c.scarcity != other.scarcity:
+		return c.scarcity < other.scarcity
+	default:
+		return c.parts < other.parts
+	}
+}
+
+// tile divides the asked range into parts that do not overlap, from shards
+// that may overlap in any way: while a repartition runs, parents and children
+// are there at once. Of all divisions it returns the one of least cost: most
+// positions that can be asked, then most whole shards, then most replicas.
+//
+// The division is a shortest path over the boundaries of the shards, from the
+// start to the end of the asked range; each usable part is an edge.
+func tile(asked keyspace.Range, shards []shard) []plannedPart {
+	edges := clipTo(asked, shards)
+	bounds := boundaries(asked, edges)
+	edges = append(edges, pieces(bounds, edges)...)
+	slices.SortStableFunc(edges, func(a, b plannedPart) int { return int(a.keys.Start) - int(b.keys.Start) })
+	return shortestPath(bounds, edges)
+}
+
+// clipTo returns the shards that overlap asked, cut to it.
+func clipTo(asked keyspace.Range, shards []shard) []plannedPart {
+	var edges []plannedPart
+	for _, held := range shards {
+		if !held.keys.Overlaps(asked) {
+			continue
+		}
+		edge := plannedPart{shard: held, cut: !asked.Covers(held.keys)}
+		edge.keys.Start = max(held.keys.Start, asked.Start)
+		edge.keys.End = min(held.keys.End, asked.End)
+		edges = append(edges, edge)
+	}
+	return edges
+}
+
+// boundaries returns the distinct ends of the edges and of asked, ascending.
+func boundaries(asked keyspace.Range, edges []plannedPart) []uint32 {
+	bounds := []uint32{asked.Start, asked.End}
+	for _, edge := range edges {
+		bounds = append(bounds, edge.keys.Start, edge.keys.End)
+	}
+	slices.Sort(bounds)
+	return slices.Compact(bounds)
+}
+
+// pieces returns one part for each two neighbouring boundaries that no whole
+// edge joins. It can be asked from every server whose shard covers it; with no
+// such server it is a gap.
+func pieces(bounds []uint32, edges []plannedPart) []plannedPart {
+	whole := make(map[keyspace.Range]bool, len(edges))
+	for _, edge := range edges {
+		whole[edge.keys] = true
+	}
+	var result []plannedPart
+	for i := 1; i < len(bounds); i++ {
+		keys := keyspace.Range{Start: bounds[i-1], End: bounds[i]}
+		if !whole[keys] {
+			result = append(result, pieceOf(keys, edges))
+		}
+	}
+	return result
+}
+
+func pieceOf(keys keyspace.Range, edges []plannedPart) plannedPart {
+	piece := plannedPart{shard: shard{keys: keys}, cut: true}
+	for _, edge := range edges {
+		if !edge.keys.Covers(keys) {
+			continue
+		}
+		if piece.group == "" {
+			piece.group = edge.group
+		}
+		piece.candidates = append(piece.candidates, edge.candidates...)
+	}
+	piece.shard = newShard(piece.group, keys, piece.candidates)
+	return piece
+}
+
+// shortestPath returns the edges of the cheapest path from the first to the
+// last boundary. Edges are sorted by start, and every boundary but the last
+// starts at least one that leads to the next boundary.
+func shortestPath(bounds []uint32, edges []plannedPart) []plannedPart {
+	type step struct {
+		cost cost
+		edge int
+	}
+	const unreached = -1
+	best := make(map[uint32]step, len(bounds))
+	best[bounds[0]] = step{edge: unreached}
+	for index, edge := range edges {
+		from, reached := best[edge.keys.Start]
+		if !reached {
+			continue
+		}
+		total := from.cost.plus(edge)
+		known, seen := best[edge.keys.End]
+		if !seen || total.less(known.cost) {
+			best[edge.keys.End] = step{cost: total, edge: index}
+		}
+	}
+	var path []plannedPart
+	for end := bounds[len(bounds)-1]; end != bounds[0]; {
+		edge := edges[best[end].edge]
+		path = append(path, edge)
+		end = edge.keys.Start
+	}
+	slices.Reverse(path)
+	return path
+}
