--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,48 @@
-# Targets: see README.md. Everything is pinned in go.mod.
+# Targets: see README.md. Every tool is pinned in go.mod.
 GO ?= go
 BIN := bin
 PROTOS := $(wildcard proto/*.proto)
+VERSION := $(shell git describe --tags --always --dirty 2>/dev/null || echo unknown)
+LDFLAGS := -X github.com/bramblemast/bramblemast/internal/version.Version=$(VERSION)
+FUZZTIME ?= 30s
+
+.PHONY: build test race lint demo bench fuzz stats generate
 
-.PHONY: build
 build:
-	$(GO) build -o $(BIN)/ ./cmd/...
+	$(GO) build -ldflags "$(LDFLAGS)" -o $(BIN)/ ./cmd/...
+
+# demo runs the main job with everything embedded and ends by itself.
+demo: build
+	$(BIN)/bramblemast-lab demo
+
+# test runs every test with fixed seeds; it builds the programs first, because
+# the integration tests start them.
+test: build
+	scripts/test.sh -count=1 -timeout 8m -- ./...
+
+# race runs the tests of the packages that start goroutines under the race
+# detector; it needs a C compiler.
+race:
+	scripts/test.sh -race -count=1 -timeout 10m -- ./pkg/... ./internal/...
+
+lint:
+	@unformatted="$$(gofmt -l $$(git ls-files '*.go'))"; \
+	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./pkg/... ./internal/...
+
+# fuzz runs each native fuzz target for FUZZTIME and the stateful ones with
+# many checks and fresh seeds.
+fuzz:
+	scripts/fuzz.sh $(FUZZTIME)
+
+stats:
+	@scripts/stats.sh
 
 # generate needs protoc; its output is committed.
-.PHONY: generate
 generate:
 	GOBIN=$(CURDIR)/$(BIN) $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go github.com/planetscale/vtprotobuf/cmd/protoc-gen-go-vtproto
 	PATH=$(CURDIR)/$(BIN):$$PATH protoc --proto_path=proto --go_out=. --go_opt=module=github.com/bramblemast/bramblemast \
--- a/api/query.go
+++ b/api/query.go
@@ -97,6 +97,9 @@
 	Revision   uint64    `json:"revision"`
 	Arm        string    `json:"arm"`
 	ElapsedMS  float64   `json:"elapsed_ms"`
+	// Replayed is true if the request had run before under the same
+	// idempotency key and this is the recorded result.
+	Replayed bool `json:"replayed,omitempty"`
 	// Node is the node that served the request.
 	Node string `json:"node"`
 }
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,38 @@
+#!/usr/bin/env bash
+# Runs the tests with fixed seeds. Test flags are only known to packages that
+# import the library that defines them, so packages are grouped by that.
+# Usage: scripts/test.sh [go test flags] -- packages...
+set -euo pipefail
+
+seed="${BRAMBLEMAST_TEST_SEED:-1}"
+flags=()
+while [ $# -gt 0 ] && [ "$1" != "--" ]; do
+  flags+=("$1")
+  shift
+done
+[ $# -gt 0 ] && shift
+
+listing='{{.ImportPath}} {{join .TestImports ","}},{{join .XTestImports ","}}'
+packages="$(go list -f "$listing" "${@:-./...}")"
+
+# group REGEX_WANTED REGEX_UNWANTED: the packages whose tests import the one
+# and not the other.
+group() {
+  awk -v wanted="$1" -v unwanted="$2" '$2 ~ wanted && (unwanted == "" || $2 !~ unwanted) {print $1}' <<<"$packages"
+}
+
+status=0
+run() {
+  local names="$1"
+  shift
+  [ -z "$names" ] && return 0
+  # shellcheck disable=SC2086
+  go test ${flags[@]+"${flags[@]}"} $names "$@" || status=1
+}
+
+both="$(awk '$2 ~ /ginkgo/ && $2 ~ /rapid/ {print $1}' <<<"$packages")"
+run "$both" -ginkgo.seed="$seed" -rapid.seed="$seed" -rapid.nofailfile
+run "$(group ginkgo rapid)" -ginkgo.seed="$seed"
+run "$(group rapid ginkgo)" -rapid.seed="$seed" -rapid.nofailfile
+run "$(awk '$2 !~ /ginkgo|rapid/ && $2 != "," {print $1}' <<<"$packages")"
+exit "$status"
