--- /dev/null
+++ b/internal/lab/experiment/environment.go
@@ -0,0 +1,36 @@
+package experiment
+
+import (
+	"context"
+	"time"
+
+	"github.com/bramblemast/bramblemast/internal/lab/oracle"
+	"github.com/bramblemast/bramblemast/internal/lab/topology"
+	"github.com/bramblemast/bramblemast/pkg/target"
+	"github.com/bramblemast/bramblemast/pkg/template"
+)
+
+// Setting is what an environment is launched with.
+type Setting struct {
+	Deployment *topology.Deployment
+	Nodes      int
+	Templates  []*template.Template
+}
+
+// Environment is stand-ins and nodes that run.
+type Environment interface {
+	// Targets are the callers' addresses of the nodes.
+	Targets() []string
+	// Work returns what the back ends of a service did so far.
+	Work(ctx context.Context, service target.Service) (BackendWork, error)
+	// Executions returns the execution logs of all back ends since a moment.
+	Executions(ctx context.Context, since time.Time) ([]oracle.Execution, error)
+	// Close stops everything that the launch started.
+	Close() error
+}
+
+// Launcher makes environments. Launch returns once every node serves the
+// templates of the setting.
+type Launcher interface {
+	Launch(ctx context.Context, setting Setting) (Environment, error)
+}
