--- a/pkg/query/extra.go
+++ b/pkg/query/extra.go
@@ -146,7 +146,7 @@
 		p.fatal = typed(finished.err, finished.request.Target.Server)
 		return
 	}
-	if finished.wasSent() && isStalePlan(finished.err) {
+	if isStalePlan(finished.err) {
 		p.refused = append(p.refused, finished.request.Target.Server)
 		if !part.isRunning() {
 			p.reroute(finished.part)
--- a/pkg/query/pass.go
+++ b/pkg/query/pass.go
@@ -205,7 +205,7 @@
 	progress := policy.Progress{
 		CoveredWidth: p.covered.Width(),
 		TotalWidth:   p.pinned.asked.Width(),
-		Records:      p.merged.count(),
+		Records:      p.merged.taken,
 		Outstanding:  p.outstanding,
 		Elapsed:      p.now,
 		Remaining:    p.remaining(),
--- a/pkg/query/replan.go
+++ b/pkg/query/replan.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/bramblemast/bramblemast/pkg/catalog"
+	"github.com/bramblemast/bramblemast/pkg/keyspace"
 	"github.com/bramblemast/bramblemast/pkg/target"
 )
 
@@ -53,7 +54,9 @@
 
 // replan divides the range of one uncovered part anew, from the current view
 // and at the same version: after a split its pieces come from the children,
-// after a merge it is a piece of the parent.
+// after a merge it is a piece of the parent. A request with a key has one part
+// and nothing covered yet: it goes on with only the piece that holds the key,
+// since one that is not repeatable must go to one server only.
 func (p *pass) replan(index int) {
 	p.view = p.currentView()
 	old := p.parts[index]
@@ -65,6 +68,10 @@
 		p.strand(index)
 		return
 	}
+	if p.execution.request.Key != "" {
+		fresh = fresh.narrow(keyspace.Position(p.execution.request.Key))
+		p.pinned = fresh
+	}
 	p.parts[index].status = replaced
 	for i := range fresh.parts {
 		p.openPiece(&old, &fresh.parts[i])
@@ -127,12 +134,13 @@
 	}
 }
 
-// reachable counts the positions that are covered or may yet be.
+// reachable counts the positions that servers hold at the pinned version. A
+// part that was given up counts: a restart is no way round the retry policy.
 func (p *pass) reachable() uint32 {
 	var width uint32
 	for i := range p.parts {
 		switch p.parts[i].status {
-		case open, covered:
+		case open, covered, givenUp:
 			width += p.parts[i].plan.keys.Width()
 		}
 	}
--- a/pkg/query/top.go
+++ b/pkg/query/top.go
@@ -14,6 +14,8 @@
 	// limit is the number of records wanted; all if zero or less.
 	limit   int
 	records []backend.Record
+	// taken counts the records of all parts.
+	taken int
 	// full is true once records[limit-1] bounds what can still be wanted.
 	full  bool
 	worst backend.Record
@@ -29,6 +31,7 @@
 
 // add takes the records of one more part, in any order.
 func (t *top) add(records []backend.Record) {
+	t.taken += len(records)
 	if t.limit <= 0 {
 		t.records = append(t.records, records...)
 		return
@@ -61,11 +64,3 @@
 	t.shrink()
 	return t.records
 }
-
-// count returns the number of records that are wanted so far.
-func (t *top) count() int {
-	if t.limit <= 0 {
-		return len(t.records)
-	}
-	return min(len(t.records), t.limit)
-}
