--- a/internal/lab/experiment/document.go
+++ b/internal/lab/experiment/document.go
@@ -75,7 +75,8 @@
 	Arrivals load.Arrivals   `yaml:"arrivals"`
 	Warmup   policy.Duration `yaml:"warmup"`
 	Steps    []Step          `yaml:"steps"`
-	// Mix defaults to the varied template alone.
+	// Mix defaults to the varied template alone. An entry of a repeatable
+	// template without queries and keys draws from those of load.GroupQueries.
 	Mix            []load.TemplateLoad `yaml:"mix"`
 	MaxOutstanding int                 `yaml:"max_outstanding"`
 	// HonourRetryAfter makes refused callers come back, at most MaxAttempts
@@ -151,11 +152,23 @@
 	if varied := d.varied(); varied != nil && len(d.Load.Mix) == 0 {
 		d.Load.Mix = []load.TemplateLoad{{Tenant: varied.Tenant, Template: varied.Name}}
 	}
+	d.fillQueries()
 	if d.Mode == ModeShared {
 		d.fillShares()
 	}
 }
 
+// fillQueries gives each caller of a repeatable template one of several
+// questions, so that a mix-up of answers shows.
+func (d *Document) fillQueries() {
+	for index := range d.Load.Mix {
+		entry := &d.Load.Mix[index]
+		if !entry.NotRepeatable && len(entry.Queries) == 0 && len(entry.Keys) == 0 {
+			entry.Queries = load.GroupQueries()
+		}
+	}
+}
+
 // fillShares divides the traffic evenly unless a share is given.
 func (d *Document) fillShares() {
 	for _, arm := range d.Arms {
--- a/internal/lab/experiment/environment.go
+++ b/internal/lab/experiment/environment.go
@@ -21,9 +21,12 @@
 type Environment interface {
 	// Targets are the callers' addresses of the nodes.
 	Targets() []string
+	// Seed is the seed that the contents of the indexes are made from.
+	Seed() uint64
 	// Work returns what the back ends of a service did so far.
 	Work(ctx context.Context, service target.Service) (BackendWork, error)
-	// Executions returns the execution logs of all back ends since a moment.
+	// Executions returns what the execution logs of all back ends still hold
+	// since a moment.
 	Executions(ctx context.Context, since time.Time) ([]oracle.Execution, error)
 	// Close stops everything that the launch started.
 	Close() error
--- a/internal/lab/experiment/fake_test.go
+++ b/internal/lab/experiment/fake_test.go
@@ -31,6 +31,7 @@
 	contents  *dataset.Dataset
 	documents map[template.Key]*template.Template
 	lie       bool
+	seed      uint64
 }
 
 func (l *fakeLauncher) Launch(_ context.Context, setting Setting) (Environment, error) {
@@ -40,6 +41,7 @@
 		contents:  dataset.New(service.Name, setting.Deployment.Seed, service.Records),
 		documents: make(map[template.Key]*template.Template),
 		lie:       l.lie,
+		seed:      setting.Deployment.Seed,
 	}
 	for _, document := range setting.Templates {
 		environment.documents[document.Key()] = document
@@ -50,6 +52,8 @@
 
 func (e *fakeEnvironment) Targets() []string { return []string{e.URL} }
 
+func (e *fakeEnvironment) Seed() uint64 { return e.seed }
+
 func (e *fakeEnvironment) Work(context.Context, target.Service) (BackendWork, error) {
 	return BackendWork{}, nil
 }
--- a/internal/lab/experiment/output.go
+++ b/internal/lab/experiment/output.go
@@ -78,6 +78,17 @@
 	return total
 }
 
+// MissedAims returns the number of aims that were not kept.
+func (o *Output) MissedAims() int {
+	missed := 0
+	for _, aim := range o.Aims {
+		if !aim.Met {
+			missed++
+		}
+	}
+	return missed
+}
+
 // Arm returns the figures of an arm, or nil.
 func (o *Output) Arm(name string) *ArmOutput {
 	for index := range o.Arms {
--- a/internal/lab/experiment/plan.go
+++ b/internal/lab/experiment/plan.go
@@ -3,9 +3,7 @@
 import (
 	"math"
 
-	"github.com/bramblemast/bramblemast/internal/lab/dataset"
 	"github.com/bramblemast/bramblemast/internal/lab/load"
-	"github.com/bramblemast/bramblemast/internal/lab/oracle"
 	"github.com/bramblemast/bramblemast/internal/lab/topology"
 	"github.com/bramblemast/bramblemast/pkg/policy"
 	"github.com/bramblemast/bramblemast/pkg/target"
@@ -116,25 +114,3 @@
 			template.Arm{Name: side.Name, Share: side.Share, Policies: side.Policies})
 	}
 }
-
-// expectations tells the oracle what the answers must hold.
-func (d *Document) expectations(deployment *topology.Deployment) map[template.Key]oracle.Expectation {
-	contents := make(map[target.Service]*dataset.Dataset)
-	for _, service := range deployment.Services {
-		contents[service.Name] = dataset.New(service.Name, deployment.Seed, service.Records)
-	}
-	expectations := make(map[template.Key]oracle.Expectation)
-	for _, document := range d.Templates {
-		limit := document.Limit
-		if limit == 0 {
-			limit = template.DefaultLimit
-		}
-		expectations[document.Key()] = oracle.Expectation{
-			Dataset:         contents[document.Service],
-			Limit:           limit,
-			MinimumCoverage: document.MinimumCoverage,
-			NotRepeatable:   document.NotRepeatable,
-		}
-	}
-	return expectations
-}
--- a/internal/lab/experiment/runner.go
+++ b/internal/lab/experiment/runner.go
@@ -136,7 +136,8 @@
 	if arm != nil {
 		run.Arm = arm.Name
 	}
-	judge := oracle.New(s.document.expectations(deployment))
+	deployment.Seed = environment.Seed()
+	judge := oracle.New(oracle.ExpectationsOf(deployment, s.document.templatesFor(arm)))
 	if err := s.measure(ctx, environment, deployment, run, arm, judge); err != nil {
 		return nil, err
 	}
--- a/internal/lab/report/charts.go
+++ b/internal/lab/report/charts.go
@@ -7,6 +7,8 @@
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/font"
 	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgimg"
 
 	"github.com/bramblemast/bramblemast/internal/lab/experiment"
 )
@@ -19,6 +21,7 @@
 	labelSize   = font.Length(12)
 	tickSize    = font.Length(11)
 	lineWidth   = vg.Length(1.5)
+	margin      = vg.Length(12)
 )
 
 // comparison is a plot of some metrics over the arms.
@@ -52,8 +55,8 @@
 	},
 }
 
-// draw makes every plot that the output has figures for.
-func draw(output *experiment.Output) ([]chart, error) {
+// drawAll makes every plot that the output has figures for.
+func drawAll(output *experiment.Output) ([]chart, error) {
 	var charts []chart
 	add := func(name, title string, drawing *plot.Plot, err error) error {
 		if err != nil || drawing == nil {
@@ -102,12 +105,12 @@
 	return drawing
 }
 
+// encode draws with a margin, because axes and lines may end at the very edge.
 func encode(drawing *plot.Plot) ([]byte, error) {
-	writer, err := drawing.WriterTo(chartWidth, chartHeight, "png")
-	if err != nil {
-		return nil, err
-	}
+	canvas := vgimg.New(chartWidth, chartHeight)
+	inner := draw.Crop(draw.New(canvas), margin, -margin, margin, -margin)
+	drawing.Draw(inner)
 	var buffer bytes.Buffer
-	_, err = writer.WriteTo(&buffer)
+	_, err := vgimg.PngCanvas{Canvas: canvas}.WriteTo(&buffer)
 	return buffer.Bytes(), err
 }
--- a/internal/lab/report/comparison.go
+++ b/internal/lab/report/comparison.go
@@ -1,12 +1,14 @@
 package report
 
 import (
+	imagecolor "image/color"
 	"math"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
 
 	"github.com/bramblemast/bramblemast/internal/lab/experiment"
 )
@@ -21,6 +23,14 @@
 	headroom = 0.3
 )
 
+// shapes tell the metrics apart without colours.
+var shapes = []draw.GlyphDrawer{draw.CircleGlyph{}, draw.BoxGlyph{}, draw.PyramidGlyph{}}
+
+// color returns the colour of a series.
+func color(index int) imagecolor.Color {
+	return plotutil.DarkColors[index%len(plotutil.DarkColors)]
+}
+
 // bars holds points with their intervals.
 type bars struct {
 	plotter.XYs
@@ -69,14 +79,14 @@
 	if err != nil {
 		return err
 	}
-	scatter.Color = plotutil.Color(index)
-	scatter.Shape = plotutil.Shape(index)
+	scatter.Color = color(index)
+	scatter.Shape = shapes[index%len(shapes)]
 	scatter.Radius = pointRadius
 	whiskers, err := plotter.NewYErrorBars(points)
 	if err != nil {
 		return err
 	}
-	whiskers.Color = plotutil.Color(index)
+	whiskers.Color = color(index)
 	whiskers.Width = lineWidth
 	drawing.Add(scatter, whiskers)
 	drawing.Legend.Add(label, scatter)
--- a/internal/lab/report/latency.go
+++ b/internal/lab/report/latency.go
@@ -7,7 +7,6 @@
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
 	"github.com/bramblemast/bramblemast/internal/lab/experiment"
@@ -155,7 +154,7 @@
 	if err != nil {
 		return err
 	}
-	line.Color = plotutil.Color(index)
+	line.Color = color(index)
 	line.Width = lineWidth * vg.Length(width)
 	drawing.Add(line)
 	if label != "" {
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -34,7 +34,7 @@
 	if err := os.MkdirAll(directory, directoryMode); err != nil {
 		return "", errors.Wrap(err, "make report directory")
 	}
-	charts, err := draw(output)
+	charts, err := drawAll(output)
 	if err != nil {
 		return "", err
 	}
