load: a refusal is a 429 or 503 that says not run

Cause: a node answers 503 also when it withholds an answer for its low coverage, after the work was done; that was counted as a refusal. Change: Exchange.Refused asks for the outcome not_run as well. Conclusion: such requests now count as failed.

--- a/internal/lab/load/exchange.go
+++ b/internal/lab/load/exchange.go
@@ -69,10 +69,11 @@
 	}
 }
 
-// Refused reports whether the node turned the request away with a status that
-// asks the caller to come back.
+// Refused reports whether the node turned the request away, without running
+// it, with a status that asks the caller to come back.
 func (e *Exchange) Refused() bool {
-	return e.Status == http.StatusTooManyRequests || e.Status == http.StatusServiceUnavailable
+	asksBack := e.Status == http.StatusTooManyRequests || e.Status == http.StatusServiceUnavailable
+	return asksBack && e.Outcome() == outcome.NotRun
 }
 
 // arm returns the arm that the node says it used; empty if it says none.
--- a/internal/lab/load/result.go
+++ b/internal/lab/load/result.go
@@ -56,7 +56,8 @@
 	Outcome  outcome.Outcome `json:"outcome"`
 	// Reason is empty for answers.
 	Reason outcome.Reason `json:"reason,omitempty"`
-	// Refused is true if the last exchange asked the caller to come back.
+	// Refused is true if the last exchange was refused without running; see
+	// Exchange.Refused.
 	Refused bool `json:"refused,omitempty"`
 }
 
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -5,8 +5,6 @@
 	"math/rand/v2"
 	"sync"
 	"time"
-
-	"github.com/bramblemast/bramblemast/pkg/outcome"
 )
 
 // Streams of the seed, so that arrivals don't depend on the mix.
@@ -159,8 +157,7 @@
 	if !r.options.HonourRetryAfter || last.Attempt >= r.options.MaxAttempts {
 		return false
 	}
-	return last.Refused() && last.Outcome() == outcome.NotRun &&
-		last.Problem != nil && last.Problem.RetryAfterMS > 0
+	return last.Refused() && last.Problem != nil && last.Problem.RetryAfterMS > 0
 }
 
 func retryAfter(last *Exchange) time.Duration {
