Fault-injecting proxy, specs of the stand-ins, one watched value for faults

Cause: failures between processes had nothing to bring them about, and the stand-ins had no specs.

Weighed for the proxy: dropping bytes in a one-way cut (TCP would never do so; a healed cut lets the held bytes follow) and an address for each pair of zones (gives a server several identities). Taken: stalls, and rules that pick connections by the network that they come from and the zone that they go to. For the store's hanging outage: running the held writes when it ends. That made a spec depend on when the server notices that the caller left; a held request is now cut when the outage ends and never runs. Writes that land with the reply lost have their own fault.

Change: internal/lab/faultproxy with rules, control interface, client, schedule files and `bramblemast-lab proxy run`; internal/lab/watched replaces three hand-made change signals; specs for the store (compare-and-swap table, blocking queries, sessions, faults, rollback), back ends (slots, queue, shed, deadline, cancel, connections, retention, split and merge, drain, wrong answers), the deployment through its admin client, and the presets.

`go test -race` of the four packages passed three times running, goleak included.

--- a/cmd/bramblemast-lab/standin.go
+++ b/cmd/bramblemast-lab/standin.go
@@ -238,9 +238,13 @@
 func waitForSignal() error {
 	var group oklogrun.Group
 	group.Add(oklogrun.SignalHandler(context.Background(), syscall.SIGINT, syscall.SIGTERM))
-	err := group.Run()
-	var signalled oklogrun.SignalError
-	if errors.As(err, &signalled) {
+	return withoutSignal(group.Run())
+}
+
+// withoutSignal turns the error of a signal, which is the planned end of a
+// command, into nil.
+func withoutSignal(err error) error {
+	if errors.Is(err, oklogrun.ErrSignal) {
 		return nil
 	}
 	return err
--- a/internal/lab/standin/backend/respond.go
+++ b/internal/lab/standin/backend/respond.go
@@ -21,7 +21,7 @@
 // this server as the score, and the payload.
 func (s *Server) result(query *subQuery, timesRun int64) reply {
 	made := reply{version: query.version, within: query.within}
-	faults := s.faults.Load().Faults
+	faults := s.faults.Get()
 	if s.dice.chance(faults.WrongVersionShare) {
 		made.version++
 	}
@@ -95,7 +95,7 @@
 }
 
 func (s *Server) writeAnswer(writer http.ResponseWriter, request *http.Request, query *subQuery, answered reply) {
-	faults := s.faults.Load().Faults
+	faults := s.faults.Get()
 	if s.dice.chance(faults.LateShare) {
 		sleep(request.Context(), time.Duration(faults.LateMS)*time.Millisecond)
 	}
--- a/internal/lab/standin/backend/status.go
+++ b/internal/lab/standin/backend/status.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/bramblemast/bramblemast/internal/lab/standin/labapi"
 	"github.com/bramblemast/bramblemast/pkg/backend"
 )
 
@@ -51,7 +52,7 @@
 	status := s.trueStatus()
 	now := time.Now()
 	s.fillTimes(&status, current, now)
-	faults := s.faults.Load()
+	faults := s.faults.Get()
 	status.Ready = s.readyAt(current, now.Add(-lag(faults)))
 	status.Draining = s.reportedDraining(faults, now)
 	status.Load = s.reportedLoad(faults, now)
@@ -70,7 +71,7 @@
 }
 
 // reportedDraining applies the lag and the faults to the drain signal.
-func (s *Server) reportedDraining(faults *faultState, now time.Time) bool {
+func (s *Server) reportedDraining(faults labapi.Faults, now time.Time) bool {
 	if faults.HideDrain {
 		return false
 	}
@@ -78,7 +79,7 @@
 }
 
 // reportedLoad applies the lag and the bias to the load.
-func (s *Server) reportedLoad(faults *faultState, now time.Time) float64 {
+func (s *Server) reportedLoad(faults labapi.Faults, now time.Time) float64 {
 	load := s.slots.load()
 	if faults.ReportLagMS > 0 {
 		s.loads.Set(now, load)
@@ -87,13 +88,13 @@
 	return max(load+faults.LoadBias, 0)
 }
 
-func lag(faults *faultState) time.Duration {
+func lag(faults labapi.Faults) time.Duration {
 	return time.Duration(faults.ReportLagMS) * time.Millisecond
 }
 
 // setHints sets the headers by which a server tells of itself.
 func (s *Server) setHints(header http.Header) {
-	faults := s.faults.Load()
+	faults := s.faults.Get()
 	now := time.Now()
 	if s.reportedDraining(faults, now) {
 		header.Set(backend.HeaderDraining, "true")
--- /dev/null
+++ b/internal/lab/standin/backend/suite_test.go
@@ -0,0 +1,16 @@
+package backend_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+)
+
+func TestBackend(t *testing.T) {
+	ignored := goleak.IgnoreCurrent()
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "back-end stand-in")
+	goleak.VerifyNone(t, ignored, goleak.IgnoreTopFunction("github.com/onsi/ginkgo/v2/internal/interrupt_handler.(*InterruptHandler).registerForInterrupts.func2"))
+}
--- a/internal/lab/standin/labapi/platform.go
+++ b/internal/lab/standin/labapi/platform.go
@@ -13,7 +13,8 @@
 	OutageRefuse OutageMode = "refuse"
 	// OutageError answers 500 as the store does without a leader.
 	OutageError OutageMode = "error"
-	// OutageHang takes requests and gives no reply until the outage ends.
+	// OutageHang takes requests and does nothing; their connections are cut
+	// when the outage ends.
 	OutageHang OutageMode = "hang"
 )
 
--- a/internal/lab/standin/store/store.go
+++ b/internal/lab/standin/store/store.go
@@ -31,14 +31,14 @@
 // concurrent use.
 type Store struct {
 	state    *state
-	faults   *faultControl
+	faults   faultControl
 	counters counters
 	mux      *http.ServeMux
 }
 
 // New makes an empty, healthy store.
 func New() *Store {
-	store := &Store{state: newState(time.Now), faults: newFaultControl(), mux: http.NewServeMux()}
+	store := &Store{state: newState(time.Now), mux: http.NewServeMux()}
 	store.registerSessions()
 	return store
 }
