limit: adaptive concurrency for each server, with paced fractions of a slot

Cause: many nodes share a server's slots without seeing each other, down to a share of 0.07 of a slot, so a node needs a limit that finds the capacity from shed answers and latency. Change: additive increase while in use, multiplicative decrease on shed, failed or slow answers, ramp for new and returning servers, whole slots counted and the fraction paced by a token bucket, bounded FIFO wait with a prediction, ceiling by the share of connections. Sharded copy-on-write maps, one mutex for a server, pooled permits.

--- /dev/null
+++ b/pkg/limit/server.go
@@ -0,0 +1,282 @@
+package limit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+// server is the limiter of one server.
+type server struct {
+	id      target.ServerID
+	options *Options
+
+	// mutex guards everything below, and the fields of waiters in the queue.
+	mutex      sync.Mutex
+	controller controller
+	pacer      pacer
+	failures   failureTracker
+	inFlight   int
+	queue      waiterQueue
+	// free is a list of released permits for reuse.
+	free *Permit
+	// wake dispatches when the pacer has a token; nil until first needed.
+	wake *time.Timer
+	// closed means that the server was forgotten.
+	closed bool
+}
+
+// Permit allows one sub-request to one server. It must be released exactly
+// once and not be used after that.
+type Permit struct {
+	server *server
+	// limited means that the limit was in full use with this permit.
+	limited bool
+	next    *Permit
+}
+
+func newServer(id target.ServerID, options *Options, share Share) *server {
+	now := time.Now()
+	return &server{
+		id:         id,
+		options:    options,
+		controller: newController(options, share, now),
+		pacer:      pacer{tokens: 1, refilled: now},
+	}
+}
+
+func (s *server) configure(share Share, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.controller.setShare(share)
+	s.dispatch(now)
+}
+
+// close refuses the callers that wait.
+func (s *server) close() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.closed = true
+	for s.queue.count > 0 {
+		s.queue.popFront().refuse(s.refusal(outcome.ReasonDraining, 0))
+	}
+	if s.wake != nil {
+		s.wake.Stop()
+	}
+}
+
+func (s *server) tryAcquire() (*Permit, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.queue.count > 0 {
+		return nil, false
+	}
+	return s.take()
+}
+
+// take hands out a permit if the limit allows it. The clock is only read when
+// the whole slots are in use.
+func (s *server) take() (*Permit, bool) {
+	if s.inFlight < s.controller.whole() {
+		return s.takeWhole(), true
+	}
+	s.advance(time.Now())
+	whole := s.controller.whole()
+	switch {
+	case s.inFlight < whole:
+		return s.takeWhole(), true
+	case s.inFlight > whole || !s.fractionReady():
+		return nil, false
+	default:
+		return s.takeFraction(), true
+	}
+}
+
+func (s *server) takeWhole() *Permit {
+	s.inFlight++
+	return s.newPermit(s.inFlight >= s.controller.whole())
+}
+
+func (s *server) takeFraction() *Permit {
+	s.inFlight++
+	s.pacer.tokens--
+	return s.newPermit(s.inFlight > 1 || s.pacer.tokens < 1)
+}
+
+// fractionReady reports whether the pacer allows a use of the fractional slot.
+func (s *server) fractionReady() bool {
+	return s.controller.fraction() > 0 && s.pacer.tokens >= 1
+}
+
+// advance brings what moves with time up to now.
+func (s *server) advance(now time.Time) {
+	s.controller.recover(now)
+	s.pacer.refill(s.controller.fraction(), s.controller.latency.average(), now)
+}
+
+func (s *server) newPermit(limited bool) *Permit {
+	permit := s.free
+	if permit == nil {
+		permit = &Permit{}
+	} else {
+		s.free = permit.next
+	}
+	permit.server, permit.limited, permit.next = s, limited, nil
+	return permit
+}
+
+// Release gives the permit back and moves the server's limit by the result.
+func (p *Permit) Release(result Result) {
+	s := p.server
+	now := time.Now()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.inFlight--
+	s.advance(now)
+	s.controller.record(result, p.limited || s.queue.count > 0, now)
+	if !result.Cancelled {
+		s.failures.record(result.Shed || result.Failed, now)
+	}
+	p.next = s.free
+	s.free = p
+	s.dispatch(now)
+}
+
+// dispatch serves the callers that wait, in order, refuses those that the limit
+// has become too low for, and sees to it that it is called again in time.
+func (s *server) dispatch(now time.Time) {
+	if s.queue.count == 0 || s.closed {
+		return
+	}
+	for s.queue.count > 0 {
+		permit, taken := s.take()
+		if !taken {
+			break
+		}
+		s.queue.popFront().grant(permit)
+	}
+	for s.queue.count > 0 && s.predictedWait(s.queue.count-1) > s.options.MaxWait {
+		s.queue.popBack().refuse(s.overloaded())
+	}
+	s.scheduleWake()
+}
+
+// scheduleWake arranges a dispatch for when the pacer has a token.
+func (s *server) scheduleWake() {
+	if s.queue.count == 0 || s.inFlight != s.controller.whole() || s.controller.fraction() == 0 {
+		return
+	}
+	const leastDelay = 50 * time.Microsecond
+	delay := s.pacer.untilNext(s.controller.fraction(), s.controller.latency.average())
+	delay = max(delay, leastDelay)
+	if s.wake == nil {
+		s.wake = time.AfterFunc(delay, s.onWake)
+		return
+	}
+	s.wake.Reset(delay)
+}
+
+func (s *server) onWake() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.dispatch(time.Now())
+}
+
+// predictedWait is the wait of a caller with so many others ahead of it; zero
+// while no latency is known.
+func (s *server) predictedWait(ahead int) time.Duration {
+	return time.Duration(ahead+1) * s.controller.drainInterval()
+}
+
+// enqueue puts a caller that may wait until bound into the queue, or returns
+// the refusal. It returns a permit instead if one has become free meanwhile.
+func (s *server) enqueue(w *waiter, bound time.Duration) (*Permit, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.closed {
+		return nil, s.refusal(outcome.ReasonDraining, 0)
+	}
+	if s.queue.count == 0 {
+		if permit, taken := s.take(); taken {
+			return permit, nil
+		}
+	}
+	if s.queue.count >= s.options.MaxWaiters || s.predictedWait(s.queue.count) > bound {
+		return nil, s.overloaded()
+	}
+	s.queue.pushBack(w)
+	s.scheduleWake()
+	return nil, nil
+}
+
+// abandon takes a caller out of the queue and reports false if it was answered
+// before.
+func (s *server) abandon(w *waiter) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !w.queued {
+		return false
+	}
+	s.queue.remove(w)
+	return true
+}
+
+// waitBound is the longest wait that leaves time for a typical answer.
+func (s *server) waitBound(ctx context.Context) time.Duration {
+	deadline, limited := ctx.Deadline()
+	if !limited {
+		return s.options.MaxWait
+	}
+	s.mutex.Lock()
+	typical := s.controller.latency.average()
+	s.mutex.Unlock()
+	return min(s.options.MaxWait, time.Until(deadline)-typical)
+}
+
+func (s *server) observe() Observation {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	observed := Observation{Saturated: s.saturated()}
+	observed.InFlight = s.inFlight + s.queue.count
+	observed.Limit = s.controller.inFlightLimit()
+	observed.Latency = s.controller.latency.average()
+	if s.failures.share > 0 {
+		observed.FailureShare = s.failures.current(time.Now())
+	}
+	return observed
+}
+
+// saturated reports whether a new caller would have to wait. It may bring the
+// limit up to now.
+func (s *server) saturated() bool {
+	if s.queue.count > 0 {
+		return true
+	}
+	if s.inFlight < s.controller.whole() {
+		return false
+	}
+	s.advance(time.Now())
+	whole := s.controller.whole()
+	return s.inFlight > whole || s.inFlight == whole && !s.fractionReady()
+}
+
+// overloaded is the refusal of a caller for which the wait is too long now.
+func (s *server) overloaded() *outcome.Error {
+	return s.refusal(outcome.ReasonOverloaded, max(s.predictedWait(s.queue.count), leastRetryAfter))
+}
+
+// leastRetryAfter is told to callers while no latency is known.
+const leastRetryAfter = time.Millisecond
+
+func (s *server) refusal(reason outcome.Reason, retryAfter time.Duration) *outcome.Error {
+	return &outcome.Error{
+		Step:       "acquire server permit",
+		Peer:       string(s.id),
+		Outcome:    outcome.NotRun,
+		Reason:     reason,
+		RetryAfter: retryAfter,
+	}
+}
--- /dev/null
+++ b/pkg/limit/servers.go
@@ -0,0 +1,151 @@
+// Package limit bounds the sub-requests that this node has at each back-end
+// server.
+//
+// Many nodes share a server without seeing each other, so a node knows only its
+// share of the slots and what its own answers show. The limit of a server
+// starts below that share, rises while answers are good and the limit is in
+// use, and falls when the server sheds, fails or slows down (additive increase,
+// multiplicative decrease). It never exceeds the node's share of connections.
+//
+// A limit need not be whole: whole slots are counted, and the fractional slot
+// is paced, so that a limit of 0.07 lets one sub-request at a time run for
+// seven hundredths of the time. See docs/design/limits.md.
+//
+// All methods are safe for concurrent use. Acquiring and releasing a free
+// permit allocates nothing.
+package limit
+
+import (
+	"context"
+	"hash/maphash"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+// shardCount spreads servers over maps, so that adding one copies little.
+const shardCount = 64
+
+// Servers limits the sub-requests to every server of a node.
+type Servers struct {
+	options Options
+	seed    maphash.Seed
+	shards  [shardCount]shard
+	// waiters holds *waiter values for reuse.
+	waiters sync.Pool
+}
+
+// shard holds some of the servers. Readers take the current map without a
+// lock; it is never changed, only replaced.
+type shard struct {
+	current atomic.Pointer[map[target.ServerID]*server]
+	// mutex is held while current is replaced.
+	mutex sync.Mutex
+}
+
+// NewServers returns a limiter without servers.
+func NewServers(options Options) *Servers {
+	servers := &Servers{options: options.withDefaults(), seed: maphash.MakeSeed()}
+	servers.waiters.New = func() any { return newWaiter() }
+	for i := range servers.shards {
+		servers.shards[i].current.Store(&map[target.ServerID]*server{})
+	}
+	return servers
+}
+
+// Configure sets the node's share of a server, at first or after the number of
+// nodes that share it has changed.
+func (s *Servers) Configure(id target.ServerID, share Share) {
+	found, created := s.obtain(id, share)
+	if !created {
+		found.configure(share, time.Now())
+	}
+}
+
+// Forget drops the state of a server that is gone. Callers that wait for it are
+// refused; permits that are out may still be released. If the server comes
+// back it starts anew, and does not count the permits that were out.
+func (s *Servers) Forget(id target.ServerID) {
+	home := s.shardOf(id)
+	home.mutex.Lock()
+	defer home.mutex.Unlock()
+	old := *home.current.Load()
+	found := old[id]
+	if found == nil {
+		return
+	}
+	next := maps.Clone(old)
+	delete(next, id)
+	home.current.Store(&next)
+	found.close()
+}
+
+// TryAcquire takes a permit if there is one now and nobody waits for one. The
+// permit must be released. A server that was not configured gets a small share.
+func (s *Servers) TryAcquire(id target.ServerID) (*Permit, bool) {
+	return s.lookup(id).tryAcquire()
+}
+
+// Acquire takes a permit, after a short wait in order of arrival if need be.
+// The permit must be released.
+//
+// The wait is bounded by Options and by ctx. A caller that would wait too long
+// is refused at once, and one that waits is refused as soon as the limit falls
+// too low for it. The error is an *outcome.Error with outcome NotRun: reason
+// overloaded with RetryAfter set, or cancelled or deadline if ctx ended.
+func (s *Servers) Acquire(ctx context.Context, id target.ServerID) (*Permit, error) {
+	server := s.lookup(id)
+	permit, taken := server.tryAcquire()
+	if taken {
+		return permit, nil
+	}
+	return s.wait(ctx, server)
+}
+
+// Observe returns the state of a server.
+func (s *Servers) Observe(id target.ServerID) Observation {
+	return s.lookup(id).observe()
+}
+
+// Len returns the number of servers that have state.
+func (s *Servers) Len() int {
+	count := 0
+	for i := range s.shards {
+		count += len(*s.shards[i].current.Load())
+	}
+	return count
+}
+
+func (s *Servers) shardOf(id target.ServerID) *shard {
+	return &s.shards[maphash.String(s.seed, string(id))%shardCount]
+}
+
+func (s *Servers) lookup(id target.ServerID) *server {
+	found := (*s.shardOf(id).current.Load())[id]
+	if found == nil {
+		found, _ = s.obtain(id, unknownShare)
+	}
+	return found
+}
+
+// obtain returns the server's state and whether it was made with this share.
+func (s *Servers) obtain(id target.ServerID, share Share) (*server, bool) {
+	home := s.shardOf(id)
+	if found := (*home.current.Load())[id]; found != nil {
+		return found, false
+	}
+	home.mutex.Lock()
+	defer home.mutex.Unlock()
+	old := *home.current.Load()
+	if found := old[id]; found != nil {
+		return found, false
+	}
+	next := maps.Clone(old)
+	created := newServer(id, &s.options, share)
+	next[id] = created
+	home.current.Store(&next)
+	return created, true
+}
