Back-end stand-in: follow the wire reference, checked with the node's client

Cause: docs/BACKENDS.md gained X-Instance, X-Retry-After-Ms and the invalid_request refusal after the stand-in was written, so a malformed request counted as one that may have run, and a drain could not be told from that of an earlier instance.

Ruled out: a fixed Retry-After of one second, which is longer than most deadlines; it is now the queue at the median service time.

Change: the stand-in sends the new headers and echoes the id on every answer; a spec drives it with httpbackend and compares outcomes and reasons. The machine list has a service name for the nodes themselves.

Specs pass with the race detector.

--- a/internal/lab/standin/backend/handler.go
+++ b/internal/lab/standin/backend/handler.go
@@ -56,9 +56,11 @@
 // waits for a slot, runs, and its answer leaves after the network delay.
 func (s *Server) serveQuery(current *run, writer http.ResponseWriter, request *http.Request) {
 	s.counters.received.Add(1)
+	writer.Header().Set(backend.HeaderRequestID, request.Header.Get(backend.HeaderRequestID))
 	query, err := parseSubQuery(request)
 	if err != nil {
-		http.Error(writer, err.Error(), http.StatusBadRequest)
+		s.logger.Warn("malformed request", "server", s.config.Identity.Name, "error", err)
+		s.writeRefusal(writer, outcome.ReasonInvalid)
 		return
 	}
 	oneWay := s.oneWay(request.RemoteAddr)
@@ -70,6 +72,7 @@
 	answered, finished := s.process(request.Context(), current, query, entry)
 	if finished {
 		sleep(request.Context(), oneWay)
+		s.setHints(writer.Header(), current)
 		s.respond(writer, request, query, answered)
 	}
 }
--- a/internal/lab/standin/backend/respond.go
+++ b/internal/lab/standin/backend/respond.go
@@ -12,10 +12,6 @@
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 )
 
-// shedRetryAfter is the Retry-After of a shed request, in seconds; HTTP knows
-// no shorter one.
-const shedRetryAfter = "1"
-
 // result makes the answer to an executed request. A request with a payload is
 // answered with one record: its key, the number of times that the key ran at
 // this server as the score, and the payload.
@@ -67,12 +63,9 @@
 
 // respond writes the reply, with the faults that concern answers.
 func (s *Server) respond(writer http.ResponseWriter, request *http.Request, query *subQuery, answered reply) {
-	header := writer.Header()
-	s.setHints(header)
-	header.Set(backend.HeaderRequestID, query.id)
 	switch {
 	case answered.refusal != "":
-		writeRefusal(writer, answered.refusal)
+		s.writeRefusal(writer, answered.refusal)
 	case answered.aborted:
 		http.Error(writer, "deadline passed during execution", http.StatusGatewayTimeout)
 	default:
@@ -80,18 +73,35 @@
 	}
 }
 
-func writeRefusal(writer http.ResponseWriter, reason outcome.Reason) {
-	writer.Header().Set(backend.HeaderNotRun, string(reason))
-	status := http.StatusServiceUnavailable
+// writeRefusal tells that a request was not run, and why.
+func (s *Server) writeRefusal(writer http.ResponseWriter, reason outcome.Reason) {
+	header := writer.Header()
+	header.Set(backend.HeaderNotRun, string(reason))
+	if reason == outcome.ReasonShed {
+		drain := s.drainTime()
+		header.Set(backend.HeaderRetryAfterMS, strconv.FormatInt(drain.Milliseconds()+1, 10))
+		header.Set("Retry-After", strconv.FormatInt(int64(drain/time.Second)+1, 10))
+	}
+	writer.WriteHeader(refusalStatus(reason))
+}
+
+func refusalStatus(reason outcome.Reason) int {
 	switch reason {
-	case outcome.ReasonShed:
-		writer.Header().Set("Retry-After", shedRetryAfter)
+	case outcome.ReasonInvalid:
+		return http.StatusBadRequest
 	case outcome.ReasonVersionGone, outcome.ReasonRangeNotHeld:
-		status = http.StatusConflict
+		return http.StatusConflict
 	case outcome.ReasonDeadline:
-		status = http.StatusGatewayTimeout
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusServiceUnavailable
 	}
-	writer.WriteHeader(status)
+}
+
+// drainTime is how long the present queue takes at the median service time.
+func (s *Server) drainTime() time.Duration {
+	median := s.config.Service.ServiceTime.Median.Std()
+	return time.Duration(float64(median) * s.slots.load())
 }
 
 func (s *Server) writeAnswer(writer http.ResponseWriter, request *http.Request, query *subQuery, answered reply) {
--- a/internal/lab/standin/backend/status.go
+++ b/internal/lab/standin/backend/status.go
@@ -16,7 +16,7 @@
 	if !s.waitWhileHung(request.Context()) {
 		return
 	}
-	s.setHints(writer.Header())
+	s.setHints(writer.Header(), current)
 	status := s.reportedStatus(current)
 	content, err := json.Marshal(backend.NewStatusDocument(&status))
 	if err != nil {
@@ -93,7 +93,8 @@
 }
 
 // setHints sets the headers by which a server tells of itself.
-func (s *Server) setHints(header http.Header) {
+func (s *Server) setHints(header http.Header, current *run) {
+	header.Set(backend.HeaderInstance, current.instance)
 	faults := s.faults.Get()
 	now := time.Now()
 	if s.reportedDraining(faults, now) {
--- a/internal/lab/standin/labapi/platform.go
+++ b/internal/lab/standin/labapi/platform.go
@@ -87,3 +87,7 @@
 	// Hang gives no reply until the fault ends.
 	Hang bool `json:"hang,omitempty"`
 }
+
+// NodeService is the service name under which the machine list holds the nodes
+// of the query tier themselves; the address is the one that peers use.
+const NodeService target.Service = "bramblemast"
