Configuration replicas: watchers by rank, hashed trees, comparisons and bootstrap

Cause: an accepted template has to be in force at every node within seconds and never revert, with a store that is rate-limited and sometimes away or older.

Change: package configsync. table.offer is the only place at which a node's configuration changes and takes higher versions only. Two watchers a zone by rendezvous rank, without lease; a tree over hash ranges of the zone's members that differs for each document, with adoption of the rest of a part whose head does not answer; one push to each other zone; comparisons by shard sums with random peers; readiness from peers and store.

--- a/pkg/configstore/memory_faults.go
+++ b/pkg/configstore/memory_faults.go
@@ -185,3 +185,10 @@
 		return ctx.Err()
 	}
 }
+
+// Entries returns the present state past every fault, for the oracle of a test.
+func (m *Memory) Entries() map[string]Entry {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return maps.Clone(m.entries)
+}
--- /dev/null
+++ b/pkg/configsync/digest.go
@@ -0,0 +1,51 @@
+package configsync
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	pb "github.com/bramblemast/bramblemast/pkg/configsync/configsyncpb"
+	"github.com/bramblemast/bramblemast/pkg/template"
+	"github.com/bramblemast/bramblemast/pkg/template/stored"
+)
+
+// keyHash identifies a template in a digest.
+func keyHash(key template.Key) uint64 { return xxhash.Sum64String(key.String()) }
+
+// digestOf is the version of a document as it travels in a listing.
+func digestOf(published template.Published) *pb.EntryDigest {
+	return &pb.EntryDigest{
+		Key:      keyHash(published.Key()),
+		Revision: published.Template.Revision,
+		Change:   xxhash.Sum64String(published.Template.ChangeID),
+	}
+}
+
+// fingerprint is a hash over key and version of a document.
+func fingerprint(published template.Published) uint64 {
+	digest := digestOf(published)
+	return hashNumbers(digest.Key, digest.Revision, digest.Change)
+}
+
+// hashNumbers hashes a few numbers into one.
+func hashNumbers(numbers ...uint64) uint64 {
+	const width = 8
+	buffer := make([]byte, 0, width*len(numbers))
+	for _, number := range numbers {
+		buffer = binary.LittleEndian.AppendUint64(buffer, number)
+	}
+	return xxhash.Sum64(buffer)
+}
+
+// shardSums has, for each shard, the exclusive or of its documents'
+// fingerprints. It changes in constant time with each document.
+type shardSums [stored.ShardCount]uint64
+
+// replace exchanges one document's fingerprint for another; zero for none.
+func (s *shardSums) replace(shard stored.Shard, before, after uint64) {
+	s[shard] ^= before ^ after
+}
+
+// summary is a hash over all shards.
+func (s *shardSums) summary() uint64 { return hashNumbers(s[:]...) }
--- /dev/null
+++ b/pkg/configsync/exchange.go
@@ -0,0 +1,219 @@
+package configsync
+
+import (
+	"context"
+
+	pb "github.com/bramblemast/bramblemast/pkg/configsync/configsyncpb"
+	"github.com/bramblemast/bramblemast/pkg/template"
+	"github.com/bramblemast/bramblemast/pkg/template/stored"
+)
+
+// Bounds of one comparison. A frame may have 1 MiB.
+const (
+	// maxListed bounds the entries of a request.
+	maxListed = 4096
+	// maxReplyBytes bounds the documents of a reply, and of a push after it.
+	maxReplyBytes = 256 << 10
+	// maxRounds bounds the requests of one comparison.
+	maxRounds = 1000
+)
+
+// exchangeLoop compares with a random peer again and again.
+func (r *Replica) exchangeLoop(ctx context.Context) {
+	for r.pause(ctx, r.options.ExchangePeriod) {
+		partner, exists := r.randomPeer()
+		if !exists {
+			continue
+		}
+		if _, err := r.exchange(ctx, partner, SourceExchange); err != nil {
+			r.counters.exchangesFailed.Add(1)
+			r.logger.Debug("comparison failed", "peer", partner.ID, "error", err)
+		}
+	}
+}
+
+// exchange makes this node and a peer hold the same. It returns whether the
+// peer is ready itself.
+func (r *Replica) exchange(ctx context.Context, partner Peer, source Source) (bool, error) {
+	r.counters.exchanges.Add(1)
+	isReady := false
+	for range maxRounds {
+		differing, ready, err := r.compare(ctx, partner)
+		if err != nil {
+			return false, err
+		}
+		isReady = ready
+		if len(differing) == 0 {
+			return isReady, nil
+		}
+		more, err := r.reconcile(ctx, partner, differing, source)
+		if err != nil || !more {
+			return isReady, err
+		}
+	}
+	return isReady, nil
+}
+
+// compare returns the shards in which a peer differs.
+func (r *Replica) compare(ctx context.Context, partner Peer) ([]stored.Shard, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.options.CallTimeout)
+	defer cancel()
+	reply := &pb.CompareReply{}
+	err := r.call(ctx, partner, kindCompare, &pb.CompareRequest{Summary: r.table.summary()}, reply)
+	if err != nil {
+		return nil, false, err
+	}
+	return r.table.differing(reply.ShardSums), reply.Ready, nil
+}
+
+// reconcile lists this node's documents of some shards to a peer, takes what
+// the peer returns and sends what it wants. More is true if something is left.
+func (r *Replica) reconcile(ctx context.Context, partner Peer, shards []stored.Shard, source Source) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.options.CallTimeout)
+	defer cancel()
+	request, complete := r.table.listing(shards)
+	reply := &pb.ReconcileReply{}
+	if err := r.call(ctx, partner, kindReconcile, request, reply); err != nil {
+		return false, err
+	}
+	for _, encoded := range reply.Documents {
+		r.learnEncoded(encoded, partner.ID, source)
+	}
+	wanted, sentAll := r.table.byHashes(reply.Wanted)
+	if len(wanted) > 0 {
+		if err := r.call(ctx, partner, kindPush, &pb.Push{Documents: wanted}, &pb.PushReply{}); err != nil {
+			return false, err
+		}
+	}
+	progress := len(reply.Documents) > 0 || len(wanted) > 0
+	return progress && (reply.More || !complete || !sentAll), nil
+}
+
+// handleCompare tells a peer whether the two hold the same.
+func (r *Replica) handleCompare(request *pb.CompareRequest) *pb.CompareReply {
+	reply := &pb.CompareReply{Ready: r.Ready()}
+	sums := r.table.shardSums()
+	if sums.summary() != request.Summary {
+		reply.ShardSums = sums[:]
+	}
+	return reply
+}
+
+// handleReconcile answers a listing with what is newer here and what is wanted.
+func (r *Replica) handleReconcile(request *pb.ReconcileRequest) *pb.ReconcileReply {
+	reply := &pb.ReconcileReply{}
+	size := 0
+	for _, listing := range request.Shards {
+		if listing.Shard >= stored.ShardCount {
+			continue
+		}
+		documents, wanted := r.table.againstListing(stored.Shard(listing.Shard), listing.Entries)
+		reply.Wanted = append(reply.Wanted, wanted...)
+		for _, published := range documents {
+			size += len(published.Encoded)
+			if size > maxReplyBytes {
+				reply.More = true
+				return reply
+			}
+			reply.Documents = append(reply.Documents, published.Encoded)
+		}
+	}
+	return reply
+}
+
+func (t *table) shardSums() shardSums {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.sums
+}
+
+func (t *table) summary() uint64 {
+	sums := t.shardSums()
+	return sums.summary()
+}
+
+// differing returns the shards whose sums are not those of a peer. Sums of
+// another length, of another release, make all shards differ.
+func (t *table) differing(others []uint64) []stored.Shard {
+	if len(others) == 0 {
+		return nil
+	}
+	sums := t.shardSums()
+	var shards []stored.Shard
+	for shard, sum := range sums {
+		if shard >= len(others) || others[shard] != sum {
+			shards = append(shards, stored.Shard(shard))
+		}
+	}
+	return shards
+}
+
+// listing lists the documents of some shards. Complete is false if not all of
+// the shards had room.
+func (t *table) listing(shards []stored.Shard) (request *pb.ReconcileRequest, complete bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	request = &pb.ReconcileRequest{}
+	listed := 0
+	for _, shard := range shards {
+		if listed > 0 && listed+len(t.shards[shard]) > maxListed {
+			return request, false
+		}
+		listing := &pb.ShardListing{Shard: uint32(shard)}
+		for _, held := range t.shards[shard] {
+			listing.Entries = append(listing.Entries, digestOf(held.published))
+		}
+		listed += len(listing.Entries)
+		request.Shards = append(request.Shards, listing)
+	}
+	return request, true
+}
+
+// againstListing compares one shard with a peer's listing of it: the documents
+// that are newer here, and the key hashes of those that are newer there. Of two
+// documents with the same revision and different change ids both are exchanged,
+// since only the whole change id tells which is higher.
+func (t *table) againstListing(shard stored.Shard, entries []*pb.EntryDigest) (documents []template.Published, wanted []uint64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	listed := make(map[uint64]*pb.EntryDigest, len(entries))
+	for _, digest := range entries {
+		listed[digest.Key] = digest
+	}
+	for _, held := range t.shards[shard] {
+		own := digestOf(held.published)
+		their := listed[own.Key]
+		delete(listed, own.Key)
+		isFork := their != nil && own.Revision == their.Revision && own.Change != their.Change
+		if their == nil || own.Revision > their.Revision || isFork {
+			documents = append(documents, held.published)
+		}
+		if their != nil && (own.Revision < their.Revision || isFork) {
+			wanted = append(wanted, own.Key)
+		}
+	}
+	for key := range listed {
+		wanted = append(wanted, key)
+	}
+	return documents, wanted
+}
+
+// byHashes returns the encoded documents of some key hashes. Complete is false
+// if not all of them had room.
+func (t *table) byHashes(hashes []uint64) (documents [][]byte, complete bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	size := 0
+	for _, hash := range hashes {
+		held := t.entries[t.byHash[hash]]
+		if held == nil {
+			continue
+		}
+		size += len(held.published.Encoded)
+		if size > maxReplyBytes {
+			return documents, false
+		}
+		documents = append(documents, held.published.Encoded)
+	}
+	return documents, true
+}
--- /dev/null
+++ b/pkg/configsync/members.go
@@ -0,0 +1,92 @@
+package configsync
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+// member is an alive peer with its place in the order for one document or one
+// prefix. The order is a rendezvous hash: it differs for each subject, and a
+// member that comes or goes does not move the others.
+type member struct {
+	Peer
+	hash uint64
+}
+
+// memberHash is a member's place in the order for a subject.
+func memberHash(subject uint64, id target.NodeID) uint64 {
+	return hashNumbers(subject, xxhash.Sum64String(string(id)))
+}
+
+// zoneOrder returns the alive members of this node's zone, itself included, in
+// the order for a subject.
+func (r *Replica) zoneOrder(subject uint64) []member {
+	members := []member{{Peer: r.options.Self, hash: memberHash(subject, r.options.Self.ID)}}
+	for _, known := range r.alivePeers() {
+		if known.Zone == r.options.Self.Zone {
+			members = append(members, member{Peer: known, hash: memberHash(subject, known.ID)})
+		}
+	}
+	sortMembers(members)
+	return members
+}
+
+// otherZones returns the known alive members of each other zone in the order
+// for a subject.
+func (r *Replica) otherZones(subject uint64) map[target.Zone][]member {
+	zones := map[target.Zone][]member{}
+	for _, known := range r.alivePeers() {
+		if known.Zone != r.options.Self.Zone {
+			zones[known.Zone] = append(zones[known.Zone], member{Peer: known, hash: memberHash(subject, known.ID)})
+		}
+	}
+	for _, members := range zones {
+		sortMembers(members)
+	}
+	return zones
+}
+
+// alivePeers returns the alive peers without this node.
+func (r *Replica) alivePeers() []Peer {
+	var alive []Peer
+	for _, known := range r.options.Peers() {
+		if known.Alive && known.ID != r.options.Self.ID {
+			alive = append(alive, known)
+		}
+	}
+	return alive
+}
+
+func sortMembers(members []member) {
+	slices.SortFunc(members, func(one, other member) int {
+		return cmp.Or(cmp.Compare(one.hash, other.hash), cmp.Compare(one.ID, other.ID))
+	})
+}
+
+// randomPeer picks a random alive peer: mostly of the own zone, now and then
+// of another. It returns false if there is none.
+func (r *Replica) randomPeer() (Peer, bool) {
+	const otherZoneShare = 0.2
+	var own, others []Peer
+	for _, known := range r.alivePeers() {
+		if known.Zone == r.options.Self.Zone {
+			own = append(own, known)
+		} else {
+			others = append(others, known)
+		}
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	candidates := own
+	if len(own) == 0 || (len(others) > 0 && r.random.Float64() < otherZoneShare) {
+		candidates = others
+	}
+	if len(candidates) == 0 {
+		return Peer{}, false
+	}
+	return candidates[r.random.IntN(len(candidates))], true
+}
--- /dev/null
+++ b/pkg/configsync/relay.go
@@ -0,0 +1,206 @@
+package configsync
+
+import (
+	"context"
+	"math"
+
+	pb "github.com/bramblemast/bramblemast/pkg/configsync/configsyncpb"
+	"github.com/bramblemast/bramblemast/pkg/template"
+)
+
+// A document spreads in a zone along a tree. Its members are ordered by a hash
+// of document and member, so the tree differs for each document and the work is
+// even over many. The first of the order is the root. Each node that passes a
+// document on splits the members that it is responsible for, a range of the
+// order, into Fanout parts, and hands each part to the part's first member. If
+// that member does not answer, the next one gets the rest of the part. A range
+// is of hashes and not of positions, so members that only one of two nodes
+// knows of do not shift the others.
+//
+// Whoever learns a document outside the tree hands it to the root, which starts
+// the tree once and sends the document to the root of each other zone.
+
+const (
+	// pushQueue bounds the pushes that wait; what exceeds it is left to the
+	// comparisons.
+	pushQueue = 1024
+	// localSenders and remoteSenders bound the pushes that are under way.
+	localSenders  = 8
+	remoteSenders = 4
+	// maxHeads bounds the members that are tried for one part of the zone.
+	maxHeads = 4
+)
+
+// push is a document on its way to one of some members.
+type push struct {
+	published template.Published
+	route     pb.Route
+	// heads are tried in order until one takes the document. It gets the range
+	// from its own hash to last.
+	heads []member
+	last  uint64
+	// failed is called if none took the document; nil for nothing.
+	failed func()
+}
+
+// introduce hands a document to the root of this node's zone, once.
+func (r *Replica) introduce(published template.Published) {
+	if !r.table.markIntroduced(published) {
+		return
+	}
+	order := r.zoneOrder(fingerprint(published))
+	var ahead []member
+	for _, candidate := range order {
+		if candidate.ID == r.options.Self.ID {
+			break
+		}
+		ahead = append(ahead, candidate)
+	}
+	if len(ahead) == 0 {
+		r.root(published)
+		return
+	}
+	r.enqueue(r.local, push{
+		published: published, route: pb.Route_ROUTE_ROOT, heads: ahead, last: math.MaxUint64,
+		failed: func() { r.root(published) },
+	})
+}
+
+// root starts the zone's tree and tells the other zones, once.
+func (r *Replica) root(published template.Published) {
+	if !r.table.markRooted(published) {
+		return
+	}
+	r.branch(published, 0, math.MaxUint64, "")
+	for _, members := range r.otherZones(fingerprint(published)) {
+		r.enqueue(r.remote, push{published: published, route: pb.Route_ROUTE_SEED, heads: members, last: math.MaxUint64})
+	}
+}
+
+// branch passes a document on to the members with hashes from first to last.
+func (r *Replica) branch(published template.Published, first, last uint64, sender string) {
+	var members []member
+	for _, candidate := range r.zoneOrder(fingerprint(published)) {
+		isOther := candidate.ID != r.options.Self.ID && string(candidate.ID) != sender
+		if isOther && candidate.hash >= first && candidate.hash <= last {
+			members = append(members, candidate)
+		}
+	}
+	for _, part := range split(members, r.options.Fanout, last) {
+		part.published, part.route = published, pb.Route_ROUTE_BRANCH
+		r.enqueue(r.local, part)
+	}
+}
+
+// split cuts ordered members into at most count parts of even size.
+func split(members []member, count int, last uint64) []push {
+	count = min(count, len(members))
+	parts := make([]push, 0, count)
+	for index := range count {
+		from, to := index*len(members)/count, (index+1)*len(members)/count
+		part := push{heads: members[from:to], last: last}
+		if to < len(members) {
+			part.last = members[to].hash - 1
+		}
+		parts = append(parts, part)
+	}
+	return parts
+}
+
+func (r *Replica) enqueue(queue chan<- push, item push) {
+	select {
+	case queue <- item:
+	default:
+		r.counters.dropped.Add(1)
+	}
+}
+
+// sendLoop sends the pushes of a queue.
+func (r *Replica) sendLoop(ctx context.Context, queue <-chan push) {
+	for {
+		select {
+		case item := <-queue:
+			r.send(ctx, item)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// send offers a document to one head after the other.
+func (r *Replica) send(ctx context.Context, item push) {
+	for _, head := range item.heads[:min(len(item.heads), maxHeads)] {
+		first := head.hash
+		if item.route == pb.Route_ROUTE_ROOT {
+			first = 0
+		}
+		if r.sendTo(ctx, head, item, first) {
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+	}
+	if item.failed != nil {
+		item.failed()
+	}
+}
+
+// sendTo reports whether the member answered.
+func (r *Replica) sendTo(ctx context.Context, head member, item push, first uint64) bool {
+	ctx, cancel := context.WithTimeout(ctx, r.options.PushTimeout)
+	defer cancel()
+	request := &pb.Push{
+		Documents: [][]byte{item.published.Encoded}, Route: item.route, First: first, Last: item.last,
+	}
+	reply := &pb.PushReply{}
+	if err := r.call(ctx, head.Peer, kindPush, request, reply); err != nil {
+		r.counters.pushesFailed.Add(1)
+		r.logger.Debug("push failed", "peer", head.ID, "template", item.published.Key(), "error", err)
+		return false
+	}
+	for _, encoded := range reply.Newer {
+		r.learnEncoded(encoded, head.ID, SourceExchange)
+	}
+	return true
+}
+
+// handlePush takes documents from a peer and passes them on as it asks.
+func (r *Replica) handlePush(sender string, request *pb.Push) *pb.PushReply {
+	reply := &pb.PushReply{}
+	for _, encoded := range request.Documents {
+		published, err := template.ReadPublished(encoded)
+		if err != nil {
+			r.refuse(sender, err)
+			continue
+		}
+		if newer := r.receive(sender, published, request); newer != nil {
+			reply.Newer = append(reply.Newer, newer)
+		}
+	}
+	return reply
+}
+
+// receive takes one document and passes it on in the role that the route gives
+// this node. It returns this node's document if that is newer.
+func (r *Replica) receive(sender string, published template.Published, request *pb.Push) []byte {
+	if request.Route == pb.Route_ROUTE_NONE {
+		r.learn(published, SourceExchange)
+		return nil
+	}
+	if r.take(published, SourcePush) == older {
+		held, _ := r.table.get(published.Key())
+		return held.Encoded
+	}
+	switch request.Route {
+	case pb.Route_ROUTE_ROOT:
+		r.root(published)
+	case pb.Route_ROUTE_SEED:
+		r.introduce(published)
+	case pb.Route_ROUTE_BRANCH:
+		if r.table.markBranched(published) {
+			r.branch(published, request.First, request.Last, sender)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/configsync/replica_test.go
@@ -0,0 +1,374 @@
+package configsync
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+
+	"github.com/bramblemast/bramblemast/pkg/configstore"
+	pb "github.com/bramblemast/bramblemast/pkg/configsync/configsyncpb"
+	"github.com/bramblemast/bramblemast/pkg/publish"
+	"github.com/bramblemast/bramblemast/pkg/template"
+	"github.com/bramblemast/bramblemast/pkg/template/stored"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// startTime is enough virtual time for every node to become ready.
+const startTime = 5 * time.Second
+
+// spreadTime is the virtual time in which the trees reach every node.
+const spreadTime = 200 * time.Millisecond
+
+// inCluster runs a test in virtual time with nodes that are ready.
+func inCluster(t *testing.T, size, zones int, tune func(*Options), body func(t *testing.T, c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(size, zones, tune)
+		defer c.close()
+		time.Sleep(startTime)
+		for _, node := range c.nodes {
+			if !node.replica.Ready() {
+				t.Errorf("%s is not ready", node.ID)
+			}
+		}
+		body(t, c)
+	})
+}
+
+func TestChangeReachesEveryNode(t *testing.T) {
+	inCluster(t, 30, 3, nil, func(t *testing.T, c *cluster) {
+		version := mustPublish(t, c.nodes[7], "first")
+		time.Sleep(spreadTime)
+		c.wantEverywhere(t, version)
+		compiled, isKnown := c.nodes[3].replica.Get(ticker)
+		if !isKnown || compiled.Template.Author != "first" || len(c.nodes[3].replica.List()) != 1 {
+			t.Fatalf("got %v", compiled)
+		}
+
+		if _, err := c.nodes[0].publisher.Delete(t.Context(), ticker, 1, "operator", ""); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(spreadTime)
+		for _, node := range c.nodes {
+			if _, isKnown := node.replica.Get(ticker); isKnown || node.version(ticker).Revision != 2 {
+				t.Errorf("%s holds %v after the deletion", node.ID, node.version(ticker))
+			}
+		}
+	})
+}
+
+func TestStoreKilledRightAfterItAccepted(t *testing.T) {
+	inCluster(t, 30, 3, nil, func(t *testing.T, c *cluster) {
+		c.store.SetDelay(time.Millisecond)
+		version := mustPublish(t, c.nodes[0], "first")
+		c.store.SetUnavailable(true)
+		time.Sleep(spreadTime)
+		c.wantEverywhere(t, version)
+	})
+}
+
+func TestChangeSpreadsPastDeadAndFrozenMembers(t *testing.T) {
+	inCluster(t, 40, 1, nil, func(t *testing.T, c *cluster) {
+		for _, node := range c.nodes[1:8] {
+			c.network.Freeze(node.Address)
+		}
+		version := mustPublish(t, c.nodes[0], "first")
+		time.Sleep(12 * time.Second)
+		for _, node := range c.nodes[8:] {
+			if node.version(ticker) != version {
+				t.Errorf("%s holds %v", node.ID, node.version(ticker))
+			}
+		}
+		for _, node := range c.nodes[1:8] {
+			c.network.Thaw(node.Address)
+		}
+		time.Sleep(12 * time.Second)
+		c.wantEverywhere(t, version)
+	})
+}
+
+func TestZoneThatWasCutOffCatchesUp(t *testing.T) {
+	inCluster(t, 12, 3, nil, func(t *testing.T, c *cluster) {
+		var cut, rest []*testNode
+		for index, node := range c.nodes {
+			if index%3 == 0 {
+				cut = append(cut, node)
+				node.store.isCut.Store(true)
+			} else {
+				rest = append(rest, node)
+			}
+		}
+		c.network.Cut(c.addresses(cut...), c.addresses(rest...))
+		version := mustPublish(t, rest[0], "first")
+		time.Sleep(time.Minute)
+		if got := cut[0].version(ticker); got != (template.Version{}) {
+			t.Fatalf("a node that is cut off holds %v", got)
+		}
+		c.network.Heal() // the store stays out of reach: only the comparisons are left
+		time.Sleep(30 * time.Second)
+		c.wantEverywhere(t, version)
+	})
+}
+
+func TestStoreThatWentBackIsRefusedReportedAndRepaired(t *testing.T) {
+	inCluster(t, 6, 2, nil, func(t *testing.T, c *cluster) {
+		mustPublish(t, c.nodes[0], "first")
+		backup := c.store.Snapshot()
+		version := mustPublish(t, c.nodes[0], "second")
+		time.Sleep(spreadTime)
+		c.store.Restore(backup)
+		if _, err := c.nodes[1].publish(ticker, "third"); !errors.Is(err, publish.ErrStoreBehind) {
+			t.Fatalf("got %v", err)
+		}
+		time.Sleep(30 * time.Second)
+		c.wantEverywhere(t, version)
+		if got := c.storedVersion(ticker); got != version {
+			t.Errorf("the store has %v, want %v", got, version)
+		}
+		var reported, repaired uint64
+		for _, node := range c.nodes {
+			stats := node.replica.Stats()
+			reported, repaired = reported+stats.StoreBehind, repaired+stats.Repaired
+			if behind := node.replica.Status().Store.Behind; behind != 0 {
+				t.Errorf("%s still reports %d templates", node.ID, behind)
+			}
+		}
+		if reported == 0 || repaired == 0 {
+			t.Errorf("reported %d, repaired %d", reported, repaired)
+		}
+	})
+}
+
+func TestSameRevisionTwiceIsDecidedAlikeEverywhere(t *testing.T) {
+	inCluster(t, 6, 2, nil, func(t *testing.T, c *cluster) {
+		mustPublish(t, c.nodes[0], "first")
+		time.Sleep(spreadTime)
+		var forks []template.Published
+		for _, changeID := range []string{"b", "a", "c"} {
+			document := content(ticker, changeID)
+			document.Revision, document.ChangeID = 2, changeID
+			sealed, err := template.Seal(document)
+			if err != nil {
+				t.Fatal(err)
+			}
+			forks = append(forks, sealed)
+		}
+		for index, node := range c.nodes {
+			node.replica.Announce(forks[index%len(forks)])
+		}
+		time.Sleep(12 * time.Second)
+		c.wantEverywhere(t, forks[2].Version())
+		if forks := c.nodes[0].replica.Stats().Forks; forks == 0 {
+			t.Error("no fork was counted")
+		}
+	})
+}
+
+func TestReplacementIsReadyFromPeersWhileTheStoreIsAway(t *testing.T) {
+	inCluster(t, 6, 2, nil, func(t *testing.T, c *cluster) {
+		version := mustPublish(t, c.nodes[0], "first")
+		time.Sleep(spreadTime)
+		c.store.SetUnavailable(true)
+		c.restart(c.nodes[3])
+		if c.nodes[3].replica.Ready() {
+			t.Fatal("ready without asking anyone")
+		}
+		time.Sleep(startTime)
+		if !c.nodes[3].replica.Ready() {
+			t.Error("not ready")
+		}
+		c.wantEverywhere(t, version)
+	})
+}
+
+func TestReplacementPrefersPeersToAStoreThatWentBack(t *testing.T) {
+	inCluster(t, 3, 1, func(o *Options) { o.Repairer = nil }, func(t *testing.T, c *cluster) {
+		backup := c.store.Snapshot()
+		version := mustPublish(t, c.nodes[0], "first")
+		time.Sleep(spreadTime)
+		c.store.Restore(backup)
+		c.restart(c.nodes[2])
+		time.Sleep(startTime)
+		c.wantEverywhere(t, version)
+		if status := c.nodes[2].replica.Status(); !status.Ready || status.Store.Behind != 1 {
+			t.Errorf("got %+v", status)
+		}
+	})
+}
+
+func TestNodeWithoutStoreAndReadyPeersIsNotReady(t *testing.T) {
+	for _, aloneAfter := range []time.Duration{0, time.Minute} {
+		synctest.Test(t, func(t *testing.T) {
+			tune := func(o *Options) { o.AloneAfter = aloneAfter }
+			c := newCluster(3, 1, func(o *Options) { tune(o); o.Store.(*reachableStore).isCut.Store(true) })
+			defer c.close()
+			time.Sleep(50 * time.Second)
+			for _, node := range c.nodes {
+				if node.replica.Ready() {
+					t.Errorf("%s is ready", node.ID)
+				}
+			}
+			time.Sleep(time.Minute)
+			if got := c.nodes[0].replica.Ready(); got != (aloneAfter > 0) {
+				t.Errorf("with AloneAfter %v: ready is %v", aloneAfter, got)
+			}
+		})
+	}
+}
+
+func TestFewWatchersKeepToTheStoresLimit(t *testing.T) {
+	const callsPerSecond = 5
+	tune := func(o *Options) { o.StoreCallsPerSecond, o.ShardDigits = callsPerSecond, 1 }
+	inCluster(t, 30, 3, tune, func(t *testing.T, c *cluster) {
+		watches := 0
+		for _, node := range c.nodes {
+			watches += len(node.replica.Status().Store.Watched)
+		}
+		if want := 3 * 16 * DefaultWatchersPerZone; watches != want {
+			t.Errorf("%d watches, want %d", watches, want)
+		}
+		time.Sleep(time.Minute)
+		for _, away := range []bool{false, true} {
+			c.store.SetUnavailable(away)
+			before := c.store.Counts().Reads
+			const seconds = 60
+			time.Sleep(seconds * time.Second)
+			// The waits vary by half at random.
+			if rate := float64(c.store.Counts().Reads-before) / seconds; rate > 1.2*callsPerSecond {
+				t.Errorf("with the store away %v: %.1f calls a second", away, rate)
+			}
+		}
+	})
+}
+
+func TestDocumentOfANewerReleaseIsPassedOnAndNotRun(t *testing.T) {
+	inCluster(t, 6, 2, nil, func(t *testing.T, c *cluster) {
+		mustPublish(t, c.nodes[0], "first")
+		time.Sleep(spreadTime)
+		encoded := []byte(`{"tenant":"valgsok","name":"ticker","revision":2,"change_id":"x","service":"s",` +
+			`"class":"urgent","deadline":"1s","novelty":{"a":1}}`)
+		published, err := template.ReadPublished(encoded)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.nodes[0].replica.Announce(published)
+		time.Sleep(spreadTime)
+		for _, node := range c.nodes {
+			held, _ := node.replica.Held(ticker)
+			compiled, _ := node.replica.Get(ticker)
+			status := node.replica.Status().Templates[0]
+			if string(held.Encoded) != string(encoded) || compiled.Template.Author != "first" || status.Invalid == "" || status.InForce {
+				t.Errorf("%s holds %s, runs %v, reports %+v", node.ID, held.Encoded, compiled.Template, status)
+			}
+		}
+	})
+}
+
+func TestSurveyNamesWhoDidNotAnswer(t *testing.T) {
+	inCluster(t, 6, 2, nil, func(t *testing.T, c *cluster) {
+		version := mustPublish(t, c.nodes[0], "first")
+		time.Sleep(spreadTime)
+		c.network.Freeze(c.nodes[4].Address)
+		defer c.network.Thaw(c.nodes[4].Address)
+		reports := c.nodes[1].replica.Survey(t.Context(), ticker)
+		if len(reports) != len(c.nodes) {
+			t.Fatalf("%d reports", len(reports))
+		}
+		for _, report := range reports {
+			isFrozen := report.Node == c.nodes[4].ID
+			if (report.Err != nil) != isFrozen || (!isFrozen && (report.Version != version || !report.InForce || !report.Ready)) {
+				t.Errorf("got %+v", report)
+			}
+		}
+	})
+}
+
+func TestLargeStateIsFetchedInBoundedReplies(t *testing.T) {
+	const templates = 600
+	inCluster(t, 2, 1, nil, func(t *testing.T, c *cluster) {
+		for number := range templates {
+			document := content(template.Key{Tenant: "tenant", Name: fmt.Sprint("name", number)}, "author")
+			document.Comment = string(make([]byte, 0, 1000))
+			document.Revision, document.ChangeID = 1, "change"
+			for len(document.Comment) < 1000 {
+				document.Comment += "comment "
+			}
+			sealed, err := template.Seal(document)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.nodes[0].replica.take(sealed, SourceLocal)
+		}
+		if _, err := c.nodes[1].replica.exchange(t.Context(), c.nodes[0].Peer, SourceExchange); err != nil {
+			t.Fatal(err)
+		}
+		if got := len(c.nodes[1].replica.List()); got != templates {
+			t.Fatalf("fetched %d templates", got)
+		}
+	})
+}
+
+func TestSubscribersHearOfChanges(t *testing.T) {
+	inCluster(t, 3, 1, nil, func(t *testing.T, c *cluster) {
+		changes, stop := c.nodes[2].replica.Subscribe()
+		defer stop()
+		mustPublish(t, c.nodes[0], "first")
+		<-changes
+	})
+}
+
+func TestOptionsAreChecked(t *testing.T) {
+	if _, err := New(Options{}); err == nil {
+		t.Error("options without a store were taken")
+	}
+	c := &cluster{}
+	options := Options{Self: Peer{ID: "a"}, Peers: c.peers, Store: configstore.NewMemory(), Transport: newHandlerTransport(), ShardDigits: 7}
+	if _, err := New(options); err == nil {
+		t.Error("7 shard digits were taken")
+	}
+}
+
+// FuzzMessages checks that no message makes a handler fail or the held version
+// go down.
+func FuzzMessages(f *testing.F) {
+	document := content(ticker, "fuzz")
+	document.Revision, document.ChangeID = 9, "x"
+	sealed, err := template.Seal(document)
+	if err != nil {
+		f.Fatal(err)
+	}
+	valid, err := (&pb.Push{Documents: [][]byte{sealed.Encoded}, Route: pb.Route_ROUTE_BRANCH}).MarshalVT()
+	if err != nil {
+		f.Fatal(err)
+	}
+	listing, err := (&pb.ReconcileRequest{Shards: []*pb.ShardListing{{
+		Shard: uint32(stored.ShardOf(ticker)), Entries: []*pb.EntryDigest{digestOf(sealed)},
+	}}}).MarshalVT()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(valid)
+	f.Add(listing)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		node, transport := newFuzzNode(t)
+		node.take(sealed, SourceLocal)
+		for _, kind := range transport.kinds() {
+			_, _ = transport.handlers[kind](context.Background(), "peer", body)
+		}
+		held, isHeld := node.Held(ticker)
+		if !isHeld || held.Version().Compare(sealed.Version()) < 0 {
+			t.Fatalf("held %v", held.Version())
+		}
+		for hash, key := range node.table.byHash {
+			if keyHash(key) != hash || node.table.entries[key] == nil {
+				t.Fatalf("the index of %v is wrong", key)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/configsync/stats.go
@@ -0,0 +1,119 @@
+package configsync
+
+import (
+	"sync/atomic"
+)
+
+// Stats counts what a replica did since it was made. Bytes are those of the
+// messages, without frames; the transport counts those.
+type Stats struct {
+	// MessagesOut and MessagesIn count requests and replies alike.
+	MessagesOut uint64
+	MessagesIn  uint64
+	BytesOut    uint64
+	BytesIn     uint64
+
+	// Taken counts the documents that replaced an older one, by source.
+	Taken map[Source]uint64
+	// Duplicates counts the documents that were held already, Refused those
+	// that were older than the held one.
+	Duplicates uint64
+	Refused    uint64
+	// Malformed counts documents that could not be read.
+	Malformed uint64
+
+	PushesFailed    uint64
+	PushesDropped   uint64
+	Exchanges       uint64
+	ExchangesFailed uint64
+
+	StoreCalls  uint64
+	StoreErrors uint64
+	// StoreBehind counts documents that a read of the store showed in an older
+	// version, each time; Repaired those that this node wrote back.
+	StoreBehind uint64
+	Repaired    uint64
+	// Forks counts pairs of documents with the same revision.
+	Forks uint64
+}
+
+// counters is the live form of Stats.
+type counters struct {
+	messagesOut, messagesIn, bytesOut, bytesIn        atomic.Uint64
+	local, store, push, exchange, bootstrap           atomic.Uint64
+	duplicates, refused, malformed                    atomic.Uint64
+	pushesFailed, dropped, exchanges, exchangesFailed atomic.Uint64
+	storeCalls, storeErrors, storeBehind, repaired    atomic.Uint64
+	// storeIndex is the index of the last read of the store.
+	storeIndex atomic.Uint64
+	// storeReadAt is the time of that read, in nanoseconds since 1970.
+	storeReadAt atomic.Int64
+}
+
+func (c *counters) sent(bytes int) {
+	c.messagesOut.Add(1)
+	c.bytesOut.Add(uint64(bytes))
+}
+
+func (c *counters) answered(bytes int) {
+	c.messagesIn.Add(1)
+	c.bytesIn.Add(uint64(bytes))
+}
+
+func (c *counters) received(requestBytes, replyBytes int) {
+	c.answered(requestBytes)
+	c.sent(replyBytes)
+}
+
+// offered counts a document that was offered to the table.
+func (c *counters) offered(source Source, result verdict) {
+	switch result {
+	case older:
+		c.refused.Add(1)
+	case same:
+		c.duplicates.Add(1)
+	case newer:
+		c.taken(source).Add(1)
+	}
+}
+
+func (c *counters) taken(source Source) *atomic.Uint64 {
+	switch source {
+	case SourceLocal:
+		return &c.local
+	case SourceStore:
+		return &c.store
+	case SourcePush:
+		return &c.push
+	case SourceExchange:
+		return &c.exchange
+	default:
+		return &c.bootstrap
+	}
+}
+
+// Stats returns the counts so far.
+func (r *Replica) Stats() Stats {
+	c := &r.counters
+	stats := Stats{
+		MessagesOut: c.messagesOut.Load(), MessagesIn: c.messagesIn.Load(),
+		BytesOut: c.bytesOut.Load(), BytesIn: c.bytesIn.Load(),
+		Taken:      map[Source]uint64{},
+		Duplicates: c.duplicates.Load(), Refused: c.refused.Load(), Malformed: c.malformed.Load(),
+		PushesFailed: c.pushesFailed.Load(), PushesDropped: c.dropped.Load(),
+		Exchanges: c.exchanges.Load(), ExchangesFailed: c.exchangesFailed.Load(),
+		StoreCalls: c.storeCalls.Load(), StoreErrors: c.storeErrors.Load(),
+		StoreBehind: c.storeBehind.Load(), Repaired: c.repaired.Load(),
+		Forks: r.table.forkCount(),
+	}
+	for _, source := range []Source{SourceLocal, SourceStore, SourcePush, SourceExchange, SourceBootstrap} {
+		stats.Taken[source] = c.taken(source).Load()
+	}
+	return stats
+}
+
+func (t *table) forkCount() uint64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.forks
+}
--- /dev/null
+++ b/pkg/configsync/table.go
@@ -0,0 +1,241 @@
+package configsync
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/template"
+	"github.com/bramblemast/bramblemast/pkg/template/stored"
+)
+
+// Source says where a node learned a document.
+type Source string
+
+// The sources.
+const (
+	// SourceLocal is a change that was published through this node.
+	SourceLocal Source = "local"
+	SourceStore Source = "store"
+	// SourcePush is a document that a peer passed on.
+	SourcePush Source = "push"
+	// SourceExchange is a comparison with a peer.
+	SourceExchange Source = "exchange"
+	// SourceBootstrap is a comparison with a peer before this node was ready.
+	SourceBootstrap Source = "bootstrap"
+)
+
+// verdict is what became of a document that was offered to the table.
+type verdict int
+
+const (
+	// older means that the table holds a higher version.
+	older verdict = iota
+	// same means that the table holds this version.
+	same
+	// newer means that the document was taken.
+	newer
+)
+
+// entry is what the table holds of one template.
+type entry struct {
+	published   template.Published
+	fingerprint uint64
+	source      Source
+	// since is when the document was taken.
+	since time.Time
+	// invalid is why the document can't be run here; an earlier one stays in
+	// force then.
+	invalid error
+	// introduced, rooted and branched are whether this node has passed this
+	// version on in each role; see relay.go.
+	introduced bool
+	rooted     bool
+	branched   bool
+	// storeBehind is set while the store holds a lower version.
+	storeBehind bool
+	// fork is set if another document with the same revision was seen.
+	fork bool
+}
+
+// table holds the highest version of each template. Its invariant: the version
+// of a key never goes down. It is safe for concurrent use.
+type table struct {
+	observe func(template.Published)
+	// inForce maps template.Key to *template.Compiled, for readers without a
+	// lock. It is written under mutex.
+	inForce sync.Map
+
+	// mutex guards the fields below.
+	mutex   sync.Mutex
+	entries map[template.Key]*entry
+	byHash  map[uint64]template.Key
+	shards  [stored.ShardCount]map[template.Key]*entry
+	sums    shardSums
+	forks   uint64
+}
+
+func newTable(observe func(template.Published)) *table {
+	if observe == nil {
+		observe = func(template.Published) {}
+	}
+	created := &table{observe: observe, entries: map[template.Key]*entry{}, byHash: map[uint64]template.Key{}}
+	for shard := range created.shards {
+		created.shards[shard] = map[template.Key]*entry{}
+	}
+	return created
+}
+
+// offer takes a document if its version is higher than the one that is held.
+// This is the only place at which a node's configuration changes.
+func (t *table) offer(published template.Published, source Source, now time.Time) verdict {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	key := published.Key()
+	held := t.entries[key]
+	if held != nil {
+		t.noteForkLocked(held, published)
+		order := published.Version().Compare(held.published.Version())
+		if order < 0 {
+			return older
+		}
+		if order == 0 {
+			return same
+		}
+	}
+	t.replaceLocked(key, held, &entry{
+		published:   published,
+		fingerprint: fingerprint(published),
+		source:      source,
+		since:       now,
+		fork:        held != nil && held.fork && held.published.Template.Revision == published.Template.Revision,
+	})
+	return newer
+}
+
+// noteForkLocked notes two documents with the same revision. They come about
+// when a store goes back and is written again; the change id decides.
+func (t *table) noteForkLocked(held *entry, offered template.Published) {
+	sameRevision := offered.Template.Revision == held.published.Template.Revision
+	if !sameRevision || offered.Template.ChangeID == held.published.Template.ChangeID {
+		return
+	}
+	if !held.fork {
+		t.forks++
+	}
+	held.fork = true
+}
+
+func (t *table) replaceLocked(key template.Key, held, next *entry) {
+	before := uint64(0)
+	if held != nil {
+		before = held.fingerprint
+	}
+	shard := stored.ShardOf(key)
+	t.sums.replace(shard, before, next.fingerprint)
+	t.entries[key] = next
+	t.shards[shard][key] = next
+	t.byHash[keyHash(key)] = key
+	t.putInForceLocked(key, next)
+	t.observe(next.published)
+}
+
+// putInForceLocked makes a document the one that requests use. One that can't
+// be run here, because it is of a newer release, leaves the earlier in force.
+func (t *table) putInForceLocked(key template.Key, next *entry) {
+	if next.published.Template.Deleted {
+		t.inForce.Delete(key)
+		return
+	}
+	compiled, err := template.Compile(next.published.Template)
+	if err != nil {
+		next.invalid = err
+		return
+	}
+	t.inForce.Store(key, compiled)
+}
+
+// get returns the held document of a key.
+func (t *table) get(key template.Key) (template.Published, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	held := t.entries[key]
+	if held == nil {
+		return template.Published{}, false
+	}
+	return held.published, true
+}
+
+// all returns a copy of every entry.
+func (t *table) all() []entry {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	copied := make([]entry, 0, len(t.entries))
+	for _, held := range t.entries {
+		copied = append(copied, *held)
+	}
+	return copied
+}
+
+// markIntroduced records that a version is handed to the zone's root. It
+// returns false if that was done before, or if the zone's tree was here.
+func (t *table) markIntroduced(published template.Published) bool {
+	return t.mark(published, func(held *entry) bool {
+		first := !held.introduced && !held.branched
+		held.introduced = true
+		return first
+	})
+}
+
+// markRooted records that a version is passed on as the root of the zone's
+// tree. It returns false if that was done before.
+func (t *table) markRooted(published template.Published) bool {
+	return t.mark(published, func(held *entry) bool {
+		first := !held.rooted
+		held.rooted, held.branched = true, true
+		return first
+	})
+}
+
+// markBranched records that a version is passed on along the tree. It returns
+// false if that was done before.
+func (t *table) markBranched(published template.Published) bool {
+	return t.mark(published, func(held *entry) bool {
+		first := !held.branched
+		held.branched = true
+		return first
+	})
+}
+
+// mark runs a function on the entry of a version; false if it is not held.
+func (t *table) mark(published template.Published, set func(*entry) bool) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	held := t.entries[published.Key()]
+	if held == nil || held.published.Version() != published.Version() {
+		return false
+	}
+	return set(held)
+}
+
+// compareWithStore takes a state of the store below a prefix that was read
+// after readStart. It returns the documents that the store has lost or holds
+// in a lower version; what this node learned after readStart does not count.
+func (t *table) compareWithStore(prefix string, found map[template.Key]template.Version, readStart time.Time) []template.Published {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var behind []template.Published
+	for key, held := range t.entries {
+		if !hasPrefix(key, prefix) {
+			continue
+		}
+		ahead := held.published.Version().Compare(found[key]) > 0
+		if ahead && !held.since.Before(readStart) {
+			continue
+		}
+		held.storeBehind = ahead
+		if ahead {
+			behind = append(behind, held.published)
+		}
+	}
+	return behind
+}
