The thin whole path: caller, node and stand-ins as separate processes

Cause: the first thing to run is a request from one end to the other. A node joins its peers, reads the machine list, probes, keeps its configuration in step, serves callers, and on SIGTERM leaves without cutting off requests. Early states of a stream get a type of their own, since an answer's totals are not known yet.

--- a/api/query.go
+++ b/api/query.go
@@ -104,6 +104,17 @@
 	Node string `json:"node"`
 }
 
+// Partial is an early state of an answer.
+type Partial struct {
+	RequestID string   `json:"request_id"`
+	Snapshot  uint64   `json:"snapshot"`
+	Coverage  Coverage `json:"coverage"`
+	// Records are the best ones so far; the next partial replaces them.
+	Records   []Record `json:"records"`
+	ElapsedMS float64  `json:"elapsed_ms"`
+	Node      string   `json:"node"`
+}
+
 // EventType is the type of one line of a stream.
 type EventType string
 
@@ -120,7 +131,7 @@
 // began again on a newer index version.
 type Event struct {
 	Type    EventType `json:"type"`
-	Partial *Answer   `json:"partial,omitempty"`
+	Partial *Partial  `json:"partial,omitempty"`
 	Answer  *Answer   `json:"answer,omitempty"`
 	Error   *Problem  `json:"error,omitempty"`
 }
--- a/internal/callerapi/answer.go
+++ b/internal/callerapi/answer.go
@@ -35,15 +35,12 @@
 	return message
 }
 
-func (s *Server) partialMessage(request *serve.Request, partial query.Partial) *api.Answer {
-	return &api.Answer{
+func (s *Server) partialMessage(request *serve.Request, partial query.Partial) *api.Partial {
+	return &api.Partial{
 		RequestID: request.ID,
-		Outcome:   outcome.Unknown,
 		Snapshot:  uint64(partial.Version),
 		Coverage:  coverageMessage(partial.Coverage),
 		Records:   recordMessages(partial.Records),
-		Tenant:    request.Template.Tenant,
-		Template:  request.Template.Name,
 		ElapsedMS: millisecondsSince(request.Arrived),
 		Node:      string(s.options.Node),
 	}
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -177,7 +177,7 @@
 		options, seen := baseOptions(func(w http.ResponseWriter, r *http.Request) {
 			answer := answerFor(r)
 			encoder := json.NewEncoder(w)
-			Expect(encoder.Encode(api.Event{Type: api.EventPartial, Partial: &answer})).To(Succeed())
+			Expect(encoder.Encode(api.Event{Type: api.EventPartial, Partial: partialOf(&answer)})).To(Succeed())
 			Expect(encoder.Encode(api.Event{Type: api.EventAnswer, Answer: &answer})).To(Succeed())
 		})
 		options.Mix[0].Stream = true
@@ -191,7 +191,7 @@
 	It("calls a stream that ends without a result unknown", func(ctx SpecContext) {
 		options, seen := baseOptions(func(w http.ResponseWriter, r *http.Request) {
 			answer := answerFor(r)
-			Expect(json.NewEncoder(w).Encode(api.Event{Type: api.EventPartial, Partial: &answer})).To(Succeed())
+			Expect(json.NewEncoder(w).Encode(api.Event{Type: api.EventPartial, Partial: partialOf(&answer)})).To(Succeed())
 		})
 		options.Mix[0].Stream = true
 		_, err := Run(ctx, options)
@@ -248,3 +248,13 @@
 	}
 	return id[:index], id[index+1:], true
 }
+
+// partialOf returns the early state that says the same as an answer.
+func partialOf(answer *api.Answer) *api.Partial {
+	return &api.Partial{
+		RequestID: answer.RequestID,
+		Snapshot:  answer.Snapshot,
+		Coverage:  answer.Coverage,
+		Records:   answer.Records,
+	}
+}
--- a/internal/lab/oracle/oracle_test.go
+++ b/internal/lab/oracle/oracle_test.go
@@ -83,6 +83,13 @@
 	return answer
 }
 
+func partialOf(answer *api.Answer) *api.Partial {
+	return &api.Partial{
+		RequestID: answer.RequestID, Snapshot: answer.Snapshot,
+		Coverage: answer.Coverage, Records: answer.Records,
+	}
+}
+
 func orderExchange(answer *api.Answer) *load.Exchange {
 	exchange := exchangeOf(orders, answer)
 	exchange.Request.IdempotencyKey = "key"
@@ -168,16 +175,23 @@
 	})
 
 	It("catches a stream that changes its snapshot without a restart", func() {
-		partial := rightAnswer(quarter)
+		partial := partialOf(rightAnswer(quarter))
 		partial.Snapshot = testVersion + 1
-		partial.Records = nil
 		exchange := exchangeOf(tally, rightAnswer())
 		exchange.Events = []api.Event{{Type: api.EventPartial, Partial: partial}}
 		Expect(kindsOf(exchange)).To(HaveKey(KindMixedSnapshot))
 	})
 
+	It("catches an early state of another request", func() {
+		partial := partialOf(rightAnswer(quarter))
+		partial.RequestID = "run-2-1"
+		exchange := exchangeOf(tally, rightAnswer())
+		exchange.Events = []api.Event{{Type: api.EventPartial, Partial: partial}}
+		Expect(kindsOf(exchange)).To(Equal(map[Kind]int64{KindWrongRequest: 1}))
+	})
+
 	It("allows a stream to change its snapshot after a restart", func() {
-		older := rightAnswer()
+		older := partialOf(rightAnswer())
 		older.Snapshot = testVersion + 1
 		older.Records = nil
 		for _, record := range testData.Evaluate(testVersion+1, "group1/", []keyspace.Range{keyspace.Full}, testLimit).Records {
--- a/internal/lab/oracle/stream.go
+++ b/internal/lab/oracle/stream.go
@@ -14,16 +14,32 @@
 			previous = nil
 			continue
 		}
-		c.partial(event.Partial)
-		c.follows(previous, event.Partial)
-		previous = event.Partial
+		partial := answerSoFar(event.Partial)
+		c.partial(partial)
+		c.follows(previous, partial)
+		previous = partial
 	}
 	if c.exchange.Answer != nil {
 		c.follows(previous, c.exchange.Answer)
 	}
 }
 
+// answerSoFar gives an early state the form of an answer, without what only a
+// final answer has.
+func answerSoFar(partial *api.Partial) *api.Answer {
+	return &api.Answer{
+		RequestID: partial.RequestID,
+		Snapshot:  partial.Snapshot,
+		Coverage:  partial.Coverage,
+		Records:   partial.Records,
+		Node:      partial.Node,
+	}
+}
+
 func (c *check) partial(partial *api.Answer) {
+	if partial.RequestID != c.exchange.RequestID {
+		c.report(KindWrongRequest, partial, "early state names request %q", partial.RequestID)
+	}
 	covered, consistent := c.coverage(partial)
 	if consistent {
 		c.records(partial, covered)
--- /dev/null
+++ b/internal/node/listener.go
@@ -0,0 +1,197 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramblemast/bramblemast/internal/settings"
+)
+
+const (
+	// quietBeforeClose is how long a stopping listener's open connections must
+	// have been without a request before they are closed.
+	quietBeforeClose = 500 * time.Millisecond
+	// stopPoll is how often a stopping listener looks at its connections.
+	stopPoll = 20 * time.Millisecond
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = 16 << 10
+)
+
+// httpListener is an HTTP server whose planned stop cuts off no request: see
+// stop.
+type httpListener struct {
+	listener net.Listener
+	server   *http.Server
+	tracker  *connectionTracker
+}
+
+func newHTTPListener(address string, handler http.Handler, bounds settings.Callers) (*httpListener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	tracker := newConnectionTracker()
+	return &httpListener{
+		listener: newBoundedListener(listener, bounds.MaxConnections),
+		tracker:  tracker,
+		server: &http.Server{
+			Handler:           tracker.wrap(handler),
+			ReadHeaderTimeout: bounds.HeaderTimeout,
+			IdleTimeout:       bounds.IdleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+			ConnState:         tracker.changed,
+		},
+	}, nil
+}
+
+func (l *httpListener) address() string { return l.listener.Addr().String() }
+
+// serve runs until stop or close.
+func (l *httpListener) serve() error {
+	err := l.server.Serve(l.listener)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return errors.Wrapf(err, "serve on %s", l.address())
+}
+
+// startLeaving makes every further response ask its caller to close the
+// connection. New connections and requests are still served.
+func (l *httpListener) startLeaving() { l.tracker.leave() }
+
+// stop closes the listener, lets open connections finish what they send and
+// wait for, and returns when none is left or ctx ends. An idle connection is
+// closed only after a quiet time, since a request may be on its way on it.
+func (l *httpListener) stop(ctx context.Context) error {
+	_ = l.listener.Close()
+	ticker := time.NewTicker(stopPoll)
+	defer ticker.Stop()
+	for !l.tracker.quiet(time.Now()) {
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "requests still run on %s", l.address())
+		case <-ticker.C:
+		}
+	}
+	return errors.Wrapf(l.server.Shutdown(ctx), "shut down %s", l.address())
+}
+
+// close ends every connection at once.
+func (l *httpListener) close() { _ = l.server.Close() }
+
+// connectionTracker knows which connections are open and when one was last
+// used. It is safe for concurrent use.
+type connectionTracker struct {
+	// mutex guards all fields below.
+	mutex    sync.Mutex
+	active   int
+	states   map[net.Conn]http.ConnState
+	lastUsed time.Time
+	leaving  bool
+}
+
+func newConnectionTracker() *connectionTracker {
+	return &connectionTracker{states: make(map[net.Conn]http.ConnState), lastUsed: time.Now()}
+}
+
+func (t *connectionTracker) leave() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.leaving = true
+}
+
+func (t *connectionTracker) isLeaving() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.leaving
+}
+
+// changed is the server's ConnState hook.
+func (t *connectionTracker) changed(connection net.Conn, state http.ConnState) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.lastUsed = time.Now()
+	if t.states[connection] == http.StateActive {
+		t.active--
+	}
+	if state == http.StateActive {
+		t.active++
+	}
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(t.states, connection)
+		return
+	}
+	t.states[connection] = state
+}
+
+// quiet reports whether no connection is open, or none is active and none was
+// used for quietBeforeClose.
+func (t *connectionTracker) quiet(now time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if len(t.states) == 0 {
+		return true
+	}
+	return t.active == 0 && now.Sub(t.lastUsed) >= quietBeforeClose
+}
+
+func (t *connectionTracker) wrap(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if t.isLeaving() {
+			writer.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(writer, request)
+	})
+}
+
+// boundedListener accepts at most a number of connections at once; more wait
+// in the kernel's queue.
+type boundedListener struct {
+	net.Listener
+	places chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newBoundedListener(listener net.Listener, most int) *boundedListener {
+	return &boundedListener{Listener: listener, places: make(chan struct{}, most), closed: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *boundedListener) Accept() (net.Conn, error) {
+	select {
+	case l.places <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+	connection, err := l.Listener.Accept()
+	if err != nil {
+		<-l.places
+		return nil, err
+	}
+	return &boundedConnection{Conn: connection, release: func() { <-l.places }}, nil
+}
+
+// Close implements net.Listener.
+func (l *boundedListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+type boundedConnection struct {
+	net.Conn
+	once    sync.Once
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *boundedConnection) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(c.release)
+	return err
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"github.com/bramblemast/bramblemast/pkg/catalog"
+	"github.com/bramblemast/bramblemast/pkg/configsync"
+	"github.com/bramblemast/bramblemast/pkg/membership"
+	"github.com/bramblemast/bramblemast/pkg/peer"
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+// newsKind is the kind of broadcast that carries news of back ends.
+const newsKind = "catalog.news"
+
+// nodeService is the service label of nodes in the machine list; the target is
+// the node's peer address.
+const nodeService target.Service = "bramblemast"
+
+// seeds returns where other nodes may be found.
+func (n *Node) seeds() []membership.Seed {
+	seeds := make([]membership.Seed, 0, len(n.settings.Peers.Seeds))
+	for _, address := range n.settings.Peers.Seeds {
+		seeds = append(seeds, membership.Seed{Address: address})
+	}
+	if n.machines == nil {
+		return seeds
+	}
+	for _, entry := range n.machines.Status().List {
+		if entry.Service == nodeService {
+			seeds = append(seeds, membership.Seed{Address: peer.Address(entry.Server), Zone: entry.Zone})
+		}
+	}
+	return seeds
+}
+
+// zoneMembers returns the living nodes of this node's zone, itself included.
+// Leaving nodes are left out: their duties pass on before they stop.
+func (n *Node) zoneMembers() []target.NodeID {
+	var ids []target.NodeID
+	for _, member := range n.members.Alive(n.settings.Node.Zone) {
+		ids = append(ids, member.ID)
+	}
+	return ids
+}
+
+// sharingNodes returns the nodes that may send to the same back ends.
+func (n *Node) sharingNodes() []target.NodeID {
+	var ids []target.NodeID
+	for _, member := range n.members.Members() {
+		if member.State != membership.Dead {
+			ids = append(ids, member.ID)
+		}
+	}
+	return ids
+}
+
+// configPeers returns the known nodes as the configuration sees them.
+func (n *Node) configPeers() []configsync.Peer {
+	members := n.members.Members()
+	peers := make([]configsync.Peer, 0, len(members))
+	for _, member := range members {
+		peers = append(peers, configsync.Peer{
+			ID:      member.ID,
+			Address: member.Address,
+			Zone:    member.Zone,
+			Region:  member.Region,
+			Alive:   member.State == membership.Alive || member.State == membership.Suspect,
+		})
+	}
+	return peers
+}
+
+// broadcastNews tells the nodes of the zone what this node found out about a
+// back end.
+func (n *Node) broadcastNews(news catalog.News) {
+	encoded, err := catalog.EncodeNews([]catalog.News{news})
+	if err == nil {
+		err = n.members.Broadcast(newsKind, encoded)
+	}
+	if err != nil {
+		n.logger.Error("news of a back end was not sent", "server", string(news.Server), "error", err)
+	}
+}
+
+// receiveNews applies what another node found out. The broadcast reaches every
+// node of the zone by itself, so nothing is passed on here.
+func (n *Node) receiveNews(from target.NodeID, payload []byte) {
+	batch, err := catalog.DecodeNews(payload)
+	if err != nil {
+		n.logger.Warn("news of a back end can't be read", "peer", string(from), "error", err)
+		return
+	}
+	n.catalog.Apply(batch...)
+}
