Membership of nodes: SWIM within a zone, summaries between zones

Cause: every node must know which others are alive or leaving, with a cost that does not grow with their number, and a frozen node that resumes must do no harm.

Weighed: heartbeats over a full mesh (318 messages a second and node in a zone), sessions of the store as leases (the store is rate-limited and away at times, and a lapsed lease would remove healthy nodes), a gossip overlay (less state, slower detection). Chosen: one probe a second and node, indirect probes, suspicion with refutation, a last check by each remover, comparison of lists by digests, and three bridges a zone that exchange five members of each side.

Change: pkg/membership over peer.Transport with Members, Alive, Subscribe, Leave and Broadcast; tests in virtual time for kills, replaced processes, freezes, cuts, one-way cuts, loss, planned stops, cut zones and broadcasts.

Found on the way: one node of 30 that missed a refutation removed a healthy member at 5% loss, so a member is now asked for the last time before it is removed; a node that missed the suspicion of a cut zone kept it as alive, so suspicions of other zones are part of the compared lists; a broadcast missed 1 of 29 nodes, so acknowledgements of gossip no longer spend repeats, and recent broadcasts are compared too.

--- /dev/null
+++ b/pkg/membership/cluster_test.go
@@ -0,0 +1,223 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/peer"
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+// testNode is one node of a cluster in virtual time.
+type testNode struct {
+	*Membership
+	address   peer.Address
+	transport *peer.MemoryTransport
+	cancel    context.CancelFunc
+	done      chan struct{}
+	frozen    bool
+}
+
+// cluster runs nodes on an in-memory network. Its methods are called from one
+// goroutine.
+type cluster struct {
+	t       testing.TB
+	network *peer.Network
+	nodes   map[peer.Address]*testNode
+	// seeds are given to every node.
+	seeds  atomic.Pointer[[]Seed]
+	starts int
+	timing Timing
+}
+
+func newCluster(t testing.TB, seed uint64) *cluster {
+	network := peer.NewNetwork(seed)
+	network.SetLatency(func(_, _ peer.Address) time.Duration { return time.Millisecond })
+	c := &cluster{t: t, network: network, nodes: make(map[peer.Address]*testNode)}
+	c.seeds.Store(&[]Seed{})
+	return c
+}
+
+// addressOf names a node of a zone.
+func addressOf(zone string, number int) peer.Address {
+	return peer.Address(fmt.Sprintf("%s-%03d:7000", zone, number))
+}
+
+// start runs a new process at an address.
+func (c *cluster) start(zone string, number int) *testNode {
+	address := addressOf(zone, number)
+	c.starts++
+	id := target.NodeID(fmt.Sprintf("%s-%03d-%04x", zone, number, c.starts))
+	node := &testNode{address: address, transport: c.network.TransportOf(address, id), done: make(chan struct{})}
+	node.Membership = New(Options{
+		Self:       Member{ID: id, Address: address, Zone: target.Zone(zone), Region: "region"},
+		Transport:  node.transport,
+		Seeds:      func() []Seed { return *c.seeds.Load() },
+		Seed:       uint64(c.starts),
+		Timing:     c.timing,
+		beforeTick: func() { c.network.WaitThawed(address) },
+	})
+	var ctx context.Context
+	ctx, node.cancel = context.WithCancel(context.Background())
+	go func() {
+		defer close(node.done)
+		node.Run(ctx)
+	}()
+	c.nodes[address] = node
+	return node
+}
+
+// startZone starts count nodes; the first two are seeds.
+func (c *cluster) startZone(zone string, count int) {
+	seeds := slices.Clone(*c.seeds.Load())
+	for number := range min(count, 2) {
+		seeds = append(seeds, Seed{Address: addressOf(zone, number), Zone: target.Zone(zone)})
+	}
+	c.seeds.Store(&seeds)
+	for number := range count {
+		c.start(zone, number)
+	}
+}
+
+// kill ends a process without a word.
+func (c *cluster) kill(address peer.Address) {
+	node := c.nodes[address]
+	node.transport.Close()
+	c.network.CutOneWay([]peer.Address{address}, c.addresses())
+	node.cancel()
+	c.network.Thaw(address)
+	<-node.done
+	delete(c.nodes, address)
+	c.network.RestoreOneWay([]peer.Address{address}, append(c.addresses(), address))
+}
+
+func (c *cluster) freeze(address peer.Address) {
+	c.nodes[address].frozen = true
+	c.network.Freeze(address)
+}
+
+func (c *cluster) thaw(address peer.Address) {
+	c.nodes[address].frozen = false
+	c.network.Thaw(address)
+}
+
+// stop ends every process.
+func (c *cluster) stop() {
+	for _, node := range c.nodes {
+		node.cancel()
+		c.network.Thaw(node.address)
+	}
+	c.network.Close()
+	for _, node := range c.nodes {
+		<-node.done
+	}
+}
+
+// addresses returns the addresses of all running processes, sorted.
+func (c *cluster) addresses() []peer.Address {
+	var addresses []peer.Address
+	for address := range c.nodes {
+		addresses = append(addresses, address)
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// truth returns the IDs of the running processes of a zone, sorted.
+func (c *cluster) truth(zone target.Zone) []target.NodeID {
+	var ids []target.NodeID
+	for _, node := range c.nodes {
+		if node.options.Self.Zone == zone {
+			ids = append(ids, node.options.Self.ID)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// disagreement describes the first node whose list differs from the truth, or
+// returns an empty text.
+func (c *cluster) disagreement() string {
+	for _, address := range c.addresses() {
+		node := c.nodes[address]
+		own := node.options.Self.Zone
+		if held, truth := idsIn(node, own, Alive), c.truth(own); !slices.Equal(held, truth) {
+			return fmt.Sprintf("%s holds %v, truth is %v", address, held, truth)
+		}
+		for _, zone := range c.zones() {
+			if text := c.wrongAbout(node, zone); zone != own && text != "" {
+				return text
+			}
+		}
+	}
+	return ""
+}
+
+// wrongAbout checks what a node holds about another zone: as many living
+// members as it should know, and only living ones.
+func (c *cluster) wrongAbout(node *testNode, zone target.Zone) string {
+	held, truth := idsIn(node, zone, Alive), c.truth(zone)
+	wanted := min(len(truth), DefaultMembersPerZone)
+	if len(held) != wanted {
+		return fmt.Sprintf("%s holds %v of zone %s, truth is %v", node.address, held, zone, truth)
+	}
+	for _, id := range held {
+		if !slices.Contains(truth, id) {
+			return fmt.Sprintf("%s holds %s of zone %s, which is gone", node.address, id, zone)
+		}
+	}
+	return ""
+}
+
+func (c *cluster) zones() []target.Zone {
+	var zones []target.Zone
+	for _, node := range c.nodes {
+		if !slices.Contains(zones, node.options.Self.Zone) {
+			zones = append(zones, node.options.Self.Zone)
+		}
+	}
+	return zones
+}
+
+// idsIn returns the members of a zone that a node holds in a state.
+func idsIn(node *testNode, zone target.Zone, state State) []target.NodeID {
+	var ids []target.NodeID
+	for _, member := range node.Members() {
+		if member.Zone == zone && member.State == state {
+			ids = append(ids, member.ID)
+		}
+	}
+	return ids
+}
+
+// settle waits until all lists agree with the truth and returns how long that
+// took; the test fails if it takes longer than bound.
+func (c *cluster) settle(bound time.Duration) time.Duration {
+	c.t.Helper()
+	started := time.Now()
+	for {
+		text := c.disagreement()
+		if text == "" {
+			return time.Since(started)
+		}
+		if time.Since(started) > bound {
+			c.t.Fatalf("after %v: %s", bound, text)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// total adds up a counter over all running nodes.
+func (c *cluster) total(of func(Stats) uint64) uint64 {
+	var sum uint64
+	for _, node := range c.nodes {
+		sum += of(node.Stats())
+	}
+	return sum
+}
+
+func removed(stats Stats) uint64 { return stats.Removed }
--- /dev/null
+++ b/pkg/membership/leave.go
@@ -0,0 +1,62 @@
+package membership
+
+import (
+	"context"
+	"time"
+
+	pb "github.com/bramblemast/bramblemast/pkg/membership/membershippb"
+)
+
+const (
+	// goodbyeTimeout bounds the time to say that this node is gone.
+	goodbyeTimeout = time.Second
+	// goodbyeFanout is the number of members that are told.
+	goodbyeFanout = 5
+	// leavePoll is the time between two looks whether the announcement was
+	// passed on often enough.
+	leavePoll = 50 * time.Millisecond
+)
+
+// Leave announces that this node stops: peers list it as leaving. It returns
+// when the announcement was passed on often enough to reach the zone, or with
+// the error of ctx. The node goes on answering its peers until Run ends.
+func (m *Membership) Leave(ctx context.Context) error {
+	m.mutex.Lock()
+	if m.table.self.member.State != Leaving {
+		m.declare(Leaving, m.table.self.member.Incarnation+1)
+	}
+	m.unlock()
+	ticker := time.NewTicker(leavePoll)
+	defer ticker.Stop()
+	for m.announcing() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// announcing reports whether this node's own entry is still being passed on.
+func (m *Membership) announcing() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return len(m.table.others) > 0 && m.queue.has(entryKey(string(m.options.Self.ID)))
+}
+
+// sayGoodbye tells some members that this node is gone, if it left.
+func (m *Membership) sayGoodbye() {
+	m.mutex.Lock()
+	self := m.table.self
+	leaving := self.member.State == Leaving
+	chosen := m.randomOthers(goodbyeFanout, "")
+	goodbye := &pb.Entry{Id: string(self.member.ID), State: pb.State_STATE_LEFT, Incarnation: self.member.Incarnation}
+	m.mutex.Unlock()
+	if !leaving {
+		return
+	}
+	for _, member := range chosen {
+		m.start(func() { m.ping(context.Background(), member, goodbyeTimeout, []*pb.Entry{goodbye}) })
+	}
+}
--- /dev/null
+++ b/pkg/membership/probe.go
@@ -0,0 +1,309 @@
+package membership
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/bramblemast/bramblemast/pkg/membership/membershippb"
+	"github.com/bramblemast/bramblemast/pkg/peer"
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+const (
+	// indirectFactor is the wait for the answer of a helper, as a multiple of
+	// the helper's own wait.
+	indirectFactor = 2
+	// maxGossipBytes bounds the gossip on one message.
+	maxGossipBytes = 8192
+)
+
+// startProbe probes the next member.
+func (m *Membership) startProbe(ctx context.Context) {
+	m.mutex.Lock()
+	probed, ok := m.nextProbed()
+	timeout := m.health.stretch(m.options.Timing.ProbeTimeout)
+	m.mutex.Unlock()
+	if !ok {
+		return
+	}
+	m.start(func() { m.probe(ctx, probed, timeout) })
+}
+
+// nextProbed returns the next member to probe. Each round goes over all members
+// in random order, so that the time until a member is probed is bounded. The
+// caller holds the mutex.
+func (m *Membership) nextProbed() (Member, bool) {
+	if probed, ok := m.nextOfRound(); ok {
+		return probed, true
+	}
+	m.round = m.round[:0]
+	for _, other := range m.table.others {
+		m.round = append(m.round, other.member.ID)
+	}
+	m.random.Shuffle(len(m.round), func(i, j int) { m.round[i], m.round[j] = m.round[j], m.round[i] })
+	return m.nextOfRound()
+}
+
+func (m *Membership) nextOfRound() (Member, bool) {
+	for len(m.round) > 0 {
+		last := len(m.round) - 1
+		probed := m.table.records[m.round[last]]
+		m.round = m.round[:last]
+		if probed != nil && probed.member.State != Dead {
+			return probed.member, true
+		}
+	}
+	return Member{}, false
+}
+
+// probe asks a member whether it is alive, and suspects it if nobody gets an
+// answer.
+func (m *Membership) probe(ctx context.Context, probed Member, timeout time.Duration) {
+	m.counters.probes.Add(1)
+	switch result := m.reach(ctx, probed, timeout); result {
+	case reached:
+		m.probeAnswered()
+	case notReached, cutOff:
+		m.counters.failedProbes.Add(1)
+		m.accuse(probed, result == notReached)
+	}
+}
+
+// reachResult is what came of the attempt to reach a member.
+type reachResult int
+
+const (
+	// noResult means that the attempt says nothing: it was ended, or this
+	// process itself stood still.
+	noResult reachResult = iota
+	reached
+	notReached
+	// cutOff means that no helper answered either.
+	cutOff
+)
+
+// reach asks a member for an answer, first itself, then through others. There
+// is no result if that took longer than the time-outs allow.
+func (m *Membership) reach(ctx context.Context, probed Member, timeout time.Duration) reachResult {
+	started := time.Now()
+	if m.probeDirect(ctx, probed, timeout) {
+		return reached
+	}
+	if ctx.Err() != nil {
+		return noResult
+	}
+	acked, helped := m.probeThroughOthers(ctx, probed, timeout)
+	limit := timeout*(1+indirectFactor) + m.options.Timing.PauseLimit
+	switch {
+	case ctx.Err() != nil || time.Since(started) > limit:
+		return noResult
+	case acked:
+		return reached
+	case helped:
+		return notReached
+	default:
+		return cutOff
+	}
+}
+
+// lastChecks returns the work of asking the suspected members whose time to
+// refute is over for the last time. A node that missed a refutation learns it
+// from the answer, so that it never removes a member that it can reach. The
+// caller holds the mutex.
+func (m *Membership) lastChecks(now time.Time) []func(ctx context.Context) {
+	timeout := m.health.stretch(m.options.Timing.ProbeTimeout)
+	var work []func(ctx context.Context)
+	for _, r := range m.table.expired(now, m.options.Timing.ProbePeriod) {
+		r.checking = true
+		work = append(work, func(ctx context.Context) {
+			m.start(func() { m.lastCheck(ctx, r, timeout) })
+		})
+	}
+	return work
+}
+
+// lastCheck removes a suspected member that cannot be reached.
+func (m *Membership) lastCheck(ctx context.Context, r *record, timeout time.Duration) {
+	m.mutex.Lock()
+	checked := r.member
+	m.mutex.Unlock()
+	result := m.reach(ctx, checked, timeout)
+	now := time.Now()
+	m.mutex.Lock()
+	defer m.unlock()
+	m.noticePause(now)
+	r.checking = false
+	current := m.table.records[checked.ID] == r && r.suspicion != nil && r.member.Incarnation == checked.Incarnation
+	if m.stale || !current || result == noResult {
+		return
+	}
+	if result == reached {
+		r.suspicion.since = now
+		return
+	}
+	m.table.bury(r, checked.Incarnation, false, now)
+	m.queue.addEntry(entryOf(r))
+	m.counters.removed.Add(1)
+	m.logger.Info("member removed", "member", checked.ID, "address", checked.Address)
+}
+
+// probeDirect reports whether the member was reached.
+func (m *Membership) probeDirect(ctx context.Context, probed Member, timeout time.Duration) bool {
+	ack, err := m.ping(ctx, probed, timeout, nil)
+	if err != nil {
+		return peer.IsRemote(err)
+	}
+	if target.NodeID(ack.Id) != probed.ID {
+		m.replaced(probed)
+	}
+	return true
+}
+
+// probeAnswered notes a sign that this node is well.
+func (m *Membership) probeAnswered() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.health.better()
+}
+
+// probeThroughOthers asks helpers to probe a member. Helped reports whether any
+// helper answered at all; there may be none to ask.
+func (m *Membership) probeThroughOthers(ctx context.Context, probed Member, timeout time.Duration) (acked, helped bool) {
+	m.mutex.Lock()
+	helpers := m.randomOthers(m.options.IndirectProbes, probed.ID)
+	m.mutex.Unlock()
+	if len(helpers) == 0 {
+		return false, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout*indirectFactor)
+	defer cancel()
+	replies := make(chan *pb.ProbeReply, len(helpers))
+	for _, helper := range helpers {
+		m.start(func() { replies <- m.askHelper(ctx, helper, probed) })
+	}
+	for range helpers {
+		reply := <-replies
+		helped = helped || reply != nil
+		if reply.GetAcked() {
+			return true, true
+		}
+	}
+	return false, helped
+}
+
+// askHelper returns the helper's reply, or nil if it did not answer.
+func (m *Membership) askHelper(ctx context.Context, helper, probed Member) *pb.ProbeReply {
+	request := &pb.ProbeRequest{
+		Target:  string(probed.ID),
+		Address: string(probed.Address),
+		Gossip:  m.takeGossip(),
+	}
+	reply := &pb.ProbeReply{}
+	if err := m.options.Transport.Call(ctx, helper.Address, kindProbe, request, reply); err != nil {
+		return nil
+	}
+	m.receive(reply.Gossip)
+	return reply
+}
+
+// accuse suspects a member that could not be reached. A leaving member is
+// removed at once, because it said that it would end.
+func (m *Membership) accuse(probed Member, helped bool) {
+	now := time.Now()
+	m.mutex.Lock()
+	defer m.unlock()
+	m.noticePause(now)
+	if !helped {
+		m.health.worse(1)
+	}
+	known := m.table.records[probed.ID]
+	if m.stale || known == nil || known.member.Incarnation != probed.Incarnation {
+		return
+	}
+	if known.member.State == Leaving {
+		if m.table.bury(known, probed.Incarnation, false, now) {
+			m.queue.addEntry(entryOf(known))
+		}
+		return
+	}
+	first := known.suspicion == nil
+	if !m.table.suspect(known, probed.Incarnation, m.options.Self.ID, now) {
+		return
+	}
+	m.queue.addEntry(accusationOf(known, m.options.Self.ID))
+	if first {
+		m.counters.suspicions.Add(1)
+		m.logger.Debug("member suspected", "member", probed.ID, "address", probed.Address)
+	}
+}
+
+// replaced removes a member whose address is served by another process.
+func (m *Membership) replaced(probed Member) {
+	m.mutex.Lock()
+	defer m.unlock()
+	known := m.table.records[probed.ID]
+	if known != nil && m.table.bury(known, known.member.Incarnation, true, time.Now()) {
+		m.queue.addEntry(entryOf(known))
+	}
+}
+
+// ping sends one ping with gossip, and more entries if given, and takes in what
+// comes back.
+func (m *Membership) ping(ctx context.Context, pinged Member, timeout time.Duration, entries []*pb.Entry) (*pb.Ack, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request := &pb.Ping{Target: string(pinged.ID), Gossip: m.gossipFor(pinged.ID, entries)}
+	ack := &pb.Ack{}
+	if err := m.options.Transport.Call(ctx, pinged.Address, kindPing, request, ack); err != nil {
+		return nil, err
+	}
+	accused := m.receive(ack.Gossip)
+	if ack.Self != nil {
+		m.receive(&pb.Gossip{Entries: []*pb.Entry{ack.Self}})
+	}
+	if len(entries) == 0 && (accused || ack.SenderUnknown) {
+		m.introduce(pinged)
+	}
+	return ack, nil
+}
+
+// introduce tells a member about this node.
+func (m *Membership) introduce(to Member) {
+	m.mutex.Lock()
+	self := entryOf(m.table.self)
+	timeout := m.options.Timing.ProbeTimeout
+	m.mutex.Unlock()
+	m.start(func() { m.ping(context.Background(), to, timeout, []*pb.Entry{self}) })
+}
+
+// handlePing answers a ping.
+func (m *Membership) handlePing(_ context.Context, from target.NodeID, body []byte) (proto.Message, error) {
+	request := &pb.Ping{}
+	if err := request.UnmarshalVT(body); err != nil {
+		return nil, err
+	}
+	accused := m.receive(request.Gossip)
+	ack := &pb.Ack{Id: string(m.options.Self.ID), Gossip: m.gossipInAck(from, request.Gossip)}
+	m.mutex.Lock()
+	defer m.unlock()
+	ack.SenderUnknown = m.table.records[from] == nil
+	if accused {
+		ack.Self = entryOf(m.table.self)
+	}
+	return ack, nil
+}
+
+// handleProbe pings a member for another one.
+func (m *Membership) handleProbe(ctx context.Context, _ target.NodeID, body []byte) (proto.Message, error) {
+	request := &pb.ProbeRequest{}
+	if err := request.UnmarshalVT(body); err != nil {
+		return nil, err
+	}
+	m.receive(request.Gossip)
+	probed := Member{ID: target.NodeID(request.Target), Address: peer.Address(request.Address)}
+	ack, err := m.ping(ctx, probed, m.options.Timing.ProbeTimeout, nil)
+	acked := peer.IsRemote(err) || (err == nil && ack.Id == request.Target)
+	return &pb.ProbeReply{Acked: acked, Gossip: m.takeGossip()}, nil
+}
--- /dev/null
+++ b/pkg/membership/queue.go
@@ -0,0 +1,135 @@
+package membership
+
+import (
+	pb "github.com/bramblemast/bramblemast/pkg/membership/membershippb"
+)
+
+const (
+	// maxQueued bounds the items that wait to be passed on.
+	maxQueued = 4096
+	// entryOverhead is the room that the framing of one item takes in a
+	// message, in bytes.
+	entryOverhead = 4
+)
+
+// item is one piece of gossip that is passed on a number of times. Either entry
+// or news is set.
+type item struct {
+	key      string
+	entry    *pb.Entry
+	news     *pb.News
+	size     int
+	replaced bool
+}
+
+// queue holds the gossip that this node passes on, the least often sent first.
+// It is not safe for concurrent use.
+type queue struct {
+	// tiers[n] holds the items that were sent n times, oldest first.
+	tiers [][]*item
+	byKey map[string]*item
+}
+
+func newQueue() *queue { return &queue{byKey: make(map[string]*item)} }
+
+// addEntry queues an entry; it replaces an earlier one about the same member.
+func (q *queue) addEntry(entry *pb.Entry) {
+	q.add(&item{key: entryKey(entry.Id), entry: entry, size: entry.SizeVT() + entryOverhead})
+}
+
+// entryKey is the key of the entry about a member.
+func entryKey(id string) string { return "member/" + id }
+
+// has reports whether an item waits to be passed on.
+func (q *queue) has(key string) bool { return q.byKey[key] != nil }
+
+// addNews queues a message of another subsystem.
+func (q *queue) addNews(news *pb.News) {
+	q.add(&item{key: newsKey(news), news: news, size: news.SizeVT() + entryOverhead})
+}
+
+func (q *queue) add(added *item) {
+	if old := q.byKey[added.key]; old != nil {
+		old.replaced = true
+	}
+	q.byKey[added.key] = added
+	if len(q.tiers) == 0 {
+		q.tiers = make([][]*item, 1)
+	}
+	q.tiers[0] = append(q.tiers[0], added)
+	for len(q.byKey) > maxQueued {
+		q.dropMostSent()
+	}
+}
+
+// dropMostSent forgets the item that was passed on most often.
+func (q *queue) dropMostSent() {
+	for tier := len(q.tiers) - 1; tier >= 0; tier-- {
+		for len(q.tiers[tier]) > 0 {
+			dropped := q.tiers[tier][0]
+			q.tiers[tier] = q.tiers[tier][1:]
+			if !dropped.replaced {
+				delete(q.byKey, dropped.key)
+				return
+			}
+		}
+	}
+}
+
+// len returns the number of items.
+func (q *queue) len() int { return len(q.byKey) }
+
+// clear forgets all items.
+func (q *queue) clear() {
+	q.tiers = nil
+	clear(q.byKey)
+}
+
+// take returns items of at most maxBytes together for one message, and forgets
+// those that have been sent limit times.
+func (q *queue) take(maxBytes, limit int) *pb.Gossip {
+	if q.len() == 0 {
+		return nil
+	}
+	gossip := &pb.Gossip{}
+	var sent []*item
+	var sentTiers []int
+	for tier := range q.tiers {
+		rest := q.tiers[tier][:0]
+		for _, candidate := range q.tiers[tier] {
+			switch {
+			case candidate.replaced:
+			case candidate.size > maxBytes:
+				rest = append(rest, candidate)
+			default:
+				maxBytes -= candidate.size
+				sent = append(sent, candidate)
+				sentTiers = append(sentTiers, tier)
+			}
+		}
+		clear(q.tiers[tier][len(rest):])
+		q.tiers[tier] = rest
+	}
+	for number, taken := range sent {
+		q.requeue(taken, sentTiers[number]+1, limit)
+		if taken.entry != nil {
+			gossip.Entries = append(gossip.Entries, taken.entry)
+		} else {
+			gossip.News = append(gossip.News, taken.news)
+		}
+	}
+	return gossip
+}
+
+// requeue keeps an item that was sent the given number of times, unless that is
+// enough.
+func (q *queue) requeue(taken *item, times, limit int) {
+	if times >= limit {
+		delete(q.byKey, taken.key)
+		return
+	}
+	for len(q.tiers) <= times {
+		q.tiers = append(q.tiers, nil)
+	}
+	q.tiers[times] = append(q.tiers[times], taken)
+}
--- /dev/null
+++ b/pkg/membership/suspicion.go
@@ -0,0 +1,73 @@
+package membership
+
+import (
+	"math"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+const (
+	// suspicionPeriods is the shortest time to refute, in probe periods for
+	// each factor of ten in the number of members.
+	suspicionPeriods = 2
+	// suspicionStretch is the time to refute while only one member accuses, as
+	// a multiple of the shortest time.
+	suspicionStretch = 3
+	// confirmations is the number of further accusers that shorten the time to
+	// refute to its minimum.
+	confirmations = 3
+)
+
+// suspicion is the accusation of one member.
+type suspicion struct {
+	since    time.Time
+	accusers []target.NodeID
+}
+
+// confirm adds an accuser; false if it accused already or no more are needed.
+func (s *suspicion) confirm(accuser target.NodeID) bool {
+	if len(s.accusers) > confirmations {
+		return false
+	}
+	for _, known := range s.accusers {
+		if known == accuser {
+			return false
+		}
+	}
+	s.accusers = append(s.accusers, accuser)
+	return true
+}
+
+// timeout returns the time to refute in a zone of the given number of members.
+// It falls from a maximum to a minimum as independent accusers are added, so
+// that one node with a bad link cannot remove a member quickly. In a zone too
+// small to have further accusers it is the minimum.
+func (s *suspicion) timeout(members int, probePeriod time.Duration) time.Duration {
+	scale := math.Max(1, math.Log10(float64(members+1)))
+	shortest := time.Duration(suspicionPeriods * scale * float64(probePeriod))
+	possible := min(confirmations, members-2)
+	if possible <= 0 {
+		return shortest
+	}
+	confirmed := min(len(s.accusers)-1, possible)
+	share := math.Log(float64(confirmed+1)) / math.Log(float64(possible+1))
+	longest := suspicionStretch * shortest
+	return longest - time.Duration(share*float64(longest-shortest))
+}
+
+// retransmits returns how often a node passes on one item of news in a zone of
+// the given number of members. The share of members that random gossip misses
+// falls as exp(-n) with the number n, so the expected number of members that
+// miss an item is about 1 in 100 in small zones and less in large ones.
+func retransmits(members int) int {
+	return gossipBase + int(math.Ceil(gossipFactor*math.Log10(float64(members+1))))
+}
+
+const (
+	// gossipBase is the number of times that news is passed on in any zone.
+	gossipBase = 2
+	// gossipFactor is the number of further times for each factor of ten in
+	// the number of members.
+	gossipFactor = 4
+)
--- /dev/null
+++ b/pkg/membership/table.go
@@ -0,0 +1,338 @@
+package membership
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	pb "github.com/bramblemast/bramblemast/pkg/membership/membershippb"
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+// record is what this node holds about one member. Member.State is Alive,
+// Leaving or Dead here; a suspicion is kept beside it.
+type record struct {
+	member    Member
+	suspicion *suspicion
+	// left is set if the member itself said that it ended.
+	left bool
+	// deadSince is set for dead members.
+	deadSince time.Time
+	// checking is set while a suspected member is asked for the last time.
+	checking bool
+	// challenged is when the member was last told that others call it dead.
+	challenged time.Time
+	// remote is set for members of another zone than this node's.
+	remote bool
+	// rank orders the members of a zone for its duties; see outranks.
+	rank uint64
+	// position is the record's place in table.others.
+	position int
+}
+
+func newRecord(member Member) *record {
+	return &record{member: member, rank: xxhash.Sum64String(string(member.ID))}
+}
+
+// state returns the state that others see.
+func (r *record) state() State {
+	if r.member.State == Alive && r.suspicion != nil {
+		return Suspect
+	}
+	return r.member.State
+}
+
+// wireState returns the state for entries sent to peers. Suspicions within the
+// zone pass soon and travel by gossip only; those of another zone's members
+// last as long as the zone is silent.
+func (r *record) wireState() pb.State {
+	switch {
+	case r.remote && r.suspicion != nil:
+		return pb.State_STATE_SUSPECT
+	case r.member.State == Dead && r.left:
+		return pb.State_STATE_LEFT
+	case r.member.State == Dead:
+		return pb.State_STATE_DEAD
+	case r.member.State == Leaving:
+		return pb.State_STATE_LEAVING
+	default:
+		return pb.State_STATE_ALIVE
+	}
+}
+
+// table is the list of members that this node knows, itself included. It reads
+// no clock and is not safe for concurrent use.
+type table struct {
+	self           *record
+	records        map[target.NodeID]*record
+	membersPerZone int
+	digests        digests
+	// others holds the members of this node's zone that are not dead, without
+	// this node, in no order.
+	others []*record
+	// zoneSize is the number of members of this node's zone that are not dead,
+	// this node included.
+	zoneSize int
+	// suspects is the number of suspected members.
+	suspects int
+	// version is raised by every change.
+	version uint64
+}
+
+func newTable(self Member, membersPerZone int) *table {
+	t := &table{membersPerZone: membersPerZone}
+	t.reset(newRecord(self))
+	return t
+}
+
+// reset forgets every member but this node.
+func (t *table) reset(self *record) {
+	t.self = self
+	t.records = make(map[target.NodeID]*record)
+	t.digests = digests{}
+	t.others = nil
+	t.zoneSize = 0
+	t.suspects = 0
+	t.insert(self)
+}
+
+func (t *table) insert(r *record) {
+	r.remote = r.member.Zone != t.self.member.Zone
+	t.records[r.member.ID] = r
+	t.count(r, 1)
+	t.version++
+}
+
+// change applies edit to a record and keeps the counts and digests right.
+func (t *table) change(r *record, edit func()) {
+	t.count(r, -1)
+	edit()
+	t.count(r, 1)
+	t.version++
+}
+
+func (t *table) remove(r *record) {
+	t.count(r, -1)
+	delete(t.records, r.member.ID)
+	t.version++
+}
+
+func (t *table) count(r *record, by int) {
+	if r.suspicion != nil {
+		t.suspects += by
+	}
+	if r.member.State == Dead {
+		return
+	}
+	t.digests.toggle(r)
+	if r.remote {
+		return
+	}
+	t.zoneSize += by
+	if r == t.self {
+		return
+	}
+	if by > 0 {
+		t.addOther(r)
+	} else {
+		t.removeOther(r)
+	}
+}
+
+func (t *table) addOther(r *record) {
+	r.position = len(t.others)
+	t.others = append(t.others, r)
+}
+
+func (t *table) removeOther(r *record) {
+	last := t.others[len(t.others)-1]
+	t.others[r.position] = last
+	last.position = r.position
+	t.others[len(t.others)-1] = nil
+	t.others = t.others[:len(t.others)-1]
+}
+
+// apply takes in one entry that is not about this node; it reports whether
+// anything changed, so that the entry is worth passing on.
+func (t *table) apply(entry *pb.Entry, now time.Time) bool {
+	known := t.records[target.NodeID(entry.Id)]
+	switch entry.State {
+	case pb.State_STATE_ALIVE, pb.State_STATE_LEAVING:
+		return t.applyDeclared(known, entry)
+	case pb.State_STATE_SUSPECT:
+		return known != nil && t.suspect(known, entry.Incarnation, target.NodeID(entry.Accuser), now)
+	case pb.State_STATE_DEAD, pb.State_STATE_LEFT:
+		return known != nil && t.bury(known, entry.Incarnation, entry.State == pb.State_STATE_LEFT, now)
+	default:
+		return false
+	}
+}
+
+// applyDeclared takes in what a member said about itself.
+func (t *table) applyDeclared(known *record, entry *pb.Entry) bool {
+	if known == nil {
+		t.insert(newRecord(memberOf(entry)))
+		return t.trim(target.Zone(entry.Zone), target.NodeID(entry.Id))
+	}
+	if entry.Incarnation <= known.member.Incarnation {
+		return false
+	}
+	t.change(known, func() {
+		known.member = memberOf(entry)
+		known.suspicion = nil
+		known.left = false
+		known.deadSince = time.Time{}
+	})
+	return true
+}
+
+// suspect notes an accusation.
+func (t *table) suspect(known *record, incarnation uint64, accuser target.NodeID, now time.Time) bool {
+	if known.member.State == Dead || incarnation < known.member.Incarnation {
+		return false
+	}
+	if known.suspicion != nil {
+		return known.suspicion.confirm(accuser)
+	}
+	t.change(known, func() {
+		known.member.Incarnation = incarnation
+		known.suspicion = &suspicion{since: now, accusers: []target.NodeID{accuser}}
+	})
+	return true
+}
+
+// bury marks a member as dead. A member of another zone is forgotten instead,
+// so that its zone can name it again if that was an error.
+func (t *table) bury(known *record, incarnation uint64, left bool, now time.Time) bool {
+	if known.member.State == Dead || incarnation < known.member.Incarnation {
+		return false
+	}
+	if known.remote {
+		t.remove(known)
+		return true
+	}
+	t.change(known, func() {
+		known.member.Incarnation = incarnation
+		known.member.State = Dead
+		known.suspicion = nil
+		known.left = left
+		known.deadSince = now
+	})
+	return true
+}
+
+// trim keeps the number of known members of another zone within its bound by
+// dropping the lowest rank; it reports whether the given member was kept.
+func (t *table) trim(zone target.Zone, added target.NodeID) bool {
+	if zone == t.self.member.Zone {
+		return true
+	}
+	living := t.ranked(zone)
+	kept := true
+	for _, dropped := range living[min(len(living), t.membersPerZone):] {
+		t.remove(dropped)
+		kept = kept && dropped.member.ID != added
+	}
+	return kept
+}
+
+// ranked returns the members of a zone that are not dead, highest rank first.
+// Every node ranks them alike.
+func (t *table) ranked(zone target.Zone) []*record {
+	var living []*record
+	for _, r := range t.records {
+		if r.member.Zone == zone && r.member.State != Dead {
+			living = append(living, r)
+		}
+	}
+	sort.Slice(living, func(i, j int) bool { return living[i].outranks(living[j]) })
+	return living
+}
+
+// outranks orders members by a hash of their IDs, so that duties move evenly
+// and without agreement when members come and go.
+func (r *record) outranks(other *record) bool {
+	if r.rank != other.rank {
+		return r.rank > other.rank
+	}
+	return r.member.ID > other.member.ID
+}
+
+// isBridge reports whether this node is among the highest ranks of its zone.
+func (t *table) isBridge(bridges int) bool {
+	above := 0
+	for _, other := range t.others {
+		if other.state() == Alive && other.outranks(t.self) {
+			above++
+		}
+		if above >= bridges {
+			return false
+		}
+	}
+	return t.self.member.State == Alive
+}
+
+// expired returns the suspected members of this node's zone whose time to
+// refute is over. The time of other zones' members never ends: only their own
+// zone removes them.
+func (t *table) expired(now time.Time, probePeriod time.Duration) []*record {
+	if t.suspects == 0 {
+		return nil
+	}
+	var found []*record
+	for _, r := range t.records {
+		if r.suspicion == nil || r.checking || r.remote {
+			continue
+		}
+		if now.Sub(r.suspicion.since) >= r.suspicion.timeout(t.zoneSize, probePeriod) {
+			found = append(found, r)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].member.ID < found[j].member.ID })
+	return found
+}
+
+// reap forgets members that have been dead for longer than retention.
+func (t *table) reap(now time.Time, retention time.Duration) {
+	for _, r := range t.records {
+		if r.member.State == Dead && now.Sub(r.deadSince) >= retention {
+			t.remove(r)
+		}
+	}
+}
+
+// restartSuspicions gives every suspected member its whole time to refute
+// again.
+func (t *table) restartSuspicions(now time.Time) {
+	for _, r := range t.records {
+		if r.suspicion != nil {
+			r.suspicion.since = now
+		}
+	}
+}
+
+// members returns all members sorted by ID.
+func (t *table) members() []Member {
+	list := make([]Member, 0, len(t.records))
+	for _, r := range t.records {
+		member := r.member
+		member.State = r.state()
+		list = append(list, member)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
+// zones returns the zones of all members that are not dead, sorted.
+func (t *table) zones() []target.Zone {
+	var zones []target.Zone
+	for _, r := range t.records {
+		if r.member.State != Dead && !slices.Contains(zones, r.member.Zone) {
+			zones = append(zones, r.member.Zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
