Zones find each other through a third zone

Cause: three nodes, one a zone, that were given the same one seed: after 10 s the two that are not the seed knew only the seed. A bridge spoke of its own zone alone, so zones that no seed names never met. Ruled out: naming every zone in the settings; a new zone would then need a change at every node. Change: an exchange of bridges names the zones that the asking node knows, and the answer has one living member of each other zone. At 17 zones that is at most 16 entries once, and none afterwards. The planned stop no longer reports its own closed listener as an error. Before: TestZonesLearnOfEachOtherThroughAThird fails, 0 of 1 known for each pair of zones without the seed. After: passes, with all other tests of the package. Conclusion: one seed is enough for a new installation.

--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -78,7 +78,11 @@
 		case <-ticker.C:
 		}
 	}
-	return errors.Wrapf(l.server.Shutdown(ctx), "shut down %s", l.address())
+	err := l.server.Shutdown(ctx)
+	if errors.Is(err, net.ErrClosed) {
+		return nil // the listener was closed above
+	}
+	return errors.Wrapf(err, "shut down %s", l.address())
 }
 
 // close ends every connection at once.
--- a/pkg/membership/bridge.go
+++ b/pkg/membership/bridge.go
@@ -121,6 +121,7 @@
 	*m.zones.of(zone, now) = zoneContact{tried: now, heard: now, size: int(reply.ZoneSize)}
 	m.applyAll(otherZoneOnly(reply.Members, m.options.Self.Zone), now, true)
 	m.applyAll(m.aboutZone(reply.Corrections, zone), now, true)
+	m.applyAll(otherZoneOnly(reply.Contacts, m.options.Self.Zone), now, true)
 }
 
 // exchangeFailed suspects all known members of a zone that has been silent for
@@ -167,6 +168,9 @@
 		Members:  m.announced(),
 		ZoneSize: uint32(m.table.zoneSize),
 	}
+	for _, known := range m.table.zones() {
+		request.Zones = append(request.Zones, string(known))
+	}
 	for _, r := range m.table.ranked(zone) {
 		request.Known = append(request.Known, &pb.Entry{Id: string(r.member.ID), State: r.wireState(), Incarnation: r.member.Incarnation})
 	}
@@ -208,9 +212,30 @@
 	reply.Members = m.announced()
 	reply.ZoneSize = uint32(m.table.zoneSize)
 	reply.Corrections = m.corrections(request.Known, now)
+	reply.Contacts = m.contactsBeyond(request)
 	return reply, nil
 }
 
+// contactsBeyond returns one living member of each zone that the asking node
+// does not know, so that zones find each other through a third. The caller
+// holds the mutex.
+func (m *Membership) contactsBeyond(request *pb.SummaryRequest) []*pb.Entry {
+	var contacts []*pb.Entry
+	for _, zone := range m.table.zones() {
+		known := slices.Contains(request.Zones, string(zone))
+		if known || zone == m.options.Self.Zone || string(zone) == request.Self.GetZone() {
+			continue
+		}
+		for _, r := range m.table.ranked(zone) {
+			if r.state() == Alive {
+				contacts = append(contacts, entryOf(r))
+				break
+			}
+		}
+	}
+	return contacts
+}
+
 // settled reports whether this node knows its own zone well enough to correct
 // others. The caller holds the mutex.
 func (m *Membership) settled(now time.Time) bool {
