A node's source address and its advertised peer address

Cause: a zone that is cut off can only be brought about between processes if a proxy can tell connections by where they come from, and peers must reach a node through an address other than its own listener's. Weighed: one proxy for each pair of nodes; ruled out, since membership spreads one address for each node. Change: settings node.source_ip and listen.peers_advertised; dialers of back ends, peers, store and machine list use the source.

--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"os"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"github.com/bramblemast/bramblemast/internal/settings"
 	"github.com/bramblemast/bramblemast/pkg/configstore"
 	"github.com/bramblemast/bramblemast/pkg/configstore/consul"
 	"github.com/bramblemast/bramblemast/pkg/configsync"
@@ -19,6 +20,12 @@
 // it serves with the templates of its files alone.
 const aloneWithoutStore = time.Second
 
+// Connections to the platform's services that are kept while unused.
+const (
+	platformIdleConnections = 4
+	platformIdleTimeout     = time.Minute
+)
+
 // configuration is the node's templates: what is published, and below that
 // what the settings' files give. It implements serve.Templates.
 type configuration struct {
@@ -34,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	store, err := newStore(n.settings.Store)
+	store, err := n.newStore()
 	if err != nil {
 		return err
 	}
@@ -78,11 +85,28 @@
 	return options
 }
 
-func newStore(chosen settings.Store) (configstore.Store, error) {
-	if chosen.URL == "" {
+func (n *Node) newStore() (configstore.Store, error) {
+	if n.settings.Store.URL == "" {
 		return absentStore{}, nil
 	}
-	return consul.New(consul.Options{Address: chosen.URL, CallTimeout: chosen.Timeout})
+	return consul.New(consul.Options{
+		Address:     n.settings.Store.URL,
+		CallTimeout: n.settings.Store.Timeout,
+		Client:      n.platformClient(),
+	})
+}
+
+// platformClient returns the HTTP client for one of the platform's services.
+func (n *Node) platformClient() *http.Client {
+	dialer := &net.Dialer{Timeout: n.settings.Store.Timeout}
+	if n.settings.Node.SourceIP != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: n.settings.Node.SourceIP}
+	}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: platformIdleConnections,
+		IdleConnTimeout:     platformIdleTimeout,
+	}}
 }
 
 // loadTemplates reads the template files of the settings. Their revision is
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -128,7 +128,13 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for peers on %s", n.settings.Listen.Peers)
 	}
-	n.transport = peer.NewTCP(peer.TCPOptions{Node: n.id, Listener: listener, Logger: n.logger.Named("peer")})
+	n.transport = peer.NewTCP(peer.TCPOptions{
+		Node:      n.id,
+		Listener:  listener,
+		Advertise: peer.Address(n.settings.Listen.PeersAdvertised),
+		SourceIP:  n.settings.Node.SourceIP,
+		Logger:    n.logger.Named("peer"),
+	})
 	return nil
 }
 
@@ -171,12 +177,16 @@
 	n.client = httpbackend.New(httpbackend.Options{
 		Connections:      n.reach.connections,
 		MaxResponseBytes: n.settings.Backends.MaxResponseBytes,
+		SourceIP:         n.settings.Node.SourceIP,
 		OnHints:          n.catalog.ReportHints,
 	})
 	n.reach.client = n.client
 	if n.settings.MachineList.URL != "" {
 		n.machines = machinelist.NewPoller(machinelist.PollerOptions{
-			Fetcher:  machinelist.NewClient(machinelist.ClientOptions{URL: n.settings.MachineList.URL}),
+			Fetcher: machinelist.NewClient(machinelist.ClientOptions{
+				URL:  n.settings.MachineList.URL,
+				HTTP: n.platformClient(),
+			}),
 			Interval: n.settings.MachineList.Interval,
 			OnList:   n.catalog.ReplaceMachines,
 			Logger:   n.logger.Named("machinelist"),
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -61,14 +61,16 @@
 func build(source *source) *Settings {
 	settings := &Settings{
 		Node: Node{
-			Name:   source.name("node.name", "node"),
-			Zone:   target.Zone(source.name("node.zone", "")),
-			Region: target.Region(source.name("node.region", "default")),
+			Name:     source.name("node.name", "node"),
+			Zone:     target.Zone(source.name("node.zone", "")),
+			Region:   target.Region(source.name("node.region", "default")),
+			SourceIP: source.ip("node.source_ip"),
 		},
 		Listen: Listen{
-			Callers:   source.address("listen.callers", "127.0.0.1:8480"),
-			Operators: source.address("listen.operators", "127.0.0.1:8481"),
-			Peers:     source.address("listen.peers", "127.0.0.1:8482"),
+			Callers:         source.address("listen.callers", "127.0.0.1:8480"),
+			Operators:       source.address("listen.operators", "127.0.0.1:8481"),
+			Peers:           source.address("listen.peers", "127.0.0.1:8482"),
+			PeersAdvertised: source.optionalAddress("listen.peers_advertised"),
 		},
 		Store: Store{
 			URL:     source.url("store.url"),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,6 +4,7 @@
 package settings
 
 import (
+	"net"
 	"time"
 
 	"github.com/bramblemast/bramblemast/pkg/peer"
@@ -32,6 +33,9 @@
 	Name   string
 	Zone   target.Zone
 	Region target.Region
+	// SourceIP is the address that the node's own connections come from; nil
+	// lets the system choose.
+	SourceIP net.IP
 }
 
 // Listen holds the host:port of each listener. Port 0 takes a free port.
@@ -39,6 +43,9 @@
 	Callers   string
 	Operators string
 	Peers     string
+	// PeersAdvertised is the host:port at which peers reach this node, if it
+	// differs from Peers.
+	PeersAdvertised string
 }
 
 // Peers says how to find other nodes.
--- a/internal/settings/source.go
+++ b/internal/settings/source.go
@@ -111,6 +111,28 @@
 	return text
 }
 
+// optionalAddress is an address that may be left out.
+func (s *source) optionalAddress(path string) string {
+	text := s.text(path, "")
+	if text != "" {
+		s.checkAddress(path, text)
+	}
+	return text
+}
+
+// ip is an IP number that may be left out.
+func (s *source) ip(path string) net.IP {
+	text := s.text(path, "")
+	if text == "" {
+		return nil
+	}
+	parsed := net.ParseIP(text)
+	if parsed == nil {
+		s.fail(path, "want an IP number, got %q", text)
+	}
+	return parsed
+}
+
 // checkAddress wants an IP number and a port: names are not resolved.
 func (s *source) checkAddress(path, text string) {
 	host, port, err := net.SplitHostPort(text)
--- a/pkg/backend/httpbackend/client.go
+++ b/pkg/backend/httpbackend/client.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/bramblemast/bramblemast/pkg/backend"
@@ -36,6 +37,9 @@
 	Connections func(server target.ServerID) int
 	// DialTimeout bounds a new connection; zero means DefaultDialTimeout.
 	DialTimeout time.Duration
+	// SourceIP is the address that connections come from; nil lets the system
+	// choose.
+	SourceIP net.IP
 	// IdleTimeout is how long an unused connection is kept; zero means
 	// DefaultIdleTimeout. It must be shorter than the servers' own idle
 	// timeout, so that the servers do not close a connection under a request.
--- a/pkg/backend/httpbackend/pool.go
+++ b/pkg/backend/httpbackend/pool.go
@@ -51,6 +51,9 @@
 
 func newTransport(connections int, options Options) *http.Transport {
 	dialer := &net.Dialer{Timeout: options.DialTimeout, KeepAlive: keepAlivePeriod}
+	if options.SourceIP != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: options.SourceIP}
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -81,6 +81,9 @@
 func (p *pool) connect(address Address, attempt *dial) {
 	defer p.group.Done()
 	dialer := net.Dialer{Timeout: p.transport.options.DialTimeout}
+	if source := p.transport.options.SourceIP; source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: source}
+	}
 	socket, err := dialer.DialContext(p.context, "tcp", string(address))
 	if err != nil {
 		attempt.err = notRun("connect", address, outcome.ReasonUnreachable, err)
--- a/pkg/peer/tcp.go
+++ b/pkg/peer/tcp.go
@@ -50,6 +50,9 @@
 	IdleTimeout time.Duration
 	// DialTimeout bounds the time to connect.
 	DialTimeout time.Duration
+	// SourceIP is the address that connections come from; nil lets the system
+	// choose.
+	SourceIP net.IP
 	// MaxConnections bounds the connections that this node keeps open. Above it
 	// the one that was unused for longest is closed, but none on which a call
 	// waits.
