Catalog of back-end servers from five sources that lag

Cause: no implementation of catalog.Source. The machine list, probes, hints on answers, news from peers and operators contradict each other and arrive late. Weighed: (1) last writer wins by wall clock: clocks differ between nodes; (2) one register with a sequence for each server: of two changes seen at the same time one is lost, and a lost drain is the one thing that must not be; (3) facts for each instance that only grow (draining: or; liveness, contents, generation: greatest number), merged field by field. The floor of ejection is decided when a view is built, so that it holds for every view, rather than when a server fails. Ruled out: that news of instances older than the four that are kept count as learnt: two nodes then pass them to each other for ever (found by TestPeersConverge; mended in facts.merge). Conclusion: (3); what merges by growing needs no order of delivery.

--- /dev/null
+++ b/pkg/catalog/converge_test.go
@@ -0,0 +1,212 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+// drawNews makes arbitrary news about few servers and instances, so that
+// many of them contradict each other.
+func drawNews(t *rapid.T) News {
+	number := rapid.IntRange(0, 1).Draw(t, "server")
+	news := News{Server: serverID(number), Observer: "peer"}
+	if rapid.Bool().Draw(t, "operator") {
+		news.Operator = OperatorMark{
+			Sequence: rapid.Uint64Range(1, 3).Draw(t, "sequence"),
+			Drained:  rapid.Bool().Draw(t, "drained"),
+			Author:   rapid.SampledFrom([]string{"a", "b"}).Draw(t, "author"),
+		}
+	}
+	if rapid.IntRange(0, 4).Draw(t, "instance") > 0 {
+		news.Instance = Instance{
+			ID:         rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "id"),
+			Generation: rapid.Uint64Range(0, 3).Draw(t, "generation"),
+			Draining:   rapid.Bool().Draw(t, "draining"),
+			Liveness:   rapid.Uint64Range(0, 3).Draw(t, "liveness"),
+		}
+		if revision := rapid.Uint64Range(0, 2).Draw(t, "revision"); revision > 0 {
+			version := target.Version(rapid.IntRange(1, 2).Draw(t, "version"))
+			news.Instance.Revision = revision
+			news.Instance.Contents = newContents(statusOf(number, news.Instance.ID, false, version))
+		}
+	}
+	return news
+}
+
+func newTestCatalog(node target.NodeID, now func() time.Time) *Catalog {
+	created := New(Options{Node: node, Zone: "zone", Now: now})
+	created.ReplaceMachines(listOf(2))
+	return created
+}
+
+// stateOf describes all that nodes share about the servers, and the view.
+func stateOf(c *Catalog) string {
+	text := contentsOf(c.View(testService))
+	for _, number := range []int{0, 1} {
+		f := &c.find(serverID(number)).facts
+		text += fmt.Sprintf("\n%s operator %+v", serverID(number), f.operator)
+		for _, id := range []string{"x", "y", "z"} {
+			known := f.instance(id).Instance
+			text += fmt.Sprintf(" %s %d %v %d %d %x", known.ID, known.Generation, known.Draining, known.Liveness,
+				known.Revision, contentsKey(known.Contents))
+		}
+	}
+	return text
+}
+
+// TestNewsConverge gives the same news to two catalogs in different orders and
+// with repeats.
+func TestNewsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := newClock().Now
+		first, second := newTestCatalog("first", now), newTestCatalog("second", now)
+		var batch []News
+		for range rapid.IntRange(1, 12).Draw(t, "count") {
+			batch = append(batch, drawNews(t))
+		}
+		first.Apply(batch...)
+		shuffled := rapid.Permutation(batch).Draw(t, "order")
+		for _, news := range shuffled {
+			second.Apply(news)
+		}
+		if again := second.Apply(batch...); len(again) > 0 {
+			t.Fatalf("known news is passed on again: %+v", again)
+		}
+		if a, b := stateOf(first), stateOf(second); a != b {
+			t.Fatalf("states differ:\n%s\n%s", a, b)
+		}
+		third := newTestCatalog("third", now)
+		third.Apply(second.Snapshot()...)
+		if a, b := stateOf(first), stateOf(third); a != b {
+			t.Fatalf("state from the snapshot differs:\n%s\n%s", a, b)
+		}
+	})
+}
+
+// peers are two nodes that observe the same servers and exchange news, which
+// may be late, repeated and out of order.
+type peers struct {
+	clock    *clock
+	catalogs []*Catalog
+	// mail holds the news that were sent to each node.
+	mail [][]News
+	sent int
+}
+
+func newPeers(nodes int) *peers {
+	p := &peers{clock: newClock(), mail: make([][]News, nodes)}
+	for node := range nodes {
+		created := New(Options{
+			Node: target.NodeID(fmt.Sprint(node)), Zone: "zone", Now: p.clock.Now,
+			OnNews: func(news News) { p.send(node, news) },
+		})
+		created.ReplaceMachines(listOf(2))
+		p.catalogs = append(p.catalogs, created)
+	}
+	return p
+}
+
+func (p *peers) send(from int, news News) {
+	p.sent++
+	for node := range p.mail {
+		if node != from {
+			p.mail[node] = append(p.mail[node], news)
+		}
+	}
+}
+
+// deliver applies the news with the given index, passes on what was learnt,
+// and keeps a copy in the mail if repeat is set.
+func (p *peers) deliver(node, index int, repeat bool) {
+	news := p.mail[node][index]
+	if !repeat {
+		p.mail[node] = append(p.mail[node][:index], p.mail[node][index+1:]...)
+	}
+	for _, learnt := range p.catalogs[node].Apply(news) {
+		p.send(node, learnt)
+	}
+}
+
+// TestPeersConverge lets two nodes observe and exchange news in any order. In
+// the end both are in the same state, and the number of messages is bounded.
+func TestPeersConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPeers(2)
+		instances := []int{0, 0}
+		drained := []bool{false, false}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			node, number := rapid.IntRange(0, 1).Draw(t, "node"), rapid.IntRange(0, 1).Draw(t, "server")
+			p.clock.advance(time.Second)
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				instances[number]++
+				drained[number] = false
+			case 1:
+				drained[number] = true
+			case 2, 3:
+				status := statusOf(number, fmt.Sprint(instances[number]), drained[number], 1)
+				p.catalogs[node].ReportProbe(serverID(number), p.clock.now, status, nil)
+			case 4:
+				p.catalogs[node].ReportProbe(serverID(number), p.clock.now, nil, errTest)
+			case 5:
+				if len(p.mail[node]) > 0 {
+					index := rapid.IntRange(0, len(p.mail[node])-1).Draw(t, "news")
+					p.deliver(node, index, rapid.Bool().Draw(t, "repeat"))
+				}
+			}
+		}
+		p.settle(t)
+		for number := range drained {
+			p.checkAgreement(t, number)
+		}
+		// One more round of probes: what the servers say now is what holds.
+		for number := range drained {
+			status := statusOf(number, fmt.Sprint(instances[number]), drained[number], 1)
+			p.catalogs[0].ReportProbe(serverID(number), p.clock.now, status, nil)
+		}
+		p.settle(t)
+		for number := range drained {
+			server := p.checkAgreement(t, number)
+			if (server.State == Leaving) != drained[number] {
+				t.Fatalf("%s is %s, drained %v", server.ID, server.State, drained[number])
+			}
+		}
+	})
+}
+
+// settle delivers all mail; passing on must come to an end.
+func (p *peers) settle(t *rapid.T) {
+	const bound = 10_000
+	for count := 0; len(p.mail[0])+len(p.mail[1]) > 0; count++ {
+		if count > bound {
+			t.Fatal("news goes round in circles")
+		}
+		for node := range p.mail {
+			if len(p.mail[node]) > 0 {
+				p.deliver(node, len(p.mail[node])-1, false)
+			}
+		}
+	}
+}
+
+// checkAgreement fails unless both nodes know the same of a server.
+func (p *peers) checkAgreement(t *rapid.T, number int) *Server {
+	var told []string
+	for _, c := range p.catalogs {
+		f := &c.find(serverID(number)).facts
+		current := f.current()
+		if current == nil {
+			current = &instanceFacts{}
+		}
+		told = append(told, fmt.Sprint(current.ID, current.Generation, current.Draining, current.Liveness))
+	}
+	if told[0] != told[1] {
+		t.Fatalf("%s: %s and %s", serverID(number), told[0], told[1])
+	}
+	return serverOf(p.catalogs[1].View(testService), serverID(number))
+}
--- /dev/null
+++ b/pkg/catalog/facts.go
@@ -0,0 +1,152 @@
+package catalog
+
+import (
+	"bytes"
+	"slices"
+	"time"
+)
+
+// maxInstances bounds the instances that are kept for one server. Older ones
+// only matter for news that is still on its way.
+const maxInstances = 4
+
+// facts is everything that nodes tell each other about one server. It is a
+// join semilattice: merge is commutative, associative and idempotent, as long
+// as no more than maxInstances instances are in the news at once.
+type facts struct {
+	instances []*instanceFacts
+	operator  OperatorMark
+}
+
+// instanceFacts is an Instance with what this node adds to it.
+type instanceFacts struct {
+	Instance
+	// startedAt is the start of the process by this node's clock; zero if
+	// unknown.
+	startedAt time.Time
+}
+
+// current returns the instance with the highest generation, or nil. An instance
+// without a generation was only heard of and is never current.
+func (f *facts) current() *instanceFacts {
+	var found *instanceFacts
+	for _, candidate := range f.instances {
+		if candidate.Generation > 0 && (found == nil || candidate.newerThan(found)) {
+			found = candidate
+		}
+	}
+	return found
+}
+
+// newerThan orders instances by generation, and equal ones by ID so that all
+// nodes agree.
+func (i *instanceFacts) newerThan(other *instanceFacts) bool {
+	if i.Generation != other.Generation {
+		return i.Generation > other.Generation
+	}
+	return i.ID > other.ID
+}
+
+// nextGeneration returns a generation above all known ones.
+func (f *facts) nextGeneration() uint64 {
+	var highest uint64
+	for _, instance := range f.instances {
+		highest = max(highest, instance.Generation)
+	}
+	return highest + 1
+}
+
+// instance returns the facts of an instance and makes an entry if there is none.
+func (f *facts) instance(id string) *instanceFacts {
+	for _, known := range f.instances {
+		if known.ID == id {
+			return known
+		}
+	}
+	added := &instanceFacts{Instance: Instance{ID: id}}
+	f.instances = append(f.instances, added)
+	return added
+}
+
+// prune drops the oldest instances above the bound.
+func (f *facts) prune() {
+	if len(f.instances) <= maxInstances {
+		return
+	}
+	slices.SortFunc(f.instances, func(a, b *instanceFacts) int {
+		if a.newerThan(b) {
+			return -1
+		}
+		return 1
+	})
+	f.instances = f.instances[:maxInstances]
+}
+
+// merge adds news to the facts and reports whether it taught anything.
+func (f *facts) merge(news *News, now time.Time) bool {
+	changed := false
+	if news.Operator.supersedes(f.operator) {
+		f.operator = news.Operator
+		changed = true
+	}
+	if news.Instance.ID == "" {
+		return changed
+	}
+	known := f.instance(news.Instance.ID)
+	learnt := known.merge(&news.Instance, now)
+	f.prune()
+	// What is dropped at once was not learnt: it must not be passed on again
+	// and again.
+	return changed || learnt && slices.Contains(f.instances, known)
+}
+
+// merge joins two states of the same instance field by field.
+func (i *instanceFacts) merge(news *Instance, now time.Time) bool {
+	changed := false
+	if news.Generation > i.Generation {
+		i.Generation = news.Generation
+		changed = true
+	}
+	if news.Draining && !i.Draining {
+		i.Draining = true
+		changed = true
+	}
+	if news.Liveness > i.Liveness {
+		i.Liveness = news.Liveness
+		changed = true
+	}
+	if news.Contents != nil && i.isOlderContents(news) {
+		i.Revision = news.Revision
+		i.Contents = news.Contents
+		i.startedAt = now.Add(-news.Contents.Uptime)
+		changed = true
+	}
+	return changed
+}
+
+// isOlderContents reports whether the contents of news are to replace those of
+// i. Two observers may give the same revision to different contents; all nodes
+// then keep the same one, and the next probe gives a higher revision.
+func (i *instanceFacts) isOlderContents(news *Instance) bool {
+	if news.Revision != i.Revision {
+		return news.Revision > i.Revision
+	}
+	if i.Contents.equal(news.Contents) {
+		return false
+	}
+	return bytes.Compare(contentsKey(news.Contents), contentsKey(i.Contents)) > 0
+}
+
+// dead reports whether probers say that the process does not answer.
+func (i *instanceFacts) dead() bool { return i.Liveness%2 == 1 }
+
+// news returns the facts about an instance as news. The uptime is that of now.
+func (i *instanceFacts) news(now time.Time) Instance {
+	told := i.Instance
+	if told.Contents != nil {
+		contents := *told.Contents
+		contents.Uptime = max(now.Sub(i.startedAt), 0)
+		told.Contents = &contents
+	}
+	return told
+}
--- /dev/null
+++ b/pkg/catalog/probeloop.go
@@ -0,0 +1,224 @@
+package catalog
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/backend"
+	"github.com/bramblemast/bramblemast/pkg/rendezvous"
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+// Defaults of ProbeOptions.
+const (
+	DefaultProbeInterval   = time.Second
+	DefaultProbeTimeout    = 500 * time.Millisecond
+	DefaultProbers         = 2
+	DefaultProbesPerSecond = 100
+	DefaultProbesAtOnce    = 64
+)
+
+const (
+	// probeTick is how often the loop looks for probes that are due.
+	probeTick = 50 * time.Millisecond
+	// refreshEvery is how often the loop calls Catalog.Refresh.
+	refreshEvery = 500 * time.Millisecond
+	// intervalJitter is the share by which the interval is varied.
+	intervalJitter = 0.1
+)
+
+// ProbeOptions sets up a ProbeLoop. Catalog and Prober are required.
+type ProbeOptions struct {
+	Catalog *Catalog
+	Prober  backend.Prober
+	// Members returns the live nodes of this node's zone, itself included.
+	// Nil, or an empty result, means that this node is alone and probes all.
+	Members func() []target.NodeID
+	// Interval is the mean time between two probes of a server by one node.
+	Interval time.Duration
+	// Timeout bounds a probe.
+	Timeout time.Duration
+	// Probers is the number of nodes that probe a server. It falls to one
+	// when this node would have to send more than ProbesPerSecond.
+	Probers         int
+	ProbesPerSecond int
+	// ProbesAtOnce bounds the probes that run at once.
+	ProbesAtOnce int
+	// Random is the source of jitter; nil means a random seed.
+	Random *rand.Rand
+}
+
+func (o ProbeOptions) withDefaults() ProbeOptions {
+	setDuration(&o.Interval, DefaultProbeInterval)
+	setDuration(&o.Timeout, DefaultProbeTimeout)
+	if o.Members == nil {
+		o.Members = func() []target.NodeID { return nil }
+	}
+	if o.Probers <= 0 {
+		o.Probers = DefaultProbers
+	}
+	if o.ProbesPerSecond <= 0 {
+		o.ProbesPerSecond = DefaultProbesPerSecond
+	}
+	if o.ProbesAtOnce <= 0 {
+		o.ProbesAtOnce = DefaultProbesAtOnce
+	}
+	if o.Random == nil {
+		o.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	return o
+}
+
+// ProbeLoop probes this node's share of the servers. Each server is probed by
+// few nodes of a zone, chosen by rendezvous hashing over the live ones; the
+// others hear of changes as news. Nobody is told who probes what: every node
+// works it out from the same membership.
+type ProbeLoop struct {
+	options ProbeOptions
+	// slots bounds the probes that run at once.
+	slots chan struct{}
+	// running waits for the probes when the loop ends.
+	running sync.WaitGroup
+
+	// The fields below belong to the goroutine of Run.
+	schedule   map[target.ServerID]*scheduled
+	members    []target.NodeID
+	membership uint64
+	refreshAt  time.Time
+	probers    int
+}
+
+// scheduled is one server that this node probes.
+type scheduled struct {
+	next time.Time
+	// busy is set while a probe runs.
+	busy atomic.Bool
+}
+
+// NewProbeLoop returns a loop; Run starts it.
+func NewProbeLoop(options ProbeOptions) *ProbeLoop {
+	options = options.withDefaults()
+	return &ProbeLoop{
+		options:  options,
+		slots:    make(chan struct{}, options.ProbesAtOnce),
+		schedule: make(map[target.ServerID]*scheduled),
+	}
+}
+
+// Run probes until ctx ends, waits for the probes that run, and returns the
+// error of ctx.
+func (l *ProbeLoop) Run(ctx context.Context) error {
+	defer l.running.Wait()
+	ticker := time.NewTicker(probeTick)
+	defer ticker.Stop()
+	for {
+		l.step(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (l *ProbeLoop) step(ctx context.Context, now time.Time) {
+	if !now.Before(l.refreshAt) {
+		l.options.Catalog.Refresh()
+		l.refreshAt = now.Add(refreshEvery)
+	}
+	l.reconcile(now)
+	for server, entry := range l.schedule {
+		if !now.Before(entry.next) && l.start(ctx, server, entry) {
+			entry.next = now.Add(l.jittered(l.options.Interval))
+		}
+	}
+	for _, server := range l.options.Catalog.takeWanted() {
+		if _, own := l.schedule[server]; !own {
+			l.startOnce(ctx, server, now)
+		}
+	}
+}
+
+func (l *ProbeLoop) jittered(interval time.Duration) time.Duration {
+	return time.Duration(float64(interval) * (1 + intervalJitter*(2*l.options.Random.Float64()-1)))
+}
+
+// reconcile works out this node's share again if the nodes or the servers
+// changed.
+func (l *ProbeLoop) reconcile(now time.Time) {
+	members := l.options.Members()
+	membership := l.options.Catalog.membership.Load()
+	if membership == l.membership && slices.Equal(members, l.members) && l.probers > 0 {
+		return
+	}
+	l.members = slices.Clone(members)
+	l.membership = membership
+	scope := l.options.Catalog.probeScope()
+	l.probers = l.probersFor(len(scope), len(members))
+	own := l.options.Catalog.options.Node
+	nodes := rendezvous.NewSet(members)
+	kept := make(map[target.ServerID]*scheduled, len(l.schedule))
+	for _, server := range scope {
+		if len(members) > 0 && !nodes.InTop(string(server), own, l.probers) {
+			continue
+		}
+		entry := l.schedule[server]
+		if entry == nil {
+			entry = &scheduled{next: now}
+		}
+		kept[server] = entry
+	}
+	l.schedule = kept
+}
+
+// probersFor returns how many nodes probe each server.
+func (l *ProbeLoop) probersFor(servers, members int) int {
+	perSecond := float64(servers*l.options.Probers) / float64(max(members, 1)) / l.options.Interval.Seconds()
+	if perSecond > float64(l.options.ProbesPerSecond) {
+		return 1
+	}
+	return l.options.Probers
+}
+
+// start begins a probe unless too many run or one of this server does; it then
+// is tried again at the next tick.
+func (l *ProbeLoop) start(ctx context.Context, server target.ServerID, entry *scheduled) bool {
+	if !entry.busy.CompareAndSwap(false, true) {
+		return false
+	}
+	select {
+	case l.slots <- struct{}{}:
+	default:
+		entry.busy.Store(false)
+		return false
+	}
+	l.running.Go(func() {
+		defer entry.busy.Store(false)
+		l.probe(ctx, server)
+		<-l.slots
+	})
+	return true
+}
+
+// startOnce begins a single probe of a server that other nodes probe.
+func (l *ProbeLoop) startOnce(ctx context.Context, server target.ServerID, now time.Time) {
+	entry := &scheduled{next: now}
+	if !l.start(ctx, server, entry) {
+		l.options.Catalog.wantAgain(server, now.Add(l.options.Interval))
+	}
+}
+
+func (l *ProbeLoop) probe(ctx context.Context, server target.ServerID) {
+	sentAt := l.options.Catalog.options.Now()
+	bounded, cancel := context.WithTimeout(ctx, l.options.Timeout)
+	defer cancel()
+	status, err := l.options.Prober.Probe(bounded, server)
+	if ctx.Err() != nil {
+		return
+	}
+	l.options.Catalog.ReportProbe(server, sentAt, status, err)
+}
--- /dev/null
+++ b/pkg/catalog/report.go
@@ -0,0 +1,136 @@
+package catalog
+
+import (
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/rendezvous"
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+// Report is what a node knows of one server, for operators.
+type Report struct {
+	Server  target.ServerID `json:"server"`
+	Service target.Service  `json:"service"`
+	Group   string          `json:"group,omitempty"`
+	Zone    target.Zone     `json:"zone"`
+	State   string          `json:"state"`
+	// Cause says why the state is not active, or why the server would be
+	// ejected if enough other replicas were left.
+	Cause      Cause   `json:"cause,omitempty"`
+	Weight     float64 `json:"weight"`
+	Instance   string  `json:"instance,omitempty"`
+	Generation uint64  `json:"generation,omitempty"`
+	Listed     bool    `json:"listed"`
+	// OperatorDrained and OperatorAuthor are the operators' mark.
+	OperatorDrained bool   `json:"operator_drained,omitempty"`
+	OperatorAuthor  string `json:"operator_author,omitempty"`
+	// ProbeFailures counts this node's failed probes since the last good one.
+	ProbeFailures int `json:"probe_failures,omitempty"`
+	// EjectedUntil is zero if the server is not ejected for failures.
+	EjectedUntil  time.Time      `json:"ejected_until,omitzero"`
+	NewestVersion target.Version `json:"newest_version,omitempty"`
+	Slots         int            `json:"slots,omitempty"`
+	Connections   int            `json:"connections,omitempty"`
+	// ReportedLoad is negative if unknown.
+	ReportedLoad float64 `json:"reported_load"`
+}
+
+// Reports returns what is known of every server of the machine list, by
+// service and server. Servers that are gone are included while they are
+// remembered.
+func (c *Catalog) Reports() []Report {
+	var reports []Report
+	for _, service := range c.Services() {
+		c.View(service)
+		reports = c.appendReports(reports, service)
+	}
+	return reports
+}
+
+func (c *Catalog) appendReports(reports []Report, service target.Service) []Report {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	state := (*c.services.Load())[service]
+	now := c.options.Now()
+	for _, r := range sortedMembers(state) {
+		reports = append(reports, c.report(r, now))
+	}
+	return reports
+}
+
+func (c *Catalog) report(r *record, now time.Time) Report {
+	report := Report{
+		Server:          r.server,
+		Service:         r.listing.Service,
+		Group:           r.listing.Group,
+		Zone:            r.listing.Zone,
+		State:           r.state.String(),
+		Cause:           r.cause,
+		Weight:          r.weight(now, c.options.WarmUp),
+		Listed:          r.listing.listed,
+		OperatorDrained: r.facts.operator.Drained,
+		OperatorAuthor:  r.facts.operator.Author,
+		ProbeFailures:   r.probe.failures,
+		ReportedLoad:    r.results.getLoad(),
+	}
+	if r.outlier.ejected(now) {
+		report.EjectedUntil = r.outlier.until
+	}
+	current := r.facts.current()
+	if current == nil {
+		return report
+	}
+	report.Instance = current.ID
+	report.Generation = current.Generation
+	if current.Contents != nil {
+		report.NewestVersion = current.Contents.newestVersion()
+		report.Slots = current.Contents.Slots
+		report.Connections = current.Contents.Connections
+	}
+	return report
+}
+
+// Membership returns a number that changes whenever the set of servers does.
+func (c *Catalog) Membership() uint64 { return c.membership.Load() }
+
+// Parts returns the parts of the newest version of every service, with the
+// servers that hold them and are not gone, for rendezvous.ChooseSubset. Servers
+// whose contents are unknown count as one part for each group.
+func (c *Catalog) Parts() []rendezvous.Part {
+	var parts []rendezvous.Part
+	for _, service := range c.Services() {
+		c.mutex.Lock()
+		state := (*c.services.Load())[service]
+		parts = c.appendParts(parts, state)
+		c.mutex.Unlock()
+	}
+	return parts
+}
+
+func (c *Catalog) appendParts(parts []rendezvous.Part, state *serviceState) []rendezvous.Part {
+	now := c.options.Now()
+	positions := make(map[string]int)
+	for _, r := range sortedMembers(state) {
+		if r.gone(now, &c.options) {
+			continue
+		}
+		replica := rendezvous.Replica{
+			Server:   r.server,
+			Distance: r.listing.distance(c.options.Zone, c.options.Region),
+		}
+		if current := r.facts.current(); current != nil && current.Contents != nil {
+			replica.Connections = current.Contents.Connections
+		}
+		for _, shard := range r.parts() {
+			key := string(state.service) + "/" + shard.Group + "/" + shard.Range.String()
+			position, known := positions[key]
+			if !known {
+				position = len(parts)
+				positions[key] = position
+				parts = append(parts, rendezvous.Part{Key: key})
+			}
+			parts[position].Replicas = append(parts[position].Replicas, replica)
+		}
+	}
+	return parts
+}
