--- /dev/null
+++ b/pkg/query/tiling_test.go
@@ -0,0 +1,132 @@
+package query
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/bramblemast/bramblemast/pkg/catalog"
+	"github.com/bramblemast/bramblemast/pkg/keyspace"
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+// sixteenths returns the range between two sixteenths of the key space.
+func sixteenths(start, end uint32) keyspace.Range {
+	return keyspace.Range{Start: start * keyspace.Size / 16, End: end * keyspace.Size / 16}
+}
+
+func drawShards(t *rapid.T) []shard {
+	count := rapid.IntRange(0, 10).Draw(t, "shards")
+	known := map[keyspace.Range]bool{}
+	var shards []shard
+	for i := range count {
+		start := rapid.Uint32Range(0, 15).Draw(t, "start")
+		keys := sixteenths(start, rapid.Uint32Range(start+1, 16).Draw(t, "end"))
+		if known[keys] {
+			continue
+		}
+		known[keys] = true
+		var servers []*catalog.Server
+		for replica := range rapid.IntRange(0, 3).Draw(t, "replicas") {
+			state := rapid.SampledFrom([]catalog.State{catalog.Active, catalog.Active, catalog.Ejected}).Draw(t, "state")
+			servers = append(servers, &catalog.Server{ID: target.ServerID(fmt.Sprintf("s%d-%d", i, replica)), State: state})
+		}
+		shards = append(shards, newShard(fmt.Sprintf("g%d", i), keys, servers))
+	}
+	return shards
+}
+
+// bestCost finds the least cost by trying every division at sixteenths.
+func bestCost(asked keyspace.Range, edges []plannedPart) cost {
+	if asked.Width() == 0 {
+		return cost{}
+	}
+	var best cost
+	found := false
+	for _, edge := range edges {
+		if edge.keys.Start != asked.Start || edge.keys.End > asked.End {
+			continue
+		}
+		rest := bestCost(keyspace.Range{Start: edge.keys.End, End: asked.End}, edges)
+		total := cost{}.plus(edge)
+		total = cost{missing: total.missing + rest.missing, cut: total.cut + rest.cut, scarcity: total.scarcity + rest.scarcity, parts: total.parts + rest.parts}
+		if !found || total.less(best) {
+			best, found = total, true
+		}
+	}
+	return best
+}
+
+func TestTilingIsExactAndCheapest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shards := drawShards(t)
+		start := rapid.Uint32Range(0, 15).Draw(t, "asked start")
+		asked := sixteenths(start, rapid.Uint32Range(start+1, 16).Draw(t, "asked end"))
+		parts := tile(asked, shards)
+		next := asked.Start
+		var total cost
+		for _, part := range parts {
+			if part.keys.Start != next || !part.keys.Valid() {
+				t.Fatalf("%v does not divide %s", parts, asked)
+			}
+			next = part.keys.End
+			total = total.plus(part)
+			checkHolders(t, part, shards)
+		}
+		if next != asked.End {
+			t.Fatalf("%v does not reach the end of %s", parts, asked)
+		}
+		checkReach(t, parts, shards)
+		edges := clipTo(asked, shards)
+		edges = append(edges, pieces(boundaries(asked, edges), edges)...)
+		if best := bestCost(asked, edges); best.less(total) {
+			t.Fatalf("cost %+v, but %+v is possible", total, best)
+		}
+	})
+}
+
+// checkHolders checks that each candidate holds the part as a whole.
+func checkHolders(t *rapid.T, part plannedPart, shards []shard) {
+	for _, candidate := range part.candidates {
+		holds := false
+		for _, held := range shards {
+			for _, server := range held.candidates {
+				holds = holds || server.ID == candidate.ID && held.keys.Covers(part.keys)
+			}
+		}
+		if !holds {
+			t.Fatalf("%s does not hold %s", candidate.ID, part.keys)
+		}
+	}
+}
+
+// checkReach checks that every position that some server holds can be asked.
+func checkReach(t *rapid.T, parts []plannedPart, shards []shard) {
+	for _, part := range parts {
+		for _, held := range shards {
+			if len(part.candidates) == 0 && len(held.candidates) > 0 && held.keys.Overlaps(part.keys) {
+				t.Fatalf("%s is missing, but %s is held", part.keys, held.keys)
+			}
+		}
+	}
+}
+
+func TestTilingPrefersMoreReplicas(t *testing.T) {
+	replicas := func(names ...string) (servers []*catalog.Server) {
+		for _, name := range names {
+			servers = append(servers, &catalog.Server{ID: target.ServerID(name)})
+		}
+		return servers
+	}
+	parent := newShard("parent", sixteenths(0, 8), replicas("a"))
+	children := []shard{newShard("left", sixteenths(0, 4), replicas("b", "c")), newShard("right", sixteenths(4, 8), replicas("d", "e"))}
+	parts := tile(sixteenths(0, 8), append(children, parent))
+	if len(parts) != 2 || parts[0].group != "left" || parts[1].group != "right" {
+		t.Fatalf("want the children, which have more replicas: %v", parts)
+	}
+	parent = newShard("parent", sixteenths(0, 8), replicas("a", "f", "g"))
+	if parts = tile(sixteenths(0, 8), append(children, parent)); len(parts) != 1 || parts[0].group != "parent" {
+		t.Fatalf("want the parent, which has more replicas: %v", parts)
+	}
+}
