--- a/internal/settings/source.go
+++ b/internal/settings/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"net/url"
 	"slices"
@@ -11,6 +12,13 @@
 	"time"
 )
 
+// The least port of an address: a listener may leave the choice to the system,
+// a remote address may not.
+const (
+	portFree     = 0
+	portRequired = 1
+)
+
 // FieldError is one wrong setting.
 type FieldError struct {
 	// Path is the path of the field, for example "listen.callers".
@@ -107,7 +115,7 @@
 
 func (s *source) address(path, fallback string) string {
 	text := s.text(path, fallback)
-	s.checkAddress(path, text)
+	s.checkAddress(path, text, portFree)
 	return text
 }
 
@@ -115,7 +123,7 @@
 func (s *source) optionalAddress(path string) string {
 	text := s.text(path, "")
 	if text != "" {
-		s.checkAddress(path, text)
+		s.checkAddress(path, text, portRequired)
 	}
 	return text
 }
@@ -134,16 +142,14 @@
 }
 
 // checkAddress wants an IP number and a port: names are not resolved.
-func (s *source) checkAddress(path, text string) {
+func (s *source) checkAddress(path, text string, leastPort uint64) {
 	host, port, err := net.SplitHostPort(text)
 	if err != nil || net.ParseIP(host) == nil {
 		s.fail(path, "want IP:port, got %q", text)
 		return
 	}
-	if number, err := strconv.ParseUint(port, 10, 16); err != nil {
-		s.fail(path, "want a port from 0 to 65535, got %q", port)
-	} else if number == 0 && path == "peers.seeds" {
-		s.fail(path, "want a port from 1 to 65535")
+	if number, err := strconv.ParseUint(port, 10, 16); err != nil || number < leastPort {
+		s.fail(path, "want a port from %d to %d, got %q", leastPort, math.MaxUint16, port)
 	}
 }
 
@@ -174,8 +180,8 @@
 
 func (s *source) addresses(path string) []string {
 	texts := s.texts(path)
-	for _, text := range texts {
-		s.checkAddress(path, text)
+	for index, text := range texts {
+		s.checkAddress(fmt.Sprintf("%s[%d]", path, index), text, portRequired)
 	}
 	return texts
 }
