--- /dev/null
+++ b/pkg/catalog/encoding_test.go
@@ -0,0 +1,81 @@
+package catalog
+
+import (
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/bramblemast/bramblemast/pkg/backend"
+	"github.com/bramblemast/bramblemast/pkg/keyspace"
+)
+
+// TestNewsSurviveTheWire encodes and decodes arbitrary news.
+func TestNewsSurviveTheWire(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var batch []News
+		for range rapid.IntRange(1, 4).Draw(t, "count") {
+			batch = append(batch, drawNews(t))
+		}
+		encoded, err := EncodeNews(batch)
+		if err != nil {
+			t.Fatal(err)
+		}
+		decoded, err := DecodeNews(encoded)
+		if err != nil || !reflect.DeepEqual(batch, decoded) {
+			t.Fatalf("sent %+v, got %+v, %v", batch, decoded, err)
+		}
+	})
+}
+
+// TestEqualShardsAreSentOnce checks the short form of a new index version.
+func TestEqualShardsAreSentOnce(t *testing.T) {
+	var shards []backend.Shard
+	for _, part := range keyspace.Split(16) {
+		shards = append(shards, backend.Shard{Group: "group", Range: part})
+	}
+	contents := &Contents{Service: testService, Indexes: []backend.Index{{Version: 1, Shards: shards}}}
+	one := len(contentsKey(contents))
+	contents.Indexes = append(contents.Indexes, backend.Index{Version: 2, Shards: shards})
+	const shortForm = 8
+	if two := len(contentsKey(contents)); two > one+shortForm {
+		t.Fatalf("a version with the same shards takes %d bytes", two-one)
+	}
+	converted, err := contentsFromProto(contentsToProto(contents))
+	if err != nil || !converted.equal(contents) {
+		t.Fatalf("got %+v, %v", converted, err)
+	}
+}
+
+// FuzzDecodeNews feeds malformed news: what is accepted is within bounds, has
+// one wire form, and never breaks a catalog.
+func FuzzDecodeNews(f *testing.F) {
+	seed := News{Server: serverID(0), Observer: "peer", Operator: OperatorMark{Sequence: 1, Drained: true}}
+	seed.Instance = Instance{ID: "x", Generation: 1, Revision: 1, Contents: newContents(statusOf(0, "x", false, 1))}
+	encoded, err := EncodeNews([]News{seed})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(encoded)
+	f.Add([]byte{0x0a, 0x00})
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		batch, err := DecodeNews(encoded)
+		if err != nil {
+			return
+		}
+		again, err := EncodeNews(batch)
+		if err != nil {
+			t.Fatal(err)
+		}
+		decoded, err := DecodeNews(again)
+		if err != nil || !reflect.DeepEqual(batch, decoded) {
+			t.Fatalf("%+v becomes %+v, %v", batch, decoded, err)
+		}
+		c := newTestCatalog("node", newClock().Now)
+		c.Apply(batch...)
+		c.View(testService)
+		if learnt := c.Apply(c.Snapshot()...); len(learnt) > 0 {
+			t.Fatalf("own snapshot taught %+v", learnt)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/catalog/probeloop_test.go
@@ -0,0 +1,225 @@
+package catalog
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/backend"
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+// world is the servers of a test, as probes see them.
+type world struct {
+	// mutex guards the fields below.
+	mutex    sync.Mutex
+	probes   int
+	draining map[target.ServerID]bool
+	silent   map[target.ServerID]bool
+	numbers  map[target.ServerID]int
+}
+
+func newWorld(servers int) *world {
+	created := &world{
+		draining: map[target.ServerID]bool{},
+		silent:   map[target.ServerID]bool{},
+		numbers:  map[target.ServerID]int{},
+	}
+	for number := range servers {
+		created.numbers[serverID(number)] = number
+	}
+	return created
+}
+
+// Probe implements backend.Prober. A silent server lets the probe time out.
+func (w *world) Probe(ctx context.Context, server target.ServerID) (*backend.Status, error) {
+	w.mutex.Lock()
+	w.probes++
+	silent, draining := w.silent[server], w.draining[server]
+	w.mutex.Unlock()
+	if silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return statusOf(w.numbers[server], "i", draining, 1), nil
+}
+
+func (w *world) change(run func()) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	run()
+}
+
+func (w *world) probeCount() int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.probes
+}
+
+// zone is some nodes that probe one world and tell each other the news.
+type zone struct {
+	world    *world
+	catalogs []*Catalog
+	// mutex guards members and random.
+	mutex   sync.Mutex
+	members []target.NodeID
+	random  *rand.Rand
+	// relayDelay is the longest time that news takes to a node.
+	relayDelay time.Duration
+	stop       context.CancelFunc
+	running    sync.WaitGroup
+}
+
+func startZone(t *testing.T, nodes, servers int, relayDelay time.Duration) *zone {
+	ctx, cancel := context.WithCancel(t.Context())
+	z := &zone{
+		world: newWorld(servers), random: rand.New(rand.NewPCG(1, 2)), relayDelay: relayDelay, stop: cancel,
+	}
+	for number := range nodes {
+		z.members = append(z.members, target.NodeID(fmt.Sprintf("node%d", number)))
+	}
+	for _, node := range z.members {
+		created := New(Options{Node: node, Zone: "zone", OnNews: func(news News) { z.relay(node, news) }})
+		created.ReplaceMachines(listOf(servers))
+		z.catalogs = append(z.catalogs, created)
+	}
+	for number, c := range z.catalogs {
+		loop := NewProbeLoop(ProbeOptions{
+			Catalog: c, Prober: z.world, Members: z.alive, Random: rand.New(rand.NewPCG(3, uint64(number))),
+		})
+		z.running.Go(func() { _ = loop.Run(ctx) })
+	}
+	return z
+}
+
+// end stops all nodes and waits for the news that is on its way.
+func (z *zone) end() {
+	z.stop()
+	z.running.Wait()
+	time.Sleep(z.relayDelay)
+	synctest.Wait()
+}
+
+func (z *zone) alive() []target.NodeID {
+	z.mutex.Lock()
+	defer z.mutex.Unlock()
+	return z.members
+}
+
+// relay sends news to all other nodes, each after a time of its own.
+func (z *zone) relay(from target.NodeID, news News) {
+	if z.relayDelay == 0 {
+		return
+	}
+	for number, c := range z.catalogs {
+		if c.options.Node == from {
+			continue
+		}
+		z.mutex.Lock()
+		delay := time.Duration(z.random.Int64N(int64(z.relayDelay)))
+		z.mutex.Unlock()
+		time.AfterFunc(delay, func() { z.catalogs[number].Apply(news) })
+	}
+}
+
+// untilAll returns how long it takes until a server has a state at all nodes.
+func (z *zone) untilAll(t *testing.T, server target.ServerID, state State, bound time.Duration) time.Duration {
+	const step = 50 * time.Millisecond
+	for passed := time.Duration(0); passed <= bound; passed += step {
+		if z.allHave(server, state) {
+			return passed
+		}
+		time.Sleep(step)
+	}
+	t.Fatalf("%s is not %s at all nodes after %s", server, state, bound)
+	return 0
+}
+
+func (z *zone) allHave(server target.ServerID, state State) bool {
+	for _, c := range z.catalogs {
+		if serverOf(c.View(testService), server).State != state {
+			return false
+		}
+	}
+	return true
+}
+
+const (
+	// leavingBound is the time after which a leaving server gets no new work at
+	// any node.
+	leavingBound = 3 * time.Second
+	// deadBound is three probe intervals with their time-outs, and the relay.
+	deadBound = 6 * time.Second
+	// relayBound is the longest time that news takes over the relay.
+	relayBound = time.Second
+)
+
+func TestLeavingAndDeadServersAreKnownEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes, servers = 30, 100
+		z := startZone(t, nodes, servers, relayBound)
+		defer z.end()
+		time.Sleep(10 * time.Second)
+		before := z.world.probeCount()
+		time.Sleep(20 * time.Second)
+		perSecond := float64(z.world.probeCount()-before) / 20 / servers
+		t.Logf("probes of a server each second: %.2f", perSecond)
+		if perSecond < 1.7 || perSecond > 2.3 {
+			t.Errorf("%.2f probes of a server each second, want about 2", perSecond)
+		}
+		var slowest time.Duration
+		for number := range 20 {
+			server := serverID(number)
+			z.world.change(func() { z.world.draining[server] = true })
+			slowest = max(slowest, z.untilAll(t, server, Leaving, leavingBound))
+			time.Sleep(137 * time.Millisecond)
+		}
+		t.Logf("leaving servers known to all %d nodes within %s", nodes, slowest)
+		z.world.change(func() { z.world.silent[serverID(30)] = true })
+		t.Logf("silent server ejected at all nodes after %s", z.untilAll(t, serverID(30), Ejected, deadBound))
+		z.world.change(func() { z.world.silent[serverID(30)] = false })
+		t.Logf("returned after %s", z.untilAll(t, serverID(30), Active, leavingBound))
+	})
+}
+
+func TestProbersThatFailAreReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := startZone(t, 1, 10, relayBound)
+		defer z.end()
+		// Two more members that never probe, and then are found to be dead.
+		z.mutex.Lock()
+		z.members = []target.NodeID{"node0", "mute1", "mute2"}
+		z.mutex.Unlock()
+		time.Sleep(5 * time.Second)
+		z.mutex.Lock()
+		z.members = []target.NodeID{"node0"}
+		z.mutex.Unlock()
+		for number := range 10 {
+			z.world.change(func() { z.world.draining[serverID(number)] = true })
+		}
+		for number := range 10 {
+			z.untilAll(t, serverID(number), Leaving, leavingBound)
+		}
+	})
+}
+
+// TestContentsAreKnownWithoutNews starts nodes that hear nothing from each
+// other: each one probes every server itself, once.
+func TestContentsAreKnownWithoutNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := startZone(t, 10, 40, 0)
+		defer z.end()
+		time.Sleep(3 * time.Second)
+		for _, c := range z.catalogs {
+			for _, server := range c.View(testService).Servers {
+				if len(server.Indexes) == 0 {
+					t.Fatalf("%s does not know the contents of %s", c.options.Node, server.ID)
+				}
+			}
+		}
+	})
+}
--- a/pkg/catalog/report.go
+++ b/pkg/catalog/report.go
@@ -7,8 +7,8 @@
 	"github.com/bramblemast/bramblemast/pkg/target"
 )
 
-// Report is what a node knows of one server, for operators.
-type Report struct {
+// ServerReport is what a node knows of one server, for operators.
+type ServerReport struct {
 	Server  target.ServerID `json:"server"`
 	Service target.Service  `json:"service"`
 	Group   string          `json:"group,omitempty"`
@@ -38,8 +38,8 @@
 // Reports returns what is known of every server of the machine list, by
 // service and server. Servers that are gone are included while they are
 // remembered.
-func (c *Catalog) Reports() []Report {
-	var reports []Report
+func (c *Catalog) Reports() []ServerReport {
+	var reports []ServerReport
 	for _, service := range c.Services() {
 		c.View(service)
 		reports = c.appendReports(reports, service)
@@ -47,7 +47,7 @@
 	return reports
 }
 
-func (c *Catalog) appendReports(reports []Report, service target.Service) []Report {
+func (c *Catalog) appendReports(reports []ServerReport, service target.Service) []ServerReport {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	state := (*c.services.Load())[service]
@@ -58,8 +58,8 @@
 	return reports
 }
 
-func (c *Catalog) report(r *record, now time.Time) Report {
-	report := Report{
+func (c *Catalog) report(r *record, now time.Time) ServerReport {
+	report := ServerReport{
 		Server:          r.server,
 		Service:         r.listing.Service,
 		Group:           r.listing.Group,
