--- a/internal/lab/standin/backend/backend_test.go
+++ b/internal/lab/standin/backend/backend_test.go
@@ -209,6 +209,19 @@
 		Expect(send(server, asked{id: "whole", within: left}).status).To(Equal(http.StatusOK))
 	})
 
+	It("keeps the old shard beside its parts for the overlap of a split", func() {
+		server := start()
+		_, err := fleet.Split(labapi.SplitRequest{Group: "group0", Separate: true, OverlapMS: 1000})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(send(server, asked{id: "parent", within: left}).status).To(Equal(http.StatusOK))
+		_, err = fleet.Publish(0, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() string { return send(server, asked{id: "late", version: 2, within: left}).notRun() }).
+			WithTimeout(10 * time.Second).Should(Equal("range_not_held"))
+		child := keyspace.Range{Start: 0, End: left.End / 2}
+		Expect(send(server, asked{id: "child", version: 2, within: child}).status).To(Equal(http.StatusOK))
+	})
+
 	It("drains: says so, refuses new work after the grace, finishes what runs, and stops", func() {
 		service.ServiceTime.Median = topology.Duration(200 * time.Millisecond)
 		server := start()
--- a/internal/lab/standin/backend/repartition.go
+++ b/internal/lab/standin/backend/repartition.go
@@ -1,7 +1,9 @@
 package backend
 
 import (
+	"slices"
 	"sort"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -16,7 +18,7 @@
 
 // Split replaces a shard by two on every server that holds it, at every
 // version. The parts are named after the shard with "-a" and "-b". It returns
-// the new layout of the newest version.
+// the shards of the newest version, the old one included while both are held.
 func (f *Fleet) Split(request labapi.SplitRequest) ([]backend.Shard, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -34,11 +36,35 @@
 		if separate {
 			parts = parts[turn%2 : turn%2+1]
 		}
-		server.replaceShards([]string{parent.Group}, parts)
+		server.addShards([]string{parent.Group}, parts)
 	}
+	f.dropLater(holders, []string{parent.Group}, request.OverlapMS)
 	return f.layout(), nil
 }
 
+// dropLater makes servers drop shards, at once if the overlap is zero. The
+// caller holds the mutex.
+func (f *Fleet) dropLater(servers []*Server, groups []string, overlapMS int64) {
+	if overlapMS <= 0 {
+		dropShards(servers, groups)
+		return
+	}
+	f.work.Go(func() {
+		if !sleep(f.context, time.Duration(overlapMS)*time.Millisecond) {
+			return
+		}
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		dropShards(servers, groups)
+	})
+}
+
+func dropShards(servers []*Server, groups []string) {
+	for _, server := range servers {
+		server.dropShards(groups)
+	}
+}
+
 func divide(parent backend.Shard, at uint32) (left, right backend.Shard, err error) {
 	if at == 0 {
 		at = parent.Range.Start + parent.Range.Width()/2
@@ -52,7 +78,7 @@
 }
 
 // Merge replaces two adjacent shards by one on every server that holds either,
-// at every version. It returns the new layout of the newest version.
+// at every version. It returns the shards of the newest version as Split does.
 func (f *Fleet) Merge(request labapi.MergeRequest) ([]backend.Shard, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -65,9 +91,12 @@
 		Group: left.Group + "+" + right.Group,
 		Range: keyspace.Range{Start: left.Range.Start, End: right.Range.End},
 	}
-	for _, server := range append(leftHolders, rightHolders...) {
-		server.replaceShards([]string{left.Group, right.Group}, []backend.Shard{merged})
+	dropped := []string{left.Group, right.Group}
+	holders := append(leftHolders, rightHolders...)
+	for _, server := range holders {
+		server.addShards(dropped, []backend.Shard{merged})
 	}
+	f.dropLater(holders, dropped, request.OverlapMS)
 	return f.layout(), nil
 }
 
@@ -114,30 +143,38 @@
 	return indexes[len(indexes)-1].Shards
 }
 
-// replaceShards drops the named shards of every version and adds others in
-// their place, unless none of the named ones is held.
-func (s *Server) replaceShards(dropped []string, added []backend.Shard) {
-	var next []backend.Index
-	for _, index := range *s.indexes.Load() {
-		kept := withoutGroups(index.Shards, dropped)
-		if len(kept) < len(index.Shards) {
-			kept = append(kept, added...)
+// addShards adds shards to every version that holds one of the given groups and
+// does not have them yet.
+func (s *Server) addShards(beside []string, added []backend.Shard) {
+	s.changeShards(func(shards []backend.Shard) []backend.Shard {
+		if !slices.ContainsFunc(shards, func(shard backend.Shard) bool { return slices.Contains(beside, shard.Group) }) {
+			return shards
 		}
-		next = append(next, backend.Index{Version: index.Version, Shards: kept})
-	}
-	s.setIndexes(next)
+		next := slices.Clone(shards)
+		for _, shard := range added {
+			if !slices.Contains(next, shard) {
+				next = append(next, shard)
+			}
+		}
+		return next
+	})
 }
 
-func withoutGroups(shards []backend.Shard, dropped []string) []backend.Shard {
-	var kept []backend.Shard
-	for _, shard := range shards {
-		drop := false
-		for _, group := range dropped {
-			drop = drop || shard.Group == group
-		}
-		if !drop {
-			kept = append(kept, shard)
-		}
+// dropShards drops the shards of the given groups from every version.
+func (s *Server) dropShards(groups []string) {
+	s.changeShards(func(shards []backend.Shard) []backend.Shard {
+		return slices.DeleteFunc(slices.Clone(shards), func(shard backend.Shard) bool {
+			return slices.Contains(groups, shard.Group)
+		})
+	})
+}
+
+// changeShards applies a change to the shards of every version. The change must
+// not alter its argument, which readers may hold.
+func (s *Server) changeShards(change func(shards []backend.Shard) []backend.Shard) {
+	var next []backend.Index
+	for _, index := range *s.indexes.Load() {
+		next = append(next, backend.Index{Version: index.Version, Shards: change(index.Shards)})
 	}
-	return kept
+	s.setIndexes(next)
 }
--- a/internal/lab/standin/labapi/backend.go
+++ b/internal/lab/standin/labapi/backend.go
@@ -159,6 +159,9 @@
 	// Separate gives each holder only one of the two parts, in turn, where
 	// every part then still has two holders.
 	Separate bool `json:"separate,omitempty"`
+	// OverlapMS is how long the holders keep the old shard beside the new
+	// ones, as servers do that load before they drop.
+	OverlapMS int64 `json:"overlap_ms,omitempty"`
 }
 
 // MergeRequest merges two adjacent shards of a service; every holder of either
@@ -166,6 +169,8 @@
 type MergeRequest struct {
 	Left  string `json:"left"`
 	Right string `json:"right"`
+	// OverlapMS is how long the holders keep the old shards beside the new one.
+	OverlapMS int64 `json:"overlap_ms,omitempty"`
 }
 
 // LayoutReply lists the shards of the newest version of a service.
--- a/internal/lab/topology/caller.go
+++ b/internal/lab/topology/caller.go
@@ -25,6 +25,14 @@
 	return netip.Prefix{}
 }
 
+// NodeAddress returns the address from which node number index of a zone sends;
+// there are 254 of them.
+func (d *Deployment) NodeAddress(zone target.Zone, index int) netip.Addr {
+	octets := d.ZoneNetwork(zone).Addr().As4()
+	octets[3] = byte(1 + index%254)
+	return netip.AddrFrom4(octets)
+}
+
 // CallerZone returns the zone that an address belongs to; empty if none.
 func (d *Deployment) CallerZone(caller netip.Addr) target.Zone {
 	zones := d.Zones()
