admission: gate with adaptive limit, classes, tenants and truthful refusals

Cause: beyond capacity somebody has to wait or be refused, and each request that is admitted in vain takes capacity from a useful one. The latency trend is shared with the limiter of servers.

--- /dev/null
+++ b/pkg/admission/controller.go
@@ -0,0 +1,99 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/limit/trend"
+)
+
+// How the limit moves with each finished request, in places. The rates are
+// balanced where growth/sqrt(limit) = overloadDecrease * share of overloaded
+// requests: 5% at a limit of 4, less at a higher one.
+const (
+	// overloadDecrease is the fall with an overloaded request. It works at
+	// once, because a request that fails early gives its place to the next one,
+	// which would fail as well.
+	overloadDecrease = 0.7
+	// slowDecrease is the fall with a request that took too long while the
+	// average does.
+	slowDecrease = 0.05
+	// rampGrowth is the rise with a good request before the first sign of
+	// overload.
+	rampGrowth = 0.5
+	// growth, divided by the root of the limit, is the rise with a good request
+	// right after a sign of overload. Gates with a low limit rise faster for
+	// their size, so that gates that share back ends become alike.
+	growth = 0.07
+	// growthDoubling is the time without a sign of overload that doubles the
+	// growth.
+	growthDoubling = 500 * time.Millisecond
+	// mostGrowth bounds the growth.
+	mostGrowth = 0.5
+)
+
+// latencyFollow is short even under load, because the latency also changes
+// with the mix of requests. Overloaded requests are the main sign of overload.
+var latencyFollow = trend.Follow{Idle: 5 * time.Second, Busy: 15 * time.Second}
+
+// controller moves the number of requests that run at once. It is not safe for
+// concurrent use.
+type controller struct {
+	options *Options
+	limit   float64
+	ramping bool
+	latency trend.Latency
+	// overloaded is when the last sign of overload came.
+	overloaded time.Time
+}
+
+func newController(options *Options, now time.Time) controller {
+	return controller{
+		options:    options,
+		limit:      float64(options.StartLimit),
+		ramping:    true,
+		latency:    trend.Latency{Follow: latencyFollow},
+		overloaded: now,
+	}
+}
+
+// places returns the number of requests that may run at once.
+func (c *controller) places() int { return int(math.Round(c.limit)) }
+
+// record moves the limit after a request. Limited says that all places were
+// taken when the request ran; only then is it evidence that more could run.
+func (c *controller) record(result Result, limited bool, now time.Time) {
+	switch {
+	case result.Cancelled:
+		return
+	case result.Overloaded:
+		c.lower(overloadDecrease, now)
+	default:
+		c.recordGood(result.Latency, limited, now)
+	}
+}
+
+func (c *controller) recordGood(latency time.Duration, limited bool, now time.Time) {
+	c.latency.Record(latency, limited, now)
+	if c.latency.Inflated(latency, c.options.Tolerance, c.options.Slack) {
+		c.lower(slowDecrease, now)
+		return
+	}
+	if limited {
+		c.limit = math.Min(c.limit+c.rise(now), float64(c.options.MaxLimit))
+	}
+}
+
+func (c *controller) lower(decrease float64, now time.Time) {
+	c.ramping = false
+	c.overloaded = now
+	c.limit = math.Max(1, c.limit-decrease)
+}
+
+func (c *controller) rise(now time.Time) float64 {
+	if c.ramping {
+		return rampGrowth
+	}
+	quiet := float64(now.Sub(c.overloaded)) / float64(growthDoubling)
+	return math.Min(mostGrowth, growth/math.Sqrt(c.limit)*(1+quiet))
+}
--- a/pkg/limit/controller.go
+++ b/pkg/limit/controller.go
@@ -3,8 +3,14 @@
 import (
 	"math"
 	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/limit/trend"
 )
 
+// baselineFollow is long while the limit is in use, because then the node's own
+// load may be what makes the server slow.
+var baselineFollow = trend.Follow{Idle: 5 * time.Second, Busy: time.Minute}
+
 // How the limit moves. Growth is in parts of the node's share of slots, so that
 // nodes with the same share converge to the same limit.
 const (
@@ -58,7 +64,7 @@
 	limit float64
 	// rampUntil is the limit below which good answers raise it by rampFactor.
 	rampUntil float64
-	latency   latencyTracker
+	latency   trend.Latency
 	// congested is when the last sign of congestion came, decreased when the
 	// limit was last lowered for one.
 	congested time.Time
@@ -71,6 +77,7 @@
 
 func newController(options *Options, share Share, now time.Time) controller {
 	c := controller{options: options, congested: now, recovered: now}
+	c.latency.Follow = baselineFollow
 	c.setShare(share)
 	c.limit = c.bounded(c.slots * options.StartShare)
 	c.rampUntil = c.ceiling
@@ -119,8 +126,8 @@
 
 func (c *controller) recordGood(latency time.Duration, limited bool, now time.Time) {
 	c.failing = false
-	c.latency.record(latency, limited, now)
-	if c.latency.inflated(latency, c.options.Tolerance, c.options.Slack) {
+	c.latency.Record(latency, limited, now)
+	if c.latency.Inflated(latency, c.options.Tolerance, c.options.Slack) {
 		c.decrease(slowFactor, now)
 		c.rampUntil = min(c.rampUntil, c.limit)
 		return
@@ -161,7 +168,7 @@
 // sub-requests that were sent together tell of the same congestion.
 func (c *controller) decrease(factor float64, now time.Time) {
 	c.congested = now
-	if now.Sub(c.decreased) < c.latency.average() {
+	if now.Sub(c.decreased) < c.latency.Average() {
 		return
 	}
 	c.decreased = now
@@ -187,5 +194,5 @@
 // drainInterval is the average time between two finished sub-requests at the
 // current limit; zero if no latency is known.
 func (c *controller) drainInterval() time.Duration {
-	return time.Duration(float64(c.latency.average()) / c.limit)
+	return time.Duration(float64(c.latency.Average()) / c.limit)
 }
--- a/pkg/limit/server.go
+++ b/pkg/limit/server.go
@@ -114,7 +114,7 @@
 // advance brings what moves with time up to now.
 func (s *server) advance(now time.Time) {
 	s.controller.recover(now)
-	s.pacer.refill(s.controller.fraction(), s.controller.latency.average(), now)
+	s.pacer.refill(s.controller.fraction(), s.controller.latency.Average(), now)
 }
 
 func (s *server) newPermit(limited bool) *Permit {
@@ -171,7 +171,7 @@
 		return
 	}
 	const leastDelay = 50 * time.Microsecond
-	delay := s.pacer.untilNext(s.controller.fraction(), s.controller.latency.average())
+	delay := s.pacer.untilNext(s.controller.fraction(), s.controller.latency.Average())
 	delay = max(delay, leastDelay)
 	if s.wake == nil {
 		s.wake = time.AfterFunc(delay, s.onWake)
@@ -232,7 +232,7 @@
 		return s.options.MaxWait
 	}
 	s.mutex.Lock()
-	typical := s.controller.latency.average()
+	typical := s.controller.latency.Average()
 	s.mutex.Unlock()
 	return min(s.options.MaxWait, time.Until(deadline)-typical)
 }
@@ -243,7 +243,7 @@
 	observed := Observation{Saturated: s.saturated()}
 	observed.InFlight = s.inFlight + s.queue.count
 	observed.Limit = s.controller.inFlightLimit()
-	observed.Latency = s.controller.latency.average()
+	observed.Latency = s.controller.latency.Average()
 	if s.failures.share > 0 {
 		observed.FailureShare = s.failures.current(time.Now())
 	}
--- a/pkg/policy/admission.go
+++ b/pkg/policy/admission.go
@@ -49,34 +49,50 @@
 }
 
 // deadlineAwareAdmission refuses a request as soon as its predicted wait and a
-// typical service would pass its deadline.
+// typical service would pass its deadline. A request that need not wait is
+// admitted whatever the typical service is: otherwise nothing would run any
+// more once the service had been slow, and so nobody would see it recover.
 type deadlineAwareAdmission struct{ maxQueued int }
 
 func newDeadlineAwareAdmission(spec AdmissionSpec) (AdmissionPolicy, FieldErrors) {
 	return deadlineAwareAdmission{maxQueued: spec.MaxQueued}, validateQueue(spec)
 }
 
-// Decide implements AdmissionPolicy.
+// Decide implements AdmissionPolicy. The time left after the wait has to be
+// enough for a slow request: a queue of requests that are just in time for a
+// typical one would deliver half of them too late.
 func (p deadlineAwareAdmission) Decide(state AdmissionState) AdmissionDecision {
-	if state.TypicalService > state.Remaining {
-		return AdmissionDecision{Verdict: Refuse, RetryAfter: retryAfter(state)}
-	}
-	if state.QueuedAhead == 0 && state.InFlight < limitFor(state) {
+	if state.QueuedAhead == 0 && state.InFlight < limitFor(state) && hasTime(state, 0) {
 		return AdmissionDecision{Verdict: Admit}
 	}
-	if PredictedWait(state)+state.TypicalService > state.Remaining {
-		return AdmissionDecision{Verdict: Refuse, RetryAfter: retryAfter(state)}
+	if !hasTime(state, PredictedWait(state)) {
+		return AdmissionDecision{Verdict: Refuse, RetryAfter: RetryAfter(state)}
 	}
 	return queueUpTo(p.maxQueued, state)
 }
 
-// PredictedWait is how long a request that waits now will wait, from the
-// measured drain rate; zero if none was measured.
+// hasTime reports whether a request can be served after a wait. While nobody
+// waits it is tried in any case.
+func hasTime(state AdmissionState, wait time.Duration) bool {
+	if state.Queued == 0 && wait == 0 {
+		return state.Remaining > 0
+	}
+	return wait+max(state.SlowService, state.TypicalService) <= state.Remaining
+}
+
+// PredictedWait is how long a request that waits now will wait on average, from
+// the measured drain rate; zero if none was measured. On average half of the
+// time between two finished requests has passed.
 func PredictedWait(state AdmissionState) time.Duration {
+	return drainTime(state, float64(state.QueuedAhead)+0.5)
+}
+
+// drainTime is the time until so many requests have finished; zero if unknown.
+func drainTime(state AdmissionState, requests float64) time.Duration {
 	if state.DrainRate <= 0 {
 		return 0
 	}
-	seconds := float64(state.QueuedAhead+1) / state.DrainRate
+	seconds := requests / state.DrainRate
 	return time.Duration(min(seconds, mostRetryAfter.Seconds()) * float64(time.Second))
 }
 
@@ -92,15 +108,15 @@
 // queueUpTo queues a request unless its tenant and class have enough waiting.
 func queueUpTo(maxQueued int, state AdmissionState) AdmissionDecision {
 	if state.QueuedAlike >= maxQueued {
-		return AdmissionDecision{Verdict: Refuse, RetryAfter: retryAfter(state)}
+		return AdmissionDecision{Verdict: Refuse, RetryAfter: RetryAfter(state)}
 	}
 	return AdmissionDecision{Verdict: Queue}
 }
 
-// retryAfter is the time until everything ahead will have drained: a caller
+// RetryAfter is the time until everything ahead will have drained: a caller
 // that comes back then is served at once unless others came in between.
-func retryAfter(state AdmissionState) time.Duration {
-	wait := PredictedWait(state)
+func RetryAfter(state AdmissionState) time.Duration {
+	wait := drainTime(state, float64(state.QueuedAhead)+1)
 	if wait == 0 {
 		wait = max(unknownRetryAfter, state.TypicalService)
 	}
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -145,9 +145,12 @@
 	DrainRate float64
 	// Remaining is the time until the request's deadline.
 	Remaining time.Duration
-	// TypicalService is the median time that an admitted request takes; zero
+	// TypicalService is the average time that an admitted request takes; zero
 	// if unknown.
 	TypicalService time.Duration
+	// SlowService is the time that about nine in ten admitted requests stay
+	// below; zero if unknown.
+	SlowService time.Duration
 }
 
 // Verdict is the answer of an AdmissionPolicy.
