admission: tests read collected answers under their lock

Cause: the race detector found a test reading its list of answers while a later request added to it. The gate itself was ruled out: every report names the list. Change: accessors that copy under the lock. go test -race ./pkg/admission passes.

--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -61,9 +62,23 @@
 	synctest.Wait()
 }
 
+// soFar returns the names of the answered requests.
+func (a *answers) soFar() []string {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return slices.Clone(a.names)
+}
+
+// errors returns the refusals, nil for admitted requests, as of now.
+func (a *answers) errors() []error {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return slices.Clone(a.errs)
+}
+
 func (a *answers) wait() []string {
 	a.group.Wait()
-	return a.names
+	return a.soFar()
 }
 
 func bounded(maxQueued int) policy.AdmissionPolicy {
@@ -118,9 +133,9 @@
 			got.ask(t.Context(), gate, fmt.Sprint(number), admission.Request{Deadline: deadline})
 		}
 		g.Expect(time.Since(began)).To(BeZero())
-		g.Expect(got.names).To(Equal([]string{"0", "3"}), "one runs, two fit into the deadline, one does not")
-		requireRefusal(g, got.errs[1], outcome.ReasonOverloaded)
-		g.Expect(retryAfterOf(got.errs[1])).To(BeNumerically("~", 3*service, time.Microsecond), "when those ahead have been served")
+		g.Expect(got.soFar()).To(Equal([]string{"0", "3"}), "one runs, two fit into the deadline, one does not")
+		requireRefusal(g, got.errors()[1], outcome.ReasonOverloaded)
+		g.Expect(retryAfterOf(got.errors()[1])).To(BeNumerically("~", 3*service, time.Microsecond), "when those ahead have been served")
 		g.Expect(got.wait()).To(Equal([]string{"0", "3", "1", "2"}))
 	})
 }
@@ -141,7 +156,7 @@
 		}
 		got.wait()
 		g.Expect(time.Since(began)).To(BeNumerically("<=", patience-service))
-		for _, err := range got.errs {
+		for _, err := range got.errors() {
 			requireRefusal(g, err, outcome.ReasonOverloaded)
 		}
 		g.Expect(gate.Observe().Queued).To(BeZero())
@@ -163,7 +178,7 @@
 		synctest.Wait()
 		g.Expect(time.Since(began)).To(BeZero())
 		g.Expect(gate.Observe().Queued).To(BeZero())
-		requireRefusal(g, got.errs[1], outcome.ReasonCancelled)
+		requireRefusal(g, got.errors()[1], outcome.ReasonCancelled)
 		got.wait()
 	})
 }
@@ -180,11 +195,11 @@
 		ask("archive", "a", policy.ClassArchive)
 		ask("a1", "a", policy.ClassInteractive)
 		ask("a2", "a", policy.ClassInteractive)
-		g.Expect(got.names).To(Equal([]string{"running", "archive"}), "the lower class gives way")
+		g.Expect(got.soFar()).To(Equal([]string{"running", "archive"}), "the lower class gives way")
 		ask("b1", "b", policy.ClassInteractive)
-		g.Expect(got.names[2:]).To(Equal([]string{"a2"}), "the tenant with more waiting gives way")
+		g.Expect(got.soFar()[2:]).To(Equal([]string{"a2"}), "the tenant with more waiting gives way")
 		ask("a3", "a", policy.ClassInteractive)
-		g.Expect(got.names[3:]).To(Equal([]string{"a3"}), "the newcomer is refused")
+		g.Expect(got.soFar()[3:]).To(Equal([]string{"a3"}), "the newcomer is refused")
 		g.Expect(got.wait()[4:]).To(Equal([]string{"a1", "b1"}))
 	})
 }
