--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -183,6 +183,26 @@
 	})
 }
 
+// TestPlaceOfACallerThatGoesIsNotLost admits a request whose caller has just
+// gone and has not left the queue yet, many times.
+func TestPlaceOfACallerThatGoesIsNotLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		gate := single(g, admission.Options{})
+		for range 100 {
+			held, err := gate.Acquire(t.Context(), admission.Request{})
+			g.Expect(err).NotTo(HaveOccurred())
+			ctx, cancel := context.WithCancel(t.Context())
+			var got answers
+			got.ask(ctx, gate, "going", admission.Request{})
+			cancel()
+			held.Release(admission.Result{Latency: service})
+			got.wait()
+			g.Expect(gate.Observe().InFlight).To(BeZero())
+		}
+	})
+}
+
 func TestFullQueueGivesWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -197,6 +198,31 @@
 	})
 }
 
+// TestPermitOfACallerThatGoesIsNotLost grants a permit to a caller that has just
+// gone and has not left the queue yet, many times.
+func TestPermitOfACallerThatGoesIsNotLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		servers := single(time.Millisecond)
+		for range 100 {
+			held, taken := servers.TryAcquire(server)
+			g.Expect(taken).To(BeTrue())
+			ctx, cancel := context.WithCancel(t.Context())
+			var group sync.WaitGroup
+			group.Go(func() {
+				if permit, err := servers.Acquire(ctx, server); err == nil {
+					permit.Release(limit.Result{Latency: time.Millisecond})
+				}
+			})
+			synctest.Wait()
+			cancel()
+			held.Release(limit.Result{Latency: time.Millisecond})
+			group.Wait()
+			g.Expect(servers.Observe(server).InFlight).To(BeZero())
+		}
+	})
+}
+
 func TestForgettingAServerRefusesThoseThatWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
