Operators' interface of a node: messages, client and server

Cause: operators drive the system by templates only, and need to publish, settle, compare and see where a revision is in force.

Weighed: the change id is chosen by the client, not the node, because a reply lost between the two can otherwise not be settled. The serving node asks the other nodes with its own digest, so that a node with the same revisions answers without its list; sending every list was ruled out for its size. A change goes on when the operator's connection breaks; cancelling it half-way would only make more outcomes unknown.

Change: packages api/operator, internal/operator (narrow interfaces to the node's parts) and internal/operator/operatortest (nodes in memory with faults).

Conclusion: specs pass with the race detector: conflict with both sides, lost reply settled at another node, unknown, store away, node away or stalled, unanswered and lagging nodes listed, and 29 kinds of bad input that each name the field and change nothing.

--- /dev/null
+++ b/internal/operator/dependencies.go
@@ -0,0 +1,154 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/bramblemast/bramblemast/api/operator"
+	"github.com/bramblemast/bramblemast/internal/armstats"
+	"github.com/bramblemast/bramblemast/pkg/catalog"
+	"github.com/bramblemast/bramblemast/pkg/target"
+	"github.com/bramblemast/bramblemast/pkg/template"
+)
+
+// Templates is what the node has in force. Implementations are safe for
+// concurrent use, and what they return is immutable.
+type Templates interface {
+	// Get returns the revision in force, which may be a tombstone; nil if
+	// there is none.
+	Get(key template.Key) *template.Template
+	// List returns the revisions in force, tombstones included, in any order.
+	List() []*template.Template
+	// StoreContact returns the node's view of the configuration store.
+	StoreContact() operator.StoreContact
+}
+
+// Intent says which change an operator wants to make.
+type Intent struct {
+	ChangeID         string
+	ExpectedRevision uint64
+	Author           string
+	Comment          string
+}
+
+// Publisher changes templates in the configuration store. A change is accepted
+// if the error is nil; then the new revision is returned. Otherwise the error
+// is a *ConflictError or an *outcome.Error.
+type Publisher interface {
+	Publish(ctx context.Context, document *template.Template, intent Intent) (uint64, error)
+	Delete(ctx context.Context, key template.Key, intent Intent) (uint64, error)
+	// Rollback publishes the content of an earlier revision again.
+	Rollback(ctx context.Context, key template.Key, toRevision uint64, intent Intent) (uint64, error)
+	// History returns the kept revisions, newest first; empty if the template
+	// never existed.
+	History(ctx context.Context, key template.Key) ([]*template.Template, error)
+	// Settle tells what became of a change.
+	Settle(ctx context.Context, key template.Key, changeID string) (operator.Change, error)
+}
+
+// ConflictError means that a change certainly did not take effect, because the
+// template has another revision than the operator expected.
+type ConflictError struct {
+	Expected uint64
+	// Mine is what the operator wanted; nil for a deletion.
+	Mine *template.Template
+	// Theirs is what is in force; nil if nothing is.
+	Theirs *template.Template
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	if e.Theirs == nil {
+		return fmt.Sprintf("expected revision %d, but the template does not exist", e.Expected)
+	}
+	return fmt.Sprintf("expected revision %d, but revision %d by change %s is in force",
+		e.Expected, e.Theirs.Revision, e.Theirs.ChangeID)
+}
+
+// Members is the node's view of the other nodes.
+type Members interface {
+	// Nodes returns every known node, the serving one included, in any order.
+	Nodes() []operator.Node
+}
+
+// Backends is the node's view of the back-end servers.
+type Backends interface {
+	// Services returns the known services, in any order.
+	Services() []target.Service
+	// View returns the servers of a service; nil if it is unknown.
+	View(service target.Service) *catalog.View
+	// SetDraining records an operator's drain of a server, or its end, and
+	// spreads it to the other nodes.
+	SetDraining(ctx context.Context, server target.ServerID, draining bool) error
+}
+
+// Experiments gives the figures of the arms of a template.
+type Experiments interface {
+	Snapshot(key template.Key) armstats.Snapshot
+}
+
+// Peers asks other nodes, by the addresses of their operators' listeners.
+type Peers interface {
+	// Revisions returns what a node has in force, without the templates if its
+	// digest is unlessDigest.
+	Revisions(ctx context.Context, address, unlessDigest string) (*operator.NodeRevisions, error)
+	// Experiment returns the figures of one node alone.
+	Experiment(ctx context.Context, address string, key template.Key) (*operator.ExperimentReport, error)
+}
+
+// Limits bound what one request of an operator costs. A zero value stands for
+// its default.
+type Limits struct {
+	// ChangeTimeout bounds the work on the configuration store; default 5 s.
+	ChangeTimeout time.Duration
+	// PeerTimeout bounds the answer of one peer; default 1 s.
+	PeerTimeout time.Duration
+	// PeersTimeout bounds the answers of all peers together; default 4 s.
+	PeersTimeout time.Duration
+	// PeerConcurrency bounds the peers that are asked at once; default 32.
+	PeerConcurrency int
+}
+
+// Defaults of Limits.
+const (
+	defaultChangeTimeout   = 5 * time.Second
+	defaultPeerTimeout     = time.Second
+	defaultPeersTimeout    = 4 * time.Second
+	defaultPeerConcurrency = 32
+)
+
+// withDefaults replaces zero values.
+func (l Limits) withDefaults() Limits {
+	return Limits{
+		ChangeTimeout:   orDefault(l.ChangeTimeout, defaultChangeTimeout),
+		PeerTimeout:     orDefault(l.PeerTimeout, defaultPeerTimeout),
+		PeersTimeout:    orDefault(l.PeersTimeout, defaultPeersTimeout),
+		PeerConcurrency: orDefault(l.PeerConcurrency, defaultPeerConcurrency),
+	}
+}
+
+func orDefault[Value comparable](value, fallback Value) Value {
+	var zero Value
+	if value == zero {
+		return fallback
+	}
+	return value
+}
+
+// Dependencies are the parts of a node that the operators' interface shows.
+// All are required, but Limits and Logger.
+type Dependencies struct {
+	Node        target.NodeID
+	Zone        target.Zone
+	Templates   Templates
+	Publisher   Publisher
+	Members     Members
+	Backends    Backends
+	Experiments Experiments
+	Peers       Peers
+	Limits      Limits
+	Logger      hclog.Logger
+}
--- /dev/null
+++ b/internal/operator/input.go
@@ -0,0 +1,184 @@
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"github.com/bramblemast/bramblemast/api/operator"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/template"
+)
+
+// Media types of request bodies. Templates may be YAML, as in files.
+var (
+	jsonTypes     = []string{"application/json"}
+	templateTypes = []string{"application/json", "application/yaml", "application/x-yaml", "text/yaml"}
+)
+
+// maxNoteLength bounds an author or a comment, in bytes.
+const maxNoteLength = 1024
+
+// keyOf returns the template that the path names.
+func keyOf(c echo.Context) template.Key {
+	return template.Key{Tenant: c.Param("tenant"), Name: c.Param("name")}
+}
+
+// readBody reads a whole body of an accepted media type.
+func readBody(c echo.Context, accepted []string, maximum int64) ([]byte, error) {
+	given := c.Request().Header.Get(echo.HeaderContentType)
+	mediaType, _, err := mime.ParseMediaType(given)
+	if err != nil || !slices.Contains(accepted, mediaType) {
+		refused := newProblem(http.StatusUnsupportedMediaType, outcome.ReasonInvalid,
+			fmt.Sprintf("want one of %s", strings.Join(accepted, ", ")))
+		refused.problem.Field = echo.HeaderContentType
+		return nil, refused
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maximum))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		refused := newProblem(http.StatusRequestEntityTooLarge, outcome.ReasonInvalid,
+			fmt.Sprintf("the body is larger than %d bytes", maximum))
+		refused.problem.Field = "body"
+		return nil, refused
+	}
+	if err != nil {
+		return nil, invalid("body", "the body could not be read whole")
+	}
+	return body, nil
+}
+
+// readTemplate reads and checks the template in a body; its names must be those
+// of the path.
+func readTemplate(c echo.Context) (*template.Template, error) {
+	body, err := readBody(c, templateTypes, template.MaxFileSize)
+	if err != nil {
+		return nil, err
+	}
+	document, err := template.Parse(body)
+	var faults template.FieldErrors
+	if errors.As(err, &faults) && len(faults) > 0 {
+		return nil, invalidTemplate(faults)
+	}
+	if err != nil {
+		return nil, invalid("body", err.Error())
+	}
+	key := keyOf(c)
+	switch {
+	case document.Tenant != key.Tenant:
+		return nil, invalid("tenant", fmt.Sprintf("the path says %q, the body %q", key.Tenant, document.Tenant))
+	case document.Name != key.Name:
+		return nil, invalid("name", fmt.Sprintf("the path says %q, the body %q", key.Name, document.Name))
+	case document.Deleted:
+		return nil, invalid("deleted", "use DELETE to delete a template")
+	}
+	return document, nil
+}
+
+// readRollback reads the body of a rollback.
+func readRollback(c echo.Context) (operator.RollbackRequest, error) {
+	var request operator.RollbackRequest
+	body, err := readBody(c, jsonTypes, template.MaxFileSize)
+	if err != nil {
+		return request, err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&request); err != nil {
+		return request, invalid(faultyField(err), err.Error())
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return request, invalid("body", "want exactly one JSON object")
+	}
+	if request.ToRevision == 0 {
+		return request, invalid("to_revision", "want a revision above 0")
+	}
+	if request.ExpectedRevision == 0 {
+		return request, invalid("expected_revision", "want the revision in force")
+	}
+	return request, checkNotes(request.Author, request.Comment)
+}
+
+// faultyField names the field that an error of encoding/json is about.
+func faultyField(err error) string {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) && wrongType.Field != "" {
+		return wrongType.Field
+	}
+	if _, quoted, found := strings.Cut(err.Error(), "unknown field "); found {
+		return strings.Trim(quoted, `"`)
+	}
+	return "body"
+}
+
+// readIntent reads what every change carries besides its content.
+func readIntent(c echo.Context) (Intent, error) {
+	changeID, err := readChangeID(c.Request().Header.Get(operator.HeaderChangeID), operator.HeaderChangeID)
+	if err != nil {
+		return Intent{}, err
+	}
+	if changeID == "" {
+		changeID = uuid.NewString()
+	}
+	return Intent{ChangeID: changeID}, nil
+}
+
+// readChangeID checks a change id; an empty one is allowed.
+func readChangeID(given, field string) (string, error) {
+	if len(given) > operator.MaxChangeIDLength {
+		return "", invalid(field, fmt.Sprintf("longer than %d bytes", operator.MaxChangeIDLength))
+	}
+	for _, symbol := range given {
+		if symbol <= ' ' || symbol > '~' {
+			return "", invalid(field, "want printable ASCII without spaces")
+		}
+	}
+	return given, nil
+}
+
+// readExpected reads the required parameter for the expected revision.
+func readExpected(c echo.Context) (uint64, error) {
+	const field = operator.ParameterExpectedRevision
+	given := c.QueryParam(field)
+	if given == "" {
+		return 0, invalid(field, "required: the revision that the change replaces, 0 if there is none")
+	}
+	revision, err := strconv.ParseUint(given, 10, 64)
+	if err != nil {
+		return 0, invalid(field, "want a whole number of at least 0")
+	}
+	return revision, nil
+}
+
+// checkNotes bounds the texts that operators leave for each other.
+func checkNotes(author, comment string) error {
+	if len(author) > maxNoteLength {
+		return invalid(operator.ParameterAuthor, fmt.Sprintf("longer than %d bytes", maxNoteLength))
+	}
+	if len(comment) > maxNoteLength {
+		return invalid(operator.ParameterComment, fmt.Sprintf("longer than %d bytes", maxNoteLength))
+	}
+	return nil
+}
+
+// readScope reads the optional scope of a report.
+func readScope(c echo.Context) (string, error) {
+	switch scope := c.QueryParam(operator.ParameterScope); scope {
+	case "", operator.ScopeAll:
+		return operator.ScopeAll, nil
+	case operator.ScopeNode:
+		return scope, nil
+	default:
+		return "", invalid(operator.ParameterScope, "want all or node")
+	}
+}
