Operators' interface over the node's real parts, and the command line

Ruled out: free-form change ids. The settlement tells a change that is older than the kept history by the time in its id, so an id of another form could be reported as rejected though it had been accepted. Ids are UUIDs of version 7, and one from the future is refused. Ruled out also: a drain that stays in the zone of the node that takes it, since news of back ends is broadcast within a zone only; the serving node passes it on to a node of each other zone and names the zones that it did not reach.

Figures before and after: none measured.

Conclusion: the specs of the interface pass with the race detector, now with the real publisher on the store in memory: reply lost, request lost and committed late. The command line has no specs yet.

--- a/api/operator/client.go
+++ b/api/operator/client.go
@@ -6,6 +6,8 @@
 	"net/url"
 	"strconv"
 
+	"github.com/google/uuid"
+
 	"github.com/bramblemast/bramblemast/pkg/target"
 	"github.com/bramblemast/bramblemast/pkg/template"
 )
@@ -42,7 +44,7 @@
 	// ExpectedRevision is the revision that it replaces; zero if the template
 	// must not exist.
 	ExpectedRevision uint64
-	// ChangeID identifies the change. It is chosen by the client, at random.
+	// ChangeID identifies the change; see HeaderChangeID and NewChangeID.
 	ChangeID string
 }
 
@@ -142,17 +144,17 @@
 	})
 }
 
-// DrainBackend asks all nodes to send a server no new work. It is idempotent.
-func (c *Client) DrainBackend(ctx context.Context, server target.ServerID) (*DrainResult, error) {
-	return call[DrainResult](ctx, c, exchange{
-		step: "drain back end", method: http.MethodPost, path: backendPath(server, DrainAction),
-	})
-}
-
-// UndrainBackend ends DrainBackend. It is idempotent.
-func (c *Client) UndrainBackend(ctx context.Context, server target.ServerID) (*DrainResult, error) {
+// SetDraining asks nodes to send a server no new work, or to end that.
+func (c *Client) SetDraining(ctx context.Context, request DrainRequest) (*DrainResult, error) {
+	action := UndrainAction
+	if request.Draining {
+		action = DrainAction
+	}
+	parameters := url.Values{}
+	setIfGiven(parameters, ParameterScope, request.Scope)
+	setIfGiven(parameters, ParameterAuthor, request.Author)
 	return call[DrainResult](ctx, c, exchange{
-		step: "undrain back end", method: http.MethodPost, path: backendPath(server, UndrainAction),
+		step: action + " back end", method: http.MethodPost, path: backendPath(request.Server, action), parameters: parameters,
 	})
 }
 
@@ -183,6 +185,9 @@
 	})
 }
 
+// NewChangeID makes the id of a change.
+func NewChangeID() string { return uuid.Must(uuid.NewV7()).String() }
+
 // expected returns the parameters of a change.
 func expected(revision uint64) url.Values {
 	return url.Values{ParameterExpectedRevision: {strconv.FormatUint(revision, 10)}}
--- a/api/operator/messages.go
+++ b/api/operator/messages.go
@@ -18,6 +18,8 @@
 	Outcome outcome.Outcome `json:"outcome"`
 	// Revision is the revision that the change made; zero if not accepted.
 	Revision uint64 `json:"revision,omitempty"`
+	// Detail explains an outcome that is not "completed".
+	Detail string `json:"detail,omitempty"`
 }
 
 // RollbackRequest is the body of a rollback: it publishes the content of an
@@ -66,13 +68,21 @@
 	Group   string          `json:"group,omitempty"`
 	Zone    target.Zone     `json:"zone"`
 	State   string          `json:"state"`
+	// Cause says why the state is not active.
+	Cause string `json:"cause,omitempty"`
+	// OperatorDrained and OperatorAuthor are the operators' mark.
+	OperatorDrained bool   `json:"operator_drained"`
+	OperatorAuthor  string `json:"operator_author,omitempty"`
+	// Listed is false if the machine list does not name the server.
+	Listed bool `json:"listed"`
 	// Weight is the share of normal traffic that the server gets, 0 to 1.
 	Weight      float64 `json:"weight"`
 	Slots       int     `json:"slots"`
 	Connections int     `json:"connections"`
 	// ReportedLoad is the share of slots in use; absent if not reported.
-	ReportedLoad *float64         `json:"reported_load,omitempty"`
-	Versions     []target.Version `json:"versions"`
+	ReportedLoad *float64 `json:"reported_load,omitempty"`
+	// NewestVersion is the newest index version that the server holds.
+	NewestVersion target.Version `json:"newest_version,omitempty"`
 }
 
 // BackendList is back-end servers, sorted by service and server.
@@ -80,11 +90,30 @@
 	Backends []Backend `json:"backends"`
 }
 
+// DrainRequest sets or ends an operator's drain of a server. It is idempotent.
+type DrainRequest struct {
+	Server   target.ServerID
+	Draining bool
+	Author   string
+	// Scope is ScopeAll, or ScopeZone for the zone of the node that is asked.
+	Scope string
+}
+
 // DrainResult tells that the serving node has taken in an operator's drain or
-// its end, and passes it on to the other nodes.
+// its end, and sent it to the nodes of its zone and to other zones.
 type DrainResult struct {
 	Server   target.ServerID `json:"server"`
 	Draining bool            `json:"draining"`
+	// Zones are the zones that took it in, sorted.
+	Zones []target.Zone `json:"zones"`
+	// Unreached lists the zones that did not: repeat the command for them.
+	Unreached []UnreachedZone `json:"unreached"`
+}
+
+// UnreachedZone is a zone of which no node took in a drain.
+type UnreachedZone struct {
+	Zone  target.Zone `json:"zone"`
+	Error string      `json:"error"`
 }
 
 // TemplateRevision is the revision of one template at one node.
@@ -92,7 +121,11 @@
 	Tenant   string `json:"tenant"`
 	Name     string `json:"name"`
 	Revision uint64 `json:"revision"`
+	ChangeID string `json:"change_id"`
 	Deleted  bool   `json:"deleted,omitempty"`
+	// Invalid says why the node can't run this revision and keeps an earlier
+	// one in force; empty if it can.
+	Invalid string `json:"invalid,omitempty"`
 }
 
 // StoreContact is a node's view of the configuration store.
@@ -104,15 +137,17 @@
 	LastSuccess *time.Time `json:"last_success,omitempty"`
 	// LastError is the last failure to read the store; empty after a success.
 	LastError string `json:"last_error,omitempty"`
-	// Regressed is true if the store holds older revisions than the node,
-	// which refuses them.
-	Regressed bool `json:"regressed"`
+	// Behind counts the templates of which the store holds an older revision
+	// than the node, which refuses it.
+	Behind int `json:"behind"`
 }
 
 // NodeRevisions is what one node has in force.
 type NodeRevisions struct {
 	Node target.NodeID `json:"node"`
 	Zone target.Zone   `json:"zone"`
+	// Ready is true once the node has fetched what peers and the store hold.
+	Ready bool `json:"ready"`
 	// Digest is equal for two nodes that have the same revisions in force.
 	Digest string       `json:"digest"`
 	Store  StoreContact `json:"store"`
@@ -128,11 +163,13 @@
 	Error string        `json:"error"`
 }
 
-// RevisionAtNode is the revision of a template that a node has in force; zero
-// if it has none.
+// RevisionAtNode is the newest revision of a template that a node has; zero if
+// it has none.
 type RevisionAtNode struct {
 	Node     target.NodeID `json:"node"`
 	Revision uint64        `json:"revision"`
+	// Reason says why the node is listed, if not for its revision.
+	Reason string `json:"reason,omitempty"`
 }
 
 // TemplateStatus tells where the newest known revision of a template is in
@@ -145,7 +182,7 @@
 	Deleted  bool   `json:"deleted,omitempty"`
 	// InForce counts the nodes that have Revision in force.
 	InForce int `json:"in_force"`
-	// Behind lists the nodes that answered with an older revision.
+	// Behind lists the nodes that answered and don't have Revision in force.
 	Behind []RevisionAtNode `json:"behind"`
 }
 
--- a/api/operator/paths.go
+++ b/api/operator/paths.go
@@ -9,6 +9,7 @@
 
 import (
 	"net/url"
+	"time"
 
 	"github.com/bramblemast/bramblemast/pkg/target"
 	"github.com/bramblemast/bramblemast/pkg/template"
@@ -54,30 +55,35 @@
 	ParameterService = "service"
 	// ParameterTenant selects the templates of one tenant.
 	ParameterTenant = "tenant"
-	// ParameterScope is ScopeAll or ScopeNode.
+	// ParameterScope is one of the scopes.
 	ParameterScope = "scope"
 	// ParameterUnlessDigest leaves out the list of revisions if the node's
 	// digest of them has this value.
 	ParameterUnlessDigest = "unless_digest"
-	// ParameterAuthor and ParameterComment go into a tombstone.
+	// ParameterAuthor and ParameterComment go into a tombstone or a drain.
 	ParameterAuthor  = "author"
 	ParameterComment = "comment"
 )
 
-// Scopes of a report.
+// Scopes of a report or a drain.
 const (
 	// ScopeAll is every node that the serving node knows; the default.
 	ScopeAll = "all"
-	// ScopeNode is the serving node alone.
+	// ScopeZone is the zone of the serving node. Only drains have it.
+	ScopeZone = "zone"
+	// ScopeNode is the serving node alone. Only reports have it.
 	ScopeNode = "node"
 )
 
 // HeaderChangeID carries the id that the client chose for its change, so that
-// the change can be settled by any node if the reply is lost.
+// the change can be settled by any node if the reply is lost. It is a UUID of
+// version 7: the time in it tells how old the change is. The node makes one up
+// if the header is absent.
 const HeaderChangeID = "X-Change-Id"
 
-// MaxChangeIDLength bounds a change id, in bytes.
-const MaxChangeIDLength = 128
+// MaxChangeIDAhead bounds how far the time in a change id may be ahead of the
+// node's clock.
+const MaxChangeIDAhead = time.Minute
 
 // templatePath returns the path of a template, or of an action on it.
 func templatePath(key template.Key, action string) string {
--- a/api/operator/problem.go
+++ b/api/operator/problem.go
@@ -17,6 +17,9 @@
 	ReasonNotFound outcome.Reason = "not_found"
 	// ReasonStoreLimited means that the store's rate limit refused the change.
 	ReasonStoreLimited outcome.Reason = "store_limited"
+	// ReasonStoreBehind means that the store went back to an older state than
+	// the nodes hold; they refuse changes until it is repaired.
+	ReasonStoreBehind outcome.Reason = "store_behind"
 )
 
 // Problem is the body of every error: the shape of the callers' interface with
--- /dev/null
+++ b/cmd/bramblemastctl/main.go
@@ -0,0 +1,24 @@
+// Command bramblemastctl is the operators' command line. docs/CLI.md is the
+// reference.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/bramblemast/bramblemast/internal/ctl"
+	"github.com/bramblemast/bramblemast/internal/version"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	streams := ctl.Streams{Input: os.Stdin, Output: os.Stdout, Errors: os.Stderr}
+	return int(ctl.Run(ctx, version.Version, os.Args[1:], streams))
+}
--- a/internal/operator/changes.go
+++ b/internal/operator/changes.go
@@ -73,7 +73,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request().Context()), s.Limits.ChangeTimeout)
 	defer cancel()
 	revision, err := run(ctx)
-	if own := ownEarlierWrite(intent, err); own != nil {
+	if own := s.earlierAttempt(ctx, key, intent, err); own != nil {
 		revision, err = own.Revision, nil
 	}
 	if err != nil {
@@ -90,14 +90,23 @@
 	})
 }
 
-// ownEarlierWrite returns the document in force if a conflict is with an
-// earlier attempt of the same change, which then was accepted.
-func ownEarlierWrite(intent Intent, err error) *template.Template {
+// earlierAttempt looks, after a conflict, for an earlier attempt of the same
+// change in the history. If there is one, the change was accepted.
+func (s *Server) earlierAttempt(ctx context.Context, key template.Key, intent Intent, err error) *template.Template {
 	var race *ConflictError
-	if !errors.As(err, &race) || race.Theirs == nil || race.Theirs.ChangeID != intent.ChangeID {
+	if !errors.As(err, &race) || race.Theirs == nil {
 		return nil
 	}
-	return race.Theirs
+	revisions, err := s.Publisher.History(ctx, key)
+	if err != nil {
+		return nil
+	}
+	for _, document := range revisions {
+		if document.ChangeID == intent.ChangeID {
+			return document
+		}
+	}
+	return nil
 }
 
 // changeProblem adds the change id, and for an unknown outcome how to settle
@@ -124,7 +133,16 @@
 	defer cancel()
 	change, err := s.Publisher.Settle(ctx, keyOf(c), changeID)
 	if err != nil {
-		return err
+		return unsettled(changeID, err)
 	}
 	return c.JSON(http.StatusOK, change)
 }
+
+// unsettled says that the outcome of a change stays unknown, whatever is known
+// of the attempt to settle it.
+func unsettled(changeID string, err error) *problemError {
+	failed := *problemOf(err)
+	failed.problem.ChangeID = changeID
+	failed.problem.Outcome = outcome.Unknown
+	return &failed
+}
--- a/internal/operator/dependencies.go
+++ b/internal/operator/dependencies.go
@@ -17,11 +17,16 @@
 // Templates is what the node has in force. Implementations are safe for
 // concurrent use, and what they return is immutable.
 type Templates interface {
-	// Get returns the revision in force, which may be a tombstone; nil if
-	// there is none.
+	// Get returns the newest revision, which may be a tombstone; nil if there
+	// is none.
 	Get(key template.Key) *template.Template
-	// List returns the revisions in force, tombstones included, in any order.
+	// List returns the templates in force, in any order.
 	List() []*template.Template
+	// Revisions returns the newest revision that the node has of each published
+	// template, tombstones included, in any order.
+	Revisions() []operator.TemplateRevision
+	// Ready reports whether the node has fetched what peers and the store hold.
+	Ready() bool
 	// StoreContact returns the node's view of the configuration store.
 	StoreContact() operator.StoreContact
 }
@@ -74,15 +79,14 @@
 	Nodes() []operator.Node
 }
 
-// Backends is the node's view of the back-end servers.
+// Backends is the node's view of the back-end servers. *catalog.Catalog
+// implements it.
 type Backends interface {
-	// Services returns the known services, in any order.
-	Services() []target.Service
-	// View returns the servers of a service; nil if it is unknown.
-	View(service target.Service) *catalog.View
-	// SetDraining records an operator's drain of a server, or its end, and
-	// spreads it to the other nodes.
-	SetDraining(ctx context.Context, server target.ServerID, draining bool) error
+	// Reports returns what is known of every server, by service and server.
+	Reports() []catalog.ServerReport
+	// Drain sets or takes back an operator's drain of a server and tells the
+	// nodes of the zone. The error is catalog.ErrUnknownServer.
+	Drain(server target.ServerID, drained bool, author string) error
 }
 
 // Experiments gives the figures of the arms of a template.
@@ -97,6 +101,8 @@
 	Revisions(ctx context.Context, address, unlessDigest string) (*operator.NodeRevisions, error)
 	// Experiment returns the figures of one node alone.
 	Experiment(ctx context.Context, address string, key template.Key) (*operator.ExperimentReport, error)
+	// SetDraining passes an operator's drain on to the zone of another node.
+	SetDraining(ctx context.Context, address string, request operator.DrainRequest) (*operator.DrainResult, error)
 }
 
 // Limits bound what one request of an operator costs. A zero value stands for
--- a/internal/operator/experiments.go
+++ b/internal/operator/experiments.go
@@ -22,7 +22,7 @@
 // getExperiment gives the figures of this node, or of all nodes added up.
 func (s *Server) getExperiment(c echo.Context) error {
 	key := keyOf(c)
-	scope, err := readScope(c)
+	scope, err := readScope(c, operator.ScopeNode)
 	if err != nil {
 		return err
 	}
--- a/internal/operator/input.go
+++ b/internal/operator/input.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
@@ -128,20 +129,26 @@
 		return Intent{}, err
 	}
 	if changeID == "" {
-		changeID = uuid.NewString()
+		changeID = operator.NewChangeID()
 	}
 	return Intent{ChangeID: changeID}, nil
 }
 
-// readChangeID checks a change id; an empty one is allowed.
+// readChangeID checks a change id; an empty one is allowed. The settlement of
+// old changes relies on the time in their ids, so one from the future is
+// refused.
 func readChangeID(given, field string) (string, error) {
-	if len(given) > operator.MaxChangeIDLength {
-		return "", invalid(field, fmt.Sprintf("longer than %d bytes", operator.MaxChangeIDLength))
+	if given == "" {
+		return "", nil
+	}
+	const timeOrdered = 7
+	id, err := uuid.Parse(given)
+	if err != nil || id.Version() != timeOrdered || id.String() != given {
+		return "", invalid(field, "want a UUID of version 7 in lower case")
 	}
-	for _, symbol := range given {
-		if symbol <= ' ' || symbol > '~' {
-			return "", invalid(field, "want printable ASCII without spaces")
-		}
+	made := time.Unix(id.Time().UnixTime())
+	if ahead := time.Until(made); ahead > operator.MaxChangeIDAhead {
+		return "", invalid(field, fmt.Sprintf("its time is %v ahead of the node's clock; set the clocks", ahead.Round(time.Second)))
 	}
 	return given, nil
 }
@@ -171,14 +178,14 @@
 	return nil
 }
 
-// readScope reads the optional scope of a report.
-func readScope(c echo.Context) (string, error) {
+// readScope reads the optional scope, which is ScopeAll or narrow.
+func readScope(c echo.Context, narrow string) (string, error) {
 	switch scope := c.QueryParam(operator.ParameterScope); scope {
 	case "", operator.ScopeAll:
 		return operator.ScopeAll, nil
-	case operator.ScopeNode:
+	case narrow:
 		return scope, nil
 	default:
-		return "", invalid(operator.ParameterScope, "want all or node")
+		return "", invalid(operator.ParameterScope, fmt.Sprintf("want %s or %s", operator.ScopeAll, narrow))
 	}
 }
--- a/internal/operator/operatortest/node.go
+++ b/internal/operator/operatortest/node.go
@@ -1,3 +1,6 @@
+// Package operatortest provides nodes whose operators' interface and publisher
+// are real and whose other parts are in memory, with faults that tests switch
+// on.
 package operatortest
 
 import (
@@ -15,16 +18,25 @@
 	api "github.com/bramblemast/bramblemast/api/operator"
 	"github.com/bramblemast/bramblemast/internal/armstats"
 	"github.com/bramblemast/bramblemast/internal/operator"
-	"github.com/bramblemast/bramblemast/pkg/backend"
 	"github.com/bramblemast/bramblemast/pkg/catalog"
+	"github.com/bramblemast/bramblemast/pkg/configstore"
+	"github.com/bramblemast/bramblemast/pkg/publish"
 	"github.com/bramblemast/bramblemast/pkg/target"
 	"github.com/bramblemast/bramblemast/pkg/template"
 )
 
-// Cluster is a few nodes with one Store.
+// OtherZone is the zone of the last node of a cluster; the others are in Zone.
+const (
+	Zone      target.Zone = "oslo"
+	OtherZone target.Zone = "bergen"
+)
+
+// Cluster is a few nodes with one store.
 type Cluster struct {
-	Store *Store
+	Store *configstore.Memory
 	Nodes []*Node
+	// publisher makes one attempt at each call, so that every fault shows.
+	publisher operator.StorePublisher
 }
 
 // Node is one node. It is safe for concurrent use.
@@ -41,20 +53,27 @@
 
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
-	held     map[template.Key]*template.Template
-	draining map[target.ServerID]bool
+	held    map[template.Key]*template.Template
+	invalid string
+	// drained are the authors of drains, by server.
+	drained map[target.ServerID]string
 }
 
 // NewCluster starts nodes named node-1, node-2 and so on. Close stops them.
 func NewCluster(size int) *Cluster {
-	cluster := &Cluster{Store: NewStore()}
+	store := configstore.NewMemory()
+	publisher, err := publish.New(publish.Options{Store: store, Attempts: 1})
+	if err != nil {
+		panic(err)
+	}
+	cluster := &Cluster{Store: store, publisher: operator.StorePublisher{Publisher: publisher}}
 	for index := range size {
 		node := &Node{
 			ID:          target.NodeID("node-" + string(rune('1'+index))),
 			Experiments: armstats.NewRecorder(),
 			cluster:     cluster,
 			held:        make(map[template.Key]*template.Template),
-			draining:    make(map[target.ServerID]bool),
+			drained:     make(map[target.ServerID]string),
 		}
 		node.start()
 		cluster.Nodes = append(cluster.Nodes, node)
@@ -79,12 +98,19 @@
 	return addresses
 }
 
-// Spread puts the newest revisions in force at every node.
-func (c *Cluster) Spread(keys ...template.Key) {
+// Stored returns the newest revision in the store; nil if there is none.
+func (c *Cluster) Stored(key template.Key) *template.Template {
+	revisions, err := c.publisher.History(context.Background(), key)
+	if err != nil || len(revisions) == 0 {
+		return nil
+	}
+	return revisions[0]
+}
+
+// Spread puts the newest revision of a template in force at every node.
+func (c *Cluster) Spread(key template.Key) {
 	for _, node := range c.Nodes {
-		for _, key := range keys {
-			node.Hold(c.Store.Newest(key))
-		}
+		node.Hold(c.Stored(key))
 	}
 }
 
@@ -93,13 +119,13 @@
 	router := echo.New()
 	operator.New(operator.Dependencies{
 		Node:        n.ID,
-		Zone:        "oslo",
+		Zone:        n.zone(),
 		Templates:   n,
-		Publisher:   n.cluster.Store,
+		Publisher:   n.cluster.publisher,
 		Members:     n,
 		Backends:    n,
 		Experiments: n.Experiments,
-		Peers:       operator.NewHTTPPeers(),
+		Peers:       operator.NewHTTPPeers(nil),
 		Limits:      operator.Limits{PeerTimeout: 100 * time.Millisecond},
 	}).Register(router)
 	n.server = httptest.NewServer(n.faulty(router))
@@ -126,6 +152,14 @@
 	})
 }
 
+// zone returns the zone that the node says it is in.
+func (n *Node) zone() target.Zone {
+	if all := n.cluster.Nodes; len(all) > 1 && n == all[len(all)-1] {
+		return OtherZone
+	}
+	return Zone
+}
+
 // Address returns the operators' address.
 func (n *Node) Address() string { return strings.TrimPrefix(n.server.URL, "http://") }
 
@@ -167,11 +201,37 @@
 	defer n.mutex.Unlock()
 	var documents []*template.Template
 	for _, document := range n.held {
-		documents = append(documents, document)
+		if !document.Deleted {
+			documents = append(documents, document)
+		}
 	}
 	return documents
 }
 
+// Revisions implements operator.Templates.
+func (n *Node) Revisions() []api.TemplateRevision {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	var revisions []api.TemplateRevision
+	for _, document := range n.held {
+		revisions = append(revisions, api.TemplateRevision{
+			Tenant: document.Tenant, Name: document.Name, Revision: document.Revision,
+			ChangeID: document.ChangeID, Deleted: document.Deleted, Invalid: n.invalid,
+		})
+	}
+	return revisions
+}
+
+// Reject makes the node unable to run what it holds.
+func (n *Node) Reject(reason string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.invalid = reason
+}
+
+// Ready implements operator.Templates.
+func (n *Node) Ready() bool { return true }
+
 // StoreContact implements operator.Templates.
 func (n *Node) StoreContact() api.StoreContact {
 	read := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
@@ -183,39 +243,43 @@
 	var nodes []api.Node
 	for _, node := range n.cluster.Nodes {
 		nodes = append(nodes, api.Node{
-			ID: node.ID, Zone: "oslo", Region: "norway", State: "alive", Incarnation: 1,
+			ID: node.ID, Zone: node.zone(), Region: "norway", State: "alive", Incarnation: 1,
 			PeerAddress: "127.0.0.1:1", OperatorAddress: node.Address(), Self: node == n,
 		})
 	}
-	return append(nodes, api.Node{ID: "node-old", Zone: "oslo", State: "dead"})
+	return append(nodes, api.Node{ID: "node-old", Zone: Zone, State: "dead"})
 }
 
-// Services implements operator.Backends.
-func (n *Node) Services() []target.Service { return []target.Service{"resultatside"} }
-
-// View implements operator.Backends.
-func (n *Node) View(service target.Service) *catalog.View {
-	if service != "resultatside" {
-		return nil
-	}
+// Reports implements operator.Backends.
+func (n *Node) Reports() []catalog.ServerReport {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	view := &catalog.View{Service: service}
+	var reports []catalog.ServerReport
 	for _, id := range []target.ServerID{"10.0.0.1:9000", "10.0.0.2:9000"} {
-		server := &catalog.Server{ID: id, Service: service, Group: "a", Zone: "oslo", Weight: 1,
-			Slots: 5, Connections: 75, ReportedLoad: -1, Indexes: []backend.Index{{Version: 7}, {Version: 8}}}
-		if n.draining[id] {
-			server.State = catalog.Leaving
+		report := catalog.ServerReport{
+			Server: id, Service: "resultatside", Group: "a", Zone: Zone, State: "active", Listed: true,
+			Weight: 1, Slots: 5, Connections: 75, ReportedLoad: -1, NewestVersion: 8,
 		}
-		view.Servers = append(view.Servers, server)
+		if author, drained := n.drained[id]; drained {
+			report.State, report.Cause = "leaving", catalog.CauseOperator
+			report.OperatorDrained, report.OperatorAuthor = true, author
+		}
+		reports = append(reports, report)
 	}
-	return view
+	return reports
 }
 
-// SetDraining implements operator.Backends.
-func (n *Node) SetDraining(_ context.Context, server target.ServerID, draining bool) error {
+// Drain implements operator.Backends.
+func (n *Node) Drain(server target.ServerID, drained bool, author string) error {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.draining[server] = draining
+	if !strings.HasPrefix(string(server), "10.0.0.") {
+		return catalog.ErrUnknownServer
+	}
+	if drained {
+		n.drained[server] = author
+	} else {
+		delete(n.drained, server)
+	}
 	return nil
 }
--- a/internal/operator/peers.go
+++ b/internal/operator/peers.go
@@ -22,13 +22,17 @@
 	client *http.Client
 }
 
-// NewHTTPPeers returns an HTTPPeers with a transport of its own.
-func NewHTTPPeers() *HTTPPeers {
-	return &HTTPPeers{client: &http.Client{Transport: &http.Transport{
-		MaxIdleConns:        idlePeerConnections,
-		MaxIdleConnsPerHost: 1,
-		IdleConnTimeout:     idlePeerTimeout,
-	}}}
+// NewHTTPPeers returns an HTTPPeers that uses client, or a client of its own if
+// that is nil.
+func NewHTTPPeers(client *http.Client) *HTTPPeers {
+	if client == nil {
+		client = &http.Client{Transport: &http.Transport{
+			MaxIdleConns:        idlePeerConnections,
+			MaxIdleConnsPerHost: 1,
+			IdleConnTimeout:     idlePeerTimeout,
+		}}
+	}
+	return &HTTPPeers{client: client}
 }
 
 // Close closes the idle connections.
@@ -43,3 +47,8 @@
 func (p *HTTPPeers) Experiment(ctx context.Context, address string, key template.Key) (*operator.ExperimentReport, error) {
 	return operator.NewClient(address, p.client).Experiment(ctx, key, operator.ScopeNode)
 }
+
+// SetDraining implements Peers.
+func (p *HTTPPeers) SetDraining(ctx context.Context, address string, request operator.DrainRequest) (*operator.DrainResult, error) {
+	return operator.NewClient(address, p.client).SetDraining(ctx, request)
+}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sort"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/labstack/echo/v4"
@@ -63,41 +64,50 @@
 
 // ownRevisions is what this node has in force, tombstones included.
 func (s *Server) ownRevisions() operator.NodeRevisions {
-	documents := append([]*template.Template{}, s.Templates.List()...)
-	sortTemplates(documents)
+	revisions := append([]operator.TemplateRevision{}, s.Templates.Revisions()...)
+	sort.Slice(revisions, func(i, j int) bool {
+		if revisions[i].Tenant != revisions[j].Tenant {
+			return revisions[i].Tenant < revisions[j].Tenant
+		}
+		return revisions[i].Name < revisions[j].Name
+	})
 	own := operator.NodeRevisions{
 		Node:      s.Node,
 		Zone:      s.Zone,
+		Ready:     s.Templates.Ready(),
 		Store:     s.Templates.StoreContact(),
-		Templates: make([]operator.TemplateRevision, 0, len(documents)),
+		Templates: revisions,
 	}
 	digest := xxhash.New()
-	for _, document := range documents {
-		own.Templates = append(own.Templates, operator.TemplateRevision{
-			Tenant: document.Tenant, Name: document.Name, Revision: document.Revision, Deleted: document.Deleted,
-		})
+	for _, held := range revisions {
 		// Writing to a hash returns no error.
-		_, _ = fmt.Fprintf(digest, "%q %q %d\n", document.Tenant, document.Name, document.Revision)
+		_, _ = fmt.Fprintf(digest, "%q\n", []string{held.Tenant, held.Name, held.ChangeID, held.Invalid, strconv.FormatUint(held.Revision, 10)})
 	}
 	own.Digest = fmt.Sprintf("%016x", digest.Sum64())
 	return own
 }
 
-// compareRevisions tells for each template which nodes are behind the newest
-// revision that any of them has.
+// comparison is the newest version of a template and where it is in force.
+type comparison struct {
+	newest template.Version
+	status operator.TemplateStatus
+}
+
+// compareRevisions tells for each template which nodes don't have the newest
+// version in force that any of them holds.
 func compareRevisions(nodes []operator.NodeRevisions) []operator.TemplateStatus {
-	newest := make(map[template.Key]*operator.TemplateStatus)
+	compared := make(map[template.Key]*comparison)
 	for _, node := range nodes {
 		for _, held := range node.Templates {
-			noteNewest(newest, held)
+			noteNewest(compared, held)
 		}
 	}
 	for _, node := range nodes {
-		compareNode(newest, node)
+		compareNode(compared, node)
 	}
-	statuses := make([]operator.TemplateStatus, 0, len(newest))
-	for _, status := range newest {
-		statuses = append(statuses, *status)
+	statuses := make([]operator.TemplateStatus, 0, len(compared))
+	for _, one := range compared {
+		statuses = append(statuses, one.status)
 	}
 	sort.Slice(statuses, func(i, j int) bool {
 		if statuses[i].Tenant != statuses[j].Tenant {
@@ -108,30 +118,50 @@
 	return statuses
 }
 
-func noteNewest(newest map[template.Key]*operator.TemplateStatus, held operator.TemplateRevision) {
+func noteNewest(compared map[template.Key]*comparison, held operator.TemplateRevision) {
 	key := template.Key{Tenant: held.Tenant, Name: held.Name}
-	status := newest[key]
-	if status == nil {
-		status = &operator.TemplateStatus{Tenant: held.Tenant, Name: held.Name, Behind: []operator.RevisionAtNode{}}
-		newest[key] = status
+	one := compared[key]
+	if one == nil {
+		one = &comparison{status: operator.TemplateStatus{Tenant: held.Tenant, Name: held.Name, Behind: []operator.RevisionAtNode{}}}
+		compared[key] = one
 	}
-	if held.Revision > status.Revision {
-		status.Revision, status.Deleted = held.Revision, held.Deleted
+	if version := versionOf(held); version.Compare(one.newest) > 0 {
+		one.newest = version
+		one.status.Revision, one.status.Deleted = held.Revision, held.Deleted
 	}
 }
 
+func versionOf(held operator.TemplateRevision) template.Version {
+	return template.Version{Revision: held.Revision, ChangeID: held.ChangeID}
+}
+
 // compareNode counts one node as in force or behind for every template.
-func compareNode(newest map[template.Key]*operator.TemplateStatus, node operator.NodeRevisions) {
-	revisions := make(map[template.Key]uint64, len(node.Templates))
+func compareNode(compared map[template.Key]*comparison, node operator.NodeRevisions) {
+	all := make(map[template.Key]operator.TemplateRevision, len(node.Templates))
 	for _, held := range node.Templates {
-		revisions[template.Key{Tenant: held.Tenant, Name: held.Name}] = held.Revision
+		all[template.Key{Tenant: held.Tenant, Name: held.Name}] = held
 	}
-	for key, status := range newest {
-		if revisions[key] == status.Revision {
-			status.InForce++
+	for key, one := range compared {
+		held := all[key]
+		if versionOf(held) == one.newest && held.Invalid == "" {
+			one.status.InForce++
 			continue
 		}
-		status.Behind = append(status.Behind, operator.RevisionAtNode{Node: node.Node, Revision: revisions[key]})
+		one.status.Behind = append(one.status.Behind, operator.RevisionAtNode{
+			Node: node.Node, Revision: held.Revision, Reason: reasonBehind(held, one.newest),
+		})
+	}
+}
+
+// reasonBehind explains a node that has the newest revision, but not in force.
+func reasonBehind(held operator.TemplateRevision, newest template.Version) string {
+	switch {
+	case held.Invalid != "":
+		return held.Invalid
+	case held.Revision == newest.Revision:
+		return "another change with the same revision"
+	default:
+		return ""
 	}
 }
 
--- a/internal/operator/templates.go
+++ b/internal/operator/templates.go
@@ -11,12 +11,12 @@
 	"github.com/bramblemast/bramblemast/pkg/template"
 )
 
-// listTemplates lists what is in force at this node, without tombstones.
+// listTemplates lists what is in force at this node.
 func (s *Server) listTemplates(c echo.Context) error {
 	tenant := c.QueryParam(operator.ParameterTenant)
 	list := operator.TemplateList{Templates: []*template.Template{}}
 	for _, document := range s.Templates.List() {
-		if !document.Deleted && (tenant == "" || document.Tenant == tenant) {
+		if tenant == "" || document.Tenant == tenant {
 			list.Templates = append(list.Templates, document)
 		}
 	}
