Node: serve the operators' interface

Cause: the node's operators' listener had health and metrics only, and the index versions that a server holds were missing from its report.

Change: registerOperators wires internal/operator to the node's replica, publisher, membership, catalog and arm figures; back ends show their versions.

Conclusion: specs of the interface pass; all programs build.

--- a/api/operator/messages.go
+++ b/api/operator/messages.go
@@ -81,8 +81,8 @@
 	Connections int     `json:"connections"`
 	// ReportedLoad is the share of slots in use; absent if not reported.
 	ReportedLoad *float64 `json:"reported_load,omitempty"`
-	// NewestVersion is the newest index version that the server holds.
-	NewestVersion target.Version `json:"newest_version,omitempty"`
+	// Versions are the index versions that the server holds.
+	Versions []target.Version `json:"versions"`
 }
 
 // BackendList is back-end servers, sorted by service and server.
--- a/internal/ctl/backend_list.go
+++ b/internal/ctl/backend_list.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 
 	"github.com/bramblemast/bramblemast/api/operator"
 	"github.com/bramblemast/bramblemast/pkg/target"
@@ -23,11 +24,11 @@
 		return err
 	}
 	return c.env.print(list, func(t *table) {
-		t.row("SERVER", "SERVICE", "GROUP", "ZONE", "STATE", "CAUSE", "DRAINED BY", "WEIGHT", "SLOTS", "CONNECTIONS", "LOAD", "VERSION")
+		t.row("SERVER", "SERVICE", "GROUP", "ZONE", "STATE", "CAUSE", "DRAINED BY", "WEIGHT", "SLOTS", "CONNECTIONS", "LOAD", "VERSIONS")
 		for _, backend := range list.Backends {
 			t.row(string(backend.Server), string(backend.Service), backend.Group, string(backend.Zone), backend.State,
 				backend.Cause, drainedBy(backend), formatShare(backend.Weight), strconv.Itoa(backend.Slots),
-				strconv.Itoa(backend.Connections), formatRatio(backend.ReportedLoad), formatUint(uint64(backend.NewestVersion)))
+				strconv.Itoa(backend.Connections), formatRatio(backend.ReportedLoad), formatVersions(backend.Versions))
 		}
 	})
 }
@@ -42,3 +43,11 @@
 	}
 	return ""
 }
+
+func formatVersions(versions []target.Version) string {
+	texts := make([]string, 0, len(versions))
+	for _, version := range versions {
+		texts = append(texts, formatUint(uint64(version)))
+	}
+	return strings.Join(texts, ",")
+}
--- a/internal/node/routes.go
+++ b/internal/node/routes.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/bramblemast/bramblemast/internal/callerapi"
+	"github.com/bramblemast/bramblemast/internal/operator"
 	"github.com/bramblemast/bramblemast/internal/serve"
 )
 
@@ -58,6 +59,17 @@
 }
 
 func (n *Node) registerOperators() error {
+	operator.New(operator.Dependencies{
+		Node:        n.id,
+		Zone:        n.settings.Node.Zone,
+		Templates:   operator.ReplicaTemplates{Replica: n.config.replica, Files: n.config.files},
+		Publisher:   operator.StorePublisher{Publisher: n.config.publisher},
+		Members:     operator.MembershipNodes{Membership: n.members},
+		Backends:    n.catalog,
+		Experiments: n.arms,
+		Peers:       operator.NewHTTPPeers(n.platformClient()),
+		Logger:      n.logger.Named("operators"),
+	}).Register(n.operatorsRouter)
 	n.registerHealth(n.operatorsRouter)
 	return nil
 }
--- a/internal/operator/dependencies.go
+++ b/internal/operator/dependencies.go
@@ -84,6 +84,9 @@
 type Backends interface {
 	// Reports returns what is known of every server, by service and server.
 	Reports() []catalog.ServerReport
+	// View returns the servers of a service that may be asked; nil if the
+	// service is unknown.
+	View(service target.Service) *catalog.View
 	// Drain sets or takes back an operator's drain of a server and tells the
 	// nodes of the zone. The error is catalog.ErrUnknownServer.
 	Drain(server target.ServerID, drained bool, author string) error
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -31,9 +31,10 @@
 func (s *Server) listBackends(c echo.Context) error {
 	service := target.Service(c.QueryParam(operator.ParameterService))
 	list := operator.BackendList{Backends: []operator.Backend{}}
+	views := serviceViews{backends: s.Backends, views: make(map[target.Service]*catalog.View)}
 	for _, report := range s.Backends.Reports() {
 		if service == "" || report.Service == service {
-			list.Backends = append(list.Backends, backendOf(report))
+			list.Backends = append(list.Backends, backendOf(report, views.versions(report)))
 		}
 	}
 	if service != "" && len(list.Backends) == 0 {
@@ -43,7 +44,7 @@
 }
 
 // backendOf turns the catalog's report of a server into a message.
-func backendOf(report catalog.ServerReport) operator.Backend {
+func backendOf(report catalog.ServerReport, versions []target.Version) operator.Backend {
 	message := operator.Backend{
 		Server:          report.Server,
 		Service:         report.Service,
@@ -57,7 +58,7 @@
 		Weight:          report.Weight,
 		Slots:           report.Slots,
 		Connections:     report.Connections,
-		NewestVersion:   report.NewestVersion,
+		Versions:        versions,
 	}
 	if report.ReportedLoad >= 0 {
 		load := report.ReportedLoad
@@ -65,3 +66,30 @@
 	}
 	return message
 }
+
+// serviceViews keeps one view of each service, for one answer.
+type serviceViews struct {
+	backends Backends
+	views    map[target.Service]*catalog.View
+}
+
+// versions returns the index versions that a server holds.
+func (v serviceViews) versions(report catalog.ServerReport) []target.Version {
+	view, found := v.views[report.Service]
+	if !found {
+		view = v.backends.View(report.Service)
+		v.views[report.Service] = view
+	}
+	versions := []target.Version{}
+	if view == nil {
+		return versions
+	}
+	index := sort.Search(len(view.Servers), func(i int) bool { return view.Servers[i].ID >= report.Server })
+	if index == len(view.Servers) || view.Servers[index].ID != report.Server {
+		return versions
+	}
+	for _, held := range view.Servers[index].Indexes {
+		versions = append(versions, held.Version)
+	}
+	return versions
+}
--- a/internal/operator/operatortest/node.go
+++ b/internal/operator/operatortest/node.go
@@ -18,6 +18,7 @@
 	api "github.com/bramblemast/bramblemast/api/operator"
 	"github.com/bramblemast/bramblemast/internal/armstats"
 	"github.com/bramblemast/bramblemast/internal/operator"
+	"github.com/bramblemast/bramblemast/pkg/backend"
 	"github.com/bramblemast/bramblemast/pkg/catalog"
 	"github.com/bramblemast/bramblemast/pkg/configstore"
 	"github.com/bramblemast/bramblemast/pkg/publish"
@@ -258,7 +259,7 @@
 	for _, id := range []target.ServerID{"10.0.0.1:9000", "10.0.0.2:9000"} {
 		report := catalog.ServerReport{
 			Server: id, Service: "resultatside", Group: "a", Zone: Zone, State: "active", Listed: true,
-			Weight: 1, Slots: 5, Connections: 75, ReportedLoad: -1, NewestVersion: 8,
+			Weight: 1, Slots: 5, Connections: 75, ReportedLoad: -1,
 		}
 		if author, drained := n.drained[id]; drained {
 			report.State, report.Cause = "leaving", catalog.CauseOperator
@@ -269,6 +270,13 @@
 	return reports
 }
 
+// View implements operator.Backends.
+func (n *Node) View(service target.Service) *catalog.View {
+	return &catalog.View{Service: service, Servers: []*catalog.Server{
+		{ID: "10.0.0.1:9000", Indexes: []backend.Index{{Version: 7}, {Version: 8}}},
+	}}
+}
+
 // Drain implements operator.Backends.
 func (n *Node) Drain(server target.ServerID, drained bool, author string) error {
 	n.mutex.Lock()
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -331,6 +331,8 @@
 			Expect(list.Backends).To(HaveLen(2))
 			Expect(list.Backends[0].State).To(Equal("active"))
 			Expect(list.Backends[0].ReportedLoad).To(BeNil())
+			Expect(list.Backends[0].Versions).To(Equal([]target.Version{7, 8}))
+			Expect(list.Backends[1].Versions).To(BeEmpty())
 			Expect(list.Backends[1].State).To(Equal("leaving"))
 			Expect(list.Backends[1].Cause).To(Equal("operator"))
 			Expect(list.Backends[1].OperatorAuthor).To(Equal("kari"))
