--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -7,7 +7,6 @@
 	"context"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
@@ -102,7 +101,7 @@
 		change, err := c.nodes[0].operators.PublishTemplate(ctx, operator.PublishRequest{
 			Template:         document,
 			ExpectedRevision: c.revision(ctx, c.nodes[0], document.Key()),
-			ChangeID:         uuid.NewString(),
+			ChangeID:         operator.NewChangeID(),
 		})
 		if err != nil {
 			return errors.Wrapf(err, "publish %s", document.Key())
--- a/internal/lab/demo/scenes.go
+++ b/internal/lab/demo/scenes.go
@@ -199,10 +199,16 @@
 		}
 	}
 	s.printHeader()
+	completed := make(map[string]bool)
 	for _, exchange := range seen {
 		s.printExchange(exchange)
 		key := exchange.Request.IdempotencyKey
-		s.expect(runs[key] <= 1, "order %s ran %d times", key, runs[key])
+		completed[key] = completed[key] || exchange.Answer != nil
 	}
-	s.print("   %d orders, %d exchanges; no order ran more than once at the back ends", len(runs), len(seen))
+	most := 0
+	for key, done := range completed {
+		s.expect(done && runs[key] == 1, "order %s: completed %t, ran %d times", key, done, runs[key])
+		most = max(most, runs[key])
+	}
+	s.print("   %d orders in %d exchanges; the back ends ran each at most %d times", len(completed), len(seen), most)
 }
