--- a/internal/lab/experiment/document.go
+++ b/internal/lab/experiment/document.go
@@ -47,8 +47,9 @@
 	Deployment string          `yaml:"deployment"`
 	Services   []ServiceChange `yaml:"services"`
 	// Nodes is the number of nodes, spread over the zones in turn.
-	Nodes int  `yaml:"nodes"`
-	Load  Load `yaml:"load"`
+	Nodes   int     `yaml:"nodes"`
+	Load    Load    `yaml:"load"`
+	Changes Changes `yaml:"changes"`
 	// Templates are published as they are, except that the one named by Vary
 	// (the first if empty) gets the policies of the arms.
 	Templates []template.Template `yaml:"templates"`
--- a/internal/lab/experiment/environment.go
+++ b/internal/lab/experiment/environment.go
@@ -28,6 +28,12 @@
 	// Executions returns what the execution logs of all back ends still hold
 	// since a moment.
 	Executions(ctx context.Context, since time.Time) ([]oracle.Execution, error)
+	// Publish publishes the next index version of a service, which the servers
+	// take up one after the other over the stagger.
+	Publish(ctx context.Context, service target.Service, stagger time.Duration) error
+	// Repartition splits a shard of a service, or merges the parts of the last
+	// split. It is called by one goroutine at a time.
+	Repartition(ctx context.Context, service target.Service) error
 	// Close stops everything that the launch started.
 	Close() error
 }
--- a/internal/lab/experiment/fake_test.go
+++ b/internal/lab/experiment/fake_test.go
@@ -62,6 +62,10 @@
 	return nil, nil
 }
 
+func (e *fakeEnvironment) Publish(context.Context, target.Service, time.Duration) error { return nil }
+
+func (e *fakeEnvironment) Repartition(context.Context, target.Service) error { return nil }
+
 func (e *fakeEnvironment) Close() error {
 	e.Server.Close()
 	return nil
--- a/internal/lab/experiment/runner.go
+++ b/internal/lab/experiment/runner.go
@@ -154,7 +154,9 @@
 	service := s.document.varied().Service
 	started := time.Now()
 	before := s.workAfter(ctx, environment, service, options.Warmup)
+	stopChanges := s.document.Changes.start(ctx, environment, service, s.Logger)
 	result, err := load.Run(ctx, options)
+	stopChanges()
 	if err != nil {
 		return errors.Wrap(err, "run load")
 	}
