Publishing: a change that was settled as rejected can't be published later

Cause: a node that is paused after it took a change from an operator and before its first read of the store resumes with a fresh read. The fence of a settlement only stops writes that carry an index from before, so the change could be published after it had been settled as "rejected, never will be".

Ruled out: a new revision at each rejection, since a change that expects no template also replaces a tombstone. Ruled out: an age limit for change ids alone, since a node may be paused between that check and the read.

Change: the stored document keeps the last 64 rejected ids, over later changes too; publishing refuses them. The command line takes a fresh id for its next attempt after a rejection. A message names the command that exists (config settle). A store that is restored to an older state forgets the rejected ids with the rest; not covered.

Conclusion: rejected means rejected while the store keeps its state.

--- a/api/operator/problem.go
+++ b/api/operator/problem.go
@@ -13,6 +13,9 @@
 	// ReasonConflict means that the template has another revision than the
 	// change expected. The change certainly did not take effect.
 	ReasonConflict outcome.Reason = "conflict"
+	// ReasonRejected means that the change id was settled as rejected before; a
+	// new attempt needs a new id.
+	ReasonRejected outcome.Reason = "change_rejected"
 	// ReasonNotFound means that the named thing does not exist.
 	ReasonNotFound outcome.Reason = "not_found"
 	// ReasonStoreLimited means that the store's rate limit refused the change.
--- a/internal/ctl/config_status.go
+++ b/internal/ctl/config_status.go
@@ -47,10 +47,15 @@
 			fmt.Sprintf("%d/%d", one.InForce, status.Answered), formatBehind(one.Behind))
 	}
 	t.line("")
-	t.row("NODE", "ZONE", "READY", "DIGEST", "WATCHER", "STORE READ", "STORE BEHIND", "STORE ERROR")
+	t.row("NODE", "ZONE", "READY", "DIGEST", "WATCHER", "STORE READ", "STORE BEHIND")
 	for _, node := range status.Nodes {
 		t.row(string(node.Node), string(node.Zone), formatBool(node.Ready), node.Digest, formatBool(node.Store.Watcher),
-			formatTime(node.Store.LastSuccess), strconv.Itoa(node.Store.Behind), node.Store.LastError)
+			formatTime(node.Store.LastSuccess), strconv.Itoa(node.Store.Behind))
+	}
+	for _, node := range status.Nodes {
+		if node.Store.LastError != "" {
+			t.line(fmt.Sprintf("store not read by node %s: %s", node.Node, node.Store.LastError))
+		}
 	}
 }
 
--- a/internal/ctl/experiment_start.go
+++ b/internal/ctl/experiment_start.go
@@ -41,6 +41,7 @@
 	if err != nil {
 		return &usageError{cause: errors.Wrap(err, c.Positional.File)}
 	}
+	document.Comment = "start experiment " + document.Experiment.Name
 	return publish(c.env, &c.changeOptions, document, c.expectedOr(current.Revision))
 }
 
--- a/internal/ctl/experiment_stop.go
+++ b/internal/ctl/experiment_stop.go
@@ -40,11 +40,13 @@
 func withoutExperiment(current *template.Template, adopt string) (*template.Template, error) {
 	stopped := *current
 	stopped.Experiment = nil
+	stopped.Comment = "stop experiment " + current.Experiment.Name
 	if adopt == "" || adopt == template.ControlArm {
 		return &stopped, nil
 	}
 	for _, arm := range current.Experiment.Arms {
 		if arm.Name == adopt {
+			stopped.Comment += ", adopt arm " + adopt
 			stopped.Policies = policy.Merge(current.Policies, arm.Policies)
 			return &stopped, nil
 		}
--- a/internal/ctl/failure.go
+++ b/internal/ctl/failure.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/bramblemast/bramblemast/api/operator"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/template"
 )
 
@@ -50,18 +52,30 @@
 func (env *environment) reportOf(err error) failureReport {
 	report := failureReport{Error: err.Error(), ExitCode: exitCodeOf(err)}
 	var refused *operator.ProblemError
-	if errors.As(err, &refused) {
+	var typed *outcome.Error
+	if errors.As(err, &refused) && errors.As(err, &typed) {
+		report.Error = fmt.Sprintf("%s at %s: %s", typed.Step, typed.Peer, describeProblem(&refused.Problem))
 		report.Problem = &refused.Problem
 		report.Changes = conflictChanges(refused.Problem.Conflict)
 	}
 	var unknown *unknownChangeError
 	if errors.As(err, &unknown) {
+		report.Error = "the change may or may not have been accepted: " + report.Error
 		report.ChangeID = unknown.change.id
 		report.SettleCommand = env.settleCommand(unknown.change)
 	}
 	return report
 }
 
+// describeProblem is what a node answered, in one line: the detail of a problem
+// names the reason and the outcome itself where they are of use.
+func describeProblem(problem *operator.Problem) string {
+	if problem.Field != "" && problem.Field != problem.Detail {
+		return problem.Field + ": " + strings.TrimPrefix(problem.Detail, problem.Field+": ")
+	}
+	return problem.Detail
+}
+
 // conflictChanges compares both sides of a conflict; nil if that can't be done.
 func conflictChanges(conflict *operator.Conflict) []template.FieldChange {
 	if conflict == nil || conflict.Mine == nil {
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -96,6 +96,10 @@
 
 // printChanges writes the fields that differ.
 func printChanges(t *table, changes []template.FieldChange) {
+	if len(changes) == 0 {
+		t.line("no difference")
+		return
+	}
 	t.row("FIELD", "FROM", "TO")
 	for _, change := range changes {
 		t.row(change.Path, string(change.Old), string(change.New))
--- a/internal/ctl/session.go
+++ b/internal/ctl/session.go
@@ -62,7 +62,7 @@
 type plannedChange struct {
 	key  template.Key
 	id   string
-	send func(context.Context, *operator.Client) (*operator.Change, error)
+	send func(ctx context.Context, client *operator.Client, changeID string) (*operator.Change, error)
 }
 
 // unknownChangeError means that a change may or may not have been accepted.
@@ -72,9 +72,7 @@
 }
 
 // Error implements error.
-func (e *unknownChangeError) Error() string {
-	return "the change may or may not have been accepted: " + e.cause.Error()
-}
+func (e *unknownChangeError) Error() string { return e.cause.Error() }
 
 // Unwrap returns the cause.
 func (e *unknownChangeError) Unwrap() error { return e.cause }
@@ -85,7 +83,9 @@
 func (s *session) change(ctx context.Context, planned plannedChange) (*operator.Change, error) {
 	var last error
 	for _, client := range s.clients {
-		accepted, err := attempt(ctx, s, client, planned.send)
+		accepted, err := attempt(ctx, s, client, func(ctx context.Context, client *operator.Client) (*operator.Change, error) {
+			return planned.send(ctx, client, planned.id)
+		})
 		if err == nil {
 			return accepted, nil
 		}
@@ -98,6 +98,8 @@
 				return settled, nil
 			}
 			last = withoutEffect(err)
+			// An id that was settled as rejected can't be used again.
+			planned.id = operator.NewChangeID()
 			continue
 		}
 		if !elsewhere(err) {
--- a/internal/ctl/template_delete.go
+++ b/internal/ctl/template_delete.go
@@ -23,13 +23,13 @@
 	if err != nil {
 		return err
 	}
-	request := operator.DeleteRequest{
-		Key: key, ExpectedRevision: expected, ChangeID: c.id(), Author: c.author(), Comment: c.Comment,
-	}
+	request := operator.DeleteRequest{Key: key, ExpectedRevision: expected, Author: c.author(), Comment: c.Comment}
 	change, err := c.env.session().change(c.env.ctx, plannedChange{
 		key: key,
-		id:  request.ChangeID,
-		send: func(ctx context.Context, client *operator.Client) (*operator.Change, error) {
+		id:  c.id(),
+		send: func(ctx context.Context, client *operator.Client, changeID string) (*operator.Change, error) {
+			request := request
+			request.ChangeID = changeID
 			return client.DeleteTemplate(ctx, request)
 		},
 	})
--- a/internal/ctl/template_diff.go
+++ b/internal/ctl/template_diff.go
@@ -96,11 +96,5 @@
 		report.From = before.Revision
 	}
 	report.Changes = append(report.Changes, changes...)
-	return c.env.print(report, func(t *table) {
-		if len(changes) == 0 {
-			t.line("no difference")
-			return
-		}
-		printChanges(t, changes)
-	})
+	return c.env.print(report, func(t *table) { printChanges(t, changes) })
 }
--- a/internal/ctl/template_publish.go
+++ b/internal/ctl/template_publish.go
@@ -37,12 +37,13 @@
 	sent := *document
 	sent.Revision, sent.ChangeID = 0, ""
 	options.annotate(&sent)
-	request := operator.PublishRequest{Template: &sent, ExpectedRevision: expected, ChangeID: options.id()}
 	change, err := env.session().change(env.ctx, plannedChange{
 		key: sent.Key(),
-		id:  request.ChangeID,
-		send: func(ctx context.Context, client *operator.Client) (*operator.Change, error) {
-			return client.PublishTemplate(ctx, request)
+		id:  options.id(),
+		send: func(ctx context.Context, client *operator.Client, changeID string) (*operator.Change, error) {
+			return client.PublishTemplate(ctx, operator.PublishRequest{
+				Template: &sent, ExpectedRevision: expected, ChangeID: changeID,
+			})
 		},
 	})
 	if err != nil {
--- a/internal/ctl/template_rollback.go
+++ b/internal/ctl/template_rollback.go
@@ -31,11 +31,10 @@
 	request := operator.RollbackRequest{
 		ToRevision: c.To, ExpectedRevision: expected, Author: c.author(), Comment: c.Comment,
 	}
-	changeID := c.id()
 	change, err := c.env.session().change(c.env.ctx, plannedChange{
 		key: key,
-		id:  changeID,
-		send: func(ctx context.Context, client *operator.Client) (*operator.Change, error) {
+		id:  c.id(),
+		send: func(ctx context.Context, client *operator.Client, changeID string) (*operator.Change, error) {
 			return client.RollbackTemplate(ctx, key, changeID, request)
 		},
 	})
--- a/internal/operator/adapters.go
+++ b/internal/operator/adapters.go
@@ -173,15 +173,28 @@
 	case errors.As(err, &race):
 		return &ConflictError{Expected: race.Expected, Mine: mineOf(race), Theirs: race.Theirs}
 	case errors.As(err, &unknown):
-		return &outcome.Error{Step: step, Peer: storePeer, Outcome: outcome.Unknown,
-			Reason: outcome.ReasonStoreAway, Cause: unknown.Cause}
+		return unknownError(step, unknown)
 	case errors.As(err, &faults):
 		return faults
+	case errors.Is(err, publish.ErrRejected):
+		return &outcome.Error{Step: step, Outcome: outcome.NotRun, Reason: operator.ReasonRejected, Cause: publish.ErrRejected}
 	default:
 		return storeError(step, err)
 	}
 }
 
+// unknownError keeps the step and the peer of the call to the store.
+func unknownError(step string, unknown *publish.UnknownError) error {
+	failed := &outcome.Error{
+		Step: step, Peer: storePeer, Outcome: outcome.Unknown, Reason: outcome.ReasonStoreAway, Cause: unknown.Cause,
+	}
+	var call *outcome.Error
+	if errors.As(unknown.Cause, &call) {
+		failed.Step, failed.Peer, failed.Cause = step+": "+call.Step, call.Peer, call.Cause
+	}
+	return failed
+}
+
 // mineOf returns what the operator wanted, without the revision and id that it
 // did not get; nil for a deletion.
 func mineOf(race *publish.ConflictError) *template.Template {
@@ -193,9 +206,14 @@
 	return &mine
 }
 
-// storeError classifies a failure after which nothing was written.
+// storeError classifies a failure after which nothing was written. It keeps
+// the step and the peer of the call to the store, if that is where it arose.
 func storeError(step string, err error) error {
 	failed := &outcome.Error{Step: step, Peer: storePeer, Outcome: outcome.NotRun, Cause: err}
+	var call *outcome.Error
+	if errors.As(err, &call) {
+		failed.Step, failed.Peer, failed.Cause = step+": "+call.Step, call.Peer, call.Cause
+	}
 	switch {
 	case errors.Is(err, publish.ErrStoreBehind):
 		failed.Reason, failed.RetryAfter = operator.ReasonStoreBehind, storeRetryAfter
--- a/internal/operator/problems.go
+++ b/internal/operator/problems.go
@@ -108,6 +108,8 @@
 	switch {
 	case err.Reason == operator.ReasonNotFound:
 		return http.StatusNotFound
+	case err.Reason == operator.ReasonRejected:
+		return http.StatusConflict
 	case err.Reason == outcome.ReasonInvalid:
 		return http.StatusBadRequest
 	case err.Reason == outcome.ReasonInternal:
--- a/pkg/publish/errors.go
+++ b/pkg/publish/errors.go
@@ -16,6 +16,10 @@
 // ErrNoSuchRevision means that a revision is not in the kept history.
 var ErrNoSuchRevision = errors.New("no such revision in the kept history")
 
+// ErrRejected means that the change was settled as rejected before it reached
+// the store. It did not commit and never will; a new attempt needs a new id.
+var ErrRejected = errors.New("the change was settled as rejected")
+
 // StoreBehindError is an ErrStoreBehind with both versions.
 type StoreBehindError struct {
 	Key    template.Key
@@ -67,7 +71,7 @@
 // Error implements error.
 func (e *UnknownError) Error() string {
 	return fmt.Sprintf("%s: it is not known whether change %s committed as revision %d; "+
-		"settle it with: bramblemastctl template settle %s %s: %v", e.Key, e.ChangeID, e.Revision, e.Key, e.ChangeID, e.Cause)
+		"settle it with: bramblemastctl config settle %s %s: %v", e.Key, e.ChangeID, e.Revision, e.Key, e.ChangeID, e.Cause)
 }
 
 // Unwrap returns the cause.
--- a/pkg/publish/publisher.go
+++ b/pkg/publish/publisher.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bramblemast/bramblemast/pkg/configstore"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/template"
 	"github.com/bramblemast/bramblemast/pkg/template/stored"
 )
@@ -98,7 +99,7 @@
 // template that does not exist or was deleted. The template's own revision and
 // change id are ignored, and it is not changed. The error is a
 // template.FieldErrors, a *ConflictError, a *StoreBehindError, an
-// *UnknownError, or an error of the store after which the change certainly did
+// *UnknownError, an ErrRejected, or an error of the store after which the change certainly did
 // not commit.
 func (p *Publisher) Publish(ctx context.Context, content *template.Template, expected uint64) (Result, error) {
 	if content.Deleted {
@@ -148,6 +149,9 @@
 	if err := p.checkStoreIsAhead(key, base); err != nil {
 		return Result{}, err
 	}
+	if base.document.IsRejected(content.ChangeID) {
+		return Result{}, &outcome.Error{Step: "publish " + key.String(), Outcome: outcome.NotRun, Reason: outcome.ReasonInvalid, Cause: ErrRejected}
+	}
 	if !base.isRevision(expected) {
 		return Result{}, newConflict(expected, &content, base)
 	}
--- a/pkg/publish/settle.go
+++ b/pkg/publish/settle.go
@@ -35,13 +35,18 @@
 // Settle finds out what became of a change after an UnknownError. If the
 // change is not in the store, the key is written once more with the same
 // document, which moves its index on: the doubtful write can't commit after
-// that. A key that does not exist gets a tombstone for this.
+// that. The change id is kept as rejected there, so that a node that was paused
+// with the change before it first read the store can't publish it either. A key
+// that does not exist gets a tombstone for this.
 func (p *Publisher) Settle(ctx context.Context, key template.Key, changeID string) (Settlement, error) {
 	for attempt := 0; ; attempt++ {
 		current, err := p.read(ctx, key)
 		if err != nil {
 			return Settlement{}, err
 		}
+		if current.document.IsRejected(changeID) {
+			return Settlement{State: SettledRejected, Current: current.document.Current.Template}, nil
+		}
 		if found := current.contains(changeID); found != absent {
 			return p.settled(current, changeID, found), nil
 		}
@@ -67,7 +72,7 @@
 
 // fence moves the index of a key on. It returns the document in the store.
 func (p *Publisher) fence(ctx context.Context, key template.Key, current state, changeID string) (*template.Template, error) {
-	next := current.document.Document
+	next := current.document.Reject(changeID)
 	next.Fence = changeID
 	if !current.exists() {
 		tombstone, err := template.Seal(&template.Template{
@@ -78,9 +83,6 @@
 		}
 		next.Current = tombstone
 	}
-	if current.document.Fence == changeID {
-		return next.Current.Template, nil
-	}
 	value, err := next.Encode()
 	if err != nil {
 		return nil, err
--- a/pkg/template/stored/document.go
+++ b/pkg/template/stored/document.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"encoding/json"
 	"io"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -14,6 +15,9 @@
 // HistoryLength is the number of earlier revisions that are kept.
 const HistoryLength = 10
 
+// RejectedLength is the number of change ids that are kept as rejected.
+const RejectedLength = 64
+
 // maxDocumentSize bounds the value of a key, in bytes. The platform's service
 // takes 512 KiB.
 const maxDocumentSize = 384 << 10
@@ -26,14 +30,19 @@
 	// Fence is set by the settlement of a doubtful write. Its only purpose is
 	// that the key's index moves on, so that the write can't commit later.
 	Fence string
+	// Rejected are the ids of changes that a settlement declared rejected,
+	// newest first, at most RejectedLength. They must not be published any
+	// more, whoever still holds them.
+	Rejected []string
 }
 
 // wireDocument is the JSON form. The history is a compressed JSON list, since
 // its entries differ little and every watcher reads them with each change.
 type wireDocument struct {
-	Current json.RawMessage `json:"current"`
-	History []byte          `json:"history,omitempty"`
-	Fence   string          `json:"fence,omitempty"`
+	Current  json.RawMessage `json:"current"`
+	History  []byte          `json:"history,omitempty"`
+	Fence    string          `json:"fence,omitempty"`
+	Rejected []string        `json:"rejected,omitempty"`
 }
 
 // Encode returns the value for the store.
@@ -42,7 +51,9 @@
 	if err != nil {
 		return nil, err
 	}
-	encoded, err := json.Marshal(wireDocument{Current: d.Current.Encoded, History: history, Fence: d.Fence})
+	encoded, err := json.Marshal(wireDocument{
+		Current: d.Current.Encoded, History: history, Fence: d.Fence, Rejected: d.Rejected,
+	})
 	return encoded, errors.Wrap(err, "encode stored document")
 }
 
@@ -56,7 +67,7 @@
 	if err != nil {
 		return Document{}, errors.WithMessagef(err, "history of %s", key)
 	}
-	return Document{Current: current, History: history, Fence: wire.Fence}, nil
+	return Document{Current: current, History: history, Fence: wire.Fence, Rejected: wire.Rejected}, nil
 }
 
 // DecodeCurrent reads only the document in force, for watchers.
@@ -86,9 +97,19 @@
 // Replace returns the document that follows this one.
 func (d Document) Replace(next template.Published) Document {
 	history := append([]template.Published{d.Current}, d.History...)
-	return Document{Current: next, History: history[:min(len(history), HistoryLength)]}
+	return Document{Current: next, History: history[:min(len(history), HistoryLength)], Rejected: d.Rejected}
+}
+
+// Reject returns the document with a change id kept as rejected.
+func (d Document) Reject(changeID string) Document {
+	rejected := append([]string{changeID}, d.Rejected...)
+	d.Rejected = rejected[:min(len(rejected), RejectedLength)]
+	return d
 }
 
+// IsRejected reports whether a change id is kept as rejected.
+func (d Document) IsRejected(changeID string) bool { return slices.Contains(d.Rejected, changeID) }
+
 // Find returns the revision that a change id published, if it is still kept.
 func (d Document) Find(changeID string) (template.Published, bool) {
 	for _, candidate := range append([]template.Published{d.Current}, d.History...) {
