Configuration replicas: state machine, measurement, offers between zones, bounded watches

Weighed: one node alone telling the other zones saves as much but loses a zone that only a third one reaches. Offering the version first keeps the flood and sends a document only where it is wanted. For the store, one watch on all templates costs a watcher the whole set with each change; the templates are now watched by 1, 16 or 256 prefixes as their size demands, each watch within its share of the calls that all may make.

Found by the state machine: a store that went back during a watch in which the node also learned a change was not noticed until the watch after next (40 s), because what is learned after a read began is left out of the comparison. Such a read is now repeated at once. Regression test: TestStoreThatWentBackDuringAChangeIsRepaired.

--- a/pkg/configsync/cluster_test.go
+++ b/pkg/configsync/cluster_test.go
@@ -43,6 +43,7 @@
 	publisher *publish.Publisher
 	store     *reachableStore
 	transport *peer.MemoryTransport
+	context   context.Context
 	cancel    context.CancelFunc
 	done      chan struct{}
 }
@@ -51,6 +52,8 @@
 type reachableStore struct {
 	*configstore.Memory
 	isCut atomic.Bool
+	// replyDelay holds up the answers to reads.
+	replyDelay time.Duration
 }
 
 func (s *reachableStore) check(err error) error {
@@ -71,6 +74,7 @@
 	if err := s.check(nil); err != nil {
 		return nil, 0, err
 	}
+	defer time.Sleep(s.replyDelay)
 	return s.Memory.List(ctx, prefix)
 }
 
@@ -79,6 +83,7 @@
 		return nil, 0, err
 	}
 	entries, index, err := s.Memory.Watch(ctx, prefix, after, wait)
+	time.Sleep(s.replyDelay)
 	return entries, index, s.check(err)
 }
 
@@ -158,7 +163,7 @@
 func (c *cluster) run(node *testNode) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done, replica := make(chan struct{}), node.replica
-	node.cancel, node.done = cancel, done
+	node.context, node.cancel, node.done = ctx, cancel, done
 	go func() {
 		defer close(done)
 		_ = replica.Run(ctx)
@@ -241,7 +246,7 @@
 	if held.Template != nil {
 		expected = held.Template.Revision
 	}
-	return n.publisher.Publish(context.Background(), content(key, author), expected)
+	return n.publisher.Publish(n.context, content(key, author), expected)
 }
 
 // storedVersion returns the version in the store, faults aside.
--- /dev/null
+++ b/pkg/configsync/measure_test.go
@@ -0,0 +1,247 @@
+package configsync
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramblemast/bramblemast/pkg/configstore"
+	"github.com/bramblemast/bramblemast/pkg/peer"
+	"github.com/bramblemast/bramblemast/pkg/target"
+	"github.com/bramblemast/bramblemast/pkg/template"
+)
+
+var measureLarge = flag.Bool("measure", false, "measure with up to 1,000 hollow nodes")
+
+// The load and the bounds of the measurement, in virtual time.
+const (
+	measuredTime = 60 * time.Second
+	// changeRate is the letter's 96,000 changes a day.
+	changeRate = 96_000.0 / 86_400
+	// knownPerZone is how many nodes of another zone membership knows.
+	knownPerZone = 5
+	// documentSize is about that of the largest example with its comment.
+	documentSize = 1000
+
+	// storeLatency is the time of a call to the store.
+	storeLatency = 3 * time.Millisecond
+
+	healthyBound = 2 * time.Second
+	alwaysBound  = 12 * time.Second
+)
+
+// condition is a state of the store during a measurement.
+type condition struct {
+	name  string
+	bound time.Duration
+	// before and after are run around each change.
+	before, after func(store *configstore.Memory)
+}
+
+func conditions() []condition {
+	nothing := func(*configstore.Memory) {}
+	return []condition{
+		{"healthy", healthyBound, nothing, nothing},
+		{"limited to 20/s", alwaysBound, func(s *configstore.Memory) { s.SetLimit(20, 5) }, nothing},
+		{"away after each", alwaysBound,
+			func(s *configstore.Memory) { s.SetUnavailable(false) },
+			func(s *configstore.Memory) { s.SetUnavailable(true) }},
+	}
+}
+
+// size is a number of nodes and how they are spread.
+type size struct{ nodes, zones int }
+
+// TestMeasureSpread measures the time from acceptance to in force at every
+// node, and what it costs each node, with changes at the letter's rate.
+func TestMeasureSpread(t *testing.T) {
+	sizes := []size{{3, 3}, {30, 3}}
+	if *measureLarge {
+		sizes = append(sizes, size{100, 17}, size{300, 17}, size{1000, 17})
+	}
+	for _, size := range sizes {
+		for _, condition := range conditions() {
+			synctest.Test(t, func(t *testing.T) { measureOne(t, size, condition) })
+		}
+	}
+}
+
+func measureOne(t *testing.T, size size, condition condition) {
+	m := newMeasurement(size)
+	defer m.close()
+	time.Sleep(startTime)
+	started := time.Now()
+	before, processor, storeCalls := m.traffic(), processorTime(), m.store.Counts()
+	m.publishSteadily(condition)
+	after, calls := m.traffic(), m.store.Counts()
+	processor = processorTime() - processor
+	seconds := time.Since(started).Seconds()
+	var mean, highest float64
+	var messages uint64
+	for index := range after {
+		used := after[index].Sub(before[index])
+		rate := float64(used.BytesIn+used.BytesOut) / seconds
+		mean += rate / float64(len(after))
+		highest = max(highest, rate)
+		messages += used.MessagesIn + used.MessagesOut
+	}
+	var storeMean, storeHighest float64
+	for _, node := range m.nodes {
+		rate := float64(node.replica.Stats().StoreBytes) / seconds
+		storeMean += rate / float64(len(m.nodes))
+		storeHighest = max(storeHighest, rate)
+	}
+	slices.Sort(m.spreads)
+	t.Logf("%4d nodes, %2d zones, %-15s: %d changes; in force median %v, p99 %v, last %v; "+
+		"per node %.0f B/s (highest %.0f), store's %.0f B/s (highest %.0f), %.1f messages/s, %.3f%% of a core, %.0f KiB heap; store %.1f reads/s, %.1f writes/s",
+		size.nodes, size.zones, condition.name, m.changes,
+		m.quantile(0.5), m.quantile(0.99), m.quantile(1), mean, highest, storeMean, storeHighest,
+		float64(messages)/seconds/float64(size.nodes), 100*processor.Seconds()/seconds/float64(size.nodes), m.heap(),
+		float64(calls.Reads-storeCalls.Reads)/seconds, float64(calls.Writes-storeCalls.Writes)/seconds)
+	if last := m.quantile(1); last > condition.bound {
+		t.Errorf("a change took %v to be in force everywhere", last)
+	}
+	if want := m.changes * size.nodes; len(m.spreads) != want {
+		t.Errorf("%d of %d times known: some node missed a change", len(m.spreads), want)
+	}
+}
+
+// measurement records when each change was in force at each node.
+type measurement struct {
+	*cluster
+	size    size
+	random  *rand.Rand
+	views   atomic.Pointer[map[target.Zone][]Peer]
+	changes int
+	// acceptedAt and taken are guarded by the cluster's mutex.
+	acceptedAt map[string]time.Time
+	taken      map[string][]time.Time
+	spreads    []time.Duration
+}
+
+func newMeasurement(size size) *measurement {
+	m := &measurement{
+		size: size, random: rand.New(rand.NewPCG(1, 1)),
+		acceptedAt: map[string]time.Time{}, taken: map[string][]time.Time{},
+	}
+	var all []Peer
+	m.views.Store(&map[target.Zone][]Peer{})
+	m.cluster = newCluster(size.nodes, size.zones, func(options *Options) {
+		self := options.Self
+		all = append(all, self)
+		options.Peers = func() []Peer { return (*m.views.Load())[self.Zone] }
+		options.Store.(*reachableStore).replyDelay = storeLatency
+		options.inForce = func(next template.Published) { m.note(next.Template.ChangeID) }
+	})
+	views := viewsOf(all)
+	m.views.Store(&views)
+	return m
+}
+
+// viewsOf gives each zone its own members and a few of each other zone.
+func viewsOf(all []Peer) map[target.Zone][]Peer {
+	views, zones := map[target.Zone][]Peer{}, map[target.Zone][]Peer{}
+	for _, node := range all {
+		zones[node.Zone] = append(zones[node.Zone], node)
+	}
+	for own := range zones {
+		for zone, members := range zones {
+			if zone != own {
+				members = members[:min(len(members), knownPerZone)]
+			}
+			views[own] = append(views[own], members...)
+		}
+	}
+	return views
+}
+
+func (m *measurement) note(changeID string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.taken[changeID] = append(m.taken[changeID], time.Now())
+}
+
+// publishSteadily publishes changes of 100 templates at random nodes.
+func (m *measurement) publishSteadily(condition condition) {
+	interval := time.Duration(float64(time.Second) / changeRate)
+	deadline := time.Now().Add(measuredTime)
+	for ; time.Now().Before(deadline); m.changes++ {
+		condition.before(m.store)
+		m.publishOne(fmt.Sprint("template", m.changes%100))
+		condition.after(m.store)
+		time.Sleep(interval)
+	}
+	time.Sleep(alwaysBound)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for changeID, acceptedAt := range m.acceptedAt {
+		for _, takenAt := range m.taken[changeID] {
+			m.spreads = append(m.spreads, max(takenAt.Sub(acceptedAt), 0))
+		}
+	}
+}
+
+func (m *measurement) publishOne(name string) {
+	document := content(template.Key{Tenant: "tenant", Name: name}, "operator")
+	document.Comment = strings.Repeat("x", documentSize-200)
+	for {
+		node := m.nodes[m.random.IntN(len(m.nodes))]
+		held, _ := node.replica.Held(document.Key())
+		expected := uint64(0)
+		if held.Template != nil {
+			expected = held.Template.Revision
+		}
+		result, err := node.publisher.Publish(node.context, document, expected)
+		if err == nil {
+			m.mutex.Lock()
+			m.acceptedAt[result.Template.ChangeID] = time.Now()
+			m.mutex.Unlock()
+			return
+		}
+		if !errors.Is(err, configstore.ErrLimited) {
+			panic(err)
+		}
+	}
+}
+
+func (m *measurement) quantile(share float64) time.Duration {
+	if len(m.spreads) == 0 {
+		return 0
+	}
+	return m.spreads[int(share*float64(len(m.spreads)-1))].Round(100 * time.Microsecond)
+}
+
+func (m *measurement) traffic() []peer.Stats {
+	var all []peer.Stats
+	for _, node := range m.nodes {
+		all = append(all, node.transport.Stats())
+	}
+	return all
+}
+
+// heap returns the live heap of the whole process, in KiB for each node.
+func (m *measurement) heap() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc) / 1024 / float64(m.size.nodes)
+}
+
+// processorTime returns the processor time of this process.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/pkg/configsync/options.go
+++ b/pkg/configsync/options.go
@@ -11,7 +11,6 @@
 	"github.com/bramblemast/bramblemast/pkg/peer"
 	"github.com/bramblemast/bramblemast/pkg/target"
 	"github.com/bramblemast/bramblemast/pkg/template"
-	"github.com/bramblemast/bramblemast/pkg/template/stored"
 )
 
 // Peer is a node of the query tier as membership sees it.
@@ -33,8 +32,8 @@
 // Defaults of Options.
 const (
 	DefaultWatchersPerZone  = 2
-	DefaultShardDigits      = 0
-	DefaultStoreCallsPerSec = 50.0
+	DefaultWatchedBytes     = 32 << 10
+	DefaultStoreCallsPerSec = 100.0
 	DefaultWatchWait        = 20 * time.Second
 	DefaultExchangePeriod   = 5 * time.Second
 	DefaultFanout           = 4
@@ -64,14 +63,16 @@
 	// WatchersPerZone is the number of nodes of each zone that watch the same
 	// prefix of the store.
 	WatchersPerZone int
-	// ShardDigits is 0, 1 or 2, for 1, 16 or 256 prefixes that are watched
-	// separately, so that the watching is spread over more nodes. It should be
-	// the same at all nodes; a difference costs store calls and nothing else.
-	ShardDigits int
+	// WatchedBytes bounds the documents, in bytes, that one watch should read
+	// with each change. The templates are watched by 1, 16 or 256 prefixes as it
+	// demands, so that the reading is spread over more nodes.
+	WatchedBytes int
 	// StoreCallsPerSecond bounds the calls of all watchers of all nodes
 	// together; each keeps to its share.
 	StoreCallsPerSecond float64
-	// WatchWait is how long the store may hold a watch that sees no change.
+	// WatchWait is how long the store may hold a watch that sees no change, at
+	// the least: where there are many watches they wait longer, to keep to
+	// StoreCallsPerSecond.
 	WatchWait time.Duration
 	// ExchangePeriod is the time between two comparisons that this node starts
 	// with a random peer.
@@ -102,14 +103,12 @@
 	if o.Peers == nil || o.Transport == nil || o.Store == nil || o.Self.ID == "" {
 		return o, errors.New("configsync: Self, Peers, Transport and Store are required")
 	}
-	if _, err := stored.Prefixes(o.ShardDigits); err != nil {
-		return o, errors.WithMessage(err, "configsync")
-	}
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
 	o.Logger = o.Logger.Named("configsync")
 	setDefault(&o.WatchersPerZone, DefaultWatchersPerZone)
+	setDefault(&o.WatchedBytes, DefaultWatchedBytes)
 	setDefault(&o.StoreCallsPerSecond, DefaultStoreCallsPerSec)
 	setDefault(&o.WatchWait, DefaultWatchWait)
 	setDefault(&o.ExchangePeriod, DefaultExchangePeriod)
--- a/pkg/configsync/relay.go
+++ b/pkg/configsync/relay.go
@@ -18,7 +18,7 @@
 // knows of do not shift the others.
 //
 // Whoever learns a document outside the tree hands it to the root, which starts
-// the tree once and sends the document to the root of each other zone.
+// the tree once and offers the document to each other zone.
 
 const (
 	// pushQueue bounds the pushes that wait; what exceeds it is left to the
@@ -148,15 +148,18 @@
 
 // sendTo reports whether the member answered.
 func (r *Replica) sendTo(ctx context.Context, head member, item push, first uint64) bool {
-	ctx, cancel := context.WithTimeout(ctx, r.options.PushTimeout)
-	defer cancel()
 	request := &pb.Push{
 		Documents: [][]byte{item.published.Encoded}, Route: item.route, First: first, Last: item.last,
 	}
-	reply := &pb.PushReply{}
-	if err := r.call(ctx, head.Peer, kindPush, request, reply); err != nil {
-		r.counters.pushesFailed.Add(1)
-		r.logger.Debug("push failed", "peer", head.ID, "template", item.published.Key(), "error", err)
+	if item.route == pb.Route_ROUTE_SEED {
+		offer := &pb.Push{Offers: []*pb.EntryDigest{digestOf(item.published)}}
+		reply, answered := r.sendPush(ctx, head, offer)
+		if !answered || len(reply.Wanted) == 0 {
+			return answered
+		}
+	}
+	reply, answered := r.sendPush(ctx, head, request)
+	if !answered {
 		return false
 	}
 	for _, encoded := range reply.Newer {
@@ -165,6 +168,19 @@
 	return true
 }
 
+// sendPush sends one message; false if it was not answered.
+func (r *Replica) sendPush(ctx context.Context, head member, request *pb.Push) (*pb.PushReply, bool) {
+	ctx, cancel := context.WithTimeout(ctx, r.options.PushTimeout)
+	defer cancel()
+	reply := &pb.PushReply{}
+	if err := r.call(ctx, head.Peer, kindPush, request, reply); err != nil {
+		r.counters.pushesFailed.Add(1)
+		r.logger.Debug("push failed", "peer", head.ID, "error", err)
+		return nil, false
+	}
+	return reply, true
+}
+
 // handlePush takes documents from a peer and passes them on as it asks.
 func (r *Replica) handlePush(sender string, request *pb.Push) *pb.PushReply {
 	reply := &pb.PushReply{}
@@ -178,9 +194,26 @@
 			reply.Newer = append(reply.Newer, newer)
 		}
 	}
+	for _, offer := range request.Offers {
+		if r.table.wants(offer) {
+			reply.Wanted = append(reply.Wanted, offer.Key)
+		}
+	}
 	return reply
 }
 
+// wants reports whether an offered document may be newer than the held one.
+func (t *table) wants(offer *pb.EntryDigest) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	held := t.entries[t.byHash[offer.Key]]
+	if held == nil {
+		return true
+	}
+	own := digestOf(held.published)
+	return offer.Revision > own.Revision || (offer.Revision == own.Revision && offer.Change != own.Change)
+}
+
 // receive takes one document and passes it on in the role that the route gives
 // this node. It returns this node's document if that is newer.
 func (r *Replica) receive(sender string, published template.Published, request *pb.Push) []byte {
--- a/pkg/configsync/replica_test.go
+++ b/pkg/configsync/replica_test.go
@@ -10,7 +10,6 @@
 	"github.com/pkg/errors"
 	"go.uber.org/goleak"
 
-	"github.com/bramblemast/bramblemast/pkg/configstore"
 	pb "github.com/bramblemast/bramblemast/pkg/configsync/configsyncpb"
 	"github.com/bramblemast/bramblemast/pkg/publish"
 	"github.com/bramblemast/bramblemast/pkg/template"
@@ -74,22 +73,70 @@
 }
 
 func TestChangeSpreadsPastDeadAndFrozenMembers(t *testing.T) {
-	inCluster(t, 40, 1, nil, func(t *testing.T, c *cluster) {
-		for _, node := range c.nodes[1:8] {
+	treesOnly := func(o *Options) { o.ExchangePeriod = 24 * time.Hour }
+	inCluster(t, 40, 1, treesOnly, func(t *testing.T, c *cluster) {
+		frozen, dead, alive := c.nodes[1:8], c.nodes[8:11], c.nodes[11:]
+		for _, node := range frozen {
 			c.network.Freeze(node.Address)
 		}
+		for _, node := range dead {
+			node.transport.Close()
+		}
 		version := mustPublish(t, c.nodes[0], "first")
 		time.Sleep(12 * time.Second)
-		for _, node := range c.nodes[8:] {
+		for _, node := range alive {
 			if node.version(ticker) != version {
 				t.Errorf("%s holds %v", node.ID, node.version(ticker))
 			}
 		}
-		for _, node := range c.nodes[1:8] {
+		for _, node := range frozen {
 			c.network.Thaw(node.Address)
 		}
-		time.Sleep(12 * time.Second)
+		time.Sleep(time.Second)
+		for _, node := range frozen {
+			if node.version(ticker) != version {
+				t.Errorf("%s holds %v after it resumed", node.ID, node.version(ticker))
+			}
+		}
+	})
+}
+
+func TestChangeSpreadsWhereEveryRootIsFrozen(t *testing.T) {
+	treesOnly := func(o *Options) { o.ExchangePeriod = 24 * time.Hour }
+	inCluster(t, 5, 1, treesOnly, func(t *testing.T, c *cluster) {
+		for _, node := range c.nodes[2:] {
+			c.network.Freeze(node.Address)
+		}
+		c.nodes[1].store.isCut.Store(true)
+		const changes = 8 // the order of the members differs for each
+		for range changes {
+			version := mustPublish(t, c.nodes[0], "author")
+			time.Sleep(5 * time.Second)
+			if got := c.nodes[1].version(ticker); got != version {
+				t.Errorf("holds %v, want %v", got, version)
+			}
+		}
+		for _, node := range c.nodes[2:] {
+			c.network.Thaw(node.Address)
+		}
+	})
+}
+
+func TestSlowRepliesOfTheStoreAreNotTakenForARollback(t *testing.T) {
+	slow := func(o *Options) { o.Store.(*reachableStore).replyDelay = 200 * time.Millisecond }
+	inCluster(t, 6, 2, slow, func(t *testing.T, c *cluster) {
+		var version template.Version
+		for number := range 20 {
+			version = mustPublish(t, c.nodes[number%6], "author")
+			time.Sleep(spreadTime)
+		}
+		time.Sleep(spreadTime)
 		c.wantEverywhere(t, version)
+		for _, node := range c.nodes {
+			if stats := node.replica.Stats(); stats.StoreBehind != 0 {
+				t.Errorf("%s reported the store behind %d times", node.ID, stats.StoreBehind)
+			}
+		}
 	})
 }
 
@@ -145,6 +192,24 @@
 	})
 }
 
+// TestStoreThatWentBackDuringAChangeIsRepaired was found by the state machine:
+// a change that is learned during a watch could be from after the state that
+// the watch returns, and was left out of the comparison until the watch after
+// next.
+func TestStoreThatWentBackDuringAChangeIsRepaired(t *testing.T) {
+	inCluster(t, 6, 3, nil, func(t *testing.T, c *cluster) {
+		backup := c.store.Snapshot()
+		version := mustPublish(t, c.nodes[0], "first")
+		synctest.Wait()
+		c.store.Restore(backup)
+		time.Sleep(5 * time.Second)
+		c.wantEverywhere(t, version)
+		if got := c.storedVersion(ticker); got != version {
+			t.Errorf("the store has %v, want %v", got, version)
+		}
+	})
+}
+
 func TestSameRevisionTwiceIsDecidedAlikeEverywhere(t *testing.T) {
 	inCluster(t, 6, 2, nil, func(t *testing.T, c *cluster) {
 		mustPublish(t, c.nodes[0], "first")
@@ -223,24 +288,25 @@
 }
 
 func TestFewWatchersKeepToTheStoresLimit(t *testing.T) {
-	const callsPerSecond = 5
-	tune := func(o *Options) { o.StoreCallsPerSecond, o.ShardDigits = callsPerSecond, 1 }
+	const callsPerSecond = 20
+	tune := func(o *Options) { o.StoreCallsPerSecond, o.WatchedBytes = callsPerSecond, 1 }
 	inCluster(t, 30, 3, tune, func(t *testing.T, c *cluster) {
-		watches := 0
+		mustPublish(t, c.nodes[0], "first")
+		const settled, seconds = 2 * time.Minute, 120
+		time.Sleep(settled)
+		watches, most := 0, 0
 		for _, node := range c.nodes {
-			watches += len(node.replica.Status().Store.Watched)
+			watched := len(node.replica.Status().Store.Watched)
+			watches, most = watches+watched, max(most, watched)
 		}
-		if want := 3 * 16 * DefaultWatchersPerZone; watches != want {
-			t.Errorf("%d watches, want %d", watches, want)
+		if want := 3 * 256 * DefaultWatchersPerZone; watches != want || most > 2*want/len(c.nodes) {
+			t.Errorf("%d watches, want %d; one node has %d", watches, want, most)
 		}
-		time.Sleep(time.Minute)
 		for _, away := range []bool{false, true} {
 			c.store.SetUnavailable(away)
 			before := c.store.Counts().Reads
-			const seconds = 60
 			time.Sleep(seconds * time.Second)
-			// The waits vary by half at random.
-			if rate := float64(c.store.Counts().Reads-before) / seconds; rate > 1.2*callsPerSecond {
+			if rate := float64(c.store.Counts().Reads-before) / seconds; rate > callsPerSecond {
 				t.Errorf("with the store away %v: %.1f calls a second", away, rate)
 			}
 		}
@@ -305,6 +371,13 @@
 			}
 			c.nodes[0].replica.take(sealed, SourceLocal)
 		}
+		everything := &pb.ReconcileRequest{}
+		for shard := range uint32(stored.ShardCount) {
+			everything.Shards = append(everything.Shards, &pb.ShardListing{Shard: shard})
+		}
+		if reply := c.nodes[0].replica.handleReconcile(everything); reply.SizeVT() > 2*maxReplyBytes || !reply.More {
+			t.Errorf("a reply has %d bytes, more is %v", reply.SizeVT(), reply.More)
+		}
 		if _, err := c.nodes[1].replica.exchange(t.Context(), c.nodes[0].Peer, SourceExchange); err != nil {
 			t.Fatal(err)
 		}
@@ -327,11 +400,6 @@
 	if _, err := New(Options{}); err == nil {
 		t.Error("options without a store were taken")
 	}
-	c := &cluster{}
-	options := Options{Self: Peer{ID: "a"}, Peers: c.peers, Store: configstore.NewMemory(), Transport: newHandlerTransport(), ShardDigits: 7}
-	if _, err := New(options); err == nil {
-		t.Error("7 shard digits were taken")
-	}
 }
 
 // FuzzMessages checks that no message makes a handler fail or the held version
--- a/pkg/configsync/stats.go
+++ b/pkg/configsync/stats.go
@@ -29,6 +29,8 @@
 
 	StoreCalls  uint64
 	StoreErrors uint64
+	// StoreBytes counts the bytes of the values that were read.
+	StoreBytes uint64
 	// StoreBehind counts documents that a read of the store showed in an older
 	// version, each time; Repaired those that this node wrote back.
 	StoreBehind uint64
@@ -43,7 +45,8 @@
 	local, store, push, exchange, bootstrap           atomic.Uint64
 	duplicates, refused, malformed                    atomic.Uint64
 	pushesFailed, dropped, exchanges, exchangesFailed atomic.Uint64
-	storeCalls, storeErrors, storeBehind, repaired    atomic.Uint64
+	storeCalls, storeErrors, storeBytes               atomic.Uint64
+	storeBehind, repaired                             atomic.Uint64
 	// storeIndex is the index of the last read of the store.
 	storeIndex atomic.Uint64
 	// storeReadAt is the time of that read, in nanoseconds since 1970.
@@ -102,7 +105,7 @@
 		Duplicates: c.duplicates.Load(), Refused: c.refused.Load(), Malformed: c.malformed.Load(),
 		PushesFailed: c.pushesFailed.Load(), PushesDropped: c.dropped.Load(),
 		Exchanges: c.exchanges.Load(), ExchangesFailed: c.exchangesFailed.Load(),
-		StoreCalls: c.storeCalls.Load(), StoreErrors: c.storeErrors.Load(),
+		StoreCalls: c.storeCalls.Load(), StoreErrors: c.storeErrors.Load(), StoreBytes: c.storeBytes.Load(),
 		StoreBehind: c.storeBehind.Load(), Repaired: c.repaired.Load(),
 		Forks: r.table.forkCount(),
 	}
--- a/pkg/configsync/table.go
+++ b/pkg/configsync/table.go
@@ -72,6 +72,8 @@
 	shards  [stored.ShardCount]map[template.Key]*entry
 	sums    shardSums
 	forks   uint64
+	// bytes is the size of all held documents.
+	bytes int
 }
 
 func newTable(observe func(template.Published)) *table {
@@ -129,7 +131,9 @@
 	before := uint64(0)
 	if held != nil {
 		before = held.fingerprint
+		t.bytes -= len(held.published.Encoded)
 	}
+	t.bytes += len(next.published.Encoded)
 	shard := stored.ShardOf(key)
 	t.sums.replace(shard, before, next.fingerprint)
 	t.entries[key] = next
@@ -165,6 +169,13 @@
 	return held.published, true
 }
 
+// size returns the bytes of all held documents.
+func (t *table) size() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.bytes
+}
+
 // all returns a copy of every entry.
 func (t *table) all() []entry {
 	t.mutex.Lock()
@@ -217,25 +228,35 @@
 	return set(held)
 }
 
-// compareWithStore takes a state of the store below a prefix that was read
-// after readStart. It returns the documents that the store has lost or holds
-// in a lower version; what this node learned after readStart does not count.
-func (t *table) compareWithStore(prefix string, found map[template.Key]template.Version, readStart time.Time) []template.Published {
+// storeComparison is how the held documents compare with a state of the store.
+type storeComparison struct {
+	// behind are the documents that the store has lost or holds in a lower
+	// version.
+	behind []template.Published
+	// isDoubtful is set if a document that looks behind was learned only after
+	// the read had begun, so that the state may be from before.
+	isDoubtful bool
+}
+
+// compareWithStore compares with a state of the store below a prefix that was
+// read after readStart.
+func (t *table) compareWithStore(prefix string, found map[template.Key]template.Version, readStart time.Time) storeComparison {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	var behind []template.Published
+	var result storeComparison
 	for key, held := range t.entries {
 		if !hasPrefix(key, prefix) {
 			continue
 		}
 		ahead := held.published.Version().Compare(found[key]) > 0
 		if ahead && !held.since.Before(readStart) {
+			result.isDoubtful = true
 			continue
 		}
 		held.storeBehind = ahead
 		if ahead {
-			behind = append(behind, held.published)
+			result.behind = append(result.behind, held.published)
 		}
 	}
-	return behind
+	return result
 }
--- a/pkg/configsync/watch.go
+++ b/pkg/configsync/watch.go
@@ -2,15 +2,17 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/time/rate"
+
 	"github.com/bramblemast/bramblemast/pkg/configstore"
 	"github.com/bramblemast/bramblemast/pkg/target"
 	"github.com/bramblemast/bramblemast/pkg/template"
 	"github.com/bramblemast/bramblemast/pkg/template/stored"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -19,6 +21,12 @@
 	// firstStoreBackoff and maxStoreBackoff bound the wait after a failed call.
 	firstStoreBackoff = 250 * time.Millisecond
 	maxStoreBackoff   = 5 * time.Second
+	// watchBurst is the number of calls of a watch that may follow each other.
+	watchBurst = 3
+	// idleShares is the least time that an idle watch waits, in shares.
+	idleShares = 3
+	// maxWatchWait is the longest wait that the store's interface takes.
+	maxWatchWait = 5 * time.Minute
 	// maxRepairs bounds the documents that are repaired between two reads.
 	maxRepairs = 16
 )
@@ -26,14 +34,17 @@
 // watchDuty runs the watches of the store that this node has by rank. Each
 // prefix is watched by the first members of the zone in the order for that
 // prefix. Watching is idempotent, so no lease is needed: while two nodes
-// disagree on who is alive, one more or one fewer watches for a moment.
+// disagree on who is alive, or on the number of prefixes, one more or one fewer
+// watches for a moment.
 type watchDuty struct {
-	replica  *Replica
-	prefixes []string
+	replica *Replica
 
-	// mutex guards running, the watches by prefix.
-	mutex   sync.Mutex
-	running map[string]*runningWatch
+	// mutex guards the fields below.
+	mutex sync.Mutex
+	// digits is the number of shard digits in a prefix.
+	digits   int
+	prefixes []string
+	running  map[string]*runningWatch
 }
 
 // runningWatch is one watch of this node.
@@ -45,8 +56,7 @@
 }
 
 func newWatchDuty(replica *Replica) *watchDuty {
-	prefixes, _ := stored.Prefixes(replica.options.ShardDigits) // checked by withDefaults
-	return &watchDuty{replica: replica, prefixes: prefixes, running: map[string]*runningWatch{}}
+	return &watchDuty{replica: replica, prefixes: []string{stored.Root}, running: map[string]*runningWatch{}}
 }
 
 // run starts and ends watches as the zone's members come and go.
@@ -55,7 +65,8 @@
 	defer group.Wait()
 	lastMembers := uint64(0)
 	for {
-		if members := d.membersHash(); members != lastMembers {
+		members := d.membersHash()
+		if d.chooseDigits() || members != lastMembers {
 			lastMembers = members
 			d.assign(ctx, &group)
 		}
@@ -65,6 +76,29 @@
 	}
 }
 
+// chooseDigits sets the number of prefixes by the size of all documents. It
+// returns true if that changed. The nodes hold the same documents and so come
+// to the same number.
+func (d *watchDuty) chooseDigits() bool {
+	const mostDigits, shardsOfDigit = 2, 16
+	wanted, bytes := 0, d.replica.table.size()
+	for wanted < mostDigits && bytes > d.replica.options.WatchedBytes {
+		wanted++
+		bytes /= shardsOfDigit
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if wanted == d.digits {
+		return false
+	}
+	prefixes, err := stored.Prefixes(wanted)
+	if err != nil {
+		return false // not reached: wanted is in range
+	}
+	d.digits, d.prefixes = wanted, prefixes
+	return true
+}
+
 // membersHash changes with the alive members of the zone.
 func (d *watchDuty) membersHash() uint64 {
 	sum := uint64(1)
@@ -74,26 +108,40 @@
 	return sum
 }
 
+// assign starts the watches that this node has by rank and ends the others.
 func (d *watchDuty) assign(ctx context.Context, group *sync.WaitGroup) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	wanted := map[string]bool{}
 	for _, prefix := range d.prefixes {
 		rank := d.rank(prefix)
-		current := d.running[prefix]
-		switch {
-		case rank < d.replica.options.WatchersPerZone && current == nil:
-			watchContext, cancel := context.WithCancel(ctx)
-			d.running[prefix] = &runningWatch{cancel: cancel, rank: rank}
-			group.Go(func() { d.replica.watchLoop(watchContext, prefix) })
-		case rank < d.replica.options.WatchersPerZone:
+		if rank >= d.replica.options.WatchersPerZone {
+			continue
+		}
+		wanted[prefix] = true
+		if current := d.running[prefix]; current != nil {
 			current.rank = rank
-		case current != nil:
+			continue
+		}
+		watchContext, cancel := context.WithCancel(ctx)
+		d.running[prefix] = &runningWatch{cancel: cancel, rank: rank}
+		group.Go(func() { d.replica.watchLoop(watchContext, prefix) })
+	}
+	for prefix, current := range d.running {
+		if !wanted[prefix] {
 			current.cancel()
 			delete(d.running, prefix)
 		}
 	}
 }
 
+// count returns the number of prefixes.
+func (d *watchDuty) count() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return len(d.prefixes)
+}
+
 // rank returns this node's place among the zone's members for a prefix.
 func (d *watchDuty) rank(prefix string) int {
 	for place, candidate := range d.replica.zoneOrder(xxhash.Sum64String(prefix)) {
@@ -117,19 +165,20 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	var prefixes []string
-	for _, prefix := range d.prefixes {
-		if d.running[prefix] != nil {
-			prefixes = append(prefixes, prefix)
-		}
+	for prefix := range d.running {
+		prefixes = append(prefixes, prefix)
 	}
+	slices.Sort(prefixes)
 	return prefixes
 }
 
-// watchLoop watches one prefix until ctx ends. Between two calls passes at
-// least this watch's share of the calls that all watches may make.
+// watchLoop watches one prefix until ctx ends, within its share of the calls
+// that all watches may make. A few calls may follow each other at once, unless
+// they fail: then the share passes between two of them.
 func (r *Replica) watchLoop(ctx context.Context, prefix string) {
 	index, backoff := uint64(0), firstStoreBackoff
-	for ctx.Err() == nil {
+	share := rate.NewLimiter(rate.Every(r.storeInterval()), watchBurst)
+	for share.Wait(ctx) == nil {
 		started := time.Now()
 		entries, current, err := r.readStore(ctx, prefix, index)
 		if ctx.Err() != nil {
@@ -148,11 +197,12 @@
 			r.logger.Error("the store went back", "prefix", prefix, "from", index, "to", current)
 		}
 		index, backoff = current, firstStoreBackoff
-		behind := r.takeStoreState(prefix, entries, started, SourceStore)
-		r.repair(ctx, prefix, behind)
-		if !r.pause(ctx, r.storeInterval()) {
-			return
+		compared := r.takeStoreState(prefix, entries, started, SourceStore)
+		if compared.isDoubtful {
+			index = 0 // read again at once
 		}
+		r.repair(ctx, prefix, compared.behind)
+		share.SetLimit(rate.Every(r.storeInterval()))
 	}
 }
 
@@ -164,13 +214,19 @@
 		defer cancel()
 		return r.options.Store.List(ctx, prefix)
 	}
-	return r.options.Store.Watch(ctx, prefix, index, r.options.WatchWait)
+	return r.options.Store.Watch(ctx, prefix, index, r.watchWait())
+}
+
+// watchWait is how long the store may hold a watch: long enough that idle
+// watches use a part of their share only.
+func (r *Replica) watchWait() time.Duration {
+	return max(r.options.WatchWait, min(idleShares*r.storeInterval(), maxWatchWait))
 }
 
-// storeInterval is the least time between two calls of one watch, so that the
-// watches of all zones together keep to the allowed rate.
+// storeInterval is the mean time between two calls of one watch at which the
+// watches of all zones together make the calls that they may.
 func (r *Replica) storeInterval() time.Duration {
-	watches := r.zoneCount() * r.options.WatchersPerZone * len(r.watch.prefixes)
+	watches := r.zoneCount() * r.options.WatchersPerZone * r.watch.count()
 	return seconds(float64(watches) / r.options.StoreCallsPerSecond)
 }
 
@@ -185,11 +241,12 @@
 	return len(zones)
 }
 
-// takeStoreState learns what the store holds below a prefix. It returns the
-// documents in which the store is behind this node.
-func (r *Replica) takeStoreState(prefix string, entries []configstore.Entry, readStart time.Time, source Source) []template.Published {
+// takeStoreState learns what the store holds below a prefix, and compares the
+// rest with it.
+func (r *Replica) takeStoreState(prefix string, entries []configstore.Entry, readStart time.Time, source Source) storeComparison {
 	found := make(map[template.Key]template.Version, len(entries))
 	for _, item := range entries {
+		r.counters.storeBytes.Add(uint64(len(item.Value)))
 		key, err := stored.ParseKey(item.Key)
 		if err != nil {
 			r.refuse("store", err)
@@ -203,13 +260,13 @@
 		found[key] = published.Version()
 		r.learn(published, source)
 	}
-	behind := r.table.compareWithStore(prefix, found, readStart)
-	if len(behind) > 0 {
+	compared := r.table.compareWithStore(prefix, found, readStart)
+	if behind := compared.behind; len(behind) > 0 {
 		r.counters.storeBehind.Add(uint64(len(behind)))
 		r.logger.Error("the store is behind this node", "prefix", prefix, "templates", len(behind),
 			"first", behind[0].Key(), "held", behind[0].Version(), "stored", found[behind[0].Key()])
 	}
-	return behind
+	return compared
 }
 
 // repair writes documents back that the store has lost. The zone's first
