Query executor: a second hedge for a part whose hedge is slow as well

Ruled out: a shorter hedge delay, which costs extra load on every part. Change: up to two hedges may run for a part, each paid and a hedge delay apart. Whether a slow attempt is blamed on its server now depends on the winner having been sent later, so that a slow hedge is blamed as well.

--- a/pkg/query/attempt.go
+++ b/pkg/query/attempt.go
@@ -22,9 +22,10 @@
 	sent
 	// abandoned means that nothing was and nothing will be sent.
 	abandoned
-	// outlasted means that another replica answered for the part first.
+	// outlasted means that a replica that was asked later answered first.
 	outlasted
-	// stopped means that the query stopped before its deadline.
+	// stopped means that the query stopped before its deadline, or that a
+	// replica that was asked earlier answered first.
 	stopped
 	// expired means that the query reached its deadline.
 	expired
@@ -167,9 +168,7 @@
 	case sent:
 		return err
 	case outlasted:
-		if a.kind != Hedge {
-			return unknown(stepAnswer, server, outcome.ReasonDeadline, errOutlasted)
-		}
+		return unknown(stepAnswer, server, outcome.ReasonDeadline, errOutlasted)
 	case expired:
 		if typical := a.pass.execution.quantile(stallQuantile); typical > 0 && latency > typical {
 			return unknown(stepAnswer, server, outcome.ReasonDeadline, err)
@@ -217,6 +216,15 @@
 	return unsent
 }
 
+// outran returns the state of another attempt for the same part, after this
+// one gave the answer.
+func (a *attempt) outran(other *attempt) attemptState {
+	if a.request.Attempt > other.request.Attempt {
+		return outlasted
+	}
+	return stopped
+}
+
 // wasSent reports whether the sub-request may have reached its server.
 func (a *attempt) wasSent() bool {
 	state := attemptState(a.state.Load())
--- a/pkg/query/extra.go
+++ b/pkg/query/extra.go
@@ -7,6 +7,10 @@
 	"github.com/bramblemast/bramblemast/pkg/policy"
 )
 
+// maxHedges bounds the hedges that run for one part at a time. With one only,
+// a wide query often meets a part whose hedge is slow as well.
+const maxHedges = 2
+
 // maxAttempts bounds the sub-requests for one part, whatever the policies say.
 const maxAttempts = 16
 
@@ -75,27 +79,23 @@
 	}
 }
 
-// hedge asks a second replica for a part whose answer is slow, if the budget
-// and a permit allow it. Otherwise it looks again after as long a wait.
+// hedge asks a further replica for a part whose answer is slow, if the budget
+// and a permit allow it, and looks again after as long a wait.
 func (p *pass) hedge(index int) {
 	part := &p.parts[index]
 	part.hedgeAt = never
-	if part.running[0] == nil || part.running[1] != nil || part.attempts >= maxAttempts || !p.hasUntried(part) {
+	running := part.countRunning()
+	if running == 0 || running > maxHedges || part.attempts >= maxAttempts || !p.hasUntried(part) {
 		return
 	}
+	part.hedgeAt = p.laterHedge()
 	budget := p.execution.budget
-	if !budget.TrySpend() {
-		part.hedgeAt = p.laterHedge()
-		return
-	}
-	if !p.launch(index, Hedge, true) {
+	if budget.TrySpend() && !p.launch(index, Hedge, true) {
 		budget.Refund()
-		part.hedgeAt = p.laterHedge()
 	}
 }
 
-// minimumHedgeWait is the least time before a hedge that could not be sent is
-// looked at again.
+// minimumHedgeWait is the least time between two hedges for a part.
 const minimumHedgeWait = time.Millisecond
 
 func (p *pass) laterHedge() time.Duration {
@@ -148,12 +148,12 @@
 	}
 	if isStalePlan(finished.err) {
 		p.refuse(finished.request.Target, finished.err)
-		if !part.isRunning() {
+		if part.countRunning() == 0 {
 			p.reroute(finished.part)
 		}
 		return
 	}
-	if part.isRunning() {
+	if part.countRunning() > 0 {
 		return
 	}
 	decision := x.request.Policies.Retry.Decide(policy.RetryState{
--- a/pkg/query/pass.go
+++ b/pkg/query/pass.go
@@ -35,8 +35,8 @@
 type partState struct {
 	plan   *plannedPart
 	status partStatus
-	// running are the attempts without a result: an attempt and its hedge.
-	running [2]*attempt
+	// running are the attempts without a result: an attempt and its hedges.
+	running [1 + maxHedges]*attempt
 	// tried has a bit for each of the plan's candidates that was asked.
 	tried uint64
 	// attempts counts all attempts, and sent those that were sent.
@@ -48,8 +48,16 @@
 	retryAt time.Duration
 }
 
-// isRunning reports whether an attempt has no result yet.
-func (s *partState) isRunning() bool { return s.running[0] != nil || s.running[1] != nil }
+// countRunning returns the number of attempts without a result.
+func (s *partState) countRunning() int {
+	count := 0
+	for _, running := range s.running {
+		if running != nil {
+			count++
+		}
+	}
+	return count
+}
 
 // drop takes an attempt off the running ones.
 func (s *partState) drop(finished *attempt) {
@@ -62,11 +70,12 @@
 
 // keep puts an attempt among the running ones.
 func (s *partState) keep(started *attempt) {
-	if s.running[0] == nil {
-		s.running[0] = started
-		return
+	for i := range s.running {
+		if s.running[i] == nil {
+			s.running[i] = started
+			return
+		}
 	}
-	s.running[1] = started
 }
 
 // pass is the work on one request at one index version. All fields but the
@@ -254,7 +263,11 @@
 	p.execution.mayHaveRun++
 	p.merge(finished.response)
 	part.status = covered
-	p.release(part, outlasted)
+	for _, running := range part.running {
+		if running != nil {
+			p.release(running, finished.outran(running))
+		}
+	}
 }
 
 // merge adds an answer whose range was just covered.
@@ -265,19 +278,14 @@
 	p.fresh = true
 }
 
-// release ends the attempts of a part that are no longer wanted.
-func (p *pass) release(part *partState, cause attemptState) {
-	for _, running := range part.running {
-		if running == nil {
-			continue
-		}
-		p.outstanding--
-		part.drop(running)
-		if running.end(cause) {
-			p.uncount(running)
-		} else {
-			p.execution.mayHaveRun++
-		}
+// release ends an attempt that is no longer wanted.
+func (p *pass) release(running *attempt, cause attemptState) {
+	p.outstanding--
+	p.parts[running.part].drop(running)
+	if running.end(cause) {
+		p.uncount(running)
+	} else {
+		p.execution.mayHaveRun++
 	}
 }
 
@@ -314,7 +322,11 @@
 		p.account(finished)
 	}
 	for i := range p.parts {
-		p.release(&p.parts[i], cause)
+		for _, running := range p.parts[i].running {
+			if running != nil {
+				p.release(running, cause)
+			}
+		}
 	}
 }
 
