--- a/pkg/admission/drain.go
+++ b/pkg/admission/drain.go
@@ -21,10 +21,16 @@
 	// drained and measured are a count and seconds, fading with time.
 	drained  float64
 	measured float64
+	// standing grows while somebody waits and shrinks while nobody does.
+	standing time.Duration
 	waiting  bool
 	advanced time.Time
 }
 
+// mostStanding bounds drainMeter.standing, and so the time after which the end
+// of an overload is believed.
+const mostStanding = time.Second
+
 // advance brings the measurement up to now and tells whether somebody waits
 // from now on.
 func (m *drainMeter) advance(waiting bool, now time.Time) {
@@ -34,6 +40,9 @@
 	m.measured *= fade
 	if m.waiting {
 		m.measured += elapsed.Seconds()
+		m.standing = min(m.standing+elapsed, mostStanding)
+	} else {
+		m.standing = max(m.standing-elapsed, 0)
 	}
 	m.waiting = waiting
 	m.advanced = now
--- a/pkg/admission/predict.go
+++ b/pkg/admission/predict.go
@@ -11,6 +11,10 @@
 // mostRetryAfter bounds what callers are told.
 const mostRetryAfter = 30 * time.Second
 
+// returningShare is the part of the drain that callers who come back are told
+// to share; the rest is left to new requests.
+const returningShare = 0.7
+
 // measure brings the drain meters up to now.
 func (g *Gate) measure(now time.Time) {
 	g.meter.advance(g.queued > 0 || g.inFlight >= g.controller.places(), now)
@@ -46,6 +50,7 @@
 		InFlight:       g.inFlight,
 		Queued:         g.queued,
 		QueuedAlike:    alike,
+		Standing:       g.queues[class].meter.standing,
 		Limit:          g.controller.places(),
 		DrainRate:      g.drainRate(),
 		Remaining:      remainingOf(request, now),
@@ -70,7 +75,7 @@
 	backlog := g.refused.add(now)
 	retryAfter := max(decision.RetryAfter, policy.RetryAfter(state))
 	if rate := g.drainRate(); rate > 0 {
-		retryAfter += time.Duration(min(backlog/rate, mostRetryAfter.Seconds()) * float64(time.Second))
+		retryAfter += time.Duration(min(backlog/(returningShare*rate), mostRetryAfter.Seconds()) * float64(time.Second))
 	}
 	return refusal(outcome.ReasonOverloaded, min(retryAfter, mostRetryAfter))
 }
--- a/pkg/admission/simulation_test.go
+++ b/pkg/admission/simulation_test.go
@@ -57,24 +57,36 @@
 	burstTime                 time.Duration
 }
 
-// backends serves a number of requests at once, queues as many again for a
-// short time, and refuses more.
+// backends serves a number of requests at once, queues some more, and sheds the
+// rest.
 type backends struct {
 	mutex   sync.Mutex
 	random  *rand.Rand
 	places  chan struct{}
 	present int
+	most    int
+	service time.Duration
 }
 
+func newBackends(places, backlog int, service time.Duration, seed uint64) *backends {
+	return &backends{
+		random:  rand.New(rand.NewPCG(simulatedSeed, seed)),
+		places:  make(chan struct{}, places),
+		most:    places + backlog,
+		service: service,
+	}
+}
+
+// serve runs one request and reports false if it was shed.
 func (b *backends) serve() bool {
 	b.mutex.Lock()
-	if b.present >= 2*simulatedPlaces {
+	if b.present >= b.most {
 		b.mutex.Unlock()
 		time.Sleep(simulatedNetwork)
 		return false
 	}
 	b.present++
-	duration := time.Duration(float64(simulatedService) * (0.5 + 0.5*b.random.ExpFloat64()))
+	duration := time.Duration(float64(b.service) * (0.5 + 0.5*b.random.ExpFloat64()))
 	b.mutex.Unlock()
 	b.places <- struct{}{}
 	time.Sleep(duration)
@@ -108,10 +120,7 @@
 }
 
 func (sim simulation) runInBubble() []streamResult {
-	shared := &backends{
-		random: rand.New(rand.NewPCG(simulatedSeed, 1)),
-		places: make(chan struct{}, simulatedPlaces),
-	}
+	shared := newBackends(simulatedPlaces, simulatedPlaces, simulatedService, 1)
 	set, err := policy.Build(policy.Spec{Admission: sim.spec})
 	if err != nil {
 		panic(err)
--- a/pkg/policy/admission.go
+++ b/pkg/policy/admission.go
@@ -19,6 +19,8 @@
 	// archiveShare is the share of the limit above which archive requests wait
 	// although there is room, so that a ticker seldom finds the gate full.
 	archiveShare = 0.75
+	// standingQueue is how long a queue may stand before it is shortened.
+	standingQueue = 100 * time.Millisecond
 	// unknownRetryAfter is told to callers while no drain was measured.
 	unknownRetryAfter = 100 * time.Millisecond
 	// leastRetryAfter and mostRetryAfter bound what callers are told.
@@ -58,26 +60,43 @@
 	return deadlineAwareAdmission{maxQueued: spec.MaxQueued}, validateQueue(spec)
 }
 
-// Decide implements AdmissionPolicy. The time left after the wait has to be
-// enough for a slow request: a queue of requests that are just in time for a
-// typical one would deliver half of them too late.
+// Decide implements AdmissionPolicy.
 func (p deadlineAwareAdmission) Decide(state AdmissionState) AdmissionDecision {
-	if state.QueuedAhead == 0 && state.InFlight < limitFor(state) && hasTime(state, 0) {
+	if state.QueuedAhead == 0 && state.InFlight < limitFor(state) && mayRunNow(state) {
 		return AdmissionDecision{Verdict: Admit}
 	}
-	if !hasTime(state, PredictedWait(state)) {
+	if PredictedWait(state) > longestWait(state) {
 		return AdmissionDecision{Verdict: Refuse, RetryAfter: RetryAfter(state)}
 	}
 	return queueUpTo(p.maxQueued, state)
 }
 
-// hasTime reports whether a request can be served after a wait. While nobody
-// waits it is tried in any case.
-func hasTime(state AdmissionState, wait time.Duration) bool {
-	if state.Queued == 0 && wait == 0 {
+// mayRunNow reports whether there is time for a request that need not wait.
+// While nobody waits it is tried in any case.
+func mayRunNow(state AdmissionState) bool {
+	if state.Queued == 0 {
 		return state.Remaining > 0
 	}
-	return wait+max(state.SlowService, state.TypicalService) <= state.Remaining
+	return slowService(state) <= state.Remaining
+}
+
+// longestWait is the wait that a request may have. What is left has to be
+// enough for a slow request: a queue of requests that are just in time for a
+// typical one would deliver half of them too late.
+//
+// In a burst the queue may be as long as that. While a queue stands, its length
+// only adds to the latency of all and nothing to what is served, so it is kept
+// to one service time. Archive requests have the time to wait.
+func longestWait(state AdmissionState) time.Duration {
+	wait := state.Remaining - slowService(state)
+	if state.Standing <= standingQueue || state.Class == ClassArchive {
+		return wait
+	}
+	return min(wait, slowService(state))
+}
+
+func slowService(state AdmissionState) time.Duration {
+	return max(state.SlowService, state.TypicalService)
 }
 
 // PredictedWait is how long a request that waits now will wait on average, from
--- a/pkg/policy/policies_test.go
+++ b/pkg/policy/policies_test.go
@@ -182,6 +182,15 @@
 		Entry("deadline, the wait fits", "deadline_aware", func(s *policy.AdmissionState) {}, policy.Queue),
 		Entry("deadline, the wait is too long", "deadline_aware", func(s *policy.AdmissionState) { s.DrainRate = 60 }, policy.Refuse),
 		Entry("deadline, no time for a slow request", "deadline_aware", func(s *policy.AdmissionState) { s.Remaining = 22 * ms }, policy.Refuse),
+		Entry("deadline, a burst may wait", "deadline_aware", func(s *policy.AdmissionState) {
+			s.DrainRate, s.Standing = 200, 50*ms
+		}, policy.Queue),
+		Entry("deadline, a standing queue is kept short", "deadline_aware", func(s *policy.AdmissionState) {
+			s.DrainRate, s.Standing = 200, 200*ms
+		}, policy.Refuse),
+		Entry("deadline, archive may wait in a standing queue", "deadline_aware", func(s *policy.AdmissionState) {
+			s.DrainRate, s.Standing, s.Class = 200, 200*ms, policy.ClassArchive
+		}, policy.Queue),
 		Entry("deadline, queue full", "deadline_aware", func(s *policy.AdmissionState) { s.QueuedAlike = 5 }, policy.Refuse),
 		Entry("deadline, nothing measured", "deadline_aware", func(s *policy.AdmissionState) { s.DrainRate = 0 }, policy.Queue),
 		Entry("deadline, idle although the service was slow", "deadline_aware", func(s *policy.AdmissionState) {
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -138,6 +138,9 @@
 	// QueuedAlike counts the waiting requests of the same tenant and class that
 	// came first.
 	QueuedAlike int
+	// Standing is how long requests of the class have been waiting without a
+	// lasting pause. A burst passes soon; overload does not.
+	Standing time.Duration
 	// Limit is the number of requests that the gate runs at once now.
 	Limit int
 	// DrainRate is the measured rate of finished requests per second; zero if
