load: a caller that came back counts its answer from then on

Weighed: leaving the bound of time out for that arm (rejected: then every late answer is useful); counting from the last exchange (taken). The latency figures still hold every wait.

--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -129,6 +129,9 @@
 			Sent: intended.Add(2 * time.Second), Finished: intended.Add(3 * time.Second),
 		}}
 		Expect(done.latency()).To(Equal(3 * time.Second))
+		Expect(done.answerLatency()).To(Equal(3 * time.Second))
+		done.exchanges = 2
+		Expect(done.answerLatency()).To(Equal(time.Second))
 	})
 
 	It("does not wait for answers, and counts what it may not send", func(ctx SpecContext) {
--- a/internal/lab/load/options.go
+++ b/internal/lab/load/options.go
@@ -71,8 +71,9 @@
 	// UsefulCoverage is the least coverage of an answer that counts as useful;
 	// 1 if zero.
 	UsefulCoverage float64 `json:"useful_coverage,omitempty" yaml:"useful_coverage,omitempty"`
-	// UsefulWithin is the greatest latency of an answer that counts as useful;
-	// no bound if zero.
+	// UsefulWithin is the greatest latency of an answer that counts as useful,
+	// from the intended send time or, for a caller that came back, from when it
+	// did; no bound if zero.
 	UsefulWithin policy.Duration `json:"useful_within,omitempty" yaml:"useful_within,omitempty"`
 }
 
--- a/internal/lab/load/recorder.go
+++ b/internal/lab/load/recorder.go
@@ -19,8 +19,18 @@
 	exchanges int
 }
 
+// latency is what the caller saw in all, waits before coming back included.
 func (f finished) latency() time.Duration { return f.last.Finished.Sub(f.intended) }
 
+// answerLatency is the time of the last exchange. For the first one it runs
+// from the intended send time; a caller that came back counts from then on.
+func (f finished) answerLatency() time.Duration {
+	if f.exchanges <= 1 {
+		return f.latency()
+	}
+	return f.last.Finished.Sub(f.last.Sent)
+}
+
 type timelineKey struct {
 	second int
 	arm    string
@@ -88,7 +98,7 @@
 	}
 	if answer := done.last.Answer; answer != nil {
 		entry.addAnswer(answer)
-		if useful(done.request.Load, answer.Coverage.Share, latency) {
+		if useful(done.request.Load, answer.Coverage.Share, done.answerLatency()) {
 			entry.useful++
 		}
 	}
