--- a/internal/ctl/experiment_compare.go
+++ b/internal/ctl/experiment_compare.go
@@ -84,13 +84,22 @@
 		"COVERAGE MEAN", "COVERAGE MIN", "EXTRA LOAD", "P50 RATIO", "P99 RATIO", "COVERAGE RATIO", "EXTRA RATIO")
 	for _, arm := range comparison.Arms {
 		t.row(arm.Arm, formatShare(arm.Share), formatUint(arm.Requests), formatUint(arm.Refused), formatUint(arm.Failed),
-			formatMilliseconds(arm.P50MS), formatMilliseconds(arm.P99MS),
-			formatShare(arm.CoverageMean), formatShare(arm.CoverageMinimum), formatShare(arm.ExtraLoadRatio),
+			arm.ifAnswered(formatMilliseconds, arm.P50MS), arm.ifAnswered(formatMilliseconds, arm.P99MS),
+			arm.ifAnswered(formatShare, arm.CoverageMean), arm.ifAnswered(formatShare, arm.CoverageMinimum),
+			formatShare(arm.ExtraLoadRatio),
 			formatRatio(arm.ToControl.P50), formatRatio(arm.ToControl.P99),
 			formatRatio(arm.ToControl.CoverageMean), formatRatio(arm.ToControl.ExtraLoad))
 	}
 }
 
+// ifAnswered formats a figure that only answered requests have.
+func (a armComparison) ifAnswered(format func(float64) string, figure float64) string {
+	if a.Answered == 0 {
+		return absent
+	}
+	return format(figure)
+}
+
 func formatRatio(value *float64) string {
 	if value == nil {
 		return absent
--- a/internal/operator/operatortest/node.go
+++ b/internal/operator/operatortest/node.go
@@ -44,6 +44,7 @@
 type Node struct {
 	ID          target.NodeID
 	Experiments *armstats.Recorder
+	zone        target.Zone
 	cluster     *Cluster
 	server      *httptest.Server
 	// loseReplies closes the connection of each change after it ran.
@@ -51,6 +52,9 @@
 	// stalled keeps reads of other nodes waiting.
 	stalled atomic.Bool
 	writes  atomic.Int64
+	// onWrite is called after each change that loseReplies lost; it is set
+	// before the node is used.
+	onWrite func()
 
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
@@ -72,10 +76,14 @@
 		node := &Node{
 			ID:          target.NodeID("node-" + string(rune('1'+index))),
 			Experiments: armstats.NewRecorder(),
+			zone:        Zone,
 			cluster:     cluster,
 			held:        make(map[template.Key]*template.Template),
 			drained:     make(map[target.ServerID]string),
 		}
+		if index > 0 && index == size-1 {
+			node.zone = OtherZone
+		}
 		node.start()
 		cluster.Nodes = append(cluster.Nodes, node)
 	}
@@ -120,7 +128,7 @@
 	router := echo.New()
 	operator.New(operator.Dependencies{
 		Node:        n.ID,
-		Zone:        n.zone(),
+		Zone:        n.zone,
 		Templates:   n,
 		Publisher:   n.cluster.publisher,
 		Members:     n,
@@ -149,18 +157,13 @@
 			return
 		}
 		next.ServeHTTP(httptest.NewRecorder(), request)
+		if n.onWrite != nil {
+			n.onWrite()
+		}
 		panic(http.ErrAbortHandler)
 	})
 }
 
-// zone returns the zone that the node says it is in.
-func (n *Node) zone() target.Zone {
-	if all := n.cluster.Nodes; len(all) > 1 && n == all[len(all)-1] {
-		return OtherZone
-	}
-	return Zone
-}
-
 // Address returns the operators' address.
 func (n *Node) Address() string { return strings.TrimPrefix(n.server.URL, "http://") }
 
@@ -173,6 +176,10 @@
 // LoseReplies makes the node close the connection of each change after it ran.
 func (n *Node) LoseReplies() { n.loseReplies.Store(true) }
 
+// OnWrite sets what happens after each change whose reply is lost. It must be
+// called before the node is used.
+func (n *Node) OnWrite(react func()) { n.onWrite = react }
+
 // Stall makes the node answer nothing any more.
 func (n *Node) Stall() { n.stalled.Store(true) }
 
@@ -244,7 +251,7 @@
 	var nodes []api.Node
 	for _, node := range n.cluster.Nodes {
 		nodes = append(nodes, api.Node{
-			ID: node.ID, Zone: node.zone(), Region: "norway", State: "alive", Incarnation: 1,
+			ID: node.ID, Zone: node.zone, Region: "norway", State: "alive", Incarnation: 1,
 			PeerAddress: "127.0.0.1:1", OperatorAddress: node.Address(), Self: node == n,
 		})
 	}
