Claims wired for not-repeatable requests; callers' interface proved

The specs found a fault: a caller that announced a body and never sent it held its connection for good, since the read deadline was cleared before net/http read the rest of the body ahead of the answer. Ruled out: closing the connection by hand, which would lose the answer. Change: serve.Once claims, executes and records; the result of a first run is replayed to a repeat.

--- a/internal/callerapi/decode.go
+++ b/internal/callerapi/decode.go
@@ -76,15 +76,18 @@
 	_ = controller.SetReadDeadline(time.Now().Add(s.options.BodyTimeout)) // best effort: a test's recorder has none
 	body := http.MaxBytesReader(context.Response().Writer, context.Request().Body, s.options.MaxBodyBytes)
 	text, err := io.ReadAll(body)
-	_ = controller.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = controller.SetReadDeadline(time.Time{})
+		return text, nil
+	}
+	// The read deadline stands: the server reads what is left of the body before
+	// it answers, and a caller that sends nothing would hold it up forever.
+	context.Response().Header().Set(echo.HeaderConnection, "close")
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, &requestError{status: http.StatusRequestEntityTooLarge, field: "body", message: errors.Errorf("larger than %d bytes", s.options.MaxBodyBytes).Error()}
 	}
-	if err != nil {
-		return nil, &requestError{status: http.StatusRequestTimeout, field: "body", message: "could not be read whole in time"}
-	}
-	return text, nil
+	return nil, &requestError{status: http.StatusRequestTimeout, field: "body", message: "could not be read whole in time"}
 }
 
 // decodeStrictly refuses unknown fields, fields that stand twice, and anything
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,12 +16,12 @@
 	"github.com/pkg/errors"
 
 	"github.com/bramblemast/bramblemast/internal/armstats"
-	"github.com/bramblemast/bramblemast/internal/serve"
 	"github.com/bramblemast/bramblemast/internal/settings"
 	"github.com/bramblemast/bramblemast/pkg/admission"
 	"github.com/bramblemast/bramblemast/pkg/backend/httpbackend"
 	"github.com/bramblemast/bramblemast/pkg/budget"
 	"github.com/bramblemast/bramblemast/pkg/catalog"
+	"github.com/bramblemast/bramblemast/pkg/claim"
 	"github.com/bramblemast/bramblemast/pkg/latency"
 	"github.com/bramblemast/bramblemast/pkg/limit"
 	"github.com/bramblemast/bramblemast/pkg/machinelist"
@@ -54,7 +54,7 @@
 	callersRouter   *echo.Echo
 	operators       *httpListener
 	operatorsRouter *echo.Echo
-	once            *serve.Once
+	claims          *claim.Claimer
 	// leaving is set when the planned stop begins.
 	leaving atomic.Bool
 }
@@ -76,7 +76,14 @@
 		metrics:  newMetrics(),
 		arms:     armstats.NewRecorder(),
 	}
-	steps := []func() error{n.buildTransport, n.buildCallersListener, n.buildOperatorsListener, n.buildMembership, n.buildBackends, n.buildConfiguration}
+	steps := []func() error{
+		n.buildTransport,
+		n.buildCallersListener,
+		n.buildOperatorsListener,
+		n.buildMembership,
+		n.buildBackends,
+		n.buildConfiguration,
+	}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			n.closeListeners()
@@ -84,6 +91,7 @@
 		}
 	}
 	n.buildExecutor()
+	n.buildClaims()
 	n.registerCallers()
 	if err := n.registerOperators(); err != nil {
 		n.closeListeners()
@@ -209,6 +217,15 @@
 	})
 }
 
+func (n *Node) buildClaims() {
+	n.claims = claim.New(claim.Options{
+		Store:     n.config.store,
+		Node:      n.id,
+		IsSweeper: n.isSweeper,
+		Logger:    n.logger,
+	})
+}
+
 // Run serves until ctx ends, then stops as planned: see stop. It returns nil
 // after a planned stop that cut off no request.
 func (n *Node) Run(ctx context.Context) error {
@@ -220,6 +237,7 @@
 	n.addWork(&group, work, n.probeLoop().Run)
 	n.addWork(&group, work, n.reach.run)
 	n.addWork(&group, work, n.config.run)
+	n.addWork(&group, work, n.claims.Run)
 	if n.machines != nil {
 		n.addWork(&group, work, n.machines.Run)
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -1,10 +1,13 @@
 package node
 
 import (
+	"slices"
+
 	"github.com/bramblemast/bramblemast/pkg/catalog"
 	"github.com/bramblemast/bramblemast/pkg/configsync"
 	"github.com/bramblemast/bramblemast/pkg/membership"
 	"github.com/bramblemast/bramblemast/pkg/peer"
+	"github.com/bramblemast/bramblemast/pkg/rendezvous"
 	"github.com/bramblemast/bramblemast/pkg/target"
 )
 
@@ -42,6 +45,22 @@
 	return ids
 }
 
+// sweepDuty is the key by whose rank the node is chosen that sweeps expired
+// claims. Several sweepers at once do no harm.
+const sweepDuty = "claim.sweep"
+
+// isSweeper reports whether this node ranks first for sweeping expired claims,
+// among the nodes that it knows.
+func (n *Node) isSweeper() bool {
+	var ids []target.NodeID
+	for _, member := range n.members.Members() {
+		if member.State == membership.Alive || member.State == membership.Suspect {
+			ids = append(ids, member.ID)
+		}
+	}
+	return slices.Contains(rendezvous.Top(sweepDuty, ids, 1), n.id)
+}
+
 // sharingNodes returns the nodes that may send to the same back ends.
 func (n *Node) sharingNodes() []target.NodeID {
 	var ids []target.NodeID
--- a/internal/node/routes.go
+++ b/internal/node/routes.go
@@ -43,7 +43,7 @@
 		Templates: n.config,
 		Gates:     n.gates,
 		Executor:  n.executor,
-		Once:      n.once,
+		Once:      serve.NewOnce(n.claims),
 		Arms:      n.arms,
 		Observer:  n.metrics,
 	})
