Query executor: nothing is sent once a request is over

Cause: a sub-request that failed because its caller had cancelled was handed to the retry policy, and the retry was sent before the event loop saw the cancellation. Ruled out: cancelling through the policy; a policy sees the deadline but not the caller. Change: no retry, hedge, re-plan or restart after the deadline or the caller's cancellation; room for the choice of a replica is made once for each pass; a benchmark of planning a view. Conclusion: cancelled and expired requests cause no further load.

--- a/pkg/query/extra.go
+++ b/pkg/query/extra.go
@@ -146,6 +146,9 @@
 		p.fatal = typed(finished.err, finished.request.Target.Server)
 		return
 	}
+	if p.isOver() {
+		return
+	}
 	if isStalePlan(finished.err) {
 		p.refuse(finished.request.Target, finished.err)
 		if part.countRunning() == 0 {
--- a/pkg/query/inbox.go
+++ b/pkg/query/inbox.go
@@ -18,7 +18,7 @@
 	closed bool
 }
 
-func newInbox() *inbox { return &inbox{ready: make(chan struct{}, 1)} }
+func newInbox() inbox { return inbox{ready: make(chan struct{}, 1)} }
 
 // deliver adds a finished attempt. It never blocks. It returns false if the
 // inbox is closed: the attempt is late and is to be dropped.
--- a/pkg/query/pass.go
+++ b/pkg/query/pass.go
@@ -16,6 +16,9 @@
 // never is a moment after every deadline.
 const never = time.Duration(math.MaxInt64)
 
+// usualReplicas is the number of candidates of a part that room is made for.
+const usualReplicas = 8
+
 // partStatus is the state of one part of a pass.
 type partStatus int
 
@@ -82,7 +85,7 @@
 // inbox belong to the goroutine of Execute.
 type pass struct {
 	execution *execution
-	inbox     *inbox
+	inbox     inbox
 	view      *catalog.View
 	pinned    *layout
 	parts     []partState
@@ -139,6 +142,8 @@
 		recheckAt:  never,
 		hedgeAsked: never,
 		timerDue:   never,
+		replicas:   make([]policy.ReplicaState, 0, usualReplicas),
+		indices:    make([]int, 0, usualReplicas),
 	}
 }
 
@@ -158,11 +163,25 @@
 		p.wait()
 		p.tick()
 		p.absorb()
-		p.fireDue()
-		p.revisit()
+		p.proceed()
 	}
 }
 
+// proceed sends what is due, unless the request is over.
+func (p *pass) proceed() {
+	if p.isOver() {
+		return
+	}
+	p.fireDue()
+	p.revisit()
+}
+
+// isOver reports whether the deadline has come or the caller has cancelled.
+// Sub-requests that fail because of that are not tried again.
+func (p *pass) isOver() bool {
+	return p.remaining() <= 0 || p.execution.caller.Err() != nil
+}
+
 // tick reads the clock.
 func (p *pass) tick() { p.now = time.Since(p.execution.started) }
 
--- a/pkg/query/property_test.go
+++ b/pkg/query/property_test.go
@@ -47,6 +47,9 @@
 		if made.executed {
 			executed++
 		}
+		if spent := made.at.Sub(got.started); spent >= got.caller.Deadline-got.caller.Deadline/10 && spent >= got.caller.Deadline-query.DefaultAnswerMargin || spent >= got.caller.CancelAfter {
+			report("a sub-request was sent after %s", spent)
+		}
 	}
 	if got.caller.NotRepeatable && executed > 1 {
 		report("not repeatable, executed %d times", executed)
--- a/pkg/query/tiling_test.go
+++ b/pkg/query/tiling_test.go
@@ -6,6 +6,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/bramblemast/bramblemast/pkg/backend"
 	"github.com/bramblemast/bramblemast/pkg/catalog"
 	"github.com/bramblemast/bramblemast/pkg/keyspace"
 	"github.com/bramblemast/bramblemast/pkg/target"
@@ -130,3 +131,21 @@
 		t.Fatalf("want the parent, which has more replicas: %v", parts)
 	}
 }
+
+// BenchmarkLayouts gives the cost of a new view of a service with 880 servers.
+func BenchmarkLayouts(b *testing.B) {
+	view := &catalog.View{Service: "service"}
+	for i, keys := range keyspace.Split(220) {
+		shards := []backend.Shard{{Group: "group", Range: keys}}
+		for replica := range 4 {
+			view.Servers = append(view.Servers, &catalog.Server{
+				ID:      target.ServerID(fmt.Sprintf("s%03d-%d", i, replica)),
+				Indexes: []backend.Index{{Version: 1, Shards: shards}, {Version: 2, Shards: shards}},
+			})
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		newLayouts(view)
+	}
+}
