--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -49,7 +49,7 @@
 func refuse(w http.ResponseWriter) {
 	writeJSON(w, http.StatusTooManyRequests, api.Problem{
 		Status: http.StatusTooManyRequests, Outcome: outcome.NotRun,
-		Reason: outcome.ReasonOverloaded, RetryAfterMS: 1,
+		Reason: outcome.ReasonOverloaded, RetryAfterMS: 1, Detail: "full",
 	})
 }
 
@@ -171,6 +171,10 @@
 		Expect(arm.Answered).To(Equal(answered))
 		Expect(arm.Refused).To(Equal(refused))
 		Expect(arm.Attempts).To(Equal(attempts))
+		if refused > 0 {
+			Expect(result.Series[0].Samples).To(HaveLen(maxSamples))
+			Expect(result.Series[0].Samples[0].Text).To(Equal("full"))
+		}
 	},
 		Entry("comes back when it honours Retry-After", true, int64(49), int64(0), 2.0),
 		Entry("gives up when it does not", false, int64(0), int64(49), 1.0),
--- a/internal/lab/load/recorder.go
+++ b/internal/lab/load/recorder.go
@@ -101,6 +101,8 @@
 		if useful(done.request.Load, answer.Coverage.Share, done.answerLatency()) {
 			entry.useful++
 		}
+	} else {
+		entry.addFailure(done.last)
 	}
 	r.recordSecond(key, int(done.intended.Sub(start)/time.Second), latency)
 }
@@ -170,6 +172,7 @@
 			FirstPartial: entry.firstPartial(),
 			Coverage:     entry.coverageSummary(),
 			ExtraLoad:    entry.extraLoad(),
+			Samples:      entry.samples,
 		})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].SeriesKey.less(list[j].SeriesKey) })
--- a/internal/lab/load/result.go
+++ b/internal/lab/load/result.go
@@ -75,6 +75,16 @@
 	FirstPartial *Quantiles       `json:"first_partial,omitempty"`
 	Coverage     CoverageSummary  `json:"coverage"`
 	ExtraLoad    ExtraLoadSummary `json:"extra_load"`
+	// Samples are the first few failures in words.
+	Samples []FailureSample `json:"samples,omitempty"`
+}
+
+// FailureSample is one request that got no answer.
+type FailureSample struct {
+	RequestID string `json:"request_id"`
+	Status    int    `json:"status,omitempty"`
+	// Text is the detail of the problem, or the error of the exchange.
+	Text string `json:"text"`
 }
 
 // ArmSummary adds up the series of one arm of one template; an empty Template
--- a/internal/lab/load/tally.go
+++ b/internal/lab/load/tally.go
@@ -77,8 +77,12 @@
 	coverageSum float64
 	minCoverage float64
 	extra       ExtraLoadSummary
+	samples     []FailureSample
 }
 
+// maxSamples bounds the failures that are kept in words for each series.
+const maxSamples = 5
+
 func newTally() *tally {
 	return &tally{
 		latency:     newLatencies(),
@@ -102,6 +106,21 @@
 	t.extra.Retries += int64(answer.ExtraLoad.Retries)
 }
 
+// addFailure keeps one of the first failures in words.
+func (t *tally) addFailure(exchange *Exchange) {
+	if len(t.samples) >= maxSamples {
+		return
+	}
+	sample := FailureSample{RequestID: exchange.RequestID, Status: exchange.Status}
+	switch {
+	case exchange.Problem != nil:
+		sample.Text = exchange.Problem.Detail
+	case exchange.Err != nil:
+		sample.Text = exchange.Err.Error()
+	}
+	t.samples = append(t.samples, sample)
+}
+
 // merge adds other to t.
 func (t *tally) merge(other *tally) {
 	t.count += other.count
