--- a/pkg/backend/httpbackend/codec.go
+++ b/pkg/backend/httpbackend/codec.go
@@ -40,19 +40,5 @@
 
 // DecodeResult implements Codec.
 func (ProtobufCodec) DecodeResult(body []byte, response *backend.Response) error {
-	var result backendpb.SubResult
-	if err := result.UnmarshalVT(body); err != nil {
-		return errors.Wrap(err, "decode result")
-	}
-	response.Matches = result.Matches
-	response.ScoreSum = result.ScoreSum
-	response.Records = make([]backend.Record, 0, len(result.Records))
-	for _, record := range result.Records {
-		response.Records = append(response.Records, backend.Record{
-			Key:     record.Key,
-			Score:   record.Score,
-			Payload: record.Payload,
-		})
-	}
-	return nil
+	return errors.Wrap(decodeResult(body, response), "decode result")
 }
