limit: servers that were never configured leave no state behind

Cause: a query that still asks a server after it was forgotten made its state anew, and nothing dropped it: over months of replaced servers the map grows. Weighed: refusing unknown servers (a library user who does not configure would get nothing), an age limit (another timer). Change: such state is dropped with the last permit; Observe makes none.

--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -269,6 +269,23 @@
 	})
 }
 
+func TestServersThatWereNotConfiguredLeaveNothingBehind(t *testing.T) {
+	g := NewWithT(t)
+	servers := limit.NewServers(limit.Options{})
+	g.Expect(servers.Observe("unknown")).To(Equal(limit.Observation{Limit: 1}))
+	g.Expect(servers.Len()).To(BeZero())
+	permit, taken := servers.TryAcquire("unknown")
+	g.Expect(taken).To(BeTrue())
+	g.Expect(servers.Len()).To(Equal(1))
+	permit.Release(limit.Result{Latency: time.Millisecond})
+	g.Expect(servers.Len()).To(BeZero())
+
+	permit, _ = servers.TryAcquire("configured later")
+	servers.Configure("configured later", limit.Share{Slots: 1, Connections: 1})
+	permit.Release(limit.Result{Latency: time.Millisecond})
+	g.Expect(servers.Len()).To(Equal(1))
+}
+
 func TestAStragglerDoesNotLowerTheLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/pkg/limit/server.go
+++ b/pkg/limit/server.go
@@ -12,6 +12,7 @@
 // server is the limiter of one server.
 type server struct {
 	id      target.ServerID
+	owner   *Servers
 	options *Options
 
 	// mutex guards everything below, and the fields of waiters in the queue.
@@ -25,6 +26,8 @@
 	free *Permit
 	// wake dispatches when the pacer has a token; nil until first needed.
 	wake *time.Timer
+	// configured means that the node means to use the server.
+	configured bool
 	// closed means that the server was forgotten.
 	closed bool
 }
@@ -38,12 +41,13 @@
 	next    *Permit
 }
 
-func newServer(id target.ServerID, options *Options, share Share) *server {
+func newServer(id target.ServerID, owner *Servers, share Share) *server {
 	now := time.Now()
 	return &server{
 		id:         id,
-		options:    options,
-		controller: newController(options, share, now),
+		owner:      owner,
+		options:    &owner.options,
+		controller: newController(&owner.options, share, now),
 		pacer:      pacer{tokens: 1, refilled: now},
 	}
 }
@@ -51,10 +55,22 @@
 func (s *server) configure(share Share, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.configured = true
 	s.controller.setShare(share)
 	s.dispatch(now)
 }
 
+// closeIfStray closes the server if it was never configured and nobody uses it,
+// and reports whether it did.
+func (s *server) closeIfStray() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.closed = s.closed || s.stray()
+	return s.closed
+}
+
+func (s *server) stray() bool { return !s.configured && s.inFlight == 0 && s.queue.count == 0 }
+
 // close refuses the callers that wait.
 func (s *server) close() {
 	s.mutex.Lock()
@@ -131,7 +147,13 @@
 // Release gives the permit back and moves the server's limit by the result.
 func (p *Permit) Release(result Result) {
 	s := p.server
-	now := time.Now()
+	if s.release(p, result, time.Now()) {
+		s.owner.dropIdle(s)
+	}
+}
+
+// release reports whether the server is left without use and unconfigured.
+func (s *server) release(p *Permit, result Result, now time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.inFlight--
@@ -143,6 +165,7 @@
 	p.next = s.free
 	s.free = p
 	s.dispatch(now)
+	return s.stray()
 }
 
 // dispatch serves the callers that wait, in order, refuses those that the limit
--- a/pkg/limit/servers.go
+++ b/pkg/limit/servers.go
@@ -59,10 +59,7 @@
 // Configure sets the node's share of a server, at first or after the number of
 // nodes that share it has changed.
 func (s *Servers) Configure(id target.ServerID, share Share) {
-	found, created := s.obtain(id, share)
-	if !created {
-		found.configure(share, time.Now())
-	}
+	s.obtain(id, share).configure(share, time.Now())
 }
 
 // Forget drops the state of a server that is gone. Callers that wait for it are
@@ -72,19 +69,33 @@
 	home := s.shardOf(id)
 	home.mutex.Lock()
 	defer home.mutex.Unlock()
-	old := *home.current.Load()
-	found := old[id]
-	if found == nil {
-		return
+	if found := (*home.current.Load())[id]; found != nil {
+		home.remove(id)
+		found.close()
 	}
-	next := maps.Clone(old)
+}
+
+// dropIdle drops the state of a server that was never configured and that
+// nobody uses, for example one that a query asked after it was forgotten.
+func (s *Servers) dropIdle(idle *server) {
+	home := s.shardOf(idle.id)
+	home.mutex.Lock()
+	defer home.mutex.Unlock()
+	if (*home.current.Load())[idle.id] == idle && idle.closeIfStray() {
+		home.remove(idle.id)
+	}
+}
+
+// remove takes a server out of the map; the caller holds the mutex.
+func (h *shard) remove(id target.ServerID) {
+	next := maps.Clone(*h.current.Load())
 	delete(next, id)
-	home.current.Store(&next)
-	found.close()
+	h.current.Store(&next)
 }
 
 // TryAcquire takes a permit if there is one now and nobody waits for one. The
-// permit must be released. A server that was not configured gets a small share.
+// permit must be released. A server that was not configured gets a small share,
+// and its state is dropped when its last permit is released.
 func (s *Servers) TryAcquire(id target.ServerID) (*Permit, bool) {
 	return s.lookup(id).tryAcquire()
 }
@@ -105,9 +116,14 @@
 	return s.wait(ctx, server)
 }
 
-// Observe returns the state of a server.
+// Observe returns the state of a server; of an unknown one, that of a server
+// that was never asked.
 func (s *Servers) Observe(id target.ServerID) Observation {
-	return s.lookup(id).observe()
+	found := (*s.shardOf(id).current.Load())[id]
+	if found == nil {
+		return Observation{Limit: 1}
+	}
+	return found.observe()
 }
 
 // Len returns the number of servers that have state.
@@ -126,26 +142,27 @@
 func (s *Servers) lookup(id target.ServerID) *server {
 	found := (*s.shardOf(id).current.Load())[id]
 	if found == nil {
-		found, _ = s.obtain(id, unknownShare)
+		found = s.obtain(id, unknownShare)
 	}
 	return found
 }
 
-// obtain returns the server's state and whether it was made with this share.
-func (s *Servers) obtain(id target.ServerID, share Share) (*server, bool) {
+// obtain returns the state of a server, and makes it with this share if there
+// is none.
+func (s *Servers) obtain(id target.ServerID, share Share) *server {
 	home := s.shardOf(id)
 	if found := (*home.current.Load())[id]; found != nil {
-		return found, false
+		return found
 	}
 	home.mutex.Lock()
 	defer home.mutex.Unlock()
 	old := *home.current.Load()
 	if found := old[id]; found != nil {
-		return found, false
+		return found
 	}
 	next := maps.Clone(old)
-	created := newServer(id, &s.options, share)
+	created := newServer(id, s, share)
 	next[id] = created
 	home.current.Store(&next)
-	return created, true
+	return created
 }
