--- a/internal/lab/faultproxy/connection.go
+++ b/internal/lab/faultproxy/connection.go
@@ -47,7 +47,7 @@
 		reset(c.client)
 		return
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: upstreamSource(c.client)}
 	server, err := dialer.DialContext(c.context, "tcp", c.owner.config.Upstream)
 	if err != nil {
 		reset(c.client)
@@ -60,6 +60,16 @@
 	work.Wait()
 }
 
+// upstreamSource returns the loopback address that the connection to the upstream
+// comes from: the client's own, so that the upstream knows the client's zone.
+func upstreamSource(client net.Conn) net.Addr {
+	remote, ok := client.RemoteAddr().(*net.TCPAddr)
+	if !ok || !remote.IP.IsLoopback() {
+		return nil
+	}
+	return &net.TCPAddr{IP: remote.IP}
+}
+
 // guard ends both sides once the connection is over, or a rule resets it.
 func (c *connection) guard(server net.Conn) {
 	_, isToReset := c.faults.Wait(c.context, isReset)
