--- a/internal/operator/dependencies.go
+++ b/internal/operator/dependencies.go
@@ -119,6 +119,10 @@
 	PeersTimeout time.Duration
 	// PeerConcurrency bounds the peers that are asked at once; default 32.
 	PeerConcurrency int
+	// BodyTimeout bounds the reading of a request's body; default 5 s.
+	BodyTimeout time.Duration
+	// RequestTimeout bounds a whole request, its answer included; default 30 s.
+	RequestTimeout time.Duration
 }
 
 // Defaults of Limits.
@@ -127,6 +131,8 @@
 	defaultPeerTimeout     = time.Second
 	defaultPeersTimeout    = 4 * time.Second
 	defaultPeerConcurrency = 32
+	defaultBodyTimeout     = 5 * time.Second
+	defaultRequestTimeout  = 30 * time.Second
 )
 
 // withDefaults replaces zero values.
@@ -136,6 +142,8 @@
 		PeerTimeout:     orDefault(l.PeerTimeout, defaultPeerTimeout),
 		PeersTimeout:    orDefault(l.PeersTimeout, defaultPeersTimeout),
 		PeerConcurrency: orDefault(l.PeerConcurrency, defaultPeerConcurrency),
+		BodyTimeout:     orDefault(l.BodyTimeout, defaultBodyTimeout),
+		RequestTimeout:  orDefault(l.RequestTimeout, defaultRequestTimeout),
 	}
 }
 
--- a/internal/operator/input.go
+++ b/internal/operator/input.go
@@ -7,6 +7,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -53,10 +54,18 @@
 		refused.problem.Field = "body"
 		return nil, refused
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		slow := newProblem(http.StatusRequestTimeout, outcome.ReasonInvalid, "the body did not arrive in time")
+		slow.problem.Field = "body"
+		return nil, slow
+	}
 	if err != nil {
 		return nil, invalid("body", "the body could not be read whole")
 	}
-	return body, nil
+	// The time to read is over; were it to pass later, the server would take it
+	// for an operator who went away.
+	err = http.NewResponseController(c.Response()).SetReadDeadline(time.Time{})
+	return body, errors.Wrap(err, "lift the bound of the time to read")
 }
 
 // readTemplate reads and checks the template in a body; its names must be those
--- a/internal/operator/input_test.go
+++ b/internal/operator/input_test.go
@@ -1,9 +1,12 @@
 package operator_test
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 
@@ -92,6 +95,19 @@
 		Entry("wrong method", "PATCH", tallyPath, "", "", "", 405, ""),
 	)
 
+	It("gives up a body that does not arrive", func() {
+		connection, err := net.Dial("tcp", cluster.Nodes[0].Address())
+		Expect(err).NotTo(HaveOccurred())
+		defer connection.Close()
+		_, err = fmt.Fprintf(connection, "PUT %s?expected_revision=0 HTTP/1.1\r\nHost: node\r\nContent-Type: %s\r\nContent-Length: 100\r\n\r\n{", tallyPath, jsonType)
+		Expect(err).NotTo(HaveOccurred())
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		Expect(response.StatusCode).To(Equal(http.StatusRequestTimeout))
+		Expect(cluster.Stored(tallyKey)).To(BeNil())
+	})
+
 	It("lists every fault of a template", func() {
 		_, problem := send("PUT", tallyPath+"?expected_revision=0", jsonType, "",
 			`{"tenant":"valgdata","name":"tally","service":"resultatside","class":"sometimes","deadline":"0s"}`)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -6,8 +6,12 @@
 package operator
 
 import (
+	"net/http"
+	"time"
+
 	"github.com/hashicorp/go-hclog"
 	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
 
 	"github.com/bramblemast/bramblemast/api/operator"
 )
@@ -26,10 +30,11 @@
 	return &Server{Dependencies: dependencies}
 }
 
-// Register adds the routes of the interface to e, and makes every error of e a
-// problem document.
+// Register adds the routes of the interface to e. It makes every error of e a
+// problem document and bounds the time of every request to e.
 func (s *Server) Register(e *echo.Echo) {
 	e.HTTPErrorHandler = s.handleError
+	e.Use(s.boundTime)
 
 	const template = operator.TemplatesPath + "/:tenant/:name"
 	e.GET(operator.TemplatesPath, s.listTemplates)
@@ -49,3 +54,21 @@
 	e.GET(operator.ConfigRevisionsPath, s.getRevisions)
 	e.GET(operator.ExperimentsPath+"/:tenant/:name", s.getExperiment)
 }
+
+// boundTime is middleware that disconnects an operator who sends or reads too
+// slowly.
+func (s *Server) boundTime(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		now := time.Now()
+		connection := http.NewResponseController(c.Response())
+		if c.Request().ContentLength != 0 {
+			if err := connection.SetReadDeadline(now.Add(s.Limits.BodyTimeout)); err != nil {
+				return errors.Wrap(err, "bound the time to read")
+			}
+		}
+		if err := connection.SetWriteDeadline(now.Add(s.Limits.RequestTimeout)); err != nil {
+			return errors.Wrap(err, "bound the time to write")
+		}
+		return next(c)
+	}
+}
--- a/internal/operator/operatortest/node.go
+++ b/internal/operator/operatortest/node.go
@@ -32,6 +32,9 @@
 	OtherZone target.Zone = "bergen"
 )
 
+// BodyTimeout is how long a node waits for the body of a request.
+const BodyTimeout = 300 * time.Millisecond
+
 // Cluster is a few nodes with one store.
 type Cluster struct {
 	Store *configstore.Memory
@@ -135,7 +138,7 @@
 		Backends:    n,
 		Experiments: n.Experiments,
 		Peers:       operator.NewHTTPPeers(nil),
-		Limits:      operator.Limits{PeerTimeout: 100 * time.Millisecond},
+		Limits:      operator.Limits{PeerTimeout: 100 * time.Millisecond, BodyTimeout: BodyTimeout},
 	}).Register(router)
 	n.server = httptest.NewServer(n.faulty(router))
 }
@@ -156,7 +159,7 @@
 			next.ServeHTTP(writer, request)
 			return
 		}
-		next.ServeHTTP(httptest.NewRecorder(), request)
+		next.ServeHTTP(silentWriter{httptest.NewRecorder()}, request)
 		if n.onWrite != nil {
 			n.onWrite()
 		}
@@ -164,6 +167,15 @@
 	})
 }
 
+// silentWriter takes an answer that nobody gets.
+type silentWriter struct{ *httptest.ResponseRecorder }
+
+// SetReadDeadline is for http.ResponseController.
+func (silentWriter) SetReadDeadline(time.Time) error { return nil }
+
+// SetWriteDeadline is for http.ResponseController.
+func (silentWriter) SetWriteDeadline(time.Time) error { return nil }
+
 // Address returns the operators' address.
 func (n *Node) Address() string { return strings.TrimPrefix(n.server.URL, "http://") }
 
