Nodes are no back ends: leave them out of the catalog

Cause: the machine list holds the nodes of the query tier as seeds, and all of it went to the catalog, so nodes probed each other's peer ports as back ends. Ruled out: a list of wanted services in the catalog, which would have to follow the templates. Change: the node passes on only entries of other services.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -196,7 +196,7 @@
 				HTTP: n.platformClient(),
 			}),
 			Interval: n.settings.MachineList.Interval,
-			OnList:   n.catalog.ReplaceMachines,
+			OnList:   n.takeMachines,
 			Logger:   n.logger.Named("machinelist"),
 		})
 	}
