Catalogs compare digests, so that missed news arrives in the end

Cause: news is sent once, on a change. A node that starts later or loses the message never hears of an operator's drain, which no probe can find out; and a broadcast ends at the zone, so a drained server got work from other zones. Weighed: sending all marks again and again (cost grows with marks and nodes); the configuration store (rate-limited, and a drain must work while it is away); digests of 256 buckets compared with one random peer of the zone in 10 s, whole facts of the buckets that differ. Between zones only operators' marks: at once by Forward, and by comparison in 30 s; the rest each zone's probes find out. Change: Exchange (NewExchange, Run, Pull, Forward), handlers catalog.sync and catalog.forward. Conclusion: node wiring is to call Pull before it is ready, Run, and Forward from OnNews.

--- /dev/null
+++ b/pkg/catalog/exchange.go
@@ -0,0 +1,244 @@
+package catalog
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramblemast/bramblemast/pkg/catalog/catalogpb"
+	"github.com/bramblemast/bramblemast/pkg/peer"
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+// The messages of an Exchange.
+const (
+	kindSync    peer.Kind = "catalog.sync"
+	kindForward peer.Kind = "catalog.forward"
+)
+
+// Defaults of ExchangeOptions.
+const (
+	DefaultSyncInterval       = 10 * time.Second
+	DefaultRemoteSyncInterval = 30 * time.Second
+	DefaultExchangeTimeout    = 2 * time.Second
+)
+
+// maxSyncRounds bounds the calls of one Pull: enough for the contents of
+// 90,000 servers.
+const maxSyncRounds = 200
+
+// ExchangeOptions sets up an Exchange. Catalog, Transport and Peers are
+// required.
+type ExchangeOptions struct {
+	Catalog   *Catalog
+	Transport peer.Transport
+	// Peers returns the live nodes of this node's zone but for itself.
+	Peers func() []peer.Address
+	// Remote returns a few live nodes of each other zone that the operators'
+	// marks must reach. Nil means none.
+	Remote func() []peer.Address
+	// OnForwarded receives the news that came from another zone and taught
+	// something, to be told to this zone. It must not block.
+	OnForwarded func(news News)
+	// Interval is the mean time between two comparisons with a peer, and
+	// RemoteInterval with a remote one.
+	Interval       time.Duration
+	RemoteInterval time.Duration
+	// Timeout bounds a call.
+	Timeout time.Duration
+	Random  *rand.Rand
+	Logger  hclog.Logger
+}
+
+func (o ExchangeOptions) withDefaults() ExchangeOptions {
+	setDuration(&o.Interval, DefaultSyncInterval)
+	setDuration(&o.RemoteInterval, DefaultRemoteSyncInterval)
+	setDuration(&o.Timeout, DefaultExchangeTimeout)
+	if o.Remote == nil {
+		o.Remote = func() []peer.Address { return nil }
+	}
+	if o.OnForwarded == nil {
+		o.OnForwarded = func(News) {}
+	}
+	if o.Random == nil {
+		o.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if o.Logger == nil {
+		o.Logger = hclog.NewNullLogger()
+	}
+	return o
+}
+
+// Exchange makes up for news that was missed. In intervals it compares digests
+// with one random peer of the zone and takes what differs, so that a node that
+// starts, was cut off or lost a message ends with what the others know. Towards
+// other zones only the operators' marks are exchanged: what servers say of
+// themselves, each zone's probes find out.
+type Exchange struct {
+	options ExchangeOptions
+	// running waits for the calls of Forward.
+	running sync.WaitGroup
+	// mutex guards options.Random.
+	mutex sync.Mutex
+}
+
+// NewExchange registers the handlers at the transport. It must be called before
+// the transport serves.
+func NewExchange(options ExchangeOptions) *Exchange {
+	e := &Exchange{options: options.withDefaults()}
+	e.options.Transport.Handle(kindSync, e.handleSync)
+	e.options.Transport.Handle(kindForward, e.handleForward)
+	return e
+}
+
+// Run compares until ctx ends, waits for calls of Forward, and returns the
+// error of ctx.
+func (e *Exchange) Run(ctx context.Context) error {
+	defer e.running.Wait()
+	near := time.NewTimer(e.jittered(e.options.Interval))
+	defer near.Stop()
+	remote := time.NewTimer(e.jittered(e.options.RemoteInterval))
+	defer remote.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-near.C:
+			e.pullFromOne(ctx, e.options.Peers(), false)
+			near.Reset(e.jittered(e.options.Interval))
+		case <-remote.C:
+			e.pullFromOne(ctx, e.options.Remote(), true)
+			remote.Reset(e.jittered(e.options.RemoteInterval))
+		}
+	}
+}
+
+func (e *Exchange) jittered(interval time.Duration) time.Duration {
+	const share = 0.2
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return time.Duration(float64(interval) * (1 + share*(2*e.options.Random.Float64()-1)))
+}
+
+// randomBelow returns a random number from 0 up to bound (exclusive).
+func (e *Exchange) randomBelow(bound int) int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.options.Random.IntN(bound)
+}
+
+func (e *Exchange) pullFromOne(ctx context.Context, peers []peer.Address, operatorOnly bool) {
+	if len(peers) == 0 {
+		return
+	}
+	address := peers[e.randomBelow(len(peers))]
+	if err := e.pull(ctx, address, operatorOnly); err != nil && ctx.Err() == nil {
+		e.options.Logger.Debug("catalog was not compared", "peer", string(address), "error", err)
+	}
+}
+
+// Pull takes everything that the node at address knows and this one does not. A
+// node calls it before it serves.
+func (e *Exchange) Pull(ctx context.Context, address peer.Address) error {
+	return e.pull(ctx, address, false)
+}
+
+func (e *Exchange) pull(ctx context.Context, address peer.Address, operatorOnly bool) error {
+	for range maxSyncRounds {
+		more, err := e.pullOnce(ctx, address, operatorOnly)
+		if err != nil || !more {
+			return err
+		}
+	}
+	return nil
+}
+
+// pullOnce reports whether there is more to take.
+func (e *Exchange) pullOnce(ctx context.Context, address peer.Address, operatorOnly bool) (bool, error) {
+	sums := e.options.Catalog.digests(operatorOnly)
+	request := &catalogpb.SyncRequest{
+		Digests:      sums[:],
+		First:        uint32(e.randomBelow(digestBuckets)),
+		OperatorOnly: operatorOnly,
+	}
+	bounded, cancel := context.WithTimeout(ctx, e.options.Timeout)
+	defer cancel()
+	var reply catalogpb.SyncReply
+	if err := e.options.Transport.Call(bounded, address, kindSync, request, &reply); err != nil {
+		return false, err
+	}
+	learnt, err := e.apply(reply.News)
+	if err != nil {
+		return false, err
+	}
+	if operatorOnly {
+		e.tellZone(learnt)
+	}
+	return reply.More && len(learnt) > 0, nil
+}
+
+func (e *Exchange) apply(messages []*catalogpb.News) ([]News, error) {
+	batch := make([]News, 0, len(messages))
+	for _, message := range messages {
+		news, err := FromProto(message)
+		if err != nil {
+			return nil, errors.Wrap(err, "news from peer")
+		}
+		batch = append(batch, news)
+	}
+	return e.options.Catalog.Apply(batch...), nil
+}
+
+func (e *Exchange) tellZone(learnt []News) {
+	for _, news := range learnt {
+		e.options.OnForwarded(news)
+	}
+}
+
+// Forward sends an operator's mark to the other zones at once. Other news is
+// left out. A call that fails is made up for by the next comparison.
+func (e *Exchange) Forward(ctx context.Context, news News) {
+	if news.Operator.Sequence == 0 || news.Kind != KindOperator {
+		return
+	}
+	batch := &catalogpb.NewsBatch{News: []*catalogpb.News{ToProto(&news)}}
+	for _, address := range e.options.Remote() {
+		e.running.Go(func() {
+			bounded, cancel := context.WithTimeout(ctx, e.options.Timeout)
+			defer cancel()
+			var reply catalogpb.Received
+			if err := e.options.Transport.Call(bounded, address, kindForward, batch, &reply); err != nil {
+				e.options.Logger.Warn("operator's mark was not forwarded", "peer", string(address), "error", err)
+			}
+		})
+	}
+}
+
+func (e *Exchange) handleSync(_ context.Context, _ target.NodeID, body []byte) (proto.Message, error) {
+	var request catalogpb.SyncRequest
+	if err := request.UnmarshalVT(body); err != nil {
+		return nil, errors.Wrap(err, "decode sync request")
+	}
+	if len(request.Digests) != digestBuckets || request.First >= digestBuckets {
+		return nil, errors.Errorf("sync request has %d digests from %d", len(request.Digests), request.First)
+	}
+	return e.options.Catalog.answerSync(request.Digests, int(request.First), request.OperatorOnly), nil
+}
+
+func (e *Exchange) handleForward(_ context.Context, _ target.NodeID, body []byte) (proto.Message, error) {
+	var batch catalogpb.NewsBatch
+	if err := batch.UnmarshalVT(body); err != nil {
+		return nil, errors.Wrap(err, "decode news")
+	}
+	learnt, err := e.apply(batch.News)
+	if err != nil {
+		return nil, err
+	}
+	e.tellZone(learnt)
+	return &catalogpb.Received{}, nil
+}
