Publishing: a change id publishes once; one mechanism keeps rejected changes out

Cause: a client that names its change and sends it again got a conflict with itself, or, where it expected no template and its own had been deleted since, published the same change a second time. The fence field and the list of rejected ids both moved the index on.

Ruled out: comparing contents, since two operators may publish the same.

Change: a change id that is kept in the document or its history is answered with the revision that it published. The fence field is gone; writing the rejected id does its work. The test of the examples reads the templates of both deployments by folder, since examples/ holds other files now.

Before: the new case in pkg/publish fails with the look-up left out. After: it passes.

Conclusion: publishing with a client's id is idempotent while the history reaches back to it.

--- a/pkg/publish/client_id_test.go
+++ b/pkg/publish/client_id_test.go
@@ -61,6 +61,21 @@
 		}),
 	)
 
+	It("publishes once, also over the tombstone of its own template", func() {
+		once := publisher.WithChangeID("mine")
+		first, err := once.Publish(ctx, content("kari"), 0)
+		Expect(err).NotTo(HaveOccurred())
+		again, err := once.Publish(ctx, content("kari"), 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.Template).To(Equal(first.Template))
+		_, err = publisher.Delete(ctx, testKey, first.Template.Revision, "ola", "")
+		Expect(err).NotTo(HaveOccurred())
+		again, err = once.Publish(ctx, content("kari"), 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.Template).To(Equal(first.Template))
+		Expect(publisher.History(ctx, testKey)).To(HaveLen(2))
+	})
+
 	It("does not stand in the way of another change", func() {
 		_, err := publisher.Settle(ctx, testKey, "mine")
 		Expect(err).NotTo(HaveOccurred())
--- a/pkg/publish/publisher.go
+++ b/pkg/publish/publisher.go
@@ -99,8 +99,8 @@
 // template that does not exist or was deleted. The template's own revision and
 // change id are ignored, and it is not changed. The error is a
 // template.FieldErrors, a *ConflictError, a *StoreBehindError, an
-// *UnknownError, an ErrRejected, or an error of the store after which the change certainly did
-// not commit.
+// *UnknownError, an ErrRejected, or an error of the store after which the
+// change certainly did not commit.
 func (p *Publisher) Publish(ctx context.Context, content *template.Template, expected uint64) (Result, error) {
 	if content.Deleted {
 		return Result{}, template.FieldErrors{{Path: "deleted", Message: "use delete to remove a template"}}
@@ -152,6 +152,9 @@
 	if base.document.IsRejected(content.ChangeID) {
 		return Result{}, &outcome.Error{Step: "publish " + key.String(), Outcome: outcome.NotRun, Reason: outcome.ReasonInvalid, Cause: ErrRejected}
 	}
+	if earlier, isAccepted := base.find(content.ChangeID); isAccepted {
+		return Result{Template: earlier.Template, Settled: true}, nil
+	}
 	if !base.isRevision(expected) {
 		return Result{}, newConflict(expected, &content, base)
 	}
--- a/pkg/publish/settle.go
+++ b/pkg/publish/settle.go
@@ -73,7 +73,6 @@
 // fence moves the index of a key on. It returns the document in the store.
 func (p *Publisher) fence(ctx context.Context, key template.Key, current state, changeID string) (*template.Template, error) {
 	next := current.document.Reject(changeID)
-	next.Fence = changeID
 	if !current.exists() {
 		tombstone, err := template.Seal(&template.Template{
 			Tenant: key.Tenant, Name: key.Name, Revision: 1, ChangeID: p.options.NewChangeID(), Deleted: true,
--- a/pkg/publish/state.go
+++ b/pkg/publish/state.go
@@ -59,13 +59,21 @@
 	forgotten
 )
 
+// find returns the revision that a change published, if it is still kept.
+func (s state) find(changeID string) (template.Published, bool) {
+	if !s.exists() {
+		return template.Published{}, false
+	}
+	return s.document.Find(changeID)
+}
+
 // contains looks for a change. Change ids are ordered by time, which tells
 // whether the change would be older than the kept history.
 func (s state) contains(changeID string) presence {
 	if !s.exists() {
 		return absent
 	}
-	if _, isKept := s.document.Find(changeID); isKept {
+	if _, isKept := s.find(changeID); isKept {
 		return present
 	}
 	history := s.document.History
--- a/pkg/template/fuzz_test.go
+++ b/pkg/template/fuzz_test.go
@@ -3,18 +3,13 @@
 import (
 	"bytes"
 	"os"
-	"path/filepath"
 	"testing"
 )
 
 // FuzzParse checks that a file that is accepted survives the store: what was
 // encoded decodes and parses to the same document.
 func FuzzParse(f *testing.F) {
-	files, err := filepath.Glob("../../examples/*/*.yaml")
-	if err != nil || len(files) == 0 {
-		f.Fatalf("no examples: %v", err)
-	}
-	for _, file := range files {
+	for _, file := range exampleFiles() {
 		text, err := os.ReadFile(file)
 		if err != nil {
 			f.Fatal(err)
--- a/pkg/template/stored/document.go
+++ b/pkg/template/stored/document.go
@@ -27,12 +27,11 @@
 	Current template.Published
 	// History is the earlier documents, newest first, at most HistoryLength.
 	History []template.Published
-	// Fence is set by the settlement of a doubtful write. Its only purpose is
-	// that the key's index moves on, so that the write can't commit later.
-	Fence string
 	// Rejected are the ids of changes that a settlement declared rejected,
 	// newest first, at most RejectedLength. They must not be published any
-	// more, whoever still holds them.
+	// more, whoever still holds them. Writing one also moves the key's index
+	// on, so that a write that is still under way can't commit later; a store
+	// may leave the index as it is where a value does not change.
 	Rejected []string
 }
 
@@ -41,7 +40,6 @@
 type wireDocument struct {
 	Current  json.RawMessage `json:"current"`
 	History  []byte          `json:"history,omitempty"`
-	Fence    string          `json:"fence,omitempty"`
 	Rejected []string        `json:"rejected,omitempty"`
 }
 
@@ -52,7 +50,7 @@
 		return nil, err
 	}
 	encoded, err := json.Marshal(wireDocument{
-		Current: d.Current.Encoded, History: history, Fence: d.Fence, Rejected: d.Rejected,
+		Current: d.Current.Encoded, History: history, Rejected: d.Rejected,
 	})
 	return encoded, errors.Wrap(err, "encode stored document")
 }
@@ -67,7 +65,7 @@
 	if err != nil {
 		return Document{}, errors.WithMessagef(err, "history of %s", key)
 	}
-	return Document{Current: current, History: history, Fence: wire.Fence, Rejected: wire.Rejected}, nil
+	return Document{Current: current, History: history, Rejected: wire.Rejected}, nil
 }
 
 // DecodeCurrent reads only the document in force, for watchers.
--- a/pkg/template/template_test.go
+++ b/pkg/template/template_test.go
@@ -114,12 +114,23 @@
 	})
 })
 
+// exampleFiles returns the templates of both deployments.
+func exampleFiles() []string {
+	var files []string
+	for _, deployment := range []string{"valgsok", "colour-archive"} {
+		found, err := filepath.Glob("../../examples/" + deployment + "/*.yaml")
+		if err != nil {
+			panic(err) // the pattern is a constant
+		}
+		files = append(files, found...)
+	}
+	return files
+}
+
 var _ = Describe("The examples", func() {
 	It("are whole, and cover both deployments", func() {
-		files, err := filepath.Glob("../../examples/*/*.yaml")
-		Expect(err).NotTo(HaveOccurred())
 		names := []string{}
-		for _, file := range files {
+		for _, file := range exampleFiles() {
 			text, err := os.ReadFile(file)
 			Expect(err).NotTo(HaveOccurred())
 			document, err := Parse(text)
