--- a/pkg/catalog/build.go
+++ b/pkg/catalog/build.go
@@ -21,8 +21,10 @@
 // serviceState is one service with its current view.
 type serviceState struct {
 	service target.Service
-	// members is guarded by the catalog's mutex.
+	// members and sorted are guarded by the catalog's mutex. sorted holds the
+	// members by server; nil if it is to be made anew.
 	members map[target.ServerID]*record
+	sorted  []*record
 	// dirty is set when the view is out of date.
 	dirty atomic.Bool
 	built atomic.Pointer[builtView]
@@ -79,22 +81,16 @@
 // build makes the view of a service, under the mutex.
 func (c *Catalog) build(state *serviceState, now time.Time) *builtView {
 	state.dirty.Store(false)
-	members := sortedMembers(state)
+	members := state.sortedMembers()
 	c.decideStates(members, now)
-
-	previous := map[target.ServerID]*Server{}
-	if old := state.built.Load(); old != nil {
-		for _, server := range old.view.Servers {
-			previous[server.ID] = server
-		}
-	}
 	view := &View{Service: state.service, Servers: make([]*Server, 0, len(members))}
 	built := &builtView{view: view}
 	for _, r := range members {
 		if r.state == Gone {
+			r.built = nil
 			continue
 		}
-		view.Servers = append(view.Servers, c.buildServer(r, previous[r.server], now))
+		view.Servers = append(view.Servers, c.buildServer(r, now))
 		built.changes(c.nextChange(r, now))
 	}
 	cost := c.options.Now().Sub(now)
@@ -104,13 +100,16 @@
 }
 
 // sortedMembers returns the records of a service by server.
-func sortedMembers(state *serviceState) []*record {
-	members := make([]*record, 0, len(state.members))
-	for _, r := range state.members {
-		members = append(members, r)
+func (s *serviceState) sortedMembers() []*record {
+	if s.sorted != nil {
+		return s.sorted
+	}
+	s.sorted = make([]*record, 0, len(s.members))
+	for _, r := range s.members {
+		s.sorted = append(s.sorted, r)
 	}
-	slices.SortFunc(members, func(a, b *record) int { return cmp.Compare(a.server, b.server) })
-	return members
+	slices.SortFunc(s.sorted, func(a, b *record) int { return cmp.Compare(a.server, b.server) })
+	return s.sorted
 }
 
 // changes takes the time at which one server of the view changes by itself.
@@ -143,10 +142,11 @@
 	return r.ejectionCause(r.lastAnswer.Add(c.options.AnswerFreshness), &c.options) != CauseNone
 }
 
-// buildServer returns the server's entry, the previous one if nothing changed.
-func (c *Catalog) buildServer(r *record, previous *Server, now time.Time) *Server {
+// buildServer returns the server's entry, the one of the last view if nothing
+// changed.
+func (c *Catalog) buildServer(r *record, now time.Time) *Server {
 	r.builtLoad = r.results.getLoad()
-	server := &Server{
+	server := Server{
 		ID:           r.server,
 		Service:      r.listing.Service,
 		Group:        r.listing.Group,
@@ -161,22 +161,28 @@
 		server.Connections = current.Contents.Connections
 		server.Indexes = current.Contents.Indexes
 	}
-	if previous != nil && previous.equal(server) {
-		return previous
+	if r.built == nil || !r.built.equal(&server) {
+		changed := server
+		r.built = &changed
 	}
-	return server
+	return r.built
 }
 
 func (s *Server) equal(other *Server) bool {
 	return s.ID == other.ID && s.Service == other.Service && s.Group == other.Group &&
 		s.Zone == other.Zone && s.ZoneDistance == other.ZoneDistance && s.State == other.State &&
 		s.Weight == other.Weight && s.Slots == other.Slots && s.Connections == other.Connections &&
-		s.ReportedLoad == other.ReportedLoad && slices.EqualFunc(s.Indexes, other.Indexes, equalIndex)
+		s.ReportedLoad == other.ReportedLoad && sameIndexes(s.Indexes, other.Indexes)
+}
+
+// sameIndexes reports whether both are one and the same slice. Contents are
+// immutable, so that another slice means other contents.
+func sameIndexes(a, b []backend.Index) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
 // decideStates sets the state of each server of a service.
 func (c *Catalog) decideStates(members []*record, now time.Time) {
-	floor := newEjectionFloor()
 	var candidates []*record
 	for _, r := range members {
 		wasEjected := r.state == Ejected
@@ -184,13 +190,16 @@
 		if r.state != Active {
 			continue
 		}
-		floor.add(r)
 		if cause := r.ejectionCause(now, &c.options); cause != CauseNone {
 			r.cause = cause
 			r.outlier.wasEjected = wasEjected
 			candidates = append(candidates, r)
 		}
 	}
+	if len(candidates) == 0 {
+		return
+	}
+	floor := newEjectionFloor(candidates, members)
 	slices.SortStableFunc(candidates, compareCandidates)
 	for _, r := range candidates {
 		if floor.eject(r) {
@@ -236,18 +245,28 @@
 	ejected  int
 }
 
-func newEjectionFloor() *ejectionFloor {
-	return &ejectionFloor{parts: make(map[backend.Shard]*partCount)}
+// newEjectionFloor counts the replicas, among the active members, of the parts
+// that candidates hold.
+func newEjectionFloor(candidates, members []*record) *ejectionFloor {
+	floor := &ejectionFloor{parts: make(map[backend.Shard]*partCount)}
+	for _, r := range candidates {
+		for _, part := range r.parts() {
+			floor.parts[part] = &partCount{}
+		}
+	}
+	for _, r := range members {
+		if r.state == Active {
+			floor.count(r)
+		}
+	}
+	return floor
 }
 
-func (f *ejectionFloor) add(r *record) {
+func (f *ejectionFloor) count(r *record) {
 	for _, part := range r.parts() {
-		count := f.parts[part]
-		if count == nil {
-			count = &partCount{}
-			f.parts[part] = count
+		if count := f.parts[part]; count != nil {
+			count.replicas++
 		}
-		count.replicas++
 	}
 }
 
--- a/pkg/catalog/machines.go
+++ b/pkg/catalog/machines.go
@@ -113,6 +113,7 @@
 		c.services.Store(&services)
 	}
 	state.members[r.server] = r
+	state.sorted = nil
 	state.dirty.Store(true)
 }
 
@@ -123,6 +124,7 @@
 		return
 	}
 	delete(state.members, r.server)
+	state.sorted = nil
 	state.dirty.Store(true)
 }
 
--- a/pkg/catalog/record.go
+++ b/pkg/catalog/record.go
@@ -63,7 +63,8 @@
 	probe         probeRecord
 	// lastAnswer is about when a sub-request was last answered.
 	lastAnswer time.Time
-	// builtLoad is the load in the last view.
+	// built is the entry of the last view, and builtLoad the load in it.
+	built     *Server
 	builtLoad float64
 	// state and cause are those of the last view.
 	state State
--- a/pkg/catalog/report.go
+++ b/pkg/catalog/report.go
@@ -52,7 +52,7 @@
 	defer c.mutex.Unlock()
 	state := (*c.services.Load())[service]
 	now := c.options.Now()
-	for _, r := range sortedMembers(state) {
+	for _, r := range state.sortedMembers() {
 		reports = append(reports, c.report(r, now))
 	}
 	return reports
@@ -110,7 +110,7 @@
 func (c *Catalog) appendParts(parts []rendezvous.Part, state *serviceState) []rendezvous.Part {
 	now := c.options.Now()
 	positions := make(map[string]int)
-	for _, r := range sortedMembers(state) {
+	for _, r := range state.sortedMembers() {
 		if r.gone(now, &c.options) {
 			continue
 		}
