--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -142,7 +142,7 @@
 		r.facts.prune()
 		r.results.noteDraining(instance)
 		c.touched(r)
-		c.tell(u, r, KindDraining, known)
+		c.tell(u, r, KindDraining, known.withoutContents())
 	})
 }
 
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -229,6 +229,22 @@
 		Expect(sent).To(BeEmpty())
 	})
 
+	It("shows servers that join, move to another service, or are forgotten", func() {
+		Expect(server(servers)).To(BeNil())
+		list = listOf(servers + 1)
+		c.ReplaceMachines(list)
+		Expect(server(servers)).NotTo(BeNil())
+		list[0].Service = "other"
+		c.ReplaceMachines(list)
+		Expect(server(0)).To(BeNil())
+		Expect(c.View("other").Servers).To(HaveLen(1))
+		Expect(c.Services()).To(Equal([]target.Service{"other", testService}))
+		c.ReplaceMachines(list[:servers])
+		pass(DefaultUnlistedLimit + DefaultRetention)
+		Expect(server(servers)).To(BeNil())
+		Expect(c.View("nothing")).To(BeNil())
+	})
+
 	It("knows zones and regions, and gives all parts with their replicas", func() {
 		list[0].Zone, list[0].Region = "other", "east"
 		list[1].Zone, list[1].Region = "far", "west"
--- a/pkg/catalog/encoding_test.go
+++ b/pkg/catalog/encoding_test.go
@@ -3,6 +3,7 @@
 import (
 	"reflect"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -47,6 +48,31 @@
 	}
 }
 
+// TestSizesOfNews measures what a change of one server costs on the wire. A
+// server that holds one part, and a drain that needs no contents, are small.
+func TestSizesOfNews(t *testing.T) {
+	var sent []News
+	c := New(Options{Node: "4f9c2b7e@10.1.2.3:7000", Zone: "zone", OnNews: func(news News) { sent = append(sent, news) }})
+	c.ReplaceMachines(listOf(1))
+	c.ReportProbe(serverID(0), time.Now(), statusOf(0, "5f0c7a52", false, 1), nil)
+	c.ReportProbe(serverID(0), time.Now(), statusOf(0, "5f0c7a52", false, 2), nil)
+	c.ReportHints(serverID(0), backend.Hints{Draining: true, Instance: "5f0c7a52"})
+	if len(sent) != 3 {
+		t.Fatalf("sent %+v", sent)
+	}
+	for _, news := range sent {
+		size := ToProto(&news).SizeVT()
+		t.Logf("%s: %d B", news.Kind, size)
+		const bound = 150
+		if size > bound {
+			t.Errorf("%s takes %d bytes", news.Kind, size)
+		}
+	}
+	if sent[2].Instance.Contents != nil {
+		t.Error("a drain carries contents")
+	}
+}
+
 // FuzzDecodeNews feeds malformed news: what is accepted is within bounds, has
 // one wire form, and never breaks a catalog.
 func FuzzDecodeNews(f *testing.F) {
--- a/pkg/catalog/facts.go
+++ b/pkg/catalog/facts.go
@@ -140,6 +140,15 @@
 // dead reports whether probers say that the process does not answer.
 func (i *instanceFacts) dead() bool { return i.Liveness%2 == 1 }
 
+// withoutContents returns the facts without the contents, for news that is
+// small.
+func (i *instanceFacts) withoutContents() *instanceFacts {
+	small := *i
+	small.Contents = nil
+	small.Revision = 0
+	return &small
+}
+
 // news returns the facts about an instance as news. The uptime is that of now.
 func (i *instanceFacts) news(now time.Time) Instance {
 	told := i.Instance
--- a/pkg/catalog/probe.go
+++ b/pkg/catalog/probe.go
@@ -43,7 +43,7 @@
 	}
 	current.Liveness++
 	c.touched(r)
-	c.tell(u, r, KindDead, current)
+	c.tell(u, r, KindDead, current.withoutContents())
 }
 
 // probeAnswered takes a status. It is fresh evidence, unless the server was
