A refusal reported late does not drain the server's next instance

Cause: ReportResult knows no instance. A node that was paused with a refusal for draining in its buffers may apply news of the restarted server first; the refusal then marked the new instance, which would have been out until it restarted. Ruled out: ignoring such refusals altogether, since servers without X-Instance have no other sign on a refusal. Change: they are ignored for servers that name their instance in hints. Seen to fail: the spec fails without the check. Conclusion: needs OnHints (or ReportHints) on refusals, as the node is wired.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -110,6 +110,9 @@
 	if hints.Load >= 0 {
 		r.results.setLoad(hints.Load)
 	}
+	if hints.Instance != "" {
+		r.results.noteNamed()
+	}
 	if hints.Draining {
 		c.serverDrains(r, hints.Instance)
 	}
@@ -167,7 +170,10 @@
 	c.wanted[r] = struct{}{}
 }
 
-// ReportResult implements Source.
+// ReportResult implements Source. A refusal for draining counts as a drain only
+// for servers that do not name their instance in hints: otherwise ReportHints,
+// which is to be called for refusals too, says which instance drains, while a
+// refusal that is reported late could be taken for one of the next instance.
 func (c *Catalog) ReportResult(server target.ServerID, err error) {
 	r := c.find(server)
 	switch {
@@ -176,7 +182,9 @@
 		r.results.success()
 		c.watch(r)
 	case outcome.ReasonOf(err) == outcome.ReasonDraining:
-		c.serverDrains(r, "")
+		if !r.results.named() {
+			c.serverDrains(r, "")
+		}
 	case countsAsFailure(err):
 		c.failed(r)
 	}
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -201,6 +201,13 @@
 	})
 
 	It("does not let a late answer of an old instance drain the new one", func() {
+		c.ReportHints(serverID(0), backend.Hints{Draining: true, Instance: "first"})
+		probe(0, statusOf(0, "second", false, 1))
+		c.ReportResult(serverID(0), &outcome.Error{Outcome: outcome.NotRun, Reason: outcome.ReasonDraining})
+		Expect(stateOf(0)).To(Equal(Active))
+	})
+
+	It("does not let a late hint of an old instance drain the new one", func() {
 		probe(0, statusOf(0, "second", false, 1))
 		c.ReportHints(serverID(0), backend.Hints{Draining: true, Instance: "first"})
 		Expect(stateOf(0)).To(Equal(Active))
--- a/pkg/catalog/outlier.go
+++ b/pkg/catalog/outlier.go
@@ -23,6 +23,8 @@
 	load        atomic.Uint64
 	// watched tells that Refresh looks at the server.
 	watched atomic.Bool
+	// namesInstance tells that the server names its instance in hints.
+	namesInstance atomic.Bool
 	// newest is the newest index version that the server is known to have, or
 	// to have spoken of.
 	newest atomic.Uint64
@@ -57,6 +59,14 @@
 
 func (r *results) noteVersion(version target.Version) { r.newest.Store(uint64(version)) }
 
+func (r *results) named() bool { return r.namesInstance.Load() }
+
+func (r *results) noteNamed() {
+	if !r.namesInstance.Load() {
+		r.namesInstance.Store(true)
+	}
+}
+
 // knownDraining reports whether it is known already that an instance drains.
 // Without an instance it is not known which one is meant.
 func (r *results) knownDraining(instance string) bool {
