Configuration replicas: measure with templates in the store; keep the store key of an entry

Cause: the cost of many templates was not measured, and comparing a read of the store with the held documents formatted the store key of each of them.

Change: the measurement starts from a store that holds 100 to 2,000 templates; an entry keeps its store key.

--- a/pkg/configsync/cluster_test.go
+++ b/pkg/configsync/cluster_test.go
@@ -96,7 +96,12 @@
 
 // newCluster starts nodes, spread evenly over zones.
 func newCluster(size, zones int, tune func(*Options)) *cluster {
-	c := &cluster{network: peer.NewNetwork(1), store: configstore.NewMemory(), zones: zones, tune: tune}
+	return newClusterOn(configstore.NewMemory(), size, zones, tune)
+}
+
+// newClusterOn starts nodes on a store that may hold templates already.
+func newClusterOn(store *configstore.Memory, size, zones int, tune func(*Options)) *cluster {
+	c := &cluster{network: peer.NewNetwork(1), store: store, zones: zones, tune: tune}
 	c.network.SetLatency(c.latency)
 	for index := range size {
 		c.nodes = append(c.nodes, &testNode{Peer: Peer{
--- a/pkg/configsync/measure_test.go
+++ b/pkg/configsync/measure_test.go
@@ -1,6 +1,7 @@
 package configsync
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -17,6 +18,7 @@
 
 	"github.com/bramblemast/bramblemast/pkg/configstore"
 	"github.com/bramblemast/bramblemast/pkg/peer"
+	"github.com/bramblemast/bramblemast/pkg/publish"
 	"github.com/bramblemast/bramblemast/pkg/target"
 	"github.com/bramblemast/bramblemast/pkg/template"
 )
@@ -59,19 +61,23 @@
 	}
 }
 
-// size is a number of nodes and how they are spread.
-type size struct{ nodes, zones int }
+// size is a number of nodes and how they are spread, and of the templates that
+// the store holds before they start.
+type size struct{ nodes, zones, templates int }
 
 // TestMeasureSpread measures the time from acceptance to in force at every
 // node, and what it costs each node, with changes at the letter's rate.
 func TestMeasureSpread(t *testing.T) {
-	sizes := []size{{3, 3}, {30, 3}}
+	sizes := []size{{3, 3, 100}, {30, 3, 100}}
 	if *measureLarge {
-		sizes = append(sizes, size{100, 17}, size{300, 17}, size{1000, 17})
+		sizes = append(sizes, size{100, 17, 100}, size{300, 17, 100}, size{1000, 17, 100}, size{100, 17, 1000}, size{100, 17, 2000})
 	}
 	for _, size := range sizes {
 		for _, condition := range conditions() {
-			synctest.Test(t, func(t *testing.T) { measureOne(t, size, condition) })
+			name := fmt.Sprintf("%d nodes/%d templates/%s", size.nodes, size.templates, condition.name)
+			t.Run(name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { measureOne(t, size, condition) })
+			})
 		}
 	}
 }
@@ -81,7 +87,7 @@
 	defer m.close()
 	time.Sleep(startTime)
 	started := time.Now()
-	before, processor, storeCalls := m.traffic(), processorTime(), m.store.Counts()
+	before, processor, storeCalls, storeBytes := m.traffic(), processorTime(), m.store.Counts(), m.storeBytes()
 	m.publishSteadily(condition)
 	after, calls := m.traffic(), m.store.Counts()
 	processor = processorTime() - processor
@@ -96,15 +102,15 @@
 		messages += used.MessagesIn + used.MessagesOut
 	}
 	var storeMean, storeHighest float64
-	for _, node := range m.nodes {
-		rate := float64(node.replica.Stats().StoreBytes) / seconds
+	for index, bytes := range m.storeBytes() {
+		rate := float64(bytes-storeBytes[index]) / seconds
 		storeMean += rate / float64(len(m.nodes))
 		storeHighest = max(storeHighest, rate)
 	}
 	slices.Sort(m.spreads)
-	t.Logf("%4d nodes, %2d zones, %-15s: %d changes; in force median %v, p99 %v, last %v; "+
+	t.Logf("%4d nodes, %2d zones, %4d templates, store %-15s: %d changes; in force median %v, p99 %v, last %v; "+
 		"per node %.0f B/s (highest %.0f), store's %.0f B/s (highest %.0f), %.1f messages/s, %.3f%% of a core, %.0f KiB heap; store %.1f reads/s, %.1f writes/s",
-		size.nodes, size.zones, condition.name, m.changes,
+		size.nodes, size.zones, size.templates, condition.name, m.changes,
 		m.quantile(0.5), m.quantile(0.99), m.quantile(1), mean, highest, storeMean, storeHighest,
 		float64(messages)/seconds/float64(size.nodes), 100*processor.Seconds()/seconds/float64(size.nodes), m.heap(),
 		float64(calls.Reads-storeCalls.Reads)/seconds, float64(calls.Writes-storeCalls.Writes)/seconds)
@@ -136,7 +142,7 @@
 	}
 	var all []Peer
 	m.views.Store(&map[target.Zone][]Peer{})
-	m.cluster = newCluster(size.nodes, size.zones, func(options *Options) {
+	m.cluster = newClusterOn(m.preload(), size.nodes, size.zones, func(options *Options) {
 		self := options.Self
 		all = append(all, self)
 		options.Peers = func() []Peer { return (*m.views.Load())[self.Zone] }
@@ -148,6 +154,28 @@
 	return m
 }
 
+// preload makes a store that holds the templates in their first revision.
+func (m *measurement) preload() *configstore.Memory {
+	store := configstore.NewMemory()
+	publisher, err := publish.New(publish.Options{Store: store})
+	if err != nil {
+		panic(err)
+	}
+	for number := range m.size.templates {
+		if _, err := publisher.Publish(context.Background(), m.document(number), 0); err != nil {
+			panic(err)
+		}
+	}
+	return store
+}
+
+// document makes the content of one template.
+func (m *measurement) document(number int) *template.Template {
+	document := content(template.Key{Tenant: "tenant", Name: fmt.Sprint("template", number%m.size.templates)}, "operator")
+	document.Comment = strings.Repeat("x", documentSize-200)
+	return document
+}
+
 // viewsOf gives each zone its own members and a few of each other zone.
 func viewsOf(all []Peer) map[target.Zone][]Peer {
 	views, zones := map[target.Zone][]Peer{}, map[target.Zone][]Peer{}
@@ -171,13 +199,13 @@
 	m.taken[changeID] = append(m.taken[changeID], time.Now())
 }
 
-// publishSteadily publishes changes of 100 templates at random nodes.
+// publishSteadily publishes changes at random nodes.
 func (m *measurement) publishSteadily(condition condition) {
 	interval := time.Duration(float64(time.Second) / changeRate)
 	deadline := time.Now().Add(measuredTime)
 	for ; time.Now().Before(deadline); m.changes++ {
 		condition.before(m.store)
-		m.publishOne(fmt.Sprint("template", m.changes%100))
+		m.publishOne(m.document(m.changes))
 		condition.after(m.store)
 		time.Sleep(interval)
 	}
@@ -191,9 +219,7 @@
 	}
 }
 
-func (m *measurement) publishOne(name string) {
-	document := content(template.Key{Tenant: "tenant", Name: name}, "operator")
-	document.Comment = strings.Repeat("x", documentSize-200)
+func (m *measurement) publishOne(document *template.Template) {
 	for {
 		node := m.nodes[m.random.IntN(len(m.nodes))]
 		held, _ := node.replica.Held(document.Key())
@@ -229,6 +255,15 @@
 	return all
 }
 
+// storeBytes returns the bytes that each node has read from the store.
+func (m *measurement) storeBytes() []uint64 {
+	var all []uint64
+	for _, node := range m.nodes {
+		all = append(all, node.replica.Stats().StoreBytes)
+	}
+	return all
+}
+
 // heap returns the live heap of the whole process, in KiB for each node.
 func (m *measurement) heap() float64 {
 	runtime.GC()
--- a/pkg/configsync/replica.go
+++ b/pkg/configsync/replica.go
@@ -23,7 +23,6 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/bramblemast/bramblemast/pkg/template"
-	"github.com/bramblemast/bramblemast/pkg/template/stored"
 )
 
 // Replica is one node's copy of all templates. It is safe for concurrent use.
@@ -189,8 +188,3 @@
 	defer r.mutex.Unlock()
 	return time.Duration(r.random.Int64N(int64(limit)))
 }
-
-func hasPrefix(key template.Key, prefix string) bool {
-	text := stored.Key(key)
-	return len(text) >= len(prefix) && text[:len(prefix)] == prefix
-}
--- a/pkg/configsync/table.go
+++ b/pkg/configsync/table.go
@@ -1,6 +1,7 @@
 package configsync
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -38,7 +39,9 @@
 
 // entry is what the table holds of one template.
 type entry struct {
-	published   template.Published
+	published template.Published
+	// storeKey is the key of the template in the store.
+	storeKey    string
 	fingerprint uint64
 	source      Source
 	// since is when the document was taken.
@@ -106,6 +109,7 @@
 	}
 	t.replaceLocked(key, held, &entry{
 		published:   published,
+		storeKey:    stored.Key(key),
 		fingerprint: fingerprint(published),
 		source:      source,
 		since:       now,
@@ -245,7 +249,7 @@
 	defer t.mutex.Unlock()
 	var result storeComparison
 	for key, held := range t.entries {
-		if !hasPrefix(key, prefix) {
+		if !strings.HasPrefix(held.storeKey, prefix) {
 			continue
 		}
 		ahead := held.published.Version().Compare(found[key]) > 0
