--- a/pkg/template/template_test.go
+++ b/pkg/template/template_test.go
@@ -95,6 +95,14 @@
 		Expect(faultsOf(text)).To(ContainElement("policies.stop"))
 	})
 
+	It("refuses parameters that would have no effect", func() {
+		text := strings.Replace(wholeFile, "policies:\n", "policies:\n  stop: {records: 5}\n  admission: {max_queued: 9}\n"+
+			"  retry: {max_attempts: 2}\n  extra_load: {burst: 5}\n", 1)
+		text = strings.Replace(text, "{hedge: {policy: none}}", "{hedge: {delay: 5ms}}", 1)
+		Expect(faultsOf(text)).To(ConsistOf("policies.stop.policy", "policies.admission.policy", "policies.retry.policy",
+			"policies.extra_load.share", "experiment.arms[0].policies.hedge.policy"))
+	})
+
 	It("refuses hedges and early stops for requests that are not repeatable", func() {
 		text := strings.Replace(wholeFile, "deadline:", "not_repeatable: true\ndeadline:", 1)
 		text = strings.Replace(text, "quantile: 0.95}", "quantile: 0.95}\n  stop: {policy: first}", 1)
--- a/pkg/template/validate.go
+++ b/pkg/template/validate.go
@@ -93,6 +93,7 @@
 // the defaults and the template's own policies filled in.
 func (t *Template) checkPolicies(faults *faultList, path string, own policy.Spec) {
 	checkPolicySpec(faults, path, own)
+	checkIgnored(faults, path, own)
 	effective := t.effectivePolicies(own)
 	if t.NotRepeatable {
 		checkNotRepeatable(faults, path, own)
@@ -108,6 +109,27 @@
 	}
 }
 
+// checkIgnored refuses parameters of a kind that names no policy: such a kind
+// is taken whole from elsewhere, and the parameters would have no effect.
+func checkIgnored(faults *faultList, path string, own policy.Spec) {
+	const message = "is required with parameters, which would have no effect"
+	if own.Hedge.Policy == "" && own.Hedge != (policy.HedgeSpec{}) {
+		faults.add(join(path, "hedge.policy"), message)
+	}
+	if own.Stop.Policy == "" && own.Stop != (policy.StopSpec{}) {
+		faults.add(join(path, "stop.policy"), message)
+	}
+	if own.Admission.Policy == "" && own.Admission != (policy.AdmissionSpec{}) {
+		faults.add(join(path, "admission.policy"), message)
+	}
+	if own.Retry.Policy == "" && own.Retry != (policy.RetrySpec{}) {
+		faults.add(join(path, "retry.policy"), message)
+	}
+	if own.ExtraLoad.Share == 0 && own.ExtraLoad.Burst != 0 {
+		faults.add(join(path, "extra_load.share"), message)
+	}
+}
+
 // checkNotRepeatable refuses policies that ask for more than one attempt or
 // for less than the one part.
 func checkNotRepeatable(faults *faultList, path string, own policy.Spec) {
