report: cut intervals where no figure can lie

Cause: with few repeats Student's t interval reached below zero milliseconds and above a coverage of 1 in the plots. Change: the plots cut there; the tables and the JSON keep the interval.

--- a/internal/lab/report/charts.go
+++ b/internal/lab/report/charts.go
@@ -30,6 +30,8 @@
 	metrics           []experiment.Metric
 	// fromZero makes the axis begin at zero.
 	fromZero bool
+	// isShare means that no value is above 1.
+	isShare bool
 }
 
 var comparisons = []comparison{
@@ -38,7 +40,7 @@
 		metrics: []experiment.Metric{experiment.MetricP50, experiment.MetricP99, experiment.MetricP999},
 	},
 	{
-		name: "coverage", title: "Coverage of answers", unit: "share",
+		name: "coverage", title: "Coverage of answers", unit: "share", isShare: true,
 		metrics: []experiment.Metric{experiment.MetricCoverageMean, experiment.MetricCoverageMin, experiment.MetricCompleteShare},
 	},
 	{
@@ -50,7 +52,7 @@
 		metrics: []experiment.Metric{experiment.MetricGoodput},
 	},
 	{
-		name: "refusals", title: "Refused and failed requests", unit: "share of requests", fromZero: true,
+		name: "refusals", title: "Refused and failed requests", unit: "share of requests", fromZero: true, isShare: true,
 		metrics: []experiment.Metric{experiment.MetricRefusedShare, experiment.MetricFailedShare},
 	},
 }
--- a/internal/lab/report/comparison.go
+++ b/internal/lab/report/comparison.go
@@ -44,7 +44,7 @@
 	drawn := 0
 	for index, metric := range wanted.metrics {
 		offset := (float64(index) - float64(len(wanted.metrics)-1)/2) * spread
-		points := intervals(output, metric, offset)
+		points := intervals(output, wanted, metric, offset)
 		if len(points.XYs) == 0 {
 			continue
 		}
@@ -60,7 +60,9 @@
 	return drawing, nil
 }
 
-func intervals(output *experiment.Output, metric experiment.Metric, offset float64) bars {
+// intervals returns the points of a metric. Intervals are cut where no figure
+// can lie, below zero and above the greatest value of a share.
+func intervals(output *experiment.Output, wanted comparison, metric experiment.Metric, offset float64) bars {
 	var points bars
 	for index := range output.Arms {
 		figure := output.Arms[index].Figure(metric)
@@ -68,8 +70,13 @@
 			continue
 		}
 		value := figure.Value
+		low := math.Max(value.Low, 0)
+		high := value.High
+		if wanted.isShare {
+			high = math.Min(high, 1)
+		}
 		points.XYs = append(points.XYs, plotter.XY{X: float64(index) + offset, Y: value.Mean})
-		points.YErrors = append(points.YErrors, struct{ Low, High float64 }{value.Mean - value.Low, value.High - value.Mean})
+		points.YErrors = append(points.YErrors, struct{ Low, High float64 }{value.Mean - low, high - value.Mean})
 	}
 	return points
 }
