Node: catch up on back ends, collect garbage less often, measure its cost

Cause: a replacement that started more than 30 s after an operator's drain gave the drained server new work, since the broadcast was no longer kept. And a node's processor time for each sub-request was not known. Ruled out for the drain: keeping broadcasts longer, which only moves the bound. Ruled out for the cost: the executor (its share of a profile is under 5%); it is net/http's two goroutines and system calls for each exchange, and garbage collection of a small heap. Change: catalog.Exchange wired: a starting node pulls from its first peer, comparisons every 10 s, operators' marks forwarded between zones. Settings memory.collect_percent (400) and memory.limit_bytes (1 GiB). Profiles on the operators' listener.

--- a/cmd/bramblemastd/main.go
+++ b/cmd/bramblemastd/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/hashicorp/go-hclog"
@@ -120,6 +121,8 @@
 		Output:     os.Stderr,
 		JSONFormat: true,
 	})
+	debug.SetGCPercent(loaded.Memory.CollectPercent)
+	debug.SetMemoryLimit(loaded.Memory.LimitBytes)
 	member, err := node.New(loaded, logger)
 	if err != nil {
 		return fail(exitFailure, err)
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -143,7 +143,8 @@
 	return compiled, found
 }
 
-func (c *configuration) ready() bool { return c.replica.Ready() }
+// Ready implements serve.Templates.
+func (c *configuration) Ready() bool { return c.replica.Ready() }
 
 func (c *configuration) run(ctx context.Context) error { return c.replica.Run(ctx) }
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -24,15 +24,14 @@
 // metrics counts what the node does. It implements serve.Observer and
 // query.Observer and is safe for concurrent use.
 type metrics struct {
-	registry     *prometheus.Registry
-	requests     *prometheus.CounterVec
-	latency      *prometheus.HistogramVec
-	subRequests  *prometheus.CounterVec
-	subLatency   *prometheus.HistogramVec
-	late         *prometheus.CounterVec
-	corrupt      *prometheus.CounterVec
-	restarted    *prometheus.CounterVec
-	configEvents *prometheus.CounterVec
+	registry    *prometheus.Registry
+	requests    *prometheus.CounterVec
+	latency     *prometheus.HistogramVec
+	subRequests *prometheus.CounterVec
+	subLatency  *prometheus.HistogramVec
+	late        *prometheus.CounterVec
+	corrupt     *prometheus.CounterVec
+	restarted   *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -45,10 +44,8 @@
 		late:        counter("late_responses_total", "Sub-responses that came after their query had no use for them.", "service"),
 		corrupt:     counter("corrupt_responses_total", "Sub-responses of another version or range than asked.", "service"),
 		restarted:   counter("query_restarts_total", "Queries that began again on a newer index version.", "service"),
-		configEvents: counter("config_events_total",
-			"Events of the configuration: applied, refused_older, store_behind, conflict.", "event"),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.subRequests, m.subLatency, m.late, m.corrupt, m.restarted, m.configEvents,
+	m.registry.MustRegister(m.requests, m.latency, m.subRequests, m.subLatency, m.late, m.corrupt, m.restarted,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,7 @@
 	members   *membership.Membership
 	machines  *machinelist.Poller
 	catalog   *catalog.Catalog
+	exchange  *catalog.Exchange
 	client    *httpbackend.Client
 	limits    *limit.Servers
 	gates     *gates
@@ -116,7 +117,7 @@
 // Ready reports whether the node takes requests: it has its configuration and
 // knows back ends, and is not stopping.
 func (n *Node) Ready() bool {
-	return !n.leaving.Load() && n.config.ready() && len(n.catalog.Services()) > 0
+	return !n.leaving.Load() && n.config.Ready() && len(n.catalog.Services()) > 0
 }
 
 func (n *Node) closeListeners() {
@@ -177,10 +178,18 @@
 		Node:   n.id,
 		Zone:   n.settings.Node.Zone,
 		Region: n.settings.Node.Region,
-		OnNews: n.broadcastNews,
+		OnNews: n.spreadNews,
 		Logger: n.logger.Named("catalog"),
 	})
 	n.members.HandleNews(newsKind, n.receiveNews)
+	n.exchange = catalog.NewExchange(catalog.ExchangeOptions{
+		Catalog:     n.catalog,
+		Transport:   n.transport,
+		Peers:       n.zonePeers,
+		Remote:      n.remotePeers,
+		OnForwarded: n.tellZone,
+		Logger:      n.logger.Named("catalog"),
+	})
 	n.reach = newReach(n.id, n.catalog, n.limits, n.sharingNodes)
 	n.client = httpbackend.New(httpbackend.Options{
 		Connections:      n.reach.connections,
@@ -236,6 +245,8 @@
 	n.addWork(&group, work, n.members.Run)
 	n.addWork(&group, work, n.probeLoop().Run)
 	n.addWork(&group, work, n.reach.run)
+	n.addWork(&group, work, n.catchUp)
+	n.addWork(&group, work, n.exchange.Run)
 	n.addWork(&group, work, n.config.run)
 	n.addWork(&group, work, n.claims.Run)
 	if n.machines != nil {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"context"
 	"slices"
+	"time"
 
 	"github.com/bramblemast/bramblemast/pkg/catalog"
 	"github.com/bramblemast/bramblemast/pkg/configsync"
@@ -101,9 +103,76 @@
 	return peers
 }
 
-// broadcastNews tells the nodes of the zone what this node found out about a
-// back end.
-func (n *Node) broadcastNews(news catalog.News) {
+// remotePerZone is the number of nodes of each other zone that operators' marks
+// are forwarded to.
+const remotePerZone = 2
+
+// catchUpPoll is how often a starting node looks for a first peer of its zone.
+const catchUpPoll = 200 * time.Millisecond
+
+// zonePeers returns the addresses of the other living nodes of the zone.
+func (n *Node) zonePeers() []peer.Address {
+	var addresses []peer.Address
+	for _, member := range n.members.Alive(n.settings.Node.Zone) {
+		if member.ID != n.id {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses
+}
+
+// remotePeers returns the addresses of a few living nodes of each other zone.
+func (n *Node) remotePeers() []peer.Address {
+	var addresses []peer.Address
+	for _, zone := range n.members.Zones() {
+		if zone == n.settings.Node.Zone {
+			continue
+		}
+		members := n.members.Alive(zone)
+		for _, member := range members[:min(remotePerZone, len(members))] {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses
+}
+
+// catchUp takes what peers know of the back ends as soon as this node has found
+// one, so that a replacement does not wait for the first comparison to learn
+// of operators' drains. It then waits for the end of ctx.
+func (n *Node) catchUp(ctx context.Context) error {
+	ticker := time.NewTicker(catchUpPoll)
+	defer ticker.Stop()
+	for !n.pullOnce(ctx) {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// pullOnce reports whether some peer's knowledge of the back ends was taken,
+// from the own zone or else from another.
+func (n *Node) pullOnce(ctx context.Context) bool {
+	for _, address := range append(n.zonePeers(), n.remotePeers()...) {
+		if n.exchange.Pull(ctx, address) == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// spreadNews tells what this node found out about a back end: all of it to the
+// zone, and operators' marks to the other zones as well.
+func (n *Node) spreadNews(news catalog.News) {
+	n.tellZone(news)
+	n.exchange.Forward(context.Background(), news)
+}
+
+// tellZone broadcasts news of a back end to the nodes of the zone.
+func (n *Node) tellZone(news catalog.News) {
 	encoded, err := catalog.EncodeNews([]catalog.News{news})
 	if err == nil {
 		err = n.members.Broadcast(newsKind, encoded)
--- a/internal/node/routes.go
+++ b/internal/node/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/pprof"
 
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -71,9 +72,17 @@
 		Logger:      n.logger.Named("operators"),
 	}).Register(n.operatorsRouter)
 	n.registerHealth(n.operatorsRouter)
+	registerProfiles(n.operatorsRouter)
 	return nil
 }
 
+// registerProfiles adds Go's profiles, for operators only.
+func registerProfiles(router *echo.Echo) {
+	router.GET("/debug/pprof/*", echo.WrapHandler(http.HandlerFunc(pprof.Index)))
+	router.GET("/debug/pprof/profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
+	router.GET("/debug/pprof/trace", echo.WrapHandler(http.HandlerFunc(pprof.Trace)))
+}
+
 // registerHealth adds the routes that every listener has.
 func (n *Node) registerHealth(router *echo.Echo) {
 	router.GET("/healthz", func(context echo.Context) error { return context.NoContent(http.StatusOK) })
@@ -96,6 +105,15 @@
 		return 0
 	})
 	n.metrics.gauge("members", "Known nodes that are not dead.", func() float64 { return float64(len(n.sharingNodes())) })
+	n.metrics.gauge("config_templates", "Templates in force.", func() float64 { return float64(len(n.config.replica.List())) })
+	n.metrics.gauge("config_store_behind", "Templates of which the store holds an older revision than is in force.", func() float64 {
+		return float64(n.config.replica.Status().Store.Behind)
+	})
+	n.metrics.gauge("config_forks", "Changes seen with a revision that another change has.", func() float64 {
+		return float64(n.config.replica.Stats().Forks)
+	})
+	n.metrics.gauge("config_refused", "Older documents refused.", func() float64 { return float64(n.config.replica.Stats().Refused) })
+	n.metrics.gauge("claims_pending", "Writes to claims that wait for the store.", func() float64 { return float64(n.claims.Pending()) })
 	n.metrics.gauge("peer_bytes_out", "Bytes sent to peers.", func() float64 { return float64(n.transport.Stats().BytesOut) })
 	n.metrics.gauge("peer_bytes_in", "Bytes received from peers.", func() float64 { return float64(n.transport.Stats().BytesIn) })
 	n.metrics.gauge("peer_messages_out", "Messages sent to peers.", func() float64 { return float64(n.transport.Stats().MessagesOut) })
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -103,7 +103,11 @@
 			Timeout:  source.duration("stop.timeout", 30*time.Second, 10*time.Millisecond, 10*time.Minute),
 		},
 		Templates: Templates{Files: source.texts("templates.files")},
-		Log:       Log{Level: source.oneOf("log.level", "info", "trace", "debug", "info", "warn", "error")},
+		Memory: Memory{
+			CollectPercent: int(source.integer("memory.collect_percent", 400, 10, 10_000)),
+			LimitBytes:     source.integer("memory.limit_bytes", 1<<30, 16<<20, 1<<40),
+		},
+		Log: Log{Level: source.oneOf("log.level", "info", "trace", "debug", "info", "warn", "error")},
 	}
 	for _, seed := range source.addresses("peers.seeds") {
 		settings.Peers.Seeds = append(settings.Peers.Seeds, peer.Address(seed))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,6 +24,7 @@
 	Stop        Stop
 	Templates   Templates
 	Log         Log
+	Memory      Memory
 }
 
 // Node says who the node is.
@@ -116,6 +117,15 @@
 	Files []string
 }
 
+// Memory sets Go's garbage collection.
+type Memory struct {
+	// CollectPercent is how much the heap grows, relative to what is live,
+	// before it is collected. More takes less processor time and more memory.
+	CollectPercent int
+	// LimitBytes is the memory above which collection gets more frequent.
+	LimitBytes int64
+}
+
 // Log sets the log.
 type Log struct {
 	// Level is "trace", "debug", "info", "warn" or "error".
