--- a/internal/serve/pipeline.go
+++ b/internal/serve/pipeline.go
@@ -15,8 +15,15 @@
 	"github.com/bramblemast/bramblemast/pkg/template"
 )
 
+// retryStarting is when callers should come back to a node that is starting:
+// fetching the templates takes about this long unless the store is slow.
+const retryStarting = time.Second
+
 // Templates gives the template in force at this node.
 type Templates interface {
+	// Ready reports whether the node holds what its peers or the store hold. An
+	// answer before that could come from a revision that was replaced.
+	Ready() bool
 	Get(key template.Key) (*template.Compiled, bool)
 }
 
@@ -52,6 +59,9 @@
 // request that is wrong in itself, and otherwise carries an *outcome.Error.
 // partial may be nil; it is never called for a not-repeatable request.
 func (p *Pipeline) Serve(ctx context.Context, request *Request, partial query.PartialFunc) (*Result, error) {
+	if !p.options.Templates.Ready() {
+		return nil, refused("find template", outcome.ReasonStarting, retryStarting, errors.New("the node is starting"))
+	}
 	compiled, found := p.options.Templates.Get(request.Template)
 	if !found {
 		return nil, &FieldError{Field: "template", Message: "no template " + request.Template.String(), Missing: true}
--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -91,7 +91,8 @@
 	SendWindow time.Duration
 	// MaxResultBytes bounds a recorded result.
 	MaxResultBytes int
-	// StoreTimeout bounds each call to the store.
+	// StoreTimeout bounds each call to the store, and all calls of one Acquire
+	// together: a caller is refused then, and not only at its deadline.
 	StoreTimeout time.Duration
 	// RetryAfter is when callers should come back while the store is away or
 	// the request is in flight.
@@ -169,6 +170,8 @@
 	if err != nil {
 		return nil, refused(outcome.ReasonInternal, 0, err)
 	}
+	ctx, cancel := context.WithTimeout(ctx, c.options.StoreTimeout)
+	defer cancel()
 	for range maxAttempts {
 		again, err := c.create(ctx, claim, value)
 		if err != nil {
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -79,6 +79,7 @@
 	ReasonCoverageTooLow  Reason = "coverage_too_low"
 	ReasonDuplicate       Reason = "duplicate_request"
 	ReasonStoreAway       Reason = "store_unavailable"
+	ReasonStarting        Reason = "starting"
 	ReasonInternal        Reason = "internal"
 )
 
--- a/test/integration/installation_test.go
+++ b/test/integration/installation_test.go
@@ -42,6 +42,8 @@
 	machineList string
 	nodes       []*node
 	oracle      *oracle.Oracle
+	// exchanges sees what every load sent and got.
+	exchanges *exchangeLog
 	// operatorHTTP bounds what the spec asks of operators' listeners.
 	operatorHTTP *http.Client
 	// loads counts the loads, which need names of their own.
@@ -165,6 +167,7 @@
 	documents, err := examples.Templates(preset)
 	Expect(err).NotTo(HaveOccurred())
 	i.oracle = oracle.New(oracle.ExpectationsOf(i.deployment, documents))
+	i.exchanges = &exchangeLog{oracle: i.oracle}
 	files, err := filepath.Glob(filepath.Join("..", "..", "examples", preset, "*.yaml"))
 	Expect(err).NotTo(HaveOccurred())
 	for _, file := range files {
@@ -270,7 +273,7 @@
 		Steps:    []load.Step{{Rate: rate, Duration: durationOf(duration)}},
 		Seed:     uint64(GinkgoRandomSeed()) + uint64(i.loads),
 		Name:     fmt.Sprintf("load-%d", i.loads),
-		Observer: i.oracle,
+		Observer: i.exchanges,
 	})
 	Expect(err).NotTo(HaveOccurred())
 	return result
