Publishing: the settlement of one change no longer refuses another

Cause: settling a change as rejected moves the index of the key on without a new revision. A compare-and-swap of another operator that was under way then conflicted, and was reported as a conflict with the very revision that it was based on.

Ruled out: a new revision at each settlement, since nodes would relay a change that changes nothing.

Change: a conflict with the expected revision still in place is tried again over the new index; the earlier attempts are on an index that can't come back.

With the retry left out the history test and four new cases fail; with the settlement's write left out the history test fails as well.

Conclusion: a conflict always names another change.

--- a/pkg/publish/linearizability_test.go
+++ b/pkg/publish/linearizability_test.go
@@ -46,9 +46,12 @@
 	author   string
 }
 
+// firstAuthor published the revision that every history begins with.
+const firstAuthor = "first"
+
 // oracle is the sequential specification of one template.
 var oracle = porcupine.NondeterministicModel{
-	Init: func() []any { return []any{register{}} },
+	Init: func() []any { return []any{register{revision: 1, author: firstAuthor}} },
 	Step: func(state, input, output any) []any {
 		before, asked, got := state.(register), input.(operation), output.(observation)
 		after := register{revision: before.revision + 1, author: asked.author}
@@ -112,6 +115,13 @@
 func history(t *testing.T, seed uint64) []porcupine.Operation {
 	const clients, callsEach = 5, 8
 	store := &unsteadyStore{Memory: configstore.NewMemory(), random: rand.New(rand.NewPCG(seed, 0))}
+	setUp, err := New(Options{Store: store.Memory})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := setUp.Publish(context.Background(), content(firstAuthor), 0); err != nil {
+		t.Fatal(err)
+	}
 	var clock atomic.Int64
 	var mutex sync.Mutex // guards recorded
 	var recorded []porcupine.Operation
@@ -123,7 +133,7 @@
 				t.Error(err)
 				return
 			}
-			known := uint64(0)
+			known := uint64(1)
 			for call := range callsEach {
 				asked := operation{
 					read: store.pick(3) == 0, expected: known, author: fmt.Sprintf("client%d-%d", client, call),
@@ -161,7 +171,21 @@
 	case errors.As(err, &conflict):
 		return observation{verdict: wasRefused}
 	case errors.As(err, &unknown):
+		return settle(publisher, unknown)
+	default:
+		return observation{verdict: wasNotRun}
+	}
+}
+
+// settle asks at once what became of a doubtful change, as an operator may do
+// while the write is still under way.
+func settle(publisher *Publisher, unknown *UnknownError) observation {
+	settlement, err := publisher.Settle(context.Background(), unknown.Key, unknown.ChangeID)
+	switch {
+	case err != nil || settlement.State == SettledForgotten:
 		return observation{verdict: wasUnknown}
+	case settlement.State == SettledAccepted:
+		return observation{verdict: wasAccepted, revision: settlement.Change.Revision}
 	default:
 		return observation{verdict: wasNotRun}
 	}
@@ -183,7 +207,8 @@
 }
 
 // TestPublicationsAreLinearizable checks histories of racing operators whose
-// replies get lost, whose requests get lost or commit late.
+// replies get lost, whose requests get lost or commit late, and who settle what
+// stays unknown.
 func TestPublicationsAreLinearizable(t *testing.T) {
 	const histories = 60
 	verdicts := map[verdict]int{}
@@ -202,7 +227,7 @@
 	}
 	t.Logf("%d histories: %d accepted, %d refused, %d not run, %d unknown", histories,
 		verdicts[wasAccepted], verdicts[wasRefused], verdicts[wasNotRun], verdicts[wasUnknown])
-	for _, want := range []verdict{wasAccepted, wasRefused, wasUnknown} {
+	for _, want := range []verdict{wasAccepted, wasRefused, wasNotRun, wasUnknown} {
 		if verdicts[want] == 0 {
 			t.Errorf("no history reached verdict %d", want)
 		}
--- a/pkg/publish/publisher.go
+++ b/pkg/publish/publisher.go
@@ -137,15 +137,36 @@
 	return Result{}, errors.Wrapf(ErrNoSuchRevision, "%s revision %d", key, revision)
 }
 
+// errMoved means that the key's index moved on while the revision stayed the
+// expected one, as the settlement of another change does. No attempt on the old
+// index can commit any more.
+var errMoved = errors.New("the index of the key keeps moving on")
+
 // change writes one new document.
 func (p *Publisher) change(ctx context.Context, content template.Template, expected uint64) (Result, error) {
-	key := content.Key()
-	base, err := p.read(ctx, key)
-	if err != nil {
-		return Result{}, err
-	}
 	content.ChangeID = p.options.NewChangeID()
-	content.Revision = base.version().Revision + 1
+	for attempt := 0; ; attempt++ {
+		base, err := p.read(ctx, content.Key())
+		if err != nil {
+			return Result{}, err
+		}
+		content.Revision = base.version().Revision + 1
+		result, err := p.changeOver(ctx, base, content, expected)
+		if errors.Is(err, errMoved) && p.backoff(ctx, attempt) {
+			continue
+		}
+		if errors.Is(err, errMoved) {
+			return Result{}, &outcome.Error{
+				Step: "publish " + content.Key().String(), Outcome: outcome.NotRun, Reason: outcome.ReasonStoreAway, Cause: err,
+			}
+		}
+		return result, err
+	}
+}
+
+// changeOver writes one new document over a state of the store.
+func (p *Publisher) changeOver(ctx context.Context, base state, content template.Template, expected uint64) (Result, error) {
+	key := content.Key()
 	if err := p.checkStoreIsAhead(key, base); err != nil {
 		return Result{}, err
 	}
@@ -213,8 +234,8 @@
 	return Result{}, errors.WithMessagef(err, "publish %s: not run", mine.Key())
 }
 
-// afterConflict finds out whether an earlier attempt of this change is what
-// the compare-and-swap conflicted with. Doubt is nil if there was none.
+// afterConflict finds out what a compare-and-swap conflicted with: an earlier
+// attempt of this change, if doubt is not nil, another change, or none.
 func (p *Publisher) afterConflict(ctx context.Context, mine template.Published, expected uint64, doubt error) (Result, error) {
 	current, err := p.read(ctx, mine.Key())
 	if err != nil && doubt == nil {
@@ -223,16 +244,19 @@
 	if err != nil {
 		return Result{}, newUnknown(mine, err)
 	}
-	if doubt == nil {
-		return Result{}, newConflict(expected, mine.Template, current)
+	found := absent
+	if doubt != nil {
+		found = current.contains(mine.Template.ChangeID)
 	}
-	switch current.contains(mine.Template.ChangeID) {
-	case present:
+	switch {
+	case found == present:
 		return Result{Template: mine.Template, Settled: true}, nil
-	case absent:
-		return Result{}, newConflict(expected, mine.Template, current)
-	default:
+	case found == forgotten:
 		return Result{}, newUnknown(mine, doubt)
+	case current.isRevision(expected):
+		return Result{}, errMoved
+	default:
+		return Result{}, newConflict(expected, mine.Template, current)
 	}
 }
 
--- a/pkg/publish/publisher_test.go
+++ b/pkg/publish/publisher_test.go
@@ -140,7 +140,7 @@
 	It("tells a lost reply from another operator's change", func() {
 		publish("first", 0)
 		other := open(nil)
-		publisher.options.Store = overtaken{Memory: store, once: &sync.Once{}, other: func() {
+		publisher.options.Store = overtaken{Memory: store, once: &sync.Once{}, fault: configstore.RequestLost, other: func() {
 			_, err := other.Publish(ctx, content("theirs"), 1)
 			Expect(err).NotTo(HaveOccurred())
 		}}
@@ -150,6 +150,28 @@
 		Expect(conflict.Theirs.Author).To(Equal("theirs"))
 	})
 
+	DescribeTable("is not refused because another change was settled meanwhile",
+		func(exists bool, fault configstore.WriteFault) {
+			expected := uint64(0)
+			if exists {
+				publish("first", 0)
+				expected = 1
+			}
+			other := open(nil)
+			settle := func() {
+				_, err := other.Settle(ctx, testKey, "another")
+				Expect(err).NotTo(HaveOccurred())
+			}
+			publisher.options.Store = overtaken{Memory: store, once: &sync.Once{}, fault: fault, other: settle}
+			publish("mine", expected)
+			Expect(current().Author).To(Equal("mine"))
+		},
+		Entry("with a lost request, on a template", true, configstore.RequestLost),
+		Entry("with a lost request, on no template", false, configstore.RequestLost),
+		Entry("on a template", true, configstore.WriteFault(0)),
+		Entry("on no template", false, configstore.WriteFault(0)),
+	)
+
 	It("is honest about a write that stays unknown, and settles it later", func() {
 		publish("first", 0)
 		store.FailWrites(configstore.RequestLost, DefaultAttempts)
@@ -220,19 +242,22 @@
 	})
 })
 
-// overtaken is a store that loses the first write, and lets another operator
-// write before the writer learns of it.
+// overtaken is a store at which another operator writes before the first write
+// arrives, or, if fault is set, right after that write failed so.
 type overtaken struct {
 	*configstore.Memory
 	once  *sync.Once
+	fault configstore.WriteFault
 	other func()
 }
 
 func (o overtaken) CompareAndSwap(ctx context.Context, key string, value []byte, index uint64) error {
 	var lost error
 	o.once.Do(func() {
-		o.FailWrites(configstore.RequestLost, 1)
-		lost = o.Memory.CompareAndSwap(ctx, key, value, index)
+		if o.fault != 0 {
+			o.FailWrites(o.fault, 1)
+			lost = o.Memory.CompareAndSwap(ctx, key, value, index)
+		}
 		o.other()
 	})
 	if lost != nil {
