Catalog: a refusal that contradicts a server's contents has it probed at once

Cause: after a sudden split or the retirement of a version, servers refuse with range_not_held or version_gone until the next regular probe, and answers were withheld as coverage_too_low meanwhile.

Weighed: taking a doubted server out of the view (one wrong refusal costs a replica); waking for every refusal (a server that refuses for a reason of its own would be probed without end).

Change: ReportResult with one of these reasons marks the contents as doubted and wakes the probe loop, also for servers that this node is no prober of and between two regular probes. Changed contents are told to peers as before. takeWanted returns whether contents are doubted, so one assertion compares with a struct instead of the server.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -36,6 +36,8 @@
 	watched map[*record]struct{}
 	// wanted are the records with a wish for one probe.
 	wanted map[*record]struct{}
+	// probesWanted wakes the probe loop for probes that are wanted at once.
+	probesWanted chan struct{}
 }
 
 var _ Source = (*Catalog)(nil)
@@ -49,9 +51,10 @@
 // New returns an empty catalog.
 func New(options Options) *Catalog {
 	created := &Catalog{
-		options: options.withDefaults(),
-		watched: make(map[*record]struct{}),
-		wanted:  make(map[*record]struct{}),
+		options:      options.withDefaults(),
+		watched:      make(map[*record]struct{}),
+		wanted:       make(map[*record]struct{}),
+		probesWanted: make(chan struct{}, 1),
 	}
 	created.services.Store(&map[target.Service]*serviceState{})
 	return created
@@ -173,7 +176,9 @@
 // ReportResult implements Source. A refusal for draining counts as a drain only
 // for servers that do not name their instance in hints: otherwise ReportHints,
 // which is to be called for refusals too, says which instance drains, while a
-// refusal that is reported late could be taken for one of the next instance.
+// refusal that is reported late could be taken for one of the next instance. A
+// refusal that contradicts what is known of the server's contents has it probed
+// at once.
 func (c *Catalog) ReportResult(server target.ServerID, err error) {
 	r := c.find(server)
 	switch {
@@ -181,10 +186,20 @@
 	case err == nil:
 		r.results.success()
 		c.watch(r)
-	case outcome.ReasonOf(err) == outcome.ReasonDraining:
+	default:
+		c.reportFailure(r, err)
+	}
+}
+
+func (c *Catalog) reportFailure(r *record, err error) {
+	reason := outcome.ReasonOf(err)
+	switch {
+	case reason == outcome.ReasonDraining:
 		if !r.results.named() {
 			c.serverDrains(r, "")
 		}
+	case contradictsContents(reason):
+		c.doubtContents(r)
 	case countsAsFailure(err):
 		c.failed(r)
 	}
@@ -302,6 +317,7 @@
 		}
 	}
 	r.results.noteFacts(current)
+	r.doubtResolved()
 	c.touched(r)
 }
 
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -225,7 +225,7 @@
 		c.takeWanted()
 		c.ReportHints(serverID(0), backend.Hints{Load: -1, NewestVersion: 2})
 		pass(2 * time.Second)
-		Expect(c.takeWanted()).To(ConsistOf(serverID(0)))
+		Expect(c.takeWanted()).To(ConsistOf(wantedProbe{server: serverID(0)}))
 		Expect(c.takeWanted()).To(BeEmpty())
 	})
 
--- /dev/null
+++ b/pkg/catalog/doubt_test.go
@@ -0,0 +1,95 @@
+package catalog
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+const (
+	// doubtBound is the time from a refusal to a correct view at the node that
+	// was refused, for probes that take no time.
+	doubtBound = 10 * time.Millisecond
+	// refusalInterval is the time between two refusals of a server.
+	refusalInterval = 10 * time.Millisecond
+)
+
+func refusal(server target.ServerID, reason outcome.Reason) error {
+	return &outcome.Error{Step: "test", Peer: string(server), Reason: reason, Outcome: outcome.NotRun}
+}
+
+func versionOf(c *Catalog, server target.ServerID) target.Version {
+	return serverOf(c.View(testService), server).Indexes[0].Version
+}
+
+// untilVersion returns how long it takes until a catalog knows the version of a
+// server while refusals go on.
+func untilVersion(c *Catalog, server target.ServerID, version target.Version, reason outcome.Reason) time.Duration {
+	started := time.Now()
+	for versionOf(c, server) != version {
+		c.ReportResult(server, refusal(server, reason))
+		synctest.Wait()
+		if versionOf(c, server) != version {
+			time.Sleep(refusalInterval)
+		}
+	}
+	return time.Since(started)
+}
+
+// TestRefusalsCorrectTheView has servers change at any moment between two
+// probes: the first refusal leads to a correct view, at probers of the server
+// and at other nodes alike.
+func TestRefusalsCorrectTheView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes, servers = 30, 100
+		z := startZone(t, nodes, servers, relayBound)
+		defer z.end()
+		time.Sleep(10 * time.Second)
+		var slowest, sum time.Duration
+		for number := range servers {
+			server, reason := serverID(number), outcome.ReasonVersionGone
+			if number%2 == 0 {
+				reason = outcome.ReasonRangeNotHeld
+			}
+			z.world.change(func() { z.world.versions[server] = 2 })
+			took := untilVersion(z.catalogs[number%nodes], server, 2, reason)
+			slowest, sum = max(slowest, took), sum+took
+			time.Sleep(37 * time.Millisecond)
+		}
+		t.Logf("correct view %s after the first refusal on average, %s at most", sum/servers, slowest)
+		if slowest > doubtBound {
+			t.Errorf("correct view only after %s", slowest)
+		}
+		time.Sleep(2 * relayBound)
+		for _, c := range z.catalogs {
+			if version := versionOf(c, serverID(0)); version != 2 {
+				t.Errorf("%s was not told: version %d", c.options.Node, version)
+			}
+		}
+	})
+}
+
+// TestRefusalsWithoutChangeCostFewProbes has a server refuse for 20 s although
+// its contents are the same.
+func TestRefusalsWithoutChangeCostFewProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := startZone(t, 1, 1, relayBound)
+		defer z.end()
+		time.Sleep(5 * time.Second)
+		const period = 20 * time.Second
+		before, started := z.world.probeCount(), time.Now()
+		for time.Since(started) < period {
+			z.catalogs[0].ReportResult(serverID(0), refusal(serverID(0), outcome.ReasonRangeNotHeld))
+			time.Sleep(refusalInterval)
+		}
+		perSecond := float64(z.world.probeCount()-before) / period.Seconds()
+		t.Logf("%.2f probes each second under refusals without a change", perSecond)
+		const bound = 2.5
+		if perSecond > bound {
+			t.Errorf("%.2f probes each second", perSecond)
+		}
+	})
+}
--- a/pkg/catalog/outlier.go
+++ b/pkg/catalog/outlier.go
@@ -25,6 +25,8 @@
 	watched atomic.Bool
 	// namesInstance tells that the server names its instance in hints.
 	namesInstance atomic.Bool
+	// doubted tells that a probe for doubted contents is asked for.
+	doubted atomic.Bool
 	// newest is the newest index version that the server is known to have, or
 	// to have spoken of.
 	newest atomic.Uint64
--- a/pkg/catalog/probe.go
+++ b/pkg/catalog/probe.go
@@ -20,9 +20,10 @@
 	c.change(func(u *update) {
 		if err != nil {
 			c.probeFailed(u, r, err)
-			return
+		} else {
+			c.probeAnswered(u, r, sentAt, status)
 		}
-		c.probeAnswered(u, r, sentAt, status)
+		r.doubtProbed(sentAt)
 	})
 }
 
@@ -155,29 +156,40 @@
 	return nearest
 }
 
+// wantedProbe is a server that wants one probe now.
+type wantedProbe struct {
+	server target.ServerID
+	// doubted is set if its contents are doubted, so that its regular probers
+	// must not wait for their next probe either.
+	doubted bool
+}
+
 // takeWanted returns the servers that want one probe by now, and forgets that
 // they do. A server whose need was met meanwhile is left out.
-func (c *Catalog) takeWanted() []target.ServerID {
+func (c *Catalog) takeWanted() []wantedProbe {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	now := c.options.Now()
-	var due []target.ServerID
+	var due []wantedProbe
 	for r := range c.wanted {
 		if now.Before(r.probe.wantedAt) {
 			continue
 		}
 		r.probe.wantedAt = time.Time{}
 		delete(c.wanted, r)
+		if r.doubt.active {
+			r.doubtProbeStarts(now)
+		}
 		if r.needsProbe() {
-			due = append(due, r.server)
+			due = append(due, wantedProbe{server: r.server, doubted: r.doubt.active})
 		}
 	}
 	return due
 }
 
 // wantAgain asks once more for a probe that could not be sent.
-func (c *Catalog) wantAgain(server target.ServerID, at time.Time) {
-	r := c.find(server)
+func (c *Catalog) wantAgain(probe wantedProbe, at time.Time) {
+	r := c.find(probe.server)
 	if r == nil {
 		return
 	}
@@ -189,7 +201,7 @@
 // needsProbe reports whether a probe would tell something that is asked for.
 func (r *record) needsProbe() bool {
 	current := r.facts.current()
-	if current == nil || current.Contents == nil || r.listing.awaitsProbe {
+	if current == nil || current.Contents == nil || r.listing.awaitsProbe || r.doubt.active {
 		return true
 	}
 	return current.Contents.newestVersion() < r.results.newestVersion()
--- a/pkg/catalog/probeloop.go
+++ b/pkg/catalog/probeloop.go
@@ -115,12 +115,15 @@
 	defer l.running.Wait()
 	ticker := time.NewTicker(probeTick)
 	defer ticker.Stop()
+	l.step(ctx, time.Now())
 	for {
-		l.step(ctx, time.Now())
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
+			l.step(ctx, time.Now())
+		case <-l.options.Catalog.probesWanted:
+			l.startWanted(ctx, time.Now())
 		}
 	}
 }
@@ -136,13 +139,36 @@
 			entry.next = now.Add(l.jittered(l.options.Interval))
 		}
 	}
-	for _, server := range l.options.Catalog.takeWanted() {
-		if _, own := l.schedule[server]; !own {
-			l.startOnce(ctx, server, now)
+	l.startWanted(ctx, now)
+}
+
+// startWanted begins the single probes that are asked for by now. A server that
+// this node probes anyhow gets one ahead of time if its contents are doubted.
+func (l *ProbeLoop) startWanted(ctx context.Context, now time.Time) {
+	for _, wanted := range l.options.Catalog.takeWanted() {
+		entry, own := l.schedule[wanted.server]
+		if own && !wanted.doubted {
+			continue
+		}
+		if !own {
+			entry = &scheduled{}
+		}
+		if l.start(ctx, wanted.server, entry) {
+			entry.next = now.Add(l.jittered(l.options.Interval))
+			continue
 		}
+		l.options.Catalog.wantAgain(wanted, now.Add(l.retryAfter(wanted)))
 	}
 }
 
+// retryAfter returns when to try a probe again that could not be sent.
+func (l *ProbeLoop) retryAfter(wanted wantedProbe) time.Duration {
+	if wanted.doubted {
+		return probeTick
+	}
+	return l.options.Interval
+}
+
 func (l *ProbeLoop) jittered(interval time.Duration) time.Duration {
 	return time.Duration(float64(interval) * (1 + intervalJitter*(2*l.options.Random.Float64()-1)))
 }
@@ -204,14 +230,6 @@
 	return true
 }
 
-// startOnce begins a single probe of a server that other nodes probe.
-func (l *ProbeLoop) startOnce(ctx context.Context, server target.ServerID, now time.Time) {
-	entry := &scheduled{next: now}
-	if !l.start(ctx, server, entry) {
-		l.options.Catalog.wantAgain(server, now.Add(l.options.Interval))
-	}
-}
-
 func (l *ProbeLoop) probe(ctx context.Context, server target.ServerID) {
 	sentAt := l.options.Catalog.options.Now()
 	bounded, cancel := context.WithTimeout(ctx, l.options.Timeout)
--- a/pkg/catalog/probeloop_test.go
+++ b/pkg/catalog/probeloop_test.go
@@ -21,6 +21,8 @@
 	draining map[target.ServerID]bool
 	silent   map[target.ServerID]bool
 	numbers  map[target.ServerID]int
+	// versions are the index versions of servers that have another than 1.
+	versions map[target.ServerID]target.Version
 }
 
 func newWorld(servers int) *world {
@@ -28,6 +30,7 @@
 		draining: map[target.ServerID]bool{},
 		silent:   map[target.ServerID]bool{},
 		numbers:  map[target.ServerID]int{},
+		versions: map[target.ServerID]target.Version{},
 	}
 	for number := range servers {
 		created.numbers[serverID(number)] = number
@@ -39,13 +42,13 @@
 func (w *world) Probe(ctx context.Context, server target.ServerID) (*backend.Status, error) {
 	w.mutex.Lock()
 	w.probes++
-	silent, draining := w.silent[server], w.draining[server]
+	silent, draining, version := w.silent[server], w.draining[server], max(w.versions[server], 1)
 	w.mutex.Unlock()
 	if silent {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	return statusOf(w.numbers[server], "i", draining, 1), nil
+	return statusOf(w.numbers[server], "i", draining, version), nil
 }
 
 func (w *world) change(run func()) {
--- a/pkg/catalog/record.go
+++ b/pkg/catalog/record.go
@@ -54,6 +54,7 @@
 	facts   facts
 	results results
 	outlier outlier
+	doubt   doubt
 
 	// drainUnattributed is set if the server said that it drains before any
 	// instance of it was known.
