--- /dev/null
+++ b/pkg/configsync/store_test.go
@@ -0,0 +1,138 @@
+package configsync
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramblemast/bramblemast/pkg/publish"
+	"github.com/bramblemast/bramblemast/pkg/template"
+)
+
+func TestStoreKilledRightAfterItAccepted(t *testing.T) {
+	inCluster(t, 30, 3, nil, func(t *testing.T, c *cluster) {
+		c.store.SetDelay(time.Millisecond)
+		version := mustPublish(t, c.nodes[0], "first")
+		c.store.SetUnavailable(true)
+		time.Sleep(spreadTime)
+		c.wantEverywhere(t, version)
+	})
+}
+
+func TestSlowRepliesOfTheStoreAreNotTakenForARollback(t *testing.T) {
+	slow := func(o *Options) { o.Store.(*reachableStore).replyDelay = 200 * time.Millisecond }
+	inCluster(t, 6, 2, slow, func(t *testing.T, c *cluster) {
+		var version template.Version
+		for number := range 20 {
+			version = mustPublish(t, c.nodes[number%6], "author")
+			time.Sleep(spreadTime)
+		}
+		time.Sleep(spreadTime)
+		c.wantEverywhere(t, version)
+		for _, node := range c.nodes {
+			if stats := node.replica.Stats(); stats.StoreBehind != 0 {
+				t.Errorf("%s reported the store behind %d times", node.ID, stats.StoreBehind)
+			}
+		}
+	})
+}
+
+func TestStoreThatWentBackIsRefusedReportedAndRepaired(t *testing.T) {
+	inCluster(t, 6, 2, nil, func(t *testing.T, c *cluster) {
+		mustPublish(t, c.nodes[0], "first")
+		backup := c.store.Snapshot()
+		version := mustPublish(t, c.nodes[0], "second")
+		time.Sleep(spreadTime)
+		c.store.Restore(backup)
+		if _, err := c.nodes[1].publish(ticker, "third"); !errors.Is(err, publish.ErrStoreBehind) {
+			t.Fatalf("got %v", err)
+		}
+		time.Sleep(30 * time.Second)
+		c.wantEverywhere(t, version)
+		if got := c.storedVersion(ticker); got != version {
+			t.Errorf("the store has %v, want %v", got, version)
+		}
+		var reported, repaired uint64
+		for _, node := range c.nodes {
+			stats := node.replica.Stats()
+			reported, repaired = reported+stats.StoreBehind, repaired+stats.Repaired
+			if behind := node.replica.Status().Store.Behind; behind != 0 {
+				t.Errorf("%s still reports %d templates", node.ID, behind)
+			}
+		}
+		if reported == 0 || repaired == 0 {
+			t.Errorf("reported %d, repaired %d", reported, repaired)
+		}
+	})
+}
+
+// TestStoreThatWentBackDuringAChangeIsRepaired was found by the state machine:
+// a change that is learned during a watch could be from after the state that
+// the watch returns, and was left out of the comparison until the watch after
+// next.
+func TestStoreThatWentBackDuringAChangeIsRepaired(t *testing.T) {
+	inCluster(t, 6, 3, nil, func(t *testing.T, c *cluster) {
+		backup := c.store.Snapshot()
+		version := mustPublish(t, c.nodes[0], "first")
+		synctest.Wait()
+		c.store.Restore(backup)
+		time.Sleep(5 * time.Second)
+		c.wantEverywhere(t, version)
+		if got := c.storedVersion(ticker); got != version {
+			t.Errorf("the store has %v, want %v", got, version)
+		}
+	})
+}
+
+func TestSameRevisionTwiceIsDecidedAlikeEverywhere(t *testing.T) {
+	inCluster(t, 6, 2, nil, func(t *testing.T, c *cluster) {
+		mustPublish(t, c.nodes[0], "first")
+		time.Sleep(spreadTime)
+		var forks []template.Published
+		for _, changeID := range []string{"b", "a", "c"} {
+			document := content(ticker, changeID)
+			document.Revision, document.ChangeID = 2, changeID
+			sealed, err := template.Seal(document)
+			if err != nil {
+				t.Fatal(err)
+			}
+			forks = append(forks, sealed)
+		}
+		for index, node := range c.nodes {
+			node.replica.Announce(forks[index%len(forks)])
+		}
+		time.Sleep(12 * time.Second)
+		c.wantEverywhere(t, forks[2].Version())
+		if forks := c.nodes[0].replica.Stats().Forks; forks == 0 {
+			t.Error("no fork was counted")
+		}
+	})
+}
+
+func TestFewWatchersKeepToTheStoresLimit(t *testing.T) {
+	const callsPerSecond = 20
+	tune := func(o *Options) { o.StoreCallsPerSecond, o.WatchedBytes = callsPerSecond, 1 }
+	inCluster(t, 30, 3, tune, func(t *testing.T, c *cluster) {
+		mustPublish(t, c.nodes[0], "first")
+		const settled, seconds = 2 * time.Minute, 120
+		time.Sleep(settled)
+		watches, most := 0, 0
+		for _, node := range c.nodes {
+			watched := len(node.replica.Status().Store.Watched)
+			watches, most = watches+watched, max(most, watched)
+		}
+		if want := 3 * 256 * DefaultWatchersPerZone; watches != want || most > 2*want/len(c.nodes) {
+			t.Errorf("%d watches, want %d; one node has %d", watches, want, most)
+		}
+		for _, away := range []bool{false, true} {
+			c.store.SetUnavailable(away)
+			before := c.store.Counts().Reads
+			time.Sleep(seconds * time.Second)
+			if rate := float64(c.store.Counts().Reads-before) / seconds; rate > callsPerSecond {
+				t.Errorf("with the store away %v: %.1f calls a second", away, rate)
+			}
+		}
+	})
+}
