Admission counts refusals for load only

Cause: the pipeline told the gate that a request was overloaded as soon as one sub-request was not run, so that at a fan-out of 220 nearly every request counted, and a drained server or a lost group throttled the node. Ruled out: a bound on the number of refusals, which would depend on the fan-out. Change: ExtraLoad.Refused counts what was shed or got no permit, and admission.Overloaded judges its share. A replayed result states no extra load, since the repeat caused none. Tests: two specs of the executor compare the whole ExtraLoad; their sub-requests were shed, so they now also state Refused, as strictly as before.

--- a/internal/serve/once.go
+++ b/internal/serve/once.go
@@ -115,6 +115,7 @@
 			Cause:   errors.New("the request ran before under this idempotency key, and its result was too large to record"),
 		}
 	}
+	answer.ExtraLoad = query.ExtraLoad{} // this repeat caused none
 	result := plan.result(answer)
 	result.Replayed = true
 	return result, nil
--- a/internal/serve/pipeline.go
+++ b/internal/serve/pipeline.go
@@ -174,16 +174,21 @@
 	}
 }
 
-// overloaded reports whether back ends refused work, or this node had no room
-// for it, while the request ran.
+// overloaded reports whether back ends refused work for load, or this node had
+// no room for it, so much that the request counts against the gate's limit. A
+// part that is missing for another reason, such as a lost group, does not.
 func overloaded(result *Result, err error) bool {
 	if err == nil {
-		return result.Answer != nil && result.Answer.ExtraLoad.NotRun > 0
+		extra := result.Answer.ExtraLoad
+		return admission.Overloaded(sentOf(extra), extra.Refused, !result.Answer.Coverage.Complete())
 	}
-	switch outcome.ReasonOf(err) {
-	case outcome.ReasonShed, outcome.ReasonOverloaded, outcome.ReasonCoverageTooLow:
-		return true
-	default:
-		return false
+	var short *query.CoverageError
+	if errors.As(err, &short) {
+		return admission.Overloaded(sentOf(short.ExtraLoad), short.ExtraLoad.Refused, true)
 	}
+	reason := outcome.ReasonOf(err)
+	return reason == outcome.ReasonShed || reason == outcome.ReasonOverloaded
 }
+
+// sentOf counts the sub-requests that were sent.
+func sentOf(extra query.ExtraLoad) int { return extra.Primary + extra.Hedges + extra.Retries }
--- a/pkg/query/execute_test.go
+++ b/pkg/query/execute_test.go
@@ -178,7 +178,7 @@
 		Expect(answer.Restarts).To(BeZero())
 		Expect(answer.StopReason).To(Equal(policy.StopExhausted))
 		Expect(answer.Coverage.Missing).To(Equal([]keyspace.Range{keyspace.Split(2)[0]}))
-		Expect(answer.ExtraLoad).To(Equal(query.ExtraLoad{Primary: 2, NotRun: 1}))
+		Expect(answer.ExtraLoad).To(Equal(query.ExtraLoad{Primary: 2, NotRun: 1, Refused: 1}))
 	}))
 
 	It("does not start anew for a part that was given up", inVirtualTime(func() {
@@ -320,7 +320,7 @@
 			answer, err := b.execute(nil)
 			Expect(err).NotTo(HaveOccurred())
 			b.expectAnswer(answer, 1)
-			Expect(answer.ExtraLoad).To(Equal(query.ExtraLoad{Primary: 1, Retries: 2, NotRun: 2}))
+			Expect(answer.ExtraLoad).To(Equal(query.ExtraLoad{Primary: 1, Retries: 2, NotRun: 2, Refused: 2}))
 		}))
 
 		It("does not try again after an answer of the wrong version", inVirtualTime(func() {
--- a/pkg/query/pass.go
+++ b/pkg/query/pass.go
@@ -351,6 +351,10 @@
 
 // account counts the end of an attempt that gave no answer to merge.
 func (p *pass) account(finished *attempt) {
+	switch outcome.ReasonOf(finished.err) {
+	case outcome.ReasonShed, outcome.ReasonOverloaded:
+		p.execution.load.Refused++
+	}
 	switch {
 	case !finished.wasSent():
 		p.uncount(finished)
--- a/pkg/query/query.go
+++ b/pkg/query/query.go
@@ -92,6 +92,9 @@
 	// NotRun counts sub-requests, of those above, that back ends refused
 	// before execution.
 	NotRun int
+	// Refused counts sub-requests that were refused for load: shed by a server,
+	// or given no permit by this node's limits.
+	Refused int
 }
 
 // Ratio returns the extra sub-requests for each primary one.
