experiment: a not-repeatable request asks one part

Weighed: a number of parts for each template (the same figures, more code); the primary sub-requests that answers state (taken). Change: Document.capacity, and backend_attempts over primaries. Conclusion: repeatable full tallies keep their figures.

--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -82,9 +82,9 @@
 		Expect(meanServiceTime(model)).To(BeNumerically("~", 0.0119, 1e-9))
 		// 4 groups of 4 servers with 5 slots: 80 slots, 4 parts of 11.9 ms.
 		service := &topology.Service{Groups: 4, ServersPerGroup: 4, Slots: 5, ServiceTime: model}
-		Expect(capacity(service)).To(BeNumerically("~", 80/(4*0.0119), 1e-6))
+		Expect(capacity(service, 4)).To(BeNumerically("~", 80/(4*0.0119), 1e-6))
 		single := &topology.Service{Servers: 25, Slots: 3, ServiceTime: model}
-		Expect(capacity(single)).To(BeNumerically("~", 3/0.0119, 1e-6))
+		Expect(capacity(single, 25)).To(BeNumerically("~", 3/0.0119, 1e-6))
 	})
 
 	It("makes the arms an experiment of the template in the shared mode", func() {
--- a/internal/lab/experiment/metrics.go
+++ b/internal/lab/experiment/metrics.go
@@ -32,8 +32,8 @@
 	// MetricAttempts is the callers' exchanges for each request.
 	MetricAttempts Metric = "attempts"
 	// MetricBackendAttempts is the sub-requests that back ends received for
-	// each part of each answered request: work for failed requests, hedges and
-	// retries raise it above 1.
+	// each primary sub-request of an answer: work for failed requests, hedges
+	// and retries raise it above 1.
 	MetricBackendAttempts Metric = "backend_attempts"
 	// MetricShed is the sub-requests that back ends shed, as a share of those
 	// received.
@@ -63,7 +63,6 @@
 type observation struct {
 	summary    load.ArmSummary
 	capacity   float64
-	parts      int
 	violations int64
 	// backend is nil where back ends can't be told apart by arm.
 	backend *BackendWork
@@ -120,8 +119,8 @@
 	if o.backend == nil {
 		return
 	}
-	if answeredParts := o.summary.Answered * int64(o.parts); answeredParts > 0 {
-		values[MetricBackendAttempts] = float64(o.backend.Received) / float64(answeredParts)
+	if primary := o.summary.ExtraLoad.Primary; primary > 0 {
+		values[MetricBackendAttempts] = float64(o.backend.Received) / float64(primary)
 	}
 	if o.backend.Received > 0 {
 		values[MetricShed] = float64(o.backend.Shed) / float64(o.backend.Received)
--- a/internal/lab/experiment/plan.go
+++ b/internal/lab/experiment/plan.go
@@ -53,13 +53,23 @@
 	}
 }
 
+// capacity returns the requests of the varied template per second that keep
+// every slot of its service busy.
+func (d *Document) capacity(deployment *topology.Deployment) float64 {
+	varied := d.varied()
+	service := deployment.Service(varied.Service)
+	if varied.NotRepeatable {
+		return capacity(service, 1)
+	}
+	return capacity(service, max(service.Groups, service.Servers))
+}
+
 // capacity returns the queries per second that keep every slot of a service
-// busy: slots over the slot time that one query takes.
-func capacity(service *topology.Service) float64 {
-	servers, parts := service.Servers, service.Servers
+// busy: slots over the slot time that one query of so many parts takes.
+func capacity(service *topology.Service, parts int) float64 {
+	servers := service.Servers
 	if service.Groups > 0 {
 		servers = service.Groups * service.ServersPerGroup
-		parts = service.Groups
 	}
 	slotTime := meanServiceTime(service.ServiceTime) * float64(parts)
 	if slotTime <= 0 {
@@ -77,7 +87,7 @@
 
 // steps works out the rates.
 func (d *Document) steps(deployment *topology.Deployment) []load.Step {
-	most := capacity(deployment.Service(d.varied().Service))
+	most := d.capacity(deployment)
 	steps := make([]load.Step, 0, len(d.Load.Steps))
 	for _, step := range d.Load.Steps {
 		rate := step.Rate
--- a/internal/lab/experiment/runner.go
+++ b/internal/lab/experiment/runner.go
@@ -34,7 +34,6 @@
 // Run runs all repeats. The text of the document goes into the output.
 func (r *Runner) Run(ctx context.Context, document *Document, source string) (*Output, error) {
 	deployment := document.deployment(document.Seed)
-	service := deployment.Service(document.varied().Service)
 	s := &session{Runner: r, document: document, output: &Output{
 		Name:        document.Name,
 		Description: document.Description,
@@ -43,7 +42,7 @@
 		Repeats:     document.Repeats,
 		Started:     time.Now(),
 		Nodes:       document.Nodes,
-		Capacity:    capacity(service),
+		Capacity:    document.capacity(deployment),
 		Steps:       document.steps(deployment),
 		Baseline:    document.Baseline,
 		Source:      source,
@@ -105,19 +104,12 @@
 	seen := observation{
 		summary:    summary,
 		capacity:   s.output.Capacity,
-		parts:      s.parts(),
 		violations: run.Oracle.Count,
 		backend:    work,
 	}
 	s.arms[index].repeats = append(s.arms[index].repeats, seen.figures())
 }
 
-// parts returns the number of parts of the varied template's service.
-func (s *session) parts() int {
-	service := s.document.deployment(s.document.Seed).Service(s.document.varied().Service)
-	return max(service.Groups, service.Servers)
-}
-
 // run launches an environment, loads it, and checks what it did. A nil arm
 // stands for the shared mode.
 func (s *session) run(ctx context.Context, repeat int, arm *Arm) (*RunOutput, error) {
