--- a/pkg/configsync/measure_test.go
+++ b/pkg/configsync/measure_test.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -129,7 +130,8 @@
 	random  *rand.Rand
 	views   atomic.Pointer[map[target.Zone][]Peer]
 	changes int
-	// acceptedAt and taken are guarded by the cluster's mutex.
+	// records guards acceptedAt and taken.
+	records    sync.Mutex
 	acceptedAt map[string]time.Time
 	taken      map[string][]time.Time
 	spreads    []time.Duration
@@ -194,8 +196,8 @@
 }
 
 func (m *measurement) note(changeID string) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
+	m.records.Lock()
+	defer m.records.Unlock()
 	m.taken[changeID] = append(m.taken[changeID], time.Now())
 }
 
@@ -210,8 +212,8 @@
 		time.Sleep(interval)
 	}
 	time.Sleep(alwaysBound)
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
+	m.records.Lock()
+	defer m.records.Unlock()
 	for changeID, acceptedAt := range m.acceptedAt {
 		for _, takenAt := range m.taken[changeID] {
 			m.spreads = append(m.spreads, max(takenAt.Sub(acceptedAt), 0))
@@ -229,9 +231,9 @@
 		}
 		result, err := node.publisher.Publish(node.context, document, expected)
 		if err == nil {
-			m.mutex.Lock()
+			m.records.Lock()
 			m.acceptedAt[result.Template.ChangeID] = time.Now()
-			m.mutex.Unlock()
+			m.records.Unlock()
 			return
 		}
 		if !errors.Is(err, configstore.ErrLimited) {
