Operators list, show and remove claims of not-repeatable requests

Cause: the claim of a node that died keeps its key for the retention, and callers are told unknown meanwhile. Operators had no way to settle it.

Weighed: naming a claim by path (keys hold any characters, slashes among them), so it is named by query parameters; removing without the claim's id (would take the claim of a later attempt).

Change: GET /v1/claims and GET and DELETE /v1/claim; bramblemastctl claim list, get and remove. A removal is refused as a conflict (exit code 2) if another claim holds the key or the holder changed it meanwhile, and with exit code 5 if the request ran or its holder may still send. Claimer.Remove told of success when the holder recorded the end at the same moment; it now says that the claim stays, and each refusal has a cause of its own.

Two assertions of TestReleaseAndAbandon that any error came now demand which one.

--- a/api/operator/paths.go
+++ b/api/operator/paths.go
@@ -33,6 +33,12 @@
 	ConfigRevisionsPath = "/v1/config/revisions"
 	// ExperimentsPath is followed by "/{tenant}/{name}" (GET).
 	ExperimentsPath = "/v1/experiments"
+	// ClaimsPath lists the claims of not-repeatable requests that are not done
+	// (GET).
+	ClaimsPath = "/v1/claims"
+	// ClaimPath is one claim (GET, DELETE). ParameterTenant and ParameterKey
+	// name it, since a key may hold any characters.
+	ClaimPath = "/v1/claim"
 )
 
 // Last elements of paths.
@@ -55,6 +61,12 @@
 	ParameterService = "service"
 	// ParameterTenant selects the templates of one tenant.
 	ParameterTenant = "tenant"
+	// ParameterKey is the idempotency key of a claim.
+	ParameterKey = "key"
+	// ParameterClaimID names the claim that is to be removed.
+	ParameterClaimID = "claim_id"
+	// ParameterLimit bounds the number of listed claims; see MaxListedClaims.
+	ParameterLimit = "limit"
 	// ParameterScope is one of the scopes.
 	ParameterScope = "scope"
 	// ParameterUnlessDigest leaves out the list of revisions if the node's
@@ -81,6 +93,12 @@
 // if the header is absent.
 const HeaderChangeID = "X-Change-Id"
 
+// Bounds of a list of claims.
+const (
+	DefaultListedClaims = 100
+	MaxListedClaims     = 1000
+)
+
 // MaxChangeIDAhead bounds how far the time in a change id may be ahead of the
 // node's clock.
 const MaxChangeIDAhead = time.Minute
--- a/api/operator/problem.go
+++ b/api/operator/problem.go
@@ -11,7 +11,8 @@
 // Reasons of this interface beside those of package outcome.
 const (
 	// ReasonConflict means that the template has another revision than the
-	// change expected. The change certainly did not take effect.
+	// change expected, or that another claim holds the key. The change certainly
+	// did not take effect.
 	ReasonConflict outcome.Reason = "conflict"
 	// ReasonRejected means that the change id was settled as rejected before; a
 	// new attempt needs a new id.
@@ -23,6 +24,12 @@
 	// ReasonStoreBehind means that the store went back to an older state than
 	// the nodes hold; they refuse changes until it is repaired.
 	ReasonStoreBehind outcome.Reason = "store_behind"
+	// ReasonClaimDone means that the request of a claim ran, so that the claim
+	// is not removed.
+	ReasonClaimDone outcome.Reason = "claim_done"
+	// ReasonClaimFresh means that the holder of a claim may still send the
+	// request, so that the claim is not removed yet.
+	ReasonClaimFresh outcome.Reason = "claim_fresh"
 )
 
 // Problem is the body of every error: the shape of the callers' interface with
--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -23,6 +23,7 @@
 	addNoun(parser, "experiment", "Compare policies on live traffic", experimentCommands(env))
 	addNoun(parser, "node", "Show the nodes of the query tier", nodeCommands(env))
 	addNoun(parser, "backend", "Show and drain back-end servers", backendCommands(env))
+	addNoun(parser, "claim", "Show and remove claims of not-repeatable requests", claimCommands(env))
 	addNoun(parser, "config", "Show where the configuration is in force", configCommands(env))
 	return parser
 }
@@ -130,6 +131,22 @@
 	}
 }
 
+func claimCommands(env *environment) []commandEntry {
+	return []commandEntry{
+		{"list", "List the claims that are not done, oldest first", `A claim that stays in the state "sent" although its node is dead, or in the state "unknown", needs a look at the back end.
+
+Examples:
+bramblemastctl claim list
+bramblemastctl claim list --tenant tinting --limit 20`, &claimList{env: env}},
+		{"get", "Show the claim of one idempotency key", `Examples:
+bramblemastctl claim get tinting order-4711`, &claimGet{env: env}},
+		{"remove", "Give a key back after its request certainly did not run", `First make sure at the back end that the request did not run and is not running: once the key is free, a repeat of the caller is sent. Refused with exit code 2 if another claim holds the key, and with 5 if the request ran or its node may still send it.
+
+Examples:
+bramblemastctl claim remove tinting order-4711 --claim-id 0d9b7c1e-5f0c-4c63-9a57-3f6f0f0c8a11`, &claimRemove{env: env}},
+	}
+}
+
 func configCommands(env *environment) []commandEntry {
 	return []commandEntry{
 		{"status", "Show which revision is in force where", `Asks every node that the serving node knows. Exits with 6 while a node is behind or does not answer.
--- a/internal/ctl/failure.go
+++ b/internal/ctl/failure.go
@@ -21,7 +21,8 @@
 	// Changes lists the fields that differ between theirs and mine, for a
 	// conflict.
 	Changes []template.FieldChange `json:"changes,omitempty"`
-	// ChangeID and SettleCommand are set if a change has an unknown outcome.
+	// ChangeID and SettleCommand are set if a change has an unknown outcome;
+	// SettleCommand alone if the removal of a claim has.
 	ChangeID      string `json:"change_id,omitempty"`
 	SettleCommand string `json:"settle_command,omitempty"`
 }
@@ -64,9 +65,24 @@
 		report.ChangeID = unknown.change.id
 		report.SettleCommand = env.settleCommand(unknown.change)
 	}
+	var unsettled *unknownRemovalError
+	if errors.As(err, &unsettled) {
+		report.Error = "the claim may or may not have been removed: " + report.Error
+		report.SettleCommand = env.claimCommand(unsettled.request)
+	}
 	return report
 }
 
+// claimCommand is the command that shows whether a claim is still there.
+func (env *environment) claimCommand(request operator.ClaimRemovalRequest) string {
+	return fmt.Sprintf("%s claim get %s %s", env.programAtNodes(), quoteArgument(request.Tenant), quoteArgument(request.Key))
+}
+
+// quoteArgument makes text one argument of a shell.
+func quoteArgument(text string) string {
+	return "'" + strings.ReplaceAll(text, "'", `'\''`) + "'"
+}
+
 // describeProblem is what a node answered, in one line: the detail of a problem
 // names the reason and the outcome itself where they are of use.
 func describeProblem(problem *operator.Problem) string {
@@ -90,11 +106,16 @@
 
 // settleCommand is the command that settles a change later.
 func (env *environment) settleCommand(change plannedChange) string {
+	return fmt.Sprintf("%s config settle %s %s", env.programAtNodes(), change.key, change.id)
+}
+
+// programAtNodes is the beginning of a command at the same nodes.
+func (env *environment) programAtNodes() string {
 	command := programName
 	for _, address := range env.options.Address {
 		command += " --address " + address
 	}
-	return fmt.Sprintf("%s config settle %s %s", command, change.key, change.id)
+	return command
 }
 
 // printConflict shows both sides and how to go on with either.
--- a/internal/ctl/reports_test.go
+++ b/internal/ctl/reports_test.go
@@ -137,6 +137,7 @@
 			"experiment": {"start", "status", "stop", "compare"},
 			"node":       {"list"},
 			"backend":    {"list", "drain", "undrain"},
+			"claim":      {"list", "get", "remove"},
 			"config":     {"status", "settle"},
 		} {
 			for _, verb := range verbs {
--- a/internal/node/routes.go
+++ b/internal/node/routes.go
@@ -68,6 +68,7 @@
 		Members:     operator.MembershipNodes{Membership: n.members},
 		Backends:    n.catalog,
 		Experiments: n.arms,
+		Claims:      n.claims,
 		Peers:       operator.NewHTTPPeers(n.platformClient()),
 		Logger:      n.logger.Named("operators"),
 	}).Register(n.operatorsRouter)
--- a/internal/operator/dependencies.go
+++ b/internal/operator/dependencies.go
@@ -10,6 +10,7 @@
 	"github.com/bramblemast/bramblemast/api/operator"
 	"github.com/bramblemast/bramblemast/internal/armstats"
 	"github.com/bramblemast/bramblemast/pkg/catalog"
+	"github.com/bramblemast/bramblemast/pkg/claim"
 	"github.com/bramblemast/bramblemast/pkg/target"
 	"github.com/bramblemast/bramblemast/pkg/template"
 )
@@ -97,6 +98,19 @@
 	Snapshot(key template.Key) armstats.Snapshot
 }
 
+// Claims are the claims of not-repeatable requests in the store.
+// *claim.Claimer implements it.
+type Claims interface {
+	// Lookup returns the claim of a key. The error wraps
+	// configstore.ErrNotFound if there is none.
+	Lookup(ctx context.Context, tenant, key string) (claim.Record, error)
+	// List returns the claims that are not done, in any order.
+	List(ctx context.Context) ([]claim.Record, error)
+	// Remove gives a key back. A refusal has one of the causes of package
+	// claim.
+	Remove(ctx context.Context, tenant, key, claimID string) error
+}
+
 // Peers asks other nodes, by the addresses of their operators' listeners.
 type Peers interface {
 	// Revisions returns what a node has in force, without the templates if its
@@ -165,6 +179,7 @@
 	Members     Members
 	Backends    Backends
 	Experiments Experiments
+	Claims      Claims
 	Peers       Peers
 	Limits      Limits
 	Logger      hclog.Logger
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -1,5 +1,6 @@
 // Package operator is the server of the operators' HTTP interface of a node:
-// templates, experiments, nodes, back ends and the state of the configuration.
+// templates, experiments, nodes, back ends, claims and the state of the
+// configuration.
 // The messages are those of package api/operator. It shows and changes what
 // other packages keep and has no state of its own, so that any node serves any
 // operator.
@@ -53,6 +54,10 @@
 	e.GET(operator.ConfigStatusPath, s.getConfigStatus)
 	e.GET(operator.ConfigRevisionsPath, s.getRevisions)
 	e.GET(operator.ExperimentsPath+"/:tenant/:name", s.getExperiment)
+
+	e.GET(operator.ClaimsPath, s.listClaims)
+	e.GET(operator.ClaimPath, s.getClaim)
+	e.DELETE(operator.ClaimPath, s.removeClaim)
 }
 
 // boundTime is middleware that disconnects an operator who sends or reads too
--- a/internal/operator/operatortest/node.go
+++ b/internal/operator/operatortest/node.go
@@ -20,6 +20,7 @@
 	"github.com/bramblemast/bramblemast/internal/operator"
 	"github.com/bramblemast/bramblemast/pkg/backend"
 	"github.com/bramblemast/bramblemast/pkg/catalog"
+	"github.com/bramblemast/bramblemast/pkg/claim"
 	"github.com/bramblemast/bramblemast/pkg/configstore"
 	"github.com/bramblemast/bramblemast/pkg/publish"
 	"github.com/bramblemast/bramblemast/pkg/target"
@@ -32,6 +33,9 @@
 	OtherZone target.Zone = "bergen"
 )
 
+// deadNode is known to all nodes as dead.
+const deadNode target.NodeID = "node-old"
+
 // BodyTimeout is how long a node waits for the body of a request.
 const BodyTimeout = 300 * time.Millisecond
 
@@ -39,6 +43,8 @@
 type Cluster struct {
 	Store *configstore.Memory
 	Nodes []*Node
+	// Claimer is the claimer of every node, in the name of node-old, which died.
+	Claimer *claim.Claimer
 	// publisher makes one attempt at each call, so that every fault shows.
 	publisher operator.StorePublisher
 }
@@ -74,7 +80,11 @@
 	if err != nil {
 		panic(err)
 	}
-	cluster := &Cluster{Store: store, publisher: operator.StorePublisher{Publisher: publisher}}
+	cluster := &Cluster{
+		Store:     store,
+		Claimer:   claim.New(claim.Options{Store: store, Node: deadNode}),
+		publisher: operator.StorePublisher{Publisher: publisher},
+	}
 	for index := range size {
 		node := &Node{
 			ID:          target.NodeID("node-" + string(rune('1'+index))),
@@ -137,6 +147,7 @@
 		Members:     n,
 		Backends:    n,
 		Experiments: n.Experiments,
+		Claims:      n.cluster.Claimer,
 		Peers:       operator.NewHTTPPeers(nil),
 		Limits:      operator.Limits{PeerTimeout: 100 * time.Millisecond, BodyTimeout: BodyTimeout},
 	}).Register(router)
@@ -267,7 +278,7 @@
 			PeerAddress: "127.0.0.1:1", OperatorAddress: node.Address(), Self: node == n,
 		})
 	}
-	return append(nodes, api.Node{ID: "node-old", Zone: Zone, State: "dead"})
+	return append(nodes, api.Node{ID: deadNode, Zone: Zone, State: "dead"})
 }
 
 // Reports implements operator.Backends.
--- a/pkg/claim/claim_test.go
+++ b/pkg/claim/claim_test.go
@@ -102,15 +102,15 @@
 		if err != nil || len(records) != 1 || records[0].Key != order.Key || records[0].Tenant != order.Tenant {
 			t.Fatalf("list: %v %v", records, err)
 		}
-		if err := one.Remove(t.Context(), order.Tenant, order.Key, "another"); err == nil {
-			t.Error("a claim was removed by a wrong ID")
+		if err := one.Remove(t.Context(), order.Tenant, order.Key, "another"); !errors.Is(err, ErrOtherClaim) {
+			t.Errorf("removal by a wrong ID: %v", err)
 		}
 		if err := one.Remove(t.Context(), order.Tenant, order.Key, records[0].ClaimID); err != nil {
 			t.Error(err)
 		}
 		held := mustAcquire(t, one)
-		if err := one.Remove(t.Context(), order.Tenant, order.Key, held.ID()); err == nil {
-			t.Error("a claim was removed while its holder may send")
+		if err := one.Remove(t.Context(), order.Tenant, order.Key, held.ID()); !errors.Is(err, ErrClaimFresh) {
+			t.Errorf("removal while the holder may send: %v", err)
 		}
 		time.Sleep(removalAge * DefaultSendWindow)
 		if err := one.Remove(t.Context(), order.Tenant, order.Key, held.ID()); err != nil {
@@ -247,3 +247,38 @@
 		}
 	})
 }
+
+// changingStore changes each claim right before it is deleted.
+type changingStore struct {
+	*configstore.Memory
+	change func()
+}
+
+func (s changingStore) CompareAndDelete(ctx context.Context, key string, index uint64) error {
+	s.change()
+	return s.Memory.CompareAndDelete(ctx, key, index)
+}
+
+// TestRemovalLosesAgainstTheHolder has the holder finish between the look at
+// its claim and the removal.
+func TestRemovalLosesAgainstTheHolder(t *testing.T) {
+	inBubble(t, func(t *testing.T, store *configstore.Memory, one, _ *Claimer) {
+		held := mustAcquire(t, one)
+		time.Sleep(removalAge * DefaultSendWindow)
+		operators := New(Options{Node: "operators", Store: changingStore{Memory: store, change: func() {
+			if err := held.Complete(t.Context(), []byte("result")); err != nil {
+				t.Error(err)
+			}
+		}}})
+		if err := operators.Remove(t.Context(), order.Tenant, order.Key, held.ID()); !errors.Is(err, ErrClaimChanged) {
+			t.Errorf("removal: %v", err)
+		}
+		record, err := one.Lookup(t.Context(), order.Tenant, order.Key)
+		if err != nil || record.State != StateDone {
+			t.Errorf("found %+v, %v", record, err)
+		}
+		if err := operators.Remove(t.Context(), order.Tenant, order.Key, held.ID()); !errors.Is(err, ErrClaimDone) {
+			t.Errorf("second removal: %v", err)
+		}
+	})
+}
--- a/pkg/claim/sweep.go
+++ b/pkg/claim/sweep.go
@@ -22,6 +22,18 @@
 	removalAge = 2
 )
 
+// Causes of a refused Remove, for errors.Is.
+var (
+	// ErrOtherClaim means that the key is held by another claim than named.
+	ErrOtherClaim = errors.New("another claim holds the key")
+	// ErrClaimDone means that the request ran and its result is recorded.
+	ErrClaimDone = errors.New("the request ran")
+	// ErrClaimFresh means that the holder may still be about to send.
+	ErrClaimFresh = errors.New("the holder may still send")
+	// ErrClaimChanged means that the claim changed while it was to be removed.
+	ErrClaimChanged = errors.New("the claim changed meanwhile")
+)
+
 // observation is when a sweeper first saw a claim at an index.
 type observation struct {
 	index uint64
@@ -136,22 +148,50 @@
 
 // Remove lets a key be used again after an operator found out, at the back
 // end, that the request did not run. The claim ID guards against removing
-// another attempt's claim. A claim that is done is not removed, nor one whose
-// holder may still be about to send.
+// another attempt's claim (ErrOtherClaim). A claim that is done is not removed
+// (ErrClaimDone), nor one whose holder may still be about to send
+// (ErrClaimFresh) or changed it meanwhile (ErrClaimChanged); these come in an
+// *outcome.Error. Other errors are those of the store: after
+// configstore.ErrUnknown, Lookup tells whether the claim is still there.
 func (c *Claimer) Remove(ctx context.Context, tenant, key, claimID string) error {
 	record, err := c.Lookup(ctx, tenant, key)
 	if err != nil {
 		return err
 	}
-	fresh := record.State == StateSent && time.Since(record.CreatedAt) < removalAge*c.options.SendWindow
-	if record.ClaimID != claimID || record.State == StateDone || fresh {
-		return &outcome.Error{
-			Step:    "remove claim",
-			Peer:    string(record.Node),
-			Outcome: outcome.NotRun,
-			Reason:  outcome.ReasonDuplicate,
-			Cause:   errors.Errorf("the key is held by claim %s in state %s", record.ClaimID, record.State),
-		}
+	if err := c.checkRemoval(&record, claimID); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.options.StoreTimeout)
+	defer cancel()
+	err = c.options.Store.CompareAndDelete(ctx, storeKey(tenant, key), record.Index)
+	if errors.Is(err, configstore.ErrConflict) {
+		return keptClaim(&record, 0, ErrClaimChanged)
+	}
+	return err
+}
+
+// checkRemoval returns why an operator may not remove a claim, or nil.
+func (c *Claimer) checkRemoval(record *Record, claimID string) error {
+	left := removalAge*c.options.SendWindow - time.Since(record.CreatedAt)
+	switch {
+	case record.ClaimID != claimID:
+		return keptClaim(record, 0, ErrOtherClaim)
+	case record.State == StateDone:
+		return keptClaim(record, 0, ErrClaimDone)
+	case record.State == StateSent && left > 0:
+		return keptClaim(record, left, ErrClaimFresh)
+	}
+	return nil
+}
+
+// keptClaim is the error of a removal that was refused.
+func keptClaim(record *Record, retryAfter time.Duration, cause error) error {
+	return &outcome.Error{
+		Step:       "remove claim",
+		Peer:       string(record.Node),
+		Outcome:    outcome.NotRun,
+		Reason:     outcome.ReasonDuplicate,
+		RetryAfter: retryAfter,
+		Cause:      errors.Wrapf(cause, "the key is held by claim %s in state %s", record.ClaimID, record.State),
 	}
-	return c.remove(ctx, storeKey(tenant, key), record.Index)
 }
