--- a/internal/node/reach.go
+++ b/internal/node/reach.go
@@ -30,6 +30,8 @@
 	client  *httpbackend.Client
 	nodes   func() []target.NodeID
 
+	// seen are the views that update last looked at. It belongs to run.
+	seen map[target.Service]*catalog.View
 	// chosen is replaced as a whole by update.
 	chosen atomic.Pointer[chosenServers]
 	// mutex guards views.
@@ -76,9 +78,15 @@
 // update works out the choice anew if nodes, servers or their limits changed.
 func (r *reach) update() {
 	nodes := r.nodes()
-	limits := r.serverLimits()
+	views := r.currentViews()
 	previous := r.chosen.Load()
-	if slices.Equal(previous.nodes, nodes) && maps.Equal(previous.limits, limits) {
+	sameNodes := slices.Equal(previous.nodes, nodes)
+	if sameNodes && maps.Equal(r.seen, views) {
+		return
+	}
+	r.seen = views
+	limits := serverLimits(views)
+	if sameNodes && maps.Equal(previous.limits, limits) {
 		return
 	}
 	parts := r.catalog.Parts()
@@ -108,10 +116,21 @@
 	connections int
 }
 
-func (r *reach) serverLimits() map[target.ServerID]bounds {
-	limits := make(map[target.ServerID]bounds)
+// currentViews returns the catalogue's views of all services. A view that did
+// not change is the same value, so that a quiet tick costs no walk over the
+// servers.
+func (r *reach) currentViews() map[target.Service]*catalog.View {
+	views := make(map[target.Service]*catalog.View)
 	for _, service := range r.catalog.Services() {
-		for _, server := range r.catalog.View(service).Servers {
+		views[service] = r.catalog.View(service)
+	}
+	return views
+}
+
+func serverLimits(views map[target.Service]*catalog.View) map[target.ServerID]bounds {
+	limits := make(map[target.ServerID]bounds)
+	for _, view := range views {
+		for _, server := range view.Servers {
 			limits[server.ID] = bounds{slots: server.Slots, connections: server.Connections}
 		}
 	}
