Catalog: few nodes tell what a doubted server's probe found

Cause: after a refusal each refused node probes the server and told all others of the new contents. With 71 nodes at a server that is 35 times the news of its two probers, at a moment when many servers may change.

Weighed: leaving it to the regular probers alone (slower by up to 1.15 s for nodes that were not refused); a random delay before telling (news takes up to 1 s to arrive, so it would have to be as long).

Change: the first four nodes by rank for the server tell, its regular probers among them; the others keep what they found, which is what the probers find. Drains, deaths and new instances are told by whoever finds them, as before.

Figures (go test -run FewNodes -v ./pkg/catalog, 30 nodes refused at once): 30.0 nodes told each change before, 4.0 after; each of them has the right view at once in both cases.

--- a/pkg/catalog/doubt.go
+++ b/pkg/catalog/doubt.go
@@ -13,6 +13,10 @@
 	// maxDoubtDoublings bounds how often the interval doubles while the probes
 	// find that the contents are the same.
 	maxDoubtDoublings = 2
+	// doubtTellers is the number of nodes, the first by rank for a server, that
+	// tell peers of new contents found for a doubt. Many nodes are refused at
+	// the same time, and the regular probers tell in any case.
+	doubtTellers = 4
 )
 
 // doubt is whether refusals contradict what is known of a server's contents.
--- a/pkg/catalog/doubt_test.go
+++ b/pkg/catalog/doubt_test.go
@@ -93,3 +93,38 @@
 		}
 	})
 }
+
+// TestFewNodesTellWhatAllFindOut has every node of a zone be refused by a server
+// that changed, at the same time.
+func TestFewNodesTellWhatAllFindOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes, servers = 30, 20
+		z := startZone(t, nodes, servers, relayBound)
+		defer z.end()
+		time.Sleep(10 * time.Second)
+		z.mutex.Lock()
+		before := z.told
+		z.mutex.Unlock()
+		for number := range servers {
+			server := serverID(number)
+			z.world.change(func() { z.world.versions[server] = 2 })
+			for _, c := range z.catalogs {
+				c.ReportResult(server, refusal(server, outcome.ReasonRangeNotHeld))
+			}
+			synctest.Wait()
+			for _, c := range z.catalogs {
+				if versionOf(c, server) != 2 {
+					t.Fatalf("%s has an old view of %s", c.options.Node, server)
+				}
+			}
+			time.Sleep(2 * relayBound)
+		}
+		z.mutex.Lock()
+		defer z.mutex.Unlock()
+		each := float64(z.told-before) / servers
+		t.Logf("%.1f of %d nodes told a change that all found", each, nodes)
+		if each > doubtTellers {
+			t.Errorf("%.1f nodes told each change", each)
+		}
+	})
+}
--- a/pkg/catalog/probe.go
+++ b/pkg/catalog/probe.go
@@ -10,6 +10,14 @@
 // ReportProbe takes the result of a probe that was sent at sentAt: a status, or
 // the error why there is none.
 func (c *Catalog) ReportProbe(server target.ServerID, sentAt time.Time, status *backend.Status, err error) {
+	c.reportProbe(server, sentAt, status, err, true)
+}
+
+// reportProbe is ReportProbe. Other contents are told to peers if tellContents
+// is set, and else left to the server's regular probers.
+func (c *Catalog) reportProbe(
+	server target.ServerID, sentAt time.Time, status *backend.Status, err error, tellContents bool,
+) {
 	r := c.find(server)
 	if r == nil {
 		return
@@ -21,7 +29,7 @@
 		if err != nil {
 			c.probeFailed(u, r, err)
 		} else {
-			c.probeAnswered(u, r, sentAt, status)
+			c.probeAnswered(u, r, sentAt, status, tellContents)
 		}
 		r.doubtProbed(sentAt)
 	})
@@ -49,7 +57,7 @@
 
 // probeAnswered takes a status. It is fresh evidence, unless the server was
 // replaced while the probe was on its way.
-func (c *Catalog) probeAnswered(u *update, r *record, sentAt time.Time, status *backend.Status) {
+func (c *Catalog) probeAnswered(u *update, r *record, sentAt time.Time, status *backend.Status, tellContents bool) {
 	if r.probe.failures >= c.options.ProbeFailures {
 		c.touched(r)
 	}
@@ -74,6 +82,9 @@
 		return
 	}
 	c.settle(u, r, previousID)
+	if kind == KindContents && !tellContents {
+		return
+	}
 	c.tell(u, r, kind, r.facts.current())
 	if kind == KindContents {
 		u.news[len(u.news)-1].noteChange(previousBase, r.facts.current().changeBase(r.server))
--- a/pkg/catalog/probeloop.go
+++ b/pkg/catalog/probeloop.go
@@ -87,6 +87,7 @@
 	// The fields below belong to the goroutine of Run.
 	schedule   map[target.ServerID]*scheduled
 	members    []target.NodeID
+	nodes      *rendezvous.Set[target.NodeID]
 	membership uint64
 	refreshAt  time.Time
 	probers    int
@@ -135,7 +136,7 @@
 	}
 	l.reconcile(now)
 	for server, entry := range l.schedule {
-		if !now.Before(entry.next) && l.start(ctx, server, entry) {
+		if !now.Before(entry.next) && l.start(ctx, server, entry, true) {
 			entry.next = now.Add(l.jittered(l.options.Interval))
 		}
 	}
@@ -153,7 +154,7 @@
 		if !own {
 			entry = &scheduled{}
 		}
-		if l.start(ctx, wanted.server, entry) {
+		if l.start(ctx, wanted.server, entry, l.tells(wanted)) {
 			entry.next = now.Add(l.jittered(l.options.Interval))
 			continue
 		}
@@ -161,6 +162,15 @@
 	}
 }
 
+// tells reports whether this node tells of other contents that a wanted probe
+// finds: not if they were doubted and enough other nodes will.
+func (l *ProbeLoop) tells(wanted wantedProbe) bool {
+	if !wanted.doubted || len(l.members) == 0 {
+		return true
+	}
+	return l.nodes.InTop(string(wanted.server), l.options.Catalog.options.Node, doubtTellers)
+}
+
 // retryAfter returns when to try a probe again that could not be sent.
 func (l *ProbeLoop) retryAfter(wanted wantedProbe) time.Duration {
 	if wanted.doubted {
@@ -186,10 +196,10 @@
 	scope := l.options.Catalog.probeScope()
 	l.probers = l.probersFor(len(scope), len(members))
 	own := l.options.Catalog.options.Node
-	nodes := rendezvous.NewSet(members)
+	l.nodes = rendezvous.NewSet(members)
 	kept := make(map[target.ServerID]*scheduled, len(l.schedule))
 	for _, server := range scope {
-		if len(members) > 0 && !nodes.InTop(string(server), own, l.probers) {
+		if len(members) > 0 && !l.nodes.InTop(string(server), own, l.probers) {
 			continue
 		}
 		entry := l.schedule[server]
@@ -212,7 +222,7 @@
 
 // start begins a probe unless too many run or one of this server does; it then
 // is tried again at the next tick.
-func (l *ProbeLoop) start(ctx context.Context, server target.ServerID, entry *scheduled) bool {
+func (l *ProbeLoop) start(ctx context.Context, server target.ServerID, entry *scheduled, tellContents bool) bool {
 	if !entry.busy.CompareAndSwap(false, true) {
 		return false
 	}
@@ -224,13 +234,13 @@
 	}
 	l.running.Go(func() {
 		defer entry.busy.Store(false)
-		l.probe(ctx, server)
+		l.probe(ctx, server, tellContents)
 		<-l.slots
 	})
 	return true
 }
 
-func (l *ProbeLoop) probe(ctx context.Context, server target.ServerID) {
+func (l *ProbeLoop) probe(ctx context.Context, server target.ServerID, tellContents bool) {
 	sentAt := l.options.Catalog.options.Now()
 	bounded, cancel := context.WithTimeout(ctx, l.options.Timeout)
 	defer cancel()
@@ -238,5 +248,5 @@
 	if ctx.Err() != nil {
 		return
 	}
-	l.options.Catalog.ReportProbe(server, sentAt, status, err)
+	l.options.Catalog.reportProbe(server, sentAt, status, err, tellContents)
 }
--- a/pkg/catalog/probeloop_test.go
+++ b/pkg/catalog/probeloop_test.go
@@ -67,10 +67,12 @@
 type zone struct {
 	world    *world
 	catalogs []*Catalog
-	// mutex guards members and random.
+	// mutex guards members, random and told.
 	mutex   sync.Mutex
 	members []target.NodeID
 	random  *rand.Rand
+	// told counts the news that nodes sent.
+	told int
 	// relayDelay is the longest time that news takes to a node.
 	relayDelay time.Duration
 	stop       context.CancelFunc
@@ -115,6 +117,9 @@
 
 // relay sends news to all other nodes, each after a time of its own.
 func (z *zone) relay(from target.NodeID, news News) {
+	z.mutex.Lock()
+	z.told++
+	z.mutex.Unlock()
 	if z.relayDelay == 0 {
 		return
 	}
