load: the rate of useful answers counts what came in the time of the steps

Weighed: dividing by the time until the last answer (rejected: the tail is offered less load); counting by arrival of the answer within the steps, the warm-up's late ones included (taken).

Conclusion: the rate can't exceed the capacity by a late tail any more.

--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -134,6 +134,27 @@
 		Expect(done.answerLatency()).To(Equal(time.Second))
 	})
 
+	It("takes the rate of useful answers from those that came in the time of the steps", func() {
+		start := time.Unix(100, 0)
+		recorder := newRecorder("only", window{start: start, duration: 2 * time.Second})
+		answered := func(step int, intended, finishedAt time.Duration) finished {
+			return finished{
+				request:  &Request{Load: &TemplateLoad{}, step: step},
+				intended: start.Add(intended), exchanges: 1,
+				last: &Exchange{Finished: start.Add(finishedAt), Answer: &api.Answer{Coverage: api.Coverage{Share: 1}}},
+			}
+		}
+		recorder.finish(answered(warmupStep, -time.Second, -500*time.Millisecond))
+		recorder.finish(answered(warmupStep, -time.Second, time.Second))
+		recorder.finish(answered(0, time.Second, 1500*time.Millisecond))
+		recorder.finish(answered(0, time.Second, 3*time.Second))
+		var result Result
+		recorder.fill(&result)
+		arm, _ := result.Arm("only")
+		Expect(arm.Useful).To(Equal(int64(2)))
+		Expect(arm.UsefulRate).To(Equal(1.0))
+	})
+
 	It("does not wait for answers, and counts what it may not send", func(ctx SpecContext) {
 		release := make(chan struct{})
 		options, _ := baseOptions(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/lab/load/options.go
+++ b/internal/lab/load/options.go
@@ -134,6 +134,15 @@
 	return o, o.check()
 }
 
+// duration is the time of all steps.
+func (o Options) duration() time.Duration {
+	var total time.Duration
+	for _, step := range o.Steps {
+		total += step.Duration.Std()
+	}
+	return total
+}
+
 func (o Options) check() error {
 	if len(o.Targets) == 0 {
 		return errors.New("load: no target")
--- a/internal/lab/load/result.go
+++ b/internal/lab/load/result.go
@@ -98,7 +98,8 @@
 	Refused  int64  `json:"refused"`
 	// Failed counts the requests that were neither answered nor refused.
 	Failed int64 `json:"failed"`
-	// UsefulRate is useful answers per second.
+	// UsefulRate is the useful answers that came in the time of the steps, per
+	// second of it, whenever their requests were sent.
 	UsefulRate float64 `json:"useful_rate"`
 	// Attempts is exchanges for each request.
 	Attempts       float64          `json:"attempts"`
