Membership: each mechanism has a test that fails without it

Cause: with the mechanisms taken out one at a time on a scratch copy, the tests still passed without the last check, the quarantine, the search at dead members' addresses, indirect probes, the memory of other zones' dead, and the rule that the word of another node does not make a member dead.

Change: a test for each of the six, and a stricter one for one-way cuts (no suspicion, where it was no removal).

Conclusion: no code changed.

--- a/pkg/membership/cluster_test.go
+++ b/pkg/membership/cluster_test.go
@@ -201,6 +201,11 @@
 	return ids
 }
 
+// holds reports whether a node lists a member in any state.
+func (c *cluster) holds(node *testNode, id target.NodeID) bool {
+	return slices.ContainsFunc(node.Members(), func(member Member) bool { return member.ID == id })
+}
+
 // settle waits until all lists agree with the truth and returns how long that
 // took; the test fails if it takes longer than bound.
 func (c *cluster) settle(bound time.Duration) time.Duration {
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -113,21 +113,100 @@
 				t.Errorf("during the cut a node holds %d members, want 10", held)
 			}
 			c.network.Heal()
-			t.Logf("after a cut of %v the halves agree again after %v", cut, c.settle(healBound))
+			for range 1000 {
+				time.Sleep(20 * time.Millisecond)
+				checkNoDead(t, c, all[:10])
+				checkNoDead(t, c, all[10:])
+			}
+			c.settle(healBound)
 		})
 	}
 }
 
-func TestOneWayCutRemovesNobodyThatOthersReach(t *testing.T) {
+// checkNoDead checks that nodes that were never cut from each other do not hold
+// each other as dead on the word of the other side.
+func checkNoDead(t *testing.T, c *cluster, half []peer.Address) {
+	t.Helper()
+	for _, address := range half {
+		dead := idsIn(c.nodes[address], "oslo", Dead)
+		for _, other := range half {
+			if slices.Contains(dead, c.nodes[other].options.Self.ID) {
+				t.Fatalf("%s holds %s of its own side as dead", address, other)
+			}
+		}
+	}
+}
+
+// TestHalvesRejoinWithoutSeeds cuts a zone while the machine list is away, so
+// that only the dead members' own addresses lead back.
+func TestHalvesRejoinWithoutSeeds(t *testing.T) {
 	inCluster(t, func(t *testing.T, c *cluster) {
 		c.startZone("oslo", 12)
 		c.settle(joinBound)
+		c.seeds.Store(&[]Seed{})
 		all := c.addresses()
-		c.network.CutOneWay(all[:1], all[1:2])
+		c.network.Cut(all[:6], all[6:])
+		time.Sleep(10 * time.Minute)
+		c.network.Heal()
+		c.settle(healBound)
+	})
+}
+
+// TestFrozenNodeDoesNotBringBackForgottenMembers freezes a node while a member
+// comes and goes, until the others have forgotten that one. What waited for the
+// frozen node must not bring it back.
+func TestFrozenNodeDoesNotBringBackForgottenMembers(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		c.timing.DeadRetention = time.Minute
+		c.startZone("oslo", 10)
+		c.settle(joinBound)
+		frozen := addressOf("oslo", 7)
+		c.freeze(frozen)
+		guest := c.start("oslo", 20).options.Self.ID
+		time.Sleep(time.Minute)
+		c.kill(addressOf("oslo", 20))
 		time.Sleep(3 * time.Minute)
+		c.thaw(frozen)
+		for range 1000 {
+			time.Sleep(20 * time.Millisecond)
+			for _, node := range c.nodes {
+				if node.address != frozen && c.holds(node, guest) {
+					t.Fatalf("%s holds a member again that it had forgotten", node.address)
+				}
+			}
+		}
+	})
+}
+
+// TestLastCheckBeforeRemoval lets the time to refute run out at one node that
+// heard nothing of a refutation: it must ask the member before it removes it.
+func TestLastCheckBeforeRemoval(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		c.startZone("oslo", 5)
+		c.settle(joinBound)
+		node, suspected := c.nodes[addressOf("oslo", 0)], c.nodes[addressOf("oslo", 1)]
+		node.mutex.Lock()
+		held := node.table.records[suspected.options.Self.ID]
+		node.table.suspect(held, held.member.Incarnation, "accuser", time.Now().Add(-time.Hour))
+		node.unlock()
+		time.Sleep(5 * time.Second)
 		if count := c.total(removed); count > 0 {
 			t.Errorf("%d members were removed", count)
 		}
+		c.settle(detectBound)
+	})
+}
+
+func TestOneWayCutRemovesNobodyThatOthersReach(t *testing.T) {
+	inCluster(t, func(t *testing.T, c *cluster) {
+		c.startZone("oslo", 12)
+		c.settle(joinBound)
+		all := c.addresses()
+		c.network.CutOneWay(all[:1], all[1:2])
+		time.Sleep(3 * time.Minute)
+		if count := c.total(func(s Stats) uint64 { return s.Suspicions }); count > 0 {
+			t.Errorf("%d members were suspected that others reach", count)
+		}
 		c.network.Heal()
 		c.settle(healBound)
 	})
--- /dev/null
+++ b/pkg/membership/table_test.go
@@ -0,0 +1,52 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	pb "github.com/bramblemast/bramblemast/pkg/membership/membershippb"
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+// TestOldNewsOfOtherZonesIsNotNews checks that a member of another zone that is
+// gone does not come back by old news, but by a higher incarnation.
+func TestOldNewsOfOtherZonesIsNotNews(t *testing.T) {
+	held := newTable(Member{ID: "self", Zone: "oslo", Incarnation: 1}, DefaultMembersPerZone)
+	now := time.Unix(1000, 0)
+	declared := func(incarnation uint64) *pb.Entry {
+		return &pb.Entry{Id: "n", Address: "n:1", Zone: "bergen", State: pb.State_STATE_ALIVE, Incarnation: incarnation}
+	}
+	if !held.apply(declared(4), now) {
+		t.Fatal("a new member is news")
+	}
+	if !held.apply(&pb.Entry{Id: "n", State: pb.State_STATE_DEAD, Incarnation: 4}, now) {
+		t.Fatal("its end is news")
+	}
+	held.reap(now.Add(50*time.Second), time.Hour)
+	if held.apply(declared(4), now) {
+		t.Error("old news brought the member back")
+	}
+	if !held.apply(declared(5), now) {
+		t.Error("a higher incarnation did not bring the member back")
+	}
+}
+
+// TestSuspicionTimeouts checks the bounds of the time to refute.
+func TestSuspicionTimeouts(t *testing.T) {
+	accused := &suspicion{}
+	if !accused.confirm("a") || accused.confirm("a") {
+		t.Error("an accuser counts once")
+	}
+	alone := accused.timeout(300, time.Second)
+	for _, accuser := range []string{"b", "c", "d"} {
+		accused.confirm(target.NodeID(accuser))
+	}
+	together := accused.timeout(300, time.Second)
+	if alone != suspicionStretch*together || accused.confirm("e") {
+		t.Errorf("alone %v, together %v", alone, together)
+	}
+	small := (&suspicion{accusers: accused.accusers[:1]}).timeout(2, time.Second)
+	if small != suspicionPeriods*time.Second {
+		t.Errorf("in a zone of two: %v", small)
+	}
+}
