--- a/pkg/membership/bridge.go
+++ b/pkg/membership/bridge.go
@@ -230,7 +230,7 @@
 		return reply, nil
 	}
 	m.applyMembersOf(target.Zone(request.Self.GetZone()), request.Members, now)
-	reply.Members = m.announced()
+	reply.Members = notKnown(m.announced(), request.Known)
 	reply.ZoneSize = uint32(m.table.zoneSize)
 	reply.Corrections = m.corrections(request.Known, now)
 	reply.Contacts = m.contactsBeyond(request)
@@ -247,6 +247,15 @@
 	}
 }
 
+// notKnown returns the declarations that the other side does not hold already.
+func notKnown(entries, known []*pb.Entry) []*pb.Entry {
+	return slices.DeleteFunc(entries, func(entry *pb.Entry) bool {
+		return slices.ContainsFunc(known, func(held *pb.Entry) bool {
+			return held.GetId() == entry.Id && held.GetState() == entry.State && held.GetIncarnation() == entry.Incarnation
+		})
+	})
+}
+
 // contactsBeyond returns one living member of each zone that the asking node
 // does not know, so that zones find each other through a third. The caller
 // holds the mutex.
