Leaving back ends get no new work: proof with real processes

Two specs watch the execution logs of servers of the election results under load at three nodes: a server that signals its drain itself while the machine list never tells, an operator's drain, a stopped and a hung server at the same time; a server of which only the machine list tells, and one that drains while its zone is cut from another. The servers go on taking work for a minute, so that only what the nodes decide keeps it away. Nodes take the servers back after an undrain or a restart.

Ruled out on the way: with a lag of 60 s the list stand-in gave its oldest state, the servers' own addresses beside the links; nodes rightly took these for other servers, and an operator's drain seemed to be ignored for 5.4 s. The list is now simply never told. The stand-in also lists the own address when a drain ends; the specs take it out.

Not proved: that a restarted server gets work at once.

--- a/test/integration/installation_test.go
+++ b/test/integration/installation_test.go
@@ -42,6 +42,9 @@
 	machineList string
 	nodes       []*node
 	oracle      *oracle.Oracle
+	// listed holds the machine-list entry of each back end, by its own address;
+	// the entry has the address of the link before it.
+	listed map[target.ServerID]labapi.Machine
 	// exchanges sees what every load sent and got.
 	exchanges *exchangeLog
 	// operatorHTTP bounds what the spec asks of operators' listeners.
@@ -107,6 +110,7 @@
 // of the servers.
 func (i *installation) routeBackends() {
 	GinkgoHelper()
+	i.listed = make(map[target.ServerID]labapi.Machine)
 	for _, server := range i.addresses.Servers {
 		machine := labapi.Machine{Address: string(server.Address), Role: labapi.RoleBackend, Zone: server.Zone,
 			Region: server.Region, Service: server.Service, Group: server.Group, State: labapi.MachineMissing}
@@ -114,6 +118,7 @@
 		machine.Address = i.addLink(server.Name, string(server.Address), server.Zone)
 		machine.State = labapi.MachineLive
 		Expect(i.admin.SetMachine(i.ctx, machine)).To(Succeed())
+		i.listed[server.Address] = machine
 	}
 }
 
