A planned stop cut off requests in flight: the run group ended with the listener

Cause: when the callers' listener was closed, its serve function returned, and the run group took that for the end of the node and closed every connection, while the stop was still waiting for requests. Callers saw the connection end without an answer. Change: the serve functions return only when the whole node has stopped. A node also counts as ready only when it knows what its back ends hold, and refuses requests before that as starting instead of no_replica. Conclusion: the stop now waits for what it says it waits for.

--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -16,6 +16,10 @@
 	// quietBeforeClose is how long a stopping listener's open connections must
 	// have been without a request before they are closed.
 	quietBeforeClose = 500 * time.Millisecond
+	// lingerAfterClose is how long a stopping listener waits at least after it
+	// stopped accepting, since a connection that was accepted last may not have
+	// sent its request yet.
+	lingerAfterClose = 200 * time.Millisecond
 	// stopPoll is how often a stopping listener looks at its connections.
 	stopPoll = 20 * time.Millisecond
 	// maxHeaderBytes bounds a request's header.
@@ -28,6 +32,8 @@
 	listener net.Listener
 	server   *http.Server
 	tracker  *connectionTracker
+	// accepted is closed when no further connection will be accepted.
+	accepted chan struct{}
 }
 
 func newHTTPListener(address string, handler http.Handler, bounds settings.Callers) (*httpListener, error) {
@@ -39,6 +45,7 @@
 	return &httpListener{
 		listener: newBoundedListener(listener, bounds.MaxConnections),
 		tracker:  tracker,
+		accepted: make(chan struct{}),
 		server: &http.Server{
 			Handler:           tracker.wrap(handler),
 			ReadHeaderTimeout: bounds.HeaderTimeout,
@@ -51,8 +58,9 @@
 
 func (l *httpListener) address() string { return l.listener.Addr().String() }
 
-// serve runs until stop or close.
+// serve runs until stop or close. It is called once.
 func (l *httpListener) serve() error {
+	defer close(l.accepted)
 	err := l.server.Serve(l.listener)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
@@ -69,6 +77,8 @@
 // closed only after a quiet time, since a request may be on its way on it.
 func (l *httpListener) stop(ctx context.Context) error {
 	_ = l.listener.Close()
+	<-l.accepted
+	l.tracker.touch()
 	ticker := time.NewTicker(stopPoll)
 	defer ticker.Stop()
 	for !l.tracker.quiet(time.Now()) {
@@ -109,6 +119,13 @@
 	t.leaving = true
 }
 
+// touch counts as a use, so that the waits of a planned stop begin now.
+func (t *connectionTracker) touch() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.lastUsed = time.Now()
+}
+
 func (t *connectionTracker) isLeaving() bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -133,15 +150,16 @@
 	t.states[connection] = state
 }
 
-// quiet reports whether no connection is open, or none is active and none was
-// used for quietBeforeClose.
+// quiet reports whether the listener may be closed: no connection is open, or
+// none is active, and none was used for a while.
 func (t *connectionTracker) quiet(now time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	unused := now.Sub(t.lastUsed)
 	if len(t.states) == 0 {
-		return true
+		return unused >= lingerAfterClose
 	}
-	return t.active == 0 && now.Sub(t.lastUsed) >= quietBeforeClose
+	return t.active == 0 && unused >= quietBeforeClose
 }
 
 func (t *connectionTracker) wrap(handler http.Handler) http.Handler {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,6 +59,8 @@
 	claims          *claim.Claimer
 	// leaving is set when the planned stop begins.
 	leaving atomic.Bool
+	// warm is set when the node knows what the back ends hold.
+	warm atomic.Bool
 }
 
 // Addresses says where a node listens.
@@ -118,7 +120,7 @@
 // Ready reports whether the node takes requests: it has its configuration and
 // knows back ends, and is not stopping.
 func (n *Node) Ready() bool {
-	return !n.leaving.Load() && n.config.Ready() && len(n.catalog.Services()) > 0
+	return !n.leaving.Load() && n.config.Ready() && n.warm.Load()
 }
 
 func (n *Node) closeListeners() {
@@ -252,14 +254,15 @@
 	n.addWork(&group, work, n.probeLoop().Run)
 	n.addWork(&group, work, n.reach.run)
 	n.addWork(&group, work, n.catchUp)
+	n.addWork(&group, work, n.warmUp)
 	n.addWork(&group, work, n.exchange.Run)
 	n.addWork(&group, work, n.config.run)
 	n.addWork(&group, work, n.claims.Run)
 	if n.machines != nil {
 		n.addWork(&group, work, n.machines.Run)
 	}
-	group.Add(n.callers.serve, func(error) { n.callers.close() })
-	group.Add(n.operators.serve, func(error) { n.operators.close() })
+	group.Add(func() error { return serveUntil(work, n.callers) }, func(error) { n.callers.close() })
+	group.Add(func() error { return serveUntil(work, n.operators) }, func(error) { n.operators.close() })
 	group.Add(func() error { return n.waitAndStop(ctx, work) }, func(error) { cancelWork() })
 	n.logListening()
 	err := group.Run()
@@ -267,6 +270,17 @@
 	return err
 }
 
+// serveUntil serves, and after a planned stop of the listener waits until the
+// whole node has stopped: the run group ends every part as soon as one returns,
+// which would cut off the requests that the stop still waits for.
+func serveUntil(work context.Context, listener *httpListener) error {
+	if err := listener.serve(); err != nil {
+		return err
+	}
+	<-work.Done()
+	return nil
+}
+
 // addWork adds a part that runs until the planned stop is over.
 func (n *Node) addWork(group *run.Group, work context.Context, part func(context.Context) error) {
 	ctx, cancel := context.WithCancel(work)
--- a/internal/node/reach.go
+++ b/internal/node/reach.go
@@ -17,7 +17,7 @@
 )
 
 // reachInterval is how often the subset and the shares are worked out anew.
-const reachInterval = 500 * time.Millisecond
+const reachInterval = 100 * time.Millisecond
 
 // reach decides which servers this node connects to and how much of each it
 // may use, from the living nodes and the parts of all indexes. It implements
--- a/internal/node/routes.go
+++ b/internal/node/routes.go
@@ -41,7 +41,7 @@
 
 func (n *Node) registerCallers() {
 	pipeline := serve.New(serve.Options{
-		Templates: n.config,
+		Templates: startedTemplates{configuration: n.config, warm: &n.warm},
 		Gates:     n.gates,
 		Executor:  n.executor,
 		Once:      serve.NewOnce(n.claims),
