Streams announce a restart that only the answer shows

Cause: a query that began again on a newer index version and ended before its next early state was due gave its answer without a restart event, so a caller could take earlier records of another version for part of the answer. Ruled out: sending an early state for each restart, which a query that ends at once would not reach either. Change: the writer remembers the version of the last early state. Before: the new spec fails with partial, answer.

--- a/internal/callerapi/callerapi_test.go
+++ b/internal/callerapi/callerapi_test.go
@@ -210,6 +210,28 @@
 		Expect(types).To(Equal([]api.EventType{api.EventPartial, api.EventRestart, api.EventPartial, api.EventAnswer}))
 	})
 
+	It("announces a restart that only the answer shows", func() {
+		written := make(chan struct{})
+		pipeline.run = func(_ context.Context, _ *serve.Request, partial query.PartialFunc) (*serve.Result, error) {
+			partial(query.Partial{Version: 6, Coverage: query.Coverage{CoveredWidth: 1, Asked: keyspace.Full}})
+			<-written
+			result := wholeResult()
+			result.Answer.Version, result.Answer.Restarts = 7, 1
+			return result, nil
+		}
+		lines := bufio.NewScanner(send(api.StreamPath, "application/json", goodBody).Body)
+		var types []api.EventType
+		for lines.Scan() {
+			var event api.Event
+			Expect(json.Unmarshal(lines.Bytes(), &event)).To(Succeed())
+			types = append(types, event.Type)
+			if len(types) == 1 {
+				close(written)
+			}
+		}
+		Expect(types).To(Equal([]api.EventType{api.EventPartial, api.EventRestart, api.EventAnswer}))
+	})
+
 	It("ends a stream that fails after its first line with an error", func() {
 		pipeline.run = func(_ context.Context, _ *serve.Request, partial query.PartialFunc) (*serve.Result, error) {
 			partial(query.Partial{Version: 6, Coverage: query.Coverage{CoveredWidth: 1, Asked: keyspace.Full}})
--- a/internal/callerapi/stream.go
+++ b/internal/callerapi/stream.go
@@ -11,6 +11,7 @@
 	"github.com/bramblemast/bramblemast/api"
 	"github.com/bramblemast/bramblemast/internal/serve"
 	"github.com/bramblemast/bramblemast/pkg/query"
+	"github.com/bramblemast/bramblemast/pkg/target"
 )
 
 // handleStream answers with one line for each early state of the answer. The
@@ -41,7 +42,7 @@
 	if end.err != nil {
 		return writer.failed(request, end.err)
 	}
-	writer.write(api.Event{Type: api.EventAnswer, Answer: s.answerMessage(request, end.result)})
+	writer.answer(request, end.result)
 	return nil
 }
 
@@ -57,17 +58,31 @@
 	context echo.Context
 	started bool
 	broken  bool
+	// snapshot is the version of the last early state; zero if none was written
+	// since the last restart.
+	snapshot target.Version
 }
 
 func (w *streamWriter) partial(server *Server, request *serve.Request, partial query.Partial) {
 	if partial.Restarted {
 		w.write(api.Event{Type: api.EventRestart})
+		w.snapshot = 0
 	}
 	if len(partial.Records) > 0 || partial.Coverage.CoveredWidth > 0 {
 		w.write(api.Event{Type: api.EventPartial, Partial: server.partialMessage(request, partial)})
+		w.snapshot = partial.Version
 	}
 }
 
+// answer writes the last line. A query that began again and ended before its
+// next early state was due has not announced that yet.
+func (w *streamWriter) answer(request *serve.Request, result *serve.Result) {
+	if w.snapshot != 0 && w.snapshot != result.Answer.Version {
+		w.write(api.Event{Type: api.EventRestart})
+	}
+	w.write(api.Event{Type: api.EventAnswer, Answer: w.server.answerMessage(request, result)})
+}
+
 // failed answers with a plain problem while nothing was written yet, and with
 // an error event after that.
 func (w *streamWriter) failed(request *serve.Request, err error) error {
