--- a/test/integration/installation_test.go
+++ b/test/integration/installation_test.go
@@ -155,11 +155,18 @@
 
 // ctl runs the operators' command line against a node and returns its session.
 func (i *installation) ctl(at *node, arguments ...string) *gexec.Session {
+	GinkgoHelper()
+	session := i.startCtl(at, arguments...)
+	Eventually(session, startTimeout).Should(gexec.Exit())
+	return session
+}
+
+// startCtl begins to run the operators' command line against a node.
+func (i *installation) startCtl(at *node, arguments ...string) *gexec.Session {
 	GinkgoHelper()
 	command := exec.Command(programs.ctl, append([]string{"--address", at.operators}, arguments...)...)
 	session, err := gexec.Start(command, GinkgoWriter, GinkgoWriter)
 	Expect(err).NotTo(HaveOccurred())
-	Eventually(session, startTimeout).Should(gexec.Exit())
 	return session
 }
 
