Membership: the only node of a zone, replaced, stopped or lost

Cause: with one node a zone, as in the demo, nobody in its own zone tells that it is gone. A node that was replaced stayed listed by other zones until its successor was a minute old, and a stopped one until its zone was silent for 20 s; a zone that was closed for good stayed listed as suspect.

Ruled out: probes between zones for all, whose cost would grow with the nodes.

Change: an exchange shows that another process has a member's address, which makes the member gone; the goodbye of a planned stop goes to one member of each other zone too; a process whose membership has ended answers no peer, so that it does not seem alive while it exits; members of a zone that was silent for three hours are forgotten.

Before: TestOnlyNodeOfAZone fails, the stopped node is held as leaving. After: it passes, and the whole package three times in a row.

--- a/pkg/membership/bridge.go
+++ b/pkg/membership/bridge.go
@@ -127,9 +127,11 @@
 	}
 	if reply.Stale {
 		m.zones.of(zone, now).heard = now
+		m.noteReplaced(reply.Self, now)
 		return
 	}
 	m.zones[zone] = &zoneContact{tried: now, heard: now, size: int(reply.ZoneSize), failed: make(map[peer.Address]bool)}
+	m.noteReplaced(reply.Self, now)
 	m.applyMembersOf(zone, reply.Members, now)
 	m.applyAll(m.aboutZone(reply.Corrections, zone), now, true)
 	m.applyAll(otherZoneOnly(reply.Contacts, m.options.Self.Zone), now, true)
@@ -229,6 +231,7 @@
 		reply.Stale = true
 		return reply, nil
 	}
+	m.noteReplaced(request.Self, now)
 	m.applyMembersOf(target.Zone(request.Self.GetZone()), request.Members, now)
 	reply.Members = notKnown(m.announced(), request.Known)
 	reply.ZoneSize = uint32(m.table.zoneSize)
@@ -237,6 +240,17 @@
 	return reply, nil
 }
 
+// noteReplaced spreads that members of another zone are gone, because another
+// process has their address. The caller holds the mutex.
+func (m *Membership) noteReplaced(self *pb.Entry, now time.Time) {
+	if !valid(self) || target.Zone(self.Zone) == m.options.Self.Zone {
+		return
+	}
+	for _, gone := range m.table.replacedBy(self, now) {
+		m.queue.addEntry(entryOf(gone))
+	}
+}
+
 // applyMembersOf takes in what a zone says about its own members. The caller
 // holds the mutex.
 func (m *Membership) applyMembersOf(zone target.Zone, entries []*pb.Entry, now time.Time) {
--- a/pkg/membership/cluster_test.go
+++ b/pkg/membership/cluster_test.go
@@ -206,6 +206,17 @@
 	return slices.ContainsFunc(node.Members(), func(member Member) bool { return member.ID == id })
 }
 
+// stateAt returns the state of a member as a node sees it; Dead if it is not
+// listed.
+func (c *cluster) stateAt(node *testNode, id target.NodeID) State {
+	for _, member := range node.Members() {
+		if member.ID == id {
+			return member.State
+		}
+	}
+	return Dead
+}
+
 // settle waits until all lists agree with the truth and returns how long that
 // took; the test fails if it takes longer than bound.
 func (c *cluster) settle(bound time.Duration) time.Duration {
--- a/pkg/membership/leave.go
+++ b/pkg/membership/leave.go
@@ -4,7 +4,12 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	pb "github.com/bramblemast/bramblemast/pkg/membership/membershippb"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/peer"
+	"github.com/bramblemast/bramblemast/pkg/target"
 )
 
 const (
@@ -38,6 +43,40 @@
 	return nil
 }
 
+// whileRunning refuses requests after Run has ended, so that a process that is
+// about to exit does not look alive.
+func (m *Membership) whileRunning(handler peer.Handler) peer.Handler {
+	return func(ctx context.Context, from target.NodeID, body []byte) (proto.Message, error) {
+		if m.gone.Load() {
+			return nil, &outcome.Error{
+				Step:    "answer peer",
+				Peer:    string(from),
+				Outcome: outcome.NotRun,
+				Reason:  outcome.ReasonDraining,
+			}
+		}
+		return handler(ctx, from, body)
+	}
+}
+
+// answers reports whether a failed call shows that the peer's membership runs.
+func answers(err error) bool {
+	return peer.IsRemote(err) && outcome.ReasonOf(err) != outcome.ReasonDraining
+}
+
+// oneOfEachZone returns one known member of each other zone. The caller holds
+// the mutex.
+func (m *Membership) oneOfEachZone() []Member {
+	var chosen []Member
+	for _, zone := range m.table.zones() {
+		known := m.table.ranked(zone)
+		if zone != m.options.Self.Zone && len(known) > 0 {
+			chosen = append(chosen, known[m.random.IntN(len(known))].member)
+		}
+	}
+	return chosen
+}
+
 // announcing reports whether this node's own entry is still being passed on.
 func (m *Membership) announcing() bool {
 	m.mutex.Lock()
@@ -45,12 +84,13 @@
 	return len(m.table.others) > 0 && m.queue.has(entryKey(string(m.options.Self.ID)))
 }
 
-// sayGoodbye tells some members that this node is gone, if it left.
+// sayGoodbye tells some members of this zone and one of each other zone that
+// this node is gone, if it left.
 func (m *Membership) sayGoodbye() {
 	m.mutex.Lock()
 	self := m.table.self
 	leaving := self.member.State == Leaving
-	chosen := m.randomOthers(goodbyeFanout, "")
+	chosen := append(m.randomOthers(goodbyeFanout, ""), m.oneOfEachZone()...)
 	goodbye := &pb.Entry{Id: string(self.member.ID), State: pb.State_STATE_LEFT, Incarnation: self.member.Incarnation}
 	m.mutex.Unlock()
 	if !leaving {
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -36,6 +36,8 @@
 	startMutex sync.Mutex
 	// ended is guarded by startMutex.
 	ended bool
+	// gone is set when Run ends; peers get no answer from then on.
+	gone atomic.Bool
 	// recovering, joining and summarizing keep a duty from running twice at
 	// the same time.
 	recovering, joining, syncing, summarizing atomic.Bool
@@ -93,10 +95,10 @@
 		seedZones:    make(seedZones),
 		subscribers:  make(map[chan struct{}]struct{}),
 	}
-	options.Transport.Handle(kindPing, m.handlePing)
-	options.Transport.Handle(kindProbe, m.handleProbe)
-	options.Transport.Handle(kindSync, m.handleSync)
-	options.Transport.Handle(kindSummary, m.handleSummary)
+	options.Transport.Handle(kindPing, m.whileRunning(m.handlePing))
+	options.Transport.Handle(kindProbe, m.whileRunning(m.handleProbe))
+	options.Transport.Handle(kindSync, m.whileRunning(m.handleSync))
+	options.Transport.Handle(kindSummary, m.whileRunning(m.handleSummary))
 	return m
 }
 
@@ -112,6 +114,7 @@
 		select {
 		case <-ctx.Done():
 			timer.Stop()
+			m.gone.Store(true)
 			m.sayGoodbye()
 			return nil
 		case <-timer.C:
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -153,7 +153,7 @@
 func (m *Membership) probeDirect(ctx context.Context, probed Member, timeout time.Duration) bool {
 	ack, err := m.ping(ctx, probed, timeout, nil)
 	if err != nil {
-		return peer.IsRemote(err)
+		return answers(err)
 	}
 	if target.NodeID(ack.Id) != probed.ID {
 		m.replaced(probed)
@@ -306,6 +306,6 @@
 	m.receive(request.Gossip)
 	probed := Member{ID: target.NodeID(request.Target), Address: peer.Address(request.Address)}
 	ack, err := m.ping(ctx, probed, m.options.Timing.ProbeTimeout, nil)
-	acked := peer.IsRemote(err) || (err == nil && ack.Id == request.Target)
+	acked := answers(err) || (err == nil && ack.Id == request.Target)
 	return &pb.ProbeReply{Acked: acked, Gossip: m.takeGossip()}, nil
 }
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -296,21 +296,44 @@
 
 // reap forgets members that have been dead for longer than retention. Those of
 // other zones are remembered only for as long as old news of them may be on its
-// way.
+// way, and those of a zone that stays silent for remoteSilentRetention.
 func (t *table) reap(now time.Time, retention time.Duration) {
 	for _, r := range t.records {
 		kept := retention
 		if r.remote {
 			kept = min(retention, remoteDeadRetention)
 		}
-		if r.member.State == Dead && now.Sub(r.deadSince) >= kept {
+		dead := r.member.State == Dead && now.Sub(r.deadSince) >= kept
+		silent := r.remote && r.suspicion != nil && now.Sub(r.suspicion.since) >= remoteSilentRetention
+		if dead || silent {
 			t.remove(r)
 		}
 	}
 }
 
-// remoteDeadRetention is how long a dead member of another zone is remembered.
-const remoteDeadRetention = time.Minute
+const (
+	// remoteDeadRetention is how long a dead member of another zone is
+	// remembered.
+	remoteDeadRetention = time.Minute
+	// remoteSilentRetention is how long the members of a silent zone are
+	// remembered; it exceeds the time for which regions lose each other.
+	remoteSilentRetention = 3 * time.Hour
+)
+
+// replacedBy marks as gone the other members that were at the address of a
+// process that speaks for itself. It returns them.
+func (t *table) replacedBy(self *pb.Entry, now time.Time) []*record {
+	var gone []*record
+	for _, r := range t.records {
+		if !r.remote || string(r.member.Address) != self.GetAddress() || string(r.member.ID) == self.GetId() {
+			continue
+		}
+		if t.bury(r, r.member.Incarnation, true, now) {
+			gone = append(gone, r)
+		}
+	}
+	return gone
+}
 
 // restartSuspicions gives every suspected member its whole time to refute
 // again.
