Probes are paced to a bound for each node

Cause: a probe is 530 bytes of HTTP, about 730 on the wire. At the size to design for a zone and its region have some 10,600 servers for 318 nodes: with two probers each second that is 67 probes/s and 49 KB/s a node, and 33 probes/s and 24 KB/s with one, against 12 KB/s for all control. The bound on probes only chose between two probers and one. Weighed: probing only servers without traffic (the answers of the others carry the same signals, but a prober need not be connected to its server); shorter status documents (the headers alone are half of it). Change: the interval grows so that no node sends more than backends.probes_per_second (100; 8 at that size). A server with traffic says that it drains on its answers, and one without refuses the first request, so the 3 s bound for new work does not hang on the interval. Test: TestProbesAreBoundedForEachNode; without the change 10,600 servers over 318 nodes give 33 probes/s for a bound of 8. Conclusion: 8 probes/s are 5.8 KB/s, each server every 4.2 s.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -306,6 +306,8 @@
 		Members:  n.zoneMembers,
 		Interval: n.settings.Backends.ProbeInterval,
 		Timeout:  n.settings.Backends.ProbeTimeout,
+
+		ProbesPerSecond: n.settings.Backends.ProbesPerSecond,
 	})
 }
 
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -83,6 +83,7 @@
 		Backends: Backends{
 			ProbeInterval:    source.duration("backends.probe_interval", time.Second, 50*time.Millisecond, time.Minute),
 			ProbeTimeout:     source.duration("backends.probe_timeout", 500*time.Millisecond, 10*time.Millisecond, time.Minute),
+			ProbesPerSecond:  int(source.integer("backends.probes_per_second", 100, 1, 100_000)),
 			MaxResponseBytes: source.integer("backends.max_response_bytes", 4<<20, 1<<10, 1<<30),
 			SharingNodes:     int(source.integer("backends.sharing_nodes", 0, 0, 100_000)),
 		},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -73,6 +73,9 @@
 type Backends struct {
 	ProbeInterval time.Duration
 	ProbeTimeout  time.Duration
+	// ProbesPerSecond bounds the probes that the node sends; it probes each
+	// server less often where there are too many.
+	ProbesPerSecond int
 	// MaxResponseBytes bounds the body of one sub-response.
 	MaxResponseBytes int64
 	// SharingNodes is the number of nodes that share each server's slots and
--- a/pkg/catalog/probeloop.go
+++ b/pkg/catalog/probeloop.go
@@ -42,8 +42,9 @@
 	Interval time.Duration
 	// Timeout bounds a probe.
 	Timeout time.Duration
-	// Probers is the number of nodes that probe a server. It falls to one
-	// when this node would have to send more than ProbesPerSecond.
+	// Probers is the number of nodes that probe a server. It falls to one when
+	// this node would have to send more than ProbesPerSecond, and Interval
+	// grows when it would have to even then.
 	Probers         int
 	ProbesPerSecond int
 	// ProbesAtOnce bounds the probes that run at once.
@@ -91,6 +92,8 @@
 	membership uint64
 	refreshAt  time.Time
 	probers    int
+	// interval is Options.Interval, or longer; see ProbeOptions.Probers.
+	interval time.Duration
 }
 
 // scheduled is one server that this node probes.
@@ -137,7 +140,7 @@
 	l.reconcile(now)
 	for server, entry := range l.schedule {
 		if !now.Before(entry.next) && l.start(ctx, server, entry, true) {
-			entry.next = now.Add(l.jittered(l.options.Interval))
+			entry.next = now.Add(l.jittered(l.interval))
 		}
 	}
 	l.startWanted(ctx, now)
@@ -155,7 +158,7 @@
 			entry = &scheduled{}
 		}
 		if l.start(ctx, wanted.server, entry, l.tells(wanted)) {
-			entry.next = now.Add(l.jittered(l.options.Interval))
+			entry.next = now.Add(l.jittered(l.interval))
 			continue
 		}
 		l.options.Catalog.wantAgain(wanted, now.Add(l.retryAfter(wanted)))
@@ -194,7 +197,7 @@
 	l.members = slices.Clone(members)
 	l.membership = membership
 	scope := l.options.Catalog.probeScope()
-	l.probers = l.probersFor(len(scope), len(members))
+	l.probers, l.interval = l.pace(len(scope), len(members))
 	own := l.options.Catalog.options.Node
 	l.nodes = rendezvous.NewSet(members)
 	kept := make(map[target.ServerID]*scheduled, len(l.schedule))
@@ -211,13 +214,16 @@
 	l.schedule = kept
 }
 
-// probersFor returns how many nodes probe each server.
-func (l *ProbeLoop) probersFor(servers, members int) int {
-	perSecond := float64(servers*l.options.Probers) / float64(max(members, 1)) / l.options.Interval.Seconds()
-	if perSecond > float64(l.options.ProbesPerSecond) {
-		return 1
+// pace returns how many nodes probe each server, and how often each does, so
+// that this node sends no more than ProbesPerSecond.
+func (l *ProbeLoop) pace(servers, members int) (probers int, interval time.Duration) {
+	own := float64(servers) / float64(max(members, 1))
+	bound := float64(l.options.ProbesPerSecond)
+	if own*float64(l.options.Probers)/l.options.Interval.Seconds() <= bound {
+		return l.options.Probers, l.options.Interval
 	}
-	return l.options.Probers
+	least := time.Duration(own / bound * float64(time.Second))
+	return 1, max(l.options.Interval, least)
 }
 
 // start begins a probe unless too many run or one of this server does; it then
--- a/pkg/catalog/probeloop_test.go
+++ b/pkg/catalog/probeloop_test.go
@@ -231,3 +231,29 @@
 		}
 	})
 }
+
+// TestProbesAreBoundedForEachNode gives nodes more servers than they may probe
+// each second: fewer nodes probe a server, then each less often.
+func TestProbesAreBoundedForEachNode(t *testing.T) {
+	cases := []struct {
+		servers, members, bound, probers int
+		interval                         time.Duration
+	}{
+		{servers: 16, members: 3, bound: 100, probers: 2, interval: time.Second},
+		{servers: 90, members: 1, bound: 100, probers: 1, interval: time.Second},
+		{servers: 150, members: 1, bound: 100, probers: 1, interval: 1500 * time.Millisecond},
+		{servers: 10_600, members: 318, bound: 8, probers: 1, interval: 4167 * time.Millisecond},
+	}
+	for _, c := range cases {
+		loop := NewProbeLoop(ProbeOptions{Catalog: New(Options{Node: "n", Zone: "z"}), ProbesPerSecond: c.bound})
+		probers, interval := loop.pace(c.servers, c.members)
+		if probers != c.probers || interval.Round(time.Millisecond) != c.interval {
+			t.Errorf("%d servers, %d members: got %d probers each %v, want %d each %v",
+				c.servers, c.members, probers, interval, c.probers, c.interval)
+		}
+		sent := float64(probers*c.servers) / float64(c.members) / interval.Seconds()
+		if sent > 1.001*float64(c.bound) {
+			t.Errorf("%d servers, %d members: %.1f probes a second, want at most %d", c.servers, c.members, sent, c.bound)
+		}
+	}
+}
