experiment: without an answer there is no latency and no coverage

Change: such repeats are left out of what only answers tell; goodput and the shares of refused and failed requests keep them.

--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/bramblemast/bramblemast/internal/lab/load"
 	"github.com/bramblemast/bramblemast/internal/lab/topology"
 	"github.com/bramblemast/bramblemast/pkg/policy"
 )
@@ -111,6 +112,15 @@
 	})
 })
 
+var _ = Describe("an observation", func() {
+	It("leaves out what only answers tell if there was none", func() {
+		figures := observation{summary: load.ArmSummary{Requests: 10, Refused: 4, Failed: 6}}.figures()
+		Expect(figures).NotTo(HaveKey(MetricP99))
+		Expect(figures).NotTo(HaveKey(MetricCompleteShare))
+		Expect(figures).To(HaveKeyWithValue(MetricRefusedShare, 0.4))
+	})
+})
+
 var _ = Describe("a run", func() {
 	run := func(ctx SpecContext, launcher *fakeLauncher, document *Document) *Output {
 		runner := &Runner{Launcher: launcher, Logger: hclog.NewNullLogger()}
--- a/internal/lab/experiment/metrics.go
+++ b/internal/lab/experiment/metrics.go
@@ -79,38 +79,47 @@
 func (o observation) figures() map[Metric]float64 {
 	summary := o.summary
 	values := map[Metric]float64{
-		MetricP50:           summary.Latency.P50,
-		MetricP99:           summary.Latency.P99,
-		MetricP999:          summary.Latency.P999,
-		MetricMean:          summary.Latency.Mean,
-		MetricCoverageMean:  summary.Coverage.Mean,
-		MetricCoverageMin:   summary.Coverage.Min,
-		MetricCompleteShare: share(summary.Coverage.Complete, summary.Coverage.Answers),
-		MetricExtraLoad:     summary.ExtraLoad.Ratio,
-		MetricGoodput:       summary.UsefulRate,
-		MetricRefusedShare:  share(summary.Refused, summary.Requests),
-		MetricFailedShare:   share(summary.Failed, summary.Requests),
-		MetricAttempts:      summary.Attempts,
-		MetricViolations:    float64(o.violations),
+		MetricGoodput:      summary.UsefulRate,
+		MetricRefusedShare: share(summary.Refused, summary.Requests),
+		MetricFailedShare:  share(summary.Failed, summary.Requests),
+		MetricAttempts:     summary.Attempts,
+		MetricViolations:   float64(o.violations),
 	}
 	if o.capacity > 0 {
 		values[MetricUsefulOfCapacity] = summary.UsefulRate / o.capacity
 	}
-	if summary.FirstPartial != nil {
-		values[MetricFirstPartial] = summary.FirstPartial.P50
-	}
+	o.addAnswers(values)
 	o.addRefusals(values)
 	o.addBackend(values)
 	return values
 }
 
+// addAnswers adds what only answers tell; without one it is not measured.
+func (o observation) addAnswers(values map[Metric]float64) {
+	summary := o.summary
+	if summary.Answered == 0 {
+		return
+	}
+	values[MetricP50] = summary.Latency.P50
+	values[MetricP99] = summary.Latency.P99
+	values[MetricP999] = summary.Latency.P999
+	values[MetricMean] = summary.Latency.Mean
+	values[MetricCoverageMean] = summary.Coverage.Mean
+	values[MetricCoverageMin] = summary.Coverage.Min
+	values[MetricCompleteShare] = share(summary.Coverage.Complete, summary.Coverage.Answers)
+	values[MetricExtraLoad] = summary.ExtraLoad.Ratio
+	if summary.FirstPartial != nil {
+		values[MetricFirstPartial] = summary.FirstPartial.P50
+	}
+}
+
 func (o observation) addRefusals(values map[Metric]float64) {
 	if o.summary.Refused == 0 {
 		return
 	}
 	values[MetricRefusalP50] = o.summary.RefusalLatency.P50
 	values[MetricRefusalP99] = o.summary.RefusalLatency.P99
-	if o.summary.Latency.P50 > 0 {
+	if o.summary.Answered > 0 {
 		values[MetricRefusalShare] = o.summary.RefusalLatency.P50 / o.summary.Latency.P50
 	}
 }
