A request that runs out of time gets what it has, not 'cancelled'

Cause: the pipeline gave the executor a context with the request's deadline. On a busy node that context could end before the executor's own stop a moment earlier, and the executor took it for a caller that went away: the caller got 499 cancelled, and the parts that had arrived were thrown away. Ruled out: a later deadline on the context, which only makes it rarer. Change: only admission and the claim are bounded by the context; the executor keeps the deadline itself. An ended deadline is no longer called cancelled. Specs of the pipeline: wrong fields, the deadline, one run for each key, replay, and the key given back only on evidence. Before: TestExecutorKeepsTheDeadlineItself fails with the bounded context. After: passes.

--- a/internal/serve/once.go
+++ b/internal/serve/once.go
@@ -68,6 +68,8 @@
 }
 
 func (o *Once) acquire(ctx context.Context, plan *plannedRequest) (*claim.Claim, error) {
+	ctx, cancel := context.WithDeadline(ctx, plan.deadline)
+	defer cancel()
 	request := plan.request
 	content, err := json.Marshal(claimContent{
 		Template: plan.template.Name,
--- a/internal/serve/pipeline.go
+++ b/internal/serve/pipeline.go
@@ -118,10 +118,10 @@
 
 // admitAndRun holds an admission ticket for as long as the request runs.
 func (p *Pipeline) admitAndRun(ctx context.Context, plan *plannedRequest, partial query.PartialFunc) (*Result, error) {
-	ctx, cancel := context.WithDeadline(ctx, plan.deadline)
+	bounded, cancel := context.WithDeadline(ctx, plan.deadline)
 	defer cancel()
 	gate := p.options.Gates.For(plan.template.Service)
-	ticket, err := gate.Acquire(ctx, admission.Request{
+	ticket, err := gate.Acquire(bounded, admission.Request{
 		Tenant:   plan.template.Tenant,
 		Class:    plan.class,
 		Policy:   plan.policies.Admission,
--- a/pkg/query/answer.go
+++ b/pkg/query/answer.go
@@ -7,14 +7,9 @@
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 )
 
-// cancelled is the failure of a request that the caller cancelled.
-func (p *pass) cancelled() *outcome.Error {
-	return &outcome.Error{
-		Step:   stepAnswer,
-		Reason: outcome.ReasonCancelled,
-		Cause:  p.execution.caller.Err(),
-	}
-}
+// cancelled is the failure of a request whose context ended: cancelled by the
+// caller, or past a deadline of its own.
+func (p *pass) cancelled() *outcome.Error { return typed(p.execution.caller.Err(), "") }
 
 // awaited returns the server whose answer is waited for, if there is one only.
 func (p *pass) awaited() string {
