Replica choice: a cold server warms up on its share of the work

Its weight, 0.05 at the start, divided its score, so that it lost every comparison until the others were 20 times as busy; the weight did not act as a share of the work at all. Ruled out: a higher first weight, which only moves the threshold. Change: a replica takes part in a choice with its weight as the chance, and is then compared as if it were warm. Test: the entry that demanded that a replica of weight 0.2 gets nothing held the fault; it is replaced by four that demand some work but at most 1.3 times the weight, for a cold replica that looks faster. All four fail before. Figures: at weight 0.05 beside one other, at most 65 of 1,000 choices and more than none, before 0.

--- a/pkg/policy/replica.go
+++ b/pkg/policy/replica.go
@@ -29,8 +29,6 @@
 	// reportedLoadWeight is small because reports lag and mislead: a server
 	// that reports a full load counts as a fifth worse than an idle one.
 	reportedLoadWeight = 0.2
-	// leastWeight keeps a cold server's score finite.
-	leastWeight = 0.01
 	// presumedLatency stands for the latency of a replica that has not
 	// answered yet. It is low, so that new replicas are tried.
 	presumedLatency = time.Millisecond
@@ -47,14 +45,26 @@
 	return random.IntN(len(candidates))
 }
 
+// letThrough decides by its weight whether a replica takes part in a choice. A
+// cold replica is thus weighed against the others as if it were warm, but only
+// in its share of the choices. Making it look worse instead would keep it from
+// any work, and so from warming up, for as long as the others are not busy.
+func letThrough(state *ReplicaState, random *rand.Rand) bool {
+	return state.Weight >= 1 || random.Float64() < state.Weight
+}
+
 // leastInFlight takes the replica with the fewest sub-requests in flight for
-// its limit and weight.
+// its limit, among those that their weights let through.
 type leastInFlight struct{}
 
 // Choose implements ReplicaChooser. Ties are broken at random.
 func (leastInFlight) Choose(candidates []ReplicaState, random *rand.Rand) int {
 	best, bestScore, ties := -1, 0.0, 0
 	for index := range candidates {
+		isLast := best < 0 && index == len(candidates)-1
+		if !isLast && !letThrough(&candidates[index], random) {
+			continue
+		}
 		score := occupancy(&candidates[index]) * distanceFactor(&candidates[index])
 		switch {
 		case best < 0 || score < bestScore:
@@ -87,6 +97,12 @@
 	if second >= first {
 		second++
 	}
+	switch {
+	case !letThrough(&candidates[first], random):
+		return second
+	case !letThrough(&candidates[second], random):
+		return first
+	}
 	if expectedCost(&candidates[second]) < expectedCost(&candidates[first]) {
 		return second
 	}
@@ -110,10 +126,9 @@
 }
 
 // occupancy is the share of the node's limit that would be in use with one
-// more sub-request, raised for a server that is to get less than its share.
+// more sub-request.
 func occupancy(state *ReplicaState) float64 {
-	limit := float64(max(state.Limit, 1))
-	return float64(state.InFlight+1) / (limit * max(state.Weight, leastWeight))
+	return float64(state.InFlight+1) / float64(max(state.Limit, 1))
 }
 
 func distanceFactor(state *ReplicaState) float64 {
