Membership: a node that was paused fetches only what differs

Cause: after a pause a node fetched the whole list, 40 KB in a zone of 333. When many nodes are short of processor time at once, that adds to the shortage.

Change: the digests of the list are compared and only buckets that differ are replaced. The scale run counts pauses and shows them beside its figures.

--- a/internal/lab/scale/population.go
+++ b/internal/lab/scale/population.go
@@ -149,6 +149,7 @@
 		StoreCallsPerSecond: float64(storeCalls(p.store)-calls) / seconds,
 		Suspicions:          membersAfter.Suspicions - membersBefore.Suspicions,
 		Removed:             membersAfter.Removed - membersBefore.Removed,
+		Pauses:              membersAfter.Pauses - membersBefore.Pauses,
 	}
 	for index, node := range p.nodes {
 		after := node.usage()
--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -41,6 +41,10 @@
 	// Suspicions and Removed count members over all nodes.
 	Suspicions uint64 `json:"suspicions"`
 	Removed    uint64 `json:"removed"`
+	// Pauses counts how often a node found its process paused. Above zero, this
+	// process got too little processor time for so many nodes, and the figures
+	// are not those of nodes with a machine of their own.
+	Pauses uint64 `json:"pauses"`
 }
 
 // Times are quantiles of a delay in seconds.
--- a/pkg/membership/fuzz_test.go
+++ b/pkg/membership/fuzz_test.go
@@ -20,7 +20,7 @@
 	for _, message := range []interface{ MarshalVT() ([]byte, error) }{
 		&pb.Ping{Target: "self", Gossip: gossip},
 		&pb.ProbeRequest{Target: "n", Address: "a", Gossip: gossip},
-		&pb.SyncRequest{Self: entry, Full: true, Entries: gossip.Entries, Digests: make([]uint64, digestBuckets)},
+		&pb.SyncRequest{Self: entry, Entries: gossip.Entries, Digests: make([]uint64, digestBuckets)},
 		&pb.SummaryRequest{Self: &pb.Entry{Id: "b", Address: "b", Zone: "bergen", Incarnation: 1}, Known: gossip.Entries, Members: gossip.Entries},
 	} {
 		data, err := message.MarshalVT()
--- a/pkg/membership/pause.go
+++ b/pkg/membership/pause.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	pb "github.com/bramblemast/bramblemast/pkg/membership/membershippb"
 )
 
 // noticePause finds out that this process was paused, from timed work that is
@@ -39,13 +37,14 @@
 	m.queue.addEntry(entryOf(m.table.self))
 }
 
-// recover fetches the list from a member or a seed.
+// recover makes this node's list that of another member. Only the buckets that
+// differ are fetched, so that the return of many paused nodes costs little.
 func (m *Membership) recover(ctx context.Context) {
 	address, ok := m.recoverySource()
 	if !ok {
 		return
 	}
-	reply, err := m.callSync(ctx, address, &pb.SyncRequest{Full: true})
+	reply, err := m.compare(ctx, address)
 	if err != nil || reply.Stale || reply.Self.GetZone() != string(m.options.Self.Zone) {
 		return
 	}
@@ -54,10 +53,10 @@
 	if !m.stale {
 		return
 	}
-	m.table.reset(m.table.self)
-	m.round = nil
+	m.table.dropSuspicions()
+	m.table.dropBuckets(reply.Buckets)
 	m.applyAll(append(reply.Entries, reply.Self), time.Now(), false)
 	m.stale = false
 	m.queue.addEntry(entryOf(m.table.self))
-	m.logger.Info("list fetched after a pause", "members", m.table.zoneSize)
+	m.logger.Info("list compared after a pause", "members", m.table.zoneSize, "buckets", len(reply.Buckets))
 }
--- a/pkg/membership/sync.go
+++ b/pkg/membership/sync.go
@@ -141,12 +141,10 @@
 	if accusation := m.accusationFor(target.NodeID(request.Self.GetId())); accusation != nil {
 		reply.Entries = append(reply.Entries, accusation)
 	}
-	if !request.Full && len(request.Digests) == 0 {
+	if len(request.Digests) == 0 {
 		return
 	}
-	if !request.Full {
-		reply.News = m.news.missing(request.RecentNews, time.Now())
-	}
+	reply.News = m.news.missing(request.RecentNews, time.Now())
 	differ := m.table.digests.differing(request.Digests)
 	for bucket, differs := range differ {
 		if differs {
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -84,22 +84,15 @@
 }
 
 func newTable(self Member, membersPerZone int) *table {
-	t := &table{membersPerZone: membersPerZone}
-	t.reset(newRecord(self))
+	t := &table{
+		self:           newRecord(self),
+		records:        make(map[target.NodeID]*record),
+		membersPerZone: membersPerZone,
+	}
+	t.insert(t.self)
 	return t
 }
 
-// reset forgets every member but this node.
-func (t *table) reset(self *record) {
-	t.self = self
-	t.records = make(map[target.NodeID]*record)
-	t.digests = digests{}
-	t.others = nil
-	t.zoneSize = 0
-	t.suspects = 0
-	t.insert(self)
-}
-
 func (t *table) insert(r *record) {
 	r.remote = r.member.Zone != t.self.member.Zone
 	t.records[r.member.ID] = r
@@ -345,6 +338,28 @@
 	}
 }
 
+// dropSuspicions forgets what others were accused of.
+func (t *table) dropSuspicions() {
+	for _, r := range t.records {
+		if r.suspicion != nil {
+			t.change(r, func() { r.suspicion = nil })
+		}
+	}
+}
+
+// dropBuckets forgets the members in the given buckets, but not this node.
+func (t *table) dropBuckets(buckets []uint32) {
+	var dropped [digestBuckets]bool
+	for _, bucket := range buckets {
+		dropped[bucket%digestBuckets] = true
+	}
+	for id, r := range t.records {
+		if dropped[bucketOf(id)] && r != t.self {
+			t.remove(r)
+		}
+	}
+}
+
 // members returns all members sorted by ID.
 func (t *table) members() []Member {
 	list := make([]Member, 0, len(t.records))
