Replica choice: weights are relative, so that a cold service is spread evenly

Cause: with the weight as the chance to take part, least_in_flight gave the last replica 866 of 1,000 choices while all four were equally cold, as after the start of a whole service: nobody else was let through. Ruled out: falling back to a random one, which would ignore who is busy. Change: the chance is the weight relative to that of the warmest candidate.

--- a/pkg/policy/policies_test.go
+++ b/pkg/policy/policies_test.go
@@ -58,6 +58,14 @@
 		}
 	})
 
+	It("spread equally cold replicas evenly, as after the start of a whole service", func() {
+		cold := func(s *policy.ReplicaState) { s.Weight = 0.05 }
+		equal := []policy.ReplicaState{replica(cold), replica(cold), replica(cold), replica(cold)}
+		for _, name := range builtInReplicas {
+			Expect(chosen(name, equal)).To(HaveEach(BeNumerically("~", 250, 60)), name)
+		}
+	})
+
 	DescribeTable("prefer the better of two replicas",
 		func(worse func(*policy.ReplicaState), names ...string) {
 			for _, name := range names {
--- a/pkg/policy/replica.go
+++ b/pkg/policy/replica.go
@@ -45,12 +45,21 @@
 	return random.IntN(len(candidates))
 }
 
-// letThrough decides by its weight whether a replica takes part in a choice. A
-// cold replica is thus weighed against the others as if it were warm, but only
-// in its share of the choices. Making it look worse instead would keep it from
+// letThrough decides whether a replica takes part in a choice, by its weight
+// relative to that of the warmest one. A cold replica is thus weighed against
+// the others as if it were warm, but only in its share of the choices. Making it look worse instead would keep it from
 // any work, and so from warming up, for as long as the others are not busy.
-func letThrough(state *ReplicaState, random *rand.Rand) bool {
-	return state.Weight >= 1 || random.Float64() < state.Weight
+func letThrough(state *ReplicaState, warmest float64, random *rand.Rand) bool {
+	return state.Weight >= warmest || random.Float64()*warmest < state.Weight
+}
+
+// warmestOf returns the greatest weight.
+func warmestOf(candidates []ReplicaState) float64 {
+	warmest := 0.0
+	for index := range candidates {
+		warmest = max(warmest, candidates[index].Weight)
+	}
+	return warmest
 }
 
 // leastInFlight takes the replica with the fewest sub-requests in flight for
@@ -60,9 +69,9 @@
 // Choose implements ReplicaChooser. Ties are broken at random.
 func (leastInFlight) Choose(candidates []ReplicaState, random *rand.Rand) int {
 	best, bestScore, ties := -1, 0.0, 0
+	warmest := warmestOf(candidates)
 	for index := range candidates {
-		isLast := best < 0 && index == len(candidates)-1
-		if !isLast && !letThrough(&candidates[index], random) {
+		if !letThrough(&candidates[index], warmest, random) {
 			continue
 		}
 		score := occupancy(&candidates[index]) * distanceFactor(&candidates[index])
@@ -97,10 +106,11 @@
 	if second >= first {
 		second++
 	}
+	warmest := max(candidates[first].Weight, candidates[second].Weight)
 	switch {
-	case !letThrough(&candidates[first], random):
+	case !letThrough(&candidates[first], warmest, random):
 		return second
-	case !letThrough(&candidates[second], random):
+	case !letThrough(&candidates[second], warmest, random):
 		return first
 	}
 	if expectedCost(&candidates[second]) < expectedCost(&candidates[first]) {
