Two settings that had no effect: sharing nodes and requests in flight

Cause: backends.sharing_nodes and query.max_in_flight were read and documented, but nothing used them; found on reading the page for operators against the code. Ruled out: taking them out, since a node whose zone is cut counts too few nodes, and the memory of running requests needs a bound that fits the machine. Test: the share of connections follows the setting; fails without it.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -199,6 +199,7 @@
 		Logger:      n.logger.Named("catalog"),
 	})
 	n.reach = newReach(n.id, n.catalog, n.limits, n.sharingNodes)
+	n.reach.sharing = n.settings.Backends.SharingNodes
 	n.client = httpbackend.New(httpbackend.Options{
 		Connections:      n.reach.connections,
 		MaxResponseBytes: n.settings.Backends.MaxResponseBytes,
@@ -213,7 +214,7 @@
 }
 
 func (n *Node) buildExecutor() {
-	n.gates = newGates(admission.Options{})
+	n.gates = newGates(admission.Options{MaxLimit: n.settings.Query.MaxInFlight})
 	n.executor = query.New(query.Options{
 		Client:       n.client,
 		Catalog:      n.reach,
--- a/internal/node/reach.go
+++ b/internal/node/reach.go
@@ -29,6 +29,9 @@
 	limits  *limit.Servers
 	client  *httpbackend.Client
 	nodes   func() []target.NodeID
+	// sharing, if above zero, replaces the counted number of nodes that share a
+	// server.
+	sharing int
 
 	// seen are the views that update last looked at. It belongs to run.
 	seen map[target.Service]*catalog.View
@@ -93,10 +96,14 @@
 	subset := rendezvous.ChooseSubset(r.node, nodes, parts, rendezvous.SubsetOptions{})
 	next := &chosenServers{connections: make(map[target.ServerID]int, len(subset.Servers)), nodes: nodes, limits: limits}
 	for _, server := range subset.Servers {
-		share := rendezvous.ShareOf(limits[server].slots, limits[server].connections, subset.Sharing[server])
+		sharing := max(subset.Sharing[server], 1)
+		if r.sharing > 0 {
+			sharing = r.sharing
+		}
+		share := rendezvous.ShareOf(limits[server].slots, limits[server].connections, sharing)
 		next.connections[server] = share.Connections
 		r.limits.Configure(server, limit.Share{
-			Slots:       float64(limits[server].slots) / float64(max(subset.Sharing[server], 1)),
+			Slots:       float64(limits[server].slots) / float64(sharing),
 			Connections: share.Connections,
 		})
 		r.client.Resize(server, share.Connections)
--- a/internal/node/reach_test.go
+++ b/internal/node/reach_test.go
@@ -85,6 +85,14 @@
 		Expect(one.connections(testServer(0))).To(BeNumerically("<=", testConnections/3))
 	})
 
+	It("takes the number of sharing nodes from the settings if they give one", func() {
+		one := newTestReach("a", []target.NodeID{"a"})
+		one.sharing = 15
+		one.nodes = func() []target.NodeID { return []target.NodeID{"a", "b"} }
+		one.update()
+		Expect(one.connections(testServer(0))).To(BeNumerically("<=", testConnections/15))
+	})
+
 	It("knows no service that the catalogue does not have", func() {
 		Expect(newTestReach("a", nil).View("other")).To(BeNil())
 	})
