--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -82,8 +82,9 @@
 	Intercept float64 `json:"intercept"`
 	// PerNode is the growth with each further node of a zone.
 	PerNode float64 `json:"per_node"`
-	// AtDesign is the value of the line at Budget.ZoneNodes.
-	AtDesign float64 `json:"at_design"`
+	// AtDesign is the value of the line at Budget.ZoneNodes; absent if the
+	// largest measured zone is too small to tell.
+	AtDesign *float64 `json:"at_design,omitempty"`
 	Budget   float64 `json:"budget"`
 }
 
@@ -122,16 +123,18 @@
 		values = append(values, of(measured))
 	}
 	intercept, perNode := fitLine(sizes, values)
-	return Slope{
-		Figure:    figure,
-		Unit:      unit,
-		Intercept: intercept,
-		PerNode:   perNode,
-		AtDesign:  intercept + perNode*r.Budget.ZoneNodes,
-		Budget:    budget,
+	line := Slope{Figure: figure, Unit: unit, Intercept: intercept, PerNode: perNode, Budget: budget}
+	if maxExtrapolation*slices.Max(sizes) >= r.Budget.ZoneNodes {
+		atDesign := intercept + perNode*r.Budget.ZoneNodes
+		line.AtDesign = &atDesign
 	}
+	return line
 }
 
+// maxExtrapolation is how many times the largest measured zone a line may be
+// extended.
+const maxExtrapolation = 3
+
 // fitLine returns the line of least squares; it is level through the mean if
 // there is only one size.
 func fitLine(x, y []float64) (intercept, slope float64) {
--- a/internal/lab/scale/table.go
+++ b/internal/lab/scale/table.go
@@ -27,11 +27,14 @@
 	slopes := tabwriter.NewWriter(writer, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(slopes, "figure\tintercept\tper 100 nodes\tat design\tbudget\tunit\t")
 	for _, s := range r.Slopes {
-		budget := "-"
+		budget, atDesign := "-", "-"
+		if s.AtDesign != nil {
+			atDesign = fmt.Sprintf("%.4g", *s.AtDesign)
+		}
 		if s.Budget > 0 {
 			budget = fmt.Sprintf("%.4g", s.Budget)
 		}
-		fmt.Fprintf(slopes, "%s\t%.4g\t%.4g\t%.4g\t%s\t%s\t\n", s.Figure, s.Intercept, 100*s.PerNode, s.AtDesign, budget, s.Unit)
+		fmt.Fprintf(slopes, "%s\t%.4g\t%.4g\t%s\t%s\t%s\t\n", s.Figure, s.Intercept, 100*s.PerNode, atDesign, budget, s.Unit)
 	}
 	return slopes.Flush()
 }
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -29,7 +29,8 @@
 	// Call sends request to the node at address and decodes its reply into
 	// reply. The error is an *outcome.Error with step and peer.
 	Call(ctx context.Context, address Address, kind Kind, request, reply proto.Message) error
-	// Handle registers the handler of a kind. It must be called before Serve.
+	// Handle registers the handler of a kind. It must be called before the
+	// transport serves its peers.
 	Handle(kind Kind, handler Handler)
 	// Address returns where this transport can be reached.
 	Address() Address
