--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -85,7 +85,7 @@
 	// AtDesign is the value of the line at Budget.ZoneNodes; absent if the
 	// largest measured zone is too small to tell.
 	AtDesign *float64 `json:"at_design,omitempty"`
-	Budget   float64 `json:"budget"`
+	Budget   float64  `json:"budget"`
 }
 
 // Report is the result of a scale run.
