--- /dev/null
+++ b/cmd/bramblemast-edge/main.go
@@ -0,0 +1,109 @@
+// Command bramblemast-edge is the node of a routed deployment: it serves the
+// requests of an operator's routes on the platform that package platform meets.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"github.com/bramblemast/bramblemast/internal/edge"
+	"github.com/bramblemast/bramblemast/internal/version"
+	"github.com/bramblemast/bramblemast/platform"
+)
+
+// Exit codes; docs/OPERATIONS.md lists them.
+const (
+	exitOK       = 0
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+// collectPercent trades a little processor time for memory.
+const collectPercent = 50
+
+const description = `The node of a routed deployment: it fans requests out over the shards that the
+operator's routes name.
+
+Examples:
+  bramblemast-edge --settings edge.json
+  bramblemast-edge --settings edge.json --check
+
+docs/OPERATIONS.md lists the settings. SIGTERM and SIGINT begin a planned stop,
+which cuts off no request in flight.`
+
+type options struct {
+	Settings string `long:"settings" value-name:"FILE" description:"JSON settings file; the platform's variable names it otherwise."`
+	Check    bool   `long:"check" description:"Check the settings and exit."`
+	Version  bool   `long:"version" description:"Print the version and exit."`
+}
+
+func main() { os.Exit(execute(os.Args[1:])) }
+
+func execute(arguments []string) int {
+	var given options
+	parser := flags.NewNamedParser("bramblemast-edge", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = description
+	if _, err := parser.AddGroup("Options", "", &given); err != nil {
+		return fail(exitFailure, err)
+	}
+	rest, err := parser.ParseArgs(arguments)
+	if flags.WroteHelp(err) {
+		fmt.Println(err)
+		return exitOK
+	}
+	if err == nil && len(rest) > 0 {
+		err = errors.Errorf("unexpected argument %q", rest[0])
+	}
+	if err != nil {
+		return fail(exitSettings, err)
+	}
+	if given.Version {
+		fmt.Println("bramblemast-edge", version.Version)
+		return exitOK
+	}
+	if given.Settings == "" {
+		given.Settings = os.Getenv(platform.SettingsVariable)
+	}
+	loaded, err := edge.LoadSettings(given.Settings)
+	if err != nil {
+		return fail(exitSettings, err)
+	}
+	if given.Check {
+		fmt.Println("settings are valid")
+		return exitOK
+	}
+	return serve(loaded)
+}
+
+// serve runs the node until a signal or a failure.
+func serve(settings *edge.Settings) int {
+	debug.SetGCPercent(collectPercent)
+	logger := edge.NewLogger("bramblemast-edge", os.Stdout)
+	node, err := edge.New(edge.Options{
+		Settings: settings, Logger: logger, Platform: platform.NewStore(settings.Store.Address),
+		Dialect: platform.Dialect(), ReadyPath: platform.ReadyPath,
+	})
+	if err != nil {
+		return fail(exitFailure, err)
+	}
+	signal.Ignore(syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := node.Run(ctx); err != nil {
+		logger.Error("node failed", "error", err.Error())
+		return exitFailure
+	}
+	return exitOK
+}
+
+func fail(code int, err error) int {
+	fmt.Fprintln(os.Stderr, "error:", err)
+	return code
+}
--- /dev/null
+++ b/internal/edge/budgets.go
@@ -0,0 +1,68 @@
+package edge
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/budget"
+)
+
+// Constants of the extra-load budget.
+const (
+	// ratioShare and allowanceShare of the deployment's bounds are used, since
+	// requests arrive later than they are counted.
+	ratioShare     = 0.93
+	allowanceShare = 0.85
+	// assumedNodes share the allowance until the number of nodes is known.
+	assumedNodes = 32
+)
+
+// budgets keeps one window for each service. It implements fanout.Budget.
+type budgets struct {
+	ratio float64
+	extra float64
+	span  time.Duration
+
+	mutex sync.Mutex
+	// windows and nodes are guarded by mutex.
+	windows map[string]*budget.Window
+	nodes   int
+}
+
+func newBudgets(bounds BoundSettings) *budgets {
+	return &budgets{
+		ratio: bounds.ExtraRatio * ratioShare, extra: bounds.Extra * allowanceShare,
+		span:    time.Duration(bounds.ExtraWindowSeconds * float64(time.Second)),
+		windows: make(map[string]*budget.Window), nodes: assumedNodes,
+	}
+}
+
+// setNodes takes the number of nodes that share the allowance.
+func (b *budgets) setNodes(nodes int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.nodes = max(1, nodes)
+}
+
+func (b *budgets) window(service string, now time.Time) (*budget.Window, float64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	found := b.windows[service]
+	if found == nil {
+		found = budget.NewWindow(b.span, now)
+		b.windows[service] = found
+	}
+	return found, b.extra / float64(b.nodes)
+}
+
+// Earn implements fanout.Budget.
+func (b *budgets) Earn(service string, now time.Time) {
+	window, _ := b.window(service, now)
+	window.Earn(1, now)
+}
+
+// TrySpend implements fanout.Budget.
+func (b *budgets) TrySpend(service string, keep float64, now time.Time) bool {
+	window, allowance := b.window(service, now)
+	return window.TrySpend(b.ratio, allowance, keep, now)
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,159 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+
+	"github.com/bramblemast/bramblemast/internal/front"
+	"github.com/bramblemast/bramblemast/pkg/directory"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
+)
+
+// Times and bounds of a node.
+const (
+	connectTimeout = time.Second
+	maxInFlight    = 2000
+	sweepInterval  = time.Second
+	// leaveReserve is kept of the time in which a leaving server may be asked,
+	// since a request takes its time to arrive.
+	leaveReserve = 700 * time.Millisecond
+	// notReadyNotice is for how long a stopping node still accepts connections,
+	// so that the platform has noticed that it is not ready.
+	notReadyNotice = 2600 * time.Millisecond
+	// stopReserve is kept of the grace time.
+	stopReserve = 300 * time.Millisecond
+)
+
+// Platform is what the node asks of the platform's store.
+type Platform interface {
+	directory.Source
+	Registry
+}
+
+// Options of a node.
+type Options struct {
+	Settings  *Settings
+	Logger    hclog.Logger
+	Platform  Platform
+	Dialect   front.Dialect
+	ReadyPath string
+}
+
+// Node is one node of a routed deployment.
+type Node struct {
+	options  Options
+	logger   hclog.Logger
+	state    *state
+	listener *front.Listener
+	ready    *http.Server
+	follower *directory.Follower
+	member   *registration
+}
+
+// New opens the node's listeners.
+func New(options Options) (*Node, error) {
+	settings := options.Settings
+	node := &Node{options: options, logger: options.Logger}
+	servers := fleet.New(fleet.Settings{
+		Local:       fleet.Place{Zone: settings.Node.Zone, Region: settings.Node.Region},
+		Regions:     settings.Zones,
+		LeaveWithin: max(0, time.Duration(settings.Bounds.DrainMillis)*time.Millisecond-leaveReserve),
+		Dialer:      &net.Dialer{Timeout: connectTimeout, KeepAlive: -1},
+		Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	node.state = &state{
+		logger: options.Logger, fleet: servers, budgets: newBudgets(settings.Bounds),
+		nodes: make(map[string]directory.Node),
+	}
+	handler := front.NewHandler(front.Options{
+		Dialect: options.Dialect, State: node.state, Fleet: servers, Budget: node.state.budgets,
+		Policy: front.DefaultPolicy, Events: &events{logger: options.Logger, figures: newFigures()},
+		MaxInFlight: maxInFlight,
+	})
+	listener, err := front.Listen(settings.Listen.Clients, handler)
+	if err != nil {
+		return nil, err
+	}
+	node.listener = listener
+	node.state.idle = listener.SetIdle
+	node.follower = directory.NewFollower(options.Platform, node.state)
+	node.member = newRegistration(options.Platform, settings, options.Logger)
+	node.ready = &http.Server{Handler: node.readyHandler(), ReadHeaderTimeout: connectTimeout}
+	return node, nil
+}
+
+// Run serves until ctx ends, and then stops as planned: no request in flight
+// is cut off within the grace time.
+func (n *Node) Run(ctx context.Context) error {
+	readyListener, err := net.Listen("tcp", n.options.Settings.Listen.Ready)
+	if err != nil {
+		return errors.Wrap(err, "listen for readiness")
+	}
+	n.logger.Info("started", "node", n.options.Settings.Node.Name, "zone", n.options.Settings.Node.Zone)
+	inner, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var group run.Group
+	add := func(execute func(context.Context) error) {
+		group.Add(func() error { return execute(inner) }, func(error) { cancel() })
+	}
+	group.Add(n.listener.Serve, func(error) { n.listener.Close() })
+	group.Add(func() error { return n.ready.Serve(readyListener) }, func(error) { _ = n.ready.Close() })
+	add(n.follower.Run)
+	add(n.member.run)
+	add(n.listener.Sweep)
+	add(n.sweepServers)
+	add(func(inner context.Context) error { return n.awaitStop(ctx, inner) })
+	err = group.Run()
+	n.logger.Info("stopped", "node", n.options.Settings.Node.Name)
+	return err
+}
+
+func (n *Node) sweepServers(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			n.state.fleet.Sweep(now)
+		}
+	}
+}
+
+// awaitStop waits for the end of ctx and stops as planned.
+func (n *Node) awaitStop(ctx, inner context.Context) error {
+	select {
+	case <-inner.Done():
+		return nil
+	case <-ctx.Done():
+	}
+	begun := time.Now()
+	grace := n.options.Settings.grace()
+	n.logger.Info("stopping", "grace_s", grace.Seconds(), "connections", n.listener.Open())
+	n.state.draining.Store(true)
+	time.Sleep(min(notReadyNotice, grace/2))
+	n.listener.StopAccepting()
+	limited, cancel := context.WithDeadline(inner, begun.Add(grace-stopReserve))
+	defer cancel()
+	left := n.listener.AwaitDrained(limited)
+	n.logger.Info("drained", "connections_left", left, "took_ms", time.Since(begun).Milliseconds())
+	return nil
+}
+
+func (n *Node) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+n.options.ReadyPath, func(writer http.ResponseWriter, _ *http.Request) {
+		if !n.state.ready() {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/edge/settings.go
@@ -0,0 +1,139 @@
+// Package edge wires the node of a routed deployment: it follows the platform,
+// serves clients through package front, and stops as planned.
+package edge
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Settings of a node. Times are given in the unit that the name ends with.
+type Settings struct {
+	Node   NodeSettings      `json:"node"`
+	Zones  map[string]string `json:"zones"`
+	Listen ListenSettings    `json:"listen"`
+	Store  StoreSettings     `json:"store"`
+	Limits LimitSettings     `json:"limits"`
+	Bounds BoundSettings     `json:"bounds"`
+	Peers  []string          `json:"peers"`
+}
+
+// NodeSettings say which node this is and where it runs.
+type NodeSettings struct {
+	Name    string `json:"name"`
+	Zone    string `json:"zone"`
+	Region  string `json:"region"`
+	Address string `json:"address"`
+}
+
+// ListenSettings are the addresses (ip:port) that the node listens on.
+type ListenSettings struct {
+	Clients string `json:"clients"`
+	Ready   string `json:"ready"`
+	// Peers is where other nodes ask; empty for nowhere.
+	Peers string `json:"peers"`
+	// Metrics is the port on the node's address; zero for none.
+	MetricsPort int `json:"metrics_port"`
+}
+
+// StoreSettings say where the platform's store is.
+type StoreSettings struct {
+	Address string `json:"address"`
+}
+
+// LimitSettings are the machine's limits.
+type LimitSettings struct {
+	MemoryMB    int `json:"memory_mb"`
+	Descriptors int `json:"descriptors"`
+}
+
+// BoundSettings are what the deployment promises.
+type BoundSettings struct {
+	// DrainMillis is how long a leaving server may still be asked.
+	DrainMillis int `json:"drain_ms"`
+	// GraceSeconds is the time between the stop signal and the end.
+	GraceSeconds float64 `json:"grace_s"`
+	// ExtraRatio and Extra bound the requests to a second server, over all
+	// nodes and in each span of ExtraWindowSeconds.
+	ExtraRatio         float64 `json:"extra_ratio"`
+	Extra              float64 `json:"extra"`
+	ExtraWindowSeconds float64 `json:"extra_window_s"`
+}
+
+// LoadSettings reads and checks a settings file.
+func LoadSettings(path string) (*Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	return ParseSettings(content)
+}
+
+// ParseSettings checks settings and returns one error that names every field
+// at fault.
+func ParseSettings(content []byte) (*Settings, error) {
+	decoder := json.NewDecoder(bytes.NewReader(content))
+	decoder.DisallowUnknownFields()
+	settings := &Settings{}
+	if err := decoder.Decode(settings); err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	if problems := settings.problems(); len(problems) > 0 {
+		return nil, errors.Errorf("settings: %s", strings.Join(problems, "; "))
+	}
+	return settings, nil
+}
+
+func (s *Settings) problems() []string {
+	var problems []string
+	wanted := func(name, value string) {
+		if value == "" {
+			problems = append(problems, name+" is missing")
+		}
+	}
+	address := func(name, value string, optional bool) {
+		if value == "" && optional {
+			return
+		}
+		if _, _, err := net.SplitHostPort(value); err != nil {
+			problems = append(problems, fmt.Sprintf("%s: %q is not ip:port", name, value))
+		}
+	}
+	wanted("node.name", s.Node.Name)
+	wanted("node.zone", s.Node.Zone)
+	address("listen.clients", s.Listen.Clients, false)
+	address("listen.ready", s.Listen.Ready, false)
+	address("listen.peers", s.Listen.Peers, true)
+	address("store.address", s.Store.Address, false)
+	for index, peer := range s.Peers {
+		address(fmt.Sprintf("peers.%d", index), peer, false)
+	}
+	negative := func(name string, value float64) {
+		if value < 0 {
+			problems = append(problems, name+" is negative")
+		}
+	}
+	negative("bounds.drain_ms", float64(s.Bounds.DrainMillis))
+	negative("bounds.extra_ratio", s.Bounds.ExtraRatio)
+	negative("bounds.extra", s.Bounds.Extra)
+	negative("bounds.extra_window_s", s.Bounds.ExtraWindowSeconds)
+	if s.Bounds.GraceSeconds <= 0 {
+		problems = append(problems, "bounds.grace_s must be above 0")
+	}
+	if s.Listen.MetricsPort < 0 || s.Listen.MetricsPort > 65535 {
+		problems = append(problems, "listen.metrics_port is not a port")
+	}
+	return problems
+}
+
+// grace returns the time between the stop signal and the end.
+func (s *Settings) grace() time.Duration {
+	return time.Duration(s.Bounds.GraceSeconds * float64(time.Second))
+}
--- /dev/null
+++ b/internal/edge/state.go
@@ -0,0 +1,124 @@
+package edge
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/bramblemast/bramblemast/pkg/directory"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// state is what the node believes about its deployment. It implements
+// directory.Listener and front.State.
+type state struct {
+	logger  hclog.Logger
+	fleet   *fleet.Fleet
+	budgets *budgets
+	// idle takes the configured time for which clients' connections may rest.
+	idle func(time.Duration)
+
+	table    atomic.Pointer[route.Table]
+	draining atomic.Bool
+
+	mutex sync.Mutex
+	// nodes is guarded by mutex.
+	nodes map[string]directory.Node
+}
+
+// Table implements front.State.
+func (s *state) Table() *route.Table { return s.table.Load() }
+
+// Draining implements front.State.
+func (s *state) Draining() bool { return s.draining.Load() }
+
+// ready reports whether the node takes new connections.
+func (s *state) ready() bool { return s.table.Load() != nil && !s.draining.Load() }
+
+// Changed implements directory.Listener.
+func (s *state) Changed(entry directory.Entry) {
+	switch {
+	case entry.Problem != nil:
+		s.logger.Error("entry refused", "key", entry.Key, "revision", entry.Revision, "error", entry.Problem.Error())
+	case entry.Configuration != nil:
+		s.applyConfiguration(entry)
+	case entry.Server != nil:
+		if what := s.fleet.Apply(*entry.Server, time.Now()); what != "" {
+			s.logger.Info("server "+what, "server", entry.Server.ID, "service", entry.Server.Service,
+				"address", entry.Server.Address, "zone", entry.Server.Zone, "revision", entry.Revision)
+		}
+	case entry.Node != nil:
+		s.setNode(entry.Key, *entry.Node)
+	case entry.Gone:
+		s.remove(entry)
+	}
+}
+
+func (s *state) applyConfiguration(entry directory.Entry) {
+	offered := entry.Configuration
+	current := s.table.Load()
+	if current != nil && offered.Version <= current.Version {
+		s.logger.Warn("configuration refused", "version", offered.Version, "in_force", current.Version,
+			"revision", entry.Revision, "reason", "older")
+		return
+	}
+	if err := route.Validate(offered); err != nil {
+		s.logger.Error("configuration refused", "version", offered.Version, "revision", entry.Revision, "error", err.Error())
+		return
+	}
+	connections := make(map[string]int, len(offered.Services))
+	for _, service := range offered.Services {
+		connections[service.Name] = service.MaxConnections
+	}
+	s.fleet.SetConnections(connections)
+	s.idle(offered.Limits.IdleTimeout)
+	s.table.Store(route.NewTable(offered))
+	s.logger.Info("configuration in force", "version", offered.Version, "revision", entry.Revision,
+		"routes", len(offered.Routes), "services", len(offered.Services))
+}
+
+func (s *state) setNode(key string, node directory.Node) {
+	s.mutex.Lock()
+	_, known := s.nodes[key]
+	s.nodes[key] = node
+	count := len(s.nodes)
+	s.mutex.Unlock()
+	if known {
+		return
+	}
+	s.setCount(count)
+	s.logger.Info("node found", "node", node.Name, "nodes", count)
+}
+
+func (s *state) remove(entry directory.Entry) {
+	if entry.ServerID != "" && s.fleet.Remove(entry.ServerID, time.Now()) {
+		s.logger.Info("server gone", "server", entry.ServerID, "revision", entry.Revision)
+		return
+	}
+	s.mutex.Lock()
+	_, known := s.nodes[entry.Key]
+	delete(s.nodes, entry.Key)
+	count := len(s.nodes)
+	s.mutex.Unlock()
+	if known {
+		s.setCount(count)
+		s.logger.Info("node gone", "key", entry.Key, "nodes", count)
+	}
+}
+
+func (s *state) setCount(count int) {
+	s.fleet.SetCallers(count)
+	s.budgets.setNodes(count)
+}
+
+// Dependency implements directory.Listener.
+func (s *state) Dependency(connected bool, cause error) {
+	if connected {
+		s.logger.Info("store regained")
+		return
+	}
+	s.logger.Warn("store lost", "error", cause.Error())
+}
--- /dev/null
+++ b/internal/front/conversation.go
@@ -0,0 +1,150 @@
+package front
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/gather"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// conversation is one client's request and its answer.
+type conversation struct {
+	handler  *Handler
+	writer   http.ResponseWriter
+	received *http.Request
+	began    time.Time
+	version  uint64
+	route    *route.Route
+	id       string
+	cause    error
+}
+
+// serve asks servers and answers.
+func (c *conversation) serve(request *exchange.Request) {
+	c.id = request.ID
+	given, isGiven := c.handler.clientDeadline(c.received.Header)
+	plan := fanout.Plan{
+		Kind: c.route.Name, Repeatable: c.route.Repeatable, MaxAttempts: c.route.MaxAttempts,
+		Target:   c.handler.policy.target(c.route, c.began),
+		Deadline: deadline(c.route, given, isGiven, c.began),
+		Assumed:  assumedTime(c.route), HedgeFactor: c.handler.policy.HedgeFactor,
+	}
+	if c.route.Gathered() {
+		plan.Services, plan.Required = c.route.Shards, c.route.RequiredShards()
+		result := c.handler.gatherer.Run(c.received.Context(), plan, request)
+		c.answerGathered(plan, result)
+		return
+	}
+	plan.Services, plan.Required = []string{c.handler.splitter.pick(c.route)}, 1
+	result := c.handler.forwarder.Run(c.received.Context(), plan, request)
+	c.answerForwarded(plan, result)
+}
+
+// answerGathered merges the parts, if they are enough.
+func (c *conversation) answerGathered(plan fanout.Plan, result fanout.Result) {
+	if result.Got < plan.Required || result.Reason == fanout.StopCancelled {
+		c.giveUp(plan, result)
+		return
+	}
+	header := c.writer.Header()
+	bodies := make([][]byte, 0, result.Got)
+	for _, part := range result.Parts {
+		if part != nil {
+			bodies = append(bodies, part.Body)
+			header.Add(c.handler.dialect.Parts, part.Evidence)
+		}
+	}
+	if missing := len(result.Parts) - result.Got; missing > 0 {
+		header.Set(c.handler.dialect.MissingParts, strconv.Itoa(missing))
+	}
+	body := gather.Greatest(bodies, c.route.TopRecords)
+	header.Set("Content-Type", "application/octet-stream")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	c.writer.WriteHeader(http.StatusOK)
+	_, _ = c.writer.Write(body)
+	c.record(http.StatusOK, plan, result)
+}
+
+// answerForwarded passes on one server's answer.
+func (c *conversation) answerForwarded(plan fanout.Plan, result fanout.Result) {
+	answer := result.Parts[0]
+	if answer == nil && isServersFailure(result.Refusals[0]) {
+		answer = result.Refusals[0]
+	}
+	if answer == nil || result.Reason == fanout.StopCancelled {
+		c.giveUp(plan, result)
+		return
+	}
+	header := c.writer.Header()
+	for name, values := range answer.Header {
+		header[name] = values
+	}
+	if c.received.Method != http.MethodHead {
+		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	}
+	if c.handler.state.Draining() {
+		header.Set("Connection", "close")
+	}
+	c.writer.WriteHeader(answer.Status)
+	_, _ = c.writer.Write(answer.Body)
+	c.record(answer.Status, plan, result)
+}
+
+// isServersFailure reports whether a failure was made by a server that ran the
+// request, so that it can be passed on unchanged.
+func isServersFailure(answer *exchange.Response) bool {
+	return answer != nil && answer.Status >= http.StatusInternalServerError && answer.Evidence != ""
+}
+
+// giveUp sends the final answer of a request that could not be served. Only
+// what is known not to have run is refused with a promise.
+func (c *conversation) giveUp(plan fanout.Plan, result fanout.Result) {
+	if result.Reason == fanout.StopCancelled {
+		c.record(statusClientGone, plan, result)
+		panic(http.ErrAbortHandler)
+	}
+	status := http.StatusBadGateway
+	switch {
+	case result.Outcome == outcome.NotRun:
+		status = http.StatusServiceUnavailable
+		c.setRetryAfter(c.comeBack(plan))
+	case result.Reason == fanout.StopDeadline:
+		status = http.StatusGatewayTimeout
+	}
+	c.writer.Header().Set("Content-Length", "0")
+	c.writer.WriteHeader(status)
+	c.record(status, plan, result)
+}
+
+// statusClientGone is logged for a request whose client went away.
+const statusClientGone = 499
+
+// comeBack returns when a request that did not run may be tried again: after
+// the time that a server needs for the requests before it.
+func (c *conversation) comeBack(plan fanout.Plan) time.Duration {
+	wait := 4 * plan.Assumed
+	if estimate, ok := c.handler.gatherer.Fleet.Estimate(fleetChoice(plan), time.Now()); ok {
+		wait = estimate
+	}
+	return min(max(wait, leastRefusal), greatestWait)
+}
+
+// refuse answers a request that was offered to no server.
+func (c *conversation) refuse(status int, reason outcome.Reason, wait time.Duration) {
+	if wait > 0 {
+		c.setRetryAfter(wait)
+	}
+	c.writer.Header().Set("Content-Length", "0")
+	c.writer.WriteHeader(status)
+	c.id = c.received.Header.Get(c.handler.dialect.RequestID)
+	c.recordRefusal(status, reason)
+}
+
+func (c *conversation) setRetryAfter(wait time.Duration) {
+	c.writer.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 2, 64))
+}
--- /dev/null
+++ b/internal/front/handler.go
@@ -0,0 +1,171 @@
+package front
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// State is what the handler reads about the node.
+type State interface {
+	// Table returns the configuration in force, or nil while none is known.
+	Table() *route.Table
+	// Draining reports whether a planned stop is under way.
+	Draining() bool
+}
+
+// Handler serves clients' requests.
+type Handler struct {
+	dialect Dialect
+	state   State
+	gatherer,
+	forwarder *fanout.Runner
+	policy   Policy
+	splitter *splitter
+	events   Recorder
+	inFlight chan struct{}
+}
+
+// Options of a Handler.
+type Options struct {
+	Dialect Dialect
+	State   State
+	Fleet   *fleet.Fleet
+	Budget  fanout.Budget
+	Policy  Policy
+	Events  Recorder
+	// MaxInFlight bounds the requests that are served at once.
+	MaxInFlight int
+}
+
+// lingerAfterAnswer is for how long a server whose answer is no longer needed
+// may go on before its connection is closed.
+const lingerAfterAnswer = 350 * time.Millisecond
+
+// NewHandler returns a handler.
+func NewHandler(options Options) *Handler {
+	handler := &Handler{
+		dialect: options.Dialect, state: options.State, policy: options.Policy, events: options.Events,
+		splitter: newSplitter(), inFlight: make(chan struct{}, options.MaxInFlight),
+	}
+	runner := fanout.Runner{
+		Fleet: options.Fleet, Budget: options.Budget, Dialect: &handler.dialect.Dialect, Linger: lingerAfterAnswer,
+	}
+	gatherer, forwarder := runner, runner
+	gatherer.Sound, forwarder.Sound = isPart, isWholeAnswer
+	handler.gatherer, handler.forwarder = &gatherer, &forwarder
+	return handler
+}
+
+// isPart reports whether an answer can be merged.
+func isPart(answer *exchange.Response) bool {
+	return answer.Status/100 == 2 && answer.Evidence != "" && answer.Header.Get("Content-Encoding") == ""
+}
+
+// isWholeAnswer reports whether an answer can be passed on as it is.
+func isWholeAnswer(answer *exchange.Response) bool {
+	return answer.Status < http.StatusInternalServerError && answer.Evidence != "" &&
+		answer.Header.Get("Content-Encoding") == ""
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(writer http.ResponseWriter, received *http.Request) {
+	exchanged := &conversation{handler: h, writer: writer, received: received, began: time.Now()}
+	if h.state.Draining() {
+		writer.Header().Set("Connection", "close")
+	}
+	select {
+	case h.inFlight <- struct{}{}:
+		defer func() { <-h.inFlight }()
+	default:
+		exchanged.refuse(http.StatusServiceUnavailable, outcome.ReasonOverloaded, overloadedWait)
+		return
+	}
+	table := h.state.Table()
+	if table == nil {
+		exchanged.refuse(http.StatusServiceUnavailable, outcome.ReasonStarting, startingWait)
+		return
+	}
+	exchanged.version = table.Version
+	path, _, _ := strings.Cut(received.RequestURI, "?")
+	found := table.Match(received.Host, path)
+	if found == nil {
+		exchanged.refuse(http.StatusNotFound, outcome.ReasonInvalid, 0)
+		return
+	}
+	exchanged.route = found
+	request, status, err := h.read(received, table.Limits)
+	if err != nil {
+		exchanged.cause = err
+		exchanged.refuse(status, outcome.ReasonInvalid, 0)
+		return
+	}
+	exchanged.serve(request)
+}
+
+// errBodyTooLarge means that a client's body exceeds the configured bound.
+var errBodyTooLarge = errors.New("the body is too large")
+
+// read takes the whole request of a client, so that it can be sent to more
+// than one server.
+func (h *Handler) read(received *http.Request, limits route.Limits) (*exchange.Request, int, error) {
+	request := &exchange.Request{
+		Method: received.Method, Target: received.RequestURI, Host: received.Host,
+		ID: received.Header.Get(h.dialect.RequestID), Header: received.Header,
+	}
+	if !strings.HasPrefix(request.Target, "/") {
+		request.Target = received.URL.RequestURI()
+	}
+	request.HasBody = received.ContentLength > 0 || len(received.TransferEncoding) > 0 ||
+		received.Header.Get("Content-Length") != ""
+	if request.HasBody {
+		body, err := readBody(received, limits.BodyBytes)
+		if errors.Is(err, errBodyTooLarge) {
+			return nil, http.StatusRequestEntityTooLarge, err
+		}
+		if err != nil {
+			return nil, http.StatusBadRequest, errors.Wrap(err, "read body")
+		}
+		request.Body = body
+	}
+	exchange.StripConnectionHeaders(request.Header)
+	for _, name := range []string{
+		h.dialect.RequestID, h.dialect.DeadlineMillis, h.dialect.ExpectInstance, "Content-Length", "Expect", "Host",
+	} {
+		request.Header.Del(name)
+	}
+	return request, 0, nil
+}
+
+func readBody(received *http.Request, limit int64) ([]byte, error) {
+	if limit <= 0 {
+		return io.ReadAll(received.Body)
+	}
+	if received.ContentLength > limit {
+		return nil, errBodyTooLarge
+	}
+	body, err := io.ReadAll(io.LimitReader(received.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = errBodyTooLarge
+	}
+	return body, err
+}
+
+// clientDeadline returns the time that the client gives, or false.
+func (h *Handler) clientDeadline(header http.Header) (time.Duration, bool) {
+	millis, err := strconv.ParseFloat(header.Get(h.dialect.DeadlineMillis), 64)
+	if err != nil || millis < 0 {
+		return 0, false
+	}
+	return time.Duration(millis * float64(time.Millisecond)), true
+}
--- /dev/null
+++ b/internal/front/listener.go
@@ -0,0 +1,150 @@
+package front
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Times of clients' connections.
+const (
+	// headerTimeout bounds the reading of a request's head.
+	headerTimeout = 10 * time.Second
+	// maxHeaderBytes bounds a request's head.
+	maxHeaderBytes = 64 << 10
+	// defaultIdle is the rest of a connection until one is configured.
+	defaultIdle = 60 * time.Second
+	// idleSweep is how often resting connections are looked at.
+	idleSweep = time.Second
+	// drainPoll is how often a stop looks whether all connections are closed.
+	drainPoll = 50 * time.Millisecond
+)
+
+// Listener accepts clients' connections and closes them when they have rested
+// for too long or when the node stops.
+//
+// A resting connection is ended by its read deadline, never by closing it: a
+// request whose first byte has arrived is still served.
+type Listener struct {
+	server   *http.Server
+	listener net.Listener
+
+	mutex sync.Mutex
+	// The fields below are guarded by mutex.
+	states map[net.Conn]connectionState
+	idle   time.Duration
+	drains bool
+}
+
+type connectionState struct {
+	resting bool
+	since   time.Time
+}
+
+// Listen opens the clients' address.
+func Listen(address string, handler http.Handler) (*Listener, error) {
+	opened, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for clients")
+	}
+	front := &Listener{listener: opened, states: make(map[net.Conn]connectionState), idle: defaultIdle}
+	front.server = &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: front.observe,
+	}
+	return front, nil
+}
+
+// SetIdle takes for how long a connection may rest.
+func (l *Listener) SetIdle(idle time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if idle > 0 {
+		l.idle = idle
+	}
+}
+
+// Serve accepts connections until the listener is closed.
+func (l *Listener) Serve() error {
+	err := l.server.Serve(l.listener)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve clients")
+}
+
+// Sweep ends connections that rested for too long, until ctx ends.
+func (l *Listener) Sweep(ctx context.Context) error {
+	ticker := time.NewTicker(idleSweep)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			l.endResting(now)
+		}
+	}
+}
+
+// StopAccepting closes the listening socket.
+func (l *Listener) StopAccepting() {
+	l.mutex.Lock()
+	l.drains = true
+	l.mutex.Unlock()
+	_ = l.listener.Close()
+}
+
+// AwaitDrained ends resting connections until none is left or ctx ends, and
+// returns the number of those left.
+func (l *Listener) AwaitDrained(ctx context.Context) int {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for {
+		l.endResting(time.Now())
+		if left := l.Open(); left == 0 {
+			return 0
+		}
+		select {
+		case <-ctx.Done():
+			return l.Open()
+		case <-ticker.C:
+		}
+	}
+}
+
+// Open returns the number of open connections.
+func (l *Listener) Open() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.states)
+}
+
+// Close ends everything at once.
+func (l *Listener) Close() { _ = l.server.Close() }
+
+func (l *Listener) endResting(now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for each, state := range l.states {
+		if state.resting && (l.drains || now.Sub(state.since) > l.idle) {
+			_ = each.SetReadDeadline(now)
+		}
+	}
+}
+
+// observe implements the ConnState hook of http.Server.
+func (l *Listener) observe(changed net.Conn, state http.ConnState) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	switch state {
+	case http.StateClosed, http.StateHijacked:
+		delete(l.states, changed)
+	default:
+		resting := state == http.StateIdle || state == http.StateNew
+		l.states[changed] = connectionState{resting: resting, since: time.Now()}
+	}
+}
--- /dev/null
+++ b/internal/front/policy.go
@@ -0,0 +1,68 @@
+package front
+
+import (
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// Policy sets how the front decides about time.
+type Policy struct {
+	// HedgeFactor times the typical time of a kind of request is the wait
+	// before a second server is asked.
+	HedgeFactor float64
+	// TargetReserve is the share of a route's target that is left for the way
+	// back to the client.
+	TargetReserve float64
+}
+
+// DefaultPolicy is in force where no template says otherwise.
+var DefaultPolicy = Policy{HedgeFactor: 2.5, TargetReserve: 0.1}
+
+// Waits that clients are told, and reserves of time.
+const (
+	startingWait   = 500 * time.Millisecond
+	overloadedWait = time.Second
+	leastRefusal   = 50 * time.Millisecond
+	greatestWait   = 2 * time.Second
+	// deadlineReserve is left for the final answer at the end of the time.
+	deadlineReserve = 15 * time.Millisecond
+	// assumedTargetShare is the typical time of a kind of request in relation
+	// to its target, until it is measured.
+	assumedTargetShare = 0.15
+	// defaultDeadline bounds requests that name no time on routes without one.
+	defaultDeadline = 30 * time.Second
+	// least and greatest reserve of the target.
+	leastTargetReserve    = 10 * time.Millisecond
+	greatestTargetReserve = 40 * time.Millisecond
+)
+
+// deadline returns when a request is given up.
+func deadline(found *route.Route, given time.Duration, isGiven bool, began time.Time) time.Time {
+	span := defaultDeadline
+	if isGiven {
+		span = given
+	}
+	if found.Timeout > 0 {
+		span = min(span, found.Timeout)
+	}
+	return began.Add(max(span-deadlineReserve, time.Millisecond))
+}
+
+// target returns when an answer with the required parts is given.
+func (p Policy) target(found *route.Route, began time.Time) time.Time {
+	if found.Target <= 0 {
+		return time.Time{}
+	}
+	reserve := time.Duration(p.TargetReserve * float64(found.Target))
+	reserve = min(max(reserve, leastTargetReserve), greatestTargetReserve)
+	return began.Add(found.Target - reserve)
+}
+
+// assumedTime returns the typical time of a route until it is measured.
+func assumedTime(found *route.Route) time.Duration {
+	if found.Target <= 0 {
+		return 50 * time.Millisecond
+	}
+	return time.Duration(assumedTargetShare * float64(found.Target))
+}
--- /dev/null
+++ b/internal/front/record.go
@@ -0,0 +1,53 @@
+package front
+
+import (
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+)
+
+// Record is the story of one request, for logs and metrics.
+type Record struct {
+	ID      string
+	Host    string
+	Path    string
+	Route   string
+	Version uint64
+	Status  int
+	Took    time.Duration
+	// Reason is why the request was refused or the wait ended.
+	Reason string
+	// Refused says that no server was asked.
+	Refused  bool
+	Parts    int
+	Required int
+	Total    int
+	Result   fanout.Result
+	Services []string
+	Cause    error
+}
+
+// Recorder takes the story of each request. It does not block.
+type Recorder interface {
+	Record(record Record)
+}
+
+func (c *conversation) record(status int, plan fanout.Plan, result fanout.Result) {
+	c.handler.events.Record(Record{
+		ID: c.id, Host: c.received.Host, Path: c.received.RequestURI, Route: c.route.Name, Version: c.version,
+		Status: status, Took: time.Since(c.began), Reason: string(result.Reason), Parts: result.Got,
+		Required: plan.Required, Total: len(plan.Services), Result: result, Services: plan.Services,
+	})
+}
+
+func (c *conversation) recordRefusal(status int, reason outcome.Reason) {
+	name := ""
+	if c.route != nil {
+		name = c.route.Name
+	}
+	c.handler.events.Record(Record{
+		ID: c.id, Host: c.received.Host, Path: c.received.RequestURI, Route: name, Version: c.version,
+		Status: status, Took: time.Since(c.began), Reason: string(reason), Refused: true, Cause: c.cause,
+	})
+}
--- /dev/null
+++ b/pkg/budget/window.go
@@ -0,0 +1,90 @@
+package budget
+
+import (
+	"sync"
+	"time"
+)
+
+// windowBuckets is the resolution of a Window: each bucket covers this part
+// of the span.
+const windowBuckets = 100
+
+// Window bounds extra sub-requests over a sliding span of time:
+//
+//	extra(span) <= ratio * primary(span) + allowance
+//
+// holds for every span that ends now. Since each node holds to it for its own
+// traffic, the sum over nodes holds to it as well, with the sum of the
+// allowances; no messages are needed. It is safe for concurrent use.
+type Window struct {
+	mutex sync.Mutex
+	// The fields below are guarded by mutex.
+	bucketSpan time.Duration
+	start      time.Time
+	position   int64
+	primary    [windowBuckets + 1]int32
+	extra      [windowBuckets + 1]int32
+	primarySum int32
+	extraSum   int32
+}
+
+// NewWindow returns an empty window of the given span.
+func NewWindow(span time.Duration, now time.Time) *Window {
+	return &Window{bucketSpan: max(span/windowBuckets, time.Millisecond), start: now}
+}
+
+// Earn counts primary sub-requests.
+func (w *Window) Earn(primary int, now time.Time) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	slot := w.advance(now)
+	w.primary[slot] += int32(primary)
+	w.primarySum += int32(primary)
+}
+
+// TrySpend takes one extra sub-request if the bound allows it and the share
+// keep of the bound, 0 to 1, stays untouched.
+func (w *Window) TrySpend(ratio, allowance, keep float64, now time.Time) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	slot := w.advance(now)
+	if float64(w.extraSum+1) > (1-keep)*(ratio*float64(w.primarySum)+allowance) {
+		return false
+	}
+	w.extra[slot]++
+	w.extraSum++
+	return true
+}
+
+// Available returns how many extra sub-requests could be sent now.
+func (w *Window) Available(ratio, allowance float64, now time.Time) float64 {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.advance(now)
+	return ratio*float64(w.primarySum) + allowance - float64(w.extraSum)
+}
+
+// advance drops the buckets that have left the span and returns the current
+// one. The caller holds the mutex.
+func (w *Window) advance(now time.Time) int {
+	target := int64(now.Sub(w.start) / w.bucketSpan)
+	for w.position < target {
+		if target-w.position > windowBuckets {
+			w.clear(target)
+			break
+		}
+		w.position++
+		slot := w.position % (windowBuckets + 1)
+		w.primarySum -= w.primary[slot]
+		w.extraSum -= w.extra[slot]
+		w.primary[slot], w.extra[slot] = 0, 0
+	}
+	return int(w.position % (windowBuckets + 1))
+}
+
+func (w *Window) clear(position int64) {
+	clear(w.primary[:])
+	clear(w.extra[:])
+	w.primarySum, w.extraSum = 0, 0
+	w.position = position
+}
--- /dev/null
+++ b/pkg/directory/directory.go
@@ -0,0 +1,75 @@
+// Package directory follows what the platform says about a deployment: the
+// routing configuration, the servers, the nodes and the operators' templates.
+//
+// A Source reads the platform's store. The Follower keeps reading it, hands
+// every change to a Listener in order, and never lets an older state of a key
+// replace a newer one.
+package directory
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// Entry is the state of one key, in the product's terms. At most one of the
+// pointers is set; none for a key that is gone or means nothing here.
+type Entry struct {
+	Key      string
+	Revision uint64
+	Gone     bool
+	// ServerID is set for the key of a server, also when it is gone.
+	ServerID string
+
+	Configuration *route.Configuration
+	Server        *fleet.Server
+	Node          *Node
+	// Problem says why the value could not be read; the last good state of the
+	// key stays in force.
+	Problem error
+}
+
+// Node is one node of the query tier.
+type Node struct {
+	Name string
+	// PeerAddress is where it answers its peers; empty if it does not.
+	PeerAddress string
+	Zone        string
+}
+
+// Batch is the answer to one read of the source.
+type Batch struct {
+	Entries []Entry
+	// Revision is the state of the store up to which the batch is complete.
+	Revision uint64
+}
+
+// Errors of sources, wrapped.
+var (
+	// ErrHistoryGone means that changes since the asked revision are no longer
+	// known, and everything is to be read anew.
+	ErrHistoryGone = errors.New("the store's history is gone")
+	// ErrLimited means that the store refused the call because of its rate
+	// limit.
+	ErrLimited = errors.New("the store limits its callers")
+)
+
+// Source reads the platform's store. It is safe for concurrent use.
+type Source interface {
+	// Load reads everything. Without fresh, the answer may be seconds old.
+	Load(ctx context.Context, fresh bool) (Batch, error)
+	// Watch waits for changes after a revision, for at most wait.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
+}
+
+// Listener takes the changes, in order and from one goroutine.
+type Listener interface {
+	// Changed takes the new state of a key.
+	Changed(entry Entry)
+	// Dependency tells that the source was lost or regained.
+	Dependency(connected bool, cause error)
+}
--- /dev/null
+++ b/pkg/exchange/attempt.go
@@ -0,0 +1,175 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+)
+
+// largeBody is the size from which a body is sent while the answer is awaited,
+// since a server may answer before it has read a long body.
+const largeBody = 4 << 10
+
+// Attempt is one sending of a request to one server. Run is called once;
+// Expire may be called at any time from other goroutines.
+type Attempt struct {
+	Dialect  *Dialect
+	Pool     *Pool
+	Request  *Request
+	Instance string
+	// Deadline is when the server's work loses its use.
+	Deadline time.Time
+	// Arrived reports whether any byte of the request may have reached the
+	// server; valid after Run.
+	Arrived bool
+	// ConnectTime is the time that a new connection took; zero if none was
+	// opened. Valid after Run.
+	ConnectTime time.Duration
+
+	mutex sync.Mutex
+	// end, cancelDial and current are guarded by mutex.
+	end        time.Time
+	cancelDial context.CancelFunc
+	current    net.Conn
+}
+
+// Expire makes the attempt fail at the given moment if it has not ended by
+// then. A moment that has passed ends it at once.
+func (a *Attempt) Expire(end time.Time) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.end = end
+	if a.current != nil {
+		_ = a.current.SetDeadline(end)
+	}
+	if a.cancelDial != nil && !end.After(time.Now()) {
+		a.cancelDial()
+	}
+}
+
+// Run sends the request and returns the server's whole answer, or an
+// *outcome.Error with what is known about the execution.
+func (a *Attempt) Run() (*Response, error) {
+	used, err := a.connect()
+	if err != nil {
+		return nil, a.failure("connect", outcome.NotRun, outcome.ReasonUnreachable, err)
+	}
+	if !a.own(used) {
+		_ = used.Close()
+		return nil, a.failure("send", outcome.NotRun, outcome.ReasonCancelled, context.Canceled)
+	}
+	answer, rest, err := a.converse(used)
+	a.disown()
+	if err != nil || rest <= 0 {
+		_ = used.Close()
+	} else {
+		_ = used.SetDeadline(time.Time{})
+		a.Pool.put(used, rest, time.Now())
+	}
+	if err != nil {
+		return nil, a.failure("exchange", outcome.Unknown, outcome.ReasonConnectionLost, err)
+	}
+	return answer, nil
+}
+
+func (a *Attempt) connect() (*connection, error) {
+	if resting := a.Pool.take(time.Now()); resting != nil {
+		return resting, nil
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), a.Deadline)
+	defer cancel()
+	a.mutex.Lock()
+	if !a.end.IsZero() && !a.end.After(time.Now()) {
+		a.mutex.Unlock()
+		return nil, context.Canceled
+	}
+	a.cancelDial = cancel
+	a.mutex.Unlock()
+	started := time.Now()
+	opened, err := a.Pool.dial(ctx)
+	a.mutex.Lock()
+	a.cancelDial = nil
+	a.mutex.Unlock()
+	if err == nil {
+		a.ConnectTime = max(time.Since(started), time.Nanosecond)
+	}
+	return opened, err
+}
+
+// own lets Expire reach the connection; it returns false if the attempt has
+// ended already.
+func (a *Attempt) own(used *connection) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	end := a.end
+	if end.IsZero() {
+		end = a.Deadline
+	}
+	if !end.After(time.Now()) {
+		return false
+	}
+	a.current = used
+	_ = used.SetDeadline(end)
+	return true
+}
+
+func (a *Attempt) disown() {
+	a.mutex.Lock()
+	a.current = nil
+	a.mutex.Unlock()
+}
+
+func (a *Attempt) converse(used *connection) (*Response, time.Duration, error) {
+	buffer := make([]byte, 0, 512)
+	message := a.Request.appendHead(buffer, a.Dialect, a.Instance, time.Until(a.Deadline))
+	a.Arrived = true
+	if len(a.Request.Body) < largeBody {
+		message = append(message, a.Request.Body...)
+		if _, err := used.Write(message); err != nil {
+			return nil, 0, errors.Wrap(err, "write")
+		}
+		return readResponse(used, a.Request, a.Dialect)
+	}
+	if _, err := used.Write(message); err != nil {
+		return nil, 0, errors.Wrap(err, "write head")
+	}
+	return a.converseWhileSending(used)
+}
+
+// converseWhileSending reads the answer while the body is being sent. A
+// connection on which the body was not sent whole is not used again, since
+// other bytes would stand where the rest of the body is due.
+func (a *Attempt) converseWhileSending(used *connection) (*Response, time.Duration, error) {
+	sent := make(chan error, 1)
+	go func() {
+		_, err := used.Write(a.Request.Body)
+		sent <- err
+	}()
+	answer, rest, err := readResponse(used, a.Request, a.Dialect)
+	select {
+	case writeError := <-sent:
+		if writeError != nil {
+			rest = 0
+		}
+	default:
+		rest = 0
+	}
+	return answer, rest, err
+}
+
+func (a *Attempt) failure(step string, known outcome.Outcome, reason outcome.Reason, cause error) error {
+	return &outcome.Error{Step: step, Peer: a.Pool.address, Outcome: known, Reason: reason, Cause: cause}
+}
+
+// Expired reports whether the attempt ended because its time was over.
+func (a *Attempt) Expired() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	now := time.Now()
+	return !a.end.IsZero() && !a.end.After(now) || !a.Deadline.After(now)
+}
--- /dev/null
+++ b/pkg/exchange/pool.go
@@ -0,0 +1,140 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+// Sizes and times of connections.
+const (
+	readBufferSize = 1024
+	// keepAliveSlack is how much earlier than announced by the server a resting
+	// connection is no longer used.
+	keepAliveSlack = 700 * time.Millisecond
+	// defaultRest bounds the rest of a connection whose server announces nothing.
+	defaultRest = 30 * time.Second
+)
+
+// Dialer opens connections to servers.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// connection is one connection to a server; one request uses it at a time.
+type connection struct {
+	net.Conn
+	reader *bufio.Reader
+	// restsUntil is when the connection must no longer be used.
+	restsUntil time.Time
+	reused     bool
+}
+
+// Pool keeps the resting connections to one server. It is safe for concurrent
+// use.
+type Pool struct {
+	address string
+	dialer  Dialer
+
+	mutex sync.Mutex
+	// resting is guarded by mutex; the most recently used is last.
+	resting []*connection
+	// closed is guarded by mutex.
+	closed bool
+}
+
+// NewPool returns an empty pool for the server at address.
+func NewPool(address string, dialer Dialer) *Pool {
+	return &Pool{address: address, dialer: dialer}
+}
+
+// Resting returns the number of connections that can be used at once.
+func (p *Pool) Resting() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.resting)
+}
+
+// Close closes the resting connections; those in use are closed when their
+// request has ended.
+func (p *Pool) Close() {
+	p.mutex.Lock()
+	resting := p.resting
+	p.resting, p.closed = nil, true
+	p.mutex.Unlock()
+	closeAll(resting)
+}
+
+// CloseExpired closes the connections that rested for too long.
+func (p *Pool) CloseExpired(now time.Time) {
+	p.mutex.Lock()
+	var expired []*connection
+	kept := p.resting[:0]
+	for _, candidate := range p.resting {
+		if now.Before(candidate.restsUntil) {
+			kept = append(kept, candidate)
+		} else {
+			expired = append(expired, candidate)
+		}
+	}
+	clear(p.resting[len(kept):])
+	p.resting = kept
+	p.mutex.Unlock()
+	closeAll(expired)
+}
+
+// take returns a resting connection that is still sound, or nil.
+func (p *Pool) take(now time.Time) *connection {
+	for {
+		candidate := p.pop()
+		if candidate == nil {
+			return nil
+		}
+		if now.Before(candidate.restsUntil) && isQuiet(candidate.Conn) {
+			candidate.reused = true
+			return candidate
+		}
+		_ = candidate.Close()
+	}
+}
+
+func (p *Pool) pop() *connection {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.resting) == 0 {
+		return nil
+	}
+	last := len(p.resting) - 1
+	candidate := p.resting[last]
+	p.resting[last] = nil
+	p.resting = p.resting[:last]
+	return candidate
+}
+
+// put keeps a connection for the next request.
+func (p *Pool) put(used *connection, rest time.Duration, now time.Time) {
+	used.restsUntil = now.Add(rest)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.closed {
+		_ = used.Close()
+		return
+	}
+	p.resting = append(p.resting, used)
+}
+
+func (p *Pool) dial(ctx context.Context) (*connection, error) {
+	opened, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, err
+	}
+	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferSize)}, nil
+}
+
+func closeAll(connections []*connection) {
+	for _, each := range connections {
+		_ = each.Close()
+	}
+}
--- /dev/null
+++ b/pkg/exchange/quiet.go
@@ -0,0 +1,28 @@
+package exchange
+
+import (
+	"net"
+	"syscall"
+)
+
+// isQuiet reports whether a resting connection is open and has nothing to
+// read. A closed one, or one with bytes that belong to no request, must not be
+// used again.
+func isQuiet(resting net.Conn) bool {
+	raw, ok := resting.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	access, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = access.Read(func(descriptor uintptr) bool {
+		var buffer [1]byte
+		_, readError := syscall.Read(int(descriptor), buffer[:])
+		quiet = readError == syscall.EAGAIN || readError == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/pkg/fanout/fanout.go
@@ -0,0 +1,105 @@
+// Package fanout asks one server of each of several services, hedges and
+// retries within a budget, and decides when to stop waiting.
+//
+// One call of Run is one event loop in the caller's goroutine. Its attempts run
+// in goroutines of their own, report to it and share nothing with each other.
+package fanout
+
+import (
+	"context"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+)
+
+// Plan is what Run is to do for one request.
+type Plan struct {
+	// Kind is the kind of request, by which typical times are kept.
+	Kind string
+	// Services are asked once each; their order is that of Result.Parts.
+	Services []string
+	// Required is how many parts make a successful answer.
+	Required int
+	// Repeatable says that a request may run more than once.
+	Repeatable bool
+	// MaxAttempts is the largest number of servers that may run the request,
+	// for each part.
+	MaxAttempts int
+	// Target is when the answer loses most of its value, as a moment; an
+	// answer with the required parts is given then. Zero if there is none.
+	Target time.Time
+	// Deadline is when the request is given up.
+	Deadline time.Time
+	// Assumed is the typical time of the kind until one is measured.
+	Assumed time.Duration
+	// HedgeFactor times the typical time is the wait before a second server is
+	// asked.
+	HedgeFactor float64
+}
+
+// Budget pays for sub-requests beyond the first of each part.
+type Budget interface {
+	// Earn counts the first sub-request of a part.
+	Earn(service string, now time.Time)
+	// TrySpend takes one extra sub-request; keep is the share of the budget, 0
+	// to 1, that is left untouched for more valuable ones.
+	TrySpend(service string, keep float64, now time.Time) bool
+}
+
+// StopReason says why Run ended.
+type StopReason string
+
+// The reasons.
+const (
+	StopComplete  StopReason = "complete"
+	StopTarget    StopReason = "target"
+	StopDeadline  StopReason = "deadline"
+	StopExhausted StopReason = "no_server_left"
+	StopCancelled StopReason = "cancelled"
+)
+
+// Result is what Run has got.
+type Result struct {
+	// Parts holds a sound answer for each service, or nil.
+	Parts []*exchange.Response
+	// Failures holds for each part without an answer the last error, or nil.
+	Failures []error
+	// Refusals holds for each part the last answer that is not a success but
+	// was made by a server, or nil.
+	Refusals []*exchange.Response
+	Got      int
+	Reason   StopReason
+	// Outcome is Completed if any server is known to have run the request,
+	// NotRun if none has or will, and Unknown otherwise.
+	Outcome outcome.Outcome
+	Hedges  int
+	Retries int
+	Sent    int
+	// Denied counts extra sub-requests that the budget did not pay for.
+	Denied int
+}
+
+// Runner runs plans.
+type Runner struct {
+	Fleet   *fleet.Fleet
+	Budget  Budget
+	Dialect *exchange.Dialect
+	// Sound reports whether an answer is a usable part.
+	Sound func(answer *exchange.Response) bool
+	// Linger is for how long an attempt that nobody waits for may go on, so
+	// that its connection can be used again.
+	Linger time.Duration
+}
+
+// Run asks the services of a plan. It returns as soon as the answer is final.
+func (r *Runner) Run(ctx context.Context, plan Plan, request *exchange.Request) Result {
+	run := newRun(r, plan, request)
+	for index := range plan.Services {
+		run.launchFirst(index, time.Now())
+	}
+	reason := run.loop(ctx)
+	run.abandon(reason)
+	return run.result(reason)
+}
--- /dev/null
+++ b/pkg/fanout/launch.go
@@ -0,0 +1,172 @@
+package fanout
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+)
+
+const statusMisdirected = http.StatusMisdirectedRequest
+
+// errNoServer means that a service has no server that may be asked now.
+var errNoServer = errors.New("no server may be asked")
+
+// launchFirst asks the first server of a part.
+func (r *run) launchFirst(index int, now time.Time) {
+	r.runner.Budget.Earn(r.parts[index].service, now)
+	r.launchNext(index, now)
+}
+
+// launchNext asks a server of a part that is being asked nowhere. If there is
+// none, it is tried again a little later, as long as there is time.
+func (r *run) launchNext(index int, now time.Time) {
+	owner := &r.parts[index]
+	lease := r.runner.Fleet.Acquire(r.choice(owner), now)
+	if lease == nil {
+		r.awaitServer(owner, now)
+		return
+	}
+	owner.idle = false
+	r.send(index, lease, now)
+	owner.hedgeAt = r.hedgeTime(owner, lease, now)
+}
+
+// awaitServer keeps a part open until a server can be asked. A request that
+// has no server by its target is given up at once.
+func (r *run) awaitServer(owner *part, now time.Time) {
+	if owner.failure == nil {
+		owner.failure = &outcome.Error{
+			Step: "choose server", Peer: owner.service, Outcome: outcome.NotRun,
+			Reason: outcome.ReasonNoReplica, Cause: errNoServer,
+		}
+	}
+	waitUntil := r.plan.Target
+	if waitUntil.IsZero() || waitUntil.After(r.plan.Deadline) {
+		waitUntil = r.plan.Deadline
+	}
+	waitUntil = now.Add(waitUntil.Sub(now) / 4)
+	if owner.idle || waitUntil.Sub(now) < recheck {
+		r.closePart(owner)
+		return
+	}
+	owner.idle = true
+	owner.hedgeAt = now.Add(recheck)
+}
+
+// hedgeTime returns when a second server is to be asked; zero if never.
+func (r *run) hedgeTime(owner *part, lease *fleet.Lease, now time.Time) time.Time {
+	if !r.plan.Repeatable || owner.executions >= r.plan.MaxAttempts {
+		return time.Time{}
+	}
+	typical, _ := r.runner.Fleet.Typical(r.plan.Kind, r.plan.Assumed)
+	wait := lease.Expected - typical + time.Duration(r.plan.HedgeFactor*float64(typical))
+	if !r.plan.Target.IsZero() {
+		latest := r.plan.Target.Sub(now) - 2*typical
+		wait = min(wait, max(latest, typical))
+	}
+	return now.Add(wait)
+}
+
+// hedge asks a further server while an earlier one is still silent.
+func (r *run) hedge(index int, now time.Time) {
+	owner := &r.parts[index]
+	if owner.executions >= r.plan.MaxAttempts || !r.plan.Repeatable {
+		return
+	}
+	lease := r.runner.Fleet.Acquire(r.choice(owner), now)
+	if lease == nil {
+		owner.hedgeAt = now.Add(recheck)
+		return
+	}
+	if r.tooLate(lease, now) || !r.spend(owner, now) {
+		r.runner.Fleet.Cancel(lease)
+		owner.hedgeAt = now.Add(deniedRecheck)
+		return
+	}
+	r.hedges++
+	r.send(index, lease, now)
+	owner.hedgeAt = r.hedgeTime(owner, lease, now)
+}
+
+// tooLate reports whether a hedge would miss the deadline anyway.
+func (r *run) tooLate(lease *fleet.Lease, now time.Time) bool {
+	return now.Add(lease.Expected).After(r.plan.Deadline)
+}
+
+// spend pays for an extra sub-request. Once the target is missed, an answer is
+// worth little, and half of the budget is kept for others.
+func (r *run) spend(owner *part, now time.Time) bool {
+	keep := 0.0
+	if !r.plan.Target.IsZero() && now.After(r.plan.Target) {
+		keep = 0.5
+	}
+	if r.runner.Budget.TrySpend(owner.service, keep, now) {
+		return true
+	}
+	r.denied++
+	return false
+}
+
+func (r *run) choice(owner *part) fleet.Choice {
+	return fleet.Choice{Service: owner.service, Kind: r.plan.Kind, Assumed: r.plan.Assumed, Excluded: owner.leases}
+}
+
+// send starts an attempt.
+func (r *run) send(index int, lease *fleet.Lease, now time.Time) {
+	owner := &r.parts[index]
+	started := &attempt{
+		Attempt: &exchange.Attempt{
+			Dialect: r.runner.Dialect, Pool: lease.Pool, Request: r.request,
+			Instance: lease.Server.ID, Deadline: r.plan.Deadline,
+		},
+		lease: lease, part: index,
+	}
+	owner.leases = append(owner.leases, lease)
+	owner.live = append(owner.live, started)
+	owner.arrivals++
+	owner.executions++
+	r.sent++
+	go r.runner.perform(started, r.results)
+}
+
+// perform runs an attempt and tells the fleet and the run what it showed.
+func (r *Runner) perform(started *attempt, results chan<- finished) {
+	answer, err := started.Run()
+	r.Fleet.Finish(started.lease, r.classify(started, answer, err), started.ConnectTime, time.Now())
+	results <- finished{attempt: started, answer: answer, err: err}
+}
+
+func (r *Runner) classify(started *attempt, answer *exchange.Response, err error) fleet.Result {
+	switch {
+	case err != nil && started.Expired():
+		return fleet.Abandoned
+	case err != nil:
+		return fleet.Failed
+	case answer.Status == statusMisdirected:
+		return fleet.WrongInstance
+	case answer.Header.Get(r.Dialect.NotRun) != "":
+		return fleet.Refused
+	case !r.Sound(answer):
+		return fleet.Failed
+	}
+	return fleet.Answered
+}
+
+// abandon lets the attempts that are still under way end: soon, so that their
+// connections can be used again, or at once if the client has gone.
+func (r *run) abandon(reason StopReason) {
+	end := time.Now()
+	if reason != StopCancelled {
+		end = end.Add(r.runner.Linger)
+	}
+	for index := range r.parts {
+		for _, each := range r.parts[index].live {
+			each.Expire(end)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/fanout/run.go
@@ -0,0 +1,260 @@
+package fanout
+
+import (
+	"context"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+)
+
+// Times of the event loop.
+const (
+	// recheck is when a part for which no server could be asked is tried again.
+	recheck = 25 * time.Millisecond
+	// deniedRecheck is when a hedge is tried again that the budget denied.
+	deniedRecheck = 40 * time.Millisecond
+	// freeRefusals is how many refusals of servers a part may meet beyond the
+	// attempts that may have run.
+	freeRefusals = 1
+)
+
+// part is the state of one service in a run.
+type part struct {
+	service string
+	answer  *exchange.Response
+	refusal *exchange.Response
+	failure error
+	// leases are all servers asked so far, live the attempts under way.
+	leases []*fleet.Lease
+	live   []*attempt
+	// arrivals counts requests that may have reached a server, executions
+	// those that may have run.
+	arrivals   int
+	executions int
+	refusals   int
+	// ran says that a server is known to have run the request.
+	ran bool
+	// hedgeAt is when a further server is to be asked; zero if never.
+	hedgeAt time.Time
+	// idle says that no server is being asked and one is to be found.
+	idle bool
+}
+
+// attempt is one sub-request under way.
+type attempt struct {
+	*exchange.Attempt
+	lease *fleet.Lease
+	part  int
+}
+
+// finished is what an attempt reports.
+type finished struct {
+	attempt *attempt
+	answer  *exchange.Response
+	err     error
+}
+
+// run is the state of one Run.
+type run struct {
+	runner  *Runner
+	plan    Plan
+	request *exchange.Request
+	parts   []part
+	results chan finished
+	got     int
+	open    int
+	hedges  int
+	retries int
+	sent    int
+	denied  int
+}
+
+func newRun(runner *Runner, plan Plan, request *exchange.Request) *run {
+	parts := make([]part, len(plan.Services))
+	for index, service := range plan.Services {
+		parts[index].service = service
+	}
+	capacity := len(parts) * (max(plan.MaxAttempts, 1) + freeRefusals + 1)
+	return &run{
+		runner: runner, plan: plan, request: request, parts: parts,
+		results: make(chan finished, capacity), open: len(parts),
+	}
+}
+
+// loop handles events until the answer is final.
+func (r *run) loop(ctx context.Context) StopReason {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		now := time.Now()
+		if reason, done := r.decide(now); done {
+			return reason
+		}
+		timer.Reset(r.nextEvent().Sub(now))
+		select {
+		case <-ctx.Done():
+			return StopCancelled
+		case result := <-r.results:
+			r.take(result, time.Now())
+		case <-timer.C:
+			r.handleTime(time.Now())
+		}
+	}
+}
+
+// decide reports whether the answer is final.
+func (r *run) decide(now time.Time) (StopReason, bool) {
+	switch {
+	case r.got == len(r.parts):
+		return StopComplete, true
+	case r.open == 0:
+		return StopExhausted, true
+	case !now.Before(r.plan.Deadline):
+		return StopDeadline, true
+	case !r.plan.Target.IsZero() && !now.Before(r.plan.Target) && r.got >= r.plan.Required:
+		return StopTarget, true
+	case r.got+r.open < r.plan.Required:
+		return StopExhausted, true
+	}
+	return "", false
+}
+
+// nextEvent returns the next moment at which something is to be decided.
+func (r *run) nextEvent() time.Time {
+	next := r.plan.Deadline
+	if !r.plan.Target.IsZero() && r.plan.Target.Before(next) && r.got >= r.plan.Required {
+		next = r.plan.Target
+	}
+	for index := range r.parts {
+		at := r.parts[index].hedgeAt
+		if !at.IsZero() && at.Before(next) {
+			next = at
+		}
+	}
+	return next
+}
+
+// handleTime asks further servers for the parts that are due.
+func (r *run) handleTime(now time.Time) {
+	for index := range r.parts {
+		due := &r.parts[index]
+		if due.hedgeAt.IsZero() || now.Before(due.hedgeAt) {
+			continue
+		}
+		due.hedgeAt = time.Time{}
+		if due.idle {
+			r.launchNext(index, now)
+		} else {
+			r.hedge(index, now)
+		}
+	}
+}
+
+// take handles the end of an attempt.
+func (r *run) take(result finished, now time.Time) {
+	index := result.attempt.part
+	owner := &r.parts[index]
+	owner.live = without(owner.live, result.attempt)
+	if owner.answer != nil {
+		return
+	}
+	if result.err == nil && r.runner.Sound(result.answer) {
+		owner.answer = result.answer
+		owner.ran = true
+		owner.hedgeAt = time.Time{}
+		r.got++
+		r.open--
+		for _, other := range owner.live {
+			other.Expire(now.Add(r.runner.Linger))
+		}
+		return
+	}
+	r.noteFailure(owner, result)
+	if len(owner.live) == 0 {
+		r.retry(index, now)
+	}
+}
+
+// noteFailure updates what is known of the execution.
+func (r *run) noteFailure(owner *part, result finished) {
+	if result.err != nil {
+		owner.failure = result.err
+		if outcome.Of(result.err) == outcome.NotRun {
+			owner.executions--
+			if !result.attempt.Arrived {
+				owner.arrivals--
+			}
+		}
+		return
+	}
+	owner.refusal = result.answer
+	if r.refused(result.answer) {
+		owner.executions--
+		owner.refusals++
+		return
+	}
+	owner.ran = true
+}
+
+func (r *run) refused(answer *exchange.Response) bool {
+	return answer.Header.Get(r.runner.Dialect.NotRun) != "" || answer.Status == statusMisdirected
+}
+
+// retry asks another server after all attempts of a part have failed, or
+// closes the part.
+func (r *run) retry(index int, now time.Time) {
+	owner := &r.parts[index]
+	if owner.executions > 0 && !r.plan.Repeatable {
+		r.closePart(owner)
+		return
+	}
+	if owner.executions >= max(r.plan.MaxAttempts, 1) || owner.refusals > freeRefusals {
+		r.closePart(owner)
+		return
+	}
+	if owner.arrivals > 0 && !r.spend(owner, now) {
+		r.closePart(owner)
+		return
+	}
+	r.retries++
+	r.launchNext(index, now)
+}
+
+func (r *run) closePart(owner *part) {
+	owner.hedgeAt = time.Time{}
+	r.open--
+}
+
+// result sums up the run.
+func (r *run) result(reason StopReason) Result {
+	result := Result{
+		Parts: make([]*exchange.Response, len(r.parts)), Failures: make([]error, len(r.parts)),
+		Refusals: make([]*exchange.Response, len(r.parts)),
+		Got:      r.got, Reason: reason, Hedges: r.hedges, Retries: r.retries, Sent: r.sent, Denied: r.denied,
+	}
+	ran, mayRun := false, false
+	for index := range r.parts {
+		each := &r.parts[index]
+		result.Parts[index], result.Failures[index], result.Refusals[index] = each.answer, each.failure, each.refusal
+		ran = ran || each.ran
+		mayRun = mayRun || each.executions > 0
+	}
+	switch {
+	case ran:
+		result.Outcome = outcome.Completed
+	case !mayRun:
+		result.Outcome = outcome.NotRun
+	}
+	return result
+}
+
+func without(list []*attempt, removed *attempt) []*attempt {
+	for index, each := range list {
+		if each == removed {
+			return append(list[:index], list[index+1:]...)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/fleet/lease.go
@@ -0,0 +1,111 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+)
+
+// Lease is the right to send one request to a server. It is ended by exactly
+// one call of Fleet.Finish.
+type Lease struct {
+	Server Server
+	Pool   *exchange.Pool
+	// Expected is the time after which an answer is due at this server,
+	// network included.
+	Expected time.Duration
+	// Cost is the estimate by which the server was chosen.
+	Cost time.Duration
+
+	member  *member
+	profile *Profile
+	began   time.Time
+}
+
+// Began returns when the lease was taken.
+func (l *Lease) Began() time.Time { return l.began }
+
+// Result is what a finished request showed of its server.
+type Result int
+
+// The results.
+const (
+	// Answered means that a sound answer came.
+	Answered Result = iota
+	// Failed means that no sound answer came.
+	Failed
+	// Refused means that the server turned the request away.
+	Refused
+	// Abandoned means that nobody waited for the answer any longer.
+	Abandoned
+	// WrongInstance means that another server has the address.
+	WrongInstance
+)
+
+// String returns the name used in logs.
+func (r Result) String() string {
+	return [...]string{"answered", "failed", "refused", "abandoned", "wrong_instance"}[r]
+}
+
+// Finish ends a lease. connect is the time that a new connection took, zero if
+// none was opened.
+func (f *Fleet) Finish(lease *Lease, result Result, connect time.Duration, now time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	used := lease.member
+	used.removeLease(lease)
+	if connect > 0 {
+		used.zone.observeConnect(connect)
+	}
+	elapsed := now.Sub(lease.began) - connect
+	switch result {
+	case Answered:
+		used.failures = 0
+		used.avoidUntil = time.Time{}
+		f.observeTime(lease, elapsed, now)
+	case Abandoned:
+		if elapsed > lease.Expected {
+			f.observeTime(lease, elapsed, now)
+		}
+	case Failed:
+		used.fail(now)
+	case Refused:
+		used.avoidUntil = now.Add(firstPenalty)
+	case WrongInstance:
+		used.leave(now)
+	}
+}
+
+// observeTime takes the time of one request into the profile of its kind and
+// the ratio of its server. The mutex is held.
+func (f *Fleet) observeTime(lease *Lease, elapsed time.Duration, now time.Time) {
+	service := max(elapsed-lease.member.zone.roundTrip, 100*time.Microsecond)
+	if lease.profile == nil {
+		return
+	}
+	typical := lease.profile.typical()
+	lease.member.observe(lease.began, now, float64(service)/float64(typical))
+	lease.profile.observe(service)
+}
+
+func (m *member) removeLease(lease *Lease) {
+	for index, each := range m.active {
+		if each == lease {
+			m.active = append(m.active[:index], m.active[index+1:]...)
+			return
+		}
+	}
+}
+
+func (m *member) leave(now time.Time) {
+	if m.leftAt.IsZero() {
+		m.leftAt = now
+	}
+}
+
+// Cancel ends a lease whose request was not sent.
+func (f *Fleet) Cancel(lease *Lease) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	lease.member.removeLease(lease)
+}
--- /dev/null
+++ b/pkg/fleet/profile.go
@@ -0,0 +1,41 @@
+package fleet
+
+import "time"
+
+// Profile is the typical time that servers need for one kind of request,
+// without the network. The mutex of the Fleet guards it.
+type Profile struct {
+	mean      time.Duration
+	deviation time.Duration
+	samples   int
+}
+
+// Constants of profiles.
+const (
+	// profileGain is the share of a new sample in the averages.
+	profileGain = 32
+	// earlySamples are averaged plainly.
+	earlySamples = 16
+	// greatestSample bounds a sample in relation to the mean, so that a pause
+	// does not count as typical.
+	greatestSample = 3
+)
+
+// newProfile begins with an assumed mean.
+func newProfile(assumed time.Duration) *Profile {
+	return &Profile{mean: max(assumed, time.Millisecond), deviation: max(assumed, time.Millisecond) / 3}
+}
+
+func (p *Profile) typical() time.Duration { return max(p.mean, 100*time.Microsecond) }
+
+func (p *Profile) observe(sample time.Duration) {
+	sample = min(sample, greatestSample*p.mean+time.Millisecond)
+	p.samples++
+	gain := time.Duration(min(p.samples+1, profileGain))
+	if p.samples > earlySamples {
+		gain = profileGain
+	}
+	difference := sample - p.mean
+	p.mean += difference / gain
+	p.deviation += (difference.Abs() - p.deviation) / gain
+}
--- /dev/null
+++ b/pkg/fleet/server.go
@@ -0,0 +1,123 @@
+// Package fleet keeps what a node knows of the servers of each service: their
+// entries in the platform's list and what its own requests have shown of them.
+//
+// A Fleet is safe for concurrent use; one mutex guards all of it and no call to
+// another process is made under it.
+package fleet
+
+import (
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+)
+
+// Server is one incarnation of a server as the platform lists it.
+type Server struct {
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	// Slots is the number of requests that it runs at once; zero if unknown.
+	Slots int
+	// Draining says that it takes no new requests.
+	Draining bool
+	// WarmUp is how much longer it stays slow after its start.
+	WarmUp time.Duration
+}
+
+// Constants of the view that is kept of a server.
+const (
+	// slowRatio is how many times the expected time counts as slow.
+	slowRatio = 2.5
+	// greatestRatio bounds how slow a server is taken for.
+	greatestRatio = 12.0
+	// suspicionRatio is kept after one slow episode.
+	suspicionRatio = 1.4
+	// episodeMemory is for how long a slow episode makes the next one count.
+	episodeMemory = 4 * time.Second
+	// ratioHalfLife is the time in which the doubt in a slow server halves, so
+	// that it is tried again.
+	ratioHalfLife = 3 * time.Second
+	// ratioGain is the weight of one ordinary sample.
+	ratioGain = 0.2
+	// firstPenalty and greatestPenalty bound for how long a server that failed
+	// is avoided; each failure in a row doubles the time.
+	firstPenalty    = 300 * time.Millisecond
+	greatestPenalty = 3 * time.Second
+	// coldRatio is how much slower a server is taken for while it warms up.
+	coldRatio = 1.6
+)
+
+// member is one server with what this node has seen of it. The mutex of the
+// Fleet guards it.
+type member struct {
+	Server
+	pool *exchange.Pool
+	zone *zoneTimes
+	// active are the requests under way, oldest first.
+	active []*Lease
+	// ratio is the server's time over the expected time; 1 is normal.
+	ratio   float64
+	ratioAt time.Time
+	// slowEpisodeEnd is when the last slow episode ended; requests that began
+	// before it tell nothing new.
+	slowEpisodeEnd time.Time
+	failures       int
+	avoidUntil     time.Time
+	warmUntil      time.Time
+	// leftAt is when it was first known to drain or to be gone; zero if it
+	// takes requests.
+	leftAt time.Time
+}
+
+// currentRatio returns the ratio with the decay of doubt since its last sample.
+func (m *member) currentRatio(now time.Time) float64 {
+	ratio := m.ratio
+	if ratio > 1 {
+		halves := float64(now.Sub(m.ratioAt)) / float64(ratioHalfLife)
+		ratio = 1 + (ratio-1)*exp2(-halves)
+	}
+	if now.Before(m.warmUntil) {
+		ratio = max(ratio, coldRatio)
+	}
+	return ratio
+}
+
+// observe takes the time that the server needed for one request.
+func (m *member) observe(began, now time.Time, ratio float64) {
+	ratio = min(ratio, greatestRatio)
+	current := m.currentRatio(now)
+	if ratio < slowRatio {
+		m.setRatio(current+ratioGain*(ratio-current), now)
+		return
+	}
+	if began.Before(m.slowEpisodeEnd) {
+		return
+	}
+	again := now.Sub(m.slowEpisodeEnd) < episodeMemory
+	m.slowEpisodeEnd = now
+	if again {
+		m.setRatio(max(current, ratio), now)
+		return
+	}
+	m.setRatio(max(current, suspicionRatio), now)
+}
+
+func (m *member) setRatio(ratio float64, now time.Time) {
+	m.ratio, m.ratioAt = ratio, now
+}
+
+// fail notes a failed request.
+func (m *member) fail(now time.Time) {
+	penalty := firstPenalty << min(m.failures, 6)
+	m.failures++
+	m.avoidUntil = now.Add(min(penalty, greatestPenalty))
+}
+
+// oldest returns when the oldest request under way began; zero if there is none.
+func (m *member) oldest() time.Time {
+	if len(m.active) == 0 {
+		return time.Time{}
+	}
+	return m.active[0].began
+}
--- /dev/null
+++ b/pkg/route/table.go
@@ -0,0 +1,64 @@
+package route
+
+import (
+	"net"
+	"slices"
+	"strings"
+)
+
+// Table finds the route of a request in one version of the configuration. It
+// is immutable and safe for concurrent use.
+type Table struct {
+	Version  uint64
+	Limits   Limits
+	byHost   map[string][]*Route
+	services map[string]*Service
+}
+
+// NewTable indexes a configuration that Validate has accepted.
+func NewTable(configuration *Configuration) *Table {
+	table := &Table{
+		Version:  configuration.Version,
+		Limits:   configuration.Limits,
+		byHost:   make(map[string][]*Route),
+		services: make(map[string]*Service, len(configuration.Services)),
+	}
+	for index := range configuration.Routes {
+		found := &configuration.Routes[index]
+		host := strings.ToLower(found.Host)
+		table.byHost[host] = append(table.byHost[host], found)
+	}
+	for _, routes := range table.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for index := range configuration.Services {
+		service := &configuration.Services[index]
+		table.services[service.Name] = service
+	}
+	return table
+}
+
+// Match returns the route of the host whose prefix is the longest that begins
+// the path, or nil. The host may carry a port.
+func (t *Table) Match(host, path string) *Route {
+	routes, found := t.byHost[strings.ToLower(host)]
+	if !found {
+		routes = t.byHost[strings.ToLower(withoutPort(host))]
+	}
+	for _, candidate := range routes {
+		if strings.HasPrefix(path, candidate.Prefix) {
+			return candidate
+		}
+	}
+	return nil
+}
+
+// Service returns a service by name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+func withoutPort(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
