--- a/internal/front/conversation.go
+++ b/internal/front/conversation.go
@@ -18,6 +18,7 @@
 	writer   http.ResponseWriter
 	received *http.Request
 	began    time.Time
+	deadline time.Time
 	version  uint64
 	route    *route.Route
 	id       string
@@ -27,11 +28,10 @@
 // serve asks servers and answers.
 func (c *conversation) serve(request *exchange.Request) {
 	c.id = request.ID
-	given, isGiven := c.handler.clientDeadline(c.received.Header)
 	plan := fanout.Plan{
 		Kind: c.route.Name, Repeatable: c.route.Repeatable, MaxAttempts: c.route.MaxAttempts,
 		Target:   c.handler.policy.target(c.route, c.began),
-		Deadline: deadline(c.route, given, isGiven, c.began),
+		Deadline: c.deadline,
 		Assumed:  assumedTime(c.route), HedgeFactor: c.handler.policy.HedgeFactor,
 	}
 	if c.route.Gathered() {
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -104,6 +104,7 @@
 		return
 	}
 	exchanged.route = found
+	exchanged.deadline = deadline(found, h.clientDeadline(received.Header), exchanged.began)
 	request, status, err := h.read(received, table.Limits)
 	if err != nil {
 		exchanged.cause = err
@@ -161,11 +162,11 @@
 	return body, err
 }
 
-// clientDeadline returns the time that the client gives, or false.
-func (h *Handler) clientDeadline(header http.Header) (time.Duration, bool) {
+// clientDeadline returns the time that the client gives, or a default.
+func (h *Handler) clientDeadline(header http.Header) time.Duration {
 	millis, err := strconv.ParseFloat(header.Get(h.dialect.DeadlineMillis), 64)
 	if err != nil || millis < 0 {
-		return 0, false
+		return defaultDeadline
 	}
-	return time.Duration(millis * float64(time.Millisecond)), true
+	return time.Duration(millis * float64(time.Millisecond))
 }
--- a/internal/front/policy.go
+++ b/internal/front/policy.go
@@ -38,11 +38,7 @@
 )
 
 // deadline returns when a request is given up.
-func deadline(found *route.Route, given time.Duration, isGiven bool, began time.Time) time.Time {
-	span := defaultDeadline
-	if isGiven {
-		span = given
-	}
+func deadline(found *route.Route, span time.Duration, began time.Time) time.Time {
 	if found.Timeout > 0 {
 		span = min(span, found.Timeout)
 	}
