Stop: requests in flight outlive the listening socket; slowness needs two episodes

(2) One answer in a hundred takes five times as long and each server pauses, so 'two slow answers within 4 s' took sound servers for slow ones: 41% of the requests of one node went to other regions. Ruled out: the stop's grace (requests were cut at once, not at its end); load and jitter as reasons for far servers (6 of 2,484). Change: Serve returns only after Close; a server is slow after two slow episodes with no normal answer between them.

--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -34,10 +34,13 @@
 	listener net.Listener
 
 	mutex sync.Mutex
+	// ended is closed by Close.
+	ended chan struct{}
 	// The fields below are guarded by mutex.
 	states map[net.Conn]connectionState
 	idle   time.Duration
 	drains bool
+	closed bool
 }
 
 type connectionState struct {
@@ -51,7 +54,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for clients")
 	}
-	front := &Listener{listener: opened, states: make(map[net.Conn]connectionState), idle: defaultIdle}
+	front := &Listener{
+		listener: opened, states: make(map[net.Conn]connectionState), idle: defaultIdle,
+		ended: make(chan struct{}),
+	}
 	front.server = &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: front.observe,
 	}
@@ -67,10 +73,12 @@
 	}
 }
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections and returns when Close was called; requests in
+// flight are still served after StopAccepting.
 func (l *Listener) Serve() error {
 	err := l.server.Serve(l.listener)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		<-l.ended
 		return nil
 	}
 	return errors.Wrap(err, "serve clients")
@@ -124,7 +132,15 @@
 }
 
 // Close ends everything at once.
-func (l *Listener) Close() { _ = l.server.Close() }
+func (l *Listener) Close() {
+	l.mutex.Lock()
+	if !l.closed {
+		l.closed = true
+		close(l.ended)
+	}
+	l.mutex.Unlock()
+	_ = l.server.Close()
+}
 
 func (l *Listener) endResting(now time.Time) {
 	l.mutex.Lock()
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -33,13 +33,14 @@
 	greatestRatio = 12.0
 	// suspicionRatio is kept after one slow episode.
 	suspicionRatio = 1.4
-	// episodeMemory is for how long a slow episode makes the next one count.
-	episodeMemory = 4 * time.Second
+	// slowEpisodes in a row, with no normal answer between them, show that a
+	// server is slow; one alone is a pause or a heavy request.
+	slowEpisodes = 2
 	// ratioHalfLife is the time in which the doubt in a slow server halves, so
 	// that it is tried again.
 	ratioHalfLife = 3 * time.Second
 	// ratioGain is the weight of one ordinary sample.
-	ratioGain = 0.2
+	ratioGain = 0.25
 	// firstPenalty and greatestPenalty bound for how long a server that failed
 	// is avoided; each failure in a row doubles the time.
 	firstPenalty    = 300 * time.Millisecond
@@ -62,6 +63,8 @@
 	// slowEpisodeEnd is when the last slow episode ended; requests that began
 	// before it tell nothing new.
 	slowEpisodeEnd time.Time
+	// slowRow counts slow episodes since the last normal answer.
+	slowRow int
 	failures       int
 	avoidUntil     time.Time
 	warmUntil      time.Time
@@ -88,15 +91,16 @@
 	ratio = min(ratio, greatestRatio)
 	current := m.currentRatio(now)
 	if ratio < slowRatio {
+		m.slowRow = 0
 		m.setRatio(current+ratioGain*(ratio-current), now)
 		return
 	}
 	if began.Before(m.slowEpisodeEnd) {
 		return
 	}
-	again := now.Sub(m.slowEpisodeEnd) < episodeMemory
 	m.slowEpisodeEnd = now
-	if again {
+	m.slowRow++
+	if m.slowRow >= slowEpisodes {
 		m.setRatio(max(current, ratio), now)
 		return
 	}
