Busy servers are waited for; connections are shared by zone; resets of new connections

Causes: after a loss of power of all nodes, parts of gathered requests were given up after 25 ms because each node may have only 4 requests at a server, and servers reset new connections beyond their cap, which used up the attempts. Ruled out: the time to read the store after a start (10 to 50 ms). Change: the fleet tells busy from absent; a part waits while servers are busy; nodes of a server's zone share half of its connections, all others 0.42; a new connection that is reset within two round trips and 10 ms does not use up an attempt of a repeatable request; a request waits up to 120 ms for the first configuration; changes that come together are read together for 0.8 s.

--- a/internal/edge/budgets.go
+++ b/internal/edge/budgets.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/bramblemast/bramblemast/pkg/budget"
+	"github.com/bramblemast/bramblemast/pkg/budget/window"
 )
 
 // Constants of the extra-load budget.
@@ -25,7 +25,7 @@
 
 	mutex sync.Mutex
 	// windows and nodes are guarded by mutex.
-	windows map[string]*budget.Window
+	windows map[string]*window.Window
 	nodes   int
 }
 
@@ -33,7 +33,7 @@
 	return &budgets{
 		ratio: bounds.ExtraRatio * ratioShare, extra: bounds.Extra * allowanceShare,
 		span:    time.Duration(bounds.ExtraWindowSeconds * float64(time.Second)),
-		windows: make(map[string]*budget.Window), nodes: assumedNodes,
+		windows: make(map[string]*window.Window), nodes: assumedNodes,
 	}
 }
 
@@ -44,12 +44,12 @@
 	b.nodes = max(1, nodes)
 }
 
-func (b *budgets) window(service string, now time.Time) (*budget.Window, float64) {
+func (b *budgets) window(service string, now time.Time) (*window.Window, float64) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	found := b.windows[service]
 	if found == nil {
-		found = budget.NewWindow(b.span, now)
+		found = window.New(b.span, now)
 		b.windows[service] = found
 	}
 	return found, b.extra / float64(b.nodes)
@@ -57,12 +57,12 @@
 
 // Earn implements fanout.Budget.
 func (b *budgets) Earn(service string, now time.Time) {
-	window, _ := b.window(service, now)
-	window.Earn(1, now)
+	used, _ := b.window(service, now)
+	used.Earn(1, now)
 }
 
 // TrySpend implements fanout.Budget.
 func (b *budgets) TrySpend(service string, keep float64, now time.Time) bool {
-	window, allowance := b.window(service, now)
-	return window.TrySpend(b.ratio, allowance, keep, now)
+	used, allowance := b.window(service, now)
+	return used.TrySpend(b.ratio, allowance, keep, now)
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -89,7 +89,7 @@
 	if known {
 		return
 	}
-	s.setCount(count)
+	s.share()
 	s.logger.Info("node found", "node", node.Name, "nodes", count)
 }
 
@@ -104,14 +104,21 @@
 	count := len(s.nodes)
 	s.mutex.Unlock()
 	if known {
-		s.setCount(count)
+		s.share()
 		s.logger.Info("node gone", "key", entry.Key, "nodes", count)
 	}
 }
 
-func (s *state) setCount(count int) {
-	s.fleet.SetCallers(count)
-	s.budgets.setNodes(count)
+// share divides what the nodes have in common among those that are known.
+func (s *state) share() {
+	s.mutex.Lock()
+	callers := fleet.Callers{Total: len(s.nodes), ByZone: make(map[string]int)}
+	for _, node := range s.nodes {
+		callers.ByZone[node.Zone]++
+	}
+	s.mutex.Unlock()
+	s.fleet.SetCallers(callers)
+	s.budgets.setNodes(callers.Total)
 }
 
 // Dependency implements directory.Listener.
--- a/internal/front/conversation.go
+++ b/internal/front/conversation.go
@@ -34,6 +34,7 @@
 		Deadline: c.deadline,
 		Assumed:  assumedTime(c.route), HedgeFactor: c.handler.policy.HedgeFactor,
 	}
+	plan.Patience = patience(c.route)
 	if c.route.Gathered() {
 		plan.Services, plan.Required = c.route.Shards, c.route.RequiredShards()
 		result := c.handler.gatherer.Run(c.received.Context(), plan, request)
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -91,7 +91,7 @@
 		exchanged.refuse(http.StatusServiceUnavailable, outcome.ReasonOverloaded, overloadedWait)
 		return
 	}
-	table := h.state.Table()
+	table := h.awaitTable()
 	if table == nil {
 		exchanged.refuse(http.StatusServiceUnavailable, outcome.ReasonStarting, startingWait)
 		return
@@ -114,6 +114,20 @@
 	exchanged.serve(request)
 }
 
+// awaitTable returns the configuration in force. A node that has just started
+// knows it within milliseconds, so a request waits a little for it.
+func (h *Handler) awaitTable() *route.Table {
+	table := h.state.Table()
+	for waited := time.Duration(0); table == nil && waited < startingPatience; waited += startingPoll {
+		time.Sleep(startingPoll)
+		table = h.state.Table()
+	}
+	return table
+}
+
+// startingPoll is how often a waiting request looks for a configuration.
+const startingPoll = 5 * time.Millisecond
+
 // errBodyTooLarge means that a client's body exceeds the configured bound.
 var errBodyTooLarge = errors.New("the body is too large")
 
--- a/internal/front/policy.go
+++ b/internal/front/policy.go
@@ -21,10 +21,12 @@
 
 // Waits that clients are told, and reserves of time.
 const (
-	startingWait   = 500 * time.Millisecond
+	startingWait   = 200 * time.Millisecond
 	overloadedWait = time.Second
 	leastRefusal   = 50 * time.Millisecond
 	greatestWait   = 2 * time.Second
+	// startingPatience is how long a request waits for the first configuration.
+	startingPatience = 120 * time.Millisecond
 	// deadlineReserve is left for the final answer at the end of the time.
 	deadlineReserve = 15 * time.Millisecond
 	// assumedTargetShare is the typical time of a kind of request in relation
@@ -62,3 +64,13 @@
 	}
 	return time.Duration(assumedTargetShare * float64(found.Target))
 }
+
+// patience returns how long a request waits while all servers are busy. A
+// request of one service is then refused, so that the client can come back in
+// time; a gathered one has parts at work and waits longer.
+func patience(found *route.Route) time.Duration {
+	if found.Gathered() {
+		return found.Target * 4 / 5
+	}
+	return found.Target / 5
+}
--- a/pkg/budget/window.go
+++ b/pkg/budget/window/window.go
@@ -1,13 +1,14 @@
-package budget
+// Package window bounds extra load over a sliding span of time.
+package window
 
 import (
 	"sync"
 	"time"
 )
 
-// windowBuckets is the resolution of a Window: each bucket covers this part
+// buckets is the resolution of a Window: each bucket covers this part
 // of the span.
-const windowBuckets = 100
+const buckets = 100
 
 // Window bounds extra sub-requests over a sliding span of time:
 //
@@ -22,15 +23,15 @@
 	bucketSpan time.Duration
 	start      time.Time
 	position   int64
-	primary    [windowBuckets + 1]int32
-	extra      [windowBuckets + 1]int32
+	primary    [buckets + 1]int32
+	extra      [buckets + 1]int32
 	primarySum int32
 	extraSum   int32
 }
 
-// NewWindow returns an empty window of the given span.
-func NewWindow(span time.Duration, now time.Time) *Window {
-	return &Window{bucketSpan: max(span/windowBuckets, time.Millisecond), start: now}
+// New returns an empty Window of the given span.
+func New(span time.Duration, now time.Time) *Window {
+	return &Window{bucketSpan: max(span/buckets, time.Millisecond), start: now}
 }
 
 // Earn counts primary sub-requests.
@@ -69,17 +70,17 @@
 func (w *Window) advance(now time.Time) int {
 	target := int64(now.Sub(w.start) / w.bucketSpan)
 	for w.position < target {
-		if target-w.position > windowBuckets {
+		if target-w.position > buckets {
 			w.clear(target)
 			break
 		}
 		w.position++
-		slot := w.position % (windowBuckets + 1)
+		slot := w.position % (buckets + 1)
 		w.primarySum -= w.primary[slot]
 		w.extraSum -= w.extra[slot]
 		w.primary[slot], w.extra[slot] = 0, 0
 	}
-	return int(w.position % (windowBuckets + 1))
+	return int(w.position % (buckets + 1))
 }
 
 func (w *Window) clear(position int64) {
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -19,7 +19,7 @@
 	// loadTimeout bounds one reading of everything.
 	loadTimeout = 2 * time.Second
 	// eventPause lets changes that come together travel together.
-	eventPause = 400 * time.Millisecond
+	eventPause = 800 * time.Millisecond
 	// leastRetry and greatestRetry bound the wait after a failed call.
 	leastRetry    = 100 * time.Millisecond
 	greatestRetry = 800 * time.Millisecond
--- a/pkg/exchange/attempt.go
+++ b/pkg/exchange/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,6 +16,10 @@
 // since a server may answer before it has read a long body.
 const largeBody = 4 << 10
 
+// turnedAwayWithin is how soon, beyond two round trips, a server that has too
+// many connections resets a new one.
+const turnedAwayWithin = 10 * time.Millisecond
+
 // Attempt is one sending of a request to one server. Run is called once;
 // Expire may be called at any time from other goroutines.
 type Attempt struct {
@@ -30,6 +35,10 @@
 	// ConnectTime is the time that a new connection took; zero if none was
 	// opened. Valid after Run.
 	ConnectTime time.Duration
+	// TurnedAway reports that the server reset a new connection before it can
+	// have done any work: it likely has too many connections. It is no evidence
+	// that the request did not run. Valid after Run.
+	TurnedAway bool
 
 	mutex sync.Mutex
 	// end, cancelDial and current are guarded by mutex.
@@ -63,6 +72,7 @@
 		_ = used.Close()
 		return nil, a.failure("send", outcome.NotRun, outcome.ReasonCancelled, context.Canceled)
 	}
+	sentAt := time.Now()
 	answer, rest, err := a.converse(used)
 	a.disown()
 	if err != nil || rest <= 0 {
@@ -72,6 +82,7 @@
 		a.Pool.put(used, rest, time.Now())
 	}
 	if err != nil {
+		a.TurnedAway = a.ConnectTime > 0 && errors.Is(err, syscall.ECONNRESET) && time.Since(sentAt) < turnedAwayWithin+2*a.ConnectTime
 		return nil, a.failure("exchange", outcome.Unknown, outcome.ReasonConnectionLost, err)
 	}
 	return answer, nil
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -34,6 +34,8 @@
 	Deadline time.Time
 	// Assumed is the typical time of the kind until one is measured.
 	Assumed time.Duration
+	// Patience is how long a part waits while all of its servers are busy.
+	Patience time.Duration
 	// HedgeFactor times the typical time is the wait before a second server is
 	// asked.
 	HedgeFactor float64
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -13,48 +13,42 @@
 
 const statusMisdirected = http.StatusMisdirectedRequest
 
-// errNoServer means that a service has no server that may be asked now.
-var errNoServer = errors.New("no server may be asked")
-
 // launchFirst asks the first server of a part.
 func (r *run) launchFirst(index int, now time.Time) {
 	r.runner.Budget.Earn(r.parts[index].service, now)
 	r.launchNext(index, now)
 }
 
-// launchNext asks a server of a part that is being asked nowhere. If there is
-// none, it is tried again a little later, as long as there is time.
+// launchNext asks a server of a part that is being asked nowhere. If all are
+// busy, it is tried again a little later.
 func (r *run) launchNext(index int, now time.Time) {
 	owner := &r.parts[index]
-	lease := r.runner.Fleet.Acquire(r.choice(owner), now)
+	lease, availability := r.runner.Fleet.Acquire(r.choice(owner), now)
 	if lease == nil {
-		r.awaitServer(owner, now)
+		r.awaitServer(owner, availability, now)
 		return
 	}
-	owner.idle = false
+	owner.idleSince = time.Time{}
 	r.send(index, lease, now)
 	owner.hedgeAt = r.hedgeTime(owner, lease, now)
 }
 
-// awaitServer keeps a part open until a server can be asked. A request that
-// has no server by its target is given up at once.
-func (r *run) awaitServer(owner *part, now time.Time) {
+// awaitServer keeps a part open while all of its servers are busy, and closes
+// it when there is none or the wait takes too long.
+func (r *run) awaitServer(owner *part, availability fleet.Availability, now time.Time) {
 	if owner.failure == nil {
 		owner.failure = &outcome.Error{
 			Step: "choose server", Peer: owner.service, Outcome: outcome.NotRun,
-			Reason: outcome.ReasonNoReplica, Cause: errNoServer,
+			Reason: outcome.ReasonNoReplica, Cause: errors.Errorf("all servers are %s", availability),
 		}
 	}
-	waitUntil := r.plan.Target
-	if waitUntil.IsZero() || waitUntil.After(r.plan.Deadline) {
-		waitUntil = r.plan.Deadline
+	if owner.idleSince.IsZero() {
+		owner.idleSince = now
 	}
-	waitUntil = now.Add(waitUntil.Sub(now) / 4)
-	if owner.idle || waitUntil.Sub(now) < recheck {
+	if availability == fleet.Absent || now.Sub(owner.idleSince) >= r.plan.Patience {
 		r.closePart(owner)
 		return
 	}
-	owner.idle = true
 	owner.hedgeAt = now.Add(recheck)
 }
 
@@ -78,7 +72,7 @@
 	if owner.executions >= r.plan.MaxAttempts || !r.plan.Repeatable {
 		return
 	}
-	lease := r.runner.Fleet.Acquire(r.choice(owner), now)
+	lease, _ := r.runner.Fleet.Acquire(r.choice(owner), now)
 	if lease == nil {
 		owner.hedgeAt = now.Add(recheck)
 		return
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -12,7 +12,7 @@
 // Times of the event loop.
 const (
 	// recheck is when a part for which no server could be asked is tried again.
-	recheck = 25 * time.Millisecond
+	recheck = 12 * time.Millisecond
 	// deniedRecheck is when a hedge is tried again that the budget denied.
 	deniedRecheck = 40 * time.Millisecond
 	// freeRefusals is how many refusals of servers a part may meet beyond the
@@ -38,8 +38,9 @@
 	ran bool
 	// hedgeAt is when a further server is to be asked; zero if never.
 	hedgeAt time.Time
-	// idle says that no server is being asked and one is to be found.
-	idle bool
+	// idleSince is since when no server is being asked and one is to be found;
+	// zero if one is being asked.
+	idleSince time.Time
 }
 
 // attempt is one sub-request under way.
@@ -144,7 +145,7 @@
 			continue
 		}
 		due.hedgeAt = time.Time{}
-		if due.idle {
+		if !due.idleSince.IsZero() {
 			r.launchNext(index, now)
 		} else {
 			r.hedge(index, now)
@@ -181,6 +182,11 @@
 func (r *run) noteFailure(owner *part, result finished) {
 	if result.err != nil {
 		owner.failure = result.err
+		if r.plan.Repeatable && result.attempt.TurnedAway {
+			owner.executions--
+			owner.refusals++
+			return
+		}
 		if outcome.Of(result.err) == outcome.NotRun {
 			owner.executions--
 			if !result.attempt.Arrived {
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"time"
 )
 
@@ -8,9 +9,13 @@
 const (
 	// failedCost is added for a server that failed a short while ago.
 	failedCost = 2 * time.Second
-	// connectionShare is the part of a server's connections that all nodes
-	// together use.
-	connectionShare = 0.9
+	// nearShare and farShare are the parts of a server's connections that the
+	// nodes of its zone and all other nodes use.
+	nearShare = 0.5
+	farShare  = 0.42
+	// leastLimit is the least number of requests that a node may have at one
+	// server.
+	leastLimit = 2
 	// jitterShare spreads requests over servers that are about alike.
 	jitterShare = 0.1
 	// stallFactor times the expected time is when a silent server is taken for
@@ -31,22 +36,39 @@
 	Excluded []*Lease
 }
 
+// Availability says why there is no server.
+type Availability int
+
+// The availabilities.
+const (
+	// Available means that there is a server.
+	Available Availability = iota
+	// Busy means that all servers have as many requests of this node as they
+	// may have.
+	Busy
+	// Absent means that the service has no server that was not asked before.
+	Absent
+)
+
+// String returns the name used in logs.
+func (a Availability) String() string { return [...]string{"available", "busy", "absent"}[a] }
+
 // Acquire chooses the server that is expected to answer soonest and returns a
-// lease of it, or nil if the service has no server that may be asked.
-func (f *Fleet) Acquire(choice Choice, now time.Time) *Lease {
+// lease of it, or nil and why there is none.
+func (f *Fleet) Acquire(choice Choice, now time.Time) (*Lease, Availability) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	profile := f.profile(choice)
-	best, cost := f.cheapest(choice, profile, now)
+	best, cost, availability := f.cheapest(choice, profile, now)
 	if best == nil {
-		return nil
+		return nil, availability
 	}
 	lease := &Lease{
 		Server: best.Server, Pool: best.pool, member: best, profile: profile, began: now, Cost: cost,
 		Expected: best.zone.roundTrip + profile.typical() + 2*profile.deviation,
 	}
 	best.active = append(best.active, lease)
-	return lease
+	return lease, Available
 }
 
 // Estimate returns the expected time of the best server without taking it; the
@@ -54,7 +76,7 @@
 func (f *Fleet) Estimate(choice Choice, now time.Time) (time.Duration, bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	best, cost := f.cheapest(choice, f.profile(choice), now)
+	best, cost, _ := f.cheapest(choice, f.profile(choice), now)
 	return cost, best != nil
 }
 
@@ -78,17 +100,21 @@
 }
 
 // cheapest returns the member with the least cost. The mutex is held.
-func (f *Fleet) cheapest(choice Choice, profile *Profile, now time.Time) (*member, time.Duration) {
+func (f *Fleet) cheapest(choice Choice, profile *Profile, now time.Time) (*member, time.Duration, Availability) {
 	var best, leaving *member
 	var bestCost, leavingCost time.Duration
-	limit := f.limit(choice.Service)
+	availability := Absent
 	for _, each := range f.services[choice.Service] {
-		if wasAsked(choice.Excluded, each) || len(each.active) >= limit {
+		if wasAsked(choice.Excluded, each) || f.hasLeft(each, now) {
+			continue
+		}
+		if len(each.active) >= f.limit(each) {
+			availability = Busy
 			continue
 		}
 		cost := f.cost(each, profile, now)
 		if !each.leftAt.IsZero() {
-			if now.Sub(each.leftAt) < f.settings.LeaveWithin && (leaving == nil || cost < leavingCost) {
+			if leaving == nil || cost < leavingCost {
 				leaving, leavingCost = each, cost
 			}
 			continue
@@ -97,20 +123,35 @@
 			best, bestCost = each, cost
 		}
 	}
-	if best == nil {
-		return leaving, leavingCost
+	if best != nil {
+		return best, bestCost, Available
+	}
+	if leaving != nil && availability == Absent {
+		return leaving, leavingCost, Available
 	}
-	return best, bestCost
+	return nil, 0, availability
 }
 
-// limit returns how many requests this node may have at one server. The mutex
+// hasLeft reports whether a server may not be asked any more, not even as the
+// last one of its service. The mutex is held.
+func (f *Fleet) hasLeft(each *member, now time.Time) bool {
+	return !each.leftAt.IsZero() && now.Sub(each.leftAt) >= f.settings.LeaveWithin
+}
+
+// limit returns how many requests this node may have at a server, so that all
+// nodes together stay within the server's connections. Nodes of the server's
+// own zone have more of them, since servers nearby are asked first. The mutex
 // is held.
-func (f *Fleet) limit(service string) int {
-	connections := f.connections[service]
+func (f *Fleet) limit(each *member) int {
+	connections := f.connections[each.Service]
 	if connections <= 0 {
-		return 1 << 30
+		return math.MaxInt
+	}
+	share, sharers := farShare, f.callers.Total-f.callers.ByZone[each.Zone]
+	if each.Zone == f.settings.Local.Zone {
+		share, sharers = nearShare, f.callers.ByZone[each.Zone]
 	}
-	return max(2, int(connectionShare*float64(connections)/float64(f.callers)))
+	return max(leastLimit, int(share*float64(connections)/float64(max(1, sharers))))
 }
 
 // cost estimates when a server would answer. The mutex is held.
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -37,8 +37,8 @@
 	services map[string][]*member
 	zones    map[string]*zoneTimes
 	profiles map[string]*Profile
-	// callers is the number of nodes that share the servers' connections.
-	callers int
+	// callers are the nodes that share the servers' connections.
+	callers Callers
 	// connections is the greatest number of connections of a server, by service.
 	connections map[string]int
 }
@@ -52,7 +52,6 @@
 		zones:       make(map[string]*zoneTimes),
 		profiles:    make(map[string]*Profile),
 		connections: make(map[string]int),
-		callers:     1,
 	}
 }
 
@@ -149,11 +148,18 @@
 	f.connections = connections
 }
 
-// SetCallers takes the number of nodes that share the servers.
-func (f *Fleet) SetCallers(callers int) {
+// Callers counts the nodes that share the servers, this node among them.
+type Callers struct {
+	Total  int
+	ByZone map[string]int
+}
+
+// SetCallers takes the nodes that share the servers; the caller does not change
+// the map afterwards.
+func (f *Fleet) SetCallers(callers Callers) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.callers = max(1, callers)
+	f.callers = callers
 }
 
 // Len returns the number of listed servers.
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -64,10 +64,10 @@
 	// before it tell nothing new.
 	slowEpisodeEnd time.Time
 	// slowRow counts slow episodes since the last normal answer.
-	slowRow int
-	failures       int
-	avoidUntil     time.Time
-	warmUntil      time.Time
+	slowRow    int
+	failures   int
+	avoidUntil time.Time
+	warmUntil  time.Time
 	// leftAt is when it was first known to drain or to be gone; zero if it
 	// takes requests.
 	leftAt time.Time
