--- a/internal/front/policy.go
+++ b/internal/front/policy.go
@@ -17,7 +17,7 @@
 }
 
 // DefaultPolicy is in force where no template says otherwise.
-var DefaultPolicy = Policy{HedgeFactor: 2.5, TargetReserve: 0.1}
+var DefaultPolicy = Policy{HedgeFactor: 2.5, TargetReserve: 0.075}
 
 // Waits that clients are told, and reserves of time.
 const (
@@ -35,7 +35,7 @@
 	// defaultDeadline bounds requests that name no time on routes without one.
 	defaultDeadline = 30 * time.Second
 	// least and greatest reserve of the target.
-	leastTargetReserve    = 10 * time.Millisecond
+	leastTargetReserve    = 8 * time.Millisecond
 	greatestTargetReserve = 40 * time.Millisecond
 )
 
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -11,11 +11,11 @@
 	failedCost = 2 * time.Second
 	// nearShare and farShare are the parts of a server's connections that the
 	// nodes of its zone and all other nodes use.
-	nearShare = 0.5
-	farShare  = 0.42
+	nearShare = 0.3
+	farShare  = 0.5
 	// leastLimit is the least number of requests that a node may have at one
 	// server.
-	leastLimit = 2
+	leastLimit = 3
 	// jitterShare spreads requests over servers that are about alike.
 	jitterShare = 0.1
 	// stallFactor times the expected time is when a silent server is taken for
