Nodes as each other's second source of the store

Cause: a node that the store refuses, throttles or leaves in a silent watch knew nothing new; and each node asked the store every 4 s only to notice that. Change: a replica of the store's keys with tombstones; every second a node asks a random other one for what it has not read (protobuf over pkg/peer), more often while the store does not answer; a peer that knows more also ends a silent watch; watches wait 4 to 6 s.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -14,13 +14,21 @@
 	"github.com/bramblemast/bramblemast/internal/front"
 	"github.com/bramblemast/bramblemast/pkg/directory"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/peer"
+	"github.com/bramblemast/bramblemast/pkg/target"
 )
 
 // Times and bounds of a node.
 const (
 	connectTimeout = time.Second
-	maxInFlight    = 2000
-	sweepInterval  = time.Second
+	// maxPeerFrame bounds a message between nodes, which may hold all entries.
+	maxPeerFrame = 16 << 20
+	// maxPeerConnections bounds the connections to other nodes; one that was
+	// unused for longest gives way to a new one.
+	maxPeerConnections = 4
+	maxPeerInbound     = 64
+	maxInFlight        = 2000
+	sweepInterval      = time.Second
 	// leaveReserve is kept of the time in which a leaving server may be asked,
 	// since a request takes its time to arrive.
 	leaveReserve = 700 * time.Millisecond
@@ -55,6 +63,9 @@
 	ready    *http.Server
 	follower *directory.Follower
 	member   *registration
+	// transport and peers are nil if the node has no address for its peers.
+	transport *peer.TCP
+	peers     *directory.Peers
 }
 
 // New opens the node's listeners.
@@ -84,11 +95,34 @@
 	node.listener = listener
 	node.state.idle = listener.SetIdle
 	node.follower = directory.NewFollower(options.Platform, node.state)
+	if err := node.openPeers(settings); err != nil {
+		return nil, err
+	}
 	node.member = newRegistration(options.Platform, settings, options.Logger)
 	node.ready = &http.Server{Handler: node.readyHandler(), ReadHeaderTimeout: connectTimeout}
 	return node, nil
 }
 
+// openPeers opens the address for other nodes, if there is one.
+func (n *Node) openPeers(settings *Settings) error {
+	if settings.Listen.Peers == "" {
+		return nil
+	}
+	opened, err := net.Listen("tcp", settings.Listen.Peers)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	n.transport = peer.NewTCP(peer.TCPOptions{
+		Node: target.NodeID(settings.Node.Name), Listener: opened, DialTimeout: connectTimeout,
+		MaxFrameBytes: maxPeerFrame, MaxInbound: maxPeerInbound, MaxConnections: maxPeerConnections,
+	})
+	n.peers = directory.NewPeers(directory.PeersOptions{
+		Follower: n.follower, Transport: n.transport, Local: localNode(settings), Nodes: n.state.knownNodes,
+		Seeds: settings.Peers,
+	})
+	return nil
+}
+
 // Run serves until ctx ends, and then stops as planned: no request in flight
 // is cut off within the grace time.
 func (n *Node) Run(ctx context.Context) error {
@@ -107,6 +141,10 @@
 	group.Add(func() error { return n.ready.Serve(readyListener) }, func(error) { _ = n.ready.Close() })
 	add(n.follower.Run)
 	add(n.member.run)
+	if n.transport != nil {
+		add(n.transport.Run)
+		add(n.peers.Run)
+	}
 	add(n.listener.Sweep)
 	add(n.sweepServers)
 	add(func(inner context.Context) error { return n.awaitStop(ctx, inner) })
--- a/internal/edge/registration.go
+++ b/internal/edge/registration.go
@@ -35,9 +35,14 @@
 }
 
 func newRegistration(registry Registry, settings *Settings, logger hclog.Logger) *registration {
-	return &registration{registry: registry, logger: logger, node: directory.Node{
+	return &registration{registry: registry, logger: logger, node: localNode(settings)}
+}
+
+// localNode describes this node to others.
+func localNode(settings *Settings) directory.Node {
+	return directory.Node{
 		Name: settings.Node.Name, Zone: settings.Node.Zone, PeerAddress: settings.Listen.Peers,
-	}}
+	}
 }
 
 // run registers and renews until ctx ends.
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -109,6 +111,13 @@
 	}
 }
 
+// knownNodes returns the nodes that are known.
+func (s *state) knownNodes() []directory.Node {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Collect(maps.Values(s.nodes))
+}
+
 // share divides what the nodes have in common among those that are known.
 func (s *state) share() {
 	s.mutex.Lock()
@@ -122,10 +131,10 @@
 }
 
 // Dependency implements directory.Listener.
-func (s *state) Dependency(connected bool, cause error) {
+func (s *state) Dependency(name string, connected bool, cause error) {
 	if connected {
-		s.logger.Info("store regained")
+		s.logger.Info("dependency regained", "dependency", name)
 		return
 	}
-	s.logger.Warn("store lost", "error", cause.Error())
+	s.logger.Warn("dependency lost", "dependency", name, "error", cause.Error())
 }
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -22,6 +22,8 @@
 	Key      string
 	Revision uint64
 	Gone     bool
+	// Value is what the store holds, for other nodes to decode.
+	Value []byte
 	// ServerID is set for the key of a server, also when it is gone.
 	ServerID string
 
@@ -64,12 +66,14 @@
 	Load(ctx context.Context, fresh bool) (Batch, error)
 	// Watch waits for changes after a revision, for at most wait.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
+	// Decode reads the value of a key.
+	Decode(key string, value []byte, revision uint64) Entry
 }
 
-// Listener takes the changes, in order and from one goroutine.
+// Listener takes the changes, one at a time.
 type Listener interface {
 	// Changed takes the new state of a key.
 	Changed(entry Entry)
-	// Dependency tells that the source was lost or regained.
-	Dependency(connected bool, cause error)
+	// Dependency tells that a source of changes was lost or regained.
+	Dependency(name string, connected bool, cause error)
 }
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -11,9 +11,12 @@
 
 // Times of the follower.
 const (
-	// watchWait is how long one watch waits; an answer that was lost on the way
-	// is noticed after it.
-	watchWait = 4 * time.Second
+	// leastWait and greatestWait bound how long one watch waits. A watch that
+	// says nothing any more is noticed after it, or earlier by peers that know
+	// more. The waits differ, so that watches which fell silent together are not
+	// all noticed late.
+	leastWait    = 4 * time.Second
+	greatestWait = 6 * time.Second
 	// watchSlack is how much longer the answer of a watch may take.
 	watchSlack = time.Second
 	// loadTimeout bounds one reading of everything.
@@ -23,53 +26,89 @@
 	// leastRetry and greatestRetry bound the wait after a failed call.
 	leastRetry    = 100 * time.Millisecond
 	greatestRetry = 800 * time.Millisecond
+	// staleEvery is how many failed readings come before one that may be
+	// answered by a copy that is seconds old.
+	staleEvery = 3
 )
 
-// Follower keeps reading a source. Run is called once; the other methods are
-// safe for concurrent use.
+// Names of dependencies.
+const storeDependency = "store"
+
+// Follower keeps a replica of the store. Run is called once; the other methods
+// are safe for concurrent use.
 type Follower struct {
 	source   Source
 	listener Listener
+	replica  *replica
+	// kick ends a watch that waits.
+	kick chan struct{}
 
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
-	known     map[string]Entry
-	at        uint64
 	contactAt time.Time
-	connected bool
+	contact   contact
 
-	loaded bool
+	loaded   bool
+	failures int
 }
 
+// contact is whether the store answers.
+type contact int
+
+const (
+	contactUnknown contact = iota
+	contactLost
+	contactHeld
+)
+
 // NewFollower returns a follower that has read nothing yet.
 func NewFollower(source Source, listener Listener) *Follower {
-	return &Follower{source: source, listener: listener, known: make(map[string]Entry)}
+	return &Follower{
+		source: source, listener: listener, replica: newReplica(listener), kick: make(chan struct{}, 1),
+	}
 }
 
-// Revision returns up to which revision the source has been read, and when it
-// last answered.
+// Revision returns up to which revision the store is known, and when it last
+// answered.
 func (f *Follower) Revision() (uint64, time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.at, f.contactAt
+	return f.replica.revision(), f.contactAt
+}
+
+// inContact reports whether the store answered the last call.
+func (f *Follower) inContact() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.contact == contactHeld
+}
+
+// askAgain ends a watch that waits, since it seems to miss changes.
+func (f *Follower) askAgain() {
+	select {
+	case f.kick <- struct{}{}:
+	default:
+	}
 }
 
-// Run follows the source until ctx ends.
+// Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	failures := 0
 	for ctx.Err() == nil {
-		changed, err := f.step(ctx, failures)
+		changed, err := f.step(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
+		if errors.Is(err, errAskedAgain) {
+			continue
+		}
 		if err != nil {
 			f.lost(err)
-			sleep(ctx, retryDelay(failures))
-			failures++
+			sleep(ctx, retryDelay(f.failures))
+			f.failures++
 			continue
 		}
 		f.regained()
-		failures = 0
+		f.failures = 0
 		if changed {
 			sleep(ctx, eventPause)
 		}
@@ -78,111 +117,95 @@
 }
 
 // step makes one call and reports whether anything changed.
-func (f *Follower) step(ctx context.Context, failures int) (bool, error) {
+func (f *Follower) step(ctx context.Context) (bool, error) {
 	if !f.loaded {
-		return false, f.load(ctx, failures%3 != 2)
+		return false, f.load(ctx)
 	}
-	limited, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	return f.watch(ctx)
+}
+
+// errAskedAgain ends a watch because other nodes know more.
+var errAskedAgain = errors.New("other nodes know more than the watch has told")
+
+func (f *Follower) watch(ctx context.Context) (bool, error) {
+	wait := leastWait + rand.N(greatestWait-leastWait)
+	limited, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	batch, err := f.source.Watch(limited, f.currentRevision(), watchWait)
+	kickable, kick := context.WithCancelCause(limited)
+	defer kick(nil)
+	defer f.listenForKick(kick)()
+	batch, err := f.source.Watch(kickable, f.replica.revision(), wait)
 	if errors.Is(err, ErrHistoryGone) {
 		f.loaded = false
 		return false, nil
 	}
+	if err != nil && errors.Is(context.Cause(kickable), errAskedAgain) {
+		return false, errAskedAgain
+	}
 	if err != nil {
 		return false, errors.WithMessage(err, "watch the store")
 	}
-	f.apply(batch)
+	f.replica.apply(batch, false, time.Now())
 	return len(batch.Entries) > 0, nil
 }
 
-func (f *Follower) load(ctx context.Context, fresh bool) error {
+// listenForKick lets askAgain end the watch until the returned function is
+// called.
+func (f *Follower) listenForKick(kick context.CancelCauseFunc) func() {
+	select {
+	case <-f.kick:
+	default:
+	}
+	stop := make(chan struct{})
+	go func() {
+		select {
+		case <-f.kick:
+			kick(errAskedAgain)
+		case <-stop:
+		}
+	}()
+	return func() { close(stop) }
+}
+
+// load reads everything.
+func (f *Follower) load(ctx context.Context) error {
+	fresh := f.failures%staleEvery != staleEvery-1
 	limited, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	batch, err := f.source.Load(limited, fresh)
 	if err != nil {
 		return errors.WithMessage(err, "read the store")
 	}
-	if batch.Revision < f.currentRevision() {
-		if fresh {
-			return errors.Errorf("the store answered with revision %d, %d was seen", batch.Revision, f.currentRevision())
-		}
-		return errors.New("the store's copy is older than what is known")
+	if known := f.replica.revision(); batch.Revision < known {
+		return errors.Errorf("the store answered with revision %d, %d was seen", batch.Revision, known)
 	}
-	f.removeAbsent(batch)
-	f.apply(batch)
+	f.replica.apply(batch, true, time.Now())
 	f.loaded = true
 	return nil
 }
 
-// removeAbsent reports the keys that a full reading no longer has.
-func (f *Follower) removeAbsent(batch Batch) {
-	f.mutex.Lock()
-	absent := maps.Clone(f.known)
-	f.mutex.Unlock()
-	for _, entry := range batch.Entries {
-		delete(absent, entry.Key)
-	}
-	for key, entry := range absent {
-		if entry.Revision <= batch.Revision {
-			f.Offer(Entry{Key: key, ServerID: entry.ServerID, Revision: batch.Revision, Gone: true})
-		}
-	}
-}
-
-func (f *Follower) apply(batch Batch) {
-	for _, entry := range batch.Entries {
-		f.Offer(entry)
+func (f *Follower) lost(cause error) {
+	if f.setContact(contactLost) != contactLost {
+		f.listener.Dependency(storeDependency, false, cause)
 	}
-	f.mutex.Lock()
-	f.at = max(f.at, batch.Revision)
-	f.mutex.Unlock()
 }
 
-// Offer hands an entry to the listener if it is newer than what is known.
-func (f *Follower) Offer(entry Entry) {
-	f.mutex.Lock()
-	known, exists := f.known[entry.Key]
-	isNewer := entry.Revision > known.Revision && (exists || !entry.Gone)
-	if isNewer {
-		f.known[entry.Key] = entry
-		if entry.Gone {
-			delete(f.known, entry.Key)
-		}
-	}
-	f.mutex.Unlock()
-	if isNewer {
-		f.listener.Changed(entry)
+func (f *Follower) regained() {
+	if f.setContact(contactHeld) != contactHeld {
+		f.listener.Dependency(storeDependency, true, nil)
 	}
 }
 
-func (f *Follower) currentRevision() uint64 {
+// setContact notes whether the store answers and returns what was known before.
+func (f *Follower) setContact(now contact) contact {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.at
-}
-
-func (f *Follower) lost(cause error) {
-	f.mutex.Lock()
-	wasConnected := f.connected || f.contactAt.IsZero()
-	if f.contactAt.IsZero() {
-		f.contactAt = time.Unix(0, 0)
-	}
-	f.connected = false
-	f.mutex.Unlock()
-	if wasConnected {
-		f.listener.Dependency(false, cause)
-	}
-}
-
-func (f *Follower) regained() {
-	f.mutex.Lock()
-	wasConnected := f.connected
-	f.connected, f.contactAt = true, time.Now()
-	f.mutex.Unlock()
-	if !wasConnected {
-		f.listener.Dependency(true, nil)
+	before := f.contact
+	f.contact = now
+	if now == contactHeld {
+		f.contactAt = time.Now()
 	}
+	return before
 }
 
 func retryDelay(failures int) time.Duration {
--- /dev/null
+++ b/pkg/directory/replica.go
@@ -0,0 +1,151 @@
+package directory
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+// tombstoneLifetime is for how long a node remembers which keys have gone, so
+// that it can tell another node only what has changed.
+const tombstoneLifetime = 2 * time.Minute
+
+// replica is what a node knows of the store: the newest state of each key, up
+// to a revision. It is safe for concurrent use.
+type replica struct {
+	listener Listener
+
+	// order makes changes reach the listener one at a time.
+	order sync.Mutex
+
+	mutex sync.Mutex
+	// The fields below are guarded by mutex.
+	entries    map[string]Entry
+	tombstones map[string]tombstone
+	// forgottenUpTo is the revision up to which tombstones are forgotten.
+	forgottenUpTo uint64
+	// at is the revision up to which the replica is complete; zero for nothing.
+	at uint64
+}
+
+// tombstone remembers a key that is gone.
+type tombstone struct {
+	revision uint64
+	since    time.Time
+}
+
+func newReplica(listener Listener) *replica {
+	return &replica{
+		listener: listener, entries: make(map[string]Entry), tombstones: make(map[string]tombstone),
+	}
+}
+
+// revision returns the revision up to which the replica is complete.
+func (r *replica) revision() uint64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.at
+}
+
+// apply takes a batch and returns the number of changes that were news. With
+// full, keys that the batch does not hold are gone.
+func (r *replica) apply(batch Batch, full bool, now time.Time) int {
+	r.order.Lock()
+	defer r.order.Unlock()
+	if batch.Revision < r.revision() {
+		return 0
+	}
+	news := 0
+	if full {
+		for _, gone := range r.absent(batch) {
+			news += r.offer(gone, now)
+		}
+	}
+	for _, entry := range batch.Entries {
+		news += r.offer(entry, now)
+	}
+	r.mutex.Lock()
+	r.at = max(r.at, batch.Revision)
+	r.forget(now)
+	r.mutex.Unlock()
+	return news
+}
+
+// absent returns the end of each key that a full batch no longer holds.
+func (r *replica) absent(batch Batch) []Entry {
+	r.mutex.Lock()
+	missing := maps.Clone(r.entries)
+	r.mutex.Unlock()
+	for _, entry := range batch.Entries {
+		delete(missing, entry.Key)
+	}
+	var ends []Entry
+	for key, entry := range missing {
+		if entry.Revision <= batch.Revision {
+			ends = append(ends, Entry{Key: key, ServerID: entry.ServerID, Revision: batch.Revision, Gone: true})
+		}
+	}
+	return ends
+}
+
+// offer hands an entry to the listener if it is newer than what is known of its
+// key, and returns 1 if it is.
+func (r *replica) offer(entry Entry, now time.Time) int {
+	if !r.replace(entry, now) {
+		return 0
+	}
+	r.listener.Changed(entry)
+	return 1
+}
+
+func (r *replica) replace(entry Entry, now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known, exists := r.entries[entry.Key]
+	if entry.Revision <= known.Revision || entry.Revision <= r.tombstones[entry.Key].revision {
+		return false
+	}
+	if !entry.Gone {
+		r.entries[entry.Key] = entry
+		return true
+	}
+	delete(r.entries, entry.Key)
+	r.tombstones[entry.Key] = tombstone{revision: entry.Revision, since: now}
+	return exists
+}
+
+// forget drops old tombstones. The mutex is held.
+func (r *replica) forget(now time.Time) {
+	for key, old := range r.tombstones {
+		if now.Sub(old.since) > tombstoneLifetime {
+			r.forgottenUpTo = max(r.forgottenUpTo, old.revision)
+			delete(r.tombstones, key)
+		}
+	}
+}
+
+// since returns what has changed after a revision, and whether it is everything
+// there is.
+func (r *replica) since(after uint64) (Batch, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	batch := Batch{Revision: r.at}
+	if after >= r.at {
+		return batch, false
+	}
+	full := after < r.forgottenUpTo || after == 0
+	if full {
+		after = 0
+	}
+	for _, entry := range r.entries {
+		if entry.Revision > after {
+			batch.Entries = append(batch.Entries, entry)
+		}
+	}
+	for key, old := range r.tombstones {
+		if !full && old.revision > after {
+			batch.Entries = append(batch.Entries, Entry{Key: key, Revision: old.revision, Gone: true})
+		}
+	}
+	return batch, full
+}
