A list that is in doubt takes no server away; parts without a server wait

After a loss of power, servers still held the old connections and reset new ones. Ruled out: the burst (no failure in its span but for the node that lost power). Change: within the time that the platform gives until bounds hold again, an entry that vanishes leaves its server in use; a part without a server waits while it can hold back nothing; a server that a request has not reached may be asked again; connections rest 4 s at most.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -95,6 +95,9 @@
 	node.listener = listener
 	node.state.idle = listener.SetIdle
 	node.follower = directory.NewFollower(options.Platform, node.state)
+	node.state.doubtedUntil = func(now time.Time) time.Time {
+		return node.follower.DoubtedUntil(settings.listSettles(), now)
+	}
 	if err := node.openPeers(settings); err != nil {
 		return nil, err
 	}
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -58,6 +58,9 @@
 type BoundSettings struct {
 	// DrainMillis is how long a leaving server may still be asked.
 	DrainMillis int `json:"drain_ms"`
+	// ContactMillis is how long the platform must have answered until a node is
+	// held to the other bounds.
+	ContactMillis int `json:"contact_ms"`
 	// GraceSeconds is the time between the stop signal and the end.
 	GraceSeconds float64 `json:"grace_s"`
 	// ExtraRatio and Extra bound the requests to a second server, over all
@@ -121,6 +124,7 @@
 		}
 	}
 	negative("bounds.drain_ms", float64(s.Bounds.DrainMillis))
+	negative("bounds.contact_ms", float64(s.Bounds.ContactMillis))
 	negative("bounds.extra_ratio", s.Bounds.ExtraRatio)
 	negative("bounds.extra", s.Bounds.Extra)
 	negative("bounds.extra_window_s", s.Bounds.ExtraWindowSeconds)
@@ -133,6 +137,12 @@
 	return problems
 }
 
+// listSettles returns for how long after the store has answered again an
+// absence in it proves nothing.
+func (s *Settings) listSettles() time.Duration {
+	return max(0, time.Duration(s.Bounds.ContactMillis)*time.Millisecond-leaveReserve)
+}
+
 // grace returns the time between the stop signal and the end.
 func (s *Settings) grace() time.Duration {
 	return time.Duration(s.Bounds.GraceSeconds * float64(time.Second))
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -22,6 +22,8 @@
 	budgets *budgets
 	// idle takes the configured time for which clients' connections may rest.
 	idle func(time.Duration)
+	// doubtedUntil returns until when an absence in the store proves nothing.
+	doubtedUntil func(now time.Time) time.Time
 
 	table    atomic.Pointer[route.Table]
 	draining atomic.Bool
@@ -96,8 +98,10 @@
 }
 
 func (s *state) remove(entry directory.Entry) {
-	if entry.ServerID != "" && s.fleet.Remove(entry.ServerID, time.Now()) {
-		s.logger.Info("server gone", "server", entry.ServerID, "revision", entry.Revision)
+	now := time.Now()
+	doubtedUntil := s.doubtedUntil(now)
+	if entry.ServerID != "" && s.fleet.Remove(entry.ServerID, doubtedUntil, now) {
+		s.logger.Info("server gone", "list_in_doubt", doubtedUntil.After(now), "server", entry.ServerID, "revision", entry.Revision)
 		return
 	}
 	s.mutex.Lock()
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -46,7 +46,9 @@
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
 	contactAt time.Time
-	contact   contact
+	// regainedAt is when the store answered again after it had not.
+	regainedAt time.Time
+	contact    contact
 
 	loaded   bool
 	failures int
@@ -76,6 +78,21 @@
 	return f.replica.revision(), f.contactAt
 }
 
+// DoubtedUntil returns until when the absence of a key proves nothing, because
+// the store does not answer or has begun to answer only lately: it may have
+// lost keys that their owners are about to write again.
+func (f *Follower) DoubtedUntil(settle time.Duration, now time.Time) time.Time {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.contact == contactLost {
+		return now.Add(settle)
+	}
+	if f.regainedAt.IsZero() {
+		return time.Time{}
+	}
+	return f.regainedAt.Add(settle)
+}
+
 // inContact reports whether the store answered the last call.
 func (f *Follower) inContact() bool {
 	f.mutex.Lock()
@@ -107,7 +124,6 @@
 			f.failures++
 			continue
 		}
-		f.regained()
 		f.failures = 0
 		if changed {
 			sleep(ctx, eventPause)
@@ -145,6 +161,7 @@
 	if err != nil {
 		return false, errors.WithMessage(err, "watch the store")
 	}
+	f.regained()
 	f.replica.apply(batch, false, time.Now())
 	return len(batch.Entries) > 0, nil
 }
@@ -179,6 +196,7 @@
 	if known := f.replica.revision(); batch.Revision < known {
 		return errors.Errorf("the store answered with revision %d, %d was seen", batch.Revision, known)
 	}
+	f.regained()
 	f.replica.apply(batch, true, time.Now())
 	f.loaded = true
 	return nil
@@ -205,6 +223,9 @@
 	if now == contactHeld {
 		f.contactAt = time.Now()
 	}
+	if now == contactHeld && before == contactLost {
+		f.regainedAt = f.contactAt
+	}
 	return before
 }
 
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -14,8 +14,9 @@
 	// keepAliveSlack is how much earlier than announced by the server a resting
 	// connection is no longer used.
 	keepAliveSlack = 700 * time.Millisecond
-	// defaultRest bounds the rest of a connection whose server announces nothing.
-	defaultRest = 30 * time.Second
+	// greatestRest bounds the rest of a connection. Those of a node that loses
+	// power stay open at the server, so a node keeps only what it uses often.
+	greatestRest = 4 * time.Second
 )
 
 // Dialer opens connections to servers.
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -28,13 +28,14 @@
 		r.awaitServer(owner, availability, now)
 		return
 	}
-	owner.idleSince = time.Time{}
+	owner.idleSince, owner.absent = time.Time{}, false
 	r.send(index, lease, now)
 	owner.hedgeAt = r.hedgeTime(owner, lease, now)
 }
 
-// awaitServer keeps a part open while all of its servers are busy, and closes
-// it when there is none or the wait takes too long.
+// awaitServer keeps a part open for a while when no server can be asked: all
+// are busy, unreachable, or not listed yet. Such a part does not hold back an
+// answer that is good enough without it; see decide.
 func (r *run) awaitServer(owner *part, availability fleet.Availability, now time.Time) {
 	if owner.failure == nil {
 		owner.failure = &outcome.Error{
@@ -45,13 +46,29 @@
 	if owner.idleSince.IsZero() {
 		owner.idleSince = now
 	}
-	if availability == fleet.Absent || now.Sub(owner.idleSince) >= r.plan.Patience {
+	owner.absent = availability == fleet.Absent
+	if now.Sub(owner.idleSince) >= r.plan.Patience {
 		r.closePart(owner)
 		return
 	}
+	owner.forgetUnreached()
 	owner.hedgeAt = now.Add(recheck)
 }
 
+// forgetUnreached lets the servers be asked again that the request has never
+// reached.
+func (p *part) forgetUnreached() {
+	kept := p.leases[:0]
+	for index, lease := range p.leases {
+		if !p.unreached[index] {
+			kept = append(kept, lease)
+		}
+	}
+	clear(p.leases[len(kept):])
+	p.leases = kept
+	p.unreached = make([]bool, len(kept))
+}
+
 // hedgeTime returns when a second server is to be asked; zero if never.
 func (r *run) hedgeTime(owner *part, lease *fleet.Lease, now time.Time) time.Time {
 	if !r.plan.Repeatable || owner.executions >= r.plan.MaxAttempts {
@@ -121,18 +138,22 @@
 		lease: lease, part: index,
 	}
 	owner.leases = append(owner.leases, lease)
+	owner.unreached = append(owner.unreached, false)
 	owner.live = append(owner.live, started)
 	owner.arrivals++
 	owner.executions++
 	r.sent++
-	go r.runner.perform(started, r.results)
+	go r.runner.perform(started, r.results, r.ended)
 }
 
 // perform runs an attempt and tells the fleet and the run what it showed.
-func (r *Runner) perform(started *attempt, results chan<- finished) {
+func (r *Runner) perform(started *attempt, results chan<- finished, ended <-chan struct{}) {
 	answer, err := started.Run()
 	r.Fleet.Finish(started.lease, r.classify(started, answer, err), started.ConnectTime, time.Now())
-	results <- finished{attempt: started, answer: answer, err: err}
+	select {
+	case results <- finished{attempt: started, answer: answer, err: err}:
+	case <-ended:
+	}
 }
 
 func (r *Runner) classify(started *attempt, answer *exchange.Response, err error) fleet.Result {
@@ -154,6 +175,7 @@
 // abandon lets the attempts that are still under way end: soon, so that their
 // connections can be used again, or at once if the client has gone.
 func (r *run) abandon(reason StopReason) {
+	close(r.ended)
 	end := time.Now()
 	if reason != StopCancelled {
 		end = end.Add(r.runner.Linger)
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -17,7 +17,7 @@
 	deniedRecheck = 40 * time.Millisecond
 	// freeRefusals is how many refusals of servers a part may meet beyond the
 	// attempts that may have run.
-	freeRefusals = 1
+	freeRefusals = 2
 )
 
 // part is the state of one service in a run.
@@ -26,9 +26,11 @@
 	answer  *exchange.Response
 	refusal *exchange.Response
 	failure error
-	// leases are all servers asked so far, live the attempts under way.
+	// leases are the servers asked so far, live the attempts under way.
 	leases []*fleet.Lease
-	live   []*attempt
+	// unreached says for each of leases that the request never reached it.
+	unreached []bool
+	live      []*attempt
 	// arrivals counts requests that may have reached a server, executions
 	// those that may have run.
 	arrivals   int
@@ -41,6 +43,11 @@
 	// idleSince is since when no server is being asked and one is to be found;
 	// zero if one is being asked.
 	idleSince time.Time
+	// absent says that the service has no server, so that nothing is waited for
+	// but news of one.
+	absent bool
+	// closed says that no further server is asked.
+	closed bool
 }
 
 // attempt is one sub-request under way.
@@ -64,6 +71,8 @@
 	request *exchange.Request
 	parts   []part
 	results chan finished
+	// ended is closed when nobody waits for results any longer.
+	ended   chan struct{}
 	got     int
 	open    int
 	hedges  int
@@ -77,10 +86,9 @@
 	for index, service := range plan.Services {
 		parts[index].service = service
 	}
-	capacity := len(parts) * (max(plan.MaxAttempts, 1) + freeRefusals + 1)
 	return &run{
 		runner: runner, plan: plan, request: request, parts: parts,
-		results: make(chan finished, capacity), open: len(parts),
+		results: make(chan finished, len(parts)), ended: make(chan struct{}), open: len(parts),
 	}
 }
 
@@ -118,10 +126,32 @@
 		return StopTarget, true
 	case r.got+r.open < r.plan.Required:
 		return StopExhausted, true
+	case r.got >= r.plan.Required && r.allAbsent():
+		return StopExhausted, true
 	}
 	return "", false
 }
 
+// allAbsent reports whether every part that is missing has no server.
+func (r *run) allAbsent() bool {
+	for index := range r.parts {
+		each := &r.parts[index]
+		if each.answer == nil && !each.closed && !each.absent {
+			return false
+		}
+	}
+	return true
+}
+
+// markUnreached notes that a request never reached a server.
+func (p *part) markUnreached(lease *fleet.Lease) {
+	for index, each := range p.leases {
+		if each == lease {
+			p.unreached[index] = true
+		}
+	}
+}
+
 // nextEvent returns the next moment at which something is to be decided.
 func (r *run) nextEvent() time.Time {
 	next := r.plan.Deadline
@@ -191,6 +221,7 @@
 			owner.executions--
 			if !result.attempt.Arrived {
 				owner.arrivals--
+				owner.markUnreached(result.attempt.lease)
 			}
 		}
 		return
@@ -229,6 +260,7 @@
 }
 
 func (r *run) closePart(owner *part) {
+	owner.closed = true
 	owner.hedgeAt = time.Time{}
 	r.open--
 }
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -105,7 +105,7 @@
 	var bestCost, leavingCost time.Duration
 	availability := Absent
 	for _, each := range f.services[choice.Service] {
-		if wasAsked(choice.Excluded, each) || f.hasLeft(each, now) {
+		if wasAsked(choice.Excluded, each) || each.hasEnded(now) {
 			continue
 		}
 		if len(each.active) >= f.limit(each) {
@@ -113,7 +113,7 @@
 			continue
 		}
 		cost := f.cost(each, profile, now)
-		if !each.leftAt.IsZero() {
+		if each.isLeaving(now) {
 			if leaving == nil || cost < leavingCost {
 				leaving, leavingCost = each, cost
 			}
@@ -132,12 +132,6 @@
 	return nil, 0, availability
 }
 
-// hasLeft reports whether a server may not be asked any more, not even as the
-// last one of its service. The mutex is held.
-func (f *Fleet) hasLeft(each *member, now time.Time) bool {
-	return !each.leftAt.IsZero() && now.Sub(each.leftAt) >= f.settings.LeaveWithin
-}
-
 // limit returns how many requests this node may have at a server, so that all
 // nodes together stay within the server's connections. Nodes of the server's
 // own zone have more of them, since servers nearby are asked first. The mutex
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -55,12 +55,6 @@
 	}
 }
 
-// Change is what Apply did to one server, for logs.
-type Change struct {
-	Server Server
-	What   string
-}
-
 // Apply takes the state of one server from the platform's list and returns
 // what changed; an empty text if nothing did.
 func (f *Fleet) Apply(server Server, now time.Time) string {
@@ -68,42 +62,59 @@
 	defer f.mutex.Unlock()
 	known := f.members[server.ID]
 	if known != nil && known.Address == server.Address && known.Service == server.Service {
-		return known.update(server, now)
+		return f.update(known, server, now)
 	}
 	if known != nil {
-		f.drop(known, now)
+		known.listed = false
+		known.leave(now, now)
+	}
+	added := &member{
+		Server: server, pool: exchange.NewPool(server.Address, f.settings.Dialer), ratio: 1, ratioAt: now, listed: true,
 	}
-	added := &member{Server: server, pool: exchange.NewPool(server.Address, f.settings.Dialer), ratio: 1, ratioAt: now}
 	added.zone = f.zone(server.Zone)
 	added.warmUntil = now.Add(server.WarmUp)
 	if server.Draining {
-		added.leave(now)
+		added.leave(now, now.Add(f.settings.LeaveWithin))
 	}
 	f.members[server.ID] = added
 	f.services[server.Service] = append(f.services[server.Service], added)
 	return "added"
 }
 
+// update takes the new state of a known server. The mutex is held.
+func (f *Fleet) update(known *member, server Server, now time.Time) string {
+	wasListed, wasDraining := known.listed, known.Draining
+	known.Server, known.listed = server, true
+	switch {
+	case server.Draining && !wasDraining:
+		known.leave(now, now.Add(f.settings.LeaveWithin))
+		return "draining"
+	case !server.Draining && (wasDraining || !wasListed):
+		known.stay()
+		return "returned"
+	}
+	return ""
+}
+
 // Remove takes a server that left the platform's list and reports whether it
-// was known.
-func (f *Fleet) Remove(id string, now time.Time) bool {
+// was listed. Until the moment doubtedUntil the list itself is in doubt, and
+// the server is asked as before as long as it answers.
+func (f *Fleet) Remove(id string, doubtedUntil, now time.Time) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	known := f.members[id]
-	if known == nil {
+	if known == nil || !known.listed {
 		return false
 	}
-	f.drop(known, now)
+	known.listed = false
+	if doubtedUntil.After(now) {
+		known.leave(doubtedUntil, doubtedUntil)
+		return true
+	}
+	known.leave(now, now.Add(f.settings.LeaveWithin))
 	return true
 }
 
-// drop forgets a server except as a last resort of its service. The mutex is
-// held.
-func (f *Fleet) drop(known *member, now time.Time) {
-	known.leave(now)
-	delete(f.members, known.ID)
-}
-
 // Sweep closes connections that rested for too long and forgets servers that
 // left a while ago. It is called every second or so.
 func (f *Fleet) Sweep(now time.Time) {
@@ -136,9 +147,13 @@
 
 // forgets reports whether a server is gone for good. The mutex is held.
 func (f *Fleet) forgets(each *member, now time.Time) bool {
-	_, listed := f.members[each.ID]
-	listed = listed && f.members[each.ID] == each
-	return !listed && len(each.active) == 0 && now.Sub(each.leftAt) > f.settings.LeaveWithin
+	if each.listed || len(each.active) > 0 || !each.hasEnded(now) {
+		return false
+	}
+	if f.members[each.ID] == each {
+		delete(f.members, each.ID)
+	}
+	return true
 }
 
 // SetConnections takes how many connections each server of a service accepts.
@@ -166,7 +181,13 @@
 func (f *Fleet) Len() int {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return len(f.members)
+	count := 0
+	for _, each := range f.members {
+		if each.listed {
+			count++
+		}
+	}
+	return count
 }
 
 // zone returns the times of a zone. The mutex is held.
@@ -178,18 +199,3 @@
 	}
 	return times
 }
-
-func (m *member) update(server Server, now time.Time) string {
-	wasDraining := !m.leftAt.IsZero()
-	m.Slots, m.Zone = server.Slots, server.Zone
-	m.Draining = server.Draining
-	switch {
-	case server.Draining && !wasDraining:
-		m.leave(now)
-		return "draining"
-	case !server.Draining && wasDraining:
-		m.leftAt = time.Time{}
-		return "returned"
-	}
-	return ""
-}
--- a/pkg/fleet/lease.go
+++ b/pkg/fleet/lease.go
@@ -72,7 +72,7 @@
 	case Refused:
 		used.avoidUntil = now.Add(firstPenalty)
 	case WrongInstance:
-		used.leave(now)
+		used.leave(now, now)
 	}
 }
 
@@ -97,12 +97,28 @@
 	}
 }
 
-func (m *member) leave(now time.Time) {
-	if m.leftAt.IsZero() {
-		m.leftAt = now
+// leave notes that the server leaves: from one moment it is asked only if its
+// service has no other, from the second not at all. The earliest notice counts.
+func (m *member) leave(leavesAt, endsAt time.Time) {
+	if m.leavesAt.IsZero() || leavesAt.Before(m.leavesAt) {
+		m.leavesAt = leavesAt
+	}
+	if m.endsAt.IsZero() || endsAt.Before(m.endsAt) {
+		m.endsAt = endsAt
 	}
 }
 
+// stay takes back that the server leaves.
+func (m *member) stay() { m.leavesAt, m.endsAt = time.Time{}, time.Time{} }
+
+// isLeaving reports whether the server is asked only as the last one.
+func (m *member) isLeaving(now time.Time) bool {
+	return !m.leavesAt.IsZero() && !now.Before(m.leavesAt)
+}
+
+// hasEnded reports whether the server is not asked any more.
+func (m *member) hasEnded(now time.Time) bool { return !m.endsAt.IsZero() && !now.Before(m.endsAt) }
+
 // Cancel ends a lease whose request was not sent.
 func (f *Fleet) Cancel(lease *Lease) {
 	f.mutex.Lock()
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -68,9 +68,12 @@
 	failures   int
 	avoidUntil time.Time
 	warmUntil  time.Time
-	// leftAt is when it was first known to drain or to be gone; zero if it
-	// takes requests.
-	leftAt time.Time
+	// listed says that the platform lists the server.
+	listed bool
+	// leavesAt is from when it is asked only if its service has no other, and
+	// endsAt from when it is not asked at all; zero while it is to stay.
+	leavesAt time.Time
+	endsAt   time.Time
 }
 
 // currentRatio returns the ratio with the decay of doubt since its last sample.
