Tests: fan-out, replica of the store and its peers

What they bring about: silent, refusing, cut and absent servers; budgets that are used up; not-repeatable requests; clients that leave; silent watches, stores that are away, forget or come back older; batches in any order.

--- /dev/null
+++ b/pkg/directory/directory_test.go
@@ -0,0 +1,354 @@
+package directory
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"github.com/bramblemast/bramblemast/pkg/peer"
+)
+
+// history is a store for tests, whose answers can be withheld.
+type history struct {
+	mutex sync.Mutex
+	// The fields below are guarded by mutex.
+	events  []Entry
+	changed chan struct{}
+	fail    error
+	// deaf makes watches hear nothing.
+	deaf bool
+	// forgotten is the revision up to which changes are forgotten.
+	forgotten uint64
+	loads     int
+	watches   int
+}
+
+func newHistory() *history { return &history{changed: make(chan struct{})} }
+
+// set runs a change of the store's state and wakes its watches.
+func (h *history) set(change func()) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	change()
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+func (h *history) write(key string, gone bool) uint64 {
+	var revision uint64
+	h.set(func() {
+		revision = uint64(len(h.events) + 1)
+		h.events = append(h.events, Entry{Key: key, Revision: revision, Gone: gone, Value: []byte{byte(revision)}})
+	})
+	return revision
+}
+
+func (h *history) Load(_ context.Context, _ bool) (Batch, error) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.loads++
+	if h.fail != nil {
+		return Batch{}, h.fail
+	}
+	latest := make(map[string]Entry)
+	for _, event := range h.events {
+		latest[event.Key] = event
+	}
+	batch := Batch{Revision: uint64(len(h.events))}
+	for _, event := range latest {
+		if !event.Gone {
+			batch.Entries = append(batch.Entries, event)
+		}
+	}
+	return batch, nil
+}
+
+func (h *history) Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	h.mutex.Lock()
+	h.watches++
+	h.mutex.Unlock()
+	for {
+		h.mutex.Lock()
+		batch := Batch{Revision: uint64(len(h.events))}
+		fail, deaf, changed := h.fail, h.deaf, h.changed
+		if after < h.forgotten {
+			fail = ErrHistoryGone
+		}
+		if after < uint64(len(h.events)) {
+			batch.Entries = append(batch.Entries, h.events[after:]...)
+		}
+		h.mutex.Unlock()
+		if fail != nil && !deaf {
+			return Batch{}, fail
+		}
+		if len(batch.Entries) > 0 && !deaf {
+			return batch, nil
+		}
+		select {
+		case <-ctx.Done():
+			return Batch{}, ctx.Err()
+		case <-timer.C:
+			return Batch{Revision: after}, nil
+		case <-changed:
+		}
+	}
+}
+
+func (h *history) Decode(key string, value []byte, revision uint64) Entry {
+	return Entry{Key: key, Value: value, Revision: revision}
+}
+
+// observer keeps what a follower says.
+type observer struct {
+	mutex sync.Mutex
+	// The fields below are guarded by mutex.
+	state map[string]uint64
+	lost  int
+	back  int
+}
+
+func (o *observer) Changed(entry Entry) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if entry.Revision <= o.state[entry.Key] {
+		panic(fmt.Sprintf("%s went back from %d to %d", entry.Key, o.state[entry.Key], entry.Revision))
+	}
+	o.state[entry.Key] = entry.Revision
+	if entry.Gone {
+		delete(o.state, entry.Key)
+	}
+}
+
+func (o *observer) Dependency(_ string, connected bool, _ error) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if connected {
+		o.back++
+	} else {
+		o.lost++
+	}
+}
+
+func (o *observer) has(key string) uint64 {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.state[key]
+}
+
+// node is one follower with its peers.
+type node struct {
+	*Follower
+	seen   *observer
+	source *history
+}
+
+// cluster starts nodes, each with a view of its own of the same store.
+func cluster(t *testing.T, count int) ([]*node, func()) {
+	t.Helper()
+	network := peer.NewNetwork(1)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	var nodes []*node
+	var members []Node
+	for index := range count {
+		members = append(members, Node{Name: fmt.Sprint(index), PeerAddress: fmt.Sprint(index), Zone: "z"})
+	}
+	for index := range count {
+		seen := &observer{state: make(map[string]uint64)}
+		source := newHistory()
+		started := &node{Follower: NewFollower(source, seen), seen: seen, source: source}
+		peers := NewPeers(PeersOptions{
+			Follower: started.Follower, Transport: network.Transport(peer.Address(members[index].PeerAddress)),
+			Local: members[index], Nodes: func() []Node { return members }, Seeds: []string{"0"},
+		})
+		nodes = append(nodes, started)
+		group.Go(func() { _ = started.Run(ctx) })
+		group.Go(func() { _ = peers.Run(ctx) })
+	}
+	return nodes, func() {
+		cancel()
+		group.Wait()
+		network.Close()
+	}
+}
+
+func writeAll(nodes []*node, key string, gone bool) uint64 {
+	var revision uint64
+	for _, each := range nodes {
+		revision = each.source.write(key, gone)
+	}
+	return revision
+}
+
+// TestChangesArriveAtOnce, and calls are few while nothing happens.
+func TestChangesArriveAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		nodes, stop := cluster(t, 1)
+		time.Sleep(time.Second)
+		revision := writeAll(nodes, "k", false)
+		synctest.Wait()
+		g.Expect(nodes[0].seen.has("k")).To(Equal(revision))
+		time.Sleep(time.Second)
+		before := nodes[0].source.watches
+		time.Sleep(time.Minute)
+		g.Expect(nodes[0].source.watches-before).To(BeNumerically("<=", 16))
+		stop()
+	})
+}
+
+// TestASilentWatchIsNoticedByPeers: a node whose watch hears nothing learns from
+// another node, and asks the store anew. (tintas-setubal scale-2 --seed 101)
+func TestASilentWatchIsNoticedByPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		nodes, stop := cluster(t, 4)
+		time.Sleep(time.Second)
+		for _, deaf := range nodes[:3] {
+			deaf.source.set(func() { deaf.source.deaf = true })
+		}
+		time.Sleep(500 * time.Millisecond)
+		revision := writeAll(nodes, "k", false)
+		time.Sleep(3 * time.Second)
+		for _, each := range nodes {
+			g.Expect(each.seen.has("k")).To(Equal(revision))
+		}
+		stop()
+	})
+}
+
+// TestAStoreThatIsAwayIsReplacedByPeers, for a node that starts and for one that
+// knows an older state; keys that have gone are gone there too.
+func TestAStoreThatIsAwayIsReplacedByPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		nodes, stop := cluster(t, 3)
+		refused := errors.New("refused")
+		nodes[2].source.set(func() { nodes[2].source.fail = refused })
+		writeAll(nodes, "old", false)
+		writeAll(nodes, "stays", false)
+		time.Sleep(2 * time.Second)
+		g.Expect(nodes[2].seen.has("old")).To(Equal(uint64(1)))
+		g.Expect(nodes[2].seen.lost).To(Equal(1))
+		g.Expect(nodes[2].DoubtedUntil(time.Second, time.Now())).To(Equal(time.Now().Add(time.Second)))
+		writeAll(nodes, "old", true)
+		writeAll(nodes, "new", false)
+		time.Sleep(2 * time.Second)
+		g.Expect(nodes[2].seen.has("old")).To(BeZero())
+		g.Expect(nodes[2].seen.has("stays")).To(Equal(uint64(2)))
+		g.Expect(nodes[2].seen.has("new")).To(Equal(uint64(4)))
+		nodes[2].source.set(func() { nodes[2].source.fail = nil })
+		time.Sleep(2 * time.Second)
+		g.Expect(nodes[2].seen.back).To(Equal(1))
+		stop()
+	})
+}
+
+// TestAForgottenHistoryIsReadAnew: what went meanwhile is gone.
+func TestAForgottenHistoryIsReadAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		nodes, stop := cluster(t, 1)
+		source := nodes[0].source
+		writeAll(nodes, "gone", false)
+		time.Sleep(time.Second)
+		source.set(func() { source.deaf = true })
+		source.write("gone", true)
+		revision := source.write("new", false)
+		source.set(func() { source.deaf, source.forgotten = false, revision })
+		time.Sleep(10 * time.Second)
+		g.Expect(nodes[0].seen.has("gone")).To(BeZero())
+		g.Expect(nodes[0].seen.has("new")).To(Equal(revision))
+		g.Expect(source.loads).To(Equal(2))
+		stop()
+	})
+}
+
+// TestAnOlderStoreIsRefused: a store that comes back with less than was seen
+// changes nothing.
+func TestAnOlderStoreIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		nodes, stop := cluster(t, 1)
+		source := nodes[0].source
+		writeAll(nodes, "a", false)
+		revision := writeAll(nodes, "b", false)
+		time.Sleep(time.Second)
+		source.set(func() { source.events, source.forgotten = source.events[:1], 99 })
+		time.Sleep(10 * time.Second)
+		g.Expect(nodes[0].seen.has("b")).To(Equal(revision))
+		g.Expect(nodes[0].seen.lost).To(Equal(1))
+		stop()
+	})
+}
+
+// TestReplicasAgreeInWhateverOrder batches of a history arrive, in full or in
+// part, from the store or from other replicas.
+func TestReplicasAgreeInWhateverOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source := newHistory()
+		replicas := make([]*replica, 3)
+		for index := range replicas {
+			replicas[index] = newReplica(&observer{state: make(map[string]uint64)})
+		}
+		now := time.Unix(0, 0)
+		any := func() *replica { return replicas[rapid.IntRange(0, 2).Draw(t, "replica")] }
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(t *rapid.T) {
+				source.write(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), rapid.Bool().Draw(t, "gone"))
+			},
+			"load": func(*rapid.T) {
+				batch, _ := source.Load(context.Background(), true)
+				any().apply(batch, true, now)
+			},
+			"watch": func(*rapid.T) {
+				target := any()
+				after := target.at
+				if after > 0 && after < uint64(len(source.events)) {
+					target.apply(Batch{Entries: source.events[after:], Revision: uint64(len(source.events))}, false, now)
+				}
+			},
+			"tell": func(*rapid.T) {
+				from, to := any(), any()
+				batch, full := from.since(to.at)
+				if batch.Revision > to.at {
+					to.apply(batch, full, now)
+				}
+			},
+			"wait": func(*rapid.T) { now = now.Add(time.Minute) },
+			"": func(t *rapid.T) {
+				for _, each := range replicas {
+					checkReplica(t, source, each)
+				}
+			},
+		})
+	})
+}
+
+// checkReplica compares a replica with the history up to its revision.
+func checkReplica(t *rapid.T, source *history, checked *replica) {
+	want := make(map[string]uint64)
+	for _, event := range source.events[:checked.at] {
+		want[event.Key] = event.Revision
+		if event.Gone {
+			delete(want, event.Key)
+		}
+	}
+	if len(want) != len(checked.entries) {
+		t.Fatalf("at %d: %d keys, want %d", checked.at, len(checked.entries), len(want))
+	}
+	for key, revision := range want {
+		if checked.entries[key].Revision != revision {
+			t.Fatalf("at %d: %s has revision %d, want %d", checked.at, key, checked.entries[key].Revision, revision)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/fanout/fanout_test.go
@@ -0,0 +1,300 @@
+package fanout_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/exchange/exchangetest"
+	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+)
+
+// counter is a budget that allows a number of extra sub-requests.
+type counter struct {
+	primary, spent, allowed int
+	kept                    []float64
+}
+
+func (c *counter) Earn(string, time.Time) { c.primary++ }
+
+func (c *counter) TrySpend(_ string, keep float64, _ time.Time) bool {
+	c.kept = append(c.kept, keep)
+	if c.spent >= c.allowed {
+		return false
+	}
+	c.spent++
+	return true
+}
+
+// world is a fleet over an in-memory network.
+type world struct {
+	network *exchangetest.Network
+	fleet   *fleet.Fleet
+	budget  *counter
+	runner  *fanout.Runner
+	servers map[string]*exchangetest.Server
+	// known are the services that have a server already.
+	known map[string]bool
+}
+
+func newWorld() *world {
+	w := &world{
+		network: exchangetest.NewNetwork(), budget: &counter{allowed: 100}, servers: make(map[string]*exchangetest.Server),
+		known: make(map[string]bool),
+	}
+	w.fleet = fleet.New(fleet.Settings{
+		Local: fleet.Place{Zone: "z"}, LeaveWithin: time.Second, Dialer: w.network, Random: rand.New(rand.NewPCG(1, 1)),
+	})
+	w.runner = &fanout.Runner{
+		Fleet: w.fleet, Budget: w.budget, Dialect: &exchangetest.Dialect, Linger: 350 * time.Millisecond,
+		Sound: func(answer *exchange.Response) bool { return answer.Status == http.StatusOK && answer.Evidence != "" },
+	}
+	return w
+}
+
+// add puts a server into a service; only the first one of a service is near.
+func (w *world) add(service, name string, answer exchangetest.Answer) {
+	zone := "far"
+	if !w.known[service] {
+		zone, w.known[service] = "z", true
+	}
+	w.servers[name] = w.network.Add(name, func(exchangetest.Request) exchangetest.Answer { return answer })
+	w.fleet.Apply(fleet.Server{ID: name, Service: service, Address: name, Zone: zone, Slots: 5}, time.Now())
+}
+
+func (w *world) run(plan fanout.Plan) (fanout.Result, time.Duration) {
+	began := time.Now()
+	result := w.runner.Run(context.Background(), plan, &exchange.Request{Method: "GET", Target: "/", ID: "r"})
+	return result, time.Since(began)
+}
+
+func (w *world) arrivals(names ...string) int {
+	total := 0
+	for _, name := range names {
+		total += len(w.servers[name].Requests())
+	}
+	return total
+}
+
+// plan asks the services and gives an answer after 200 ms if half are in.
+func plan(services ...string) fanout.Plan {
+	now := time.Now()
+	return fanout.Plan{
+		Kind: "k", Services: services, Required: (len(services) + 1) / 2, Repeatable: true, MaxAttempts: 2,
+		Target: now.Add(200 * time.Millisecond), Deadline: now.Add(time.Second), Assumed: 20 * time.Millisecond,
+		Patience: 100 * time.Millisecond, HedgeFactor: 2.5,
+	}
+}
+
+func quick(body string) exchangetest.Answer {
+	answer := exchangetest.Whole(body)
+	answer.Delay = 10 * time.Millisecond
+	return answer
+}
+
+// in runs a test in a bubble with virtual time.
+func in(t *testing.T, test func(g *WithT, w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		test(NewWithT(t), w)
+		time.Sleep(time.Minute)
+		w.fleet.Sweep(time.Now())
+	})
+}
+
+func TestEveryServiceIsAskedOnce(t *testing.T) {
+	in(t, func(g *WithT, w *world) {
+		w.add("a", "a1", quick("a"))
+		w.add("b", "b1", quick("b"))
+		result, took := w.run(plan("a", "b"))
+		g.Expect(result.Reason).To(Equal(fanout.StopComplete))
+		g.Expect(string(result.Parts[0].Body) + string(result.Parts[1].Body)).To(Equal("ab"))
+		g.Expect(took).To(BeNumerically("<", 50*time.Millisecond))
+		g.Expect(w.budget.primary).To(Equal(2))
+		g.Expect(w.budget.spent).To(BeZero())
+	})
+}
+
+// TestASilentServerIsHedged within the budget, and the first answer counts.
+func TestASilentServerIsHedged(t *testing.T) {
+	in(t, func(g *WithT, w *world) {
+		w.add("a", "a1", exchangetest.Answer{Hang: true})
+		w.add("a", "a2", quick("second"))
+		result, took := w.run(plan("a"))
+		g.Expect(string(result.Parts[0].Body)).To(Equal("second"))
+		g.Expect(result.Hedges).To(Equal(1))
+		g.Expect(took).To(BeNumerically("<", 150*time.Millisecond))
+		g.Expect(w.budget.spent).To(Equal(1))
+	})
+}
+
+// TestNoHedgeWithoutBudget: the answer is given without the silent part when
+// the target is reached.
+func TestNoHedgeWithoutBudget(t *testing.T) {
+	in(t, func(g *WithT, w *world) {
+		w.budget.allowed = 0
+		w.add("a", "a1", exchangetest.Answer{Hang: true})
+		w.add("a", "a2", quick("never"))
+		w.add("b", "b1", quick("b"))
+		result, took := w.run(plan("a", "b"))
+		g.Expect(result.Reason).To(Equal(fanout.StopTarget))
+		g.Expect(result.Got).To(Equal(1))
+		g.Expect(took).To(Equal(200 * time.Millisecond))
+		g.Expect(w.arrivals("a2")).To(BeZero())
+		g.Expect(result.Denied).To(BeNumerically(">", 0))
+	})
+}
+
+// TestAfterTheTargetHalfOfTheBudgetIsKept, since a late answer is worth little.
+func TestAfterTheTargetHalfOfTheBudgetIsKept(t *testing.T) {
+	in(t, func(g *WithT, w *world) {
+		w.budget.allowed = 0
+		w.add("a", "a1", exchangetest.Answer{Hang: true})
+		w.add("a", "a2", quick("never"))
+		late := plan("a")
+		result, took := w.run(late)
+		g.Expect(result.Reason).To(Equal(fanout.StopDeadline))
+		g.Expect(took).To(Equal(time.Second))
+		g.Expect(w.budget.kept[0]).To(BeZero())
+		g.Expect(w.budget.kept[len(w.budget.kept)-1]).To(Equal(0.5))
+	})
+}
+
+// TestNoMoreServersRunARequestThanItsRouteAllows.
+func TestNoMoreServersRunARequestThanItsRouteAllows(t *testing.T) {
+	in(t, func(g *WithT, w *world) {
+		for _, name := range []string{"a1", "a2", "a3", "a4"} {
+			w.add("a", name, exchangetest.Answer{Status: 500, Cut: -1, Header: map[string]string{"Mark": "m"}})
+		}
+		result, _ := w.run(plan("a"))
+		g.Expect(result.Got).To(BeZero())
+		g.Expect(result.Refusals[0].Status).To(Equal(500))
+		g.Expect(result.Outcome).To(Equal(outcome.Completed))
+		g.Expect(w.arrivals("a1", "a2", "a3", "a4")).To(Equal(2))
+	})
+}
+
+// TestANotRepeatableRequestIsSentAgainOnlyOnEvidence that it did not run.
+func TestANotRepeatableRequestIsSentAgainOnlyOnEvidence(t *testing.T) {
+	in(t, func(g *WithT, w *world) {
+		w.add("cut", "cut1", exchangetest.Answer{Cut: 0})
+		w.add("cut", "cut2", exchangetest.Answer{Cut: 0})
+		w.add("refuse", "refuse1", exchangetest.Answer{Status: 503, Cut: -1, Header: map[string]string{"Refused": "1"}})
+		w.add("refuse", "refuse2", quick("second"))
+		w.add("hang", "hang1", exchangetest.Answer{Hang: true})
+		w.add("hang", "hang2", exchangetest.Answer{Hang: true})
+		once := func(service string) fanout.Result {
+			single := plan(service)
+			single.Repeatable = false
+			result, _ := w.run(single)
+			return result
+		}
+		result := once("cut")
+		g.Expect(result.Outcome).To(Equal(outcome.Unknown))
+		g.Expect(w.arrivals("cut1", "cut2")).To(Equal(1))
+		result = once("refuse")
+		g.Expect(string(result.Parts[0].Body)).To(Equal("second"))
+		result = once("hang")
+		g.Expect(result.Reason).To(Equal(fanout.StopDeadline))
+		g.Expect(result.Outcome).To(Equal(outcome.Unknown))
+		g.Expect(w.arrivals("hang1", "hang2")).To(Equal(1))
+	})
+}
+
+// TestARefusalByAllServersIsNotRun.
+func TestARefusalByAllServersIsNotRun(t *testing.T) {
+	in(t, func(g *WithT, w *world) {
+		for _, name := range []string{"a1", "a2"} {
+			w.add("a", name, exchangetest.Answer{Status: 503, Cut: -1, Header: map[string]string{"Refused": "1"}})
+		}
+		single := plan("a")
+		single.Repeatable = false
+		result, _ := w.run(single)
+		g.Expect(result.Outcome).To(Equal(outcome.NotRun))
+	})
+}
+
+// TestAServerThatCannotBeReachedCostsNoBudget: its request never arrived.
+func TestAServerThatCannotBeReachedCostsNoBudget(t *testing.T) {
+	in(t, func(g *WithT, w *world) {
+		w.budget.allowed = 0
+		w.fleet.Apply(fleet.Server{ID: "gone", Service: "a", Address: "nowhere", Zone: "z"}, time.Now())
+		w.add("a", "a2", quick("second"))
+		result, _ := w.run(plan("a"))
+		g.Expect(string(result.Parts[0].Body)).To(Equal("second"))
+	})
+}
+
+// TestAnAbsentShardHoldsNothingBack when the answer is good enough without it,
+// and is waited for when it is not.
+func TestAnAbsentShardHoldsNothingBack(t *testing.T) {
+	in(t, func(g *WithT, w *world) {
+		w.add("a", "a1", quick("a"))
+		result, took := w.run(plan("a", "b"))
+		g.Expect(result.Reason).To(Equal(fanout.StopExhausted))
+		g.Expect(result.Got).To(Equal(1))
+		g.Expect(took).To(BeNumerically("<", 50*time.Millisecond))
+
+		whole := plan("a", "b")
+		whole.Required = 2
+		time.AfterFunc(50*time.Millisecond, func() { w.add("b", "b1", quick("b")) })
+		result, took = w.run(whole)
+		g.Expect(result.Got).To(Equal(2))
+		g.Expect(took).To(BeNumerically("<", 120*time.Millisecond))
+
+		lacking := plan("a", "c")
+		lacking.Required = 2
+		result, took = w.run(lacking)
+		g.Expect(result.Got).To(Equal(1))
+		g.Expect(took).To(BeNumerically("<=", 130*time.Millisecond), "it is given up when the patience ends")
+	})
+}
+
+// TestBusyServersAreWaitedFor instead of giving the part up. (variant of
+// valgsok scale-2 --seed 289934219918)
+func TestBusyServersAreWaitedFor(t *testing.T) {
+	in(t, func(g *WithT, w *world) {
+		w.add("a", "a1", quick("a"))
+		w.fleet.SetConnections(map[string]int{"a": 1})
+		taken := 0
+		for {
+			lease, _ := w.fleet.Acquire(fleet.Choice{Service: "a", Kind: "k"}, time.Now())
+			if lease == nil {
+				break
+			}
+			taken++
+			time.AfterFunc(60*time.Millisecond, func() { w.fleet.Finish(lease, fleet.Answered, 0, time.Now()) })
+		}
+		g.Expect(taken).To(BeNumerically(">", 0))
+		result, took := w.run(plan("a"))
+		g.Expect(result.Got).To(Equal(1))
+		g.Expect(took).To(BeNumerically(">=", 60*time.Millisecond))
+	})
+}
+
+// TestAClientThatLeavesEndsTheWorkAtOnce, while an answered request lets the
+// other server end, so that its connection can be used again.
+func TestAClientThatLeavesEndsTheWorkAtOnce(t *testing.T) {
+	in(t, func(g *WithT, w *world) {
+		w.add("a", "a1", exchangetest.Answer{Hang: true})
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(20*time.Millisecond, cancel)
+		began := time.Now()
+		result := w.runner.Run(ctx, plan("a"), &exchange.Request{Method: "GET", Target: "/", ID: "r"})
+		g.Expect(result.Reason).To(Equal(fanout.StopCancelled))
+		g.Expect(time.Since(began)).To(Equal(20 * time.Millisecond))
+		synctest.Wait()
+		lease, _ := w.fleet.Acquire(fleet.Choice{Service: "a", Kind: "k"}, time.Now())
+		g.Expect(lease).NotTo(BeNil())
+		w.fleet.Cancel(lease)
+	})
+}
