--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -61,8 +61,10 @@
 	state    *state
 	listener *front.Listener
 	ready    *http.Server
-	follower *directory.Follower
-	member   *registration
+	// readyListener takes the platform's questions about readiness.
+	readyListener net.Listener
+	follower      *directory.Follower
+	member        *registration
 	// transport and peers are nil if the node has no address for its peers.
 	transport *peer.TCP
 	peers     *directory.Peers
@@ -98,16 +100,25 @@
 	node.state.doubtedUntil = func(now time.Time) time.Time {
 		return node.follower.DoubtedUntil(settings.listSettles(), now)
 	}
-	if err := node.openPeers(settings); err != nil {
+	local := directory.Node{Name: settings.Node.Name, Zone: settings.Node.Zone}
+	if err := node.openPeers(settings, &local); err != nil {
 		return nil, err
 	}
-	node.member = newRegistration(options.Platform, settings, options.Logger)
+	node.member = &registration{registry: options.Platform, node: local, logger: options.Logger}
 	node.ready = &http.Server{Handler: node.readyHandler(), ReadHeaderTimeout: connectTimeout}
-	return node, nil
+	node.readyListener, err = net.Listen("tcp", settings.Listen.Ready)
+	return node, errors.Wrap(err, "listen for readiness")
 }
 
-// openPeers opens the address for other nodes, if there is one.
-func (n *Node) openPeers(settings *Settings) error {
+// ClientAddress returns where clients connect.
+func (n *Node) ClientAddress() string { return n.listener.Address() }
+
+// ReadyAddress returns where the platform asks for readiness.
+func (n *Node) ReadyAddress() string { return n.readyListener.Addr().String() }
+
+// openPeers opens the address for other nodes, if there is one, and notes it in
+// the node's entry.
+func (n *Node) openPeers(settings *Settings, local *directory.Node) error {
 	if settings.Listen.Peers == "" {
 		return nil
 	}
@@ -119,8 +130,9 @@
 		Node: target.NodeID(settings.Node.Name), Listener: opened, DialTimeout: connectTimeout,
 		MaxFrameBytes: maxPeerFrame, MaxInbound: maxPeerInbound, MaxConnections: maxPeerConnections,
 	})
+	local.PeerAddress = string(n.transport.Address())
 	n.peers = directory.NewPeers(directory.PeersOptions{
-		Follower: n.follower, Transport: n.transport, Local: localNode(settings), Nodes: n.state.knownNodes,
+		Follower: n.follower, Transport: n.transport, Local: *local, Nodes: n.state.knownNodes,
 		Seeds: settings.Peers,
 	})
 	return nil
@@ -129,10 +141,6 @@
 // Run serves until ctx ends, and then stops as planned: no request in flight
 // is cut off within the grace time.
 func (n *Node) Run(ctx context.Context) error {
-	readyListener, err := net.Listen("tcp", n.options.Settings.Listen.Ready)
-	if err != nil {
-		return errors.Wrap(err, "listen for readiness")
-	}
 	n.logger.Info("started", "node", n.options.Settings.Node.Name, "zone", n.options.Settings.Node.Zone)
 	inner, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -141,7 +149,7 @@
 		group.Add(func() error { return execute(inner) }, func(error) { cancel() })
 	}
 	group.Add(n.listener.Serve, func(error) { n.listener.Close() })
-	group.Add(func() error { return n.ready.Serve(readyListener) }, func(error) { _ = n.ready.Close() })
+	group.Add(func() error { return n.ready.Serve(n.readyListener) }, func(error) { _ = n.ready.Close() })
 	add(n.follower.Run)
 	add(n.member.run)
 	if n.transport != nil {
@@ -151,7 +159,7 @@
 	add(n.listener.Sweep)
 	add(n.sweepServers)
 	add(func(inner context.Context) error { return n.awaitStop(ctx, inner) })
-	err = group.Run()
+	err := group.Run()
 	n.logger.Info("stopped", "node", n.options.Settings.Node.Name)
 	return err
 }
--- a/internal/edge/registration.go
+++ b/internal/edge/registration.go
@@ -34,17 +34,6 @@
 	logger   hclog.Logger
 }
 
-func newRegistration(registry Registry, settings *Settings, logger hclog.Logger) *registration {
-	return &registration{registry: registry, logger: logger, node: localNode(settings)}
-}
-
-// localNode describes this node to others.
-func localNode(settings *Settings) directory.Node {
-	return directory.Node{
-		Name: settings.Node.Name, Zone: settings.Node.Zone, PeerAddress: settings.Listen.Peers,
-	}
-}
-
 // run registers and renews until ctx ends.
 func (r *registration) run(ctx context.Context) error {
 	var lease uint64
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -64,6 +64,9 @@
 	return front, nil
 }
 
+// Address returns where clients connect.
+func (l *Listener) Address() string { return l.listener.Addr().String() }
+
 // SetIdle takes for how long a connection may rest.
 func (l *Listener) SetIdle(idle time.Duration) {
 	l.mutex.Lock()
