--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -81,13 +81,17 @@
 		Dialer:      &net.Dialer{Timeout: connectTimeout, KeepAlive: -1},
 		Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
+	rules, err := newPolicies()
+	if err != nil {
+		return nil, err
+	}
 	node.state = &state{
-		logger: options.Logger, fleet: servers, budgets: newBudgets(settings.Bounds),
+		policies: rules, logger: options.Logger, fleet: servers, budgets: newBudgets(settings.Bounds),
 		nodes: make(map[string]directory.Node),
 	}
 	handler := front.NewHandler(front.Options{
 		Dialect: options.Dialect, State: node.state, Fleet: servers, Budget: node.state.budgets,
-		Policy: front.DefaultPolicy, Events: &events{logger: options.Logger, figures: newFigures()},
+		Policies: rules, Events: &events{logger: options.Logger, figures: newFigures()},
 		MaxInFlight: maxInFlight,
 	})
 	listener, err := front.Listen(settings.Listen.Clients, handler)
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -85,6 +85,10 @@
 	list = append(list, "parts", record.Parts, "required", record.Required, "total", record.Total,
 		"sent", result.Sent, "hedges", result.Hedges, "retries", result.Retries, "budget_denied", result.Denied,
 		"outcome", result.Outcome.String())
+	if record.Policy.Template != "" {
+		list = append(list, "template", record.Policy.Template, "template_revision", record.Policy.Revision,
+			"arm", record.Policy.Arm)
+	}
 	for index, part := range result.Parts {
 		if part == nil {
 			list = append(list, "missing", record.Services[index])
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -17,9 +17,10 @@
 // state is what the node believes about its deployment. It implements
 // directory.Listener and front.State.
 type state struct {
-	logger  hclog.Logger
-	fleet   *fleet.Fleet
-	budgets *budgets
+	logger   hclog.Logger
+	fleet    *fleet.Fleet
+	budgets  *budgets
+	policies *policies
 	// idle takes the configured time for which clients' connections may rest.
 	idle func(time.Duration)
 	// doubtedUntil returns until when an absence in the store proves nothing.
@@ -56,6 +57,8 @@
 		}
 	case entry.Node != nil:
 		s.setNode(entry.Key, *entry.Node)
+	case entry.Template != nil:
+		s.applyTemplate(entry)
 	case entry.Gone:
 		s.remove(entry)
 	}
@@ -84,6 +87,17 @@
 		"routes", len(offered.Routes), "services", len(offered.Services))
 }
 
+func (s *state) applyTemplate(entry directory.Entry) {
+	offered := entry.Template.Template
+	if err := s.policies.apply(entry.Template); err != nil {
+		s.logger.Error("template refused", "template", offered.Key().String(), "template_revision", offered.Revision,
+			"revision", entry.Revision, "error", err.Error())
+		return
+	}
+	s.logger.Info("template in force", "template", offered.Key().String(), "template_revision", offered.Revision,
+		"revision", entry.Revision, "deleted", offered.Deleted)
+}
+
 func (s *state) setNode(key string, node directory.Node) {
 	s.mutex.Lock()
 	_, known := s.nodes[key]
--- a/internal/front/conversation.go
+++ b/internal/front/conversation.go
@@ -21,6 +21,7 @@
 	deadline time.Time
 	version  uint64
 	route    *route.Route
+	policy   Policy
 	id       string
 	cause    error
 }
@@ -28,11 +29,12 @@
 // serve asks servers and answers.
 func (c *conversation) serve(request *exchange.Request) {
 	c.id = request.ID
+	c.policy = c.handler.policies.For(c.route, c.id)
 	plan := fanout.Plan{
-		Kind: c.route.Name, Repeatable: c.route.Repeatable, MaxAttempts: c.route.MaxAttempts,
-		Target:   c.handler.policy.target(c.route, c.began),
-		Deadline: c.deadline,
-		Assumed:  assumedTime(c.route), HedgeFactor: c.handler.policy.HedgeFactor,
+		Kind: c.route.Name, Repeatable: c.route.Repeatable,
+		MaxAttempts: min(c.route.MaxAttempts, c.policy.MaxAttempts),
+		Target:      target(c.route, c.began), Deadline: c.deadline, Assumed: assumedTime(c.route),
+		Hedge: c.policy.Hedge, Stop: c.policy.Stop, ExtraShare: c.policy.ExtraShare,
 	}
 	plan.Patience = patience(c.route)
 	if c.route.Gathered() {
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -30,7 +30,7 @@
 	state   State
 	gatherer,
 	forwarder *fanout.Runner
-	policy   Policy
+	policies Policies
 	splitter *splitter
 	events   Recorder
 	inFlight chan struct{}
@@ -38,12 +38,12 @@
 
 // Options of a Handler.
 type Options struct {
-	Dialect Dialect
-	State   State
-	Fleet   *fleet.Fleet
-	Budget  fanout.Budget
-	Policy  Policy
-	Events  Recorder
+	Dialect  Dialect
+	State    State
+	Fleet    *fleet.Fleet
+	Budget   fanout.Budget
+	Policies Policies
+	Events   Recorder
 	// MaxInFlight bounds the requests that are served at once.
 	MaxInFlight int
 }
@@ -55,7 +55,7 @@
 // NewHandler returns a handler.
 func NewHandler(options Options) *Handler {
 	handler := &Handler{
-		dialect: options.Dialect, state: options.State, policy: options.Policy, events: options.Events,
+		dialect: options.Dialect, state: options.State, policies: options.Policies, events: options.Events,
 		splitter: newSplitter(), inFlight: make(chan struct{}, options.MaxInFlight),
 	}
 	runner := fanout.Runner{
--- a/internal/front/policy.go
+++ b/internal/front/policy.go
@@ -3,21 +3,33 @@
 import (
 	"time"
 
+	"github.com/bramblemast/bramblemast/pkg/policy"
 	"github.com/bramblemast/bramblemast/pkg/route"
 )
 
-// Policy sets how the front decides about time.
+// Policy is what is in force for one request.
 type Policy struct {
-	// HedgeFactor times the typical time of a kind of request is the wait
-	// before a second server is asked.
-	HedgeFactor float64
-	// TargetReserve is the share of a route's target that is left for the way
-	// back to the client.
-	TargetReserve float64
+	// Template and Arm name where the policies come from.
+	Template string
+	Revision uint64
+	Arm      string
+	Hedge    policy.HedgePolicy
+	Stop     policy.StopRule
+	// MaxAttempts bounds the servers that run one request, beside the route.
+	MaxAttempts int
+	// ExtraShare bounds extra sub-requests in relation to the deployment's own
+	// bound, 0 to 1.
+	ExtraShare float64
 }
 
-// DefaultPolicy is in force where no template says otherwise.
-var DefaultPolicy = Policy{HedgeFactor: 2.5, TargetReserve: 0.075}
+// Policies decides which policies serve a request.
+type Policies interface {
+	For(found *route.Route, requestID string) Policy
+}
+
+// targetReserve is the share of a route's target that is left for the way back
+// to the client.
+const targetReserve = 0.1
 
 // Waits that clients are told, and reserves of time.
 const (
@@ -48,11 +60,11 @@
 }
 
 // target returns when an answer with the required parts is given.
-func (p Policy) target(found *route.Route, began time.Time) time.Time {
+func target(found *route.Route, began time.Time) time.Time {
 	if found.Target <= 0 {
 		return time.Time{}
 	}
-	reserve := time.Duration(p.TargetReserve * float64(found.Target))
+	reserve := time.Duration(targetReserve * float64(found.Target))
 	reserve = min(max(reserve, leastTargetReserve), greatestTargetReserve)
 	return began.Add(found.Target - reserve)
 }
--- a/internal/front/record.go
+++ b/internal/front/record.go
@@ -14,6 +14,7 @@
 	Path    string
 	Route   string
 	Version uint64
+	Policy  Policy
 	Status  int
 	Took    time.Duration
 	// Reason is why the request was refused or the wait ended.
@@ -36,7 +37,7 @@
 func (c *conversation) record(status int, plan fanout.Plan, result fanout.Result) {
 	c.handler.events.Record(Record{
 		ID: c.id, Host: c.received.Host, Path: c.received.RequestURI, Route: c.route.Name, Version: c.version,
-		Status: status, Took: time.Since(c.began), Reason: string(result.Reason), Parts: result.Got,
+		Policy: c.policy, Status: status, Took: time.Since(c.began), Reason: string(result.Reason), Parts: result.Got,
 		Required: plan.Required, Total: len(plan.Services), Result: result, Services: plan.Services,
 	})
 }
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -14,6 +14,7 @@
 
 	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/route"
+	"github.com/bramblemast/bramblemast/pkg/template"
 )
 
 // Entry is the state of one key, in the product's terms. At most one of the
@@ -30,6 +31,7 @@
 	Configuration *route.Configuration
 	Server        *fleet.Server
 	Node          *Node
+	Template      *template.Published
 	// Problem says why the value could not be read; the last good state of the
 	// key stays in force.
 	Problem error
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -201,7 +201,7 @@
 		time.Sleep(time.Second)
 		before := nodes[0].source.watches
 		time.Sleep(time.Minute)
-		g.Expect(nodes[0].source.watches-before).To(BeNumerically("<=", 16))
+		g.Expect(nodes[0].source.watches - before).To(BeNumerically("<=", 16))
 		stop()
 	})
 }
@@ -218,7 +218,8 @@
 		}
 		time.Sleep(500 * time.Millisecond)
 		revision := writeAll(nodes, "k", false)
-		time.Sleep(3 * time.Second)
+		time.Sleep(3 * compareInterval)
+		synctest.Wait()
 		for _, each := range nodes {
 			g.Expect(each.seen.has("k")).To(Equal(revision))
 		}
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -1,8 +1,9 @@
 package directory
 
 import (
+	"cmp"
 	"context"
-	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -35,6 +36,10 @@
 	nodes func() []Node
 	// seeds are asked while no node is known.
 	seeds []peer.Address
+	// ahead takes nodes that were found to know more.
+	ahead chan target.NodeID
+	// turn counts the nodes that were asked; only Run uses it.
+	turn int
 }
 
 // PeersOptions are the parts of Peers.
@@ -50,6 +55,7 @@
 func NewPeers(options PeersOptions) *Peers {
 	peers := &Peers{
 		follower: options.Follower, transport: options.Transport, local: options.Local, nodes: options.Nodes,
+		ahead: make(chan target.NodeID, 1),
 	}
 	for _, seed := range options.Seeds {
 		if seed != options.Local.PeerAddress {
@@ -63,15 +69,11 @@
 // Run compares with other nodes until ctx ends.
 func (p *Peers) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		interval := compareInterval
-		if !p.follower.inContact() {
-			interval = urgentInterval
-		}
-		sleep(ctx, interval)
+		ahead := p.await(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
-		if address, ok := p.choose(); ok {
+		if address, ok := p.choose(ahead); ok {
 			// A peer that does not answer is no loss: another one is asked next.
 			_ = p.compare(ctx, address)
 		}
@@ -79,6 +81,25 @@
 	return nil
 }
 
+// await waits until it is time to ask, and returns the node that is known to
+// know more, if that is why.
+func (p *Peers) await(ctx context.Context) target.NodeID {
+	interval := compareInterval
+	if !p.follower.inContact() {
+		interval = urgentInterval
+	}
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ""
+	case <-timer.C:
+		return ""
+	case ahead := <-p.ahead:
+		return ahead
+	}
+}
+
 // compare asks one node for what this one does not know.
 func (p *Peers) compare(ctx context.Context, address peer.Address) error {
 	limited, cancel := context.WithTimeout(ctx, compareTimeout)
@@ -112,12 +133,18 @@
 }
 
 // answer tells another node what it does not know.
-func (p *Peers) answer(_ context.Context, _ target.NodeID, body []byte) (proto.Message, error) {
+func (p *Peers) answer(_ context.Context, from target.NodeID, body []byte) (proto.Message, error) {
 	request := &directorypb.ChangesRequest{}
 	if err := request.UnmarshalVT(body); err != nil {
 		return nil, errors.Wrap(err, "decode question for changes")
 	}
 	batch, full := p.follower.replica.since(request.After)
+	if request.After > batch.Revision {
+		select {
+		case p.ahead <- from:
+		default:
+		}
+	}
 	reply := &directorypb.ChangesReply{Revision: batch.Revision, Full: full}
 	for _, entry := range batch.Entries {
 		reply.Items = append(reply.Items, &directorypb.Item{
@@ -127,21 +154,41 @@
 	return reply, nil
 }
 
-// choose returns the node to ask: any other one, so that what one node knows
-// reaches all in a number of steps that grows with the logarithm of their
-// number, also where a whole zone knows nothing of it.
-func (p *Peers) choose() (peer.Address, bool) {
-	var candidates []peer.Address
-	for _, node := range p.nodes() {
-		if node.PeerAddress != "" && node.Name != p.local.Name {
-			candidates = append(candidates, peer.Address(node.PeerAddress))
+// choose returns the node to ask: the one that was found to know more, or else
+// each other one in turn, so that what one node knows reaches all in a number of
+// steps that grows with the logarithm of their number, also where a whole zone
+// knows nothing of it.
+func (p *Peers) choose(ahead target.NodeID) (peer.Address, bool) {
+	others := p.others()
+	for _, node := range others {
+		if target.NodeID(node.Name) == ahead {
+			return peer.Address(node.PeerAddress), true
 		}
 	}
-	if len(candidates) == 0 {
-		candidates = p.seeds
+	p.turn++
+	if len(others) > 0 {
+		return peer.Address(others[p.turn%len(others)].PeerAddress), true
+	}
+	if len(p.seeds) > 0 {
+		return p.seeds[p.turn%len(p.seeds)], true
 	}
-	if len(candidates) == 0 {
-		return "", false
+	return "", false
+}
+
+// others returns the other nodes in the order of a ring that begins behind this
+// one, so that the nodes ask different ones at a time.
+func (p *Peers) others() []Node {
+	var others []Node
+	for _, node := range p.nodes() {
+		if node.PeerAddress != "" && node.Name != p.local.Name {
+			others = append(others, node)
+		}
 	}
-	return candidates[rand.IntN(len(candidates))], true
+	slices.SortFunc(others, func(a, b Node) int {
+		if before := cmp.Compare(a.Name, p.local.Name) - cmp.Compare(b.Name, p.local.Name); before != 0 {
+			return -before
+		}
+		return cmp.Compare(a.Name, b.Name)
+	})
+	return others
 }
--- a/pkg/directory/replica.go
+++ b/pkg/directory/replica.go
@@ -22,7 +22,8 @@
 	// The fields below are guarded by mutex.
 	entries    map[string]Entry
 	tombstones map[string]tombstone
-	// forgottenUpTo is the revision up to which tombstones are forgotten.
+	// forgottenUpTo is the revision up to which it is not known which keys have
+	// gone.
 	forgottenUpTo uint64
 	// at is the revision up to which the replica is complete; zero for nothing.
 	at uint64
@@ -66,6 +67,10 @@
 	}
 	r.mutex.Lock()
 	r.at = max(r.at, batch.Revision)
+	if full {
+		// Keys that came and went before are not known here.
+		r.forgottenUpTo = max(r.forgottenUpTo, batch.Revision)
+	}
 	r.forget(now)
 	r.mutex.Unlock()
 	return news
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -12,6 +12,7 @@
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/policy"
 )
 
 // Plan is what Run is to do for one request.
@@ -36,9 +37,13 @@
 	Assumed time.Duration
 	// Patience is how long a part waits while all of its servers are busy.
 	Patience time.Duration
-	// HedgeFactor times the typical time is the wait before a second server is
-	// asked.
-	HedgeFactor float64
+	// Hedge decides when a second server is asked.
+	Hedge policy.HedgePolicy
+	// Stop may end the wait before the target, once the required parts are in.
+	Stop policy.StopRule
+	// ExtraShare bounds the extra sub-requests in relation to what the budget
+	// allows, 0 to 1.
+	ExtraShare float64
 }
 
 // Budget pays for sub-requests beyond the first of each part.
@@ -57,6 +62,7 @@
 const (
 	StopComplete  StopReason = "complete"
 	StopTarget    StopReason = "target"
+	StopRule      StopReason = "stop_rule"
 	StopDeadline  StopReason = "deadline"
 	StopExhausted StopReason = "no_server_left"
 	StopCancelled StopReason = "cancelled"
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -15,6 +15,7 @@
 	"github.com/bramblemast/bramblemast/pkg/fanout"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/policy"
 )
 
 // counter is a budget that allows a number of extra sub-requests.
@@ -84,13 +85,21 @@
 	return total
 }
 
+var hedge = func() policy.HedgePolicy {
+	set, err := policy.Build(policy.Spec{Hedge: policy.HedgeSpec{Policy: policy.HedgeTypical, Factor: 2.5}})
+	if err != nil {
+		panic(err)
+	}
+	return set.Hedge
+}()
+
 // plan asks the services and gives an answer after 200 ms if half are in.
 func plan(services ...string) fanout.Plan {
 	now := time.Now()
 	return fanout.Plan{
 		Kind: "k", Services: services, Required: (len(services) + 1) / 2, Repeatable: true, MaxAttempts: 2,
 		Target: now.Add(200 * time.Millisecond), Deadline: now.Add(time.Second), Assumed: 20 * time.Millisecond,
-		Patience: 100 * time.Millisecond, HedgeFactor: 2.5,
+		Patience: 100 * time.Millisecond, Hedge: hedge, ExtraShare: 1,
 	}
 }
 
@@ -298,3 +307,20 @@
 		w.fleet.Cancel(lease)
 	})
 }
+
+// TestAStopRuleEndsTheWaitEarly once the required parts are in.
+func TestAStopRuleEndsTheWaitEarly(t *testing.T) {
+	in(t, func(g *WithT, w *world) {
+		w.add("a", "a1", quick("a"))
+		w.add("b", "b1", exchangetest.Answer{Hang: true})
+		set, err := policy.Build(policy.Spec{
+			Stop: policy.StopSpec{Policy: policy.StopRuleCoverage, Coverage: 0.5, Grace: policy.Duration(30 * time.Millisecond)},
+		})
+		g.Expect(err).NotTo(HaveOccurred())
+		early := plan("a", "b")
+		early.Stop = set.Stop
+		result, took := w.run(early)
+		g.Expect(result.Reason).To(Equal(fanout.StopRule))
+		g.Expect(took).To(Equal(40 * time.Millisecond))
+	})
+}
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -9,8 +9,13 @@
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/policy"
 )
 
+// lateKeep is the share of the budget that is kept for requests that can still
+// be answered in time.
+const lateKeep = 0.5
+
 const statusMisdirected = http.StatusMisdirectedRequest
 
 // launchFirst asks the first server of a part.
@@ -74,11 +79,17 @@
 	if !r.plan.Repeatable || owner.executions >= r.plan.MaxAttempts {
 		return time.Time{}
 	}
-	typical, _ := r.runner.Fleet.Typical(r.plan.Kind, r.plan.Assumed)
-	wait := lease.Expected - typical + time.Duration(r.plan.HedgeFactor*float64(typical))
+	profile := r.runner.Fleet.Profile(r.plan.Kind, r.plan.Assumed)
+	observed := policy.HedgeObservation{
+		Quantile: profile.Quantile, Remaining: r.plan.Deadline.Sub(now),
+		Typical: profile.Mean, Network: lease.Expected - profile.Mean,
+	}
 	if !r.plan.Target.IsZero() {
-		latest := r.plan.Target.Sub(now) - 2*typical
-		wait = min(wait, max(latest, typical))
+		observed.Useful = max(r.plan.Target.Sub(now), time.Nanosecond)
+	}
+	wait, ok := r.plan.Hedge.Delay(observed)
+	if !ok {
+		return time.Time{}
 	}
 	return now.Add(wait)
 }
@@ -112,9 +123,9 @@
 // spend pays for an extra sub-request. Once the target is missed, an answer is
 // worth little, and half of the budget is kept for others.
 func (r *run) spend(owner *part, now time.Time) bool {
-	keep := 0.0
+	keep := 1 - r.plan.ExtraShare
 	if !r.plan.Target.IsZero() && now.After(r.plan.Target) {
-		keep = 0.5
+		keep = max(keep, lateKeep)
 	}
 	if r.runner.Budget.TrySpend(owner.service, keep, now) {
 		return true
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -7,6 +7,7 @@
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/policy"
 )
 
 // Times of the event loop.
@@ -72,13 +73,18 @@
 	parts   []part
 	results chan finished
 	// ended is closed when nobody waits for results any longer.
-	ended   chan struct{}
-	got     int
-	open    int
-	hedges  int
-	retries int
-	sent    int
-	denied  int
+	ended chan struct{}
+	began time.Time
+	// coveredAt is when the share of the stop rule was reached, recheckAt when
+	// the rule is to be asked again; zero for never.
+	coveredAt time.Time
+	recheckAt time.Time
+	got       int
+	open      int
+	hedges    int
+	retries   int
+	sent      int
+	denied    int
 }
 
 func newRun(runner *Runner, plan Plan, request *exchange.Request) *run {
@@ -87,7 +93,7 @@
 		parts[index].service = service
 	}
 	return &run{
-		runner: runner, plan: plan, request: request, parts: parts,
+		runner: runner, plan: plan, request: request, parts: parts, began: time.Now(),
 		results: make(chan finished, len(parts)), ended: make(chan struct{}), open: len(parts),
 	}
 }
@@ -126,12 +132,37 @@
 		return StopTarget, true
 	case r.got+r.open < r.plan.Required:
 		return StopExhausted, true
+	case r.got >= r.plan.Required && r.stops(now):
+		return StopRule, true
 	case r.got >= r.plan.Required && r.allAbsent():
 		return StopExhausted, true
 	}
 	return "", false
 }
 
+// stops asks the stop rule.
+func (r *run) stops(now time.Time) bool {
+	if r.plan.Stop == nil {
+		return false
+	}
+	progress := policy.Progress{
+		CoveredWidth: uint32(r.got), TotalWidth: uint32(len(r.parts)), Outstanding: r.open,
+		Elapsed: now.Sub(r.began), Remaining: r.plan.Deadline.Sub(now),
+	}
+	if progress.Share() >= r.plan.Stop.TargetShare() {
+		if r.coveredAt.IsZero() {
+			r.coveredAt = now
+		}
+		progress.SinceCoverage = now.Sub(r.coveredAt)
+	}
+	decision := r.plan.Stop.Decide(progress)
+	r.recheckAt = time.Time{}
+	if decision.Recheck > 0 {
+		r.recheckAt = now.Add(decision.Recheck)
+	}
+	return decision.Stop
+}
+
 // allAbsent reports whether every part that is missing has no server.
 func (r *run) allAbsent() bool {
 	for index := range r.parts {
@@ -158,6 +189,9 @@
 	if !r.plan.Target.IsZero() && r.plan.Target.Before(next) && r.got >= r.plan.Required {
 		next = r.plan.Target
 	}
+	if !r.recheckAt.IsZero() && r.recheckAt.Before(next) {
+		next = r.recheckAt
+	}
 	for index := range r.parts {
 		at := r.parts[index].hedgeAt
 		if !at.IsZero() && at.Before(next) {
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -80,13 +80,12 @@
 	return cost, best != nil
 }
 
-// Typical returns the mean time that servers need for a kind of request and
-// its mean deviation, without the network.
-func (f *Fleet) Typical(kind string, assumed time.Duration) (time.Duration, time.Duration) {
+// Profile returns what is known of the times of a kind of request.
+func (f *Fleet) Profile(kind string, assumed time.Duration) ProfileView {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	profile := f.profile(Choice{Kind: kind, Assumed: assumed})
-	return profile.typical(), profile.deviation
+	return ProfileView{Mean: profile.typical(), Deviation: profile.deviation}
 }
 
 // profile returns the profile of a kind. The mutex is held.
--- a/pkg/fleet/profile.go
+++ b/pkg/fleet/profile.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Profile is the typical time that servers need for one kind of request,
 // without the network. The mutex of the Fleet guards it.
@@ -10,6 +13,20 @@
 	samples   int
 }
 
+// ProfileView is a Profile at one moment.
+type ProfileView struct {
+	Mean time.Duration
+	// Deviation is the mean deviation from the mean.
+	Deviation time.Duration
+}
+
+// Quantile estimates a quantile (0 to 1) of the times, as if they were
+// distributed normally.
+func (v ProfileView) Quantile(quantile float64) time.Duration {
+	sigma := float64(v.Deviation) * math.Sqrt(math.Pi/2)
+	return max(0, v.Mean+time.Duration(sigma*math.Sqrt2*math.Erfinv(2*quantile-1)))
+}
+
 // Constants of profiles.
 const (
 	// profileGain is the share of a new sample in the averages.
--- a/pkg/policy/build.go
+++ b/pkg/policy/build.go
@@ -56,6 +56,8 @@
 	maxAttempts   = 10
 	maxRecords    = 1_000_000
 	maxHedgeDelay = time.Minute
+	// maxHedgeFactor bounds a wait in relation to the typical time.
+	maxHedgeFactor = 100.0
 )
 
 // checkShare wants a value above 0 and at most 1.
--- a/pkg/policy/defaults.go
+++ b/pkg/policy/defaults.go
@@ -6,6 +6,7 @@
 const (
 	defaultHedgeQuantile = 0.97
 	defaultHedgeFloor    = time.Millisecond
+	defaultHedgeFactor   = 2.5
 	defaultCoverage      = 1.0
 	defaultGrace         = 10 * time.Millisecond
 	defaultRecords       = 10
@@ -25,6 +26,7 @@
 			Policy:   HedgeQuantile,
 			Delay:    Duration(defaultHedgeFloor),
 			Quantile: defaultHedgeQuantile,
+			Factor:   defaultHedgeFactor,
 		},
 		Stop: StopSpec{
 			Policy:   StopRuleAll,
@@ -72,6 +74,7 @@
 		fill(&spec.Hedge.Delay, defaults.Hedge.Delay)
 	}
 	fill(&spec.Hedge.Quantile, defaults.Hedge.Quantile)
+	fill(&spec.Hedge.Factor, defaults.Hedge.Factor)
 	fill(&spec.Stop.Policy, defaults.Stop.Policy)
 	if spec.Stop.Policy != StopRuleFirst {
 		fill(&spec.Stop.Coverage, defaults.Stop.Coverage)
--- a/pkg/policy/hedge.go
+++ b/pkg/policy/hedge.go
@@ -7,12 +7,14 @@
 	HedgeNone     = "none"
 	HedgeFixed    = "fixed"
 	HedgeQuantile = "quantile"
+	HedgeTypical  = "typical"
 )
 
 var hedges = newRegistry(KindHedge, map[string]Factory[HedgeSpec, HedgePolicy]{
 	HedgeNone:     func(HedgeSpec) (HedgePolicy, FieldErrors) { return noHedge{}, nil },
 	HedgeFixed:    newFixedHedge,
 	HedgeQuantile: newQuantileHedge,
+	HedgeTypical:  newTypicalHedge,
 })
 
 // medianQuantile is the quantile that stands for a typical sub-request.
@@ -73,6 +75,36 @@
 	return delay, true
 }
 
+// typicalHedge waits for a multiple of the typical time of a server, beyond the
+// time of the network.
+type typicalHedge struct{ factor float64 }
+
+func newTypicalHedge(spec HedgeSpec) (HedgePolicy, FieldErrors) {
+	var wrong FieldErrors
+	if !(spec.Factor >= 1 && spec.Factor <= maxHedgeFactor) {
+		wrong.add("factor", "%v: want 1 to %v for policy %q", spec.Factor, maxHedgeFactor, HedgeTypical)
+	}
+	return typicalHedge{factor: spec.Factor}, wrong
+}
+
+// Delay implements HedgePolicy. The wait is shorter where otherwise a second
+// server, which takes about twice the typical time with its network, would
+// answer too late.
+func (h typicalHedge) Delay(observed HedgeObservation) (time.Duration, bool) {
+	typical := observed.Typical
+	if typical <= 0 {
+		typical = observed.Quantile(medianQuantile)
+	}
+	if typical <= 0 {
+		return 0, false
+	}
+	wait := observed.Network + time.Duration(h.factor*float64(typical))
+	if observed.Useful > 0 {
+		wait = min(wait, max(observed.Useful-2*typical, typical))
+	}
+	return wait, wait < observed.Remaining
+}
+
 func (e *FieldErrors) checkHedgeDelay(delay Duration) {
 	if delay.Std() > maxHedgeDelay {
 		e.add("delay", "%s: want at most %s", delay.Std(), maxHedgeDelay)
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -53,6 +53,13 @@
 	Quantile func(quantile float64) time.Duration
 	// Remaining is the time until the query's deadline.
 	Remaining time.Duration
+	// Useful is the time until an answer loses most of its value; zero if it
+	// keeps it until the deadline.
+	Useful time.Duration
+	// Typical is the mean time of a server, and Network the time beyond it
+	// within which its answers usually come; zero if unknown.
+	Typical time.Duration
+	Network time.Duration
 }
 
 // HedgePolicy decides how long to wait for a sub-request before a second
--- a/pkg/policy/spec.go
+++ b/pkg/policy/spec.go
@@ -30,13 +30,16 @@
 
 // HedgeSpec chooses a HedgePolicy.
 type HedgeSpec struct {
-	// Policy is "none" (baseline), "fixed" or "quantile".
+	// Policy is "none" (baseline), "fixed", "quantile" or "typical".
 	Policy string `json:"policy,omitempty" yaml:"policy,omitempty"`
 	// Delay is the wait of "fixed", and the least wait of "quantile".
 	Delay Duration `json:"delay,omitempty" yaml:"delay,omitempty"`
 	// Quantile is the latency quantile, above 0 and below 1, that "quantile"
 	// waits for.
 	Quantile float64 `json:"quantile,omitempty" yaml:"quantile,omitempty"`
+	// Factor times the typical time of a server is the wait of "typical"; 1 to
+	// 100.
+	Factor float64 `json:"factor,omitempty" yaml:"factor,omitempty"`
 }
 
 // StopSpec chooses a StopRule.
