Operators publish templates through the platform's store

Cause: on the platform no operator calls a node, so that templates and experiments could not be published there. Ruled out: a listener for operators on each node (memory on every machine, and nobody outside may call it).

--- a/internal/ctl/session.go
+++ b/internal/ctl/session.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bramblemast/bramblemast/api/operator"
+	"github.com/bramblemast/bramblemast/pkg/configstore"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/template"
 )
@@ -37,6 +38,12 @@
 	return opened
 }
 
+// newStoreSession returns a session with a gateway to the store.
+func newStoreSession(store configstore.Store, timeout time.Duration) *session {
+	client := operator.NewClient(gatewayNode, &http.Client{Transport: newGateway(store, timeout)})
+	return &session{clients: []*operator.Client{client}, timeout: timeout, pause: settlePause}
+}
+
 // read asks one node after the other until one answers; ask must be idempotent.
 // A node that answers with a refusal has the last word.
 func read[Message any](ctx context.Context, s *session, ask func(context.Context, *operator.Client) (*Message, error)) (*Message, error) {
