--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -64,7 +65,11 @@
 	// readyListener takes the platform's questions about readiness.
 	readyListener net.Listener
 	follower      *directory.Follower
-	member        *registration
+	figures       *figures
+	// metrics and metricsListener are nil if no port is set.
+	metrics         *http.Server
+	metricsListener net.Listener
+	member          *registration
 	// transport and peers are nil if the node has no address for its peers.
 	transport *peer.TCP
 	peers     *directory.Peers
@@ -89,9 +94,11 @@
 		policies: rules, logger: options.Logger, fleet: servers, budgets: newBudgets(settings.Bounds),
 		nodes: make(map[string]directory.Node),
 	}
+	node.figures = newFigures()
+	node.state.figures = node.figures
 	handler := front.NewHandler(front.Options{
 		Dialect: options.Dialect, State: node.state, Fleet: servers, Budget: node.state.budgets,
-		Policies: rules, Events: &events{logger: options.Logger, figures: newFigures()},
+		Policies: rules, Events: &events{logger: options.Logger, figures: node.figures},
 		MaxInFlight: maxInFlight,
 	})
 	listener, err := front.Listen(settings.Listen.Clients, handler)
@@ -111,7 +118,47 @@
 	node.member = &registration{registry: options.Platform, node: local, logger: options.Logger}
 	node.ready = &http.Server{Handler: node.readyHandler(), ReadHeaderTimeout: connectTimeout}
 	node.readyListener, err = net.Listen("tcp", settings.Listen.Ready)
-	return node, errors.Wrap(err, "listen for readiness")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for readiness")
+	}
+	node.registerGauges()
+	return node, node.openMetrics(settings)
+}
+
+// openMetrics opens the address of the figures, if there is one.
+func (n *Node) openMetrics(settings *Settings) error {
+	if settings.Listen.MetricsPort == 0 {
+		return nil
+	}
+	address := net.JoinHostPort(settings.Node.Address, strconv.Itoa(settings.Listen.MetricsPort))
+	opened, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen for metrics")
+	}
+	n.metricsListener = opened
+	n.metrics = &http.Server{Handler: n.figures.handler(), ReadHeaderTimeout: connectTimeout}
+	return nil
+}
+
+// registerGauges registers the figures that are read when they are asked for.
+func (n *Node) registerGauges() {
+	n.figures.gauge("configuration_version", "Version of the routing configuration in force; 0 for none.", func() float64 {
+		if table := n.state.Table(); table != nil {
+			return float64(table.Version)
+		}
+		return 0
+	})
+	n.figures.gauge("store_revision", "Revision of the store up to which the node is complete.", func() float64 {
+		revision, _ := n.follower.Revision()
+		return float64(revision)
+	})
+	n.figures.gauge("store_contact_age_seconds", "Time since the store last answered; -1 for never.", func() float64 {
+		_, contactAt := n.follower.Revision()
+		return age(contactAt)
+	})
+	n.figures.gauge("servers", "Servers that the platform lists.", func() float64 { return float64(n.state.fleet.Len()) })
+	n.figures.gauge("nodes", "Nodes that are registered.", func() float64 { return float64(len(n.state.knownNodes())) })
+	n.figures.gauge("client_connections", "Open connections of clients.", func() float64 { return float64(n.listener.Open()) })
 }
 
 // ClientAddress returns where clients connect.
@@ -154,6 +201,9 @@
 	}
 	group.Add(n.listener.Serve, func(error) { n.listener.Close() })
 	group.Add(func() error { return n.ready.Serve(n.readyListener) }, func(error) { _ = n.ready.Close() })
+	if n.metrics != nil {
+		group.Add(func() error { return n.metrics.Serve(n.metricsListener) }, func(error) { _ = n.metrics.Close() })
+	}
 	add(n.follower.Run)
 	add(n.member.run)
 	if n.transport != nil {
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -40,6 +40,7 @@
 	}
 	left, ok := e.admit(time.Now())
 	if left > 0 {
+		e.figures.logLines.WithLabelValues("rate").Add(float64(left))
 		e.logger.Warn("lines left out", "count", left)
 	}
 	if ok {
--- a/internal/edge/figures.go
+++ b/internal/edge/figures.go
@@ -1,12 +1,106 @@
 package edge
 
 import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
 	"github.com/bramblemast/bramblemast/internal/front"
 )
 
-// figures are the node's counters.
-type figures struct{}
+// metricsPath is where the figures are served.
+const metricsPath = "/metrics"
+
+// latencyBuckets are the upper bounds of the latency histograms, in seconds.
+var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.175, 0.25, 0.5, 1, 2.5, 10}
+
+// figures are the node's metrics; docs/OPERATIONS.md explains each.
+type figures struct {
+	registry *prometheus.Registry
+
+	requests    *prometheus.CounterVec
+	latency     *prometheus.HistogramVec
+	missing     *prometheus.CounterVec
+	subRequests *prometheus.CounterVec
+	denied      *prometheus.CounterVec
+	dependency  *prometheus.GaugeVec
+	refused     *prometheus.CounterVec
+	logLines    *prometheus.CounterVec
+}
+
+func newFigures() *figures {
+	f := &figures{
+		registry: prometheus.NewRegistry(),
+		requests: counters("requests_total", "Requests by outcome.", "route", "arm", "status", "reason"),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "request_seconds", Help: "Time to the final answer.", Buckets: latencyBuckets,
+		}, []string{"route", "arm"}),
+		missing:     counters("parts_missing_total", "Shards left out of successful answers.", "route", "arm"),
+		subRequests: counters("sub_requests_total", "Requests sent to servers: first, hedge or retry.", "route", "arm", "kind"),
+		denied:      counters("extra_denied_total", "Hedges and retries that the budget did not pay for.", "route", "arm"),
+		dependency: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "dependency_up", Help: "1 if the dependency answers, 0 if not.",
+		}, []string{"dependency"}),
+		refused:  counters("state_refused_total", "Entries of the store that were refused.", "what"),
+		logLines: counters("log_lines_left_out_total", "Log lines that were left out, by cause.", "cause"),
+	}
+	f.registry.MustRegister(f.requests, f.latency, f.missing, f.subRequests, f.denied, f.dependency, f.refused, f.logLines)
+	return f
+}
+
+const namespace = "bramblemast_edge"
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+// gauge registers a figure that is read when it is asked for.
+func (f *figures) gauge(name, help string, read func() float64) {
+	f.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: name, Help: help,
+	}, read))
+}
+
+// handler serves the figures as text.
+func (f *figures) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+metricsPath, promhttp.HandlerFor(f.registry, promhttp.HandlerOpts{}))
+	return mux
+}
+
+// count takes one request.
+func (f *figures) count(record front.Record) {
+	route, arm := record.Route, record.Policy.Arm
+	f.requests.WithLabelValues(route, arm, strconv.Itoa(record.Status), record.Reason).Inc()
+	if record.Refused {
+		return
+	}
+	f.latency.WithLabelValues(route, arm).Observe(record.Took.Seconds())
+	result := record.Result
+	if record.Status == http.StatusOK && record.Parts < record.Total {
+		f.missing.WithLabelValues(route, arm).Add(float64(record.Total - record.Parts))
+	}
+	f.sent(route, arm, "first", result.Sent-result.Hedges-result.Retries)
+	f.sent(route, arm, "hedge", result.Hedges)
+	f.sent(route, arm, "retry", result.Retries)
+	if result.Denied > 0 {
+		f.denied.WithLabelValues(route, arm).Add(float64(result.Denied))
+	}
+}
 
-func newFigures() *figures { return &figures{} }
+func (f *figures) sent(route, arm, kind string, count int) {
+	if count > 0 {
+		f.subRequests.WithLabelValues(route, arm, kind).Add(float64(count))
+	}
+}
 
-func (f *figures) count(front.Record) {}
+// age returns the seconds since a moment; -1 if there was none.
+func age(since time.Time) float64 {
+	if since.IsZero() {
+		return -1
+	}
+	return time.Since(since).Seconds()
+}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -21,6 +21,7 @@
 	fleet    *fleet.Fleet
 	budgets  *budgets
 	policies *policies
+	figures  *figures
 	// idle takes the configured time for which clients' connections may rest.
 	idle func(time.Duration)
 	// doubtedUntil returns until when an absence in the store proves nothing.
@@ -47,6 +48,7 @@
 func (s *state) Changed(entry directory.Entry) {
 	switch {
 	case entry.Problem != nil:
+		s.figures.refused.WithLabelValues("entry").Inc()
 		s.logger.Error("entry refused", "key", entry.Key, "revision", entry.Revision, "error", entry.Problem.Error())
 	case entry.Configuration != nil:
 		s.applyConfiguration(entry)
@@ -73,6 +75,7 @@
 		return
 	}
 	if err := route.Validate(offered); err != nil {
+		s.figures.refused.WithLabelValues("configuration").Inc()
 		s.logger.Error("configuration refused", "version", offered.Version, "revision", entry.Revision, "error", err.Error())
 		return
 	}
@@ -90,6 +93,7 @@
 func (s *state) applyTemplate(entry directory.Entry) {
 	offered := entry.Template.Template
 	if err := s.policies.apply(entry.Template); err != nil {
+		s.figures.refused.WithLabelValues("template").Inc()
 		s.logger.Error("template refused", "template", offered.Key().String(), "template_revision", offered.Revision,
 			"revision", entry.Revision, "error", err.Error())
 		return
@@ -151,8 +155,10 @@
 // Dependency implements directory.Listener.
 func (s *state) Dependency(name string, connected bool, cause error) {
 	if connected {
+		s.figures.dependency.WithLabelValues(name).Set(1)
 		s.logger.Info("dependency regained", "dependency", name)
 		return
 	}
+	s.figures.dependency.WithLabelValues(name).Set(0)
 	s.logger.Warn("dependency lost", "dependency", name, "error", cause.Error())
 }
