--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -25,6 +25,7 @@
 	addNoun(parser, "backend", "Show and drain back-end servers", backendCommands(env))
 	addNoun(parser, "claim", "Show and remove claims of not-repeatable requests", claimCommands(env))
 	addNoun(parser, "config", "Show where the configuration is in force", configCommands(env))
+	addNoun(parser, "log", "Lead from a failed request to its cause", logCommands(env))
 	return parser
 }
 
@@ -159,3 +160,18 @@
 bramblemastctl config settle valgdata/tally 0b9df0c7-1f6d-4c8e-9d2e-5f0f4f1f2a11`, &configSettle{env: env}},
 	}
 }
+
+func logCommands(env *environment) []commandEntry {
+	return []commandEntry{
+		{"explain", "Tell one request's story over several nodes", `Reads log lines of nodes of a routed deployment from files or standard input.
+
+Examples:
+bramblemastctl log explain 9c41d07be2a35f68 node-*.log
+journalctl -o cat -u bramblemast-edge | bramblemastctl log explain 9c41d07be2a35f68`, &logExplain{env: env}},
+		{"summary", "Sum up why requests were not served whole", `Groups the requests of a span of time by cause and route, with the id of an example for "log explain".
+
+Examples:
+bramblemastctl log summary node-*.log
+bramblemastctl log summary --from 2026-12-02T20:15:00Z --to 2026-12-02T20:16:00Z node-*.log`, &logSummary{env: env}},
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bramblemast/bramblemast/internal/front"
+	"github.com/bramblemast/bramblemast/internal/version"
 	"github.com/bramblemast/bramblemast/pkg/directory"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/peer"
@@ -78,6 +79,7 @@
 // New opens the node's listeners.
 func New(options Options) (*Node, error) {
 	settings := options.Settings
+	options.Logger = options.Logger.With("node", settings.Node.Name)
 	node := &Node{options: options, logger: options.Logger}
 	servers := fleet.New(fleet.Settings{
 		Local:       fleet.Place{Zone: settings.Node.Zone, Region: settings.Node.Region},
@@ -98,7 +100,9 @@
 	node.state.figures = node.figures
 	handler := front.NewHandler(front.Options{
 		Dialect: options.Dialect, State: node.state, Fleet: servers, Budget: node.state.budgets,
-		Policies: rules, Events: &events{logger: options.Logger, figures: node.figures},
+		Policies: rules, Events: &events{
+			logger: options.Logger, figures: node.figures, storeAge: node.storeAge,
+		},
 		MaxInFlight: maxInFlight,
 	})
 	listener, err := front.Listen(settings.Listen.Clients, handler)
@@ -140,6 +144,12 @@
 	return nil
 }
 
+// storeAge returns the time since the store last answered.
+func (n *Node) storeAge() time.Duration {
+	_, contactAt := n.follower.Revision()
+	return time.Since(contactAt)
+}
+
 // registerGauges registers the figures that are read when they are asked for.
 func (n *Node) registerGauges() {
 	n.figures.gauge("configuration_version", "Version of the routing configuration in force; 0 for none.", func() float64 {
@@ -192,7 +202,7 @@
 // Run serves until ctx ends, and then stops as planned: no request in flight
 // is cut off within the grace time.
 func (n *Node) Run(ctx context.Context) error {
-	n.logger.Info("started", "node", n.options.Settings.Node.Name, "zone", n.options.Settings.Node.Zone)
+	n.logger.Info("started", "zone", n.options.Settings.Node.Zone, "release", version.Version)
 	inner, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var group run.Group
@@ -214,7 +224,7 @@
 	add(n.sweepServers)
 	add(func(inner context.Context) error { return n.awaitStop(ctx, inner) })
 	err := group.Run()
-	n.logger.Info("stopped", "node", n.options.Settings.Node.Name)
+	n.logger.Info("stopped")
 	return err
 }
 
--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,179 @@
+package edge
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/internal/front"
+	"github.com/bramblemast/bramblemast/pkg/policy"
+	"github.com/bramblemast/bramblemast/pkg/route"
+	"github.com/bramblemast/bramblemast/pkg/template"
+)
+
+// TestSettingsNameEveryFault in one error.
+func TestSettingsNameEveryFault(t *testing.T) {
+	g := NewWithT(t)
+	_, err := ParseSettings([]byte(`{"node": {"zone": ""}, "listen": {"clients": "here", "metrics_port": 70000},
+		"peers": ["x"], "bounds": {"drain_ms": -1, "extra": -1, "extra_ratio": -1, "contact_ms": -1}}`))
+	for _, part := range []string{
+		"node.name is missing", "node.zone is missing", `listen.clients: "here" is not ip:port`, "listen.ready", "store.address",
+		"peers.0", "bounds.drain_ms is negative", "bounds.extra is negative", "bounds.extra_ratio", "bounds.contact_ms",
+		"bounds.grace_s must be above 0", "listen.metrics_port",
+	} {
+		g.Expect(err).To(MatchError(ContainSubstring(part)))
+	}
+	_, err = ParseSettings([]byte(`{"nodes": {}}`))
+	g.Expect(err).To(MatchError(ContainSubstring(`unknown field "nodes"`)))
+	_, err = LoadSettings("/nowhere")
+	g.Expect(err).To(MatchError(ContainSubstring("read settings")))
+}
+
+// blocked is an output whose reader has stopped reading.
+type blocked struct{ release chan struct{} }
+
+func (b blocked) Write(line []byte) (int, error) {
+	<-b.release
+	return len(line), nil
+}
+
+// TestALogThatNobodyReadsBlocksNothing: lines beyond the backlog are dropped and
+// counted.
+func TestALogThatNobodyReadsBlocksNothing(t *testing.T) {
+	g := NewWithT(t)
+	output := blocked{release: make(chan struct{})}
+	writer := newAsyncWriter(output)
+	for range 3 * logBacklog {
+		_, err := writer.Write([]byte("line\n"))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(writer.dropped.Load()).To(BeNumerically(">=", 2*logBacklog-1))
+	close(output.release)
+}
+
+// TestFailuresAreLoggedAndSuccessesSampled, both within a bound for each second.
+func TestFailuresAreLoggedAndSuccessesSampled(t *testing.T) {
+	g := NewWithT(t)
+	var output bytes.Buffer
+	lines := make(chan []byte, 4*linesPerSecond)
+	tested := &events{
+		logger: NewLogger("test", writerFunc(func(line []byte) { lines <- bytes.Clone(line) })), figures: newFigures(),
+		storeAge: func() time.Duration { return time.Second },
+	}
+	for range sampleEvery {
+		tested.Record(front.Record{ID: "served", Status: 200})
+	}
+	for range linesPerSecond {
+		tested.Record(front.Record{ID: "failed", Status: 503, Refused: true})
+	}
+	for output.Len() == 0 || strings.Count(output.String(), "failed") < linesPerSecond-1 {
+		output.Write(<-lines)
+	}
+	g.Expect(strings.Count(output.String(), "served")).To(Equal(1))
+}
+
+type writerFunc func(line []byte)
+
+func (f writerFunc) Write(line []byte) (int, error) {
+	f(line)
+	return len(line), nil
+}
+
+var _ io.Writer = writerFunc(nil)
+
+// TestTheExtraLoadOfAllNodesStaysWithinItsBound while traffic is steady, however
+// many nodes share it.
+func TestTheExtraLoadOfAllNodesStaysWithinItsBound(t *testing.T) {
+	g := NewWithT(t)
+	bounds := BoundSettings{ExtraRatio: 0.2, Extra: 58, ExtraWindowSeconds: 10}
+	for _, count := range []int{1, 3, 9, 100} {
+		nodes := make([]*budgets, count)
+		for index := range nodes {
+			nodes[index] = newBudgets(bounds)
+			nodes[index].setNodes(count)
+		}
+		now := time.Unix(0, 0)
+		primary, extra := 0, 0
+		for range 100 {
+			now = now.Add(99 * time.Millisecond)
+			for _, node := range nodes {
+				node.Earn("s", now)
+				primary++
+				for node.TrySpend("s", 0, now) {
+					extra++
+				}
+			}
+		}
+		g.Expect(float64(extra)).To(BeNumerically("<=", 0.2*float64(primary)+58), "%d nodes", count)
+		g.Expect(float64(extra)).To(BeNumerically(">", 0.15*float64(primary)))
+	}
+}
+
+// TestTemplatesDecide: the route's own template, else that of its kind, else the
+// built-in policies; a request keeps its arm; a tombstone ends a template.
+func TestTemplatesDecide(t *testing.T) {
+	g := NewWithT(t)
+	tested, err := newPolicies()
+	g.Expect(err).NotTo(HaveOccurred())
+	gathered := &route.Route{Name: "tally", Shards: []string{"a"}}
+	single := &route.Route{Name: "archive"}
+	g.Expect(tested.For(gathered, "r").Template).To(BeEmpty())
+	publish := func(name string, revision uint64, change func(*template.Template)) {
+		document := &template.Template{
+			Tenant: routeTenant, Name: name, Revision: revision, ChangeID: "c", Service: "s", Class: policy.ClassTicker,
+			Deadline: policy.Duration(time.Second),
+		}
+		change(document)
+		published, err := template.Seal(document)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(tested.apply(&published)).To(Succeed())
+	}
+	publish(gatheredName, 1, func(*template.Template) {})
+	publish("tally", 2, func(document *template.Template) {
+		document.Policies.Retry = policy.RetrySpec{Policy: policy.RetryDeadlineAware, MaxAttempts: 1}
+		document.Experiment = &template.Experiment{Name: "e", Arms: []template.Arm{{
+			Name: "eager", Share: 0.5, Policies: policy.Spec{Hedge: policy.HedgeSpec{Policy: policy.HedgeTypical, Factor: 1}},
+		}}}
+	})
+	arms := make(map[string]int)
+	for index := range 1000 {
+		id := strings.Repeat("x", index)
+		chosen := tested.For(gathered, id)
+		g.Expect(chosen.Template).To(Equal("routes/tally"))
+		g.Expect(chosen.MaxAttempts).To(Equal(1))
+		g.Expect(tested.For(gathered, id).Arm).To(Equal(chosen.Arm))
+		arms[chosen.Arm]++
+	}
+	g.Expect(arms["eager"]).To(BeNumerically("~", 500, 80))
+	g.Expect(tested.For(single, "r").Template).To(BeEmpty())
+	publish("tally", 3, func(document *template.Template) { document.Deleted = true })
+	g.Expect(tested.For(gathered, "r").Template).To(Equal("routes/gathered"))
+}
+
+// TestTheDeployFileFitsTheSettings: every name of the deploy template is one of
+// the settings.
+func TestTheDeployFileFitsTheSettings(t *testing.T) {
+	g := NewWithT(t)
+	content, err := os.ReadFile("../../deploy/edge.json")
+	g.Expect(err).NotTo(HaveOccurred())
+	filled := string(content)
+	for gap, value := range map[string]string{
+		"{{NodeName|json}}": `"n"`, "{{Zone|json}}": `"z"`, "{{Region|json}}": `"r"`, "{{Ip|json}}": `"127.0.0.1"`,
+		"{{Zones|json}}": `{"z":"r"}`, "{{Seeds|json}}": `["127.0.0.1:3"]`, "{{Listen.Front|json}}": `"127.0.0.1:1"`,
+		"{{Listen.Ready|json}}": `"127.0.0.1:2"`, "{{Listen.Control|json}}": `"127.0.0.1:3"`,
+		"{{platform.Address|json}}": `"127.0.0.1:4"`,
+	} {
+		filled = strings.ReplaceAll(filled, gap, value)
+	}
+	for strings.Contains(filled, "{{") {
+		start, end := strings.Index(filled, "{{"), strings.Index(filled, "}}")
+		filled = filled[:start] + "1" + filled[end+2:]
+	}
+	_, err = ParseSettings([]byte(filled))
+	g.Expect(err).NotTo(HaveOccurred())
+}
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -22,6 +22,8 @@
 type events struct {
 	logger  hclog.Logger
 	figures *figures
+	// storeAge returns the time since the store last answered.
+	storeAge func() time.Duration
 
 	successes atomic.Uint64
 
@@ -44,7 +46,7 @@
 		e.logger.Warn("lines left out", "count", left)
 	}
 	if ok {
-		e.logger.Info("request", fields(record)...)
+		e.logger.Info("request", e.fields(record)...)
 	}
 }
 
@@ -70,10 +72,10 @@
 }
 
 // fields lists what decided a request.
-func fields(record front.Record) []any {
+func (e *events) fields(record front.Record) []any {
 	list := []any{
 		"request", record.ID, "host", record.Host, "path", record.Path, "route", record.Route,
-		"version", record.Version, "status", record.Status, "reason", record.Reason,
+		"version", record.Version, "store_age_ms", e.storeAge().Milliseconds(), "status", record.Status, "reason", record.Reason,
 		"took_ms", float64(record.Took.Microseconds()) / 1000,
 	}
 	if record.Cause != nil {
@@ -90,14 +92,31 @@
 		list = append(list, "template", record.Policy.Template, "template_revision", record.Policy.Revision,
 			"arm", record.Policy.Arm)
 	}
-	for index, part := range result.Parts {
-		if part == nil {
-			list = append(list, "missing", record.Services[index])
-			if failure := result.Failures[index]; failure != nil {
-				list = append(list, "error", failure.Error())
-			}
-			break
+	if len(result.Attempts) > 0 {
+		list = append(list, "attempts", result.Attempts)
+	}
+	return appendMissing(list, record)
+}
+
+// appendMissing names the services without an answer, and the last error of the
+// first of them.
+func appendMissing(list []any, record front.Record) []any {
+	var missing []string
+	var failure error
+	for index, part := range record.Result.Parts {
+		if part != nil {
+			continue
 		}
+		missing = append(missing, record.Services[index])
+		if failure == nil {
+			failure = record.Result.Failures[index]
+		}
+	}
+	if len(missing) > 0 {
+		list = append(list, "missing", missing)
+	}
+	if failure != nil {
+		list = append(list, "error", failure.Error())
 	}
 	return list
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -112,7 +112,7 @@
 		return
 	}
 	s.share()
-	s.logger.Info("node found", "node", node.Name, "nodes", count)
+	s.logger.Info("node found", "found", node.Name, "nodes", count)
 }
 
 func (s *state) remove(entry directory.Entry) {
--- /dev/null
+++ b/internal/explain/cause.go
@@ -0,0 +1,102 @@
+package explain
+
+import (
+	"net/http"
+	"strings"
+)
+
+// Cause is why a request was not served whole and in time.
+type Cause string
+
+// The causes, in the words that operators read.
+const (
+	CauseServed        Cause = "none: it was served whole"
+	CauseStarting      Cause = "the node knew no configuration yet"
+	CauseOverloaded    Cause = "the node served as many requests as it may"
+	CauseNoRoute       Cause = "no route of the configuration in force fits"
+	CauseBadRequest    Cause = "the request itself: its body could not be taken"
+	CauseClientLeft    Cause = "the client left before the answer"
+	CauseNoServer      Cause = "a service had no server that could be asked"
+	CauseBusy          Cause = "all servers of a service were busy with this node's requests"
+	CauseRefused       Cause = "servers refused to run it"
+	CauseUnreachable   Cause = "servers could not be reached"
+	CauseSilent        Cause = "servers did not answer in time"
+	CauseSilentBudget  Cause = "servers did not answer in time, and the extra-load budget was used up"
+	CauseServerFailed  Cause = "servers ran it and failed"
+	CauseBroken        Cause = "connections broke after it was sent"
+	CauseThinSilent    Cause = "answered without some shards, whose servers did not answer in time"
+	CauseThinNoServer  Cause = "answered without some shards, which had no server"
+	CauseThinAttempted Cause = "answered without some shards, whose servers failed or could not be reached"
+)
+
+// CauseOf reads the cause from the line of a request.
+func CauseOf(line Line) Cause {
+	switch {
+	case line.Reason == "starting":
+		return CauseStarting
+	case line.Reason == "overloaded":
+		return CauseOverloaded
+	case line.Reason == "cancelled":
+		return CauseClientLeft
+	case line.Reason == "invalid_request" && line.Status == http.StatusNotFound:
+		return CauseNoRoute
+	case line.Reason == "invalid_request":
+		return CauseBadRequest
+	case line.Status < http.StatusBadRequest && len(line.Missing) == 0:
+		return CauseServed
+	case line.Status < http.StatusBadRequest:
+		return causeOfThin(line)
+	}
+	return causeOfFailure(line)
+}
+
+func causeOfThin(line Line) Cause {
+	switch causeOfFailure(line) {
+	case CauseNoServer, CauseBusy:
+		return CauseThinNoServer
+	case CauseSilent, CauseSilentBudget:
+		return CauseThinSilent
+	}
+	return CauseThinAttempted
+}
+
+// causeOfFailure judges by the sub-requests that came last for what is missing.
+func causeOfFailure(line Line) Cause {
+	tally := make(map[Cause]int)
+	for _, attempt := range line.Attempts {
+		tally[causeOfAttempt(attempt)]++
+	}
+	switch {
+	case tally[CauseSilent] > 0 && line.Denied > 0:
+		return CauseSilentBudget
+	case tally[CauseSilent] > 0:
+		return CauseSilent
+	case tally[CauseServerFailed] > 0:
+		return CauseServerFailed
+	case tally[CauseBroken] > 0:
+		return CauseBroken
+	case tally[CauseRefused] > 0:
+		return CauseRefused
+	case tally[CauseUnreachable] > 0:
+		return CauseUnreachable
+	case strings.Contains(line.Error, "busy"):
+		return CauseBusy
+	}
+	return CauseNoServer
+}
+
+func causeOfAttempt(attempt Attempt) Cause {
+	switch {
+	case attempt.Result == "answered":
+		return CauseServed
+	case attempt.Result == "pending" || strings.Contains(attempt.Result, "timeout"):
+		return CauseSilent
+	case attempt.Result == "status 503" || attempt.Result == "status 421" || attempt.Result == "status 429":
+		return CauseRefused
+	case strings.HasPrefix(attempt.Result, "status "):
+		return CauseServerFailed
+	case strings.HasPrefix(attempt.Result, "connect"):
+		return CauseUnreachable
+	}
+	return CauseBroken
+}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,92 @@
+package explain_test
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/internal/explain"
+)
+
+// recorded are lines of a day with servers that crash and turn slow, nodes that
+// are stopped and killed, and configurations in quick succession.
+func recorded(t *testing.T) []explain.Line {
+	t.Helper()
+	file, err := os.Open("testdata/recorded.log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	lines, other, err := explain.Read(file)
+	if err != nil || other != 0 {
+		t.Fatalf("%v, %d other lines", err, other)
+	}
+	return lines
+}
+
+// TestFromARequestToItsCause are the walks of docs/OPERATIONS.md.
+func TestFromARequestToItsCause(t *testing.T) {
+	lines := recorded(t)
+	for _, walk := range []struct {
+		id    string
+		cause explain.Cause
+		says  []string
+	}{
+		{"64b4f2f0ebcbdc59", explain.CauseBusy, []string{"answered 503", "0 of 15 parts", "before: dependency regained (store)"}},
+		{"496cbb0faf4354e1", explain.CauseThinSilent, []string{"answered 200, target; 9 of 10 parts", "pending after 108 ms"}},
+		{"69c0f4757721e019", explain.CauseThinAttempted, []string{"connection refused", "unexpected EOF", "14 of 15 parts"}},
+		{"d1c4988924e9e51d", explain.CauseServerFailed, []string{"answered 504", "status 504 after 384 ms"}},
+		{"0a9029d193cb7384", explain.CauseSilent, []string{"answered 502", "pending after 57 ms"}},
+		{"b885f4a24d3a4b60", explain.CauseNoRoute, []string{
+			"an older configuration: edge-setubal-sala-a-1 had version 37 in force 59 ms before",
+		}},
+	} {
+		t.Run(walk.id, func(t *testing.T) {
+			g := NewWithT(t)
+			story, err := explain.Explain(lines, walk.id)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(story.Tries[0].Cause).To(Equal(walk.cause))
+			var text bytes.Buffer
+			story.Write(&text)
+			for _, part := range append(walk.says, "cause: "+string(walk.cause)) {
+				g.Expect(text.String()).To(ContainSubstring(part))
+			}
+		})
+	}
+}
+
+func TestAnUnknownRequest(t *testing.T) {
+	_, err := explain.Explain(recorded(t), "none")
+	NewWithT(t).Expect(err).To(MatchError(explain.ErrUnknownRequest))
+}
+
+// TestASummaryCountsEachRequestOnce, within the span of time that is asked for.
+func TestASummaryCountsEachRequestOnce(t *testing.T) {
+	g := NewWithT(t)
+	lines := recorded(t)
+	total := 0
+	for _, group := range explain.Summary(lines, time.Time{}, time.Time{}) {
+		total += group.Count
+		g.Expect(group.Example).NotTo(BeEmpty())
+	}
+	g.Expect(total).To(Equal(6))
+	to := time.Date(2026, 5, 8, 1, 48, 40, 0, time.UTC)
+	early := explain.Summary(lines, time.Time{}, to)
+	g.Expect(early).To(HaveLen(2))
+	g.Expect(early[0].Last.Before(to)).To(BeTrue())
+}
+
+// TestLinesOfOtherProgramsArePassedOver.
+func TestLinesOfOtherProgramsArePassedOver(t *testing.T) {
+	g := NewWithT(t)
+	lines, other, err := explain.Read(strings.NewReader("panic: x\n\n{\"a\":1}\n{broken\n" +
+		`  3.5 node-1 {"@timestamp":"2026-05-08T01:48:40Z","@message":"started","node":"node-1"}` + "\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(other).To(Equal(4))
+	g.Expect(lines).To(HaveLen(1))
+	g.Expect(lines[0].Node).To(Equal("node-1"))
+}
--- /dev/null
+++ b/internal/explain/line.go
@@ -0,0 +1,107 @@
+// Package explain reads the nodes' log lines and leads from a failed request to
+// its cause.
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Messages of the nodes' lines that are looked at.
+const (
+	messageRequest       = "request"
+	messageConfiguration = "configuration in force"
+	messageLost          = "dependency lost"
+	messageRegained      = "dependency regained"
+)
+
+// maxLineBytes bounds one line.
+const maxLineBytes = 1 << 20
+
+// Line is one log line of a node.
+type Line struct {
+	At      time.Time
+	Node    string
+	Level   string
+	Message string
+	// Text is the JSON of the line.
+	Text string
+
+	Request    string    `json:"request"`
+	Route      string    `json:"route"`
+	Path       string    `json:"path"`
+	Version    uint64    `json:"version"`
+	Status     int       `json:"status"`
+	Reason     string    `json:"reason"`
+	Outcome    string    `json:"outcome"`
+	TookMillis float64   `json:"took_ms"`
+	StoreAge   int64     `json:"store_age_ms"`
+	Parts      int       `json:"parts"`
+	Required   int       `json:"required"`
+	Total      int       `json:"total"`
+	Hedges     int       `json:"hedges"`
+	Denied     int       `json:"budget_denied"`
+	Missing    []string  `json:"missing"`
+	Attempts   []Attempt `json:"attempts"`
+	Error      string    `json:"error"`
+	Dependency string    `json:"dependency"`
+	Server     string    `json:"server"`
+	Service    string    `json:"service"`
+	Template   string    `json:"template"`
+	Arm        string    `json:"arm"`
+}
+
+// Attempt is one sub-request of a request's line.
+type Attempt struct {
+	Service    string `json:"service"`
+	Server     string `json:"server"`
+	Zone       string `json:"zone"`
+	SentMillis int64  `json:"sent_ms"`
+	TookMillis int64  `json:"took_ms"`
+	Result     string `json:"result"`
+}
+
+// header are the fields that the logger itself writes.
+type header struct {
+	At      time.Time `json:"@timestamp"`
+	Level   string    `json:"@level"`
+	Message string    `json:"@message"`
+	Node    string    `json:"node"`
+}
+
+// Read reads all lines of an input. What stands before the JSON of a line, such
+// as the name of its file, is passed over; a line without JSON is counted, not
+// taken for a fault.
+func Read(input io.Reader) (lines []Line, other int, err error) {
+	scanner := bufio.NewScanner(input)
+	scanner.Buffer(make([]byte, 0, 1<<16), maxLineBytes)
+	for scanner.Scan() {
+		line, ok := parse(scanner.Bytes())
+		if !ok {
+			other++
+			continue
+		}
+		lines = append(lines, line)
+	}
+	return lines, other, errors.Wrap(scanner.Err(), "read log lines")
+}
+
+func parse(text []byte) (Line, bool) {
+	start := bytes.IndexByte(text, '{')
+	if start < 0 {
+		return Line{}, false
+	}
+	var head header
+	var line Line
+	if json.Unmarshal(text[start:], &head) != nil || json.Unmarshal(text[start:], &line) != nil {
+		return Line{}, false
+	}
+	line.At, line.Level, line.Message, line.Node = head.At, head.Level, head.Message, head.Node
+	line.Text = string(text[start:])
+	return line, !head.At.IsZero()
+}
--- /dev/null
+++ b/internal/explain/story.go
@@ -0,0 +1,130 @@
+package explain
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// contextSpan is how long before a request what its node believed is looked at.
+const contextSpan = 15 * time.Second
+
+// maxContext bounds the lines about what the node believed.
+const maxContext = 12
+
+// Story is what the lines tell of one request.
+type Story struct {
+	ID string
+	// Tries are the lines of the request, over all nodes, in order of time.
+	Tries []Try
+}
+
+// Try is one line of a request with what led to it.
+type Try struct {
+	Line
+	Cause Cause
+	// Before are the lines by which the node changed what it believed about the
+	// services that the request lacked, or about the store.
+	Before []Line
+	// Newer is the line by which another node had put a newer configuration into
+	// force before this request was answered; nil if none had.
+	Newer *Line
+}
+
+// ErrUnknownRequest means that no line names the request. Ordinary successes
+// are sampled, so a request without a line was most likely served.
+var ErrUnknownRequest = errors.New("no line names this request; ordinary successes are sampled")
+
+// Explain finds the story of one request.
+func Explain(lines []Line, id string) (Story, error) {
+	story := Story{ID: id}
+	for _, line := range lines {
+		if line.Message == messageRequest && line.Request == id {
+			story.Tries = append(story.Tries, Try{Line: line, Cause: CauseOf(line), Before: before(lines, line), Newer: newer(lines, line)})
+		}
+	}
+	if len(story.Tries) == 0 {
+		return story, errors.Wrap(ErrUnknownRequest, id)
+	}
+	slices.SortStableFunc(story.Tries, func(a, b Try) int { return a.At.Compare(b.At) })
+	return story, nil
+}
+
+// before returns what the node learned before a request and had to do with it.
+func before(lines []Line, request Line) []Line {
+	var found []Line
+	for _, line := range lines {
+		if line.Node != request.Node || line.At.After(request.At) || request.At.Sub(line.At) > contextSpan {
+			continue
+		}
+		if concerns(line, request) {
+			found = append(found, line)
+		}
+	}
+	slices.SortStableFunc(found, func(a, b Line) int { return a.At.Compare(b.At) })
+	return found[max(0, len(found)-maxContext):]
+}
+
+// newer returns the first line of a newer configuration at another node.
+func newer(lines []Line, request Line) *Line {
+	var first *Line
+	for index := range lines {
+		line := &lines[index]
+		if line.Message != messageConfiguration || line.Version <= request.Version || line.At.After(request.At) {
+			continue
+		}
+		if line.Node != request.Node && (first == nil || line.At.Before(first.At)) {
+			first = line
+		}
+	}
+	return first
+}
+
+func concerns(line, request Line) bool {
+	switch line.Message {
+	case messageConfiguration, messageLost, messageRegained, "started", "stopping", "configuration refused":
+		return true
+	}
+	return strings.HasPrefix(line.Message, "server ") && slices.Contains(request.Missing, line.Service)
+}
+
+// Write prints a story for a person.
+func (s Story) Write(output io.Writer) {
+	for _, try := range s.Tries {
+		fmt.Fprintf(output, "%s  %s  request %s on route %q, configuration %d\n",
+			clock(try.At), try.Node, s.ID, try.Route, try.Version)
+		for _, line := range try.Before {
+			fmt.Fprintf(output, "  %s  before: %s%s\n", clock(line.At), line.Message, subject(line))
+		}
+		for _, attempt := range try.Attempts {
+			fmt.Fprintf(output, "  +%4d ms  asked %s of %s in %s: %s after %d ms\n",
+				attempt.SentMillis, attempt.Server, attempt.Service, attempt.Zone, attempt.Result, attempt.TookMillis)
+		}
+		fmt.Fprintf(output, "  +%4.0f ms  answered %d, %s; %d of %d parts, %d wanted\n",
+			try.TookMillis, try.Status, try.Reason, try.Parts, try.Total, try.Required)
+		if try.Newer != nil {
+			fmt.Fprintf(output, "  an older configuration: %s had version %d in force %d ms before this answer; "+
+				"this node last heard the store %d ms before\n",
+				try.Newer.Node, try.Newer.Version, try.At.Sub(try.Newer.At).Milliseconds(), try.StoreAge)
+		}
+		fmt.Fprintf(output, "  cause: %s\n", try.Cause)
+	}
+}
+
+func subject(line Line) string {
+	switch {
+	case line.Server != "":
+		return fmt.Sprintf(" (%s of %s)", line.Server, line.Service)
+	case line.Dependency != "":
+		return fmt.Sprintf(" (%s) %s", line.Dependency, line.Error)
+	case line.Version != 0:
+		return fmt.Sprintf(" (version %d)", line.Version)
+	}
+	return ""
+}
+
+func clock(at time.Time) string { return at.Format("15:04:05.000") }
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -87,8 +87,27 @@
 	Sent    int
 	// Denied counts extra sub-requests that the budget did not pay for.
 	Denied int
+	// Attempts are the sub-requests of the parts that were not answered by the
+	// first server that was asked; at most maxAttemptRecords.
+	Attempts []AttemptRecord
 }
 
+// AttemptRecord is the story of one sub-request, for logs.
+type AttemptRecord struct {
+	Service string `json:"service"`
+	Server  string `json:"server"`
+	Zone    string `json:"zone"`
+	// SentMillis is when it was sent, and TookMillis how long it took, until its
+	// end or until the request got its final answer.
+	SentMillis int64 `json:"sent_ms"`
+	TookMillis int64 `json:"took_ms"`
+	// Result is "answered", "status N", "pending", or the error.
+	Result string `json:"result"`
+}
+
+// maxAttemptRecords bounds the sub-requests in a log line.
+const maxAttemptRecords = 12
+
 // Runner runs plans.
 type Runner struct {
 	Fleet   *fleet.Fleet
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -151,6 +151,7 @@
 	owner.leases = append(owner.leases, lease)
 	owner.unreached = append(owner.unreached, false)
 	owner.live = append(owner.live, started)
+	owner.sent = append(owner.sent, started)
 	owner.arrivals++
 	owner.executions++
 	r.sent++
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/bramblemast/bramblemast/pkg/exchange"
@@ -32,6 +34,8 @@
 	// unreached says for each of leases that the request never reached it.
 	unreached []bool
 	live      []*attempt
+	// sent are all attempts, for the record.
+	sent []*attempt
 	// arrivals counts requests that may have reached a server, executions
 	// those that may have run.
 	arrivals   int
@@ -56,6 +60,9 @@
 	*exchange.Attempt
 	lease *fleet.Lease
 	part  int
+	// endedAt and result are set by the event loop when the attempt has ended.
+	endedAt time.Time
+	result  string
 }
 
 // finished is what an attempt reports.
@@ -222,6 +229,7 @@
 	index := result.attempt.part
 	owner := &r.parts[index]
 	owner.live = without(owner.live, result.attempt)
+	result.attempt.endedAt, result.attempt.result = now, result.describe()
 	if owner.answer != nil {
 		return
 	}
@@ -242,6 +250,47 @@
 	}
 }
 
+// describe tells the end of an attempt in a few words.
+func (f finished) describe() string {
+	switch {
+	case f.err != nil:
+		return f.err.Error()
+	case f.answer.Status != http.StatusOK:
+		return "status " + strconv.Itoa(f.answer.Status)
+	}
+	return "answered"
+}
+
+// records lists the attempts of the parts that the first server did not answer.
+func (r *run) records(now time.Time) []AttemptRecord {
+	var records []AttemptRecord
+	for index := range r.parts {
+		each := &r.parts[index]
+		if len(each.sent) == 1 && each.answer != nil {
+			continue
+		}
+		for _, sent := range each.sent {
+			if len(records) == maxAttemptRecords {
+				return records
+			}
+			records = append(records, r.recordOf(each, sent, now))
+		}
+	}
+	return records
+}
+
+func (r *run) recordOf(owner *part, sent *attempt, now time.Time) AttemptRecord {
+	ended, result := sent.endedAt, sent.result
+	if ended.IsZero() {
+		ended, result = now, "pending"
+	}
+	return AttemptRecord{
+		Service: owner.service, Server: sent.lease.Server.ID, Zone: sent.lease.Server.Zone,
+		SentMillis: sent.lease.Began().Sub(r.began).Milliseconds(),
+		TookMillis: ended.Sub(sent.lease.Began()).Milliseconds(), Result: result,
+	}
+}
+
 // noteFailure updates what is known of the execution.
 func (r *run) noteFailure(owner *part, result finished) {
 	if result.err != nil {
@@ -305,6 +354,7 @@
 		Parts: make([]*exchange.Response, len(r.parts)), Failures: make([]error, len(r.parts)),
 		Refusals: make([]*exchange.Response, len(r.parts)),
 		Got:      r.got, Reason: reason, Hedges: r.hedges, Retries: r.retries, Sent: r.sent, Denied: r.denied,
+		Attempts: r.records(time.Now()),
 	}
 	ran, mayRun := false, false
 	for index := range r.parts {
