One function for settings that are left out, one rendezvous hash

Cause: setDefault stood in four packages and configsync hashed members its own way beside pkg/rendezvous. Change: internal/defaults; rendezvous.ScoreHashed.

--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -26,6 +26,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"github.com/bramblemast/bramblemast/internal/defaults"
 	"github.com/bramblemast/bramblemast/pkg/configstore"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/target"
@@ -106,12 +107,12 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Retention, DefaultRetention)
-	setDefault(&o.SendWindow, DefaultSendWindow)
-	setDefault(&o.MaxResultBytes, DefaultMaxResultBytes)
-	setDefault(&o.StoreTimeout, DefaultStoreTimeout)
-	setDefault(&o.RetryAfter, DefaultRetryAfter)
-	setDefault(&o.SweepPeriod, DefaultSweepPeriod)
+	defaults.Set(&o.Retention, DefaultRetention)
+	defaults.Set(&o.SendWindow, DefaultSendWindow)
+	defaults.Set(&o.MaxResultBytes, DefaultMaxResultBytes)
+	defaults.Set(&o.StoreTimeout, DefaultStoreTimeout)
+	defaults.Set(&o.RetryAfter, DefaultRetryAfter)
+	defaults.Set(&o.SweepPeriod, DefaultSweepPeriod)
 	if o.IsSweeper == nil {
 		o.IsSweeper = func() bool { return false }
 	}
@@ -121,12 +122,6 @@
 	return o
 }
 
-func setDefault[T int | time.Duration](value *T, fallback T) {
-	if *value <= 0 {
-		*value = fallback
-	}
-}
-
 // Request identifies a request that must not be repeated.
 type Request struct {
 	Tenant string
--- a/pkg/configsync/members.go
+++ b/pkg/configsync/members.go
@@ -4,8 +4,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/bramblemast/bramblemast/pkg/rendezvous"
 	"github.com/bramblemast/bramblemast/pkg/target"
 )
 
@@ -19,7 +18,7 @@
 
 // memberHash is a member's place in the order for a subject.
 func memberHash(subject uint64, id target.NodeID) uint64 {
-	return hashNumbers(subject, xxhash.Sum64String(string(id)))
+	return rendezvous.ScoreHashed(subject, string(id))
 }
 
 // zoneOrder returns the alive members of this node's zone, itself included, in
--- a/pkg/configsync/options.go
+++ b/pkg/configsync/options.go
@@ -7,6 +7,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"github.com/bramblemast/bramblemast/internal/defaults"
 	"github.com/bramblemast/bramblemast/pkg/configstore"
 	"github.com/bramblemast/bramblemast/pkg/peer"
 	"github.com/bramblemast/bramblemast/pkg/target"
@@ -107,21 +108,15 @@
 		o.Logger = hclog.NewNullLogger()
 	}
 	o.Logger = o.Logger.Named("configsync")
-	setDefault(&o.WatchersPerZone, DefaultWatchersPerZone)
-	setDefault(&o.WatchedBytes, DefaultWatchedBytes)
-	setDefault(&o.StoreCallsPerSecond, DefaultStoreCallsPerSec)
-	setDefault(&o.WatchWait, DefaultWatchWait)
-	setDefault(&o.ExchangePeriod, DefaultExchangePeriod)
-	setDefault(&o.Fanout, DefaultFanout)
-	setDefault(&o.PushTimeout, DefaultPushTimeout)
-	setDefault(&o.CallTimeout, DefaultCallTimeout)
-	setDefault(&o.BootstrapPeers, DefaultBootstrapPeers)
-	setDefault(&o.PeerWait, DefaultPeerWait)
+	defaults.Set(&o.WatchersPerZone, DefaultWatchersPerZone)
+	defaults.Set(&o.WatchedBytes, DefaultWatchedBytes)
+	defaults.Set(&o.StoreCallsPerSecond, DefaultStoreCallsPerSec)
+	defaults.Set(&o.WatchWait, DefaultWatchWait)
+	defaults.Set(&o.ExchangePeriod, DefaultExchangePeriod)
+	defaults.Set(&o.Fanout, DefaultFanout)
+	defaults.Set(&o.PushTimeout, DefaultPushTimeout)
+	defaults.Set(&o.CallTimeout, DefaultCallTimeout)
+	defaults.Set(&o.BootstrapPeers, DefaultBootstrapPeers)
+	defaults.Set(&o.PeerWait, DefaultPeerWait)
 	return o, nil
 }
-
-func setDefault[T int | float64 | time.Duration](value *T, fallback T) {
-	if *value <= 0 {
-		*value = fallback
-	}
-}
--- a/pkg/membership/options.go
+++ b/pkg/membership/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/bramblemast/bramblemast/internal/defaults"
 	"github.com/bramblemast/bramblemast/pkg/peer"
 )
 
@@ -91,23 +92,17 @@
 	if o.beforeTick == nil {
 		o.beforeTick = func() {}
 	}
-	setDefault(&o.IndirectProbes, DefaultIndirectProbes)
-	setDefault(&o.GossipFanout, DefaultGossipFanout)
-	setDefault(&o.Bridges, DefaultBridges)
-	setDefault(&o.MembersPerZone, DefaultMembersPerZone)
-	setDefault(&o.Timing.ProbePeriod, DefaultProbePeriod)
-	setDefault(&o.Timing.ProbeTimeout, DefaultProbeTimeout)
-	setDefault(&o.Timing.GossipPeriod, DefaultGossipPeriod)
-	setDefault(&o.Timing.SyncPeriod, DefaultSyncPeriod)
-	setDefault(&o.Timing.RejoinPeriod, DefaultRejoinPeriod)
-	setDefault(&o.Timing.SummaryPeriod, DefaultSummaryPeriod)
-	setDefault(&o.Timing.PauseLimit, DefaultPauseLimit)
-	setDefault(&o.Timing.DeadRetention, DefaultDeadRetention)
+	defaults.Set(&o.IndirectProbes, DefaultIndirectProbes)
+	defaults.Set(&o.GossipFanout, DefaultGossipFanout)
+	defaults.Set(&o.Bridges, DefaultBridges)
+	defaults.Set(&o.MembersPerZone, DefaultMembersPerZone)
+	defaults.Set(&o.Timing.ProbePeriod, DefaultProbePeriod)
+	defaults.Set(&o.Timing.ProbeTimeout, DefaultProbeTimeout)
+	defaults.Set(&o.Timing.GossipPeriod, DefaultGossipPeriod)
+	defaults.Set(&o.Timing.SyncPeriod, DefaultSyncPeriod)
+	defaults.Set(&o.Timing.RejoinPeriod, DefaultRejoinPeriod)
+	defaults.Set(&o.Timing.SummaryPeriod, DefaultSummaryPeriod)
+	defaults.Set(&o.Timing.PauseLimit, DefaultPauseLimit)
+	defaults.Set(&o.Timing.DeadRetention, DefaultDeadRetention)
 	return o
 }
-
-func setDefault[T int | time.Duration](value *T, fallback T) {
-	if *value <= 0 {
-		*value = fallback
-	}
-}
--- a/pkg/peer/tcp.go
+++ b/pkg/peer/tcp.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bramblemast/bramblemast/internal/defaults"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/peer/peerpb"
 	"github.com/bramblemast/bramblemast/pkg/target"
@@ -69,24 +70,18 @@
 	if o.Advertise == "" {
 		o.Advertise = Address(o.Listener.Addr().String())
 	}
-	setDefault(&o.MaxFrameBytes, DefaultMaxFrameBytes)
-	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&o.DialTimeout, DefaultDialTimeout)
-	setDefault(&o.MaxConnections, DefaultMaxConnections)
-	setDefault(&o.MaxInbound, DefaultMaxInbound)
-	setDefault(&o.MaxHandlers, DefaultMaxHandlers)
+	defaults.Set(&o.MaxFrameBytes, DefaultMaxFrameBytes)
+	defaults.Set(&o.IdleTimeout, DefaultIdleTimeout)
+	defaults.Set(&o.DialTimeout, DefaultDialTimeout)
+	defaults.Set(&o.MaxConnections, DefaultMaxConnections)
+	defaults.Set(&o.MaxInbound, DefaultMaxInbound)
+	defaults.Set(&o.MaxHandlers, DefaultMaxHandlers)
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
 	return o
 }
 
-func setDefault[T int | time.Duration](value *T, fallback T) {
-	if *value <= 0 {
-		*value = fallback
-	}
-}
-
 // TCP is a Transport over TCP. A call uses the one connection that this node
 // holds to the peer, or opens it; many calls share a connection, and replies
 // are matched by id. It is safe for concurrent use.
--- a/pkg/rendezvous/rendezvous.go
+++ b/pkg/rendezvous/rendezvous.go
@@ -21,6 +21,11 @@
 	return combine(xxhash.Sum64String(key), xxhash.Sum64String(candidate))
 }
 
+// ScoreHashed returns the score of a candidate for a key that is a hash itself.
+func ScoreHashed(key uint64, candidate string) uint64 {
+	return combine(key, xxhash.Sum64String(candidate))
+}
+
 // combine mixes two hashes into one. It is the finalizer of splitmix64 over a
 // sum that is not symmetric in its arguments.
 func combine(key, candidate uint64) uint64 {
