A server that turns connections away gets fewer from each node for a while

Ruled out: the budget as the cause (it was used up by the resets). Change: the shares of all nodes stay within a server's connections down to one each; a reset of a new connection halves the limit of this node at that server for a second.

--- a/pkg/exchange/attempt.go
+++ b/pkg/exchange/attempt.go
@@ -66,6 +66,7 @@
 func (a *Attempt) Run() (*Response, error) {
 	used, err := a.connect()
 	if err != nil {
+		a.TurnedAway = errors.Is(err, syscall.ECONNRESET)
 		return nil, a.failure("connect", outcome.NotRun, outcome.ReasonUnreachable, err)
 	}
 	if !a.own(used) {
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -172,6 +172,8 @@
 	switch {
 	case err != nil && started.Expired():
 		return fleet.Abandoned
+	case err != nil && started.TurnedAway:
+		return fleet.TurnedAway
 	case err != nil:
 		return fleet.Failed
 	case answer.Status == statusMisdirected:
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -15,7 +15,7 @@
 	farShare  = 0.5
 	// leastLimit is the least number of requests that a node may have at one
 	// server.
-	leastLimit = 3
+	leastLimit = 1
 	// jitterShare spreads requests over servers that are about alike.
 	jitterShare = 0.1
 	// stallFactor times the expected time is when a silent server is taken for
@@ -107,7 +107,7 @@
 		if wasAsked(choice.Excluded, each) || each.hasEnded(now) {
 			continue
 		}
-		if len(each.active) >= f.limit(each) {
+		if len(each.active) >= f.limit(each, now) {
 			availability = Busy
 			continue
 		}
@@ -135,7 +135,17 @@
 // nodes together stay within the server's connections. Nodes of the server's
 // own zone have more of them, since servers nearby are asked first. The mutex
 // is held.
-func (f *Fleet) limit(each *member) int {
+func (f *Fleet) limit(each *member, now time.Time) int {
+	shared := f.sharedLimit(each)
+	if now.Before(each.narrowUntil) {
+		return min(shared, each.narrowLimit)
+	}
+	return shared
+}
+
+// sharedLimit is the limit by the connections of the server alone. The mutex is
+// held.
+func (f *Fleet) sharedLimit(each *member) int {
 	connections := f.connections[each.Service]
 	if connections <= 0 {
 		return math.MaxInt
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -208,3 +208,36 @@
 	}
 	g.Expect(slow).To(BeNumerically("<=", 12))
 }
+
+// TestAServerThatTurnsConnectionsAwayGetsFewer for a while: it may still hold
+// those of a node that lost power. (variant3 trouble-1 --seed 949182802527)
+func TestAServerThatTurnsConnectionsAwayGetsFewer(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	tested := fleet.New(fleet.Settings{Local: fleet.Place{Zone: "z"}, Random: rand.New(rand.NewPCG(1, 1))})
+	tested.Apply(fleet.Server{ID: "only", Service: "s", Address: "a", Zone: "z", Slots: 5}, now)
+	tested.SetConnections(map[string]int{"s": 20})
+	takeAll := func() []*fleet.Lease {
+		var taken []*fleet.Lease
+		for {
+			lease, _ := tested.Acquire(choice, now)
+			if lease == nil {
+				return taken
+			}
+			taken = append(taken, lease)
+		}
+	}
+	before := takeAll()
+	g.Expect(len(before)).To(BeNumerically(">=", 4))
+	for _, lease := range before {
+		tested.Finish(lease, fleet.TurnedAway, 0, now)
+	}
+	narrowed := takeAll()
+	g.Expect(len(narrowed)).To(BeNumerically("<=", len(before)/2))
+	g.Expect(narrowed).NotTo(BeEmpty())
+	for _, lease := range narrowed {
+		tested.Finish(lease, fleet.Answered, 0, now)
+	}
+	now = now.Add(2 * time.Second)
+	g.Expect(takeAll()).To(HaveLen(len(before)))
+}
--- a/pkg/fleet/lease.go
+++ b/pkg/fleet/lease.go
@@ -36,6 +36,9 @@
 	Failed
 	// Refused means that the server turned the request away.
 	Refused
+	// TurnedAway means that the server reset a new connection, most likely
+	// because it has as many as it accepts.
+	TurnedAway
 	// Abandoned means that nobody waited for the answer any longer.
 	Abandoned
 	// WrongInstance means that another server has the address.
@@ -44,7 +47,7 @@
 
 // String returns the name used in logs.
 func (r Result) String() string {
-	return [...]string{"answered", "failed", "refused", "abandoned", "wrong_instance"}[r]
+	return [...]string{"answered", "failed", "refused", "turned_away", "abandoned", "wrong_instance"}[r]
 }
 
 // Finish ends a lease. connect is the time that a new connection took, zero if
@@ -71,6 +74,8 @@
 		used.fail(now)
 	case Refused:
 		used.avoidUntil = now.Add(firstPenalty)
+	case TurnedAway:
+		used.narrow(now)
 	case WrongInstance:
 		used.leave(now, now)
 	}
@@ -119,6 +124,13 @@
 // hasEnded reports whether the server is not asked any more.
 func (m *member) hasEnded(now time.Time) bool { return !m.endsAt.IsZero() && !now.Before(m.endsAt) }
 
+// narrow lowers for a while how many requests this node has at the server.
+func (m *member) narrow(now time.Time) {
+	m.narrowLimit = max(1, len(m.active)/2)
+	m.narrowUntil = now.Add(narrowSpan)
+	m.avoidUntil = now.Add(firstPenalty / 3)
+}
+
 // Cancel ends a lease whose request was not sent.
 func (f *Fleet) Cancel(lease *Lease) {
 	f.mutex.Lock()
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -45,6 +45,9 @@
 	// is avoided; each failure in a row doubles the time.
 	firstPenalty    = 300 * time.Millisecond
 	greatestPenalty = 3 * time.Second
+	// narrowSpan is for how long a server that turned a connection away gets
+	// fewer requests at a time.
+	narrowSpan = time.Second
 	// coldRatio is how much slower a server is taken for while it warms up.
 	coldRatio = 1.6
 )
@@ -68,6 +71,10 @@
 	failures   int
 	avoidUntil time.Time
 	warmUntil  time.Time
+	// narrowLimit bounds the requests at the server until narrowUntil, since it
+	// has turned connections away.
+	narrowLimit int
+	narrowUntil time.Time
 	// listed says that the platform lists the server.
 	listed bool
 	// leavesAt is from when it is asked only if its service has no other, and
