--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -180,6 +180,9 @@
 // ReadyAddress returns where the platform asks for readiness.
 func (n *Node) ReadyAddress() string { return n.readyListener.Addr().String() }
 
+// Metrics serves the node's figures, for programs that embed it.
+func (n *Node) Metrics() http.Handler { return n.figures.handler() }
+
 // openPeers opens the address for other nodes, if there is one, and notes it in
 // the node's entry.
 func (n *Node) openPeers(settings *Settings, local *directory.Node) error {
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -22,6 +22,8 @@
 	events  []Entry
 	changed chan struct{}
 	fail    error
+	// slow is how long one reading of everything takes.
+	slow time.Duration
 	// deaf makes watches hear nothing.
 	deaf bool
 	// forgotten is the revision up to which changes are forgotten.
@@ -51,6 +53,10 @@
 }
 
 func (h *history) Load(_ context.Context, _ bool) (Batch, error) {
+	h.mutex.Lock()
+	slow := h.slow
+	h.mutex.Unlock()
+	time.Sleep(slow)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.loads++
@@ -353,3 +359,21 @@
 		}
 	}
 }
+
+// TestAStartDoesNotLeanOnPeers: while the store reads everything for a node that
+// has just started, no peer sends it everything too. (sweep at 300 machines: 40
+// MB and 607 kB/s at the nodes that all others knew)
+func TestAStartDoesNotLeanOnPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		nodes, stop := cluster(t, 2)
+		nodes[1].source.set(func() { nodes[1].source.slow = 900 * time.Millisecond })
+		nodes[0].source.write("only at the other", false)
+		nodes[0].source.write("too", false)
+		time.Sleep(800 * time.Millisecond)
+		g.Expect(nodes[1].seen.has("too")).To(BeZero())
+		time.Sleep(2 * time.Second)
+		g.Expect(nodes[1].seen.has("too")).NotTo(BeZero())
+		stop()
+	})
+}
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -101,6 +101,13 @@
 	return f.contact == contactHeld
 }
 
+// hasLost reports whether the last call failed.
+func (f *Follower) hasLost() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.contact == contactLost
+}
+
 // askAgain ends a watch that waits, since it seems to miss changes.
 func (f *Follower) askAgain() {
 	select {
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -20,7 +20,8 @@
 // Times of the comparison between nodes.
 const (
 	// compareInterval is how often a node asks another one while the store
-	// answers, urgentInterval how often it asks while the store does not.
+	// answers or has not been asked yet, urgentInterval how often it asks while
+	// the store does not answer.
 	compareInterval = time.Second
 	urgentInterval  = 300 * time.Millisecond
 	compareTimeout  = time.Second
@@ -85,7 +86,7 @@
 // know more, if that is why.
 func (p *Peers) await(ctx context.Context) target.NodeID {
 	interval := compareInterval
-	if !p.follower.inContact() {
+	if p.follower.hasLost() {
 		interval = urgentInterval
 	}
 	timer := time.NewTimer(interval)
