--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,98 @@
+package front
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// TestRequestsAreDividedByWeight: in any row of requests each service is within
+// one request, or two for many services, of its share.
+func TestRequestsAreDividedByWeight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(0, 100), 2, 5).Draw(t, "weights")
+		weights[0]++
+		divided := &route.Route{Name: "r"}
+		total := 0
+		for index, weight := range weights {
+			divided.Backends = append(divided.Backends, route.Weighted{Service: fmt.Sprint(index), Weight: float64(weight)})
+			total += weight
+		}
+		split := newSplitter()
+		counts := make(map[string]int)
+		for asked := 1; asked <= 300; asked++ {
+			counts[split.pick(divided)]++
+			for index, weight := range weights {
+				share := float64(asked) * float64(weight) / float64(total)
+				if difference := float64(counts[fmt.Sprint(index)]) - share; difference > 2 || difference < -2 {
+					t.Fatalf("service %d has %d of %d, its share is %.1f", index, counts[fmt.Sprint(index)], asked, share)
+				}
+			}
+		}
+	})
+}
+
+// TestTheTimesOfARequest: the client's time and the route's bound both count,
+// and an answer leaves before the target.
+func TestTheTimesOfARequest(t *testing.T) {
+	g := NewWithT(t)
+	began := time.Unix(100, 0)
+	bounded := &route.Route{Timeout: 2 * time.Second, Target: 120 * time.Millisecond}
+	g.Expect(deadline(bounded, 5*time.Second, began)).To(Equal(began.Add(2*time.Second - deadlineReserve)))
+	g.Expect(deadline(bounded, time.Second, began)).To(Equal(began.Add(time.Second - deadlineReserve)))
+	g.Expect(deadline(bounded, 0, began)).To(BeTemporally(">", began))
+	g.Expect(deadline(&route.Route{}, 5*time.Second, began)).To(Equal(began.Add(5*time.Second - deadlineReserve)))
+	g.Expect(target(bounded, began)).To(Equal(began.Add(108 * time.Millisecond)))
+	g.Expect(target(&route.Route{Target: 10 * time.Second}, began)).To(Equal(began.Add(10*time.Second - greatestTargetReserve)))
+	g.Expect(target(&route.Route{}, began).IsZero()).To(BeTrue())
+}
+
+// TestARestingConnectionIsEnded after its time, while one that is being served
+// goes on for as long as it takes.
+func TestARestingConnectionIsEnded(t *testing.T) {
+	g := NewWithT(t)
+	release := make(chan struct{})
+	listener, err := Listen("127.0.0.1:0", http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/slow" {
+			<-release
+		}
+		writer.WriteHeader(http.StatusNoContent)
+	}))
+	g.Expect(err).NotTo(HaveOccurred())
+	served := make(chan error, 1)
+	go func() { served <- listener.Serve() }()
+	dial := func(path string) (net.Conn, *bufio.Reader) {
+		opened, err := net.Dial("tcp", listener.Address())
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = fmt.Fprintf(opened, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path)
+		g.Expect(err).NotTo(HaveOccurred())
+		return opened, bufio.NewReader(opened)
+	}
+	resting, restingReader := dial("/quick")
+	_, err = http.ReadResponse(restingReader, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	working, workingReader := dial("/slow")
+	g.Eventually(listener.Open, "20s").Should(Equal(2))
+	g.Eventually(func() int {
+		listener.endResting(time.Now().Add(time.Hour))
+		return listener.Open()
+	}, "20s").Should(Equal(1))
+	_, err = restingReader.ReadByte()
+	g.Expect(err).To(HaveOccurred(), "the resting connection was ended")
+	close(release)
+	answer, err := http.ReadResponse(workingReader, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(answer.StatusCode).To(Equal(http.StatusNoContent))
+	listener.StopAccepting()
+	listener.Close()
+	g.Expect(<-served).To(Succeed())
+	_, _ = resting.Close(), working.Close()
+}
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -145,12 +145,15 @@
 	_ = l.server.Close()
 }
 
+// longAgo as a deadline ends a read at once.
+var longAgo = time.Unix(1, 0)
+
 func (l *Listener) endResting(now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for each, state := range l.states {
 		if state.resting && (l.drains || now.Sub(state.since) > l.idle) {
-			_ = each.SetReadDeadline(now)
+			_ = each.SetReadDeadline(longAgo)
 		}
 	}
 }
