--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -22,6 +22,8 @@
 	events  []Entry
 	changed chan struct{}
 	fail    error
+	// slow is how long one reading of everything takes.
+	slow time.Duration
 	// deaf makes watches hear nothing.
 	deaf bool
 	// forgotten is the revision up to which changes are forgotten.
@@ -51,6 +53,10 @@
 }
 
 func (h *history) Load(_ context.Context, _ bool) (Batch, error) {
+	h.mutex.Lock()
+	slow := h.slow
+	h.mutex.Unlock()
+	time.Sleep(slow)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.loads++
@@ -103,6 +109,13 @@
 	}
 }
 
+// calls returns how often the store was read and watched.
+func (h *history) calls() (loads, watches int) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.loads, h.watches
+}
+
 func (h *history) Decode(key string, value []byte, revision uint64) Entry {
 	return Entry{Key: key, Value: value, Revision: revision}
 }
@@ -138,6 +151,13 @@
 	}
 }
 
+// dependency returns how often the store was lost and regained.
+func (o *observer) dependency() (lost, back int) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.lost, o.back
+}
+
 func (o *observer) has(key string) uint64 {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
@@ -199,9 +219,10 @@
 		synctest.Wait()
 		g.Expect(nodes[0].seen.has("k")).To(Equal(revision))
 		time.Sleep(time.Second)
-		before := nodes[0].source.watches
+		_, before := nodes[0].source.calls()
 		time.Sleep(time.Minute)
-		g.Expect(nodes[0].source.watches - before).To(BeNumerically("<=", 16))
+		_, after := nodes[0].source.calls()
+		g.Expect(after - before).To(BeNumerically("<=", 16))
 		stop()
 	})
 }
@@ -239,7 +260,8 @@
 		writeAll(nodes, "stays", false)
 		time.Sleep(2 * time.Second)
 		g.Expect(nodes[2].seen.has("old")).To(Equal(uint64(1)))
-		g.Expect(nodes[2].seen.lost).To(Equal(1))
+		lost, _ := nodes[2].seen.dependency()
+		g.Expect(lost).To(Equal(1))
 		g.Expect(nodes[2].DoubtedUntil(time.Second, time.Now())).To(Equal(time.Now().Add(time.Second)))
 		writeAll(nodes, "old", true)
 		writeAll(nodes, "new", false)
@@ -249,7 +271,8 @@
 		g.Expect(nodes[2].seen.has("new")).To(Equal(uint64(4)))
 		nodes[2].source.set(func() { nodes[2].source.fail = nil })
 		time.Sleep(2 * time.Second)
-		g.Expect(nodes[2].seen.back).To(Equal(1))
+		_, back := nodes[2].seen.dependency()
+		g.Expect(back).To(Equal(1))
 		stop()
 	})
 }
@@ -269,7 +292,8 @@
 		time.Sleep(10 * time.Second)
 		g.Expect(nodes[0].seen.has("gone")).To(BeZero())
 		g.Expect(nodes[0].seen.has("new")).To(Equal(revision))
-		g.Expect(source.loads).To(Equal(2))
+		loads, _ := source.calls()
+		g.Expect(loads).To(Equal(2))
 		stop()
 	})
 }
@@ -287,7 +311,8 @@
 		source.set(func() { source.events, source.forgotten = source.events[:1], 99 })
 		time.Sleep(10 * time.Second)
 		g.Expect(nodes[0].seen.has("b")).To(Equal(revision))
-		g.Expect(nodes[0].seen.lost).To(Equal(1))
+		lost, _ := nodes[0].seen.dependency()
+		g.Expect(lost).To(Equal(1))
 		stop()
 	})
 }
@@ -353,3 +378,21 @@
 		}
 	}
 }
+
+// TestAStartDoesNotLeanOnPeers: while the store reads everything for a node that
+// has just started, no peer sends it everything too. (sweep at 300 machines: 40
+// MB and 607 kB/s at the nodes that all others knew)
+func TestAStartDoesNotLeanOnPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		nodes, stop := cluster(t, 2)
+		nodes[1].source.set(func() { nodes[1].source.slow = 900 * time.Millisecond })
+		nodes[0].source.write("only at the other", false)
+		nodes[0].source.write("too", false)
+		time.Sleep(800 * time.Millisecond)
+		g.Expect(nodes[1].seen.has("too")).To(BeZero())
+		time.Sleep(2 * time.Second)
+		g.Expect(nodes[1].seen.has("too")).NotTo(BeZero())
+		stop()
+	})
+}
