--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -59,9 +59,10 @@
 // goes on for as long as it takes.
 func TestARestingConnectionIsEnded(t *testing.T) {
 	g := NewWithT(t)
-	release := make(chan struct{})
+	release, working := make(chan struct{}), make(chan struct{})
 	listener, err := Listen("127.0.0.1:0", http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if request.URL.Path == "/slow" {
+			close(working)
 			<-release
 		}
 		writer.WriteHeader(http.StatusNoContent)
@@ -79,8 +80,8 @@
 	resting, restingReader := dial("/quick")
 	_, err = http.ReadResponse(restingReader, nil)
 	g.Expect(err).NotTo(HaveOccurred())
-	working, workingReader := dial("/slow")
-	g.Eventually(listener.Open, "20s").Should(Equal(2))
+	busy, busyReader := dial("/slow")
+	<-working
 	g.Eventually(func() int {
 		listener.endResting(time.Now().Add(time.Hour))
 		return listener.Open()
@@ -88,11 +89,11 @@
 	_, err = restingReader.ReadByte()
 	g.Expect(err).To(HaveOccurred(), "the resting connection was ended")
 	close(release)
-	answer, err := http.ReadResponse(workingReader, nil)
+	answer, err := http.ReadResponse(busyReader, nil)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(answer.StatusCode).To(Equal(http.StatusNoContent))
 	listener.StopAccepting()
 	listener.Close()
 	g.Expect(<-served).To(Succeed())
-	_, _ = resting.Close(), working.Close()
+	_, _ = resting.Close(), busy.Close()
 }
