Settings are read again at a signal or when the file has changed

Cause: the platform says that the settings file may change, with SIGHUP or without; the node kept what it had read at its start. Change: bounds and peers are taken into force without a cut, the rest is named as needing a restart, settings at fault change nothing; edge.go is split into opening, stop, metrics and reload.

--- a/cmd/bramblemast-edge/main.go
+++ b/cmd/bramblemast-edge/main.go
@@ -79,21 +79,23 @@
 		fmt.Println("settings are valid")
 		return exitOK
 	}
-	return serve(loaded)
+	return serve(loaded, given.Settings)
 }
 
 // serve runs the node until a signal or a failure.
-func serve(settings *edge.Settings) int {
+func serve(settings *edge.Settings, path string) int {
 	debug.SetGCPercent(collectPercent)
 	logger := edge.NewLogger("bramblemast-edge", os.Stdout)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	node, err := edge.New(edge.Options{
 		Settings: settings, Logger: logger, Platform: platform.NewStore(settings.Store.Address),
 		Dialect: platform.Dialect(), ReadyPath: platform.ReadyPath,
+		Reload: func() (*edge.Settings, error) { return edge.LoadSettings(path) }, Hangup: hangups,
 	})
 	if err != nil {
 		return fail(exitFailure, err)
 	}
-	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := node.Run(ctx); err != nil {
--- a/internal/edge/budgets.go
+++ b/internal/edge/budgets.go
@@ -19,21 +19,30 @@
 
 // budgets keeps one window for each service. It implements fanout.Budget.
 type budgets struct {
-	ratio float64
-	extra float64
-	span  time.Duration
-
 	mutex sync.Mutex
-	// windows and nodes are guarded by mutex.
+	// The fields below are guarded by mutex.
+	ratio   float64
+	extra   float64
+	span    time.Duration
 	windows map[string]*window.Window
 	nodes   int
 }
 
 func newBudgets(bounds BoundSettings) *budgets {
-	return &budgets{
-		ratio: bounds.ExtraRatio * ratioShare, extra: bounds.Extra * allowanceShare,
-		span:    time.Duration(bounds.ExtraWindowSeconds * float64(time.Second)),
-		windows: make(map[string]*window.Window), nodes: assumedNodes,
+	created := &budgets{nodes: assumedNodes}
+	created.setBounds(bounds)
+	return created
+}
+
+// setBounds takes the bounds of the deployment. Windows of another span begin
+// anew.
+func (b *budgets) setBounds(bounds BoundSettings) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.ratio, b.extra = bounds.ExtraRatio*ratioShare, bounds.Extra*allowanceShare
+	span := time.Duration(bounds.ExtraWindowSeconds * float64(time.Second))
+	if span != b.span {
+		b.span, b.windows = span, make(map[string]*window.Window)
 	}
 }
 
@@ -44,7 +53,8 @@
 	b.nodes = max(1, nodes)
 }
 
-func (b *budgets) window(service string, now time.Time) (*window.Window, float64) {
+// window returns the window of a service with its ratio and allowance.
+func (b *budgets) window(service string, now time.Time) (*window.Window, float64, float64) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	found := b.windows[service]
@@ -52,17 +62,17 @@
 		found = window.New(b.span, now)
 		b.windows[service] = found
 	}
-	return found, b.extra / float64(b.nodes)
+	return found, b.ratio, b.extra / float64(b.nodes)
 }
 
 // Earn implements fanout.Budget.
 func (b *budgets) Earn(service string, now time.Time) {
-	used, _ := b.window(service, now)
+	used, _, _ := b.window(service, now)
 	used.Earn(1, now)
 }
 
 // TrySpend implements fanout.Budget.
 func (b *budgets) TrySpend(service string, keep float64, now time.Time) bool {
-	used, allowance := b.window(service, now)
-	return used.TrySpend(b.ratio, allowance, keep, now)
+	used, ratio, allowance := b.window(service, now)
+	return used.TrySpend(ratio, allowance, keep, now)
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -37,11 +37,6 @@
 	// leaveShare is the share of the time in which a leaving server may be asked
 	// that a node uses: news of it may arrive late.
 	leaveShare = 4
-	// notReadyNotice is for how long a stopping node still accepts connections,
-	// so that the platform has noticed that it is not ready.
-	notReadyNotice = 2600 * time.Millisecond
-	// stopReserve is kept of the grace time.
-	stopReserve = 300 * time.Millisecond
 )
 
 // Platform is what the node asks of the platform's store.
@@ -57,15 +52,23 @@
 	Platform  Platform
 	Dialect   front.Dialect
 	ReadyPath string
+	// Reload reads the settings again; nil if they cannot change.
+	Reload func() (*Settings, error)
+	// Hangup tells that the settings have changed; it may be nil.
+	Hangup Hangups
 }
 
 // Node is one node of a routed deployment.
 type Node struct {
-	options  Options
-	logger   hclog.Logger
-	state    *state
-	listener *front.Listener
-	ready    *http.Server
+	options Options
+	logger  hclog.Logger
+	// settings are those in force; see reload.go.
+	settings atomic.Pointer[Settings]
+	// reloadProblem is the last fault of the settings; only watchSettings uses it.
+	reloadProblem string
+	state         *state
+	listener      *front.Listener
+	ready         *http.Server
 	// readyListener takes the platform's questions about readiness.
 	readyListener net.Listener
 	follower      *directory.Follower
@@ -83,95 +86,52 @@
 func New(options Options) (*Node, error) {
 	settings := options.Settings
 	options.Logger = options.Logger.With("node", settings.Node.Name)
-	node := &Node{options: options, logger: options.Logger}
-	servers := fleet.New(fleet.Settings{
-		Local:       fleet.Place{Zone: settings.Node.Zone, Region: settings.Node.Region},
-		Regions:     settings.Zones,
-		LeaveWithin: settings.leaveWithin(),
-		Dialer:      &net.Dialer{Timeout: connectTimeout, KeepAlive: -1},
-		Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	})
+	node := &Node{options: options, logger: options.Logger, figures: newFigures()}
+	node.settings.Store(settings)
 	rules, err := newPolicies()
 	if err != nil {
 		return nil, err
 	}
-	node.state = &state{
-		policies: rules, logger: options.Logger, fleet: servers, budgets: newBudgets(settings.Bounds),
-		nodes: make(map[string]directory.Node),
-	}
-	node.figures = newFigures()
-	node.state.figures = node.figures
-	handler := front.NewHandler(front.Options{
-		Dialect: options.Dialect, State: node.state, Fleet: servers, Budget: node.state.budgets,
-		Policies: rules, Events: &events{
-			logger: options.Logger, figures: node.figures, storeAge: node.storeAge,
-		},
-		MaxInFlight: maxInFlight,
-	})
-	listener, err := front.Listen(settings.Listen.Clients, handler)
-	if err != nil {
-		return nil, err
-	}
-	node.listener = listener
-	node.state.idle = listener.SetIdle
+	node.state = newState(node, newFleet(settings), rules)
 	node.follower = directory.NewFollower(options.Platform, node.state)
-	node.state.doubtedUntil = func(now time.Time) time.Time {
-		return node.follower.DoubtedUntil(settings.listSettles(), now)
+	if err := node.openClients(rules); err != nil {
+		return nil, err
 	}
 	local := directory.Node{Name: settings.Node.Name, Zone: settings.Node.Zone}
 	if err := node.openPeers(settings, &local); err != nil {
 		return nil, err
 	}
 	node.member = &registration{registry: options.Platform, node: local, logger: options.Logger}
-	node.ready = &http.Server{Handler: node.readyHandler(), ReadHeaderTimeout: connectTimeout}
-	node.readyListener, err = net.Listen("tcp", settings.Listen.Ready)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen for readiness")
+	if err := node.openReady(); err != nil {
+		return nil, err
 	}
-	node.registerGauges()
 	return node, node.openMetrics(settings)
 }
 
-// openMetrics opens the address of the figures, if there is one.
-func (n *Node) openMetrics(settings *Settings) error {
-	if settings.Listen.MetricsPort == 0 {
-		return nil
-	}
-	address := net.JoinHostPort(settings.Node.Address, strconv.Itoa(settings.Listen.MetricsPort))
-	opened, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrap(err, "listen for metrics")
-	}
-	n.metricsListener = opened
-	n.metrics = &http.Server{Handler: n.figures.handler(), ReadHeaderTimeout: connectTimeout}
-	return nil
-}
-
-// storeAge returns the time since the store last answered.
-func (n *Node) storeAge() time.Duration {
-	_, contactAt := n.follower.Revision()
-	return time.Since(contactAt)
+func newFleet(settings *Settings) *fleet.Fleet {
+	return fleet.New(fleet.Settings{
+		Local:       fleet.Place{Zone: settings.Node.Zone, Region: settings.Node.Region},
+		Regions:     settings.Zones,
+		LeaveWithin: settings.leaveWithin(),
+		Dialer:      &net.Dialer{Timeout: connectTimeout, KeepAlive: -1},
+		Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
 }
 
-// registerGauges registers the figures that are read when they are asked for.
-func (n *Node) registerGauges() {
-	n.figures.gauge("configuration_version", "Version of the routing configuration in force; 0 for none.", func() float64 {
-		if table := n.state.Table(); table != nil {
-			return float64(table.Version)
-		}
-		return 0
-	})
-	n.figures.gauge("store_revision", "Revision of the store up to which the node is complete.", func() float64 {
-		revision, _ := n.follower.Revision()
-		return float64(revision)
-	})
-	n.figures.gauge("store_contact_age_seconds", "Time since the store last answered; -1 for never.", func() float64 {
-		_, contactAt := n.follower.Revision()
-		return age(contactAt)
+// openClients opens the address for clients.
+func (n *Node) openClients(rules *policies) error {
+	handler := front.NewHandler(front.Options{
+		Dialect: n.options.Dialect, State: n.state, Fleet: n.state.fleet, Budget: n.state.budgets, Policies: rules,
+		Events:      &events{logger: n.logger, figures: n.figures, storeAge: n.storeAge},
+		MaxInFlight: maxInFlight,
 	})
-	n.figures.gauge("servers", "Servers that the platform lists.", func() float64 { return float64(n.state.fleet.Len()) })
-	n.figures.gauge("nodes", "Nodes that are registered.", func() float64 { return float64(len(n.state.knownNodes())) })
-	n.figures.gauge("client_connections", "Open connections of clients.", func() float64 { return float64(n.listener.Open()) })
+	listener, err := front.Listen(n.options.Settings.Listen.Clients, handler)
+	if err != nil {
+		return err
+	}
+	n.listener = listener
+	n.state.idle = listener.SetIdle
+	return nil
 }
 
 // ClientAddress returns where clients connect.
@@ -228,6 +188,7 @@
 	}
 	add(n.listener.Sweep)
 	add(n.sweepServers)
+	add(n.watchSettings)
 	add(func(inner context.Context) error { return n.awaitStop(ctx, inner) })
 	err := group.Run()
 	n.logger.Info("stopped")
@@ -246,33 +207,3 @@
 		}
 	}
 }
-
-// awaitStop waits for the end of ctx and stops as planned.
-func (n *Node) awaitStop(ctx, inner context.Context) error {
-	select {
-	case <-inner.Done():
-		return nil
-	case <-ctx.Done():
-	}
-	begun := time.Now()
-	grace := n.options.Settings.grace()
-	n.logger.Info("stopping", "grace_s", grace.Seconds(), "connections", n.listener.Open())
-	n.state.draining.Store(true)
-	time.Sleep(min(notReadyNotice, grace/2))
-	n.listener.StopAccepting()
-	limited, cancel := context.WithDeadline(inner, begun.Add(grace-stopReserve))
-	defer cancel()
-	left := n.listener.AwaitDrained(limited)
-	n.logger.Info("drained", "connections_left", left, "took_ms", time.Since(begun).Milliseconds())
-	return nil
-}
-
-func (n *Node) readyHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+n.options.ReadyPath, func(writer http.ResponseWriter, _ *http.Request) {
-		if !n.state.ready() {
-			writer.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	return mux
-}
--- /dev/null
+++ b/internal/edge/metrics.go
@@ -0,0 +1,53 @@
+package edge
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// openMetrics opens the address of the figures, if there is one.
+func (n *Node) openMetrics(settings *Settings) error {
+	n.registerGauges()
+	if settings.Listen.MetricsPort == 0 {
+		return nil
+	}
+	address := net.JoinHostPort(settings.Node.Address, strconv.Itoa(settings.Listen.MetricsPort))
+	opened, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen for metrics")
+	}
+	n.metricsListener = opened
+	n.metrics = &http.Server{Handler: n.figures.handler(), ReadHeaderTimeout: connectTimeout}
+	return nil
+}
+
+// storeAge returns the time since the store last answered.
+func (n *Node) storeAge() time.Duration {
+	_, contactAt := n.follower.Revision()
+	return time.Since(contactAt)
+}
+
+// registerGauges registers the figures that are read when they are asked for.
+func (n *Node) registerGauges() {
+	n.figures.gauge("configuration_version", "Version of the routing configuration in force; 0 for none.", func() float64 {
+		if table := n.state.Table(); table != nil {
+			return float64(table.Version)
+		}
+		return 0
+	})
+	n.figures.gauge("store_revision", "Revision of the store up to which the node is complete.", func() float64 {
+		revision, _ := n.follower.Revision()
+		return float64(revision)
+	})
+	n.figures.gauge("store_contact_age_seconds", "Time since the store last answered; -1 for never.", func() float64 {
+		_, contactAt := n.follower.Revision()
+		return age(contactAt)
+	})
+	n.figures.gauge("servers", "Servers that the platform lists.", func() float64 { return float64(n.state.fleet.Len()) })
+	n.figures.gauge("nodes", "Nodes that are registered.", func() float64 { return float64(len(n.state.knownNodes())) })
+	n.figures.gauge("client_connections", "Open connections of clients.", func() float64 { return float64(n.listener.Open()) })
+}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -35,6 +35,17 @@
 	nodes map[string]directory.Node
 }
 
+// newState returns the beliefs of a node that knows nothing yet.
+func newState(node *Node, servers *fleet.Fleet, rules *policies) *state {
+	return &state{
+		policies: rules, logger: node.logger, fleet: servers, budgets: newBudgets(node.options.Settings.Bounds), figures: node.figures,
+		nodes: make(map[string]directory.Node),
+		doubtedUntil: func(now time.Time) time.Time {
+			return node.follower.DoubtedUntil(node.settings.Load().listSettles(), now)
+		},
+	}
+}
+
 // Table implements front.State.
 func (s *state) Table() *route.Table { return s.table.Load() }
 
--- /dev/null
+++ b/internal/edge/stop.go
@@ -0,0 +1,60 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Times of a planned stop.
+const (
+	// notReadyNotice is for how long a stopping node still accepts connections,
+	// so that the platform has noticed that it is not ready.
+	notReadyNotice = 2600 * time.Millisecond
+	// stopReserve is kept of the grace time.
+	stopReserve = 300 * time.Millisecond
+)
+
+// openReady opens the address of the platform's questions about readiness.
+func (n *Node) openReady() error {
+	opened, err := net.Listen("tcp", n.options.Settings.Listen.Ready)
+	if err != nil {
+		return errors.Wrap(err, "listen for readiness")
+	}
+	n.readyListener = opened
+	n.ready = &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: connectTimeout}
+	return nil
+}
+
+func (n *Node) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+n.options.ReadyPath, func(writer http.ResponseWriter, _ *http.Request) {
+		if !n.state.ready() {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// awaitStop waits for the end of ctx and stops as planned.
+func (n *Node) awaitStop(ctx, inner context.Context) error {
+	select {
+	case <-inner.Done():
+		return nil
+	case <-ctx.Done():
+	}
+	begun := time.Now()
+	grace := n.settings.Load().grace()
+	n.logger.Info("stopping", "grace_s", grace.Seconds(), "connections", n.listener.Open())
+	n.state.draining.Store(true)
+	time.Sleep(min(notReadyNotice, grace/2))
+	n.listener.StopAccepting()
+	limited, cancel := context.WithDeadline(inner, begun.Add(grace-stopReserve))
+	defer cancel()
+	left := n.listener.AwaitDrained(limited)
+	n.logger.Info("drained", "connections_left", left, "took_ms", time.Since(begun).Milliseconds())
+	return nil
+}
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,7 +37,7 @@
 	// nodes returns the nodes that are known.
 	nodes func() []Node
 	// seeds are asked while no node is known.
-	seeds []peer.Address
+	seeds atomic.Pointer[[]peer.Address]
 	// ahead takes nodes that were found to know more.
 	ahead chan target.NodeID
 	// turn counts the nodes that were asked; only Run uses it.
@@ -58,15 +59,22 @@
 		follower: options.Follower, transport: options.Transport, local: options.Local, nodes: options.Nodes,
 		ahead: make(chan target.NodeID, 1),
 	}
-	for _, seed := range options.Seeds {
-		if seed != options.Local.PeerAddress {
-			peers.seeds = append(peers.seeds, peer.Address(seed))
-		}
-	}
+	peers.SetSeeds(options.Seeds)
 	options.Transport.Handle(kindChanges, peers.answer)
 	return peers
 }
 
+// SetSeeds takes the addresses to ask while no node is known.
+func (p *Peers) SetSeeds(seeds []string) {
+	others := make([]peer.Address, 0, len(seeds))
+	for _, seed := range seeds {
+		if seed != p.local.PeerAddress {
+			others = append(others, peer.Address(seed))
+		}
+	}
+	p.seeds.Store(&others)
+}
+
 // Run compares with other nodes until ctx ends.
 func (p *Peers) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -170,8 +178,8 @@
 	if len(others) > 0 {
 		return peer.Address(others[p.turn%len(others)].PeerAddress), true
 	}
-	if len(p.seeds) > 0 {
-		return p.seeds[p.turn%len(p.seeds)], true
+	if seeds := *p.seeds.Load(); len(seeds) > 0 {
+		return seeds[p.turn%len(seeds)], true
 	}
 	return "", false
 }
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -169,6 +169,13 @@
 	ByZone map[string]int
 }
 
+// SetLeaveWithin takes for how long a leaving server may be the last resort.
+func (f *Fleet) SetLeaveWithin(span time.Duration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.settings.LeaveWithin = span
+}
+
 // SetCallers takes the nodes that share the servers; the caller does not change
 // the map afterwards.
 func (f *Fleet) SetCallers(callers Callers) {
