--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"strings"
+
+	"github.com/bramblemast/bramblemast/pkg/fanout"
 )
 
 // Cause is why a request was not served whole and in time.
@@ -85,7 +87,7 @@
 	return CauseNoServer
 }
 
-func causeOfAttempt(attempt Attempt) Cause {
+func causeOfAttempt(attempt fanout.AttemptRecord) Cause {
 	switch {
 	case attempt.Result == "answered":
 		return CauseServed
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/bramblemast/bramblemast/pkg/fanout"
 )
 
 // Messages of the nodes' lines that are looked at.
@@ -32,38 +34,28 @@
 	// Text is the JSON of the line.
 	Text string
 
-	Request    string    `json:"request"`
-	Route      string    `json:"route"`
-	Path       string    `json:"path"`
-	Version    uint64    `json:"version"`
-	Status     int       `json:"status"`
-	Reason     string    `json:"reason"`
-	Outcome    string    `json:"outcome"`
-	TookMillis float64   `json:"took_ms"`
-	StoreAge   int64     `json:"store_age_ms"`
-	Parts      int       `json:"parts"`
-	Required   int       `json:"required"`
-	Total      int       `json:"total"`
-	Hedges     int       `json:"hedges"`
-	Denied     int       `json:"budget_denied"`
-	Missing    []string  `json:"missing"`
-	Attempts   []Attempt `json:"attempts"`
-	Error      string    `json:"error"`
-	Dependency string    `json:"dependency"`
-	Server     string    `json:"server"`
-	Service    string    `json:"service"`
-	Template   string    `json:"template"`
-	Arm        string    `json:"arm"`
-}
-
-// Attempt is one sub-request of a request's line.
-type Attempt struct {
-	Service    string `json:"service"`
-	Server     string `json:"server"`
-	Zone       string `json:"zone"`
-	SentMillis int64  `json:"sent_ms"`
-	TookMillis int64  `json:"took_ms"`
-	Result     string `json:"result"`
+	Request    string                 `json:"request"`
+	Route      string                 `json:"route"`
+	Path       string                 `json:"path"`
+	Version    uint64                 `json:"version"`
+	Status     int                    `json:"status"`
+	Reason     string                 `json:"reason"`
+	Outcome    string                 `json:"outcome"`
+	TookMillis float64                `json:"took_ms"`
+	StoreAge   int64                  `json:"store_age_ms"`
+	Parts      int                    `json:"parts"`
+	Required   int                    `json:"required"`
+	Total      int                    `json:"total"`
+	Hedges     int                    `json:"hedges"`
+	Denied     int                    `json:"budget_denied"`
+	Missing    []string               `json:"missing"`
+	Attempts   []fanout.AttemptRecord `json:"attempts"`
+	Error      string                 `json:"error"`
+	Dependency string                 `json:"dependency"`
+	Server     string                 `json:"server"`
+	Service    string                 `json:"service"`
+	Template   string                 `json:"template"`
+	Arm        string                 `json:"arm"`
 }
 
 // header are the fields that the logger itself writes.
