--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -190,3 +191,17 @@
 		g.Expect(latest).To(BeNumerically("<", time.Duration(drain)*time.Millisecond))
 	}
 }
+
+// TestRequestsComeBackLaterWhileTheStoreStaysAway: a client that may come back
+// once would otherwise be refused again. (valgsok trouble-3)
+func TestRequestsComeBackLaterWhileTheStoreStaysAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		starting := &state{startedAt: time.Now()}
+		g.Expect(starting.ComeBack()).To(Equal(leastStartingWait))
+		time.Sleep(600 * time.Millisecond)
+		g.Expect(starting.ComeBack()).To(Equal(600 * time.Millisecond))
+		time.Sleep(time.Minute)
+		g.Expect(starting.ComeBack()).To(Equal(greatestStartingWait))
+	})
+}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -27,8 +27,9 @@
 	// doubtedUntil returns until when an absence in the store proves nothing.
 	doubtedUntil func(now time.Time) time.Time
 
-	table    atomic.Pointer[route.Table]
-	draining atomic.Bool
+	startedAt time.Time
+	table     atomic.Pointer[route.Table]
+	draining  atomic.Bool
 
 	mutex sync.Mutex
 	// nodes is guarded by mutex.
@@ -39,7 +40,7 @@
 func newState(node *Node, servers *fleet.Fleet, rules *policies) *state {
 	return &state{
 		policies: rules, logger: node.logger, fleet: servers, budgets: newBudgets(node.options.Settings.Bounds), figures: node.figures,
-		nodes: make(map[string]directory.Node),
+		nodes: make(map[string]directory.Node), startedAt: time.Now(),
 		doubtedUntil: func(now time.Time) time.Time {
 			return node.follower.DoubtedUntil(node.settings.Load().listSettles(), now)
 		},
@@ -52,6 +53,20 @@
 // Draining implements front.State.
 func (s *state) Draining() bool { return s.draining.Load() }
 
+// Bounds of the time after which a request may come back that came before a
+// configuration was known.
+const (
+	leastStartingWait    = 200 * time.Millisecond
+	greatestStartingWait = 1200 * time.Millisecond
+)
+
+// ComeBack implements front.State. A store that has not answered for some time
+// is expected to stay away for about as long again, so a client that may come
+// back only once does not come too early.
+func (s *state) ComeBack() time.Duration {
+	return min(max(leastStartingWait, time.Since(s.startedAt)), greatestStartingWait)
+}
+
 // ready reports whether the node takes new connections.
 func (s *state) ready() bool { return s.table.Load() != nil && !s.draining.Load() }
 
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -22,6 +22,9 @@
 	Table() *route.Table
 	// Draining reports whether a planned stop is under way.
 	Draining() bool
+	// ComeBack returns when a request may be tried again that came before a
+	// configuration was known.
+	ComeBack() time.Duration
 }
 
 // Handler serves clients' requests.
@@ -93,7 +96,7 @@
 	}
 	table := h.awaitTable()
 	if table == nil {
-		exchanged.refuse(http.StatusServiceUnavailable, outcome.ReasonStarting, startingWait)
+		exchanged.refuse(http.StatusServiceUnavailable, outcome.ReasonStarting, h.state.ComeBack())
 		return
 	}
 	exchanged.version = table.Version
--- a/internal/front/policy.go
+++ b/internal/front/policy.go
@@ -33,7 +33,6 @@
 
 // Waits that clients are told, and reserves of time.
 const (
-	startingWait   = 200 * time.Millisecond
 	overloadedWait = time.Second
 	leastRefusal   = 50 * time.Millisecond
 	greatestWait   = 2 * time.Second
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -298,6 +298,24 @@
 	})
 }
 
+// TestAStoreThatForgetsAtOnceIsReadWithPauses instead of without end.
+func TestAStoreThatForgetsAtOnceIsReadWithPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		nodes, stop := cluster(t, 1)
+		source := nodes[0].source
+		revision := writeAll(nodes, "key", false)
+		time.Sleep(time.Second)
+		before, _ := source.calls()
+		source.set(func() { source.forgotten, source.slow = revision+1, 4*time.Millisecond })
+		time.Sleep(8 * time.Second)
+		after, _ := source.calls()
+		g.Expect(after - before).To(BeNumerically(">", 3))
+		g.Expect(after - before).To(BeNumerically("<=", int(8*time.Second/EventPause)+1))
+		stop()
+	})
+}
+
 // TestAnOlderStoreIsRefused: a store that comes back with less than was seen
 // changes nothing.
 func TestAnOlderStoreIsRefused(t *testing.T) {
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -51,7 +51,9 @@
 	regainedAt time.Time
 	contact    contact
 
+	// Only Run uses the fields below.
 	loaded   bool
+	loadedAt time.Time
 	failures int
 }
 
@@ -192,8 +194,12 @@
 	return func() { close(stop) }
 }
 
-// load reads everything.
+// load reads everything, at most once in an EventPause: a store may drop its
+// history again and again.
 func (f *Follower) load(ctx context.Context) error {
+	if since := time.Since(f.loadedAt); since < EventPause {
+		sleep(ctx, EventPause-since)
+	}
 	fresh := f.failures%staleEvery != staleEvery-1
 	limited, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
@@ -206,7 +212,7 @@
 	}
 	f.regained()
 	f.replica.apply(batch, true, time.Now())
-	f.loaded = true
+	f.loaded, f.loadedAt = true, time.Now()
 	return nil
 }
 
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -232,6 +232,34 @@
 	})
 }
 
+// TestARetryWaitsForTheBudget for a while, since other requests earn it, and
+// the part is given up when the patience ends. (valgsok-grown fresh-bfe4)
+func TestARetryWaitsForTheBudget(t *testing.T) {
+	in(t, func(g *WithT, w *world) {
+		w.budget.allowed = 0
+		w.add("a", "a1", exchangetest.Answer{Status: 503, Cut: -1, Header: map[string]string{"Refused": "1"}})
+		w.add("a", "a2", quick("second"))
+		time.AfterFunc(60*time.Millisecond, func() { w.budget.allowed = 1 })
+		result, took := w.run(plan("a"))
+		g.Expect(result.Got).To(Equal(1))
+		g.Expect(result.Retries).To(Equal(1))
+		g.Expect(took).To(BeNumerically(">=", 60*time.Millisecond))
+
+		result, took = w.run(plan("a"))
+		g.Expect(result.Got).To(Equal(1), "the refusal is remembered")
+		g.Expect(took).To(BeNumerically("<", 60*time.Millisecond))
+	})
+	in(t, func(g *WithT, w *world) {
+		w.budget.allowed = 0
+		w.add("a", "a1", exchangetest.Answer{Status: 503, Cut: -1, Header: map[string]string{"Refused": "1"}})
+		w.add("a", "a2", quick("never"))
+		result, took := w.run(plan("a"))
+		g.Expect(result.Got).To(BeZero())
+		g.Expect(took).To(BeNumerically("~", 120*time.Millisecond, 30*time.Millisecond))
+		g.Expect(result.Outcome).To(Equal(outcome.NotRun))
+	})
+}
+
 // TestAServerThatCannotBeReachedCostsNoBudget: its request never arrived.
 func TestAServerThatCannotBeReachedCostsNoBudget(t *testing.T) {
 	in(t, func(g *WithT, w *world) {
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -48,12 +48,8 @@
 			Reason: outcome.ReasonNoReplica, Cause: errors.Errorf("all servers are %s", availability),
 		}
 	}
-	if owner.idleSince.IsZero() {
-		owner.idleSince = now
-	}
 	owner.absent = availability == fleet.Absent
-	if now.Sub(owner.idleSince) >= r.plan.Patience {
-		r.closePart(owner)
+	if !r.staysOpen(owner, now) {
 		return
 	}
 	owner.forgetUnreached()
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -16,7 +16,8 @@
 const (
 	// recheck is when a part for which no server could be asked is tried again.
 	recheck = 12 * time.Millisecond
-	// deniedRecheck is when a hedge is tried again that the budget denied.
+	// deniedRecheck is when a hedge or a retry is tried again that the budget
+	// denied.
 	deniedRecheck = 40 * time.Millisecond
 	// freeRefusals is how many refusals of servers a part may meet beyond the
 	// attempts that may have run.
@@ -51,6 +52,9 @@
 	// absent says that the service has no server, so that nothing is waited for
 	// but news of one.
 	absent bool
+	// unpaid says that a further server is to be asked once the budget pays for
+	// it.
+	unpaid bool
 	// closed says that no further server is asked.
 	closed bool
 }
@@ -216,9 +220,12 @@
 			continue
 		}
 		due.hedgeAt = time.Time{}
-		if !due.idleSince.IsZero() {
+		switch {
+		case due.unpaid:
+			r.retry(index, now)
+		case !due.idleSince.IsZero():
 			r.launchNext(index, now)
-		} else {
+		default:
 			r.hedge(index, now)
 		}
 	}
@@ -335,13 +342,37 @@
 		return
 	}
 	if owner.arrivals > 0 && !r.spend(owner, now) {
-		r.closePart(owner)
+		r.awaitBudget(owner, now)
 		return
 	}
+	owner.unpaid = false
 	r.retries++
 	r.launchNext(index, now)
 }
 
+// awaitBudget keeps a part open for a while when the budget does not pay for a
+// further server: it pays again as soon as the service is asked for others.
+func (r *run) awaitBudget(owner *part, now time.Time) {
+	if !r.staysOpen(owner, now) {
+		return
+	}
+	owner.unpaid = true
+	owner.hedgeAt = now.Add(deniedRecheck)
+}
+
+// staysOpen reports whether a part that is being asked nowhere may still wait,
+// and closes it if not.
+func (r *run) staysOpen(owner *part, now time.Time) bool {
+	if owner.idleSince.IsZero() {
+		owner.idleSince = now
+	}
+	if now.Sub(owner.idleSince) < r.plan.Patience {
+		return true
+	}
+	r.closePart(owner)
+	return false
+}
+
 func (r *run) closePart(owner *part) {
 	owner.closed = true
 	owner.hedgeAt = time.Time{}
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -98,17 +98,19 @@
 // TestAFailedServerIsAvoidedForATime that doubles with each failure.
 func TestAFailedServerIsAvoidedForATime(t *testing.T) {
 	g := NewWithT(t)
-	now := time.Unix(0, 0)
-	tested := newFleet(now)
-	for _, pause := range []time.Duration{300, 600, 1200, 2400, 3000, 3000} {
-		lease, _ := tested.Acquire(choice, now)
-		g.Expect(lease.Server.ID).To(Equal("near"))
-		tested.Finish(lease, fleet.Failed, 0, now)
-		now = now.Add(pause*time.Millisecond - time.Millisecond)
-		other, _ := tested.Acquire(choice, now)
-		g.Expect(other.Server.ID).NotTo(Equal("near"))
-		tested.Cancel(other)
-		now = now.Add(2 * time.Millisecond)
+	for _, result := range []fleet.Result{fleet.Failed, fleet.Refused} {
+		now := time.Unix(0, 0)
+		tested := newFleet(now)
+		for _, pause := range []time.Duration{300, 600, 1200, 2400, 3000, 3000} {
+			lease, _ := tested.Acquire(choice, now)
+			g.Expect(lease.Server.ID).To(Equal("near"))
+			tested.Finish(lease, result, 0, now)
+			now = now.Add(pause*time.Millisecond - time.Millisecond)
+			other, _ := tested.Acquire(choice, now)
+			g.Expect(other.Server.ID).NotTo(Equal("near"), "%s, after %d ms", result, pause)
+			tested.Cancel(other)
+			now = now.Add(2 * time.Millisecond)
+		}
 	}
 }
 
--- a/pkg/fleet/lease.go
+++ b/pkg/fleet/lease.go
@@ -70,10 +70,8 @@
 		if elapsed > lease.Expected {
 			f.observeTime(lease, elapsed, now)
 		}
-	case Failed:
+	case Failed, Refused:
 		used.fail(now)
-	case Refused:
-		used.avoidUntil = now.Add(firstPenalty)
 	case TurnedAway:
 		used.narrow(now)
 	case WrongInstance:
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -42,7 +42,7 @@
 	// ratioGain is the weight of one ordinary sample.
 	ratioGain = 0.25
 	// firstPenalty and greatestPenalty bound for how long a server that failed
-	// is avoided; each failure in a row doubles the time.
+	// or refused a request is avoided; each one in a row doubles the time.
 	firstPenalty    = 300 * time.Millisecond
 	greatestPenalty = 3 * time.Second
 	// narrowSpan is for how long a server that turned a connection away gets
@@ -121,7 +121,7 @@
 	m.ratio, m.ratioAt = ratio, now
 }
 
-// fail notes a failed request.
+// fail notes a request that failed or was refused.
 func (m *member) fail(now time.Time) {
 	penalty := firstPenalty << min(m.failures, 6)
 	m.failures++
