Requests are admitted by an adaptive gate, so that an overload does not fail all of them

Cause: the routed node admitted everything.

Change: pkg/admission's gate, in use at bramblemastd, stands before the fan-out; routes over the same shards share one. It admits everything until a request fails for want of room at servers; then the limit falls to the load and moves with failed requests, and with late ones shortly after or while many are late. A request waits at most a quarter of its target, and one of which nothing runs by then is refused with when to come back. The gates of node and front are one type, admission.Group. New: a line and a counter for an overload, fields waited_ms and shed.

Tests: TestOverloadIsRefusedAtOnce, TestASlowServerIsNoOverload, TestTheFirstOverloadBringsTheLimitToTheLoad, TestLateRequestsCountAfterAnOverloadOnly, TestAnOverloadIsToldOnce.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -122,7 +122,7 @@
 func (n *Node) openClients(rules *policies) error {
 	handler := front.NewHandler(front.Options{
 		Dialect: n.options.Dialect, State: n.state, Fleet: n.state.fleet, Budget: n.state.budgets, Policies: rules,
-		Events:      &events{logger: n.logger, figures: n.figures, storeAge: n.storeAge},
+		Events:      newEvents(n.logger, n.figures, n.storeAge),
 		MaxInFlight: maxInFlight,
 	})
 	listener, err := front.Listen(n.options.Settings.Listen.Clients, handler)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -5,13 +5,16 @@
 	"io"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	. "github.com/onsi/gomega"
 
 	"github.com/bramblemast/bramblemast/internal/front"
+	"github.com/bramblemast/bramblemast/pkg/admission"
 	"github.com/bramblemast/bramblemast/pkg/directory"
 	"github.com/bramblemast/bramblemast/pkg/policy"
 	"github.com/bramblemast/bramblemast/pkg/route"
@@ -63,10 +66,8 @@
 	g := NewWithT(t)
 	var output bytes.Buffer
 	lines := make(chan []byte, 4*linesPerSecond)
-	tested := &events{
-		logger: NewLogger("test", writerFunc(func(line []byte) { lines <- bytes.Clone(line) })), figures: newFigures(),
-		storeAge: func() time.Duration { return time.Second },
-	}
+	logger := NewLogger("test", writerFunc(func(line []byte) { lines <- bytes.Clone(line) }))
+	tested := newEvents(logger, newFigures(), func() time.Duration { return time.Second })
 	for range sampleEvery {
 		tested.Record(front.Record{ID: "served", Status: 200})
 	}
@@ -79,6 +80,21 @@
 	g.Expect(strings.Count(output.String(), "served")).To(Equal(1))
 }
 
+// TestAnOverloadIsToldOnce for a while, however many requests fail for it.
+func TestAnOverloadIsToldOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var lines atomic.Int64
+		output := writerFunc(func([]byte) { lines.Add(1) })
+		tested := newEvents(hclog.New(&hclog.LoggerOptions{Output: output, JSONFormat: true}), newFigures(), func() time.Duration { return time.Second })
+		for range 20 {
+			tested.Overload("shard-0", admission.Observation{Limit: 3})
+			time.Sleep(overloadSpan / 10)
+		}
+		g.Expect(lines.Load()).To(BeNumerically("~", 2, 1))
+	})
+}
+
 type writerFunc func(line []byte)
 
 func (f writerFunc) Write(line []byte) (int, error) {
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/bramblemast/bramblemast/internal/front"
+	"github.com/bramblemast/bramblemast/pkg/admission"
 )
 
 // Bounds of request logs.
@@ -16,6 +17,8 @@
 	linesPerSecond = 50
 	// sampleEvery is the share of ordinary successes that is logged.
 	sampleEvery = 200
+	// noticeableWait is the wait for an admission from which on it is told.
+	noticeableWait = time.Millisecond
 )
 
 // events writes the story of requests. It implements front.Recorder.
@@ -28,12 +31,19 @@
 	successes atomic.Uint64
 
 	mutex sync.Mutex
+	// overloads holds the last overload of each service that was told, guarded
+	// by mutex.
+	overloads map[string]time.Time
 	// second, lines and left are guarded by mutex.
 	second time.Time
 	lines  int
 	left   int
 }
 
+func newEvents(logger hclog.Logger, figures *figures, storeAge func() time.Duration) *events {
+	return &events{logger: logger, figures: figures, storeAge: storeAge, overloads: make(map[string]time.Time)}
+}
+
 // Record implements front.Recorder.
 func (e *events) Record(record front.Record) {
 	e.figures.count(record)
@@ -50,6 +60,25 @@
 	}
 }
 
+// overloadSpan is for how long an overload is told once.
+const overloadSpan = 5 * time.Second
+
+// Overload implements front.Recorder.
+func (e *events) Overload(service string, state admission.Observation) {
+	e.figures.overloads.WithLabelValues(service).Inc()
+	now := time.Now()
+	e.mutex.Lock()
+	told := now.Sub(e.overloads[service]) < overloadSpan
+	if !told {
+		e.overloads[service] = now
+	}
+	e.mutex.Unlock()
+	if !told {
+		e.logger.Warn("overload", "service", service, "limit", state.Limit, "in_flight", state.InFlight, "waiting", state.Queued,
+			"typical_ms", state.TypicalService.Milliseconds())
+	}
+}
+
 // isOrdinary reports whether a request was served whole by the first servers
 // that were asked.
 func isOrdinary(record front.Record) bool {
@@ -78,6 +107,9 @@
 		"version", record.Version, "store_age_ms", e.storeAge().Milliseconds(), "status", record.Status, "reason", record.Reason,
 		"took_ms", float64(record.Took.Microseconds()) / 1000,
 	}
+	if record.Waited >= noticeableWait {
+		list = append(list, "waited_ms", record.Waited.Milliseconds())
+	}
 	if record.Cause != nil {
 		list = append(list, "error", record.Cause.Error())
 	}
@@ -87,7 +119,7 @@
 	result := record.Result
 	list = append(list, "parts", record.Parts, "required", record.Required, "total", record.Total,
 		"sent", result.Sent, "hedges", result.Hedges, "retries", result.Retries, "budget_denied", result.Denied,
-		"outcome", result.Outcome.String())
+		"shed", result.Shed, "outcome", result.Outcome.String())
 	if record.Policy.Template != "" {
 		list = append(list, "template", record.Policy.Template, "template_revision", record.Policy.Revision,
 			"arm", record.Policy.Arm)
--- a/internal/edge/figures.go
+++ b/internal/edge/figures.go
@@ -28,6 +28,7 @@
 	denied      *prometheus.CounterVec
 	dependency  *prometheus.GaugeVec
 	refused     *prometheus.CounterVec
+	overloads   *prometheus.CounterVec
 	logLines    *prometheus.CounterVec
 }
 
@@ -44,10 +45,11 @@
 		dependency: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "dependency_up", Help: "1 if the dependency answers, 0 if not.",
 		}, []string{"dependency"}),
-		refused:  counters("state_refused_total", "Entries of the store that were refused.", "what"),
-		logLines: counters("log_lines_left_out_total", "Log lines that were left out, by cause.", "cause"),
+		refused:   counters("state_refused_total", "Entries of the store that were refused.", "what"),
+		overloads: counters("overloads_total", "Requests that failed for want of room, by the first service of their route.", "service"),
+		logLines:  counters("log_lines_left_out_total", "Log lines that were left out, by cause.", "cause"),
 	}
-	f.registry.MustRegister(f.requests, f.latency, f.missing, f.subRequests, f.denied, f.dependency, f.refused, f.logLines)
+	f.registry.MustRegister(f.requests, f.latency, f.missing, f.subRequests, f.denied, f.dependency, f.refused, f.overloads, f.logLines)
 	return f
 }
 
--- a/internal/front/conversation.go
+++ b/internal/front/conversation.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/bramblemast/bramblemast/pkg/admission"
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/fanout"
 	"github.com/bramblemast/bramblemast/pkg/gather"
@@ -22,8 +23,10 @@
 	version  uint64
 	route    *route.Route
 	policy   Policy
-	id       string
-	cause    error
+	// waited is how long the request waited to be admitted.
+	waited time.Duration
+	id     string
+	cause  error
 }
 
 // serve asks servers and answers.
@@ -37,15 +40,36 @@
 		Hedge: c.policy.Hedge, Stop: c.policy.Stop, ExtraShare: c.policy.ExtraShare,
 	}
 	plan.Patience = patience(c.route)
+	plan.RefuseBy = c.began.Add(admissionWait(c.route))
 	if c.route.Gathered() {
 		plan.Services, plan.Required = c.route.Shards, c.route.RequiredShards()
-		result := c.handler.gatherer.Run(c.received.Context(), plan, request)
-		c.answerGathered(plan, result)
+	} else {
+		plan.Services, plan.Required = []string{c.handler.splitter.pick(c.route)}, 1
+	}
+	ticket, err := c.admit(plan)
+	if err != nil {
+		c.refuseAdmission(plan, err)
 		return
 	}
-	plan.Services, plan.Required = []string{c.handler.splitter.pick(c.route)}, 1
-	result := c.handler.forwarder.Run(c.received.Context(), plan, request)
-	c.answerForwarded(plan, result)
+	c.run(plan, request, ticket)
+}
+
+// run asks servers while the ticket is held, and answers.
+func (c *conversation) run(plan fanout.Plan, request *exchange.Request, ticket *admission.Ticket) {
+	runner, answer := c.handler.forwarder, c.answerForwarded
+	if c.route.Gathered() {
+		runner, answer = c.handler.gatherer, c.answerGathered
+	}
+	started := time.Now()
+	result := runner.Run(c.received.Context(), plan, request)
+	ticket.Release(admission.Result{
+		Latency: time.Since(started), Overloaded: overloaded(plan, result), Late: late(plan, result),
+		Cancelled: result.Reason == fanout.StopCancelled,
+	})
+	if overloaded(plan, result) {
+		c.handler.events.Overload(plan.Services[0], c.handler.gates.For(plan.Services[0]).Observe())
+	}
+	answer(plan, result)
 }
 
 // answerGathered merges the parts, if they are enough.
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bramblemast/bramblemast/pkg/admission"
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/fanout"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
@@ -35,6 +36,7 @@
 	forwarder *fanout.Runner
 	policies Policies
 	splitter *splitter
+	gates    *admission.Group[string]
 	events   Recorder
 	inFlight chan struct{}
 }
@@ -67,6 +69,7 @@
 	gatherer, forwarder := runner, runner
 	gatherer.Sound, forwarder.Sound = isPart, isWholeAnswer
 	handler.gatherer, handler.forwarder = &gatherer, &forwarder
+	handler.gates = newGates(options.MaxInFlight)
 	return handler
 }
 
--- /dev/null
+++ b/internal/front/overload_test.go
@@ -0,0 +1,246 @@
+package front
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/admission"
+	"github.com/bramblemast/bramblemast/pkg/exchange/exchangetest"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/policy"
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// The deployment of these tests: each of twelve shards has two servers with two
+// slots, so 200 requests a second are what the shards can serve.
+const (
+	simShards   = 12
+	simServers  = 2
+	simSlots    = 2
+	simQueue    = 24
+	simWork     = 20 * time.Millisecond
+	simTarget   = 150 * time.Millisecond
+	simCapacity = simServers * simSlots * float64(time.Second) / float64(simWork)
+)
+
+// slotServer models a server that runs a few requests at once, queues some more
+// and refuses the rest.
+type slotServer struct {
+	mutex sync.Mutex
+	// free is when each slot is free, guarded by mutex.
+	free [simSlots]time.Time
+	ran  map[string]bool
+}
+
+func (s *slotServer) respond(request exchangetest.Request) exchangetest.Answer {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now, slot := time.Now(), 0
+	for index := range s.free {
+		if s.free[index].Before(s.free[slot]) {
+			slot = index
+		}
+	}
+	begins := s.free[slot]
+	if begins.Before(now) {
+		begins = now
+	}
+	if begins.Sub(now) > simQueue/simSlots*simWork {
+		return exchangetest.Answer{Status: http.StatusServiceUnavailable, Cut: -1, Header: map[string]string{"Refused": "1"}}
+	}
+	s.free[slot] = begins.Add(simWork)
+	s.ran[request.Header.Get(exchangetest.Dialect.RequestID)] = true
+	answer := exchangetest.Whole("0123456789abcdef")
+	answer.Header["Id"] = request.Header.Get(exchangetest.Dialect.RequestID)
+	answer.Delay = s.free[slot].Sub(now)
+	return answer
+}
+
+// simBudget pays for one extra sub-request in ten of each service.
+type simBudget struct {
+	mutex sync.Mutex
+	left  map[string]float64
+}
+
+func (b *simBudget) Earn(service string, _ time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.left[service] = min(b.left[service]+0.1, 10)
+}
+
+func (b *simBudget) TrySpend(service string, _ float64, _ time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.left[service] < 1 {
+		return false
+	}
+	b.left[service]--
+	return true
+}
+
+type simState struct{ table *route.Table }
+
+func (s simState) Table() *route.Table     { return s.table }
+func (s simState) Draining() bool          { return false }
+func (s simState) ComeBack() time.Duration { return time.Second }
+
+type simPolicies struct{ policy Policy }
+
+func (p simPolicies) For(*route.Route, string) Policy { return p.policy }
+
+type nobody struct{}
+
+func (nobody) Record(Record)                          {}
+func (nobody) Overload(string, admission.Observation) {}
+
+// simulation is a node over servers with few slots.
+type simulation struct {
+	handler *Handler
+	fleet   *fleet.Fleet
+	servers []*slotServer
+}
+
+// close lets the connections to the servers end.
+func (s *simulation) close() {
+	time.Sleep(time.Minute)
+	s.fleet.Sweep(time.Now())
+}
+
+func newSimulation(admissionPolicy string) *simulation {
+	set, err := policy.Build(policy.Spec{
+		Hedge: policy.HedgeSpec{Policy: policy.HedgeTypical}, Admission: policy.AdmissionSpec{Policy: admissionPolicy},
+	})
+	if err != nil {
+		panic(err)
+	}
+	network := exchangetest.NewNetwork()
+	servers := fleet.New(fleet.Settings{Dialer: network, Random: rand.New(rand.NewPCG(1, 1))})
+	simulated := &simulation{fleet: servers}
+	tally := route.Route{
+		Name: "tally", Host: "h", Prefix: "/", Repeatable: true, Target: simTarget, Priority: 1, MaxAttempts: 2,
+		TopRecords: 1, MinimumCoverage: 1,
+	}
+	for shard := range simShards {
+		service := fmt.Sprintf("shard-%d", shard)
+		tally.Shards = append(tally.Shards, service)
+		for index := range simServers {
+			name := fmt.Sprintf("%s-%d", service, index)
+			modelled := &slotServer{ran: make(map[string]bool)}
+			simulated.servers = append(simulated.servers, modelled)
+			network.Add(name, modelled.respond)
+			servers.Apply(fleet.Server{ID: name, Service: service, Address: name, Slots: simSlots}, time.Now())
+		}
+	}
+	simulated.handler = NewHandler(Options{
+		Dialect: Dialect{Dialect: exchangetest.Dialect, Parts: "Parts", MissingParts: "Missing"},
+		State:   simState{route.NewTable(&route.Configuration{Version: 1, Routes: []route.Route{tally}})},
+		Fleet:   servers, Budget: &simBudget{left: make(map[string]float64)}, Events: nobody{}, MaxInFlight: 2000,
+		Policies: simPolicies{Policy{Hedge: set.Hedge, Stop: set.Stop, Admission: set.Admission, MaxAttempts: 2, ExtraShare: 1}},
+	})
+	return simulated
+}
+
+// simAnswer is what one client has got.
+type simAnswer struct {
+	id     string
+	status int
+	took   time.Duration
+	wait   string
+}
+
+// offer sends requests at a rate for a time and returns all answers.
+func (s *simulation) offer(rate float64, span time.Duration) []simAnswer {
+	var clients sync.WaitGroup
+	answers := make([]simAnswer, int(rate*span.Seconds()))
+	for index := range answers {
+		clients.Go(func() { answers[index] = s.ask(fmt.Sprint("request-", index)) })
+		time.Sleep(time.Duration(float64(time.Second) / rate))
+	}
+	clients.Wait()
+	return answers
+}
+
+func (s *simulation) ask(id string) simAnswer {
+	began := time.Now()
+	request := httptest.NewRequest(http.MethodGet, "/a", nil)
+	request.Host = "h"
+	request.Header.Set(exchangetest.Dialect.RequestID, id)
+	request.Header.Set(exchangetest.Dialect.DeadlineMillis, "2000")
+	recorder := httptest.NewRecorder()
+	s.handler.ServeHTTP(recorder, request)
+	return simAnswer{id: id, status: recorder.Code, took: time.Since(began), wait: recorder.Header().Get("Retry-After")}
+}
+
+// useful returns the whole answers in time, as a share of what the shards can
+// serve.
+func useful(answers []simAnswer, span time.Duration) float64 {
+	count := 0
+	for _, answer := range answers {
+		if answer.status == http.StatusOK && answer.took <= simTarget {
+			count++
+		}
+	}
+	return float64(count) / (simCapacity * span.Seconds())
+}
+
+// TestOverloadIsRefusedAtOnce: with twice the load that the shards can bear,
+// requests beyond it are refused early and with a time to come back, so that the
+// others are served; without the gate all of them fail together. (own day with
+// a burst of six times, valgsok-grown fresh-bfe4)
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	const span = 6 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		admitted := newSimulation(policy.AdmissionDeadlineAware)
+		answers := admitted.offer(2*simCapacity, span)
+		admitted.close()
+		unlimited := newSimulation(policy.AdmissionUnlimited)
+		collapsed := unlimited.offer(2*simCapacity, span)
+		unlimited.close()
+		t.Logf("useful: %.2f of the capacity with the gate, %.2f without", useful(answers, span), useful(collapsed, span))
+		g.Expect(useful(answers, span)).To(BeNumerically(">=", 0.6))
+		g.Expect(useful(answers, span)).To(BeNumerically(">=", 2*useful(collapsed, span)))
+		for _, answer := range answers {
+			if answer.status != http.StatusServiceUnavailable {
+				continue
+			}
+			g.Expect(answer.wait).NotTo(BeEmpty())
+			g.Expect(answer.took).To(BeNumerically("<=", admissionWait(&route.Route{Target: simTarget})))
+			for _, server := range admitted.servers {
+				g.Expect(server.ran).NotTo(HaveKey(answer.id), "a refusal promises that nothing has run")
+			}
+		}
+	})
+}
+
+// TestASlowServerIsNoOverload: at half of the capacity nothing is refused,
+// although one server of each shard is full now and then.
+func TestASlowServerIsNoOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		served := newSimulation(policy.AdmissionDeadlineAware)
+		for index := 0; index < len(served.servers); index += simServers {
+			slowed := served.servers[index]
+			pause := func() {
+				slowed.mutex.Lock()
+				defer slowed.mutex.Unlock()
+				for slot := range slowed.free {
+					slowed.free[slot] = time.Now().Add(300 * time.Millisecond)
+				}
+			}
+			time.AfterFunc(time.Duration(1000+200*index)*time.Millisecond, pause)
+		}
+		for _, answer := range served.offer(simCapacity/2, 4*time.Second) {
+			g.Expect(answer.status).NotTo(Equal(http.StatusServiceUnavailable))
+		}
+		served.close()
+	})
+}
--- a/internal/front/policy.go
+++ b/internal/front/policy.go
@@ -15,6 +15,8 @@
 	Arm      string
 	Hedge    policy.HedgePolicy
 	Stop     policy.StopRule
+	// Admission decides which requests run, wait or are refused.
+	Admission policy.AdmissionPolicy
 	// MaxAttempts bounds the servers that run one request, beside the route.
 	MaxAttempts int
 	// ExtraShare bounds extra sub-requests in relation to the deployment's own
--- a/internal/front/record.go
+++ b/internal/front/record.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bramblemast/bramblemast/pkg/admission"
 	"github.com/bramblemast/bramblemast/pkg/fanout"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 )
@@ -17,6 +18,8 @@
 	Policy  Policy
 	Status  int
 	Took    time.Duration
+	// Waited is how long the request waited to be admitted.
+	Waited time.Duration
 	// Reason is why the request was refused or the wait ended.
 	Reason string
 	// Refused says that no server was asked.
@@ -32,6 +35,9 @@
 // Recorder takes the story of each request. It does not block.
 type Recorder interface {
 	Record(record Record)
+	// Overload tells that a request failed for want of room at the servers of
+	// the routes that begin with a service, so that fewer are admitted.
+	Overload(service string, state admission.Observation)
 }
 
 func (c *conversation) record(status int, plan fanout.Plan, result fanout.Result) {
@@ -39,6 +45,7 @@
 		ID: c.id, Host: c.received.Host, Path: c.received.RequestURI, Route: c.route.Name, Version: c.version,
 		Policy: c.policy, Status: status, Took: time.Since(c.began), Reason: string(result.Reason), Parts: result.Got,
 		Required: plan.Required, Total: len(plan.Services), Result: result, Services: plan.Services,
+		Waited: c.waited,
 	})
 }
 
@@ -50,5 +57,6 @@
 	c.handler.events.Record(Record{
 		ID: c.id, Host: c.received.Host, Path: c.received.RequestURI, Route: name, Version: c.version,
 		Status: status, Took: time.Since(c.began), Reason: string(reason), Refused: true, Cause: c.cause,
+		Waited: c.waited,
 	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,7 +47,7 @@
 	exchange  *catalog.Exchange
 	client    *httpbackend.Client
 	limits    *limit.Servers
-	gates     *gates
+	gates     *admission.Group[target.Service]
 	executor  *query.Executor
 	reach     *reach
 	config    *configuration
@@ -214,7 +214,9 @@
 }
 
 func (n *Node) buildExecutor() {
-	n.gates = newGates(admission.Options{MaxLimit: n.settings.Query.MaxInFlight})
+	n.gates = admission.NewGroup(func(target.Service) admission.Options {
+		return admission.Options{MaxLimit: n.settings.Query.MaxInFlight}
+	})
 	n.executor = query.New(query.Options{
 		Client:       n.client,
 		Catalog:      n.reach,
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -16,6 +16,13 @@
 	// slowDecrease is the fall with a request that took too long while the
 	// average of its kind does.
 	slowDecrease = 0.05
+	// lateDecrease is the fall with a late request within lateSpan of an
+	// overloaded one, or while more than lateShare of the requests are late.
+	lateDecrease = 0.25
+	lateSpan     = 2 * time.Second
+	lateShare    = 0.3
+	// lateWeight is the weight of one request in the share of late ones.
+	lateWeight = 0.1
 	// rampGrowth is the rise with a good request before the first sign of
 	// overload.
 	rampGrowth = 0.5
@@ -37,8 +44,12 @@
 	limit     float64
 	ramping   bool
 	latencies latencies
-	// overloaded is when the last sign of overload came.
+	// overloaded is when the last sign of overload came, failed when the last
+	// overloaded request ended.
 	overloaded time.Time
+	failed     time.Time
+	// late is the moving share of late requests, 0 to 1.
+	late float64
 }
 
 func newController(options *Options, now time.Time) controller {
@@ -54,14 +65,20 @@
 // places returns the number of requests that may run at once.
 func (c *controller) places() int { return int(math.Round(c.limit)) }
 
-// record moves the limit after a request. Limited says that all places were
-// taken when the request ran; only then is it evidence that more could run.
-func (c *controller) record(of kind, result Result, limited bool, now time.Time) {
+// record moves the limit after a request that was one of running ones. Limited
+// says that all places were taken when the request ran; only then is it
+// evidence that more could run.
+func (c *controller) record(of kind, result Result, running int, limited bool, now time.Time) {
+	c.noteLate(result)
 	switch {
 	case result.Cancelled:
 		return
 	case result.Overloaded:
+		c.fallToLoad(running)
+		c.failed = now
 		c.lower(overloadDecrease, now)
+	case result.Late && c.lateCounts(limited, now):
+		c.lower(lateDecrease, now)
 	default:
 		c.recordGood(of, result.Latency, limited, now)
 	}
@@ -78,6 +95,36 @@
 	}
 }
 
+// noteLate follows the share of late requests.
+func (c *controller) noteLate(result Result) {
+	if result.Cancelled {
+		return
+	}
+	sample := 0.0
+	if result.Late {
+		sample = 1
+	}
+	c.late += lateWeight * (sample - c.late)
+}
+
+// lateCounts reports whether a late request is a sign of overload: shortly
+// after one that failed for it, or while the limit holds requests back and so
+// many are late that slow servers alone are not the cause.
+func (c *controller) lateCounts(limited bool, now time.Time) bool {
+	if c.ramping {
+		return false
+	}
+	return now.Sub(c.failed) < lateSpan || limited && c.late > lateShare
+}
+
+// fallToLoad ends the time before the first sign of overload, in which the limit
+// may be far above what is running.
+func (c *controller) fallToLoad(running int) {
+	if c.ramping {
+		c.limit = math.Min(c.limit, float64(running))
+	}
+}
+
 func (c *controller) lower(decrease float64, now time.Time) {
 	c.ramping = false
 	c.overloaded = now
--- /dev/null
+++ b/pkg/admission/controller_test.go
@@ -0,0 +1,59 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func controllerFor(start int) (*controller, time.Time) {
+	now := time.Unix(0, 0)
+	options := Options{StartLimit: start, Tolerance: 1000}.withDefaults()
+	created := newController(&options, now)
+	return &created, now
+}
+
+// TestTheFirstOverloadBringsTheLimitToTheLoad, however high it was before.
+func TestTheFirstOverloadBringsTheLimitToTheLoad(t *testing.T) {
+	g := NewWithT(t)
+	tested, now := controllerFor(2000)
+	tested.record(kind{}, Result{Latency: time.Millisecond}, 30, false, now)
+	g.Expect(tested.places()).To(Equal(2000))
+	tested.record(kind{}, Result{Overloaded: true}, 30, false, now)
+	g.Expect(tested.places()).To(BeNumerically("<=", 30))
+	lowered := tested.places()
+	tested.record(kind{}, Result{Overloaded: true}, 2, false, now)
+	g.Expect(tested.places()).To(BeNumerically(">=", lowered-1), "later signs lower it step by step")
+}
+
+// TestLateRequestsCountAfterAnOverloadOnly: slow servers make requests late at
+// any load.
+func TestLateRequestsCountAfterAnOverloadOnly(t *testing.T) {
+	g := NewWithT(t)
+	tested, now := controllerFor(20)
+	lateRequests := func(count int, limited bool) {
+		for range count {
+			tested.record(kind{}, Result{Late: true, Latency: time.Second}, 20, limited, now)
+		}
+	}
+	lateRequests(50, false)
+	g.Expect(tested.places()).To(Equal(20), "before any overload")
+	tested.record(kind{}, Result{Overloaded: true}, 20, true, now)
+	before := tested.limit
+	now = now.Add(lateSpan / 2)
+	lateRequests(4, false)
+	g.Expect(tested.limit).To(BeNumerically("~", before-4*lateDecrease, 0.01), "soon after it")
+	before = tested.limit
+	now = now.Add(2 * lateSpan)
+	lateRequests(4, false)
+	g.Expect(tested.limit).To(BeNumerically(">=", before), "later, while nothing is held back")
+	lateRequests(4, true)
+	g.Expect(tested.limit).To(BeNumerically("<", before), "while the limit holds requests back")
+	for range 50 {
+		tested.record(kind{}, Result{Latency: time.Millisecond}, 20, true, now)
+	}
+	before = tested.limit
+	lateRequests(1, true)
+	g.Expect(tested.limit).To(BeNumerically(">=", before), "a single late one among many in time")
+}
--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -195,7 +195,7 @@
 		return
 	}
 	t.released = true
-	g.controller.record(t.kind, result, t.limited || g.queued > 0, now)
+	g.controller.record(t.kind, result, g.inFlight-g.cooling, t.limited || g.queued > 0, now)
 	if wait := g.coolDown(t.kind, result); wait > 0 {
 		g.cooling++
 		time.AfterFunc(wait, g.cooled)
--- a/pkg/admission/options.go
+++ b/pkg/admission/options.go
@@ -69,6 +69,10 @@
 	// Overloaded means that the back ends could not keep up with the request's
 	// sub-requests; see Overloaded.
 	Overloaded bool
+	// Late means that the answer was not whole by its target. It lowers the limit
+	// only after an overloaded request, or while many are late: at other times
+	// slow servers are the likelier cause.
+	Late bool
 	// Cancelled means that the caller gave the request up. It says nothing
 	// about the load.
 	Cancelled bool
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -33,6 +33,9 @@
 	Target time.Time
 	// Deadline is when the request is given up.
 	Deadline time.Time
+	// RefuseBy is when a request of which no part has begun to run is given up,
+	// so that its client can come back in time. Zero if there is none.
+	RefuseBy time.Time
 	// Assumed is the typical time of the kind until one is measured.
 	Assumed time.Duration
 	// Patience is how long a part waits while all of its servers are busy.
@@ -85,6 +88,9 @@
 	Hedges  int
 	Retries int
 	Sent    int
+	// Shed counts the parts without an answer that a server refused for want of
+	// room, or for which no server was free.
+	Shed int
 	// Denied counts extra sub-requests that the budget did not pay for.
 	Denied int
 	// Attempts are the sub-requests of the parts that were not answered by the
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -49,6 +49,7 @@
 		}
 	}
 	owner.absent = availability == fleet.Absent
+	owner.shed = owner.shed || availability == fleet.Busy
 	if !r.staysOpen(owner, now) {
 		return
 	}
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -42,6 +42,9 @@
 	arrivals   int
 	executions int
 	refusals   int
+	// shed says that a server refused the request for want of room, or that
+	// none was free.
+	shed bool
 	// ran says that a server is known to have run the request.
 	ran bool
 	// hedgeAt is when a further server is to be asked; zero if never.
@@ -118,7 +121,7 @@
 		if reason, done := r.decide(now); done {
 			return reason
 		}
-		timer.Reset(r.nextEvent().Sub(now))
+		timer.Reset(r.nextEvent(now).Sub(now))
 		select {
 		case <-ctx.Done():
 			return StopCancelled
@@ -143,6 +146,8 @@
 		return StopTarget, true
 	case r.got+r.open < r.plan.Required:
 		return StopExhausted, true
+	case !r.plan.RefuseBy.IsZero() && !now.Before(r.plan.RefuseBy) && r.nothingRuns():
+		return StopExhausted, true
 	case r.got >= r.plan.Required && r.stops(now):
 		return StopRule, true
 	case r.got >= r.plan.Required && r.allAbsent():
@@ -185,6 +190,17 @@
 	return true
 }
 
+// nothingRuns reports whether no server runs or has run any part.
+func (r *run) nothingRuns() bool {
+	for index := range r.parts {
+		each := &r.parts[index]
+		if each.ran || each.executions > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // markUnreached notes that a request never reached a server.
 func (p *part) markUnreached(lease *fleet.Lease) {
 	for index, each := range p.leases {
@@ -195,23 +211,29 @@
 }
 
 // nextEvent returns the next moment at which something is to be decided.
-func (r *run) nextEvent() time.Time {
+func (r *run) nextEvent(now time.Time) time.Time {
 	next := r.plan.Deadline
-	if !r.plan.Target.IsZero() && r.plan.Target.Before(next) && r.got >= r.plan.Required {
-		next = r.plan.Target
+	if r.plan.RefuseBy.After(now) {
+		next = earlier(next, r.plan.RefuseBy)
 	}
-	if !r.recheckAt.IsZero() && r.recheckAt.Before(next) {
-		next = r.recheckAt
+	if r.got >= r.plan.Required {
+		next = earlier(next, r.plan.Target)
 	}
+	next = earlier(next, r.recheckAt)
 	for index := range r.parts {
-		at := r.parts[index].hedgeAt
-		if !at.IsZero() && at.Before(next) {
-			next = at
-		}
+		next = earlier(next, r.parts[index].hedgeAt)
 	}
 	return next
 }
 
+// earlier returns the earlier of two moments; a zero candidate stands for none.
+func earlier(known, candidate time.Time) time.Time {
+	if candidate.IsZero() || known.Before(candidate) {
+		return known
+	}
+	return candidate
+}
+
 // handleTime asks further servers for the parts that are due.
 func (r *run) handleTime(now time.Time) {
 	for index := range r.parts {
@@ -302,6 +324,7 @@
 func (r *run) noteFailure(owner *part, result finished) {
 	if result.err != nil {
 		owner.failure = result.err
+		owner.shed = owner.shed || result.attempt.TurnedAway
 		if r.plan.Repeatable && result.attempt.TurnedAway {
 			owner.executions--
 			owner.refusals++
@@ -318,6 +341,7 @@
 	}
 	owner.refusal = result.answer
 	if r.refused(result.answer) {
+		owner.shed = owner.shed || result.answer.Status != statusMisdirected
 		owner.executions--
 		owner.refusals++
 		return
@@ -391,6 +415,9 @@
 	for index := range r.parts {
 		each := &r.parts[index]
 		result.Parts[index], result.Failures[index], result.Refusals[index] = each.answer, each.failure, each.refusal
+		if each.answer == nil && each.shed {
+			result.Shed++
+		}
 		ran = ran || each.ran
 		mayRun = mayRun || each.executions > 0
 	}
