A soak of real nodes: faults from outside, promises checked from callers and servers

Change: test/soak starts three bramblemast-edge processes before stand-ins of the platform, behind the fault proxy: processes are killed, paused, stopped and told to reload by signals; links to the store and to servers are cut, cut one way, reset, refused, delayed; the store refuses, limits, is slow, loses answers, falls silent, forgets and loses its list; servers shed, fail, lose or cut answers, are slow, leave; configurations change and shards are cut anew. Checked at once or at the end: parts belong to the request and to one shard set, the body holds their greatest records, orders run at most once and not at all if refused, refusals name a time to come back, a life of a node never goes back to an older configuration, the bound on extra load, no process ends by itself; with -soak.timed also draining, configuration in force, nothing cut off, and 98 in 100 served while nothing is broken. make soak runs it with a fresh seed; make test runs 8 s with a fixed one and without bounds in time.

Ruled out: putting it into the lab's program, which starts no other process. A node uses neither the time of day nor storage for a decision, so no fault of a clock or a disk is injected.

--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,9 @@
 VERSION := $(shell git describe --tags --always --dirty 2>/dev/null || echo unknown)
 LDFLAGS := -X github.com/bramblemast/bramblemast/internal/version.Version=$(VERSION)
 FUZZTIME ?= 30s
+SOAK ?= 3m
 
-.PHONY: build test race lint demo bench fuzz stats generate
+.PHONY: build test race lint demo bench fuzz soak stats generate
 
 build:
 	$(GO) build -ldflags "$(LDFLAGS)" -o $(BIN)/ ./cmd/...
@@ -47,3 +48,8 @@
 	GOBIN=$(CURDIR)/$(BIN) $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go github.com/planetscale/vtprotobuf/cmd/protoc-gen-go-vtproto
 	PATH=$(CURDIR)/$(BIN):$$PATH protoc --proto_path=proto --go_out=. --go_opt=module=github.com/bramblemast/bramblemast \
 		--go-vtproto_out=. --go-vtproto_opt=module=github.com/bramblemast/bramblemast,features=marshal+unmarshal+size $(PROTOS)
+
+# soak runs the node as real processes and breaks what it depends on, with a
+# fresh seed; its settings, logs and history are kept in bin/soak.
+soak:
+	$(GO) test ./test/soak -count=1 -timeout 2h -v -args -soak.seed 0 -soak.span $(SOAK) -soak.timed -soak.folder $(CURDIR)/$(BIN)/soak
--- /dev/null
+++ b/test/soak/deployment_test.go
@@ -0,0 +1,220 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/bramblemast/bramblemast/internal/lab/faultproxy"
+	"github.com/bramblemast/bramblemast/platform/platformtest"
+)
+
+// The deployment of the soak.
+const (
+	host        = "soak.example"
+	firstShards = 4
+	otherShards = 6
+	perService  = 2
+	topRecords  = 3
+	coverage    = 0.5
+	// work is how long servers take for a request.
+	work        = 4 * time.Millisecond
+	shardName   = "shard-%d"
+	otherName   = "recut-%d"
+	lookupName  = "lookup"
+	ordersName  = "orders"
+	versionPath = "/version-%d/"
+)
+
+// server is a server behind a link of the proxy.
+type server struct {
+	*platformtest.Server
+	link    string
+	records [][]byte
+}
+
+// deployment is the platform's stand-in with everything that runs on it.
+type deployment struct {
+	t       *testing.T
+	history *history
+	proxy   *faultproxy.Proxy
+	store   *platformtest.Store
+	nodes   []*node
+
+	mutex sync.Mutex
+	// The fields below are guarded by mutex.
+	servers   map[string]*server
+	byService map[string][]*server
+	started   int
+	version   int
+}
+
+func newDeployment(t *testing.T, seed uint64) *deployment {
+	created := &deployment{
+		t: t, history: newHistory(), proxy: faultproxy.New(seed, nil), store: platformtest.StartStore(),
+		servers: make(map[string]*server), byService: make(map[string][]*server),
+	}
+	t.Cleanup(func() {
+		created.proxy.Close()
+		for _, each := range created.all() {
+			each.Close()
+		}
+		created.store.Close()
+	})
+	for _, service := range append(shardSet(shardName, firstShards), lookupName, ordersName) {
+		created.startServers(service)
+	}
+	created.configure(shardSet(shardName, firstShards))
+	return created
+}
+
+func shardSet(name string, count int) []string {
+	var services []string
+	for index := range count {
+		services = append(services, fmt.Sprintf(name, index))
+	}
+	return services
+}
+
+func (d *deployment) startServers(service string) {
+	for range perService {
+		d.startServer(service)
+	}
+}
+
+// startServer starts one more server of a service behind a link of its own.
+func (d *deployment) startServer(service string) *server {
+	d.mutex.Lock()
+	d.started++
+	number := d.started
+	d.mutex.Unlock()
+	id := fmt.Sprintf("server%d", number)
+	added := &server{Server: platformtest.NewServer(d.store, id, service, "zone-a"), link: id}
+	// Servers of a service hold the same records.
+	for index := range topRecords {
+		added.records = append(added.records, []byte(fmt.Sprintf("%-12.12s%04d", service, index)))
+	}
+	added.heal()
+	address, err := d.proxy.AddLink(faultproxy.LinkConfig{Name: id, Listen: "127.0.0.1:0", Upstream: added.Address()})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.mutex.Lock()
+	d.servers[id] = added
+	d.byService[service] = append(d.byService[service], added)
+	d.mutex.Unlock()
+	added.Advertise(address)
+	return added
+}
+
+// heal ends what is wrong with a server.
+func (s *server) heal() { s.Set(s.sound()) }
+
+func (s *server) sound() platformtest.Behaviour {
+	if s.Service == lookupName || s.Service == ordersName {
+		return platformtest.Behaviour{Work: work}
+	}
+	var body []byte
+	for _, record := range s.records {
+		body = append(body, record...)
+	}
+	return platformtest.Behaviour{Work: work, Records: body}
+}
+
+// configure writes the next version: the gathered route over the shards, the
+// routes of single services, and one more route that tells the version.
+func (d *deployment) configure(shards []string) {
+	d.mutex.Lock()
+	d.version++
+	number := d.version
+	d.mutex.Unlock()
+	gather := platformtest.Gather("tally", host, "/tally/", shards...)
+	gather["TopK"], gather["MinCoverage"], gather["TargetMs"] = topRecords, coverage, 250
+	routes := []platformtest.Route{
+		gather,
+		platformtest.Single("lookup", host, "/lookup/", "idempotent", lookupName),
+		platformtest.Single("orders", host, "/orders/", "non_idempotent", ordersName),
+	}
+	for each := 1; each <= number; each++ {
+		path := fmt.Sprintf(versionPath, each)
+		routes = append(routes, platformtest.Single(fmt.Sprint("version-", each), host, path, "idempotent", lookupName))
+	}
+	// Noted before, so that no answer is judged by what is not noted yet.
+	d.history.configured(number, shards)
+	d.store.Configure(number, routes...)
+}
+
+// all returns every server that was ever started.
+func (d *deployment) all() []*server {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var all []*server
+	for _, each := range d.servers {
+		all = append(all, each)
+	}
+	return all
+}
+
+func (d *deployment) known() map[string]*server {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	known := make(map[string]*server, len(d.servers))
+	for id, each := range d.servers {
+		known[id] = each
+	}
+	return known
+}
+
+// of returns the servers of a service that have not left.
+func (d *deployment) of(service string) []*server {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return append([]*server(nil), d.byService[service]...)
+}
+
+// replace lets a server leave as planned, after another one has started: it
+// says so, serves on for the drain time, and ends.
+func (d *deployment) replace(leaving *server) {
+	d.startServer(leaving.Service)
+	d.mutex.Lock()
+	kept := d.byService[leaving.Service][:0:0]
+	for _, each := range d.byService[leaving.Service] {
+		if each != leaving {
+			kept = append(kept, each)
+		}
+	}
+	d.byService[leaving.Service] = kept
+	d.mutex.Unlock()
+	leaving.List("draining")
+	d.history.leaves(leaving.ID)
+	time.AfterFunc(drainBound+2*time.Second, func() { d.store.Remove("servers/" + leaving.ID) })
+}
+
+// recut starts the servers of another shard set and names it a little later.
+func (d *deployment) recut(random *rand.Rand) {
+	name, count := otherName, otherShards
+	if len(d.history.newest().Shards) == otherShards {
+		name, count = shardName, firstShards
+	}
+	shards := shardSet(name, count)
+	for _, service := range shards {
+		if len(d.of(service)) == 0 {
+			d.startServers(service)
+		}
+	}
+	time.Sleep(time.Duration(300+random.IntN(500)) * time.Millisecond)
+	d.configure(shards)
+}
+
+// freePort returns a loopback address that is free now.
+func freePort(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
--- /dev/null
+++ b/test/soak/promises_check_test.go
@@ -0,0 +1,71 @@
+package soak
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/platform/platformtest"
+)
+
+func gathered(body string, missing string, marks ...string) platformtest.Answer {
+	answer := platformtest.Answer{Status: 200, Header: http.Header{"Part-Stamps": marks}, Body: body}
+	if missing != "" {
+		answer.Header.Set("Missing-Parts", missing)
+	}
+	return answer
+}
+
+// TestWrongAnswersAreFound: the checks of the soak find what they are for.
+func TestWrongAnswersAreFound(t *testing.T) {
+	g := NewWithT(t)
+	named := func(id, service, text string) *server {
+		return &server{Server: &platformtest.Server{ID: id, Service: service}, records: [][]byte{[]byte(text)}}
+	}
+	servers := map[string]*server{"a": named("a", "s0", "0000000000000001"), "a2": named("a2", "s0", "0000000000000001"), "b": named("b", "s1", "0000000000000002")}
+	sets := [][]string{{"s0", "s1"}, {"n0", "n1", "n2"}}
+	whole := "0000000000000002" + "0000000000000001"
+	g.Expect(checkGathered("r", gathered(whole, "", "a.r.1", "b.r.1"), servers, sets)).To(Succeed())
+	g.Expect(checkGathered("r", gathered(whole, "", "a.r.1, b.r.1"), servers, sets)).To(Succeed())
+	g.Expect(checkGathered("r", gathered("0000000000000001", "1", "a.r.1"), servers, sets)).To(Succeed())
+	for name, wrong := range map[string]platformtest.Answer{
+		"another request's part": gathered(whole, "", "a.r.1", "b.other.1"),
+		"a service twice":        gathered(whole, "", "a.r.1", "a2.r.1"),
+		"an untold gap":          gathered("0000000000000001", "", "a.r.1"),
+		"no set is that large":   gathered(whole, "5", "a.r.1", "b.r.1"),
+		"a record too few":       gathered("0000000000000002", "", "a.r.1", "b.r.1"),
+		"no part":                gathered("", "2"),
+	} {
+		g.Expect(checkGathered("r", wrong, servers, sets)).NotTo(Succeed(), name)
+	}
+	single := platformtest.Answer{Status: 200, Header: http.Header{"Server-Stamp": {"a.r.1"}}, Body: "answer of a"}
+	g.Expect(checkSingle("r", single, servers)).To(Succeed())
+	g.Expect(checkSingle("other", single, servers)).NotTo(Succeed())
+
+	now := time.Now()
+	g.Expect(checkOnce([]reply{{ID: "r", Status: 200}}, []arrival{{ID: "r"}})).To(BeEmpty())
+	g.Expect(checkOnce([]reply{{ID: "r", Status: 200}}, []arrival{{ID: "r"}, {ID: "r"}})).To(HaveLen(1))
+	g.Expect(checkOnce([]reply{{ID: "r", Status: 503}}, []arrival{{ID: "r"}})).To(HaveLen(1))
+	later := []reply{
+		{Node: "n", Path: "/version-3/", Status: 200, Sent: now, Ended: now.Add(time.Millisecond)},
+		{Node: "n", Path: "/version-2/", Status: 404, Sent: now.Add(time.Second)},
+	}
+	g.Expect(checkNeverBack(later)).To(HaveLen(1))
+	later[1].Life = 1
+	g.Expect(checkNeverBack(later)).To(BeEmpty())
+
+	var arrivals []arrival
+	for range extraBound + 3 {
+		arrivals = append(arrivals, arrival{ID: "r", Service: "s", At: now})
+	}
+	g.Expect(checkExtra("s", []time.Time{now}, arrivals[:extraBound])).To(BeEmpty())
+	g.Expect(checkExtra("s", []time.Time{now}, arrivals)).To(HaveLen(1))
+
+	noted := newHistory()
+	end := noted.begin("something")
+	g.Expect(noted.calm(time.Now().Add(-time.Second), time.Now())).To(BeFalse())
+	end()
+	g.Expect(noted.calm(time.Now().Add(time.Millisecond), time.Now().Add(time.Second))).To(BeTrue())
+}
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,221 @@
+// Package soak runs the real node as several processes on one machine, breaks
+// from outside what it depends on, and checks the product's promises by what
+// callers and servers see. Everything random follows from one seed; the order
+// of events within a run still depends on the machine.
+//
+//	make soak SOAK=5m           fresh seed, the time-bound promises checked too
+//	go test ./test/soak -args -soak.seed 7 -soak.span 2m -soak.timed -soak.folder out
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega/gexec"
+)
+
+var (
+	seedFlag   = flag.Uint64("soak.seed", 1, "seed of all faults and requests; 0 for a fresh one")
+	spanFlag   = flag.Duration("soak.span", 8*time.Second, "how long the soak runs")
+	timedFlag  = flag.Bool("soak.timed", false, "check promises with time bounds too; not on a busy machine")
+	folderFlag = flag.String("soak.folder", "", "folder for settings, logs and the history; a temporary one if empty")
+)
+
+// Phases of a soak.
+const (
+	nodes      = 3
+	chaosSpan  = 8 * time.Second
+	calmSpan   = 6 * time.Second
+	recoverFor = 2 * time.Second
+	// servedShare is the least share of requests that are served when nothing
+	// is broken.
+	servedShare = 0.98
+)
+
+// TestSoak keeps the promises while everything fails in turn.
+func TestSoak(t *testing.T) {
+	seed, folder := *seedFlag, *folderFlag
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	if folder == "" {
+		folder = t.TempDir()
+	} else if err := os.MkdirAll(folder, 0o755); err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("seed %d, %s, logs in %s", seed, *spanFlag, folder)
+	program, err := gexec.Build("github.com/bramblemast/bramblemast/cmd/bramblemast-edge")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(gexec.CleanupBuildArtifacts)
+	deployed := newDeployment(t, seed)
+	deployed.startNodes(program, folder, nodes)
+	ctx, cancel := context.WithCancel(context.Background())
+	requests := deployed.traffic(ctx, seed)
+	deployed.run(rand.New(rand.NewPCG(seed, 1)), *spanFlag, *timedFlag)
+	cancel()
+	requests.Wait()
+	deployed.judgeAll(*timedFlag)
+	deployed.report(t, folder)
+}
+
+// run alternates between faults and calm until the span is over.
+func (d *deployment) run(random *rand.Rand, span time.Duration, timed bool) {
+	broken := &injector{deployment: d, random: random, busy: make(map[*node]bool)}
+	end := time.Now().Add(span)
+	for time.Now().Before(end) {
+		broken.chaos(min(chaosSpan, time.Until(end)))
+		for _, each := range d.nodes {
+			each.awaitReady()
+		}
+		if timed {
+			d.calm(random)
+		}
+	}
+}
+
+// calm does planned work while nothing is broken, long enough after the last
+// fault for every time bound to hold.
+func (d *deployment) calm(random *rand.Rand) {
+	time.Sleep(contactBound + time.Second)
+	began := time.Now()
+	d.history.note("calm")
+	switch random.IntN(4) {
+	case 0:
+		d.replace(d.anyServer(random))
+	case 1:
+		d.configure(d.history.newest().Shards)
+	case 2:
+		d.recut(random)
+	case 3:
+		d.stopAndStart(d.nodes[random.IntN(len(d.nodes))])
+	}
+	time.Sleep(time.Until(began.Add(calmSpan)))
+	d.checkServed()
+}
+
+// stopAndStart stops a node as planned and starts it again.
+func (d *deployment) stopAndStart(chosen *node) {
+	d.history.note("planned stop of %s", chosen.name)
+	if !chosen.end(syscall.SIGTERM, graceBound) {
+		d.history.violated("%s did not stop within its grace time", chosen.name)
+	}
+	chosen.start()
+	chosen.awaitReady()
+}
+
+// checkServed checks that nearly everything was served at the end of a calm.
+func (d *deployment) checkServed() {
+	end := time.Now()
+	served, asked := 0, 0
+	d.history.mutex.Lock()
+	for _, got := range d.history.replies {
+		if got.Sent.Before(end.Add(-recoverFor)) || got.Failure == context.DeadlineExceeded.Error() {
+			continue
+		}
+		asked++
+		if got.Status == 200 || got.Failure != "" {
+			served++
+		}
+	}
+	d.history.mutex.Unlock()
+	if asked == 0 || float64(served) < servedShare*float64(asked) {
+		d.history.violated("%d of %d requests served while nothing was broken", served, asked)
+	}
+}
+
+// judgeAll checks what needs the whole history.
+func (d *deployment) judgeAll(timed bool) {
+	arrivals := arrivalsOf(d.all())
+	replies := d.history.replies
+	for _, broken := range append(checkOnce(replies, arrivals), checkNeverBack(replies)...) {
+		d.history.violated("%s", broken)
+	}
+	if timed {
+		d.judgeTimes(replies, arrivals)
+	}
+	requests := make(map[string][]time.Time)
+	for _, got := range replies {
+		for _, service := range d.servicesOf(got) {
+			requests[service] = append(requests[service], got.Sent)
+		}
+	}
+	for service, sent := range requests {
+		for _, broken := range checkExtra(service, sent, arrivals) {
+			d.history.violated("%s", broken)
+		}
+	}
+}
+
+// servicesOf returns the services that a request may have been for.
+func (d *deployment) servicesOf(got reply) []string {
+	switch got.Path {
+	case "/tally/":
+		return d.history.newestBefore(got.Ended).Shards
+	case "/orders/":
+		return []string{ordersName}
+	}
+	return []string{lookupName}
+}
+
+// judgeTimes checks the promises with bounds in time, where nothing was broken.
+func (d *deployment) judgeTimes(replies []reply, arrivals []arrival) {
+	for _, each := range arrivals {
+		since, leaves := d.history.leaving[each.Server]
+		if leaves && each.At.Sub(since) > drainBound+arrivalSlack && d.history.calm(since.Add(-contactBound), each.At) {
+			d.history.violated("%s reached %s %s after it left", each.ID, each.Server, each.At.Sub(since))
+		}
+	}
+	for _, got := range replies {
+		number, versioned := versionOfPath(got.Path)
+		if versioned && got.Status == 404 {
+			since := d.history.versions[number-1].At
+			if got.Sent.Sub(since) > configBound && d.history.calm(since.Add(-contactBound), got.Ended) {
+				d.history.violated("%s: version %d not in force at %s after %s", got.ID, number, got.Node, got.Sent.Sub(since))
+			}
+		}
+		if got.Failure == failureCutOff && d.history.calm(got.Sent.Add(-contactBound), got.Ended) {
+			d.history.violated("%s was cut off at %s", got.ID, got.Node)
+		}
+	}
+}
+
+// report writes the history and fails the test for each broken promise.
+func (d *deployment) report(t *testing.T, folder string) {
+	statuses := make(map[string]int)
+	for _, got := range d.history.replies {
+		key := fmt.Sprint(got.Status)
+		if got.Failure != "" {
+			key = "failure"
+		}
+		statuses[key]++
+	}
+	t.Logf("%d requests by status: %v; %d events", len(d.history.replies), statuses, len(d.history.events))
+	if len(d.history.replies) == 0 || statuses["200"] == 0 {
+		t.Error("nothing was served")
+	}
+	for _, each := range d.history.violations {
+		t.Errorf("%s %s", each.At.Format(time.StampMilli), each.What)
+	}
+	file, err := os.Create(filepath.Join(folder, "history.jsonl"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	encoder := json.NewEncoder(file)
+	for _, each := range d.history.events {
+		_ = encoder.Encode(each)
+	}
+	for _, got := range d.history.replies {
+		_ = encoder.Encode(got)
+	}
+}
--- /dev/null
+++ b/test/soak/traffic_test.go
@@ -0,0 +1,104 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/bramblemast/bramblemast/platform/platformtest"
+)
+
+// Traffic of the soak.
+const (
+	callers        = 6
+	callerPause    = 15 * time.Millisecond
+	callerDeadline = 2 * time.Second
+	// leavesEarly is the share of requests whose caller leaves after a moment.
+	leavesEarly = 0.03
+)
+
+// traffic sends requests to all nodes until ctx ends.
+func (d *deployment) traffic(ctx context.Context, seed uint64) *sync.WaitGroup {
+	running := &sync.WaitGroup{}
+	for number := range callers {
+		random := rand.New(rand.NewPCG(seed, uint64(number)))
+		running.Go(func() {
+			for count := 0; ctx.Err() == nil; count++ {
+				d.call(ctx, random, fmt.Sprintf("r%dx%d", number, count))
+				time.Sleep(callerPause)
+			}
+		})
+	}
+	return running
+}
+
+// call sends one request to a node and checks what can be checked at once.
+func (d *deployment) call(ctx context.Context, random *rand.Rand, id string) {
+	chosen := d.nodes[random.IntN(len(d.nodes))]
+	method, path := d.draw(random)
+	got := reply{ID: id, Node: chosen.name, Life: chosen.currentLife(), Path: path, Sent: time.Now(), Repeated: path != "/orders/"}
+	limited, cancel := context.WithTimeout(ctx, callerDeadline+time.Second)
+	defer cancel()
+	if random.Float64() < leavesEarly {
+		limited, cancel = context.WithTimeout(limited, time.Duration(random.IntN(10))*time.Millisecond)
+		defer cancel()
+	}
+	client := platformtest.NewClient(chosen.clients)
+	client.HTTP.Transport = &http.Transport{DisableCompression: true, DisableKeepAlives: true}
+	answer, err := client.Do(limited, method, host, path, id, "", callerDeadline)
+	got.Ended, got.Status, got.HasWait = time.Now(), answer.Status, answer.Header.Get("Retry-After") != ""
+	if err != nil {
+		got.Status, got.Failure = 0, err.Error()
+		if isCutOff(err) {
+			got.Failure = failureCutOff
+		}
+	}
+	if chosen.currentLife() != got.Life {
+		got.Life = -1
+	}
+	d.history.took(got)
+	if err := d.judge(got, answer); err != nil {
+		d.history.violated("%s %s at %s: %v", id, path, chosen.name, err)
+	}
+}
+
+// failureCutOff is a connection that ended without an answer after the request
+// was sent.
+const failureCutOff = "cut off"
+
+func isCutOff(err error) bool { return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) }
+
+// draw returns the next request: mostly gathered ones.
+func (d *deployment) draw(random *rand.Rand) (method, path string) {
+	switch drawn := random.IntN(10); {
+	case drawn < 5:
+		return http.MethodGet, "/tally/"
+	case drawn < 7:
+		return http.MethodGet, "/lookup/"
+	case drawn < 9:
+		return http.MethodPost, "/orders/"
+	}
+	newest := d.history.newest().Number
+	return http.MethodGet, fmt.Sprintf(versionPath, max(1, newest-random.IntN(3)))
+}
+
+// judge checks one answer by itself.
+func (d *deployment) judge(got reply, answer platformtest.Answer) error {
+	switch {
+	case got.Failure != "":
+		return nil
+	case isRefusal(got.Status) && !got.HasWait:
+		return fmt.Errorf("refused with %d and no time to come back", got.Status)
+	case got.Status == 200 && strings.HasPrefix(got.Path, "/tally/"):
+		return checkGathered(got.ID, answer, d.known(), d.history.shardSets())
+	case got.Status == 200:
+		return checkSingle(got.ID, answer, d.known())
+	}
+	return nil
+}
