--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -72,7 +72,7 @@
 		// depends on the seed alone.
 		random := rand.New(rand.NewPCG(i.random.Uint64(), 0))
 		i.running.Go(func() { i.inject(chosen, lasts, random) })
-		time.Sleep(time.Duration(200+i.random.IntN(900)) * time.Millisecond)
+		time.Sleep(time.Duration(100+i.random.IntN(400)) * time.Millisecond)
 	}
 	i.running.Wait()
 }
@@ -168,10 +168,15 @@
 
 func serverOf(d *deployment, random *rand.Rand) string { return d.anyServer(random).link }
 
-// anyServer returns a server of the services in use.
+// anyServer returns a server of the services in use; as often one of the orders
+// as one of any other, since most can go wrong there.
 func (d *deployment) anyServer(random *rand.Rand) *server {
 	services := append([]string{lookupName, ordersName}, d.history.newest().Shards...)
-	running := d.of(services[random.IntN(len(services))])
+	service := services[random.IntN(len(services))]
+	if random.IntN(2) == 0 {
+		service = ordersName
+	}
+	running := d.of(service)
 	return running[random.IntN(len(running))]
 }
 
