Each node begins at its own place in the division by weights

Cause: every node's first request of a weighted route went to the service with the largest weight.

Ruled out: drawing each request at random: a node alone would be further off its weights than one request.

Change: a node begins at a random place of the same smooth sequence; the generator is injected.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -114,16 +114,18 @@
 		Regions:     settings.Zones,
 		LeaveWithin: settings.leaveWithin(),
 		Dialer:      &net.Dialer{Timeout: connectTimeout, KeepAlive: -1},
-		Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Random:      newRandom(),
 	})
 }
 
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 // openClients opens the address for clients.
 func (n *Node) openClients(rules *policies) error {
 	handler := front.NewHandler(front.Options{
 		Dialect: n.options.Dialect, State: n.state, Fleet: n.state.fleet, Budget: n.state.budgets, Policies: rules,
-		Events:      newEvents(n.logger, n.figures, n.storeAge),
-		MaxInFlight: maxInFlight,
+		Events: newEvents(n.logger, n.figures, n.storeAge),
+		Random: newRandom(), MaxInFlight: maxInFlight,
 	})
 	listener, err := front.Listen(n.options.Settings.Listen.Clients, handler)
 	if err != nil {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"testing"
@@ -26,7 +27,7 @@
 			divided.Backends = append(divided.Backends, route.Weighted{Service: fmt.Sprint(index), Weight: float64(weight)})
 			total += weight
 		}
-		split := newSplitter()
+		split := newSplitter(rand.New(rand.NewPCG(1, 1)))
 		counts := make(map[string]int)
 		for asked := 1; asked <= 300; asked++ {
 			counts[split.pick(divided)]++
@@ -40,6 +41,26 @@
 	})
 }
 
+// TestManyNodesKeepTheWeights though each of them sees a few requests only, as
+// on a deployment of hundreds of machines.
+func TestManyNodesKeepTheWeights(t *testing.T) {
+	g := NewWithT(t)
+	divided := &route.Route{Name: "r", Backends: []route.Weighted{{Service: "large", Weight: 0.7}, {Service: "small", Weight: 0.3}}}
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, each := range []int{1, 2, 3} {
+		large := 0
+		for range 300 {
+			node := newSplitter(random)
+			for range each {
+				if node.pick(divided) == "large" {
+					large++
+				}
+			}
+		}
+		g.Expect(float64(large)/float64(300*each)).To(BeNumerically("~", 0.7, 0.08), "%d requests a node", each)
+	}
+}
+
 // TestTheTimesOfARequest: the client's time and the route's bound both count,
 // and an answer leaves before the target.
 func TestTheTimesOfARequest(t *testing.T) {
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -49,6 +50,8 @@
 	Budget   fanout.Budget
 	Policies Policies
 	Events   Recorder
+	// Random is not shared with other users.
+	Random *rand.Rand
 	// MaxInFlight bounds the requests that are served at once.
 	MaxInFlight int
 }
@@ -61,7 +64,7 @@
 func NewHandler(options Options) *Handler {
 	handler := &Handler{
 		dialect: options.Dialect, state: options.State, policies: options.Policies, events: options.Events,
-		splitter: newSplitter(), inFlight: make(chan struct{}, options.MaxInFlight),
+		splitter: newSplitter(options.Random), inFlight: make(chan struct{}, options.MaxInFlight),
 	}
 	runner := fanout.Runner{
 		Fleet: options.Fleet, Budget: options.Budget, Dialect: &handler.dialect.Dialect, Linger: lingerAfterAnswer,
--- a/internal/front/overload_test.go
+++ b/internal/front/overload_test.go
@@ -142,7 +142,7 @@
 	simulated.handler = NewHandler(Options{
 		Dialect: Dialect{Dialect: exchangetest.Dialect, Parts: "Parts", MissingParts: "Missing"},
 		State:   simState{route.NewTable(&route.Configuration{Version: 1, Routes: []route.Route{tally}})},
-		Fleet:   servers, Budget: &simBudget{left: make(map[string]float64)}, Events: nobody{}, MaxInFlight: 2000,
+		Fleet:   servers, Budget: &simBudget{left: make(map[string]float64)}, Events: nobody{}, Random: rand.New(rand.NewPCG(2, 2)), MaxInFlight: 2000,
 		Policies: simPolicies{Policy{Hedge: set.Hedge, Stop: set.Stop, Admission: set.Admission, MaxAttempts: 2, ExtraShare: 1}},
 	})
 	return simulated
--- a/internal/front/split.go
+++ b/internal/front/split.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"math/rand/v2"
 	"sync"
 
 	"github.com/bramblemast/bramblemast/pkg/fanout"
@@ -10,14 +11,22 @@
 
 // splitter divides the requests of a route among its services in proportion to
 // their weights. It is smooth: in any row of requests each service is within
-// one request of its share.
+// one request of its share. Each node begins at a place of its own in the
+// sequence, so that many nodes with a few requests each keep the shares too.
 type splitter struct {
 	mutex sync.Mutex
-	// credits is guarded by mutex; by route, then by position of the service.
+	// random and credits are guarded by mutex; credits are by route, then by
+	// position of the service.
+	random  *rand.Rand
 	credits map[string][]float64
 }
 
-func newSplitter() *splitter { return &splitter{credits: make(map[string][]float64)} }
+// phases is from how many places in the sequence a node begins.
+const phases = 64
+
+func newSplitter(random *rand.Rand) *splitter {
+	return &splitter{random: random, credits: make(map[string][]float64)}
+}
 
 // pick returns the service of the next request of a route.
 func (s *splitter) pick(found *route.Route) string {
@@ -30,9 +39,18 @@
 	if len(credits) != len(found.Backends) {
 		credits = make([]float64, len(found.Backends))
 		s.credits[found.Name] = credits
+		for range s.random.IntN(phases) {
+			next(credits, found.Backends)
+		}
 	}
+	return found.Backends[next(credits, found.Backends)].Service
+}
+
+// next moves the credits by one request and returns the position of its
+// service.
+func next(credits []float64, backends []route.Weighted) int {
 	total, best := 0.0, 0
-	for index, backend := range found.Backends {
+	for index, backend := range backends {
 		credits[index] += backend.Weight
 		total += backend.Weight
 		if credits[index] > credits[best] {
@@ -40,7 +58,7 @@
 		}
 	}
 	credits[best] -= total
-	return found.Backends[best].Service
+	return best
 }
 
 func fleetChoice(plan fanout.Plan) fleet.Choice {
