The gate's limit has a floor by slots, and late requests count only while it binds

Change: the limit does not fall below two requests for each slot of the node's share of the first service; late requests count only while the limit holds others back and more than 30 in 100 are late.

--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -9,6 +9,7 @@
 
 	"github.com/bramblemast/bramblemast/pkg/admission"
 	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/policy"
 	"github.com/bramblemast/bramblemast/pkg/route"
@@ -20,6 +21,9 @@
 	// take on average before fewer run at once. It is beyond what they can take,
 	// since slow, pausing and lost servers make them longer without any load.
 	latencyTolerance = 1000
+	// leastPerSlot is the number of requests for each slot of this node's share
+	// of a service below which the limit does not fall.
+	leastPerSlot = 2
 	// admissionShare is the share of a request's target that it may wait for
 	// its admission: one that is refused by then can still come back in time.
 	admissionShare = 0.25
@@ -31,9 +35,12 @@
 // Routes over the same shards share a gate, since they share the servers.
 //
 // A gate admits everything until a request fails for want of room at servers.
-func newGates(maxInFlight int) *admission.Group[string] {
-	return admission.NewGroup(func(string) admission.Options {
-		return admission.Options{StartLimit: maxInFlight, MaxLimit: maxInFlight, Tolerance: latencyTolerance}
+func newGates(servers *fleet.Fleet, maxInFlight int) *admission.Group[string] {
+	return admission.NewGroup(func(service string) admission.Options {
+		return admission.Options{
+			StartLimit: maxInFlight, MaxLimit: maxInFlight, Tolerance: latencyTolerance,
+			LeastLimit: func() int { return 1 + int(leastPerSlot*servers.SlotsShare(service)) },
+		}
 	})
 }
 
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -72,7 +72,7 @@
 	gatherer, forwarder := runner, runner
 	gatherer.Sound, forwarder.Sound = isPart, isWholeAnswer
 	handler.gatherer, handler.forwarder = &gatherer, &forwarder
-	handler.gates = newGates(options.MaxInFlight)
+	handler.gates = newGates(options.Fleet, options.MaxInFlight)
 	return handler
 }
 
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -16,10 +16,9 @@
 	// slowDecrease is the fall with a request that took too long while the
 	// average of its kind does.
 	slowDecrease = 0.05
-	// lateDecrease is the fall with a late request within lateSpan of an
-	// overloaded one, or while more than lateShare of the requests are late.
+	// lateDecrease is the fall with a late request while more than lateShare of
+	// the requests are late and the limit holds others back.
 	lateDecrease = 0.25
-	lateSpan     = 2 * time.Second
 	lateShare    = 0.3
 	// lateWeight is the weight of one request in the share of late ones.
 	lateWeight = 0.1
@@ -44,10 +43,8 @@
 	limit     float64
 	ramping   bool
 	latencies latencies
-	// overloaded is when the last sign of overload came, failed when the last
-	// overloaded request ended.
+	// overloaded is when the last sign of overload came.
 	overloaded time.Time
-	failed     time.Time
 	// late is the moving share of late requests, 0 to 1.
 	late float64
 }
@@ -75,9 +72,8 @@
 		return
 	case result.Overloaded:
 		c.fallToLoad(running)
-		c.failed = now
 		c.lower(overloadDecrease, now)
-	case result.Late && c.lateCounts(limited, now):
+	case result.Late && c.lateCounts(limited):
 		c.lower(lateDecrease, now)
 	default:
 		c.recordGood(of, result.Latency, limited, now)
@@ -107,14 +103,11 @@
 	c.late += lateWeight * (sample - c.late)
 }
 
-// lateCounts reports whether a late request is a sign of overload: shortly
-// after one that failed for it, or while the limit holds requests back and so
-// many are late that slow servers alone are not the cause.
-func (c *controller) lateCounts(limited bool, now time.Time) bool {
-	if c.ramping {
-		return false
-	}
-	return now.Sub(c.failed) < lateSpan || limited && c.late > lateShare
+// lateCounts reports whether a late request is a sign of overload: after the
+// first one that failed for it, while the limit holds requests back and so many
+// are late that single slow servers are not the cause.
+func (c *controller) lateCounts(limited bool) bool {
+	return !c.ramping && limited && c.late > lateShare
 }
 
 // fallToLoad ends the time before the first sign of overload, in which the limit
@@ -128,7 +121,7 @@
 func (c *controller) lower(decrease float64, now time.Time) {
 	c.ramping = false
 	c.overloaded = now
-	c.limit = math.Max(1, c.limit-decrease)
+	c.limit = math.Max(float64(max(1, c.options.LeastLimit())), c.limit-decrease)
 }
 
 func (c *controller) rise(now time.Time) float64 {
--- a/pkg/admission/options.go
+++ b/pkg/admission/options.go
@@ -20,8 +20,12 @@
 	// StartLimit is the number of requests that run at once at first; 8 if zero.
 	StartLimit int
 	// MaxLimit bounds the limit, and so the memory of running requests; 4096 if
-	// zero. The least limit is 1.
+	// zero.
 	MaxLimit int
+	// LeastLimit returns below what the limit does not fall, so that slow servers
+	// are not starved of requests that they could serve side by side; 1 if nil.
+	// It is called under the gate's lock.
+	LeastLimit func() int
 	// MaxQueued bounds the waiting requests of all tenants; 4096 if zero.
 	MaxQueued int
 	// Tolerance is how many times as long as at low load requests may take
@@ -41,6 +45,9 @@
 	if o.MaxQueued <= 0 {
 		o.MaxQueued = defaultMaxQueued
 	}
+	if o.LeastLimit == nil {
+		o.LeastLimit = func() int { return 1 }
+	}
 	if o.Tolerance <= 1 {
 		o.Tolerance = defaultTolerance
 	}
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -143,6 +143,18 @@
 	return shared
 }
 
+// SlotsShare returns this node's share of the slots of a service, if all nodes
+// have the same; zero if the service has no server.
+func (f *Fleet) SlotsShare(service string) float64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	slots := 0
+	for _, each := range f.services[service] {
+		slots += each.Slots
+	}
+	return float64(slots) / float64(max(1, f.callers.Total))
+}
+
 // sharedLimit is the limit by the connections of the server alone. The mutex is
 // held.
 func (f *Fleet) sharedLimit(each *member) int {
