One pause for all, limits that take effect, small leftovers of the node

Cause: a wait that a context ends stood in eight packages under three names; the settings limits.* were checked and did nothing; fanout kept leases and what is known of them in two slices; a lease carried a cost that nobody read, and a check stood for a profile that is never missing.

Change: internal/pause; limits.memory_mb sets the memory from which garbage is collected at once (0.7 of it), limits.descriptors how many connections of clients are kept (half of it): beyond, a new one ends the one that rested for longest; one slice of asked servers; the rest removed.

Ruled out: refusing new connections at the bound, which would turn away clients while others rest.

--- a/cmd/bramblemast-edge/main.go
+++ b/cmd/bramblemast-edge/main.go
@@ -85,6 +85,9 @@
 // serve runs the node until a signal or a failure.
 func serve(settings *edge.Settings, path string) int {
 	debug.SetGCPercent(collectPercent)
+	if limit := settings.MemoryBytes(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	logger := edge.NewLogger("bramblemast-edge", os.Stdout)
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
--- a/internal/ctl/session.go
+++ b/internal/ctl/session.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bramblemast/bramblemast/api/operator"
+	"github.com/bramblemast/bramblemast/internal/pause"
 	"github.com/bramblemast/bramblemast/pkg/configstore"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/template"
@@ -121,7 +122,7 @@
 // does.
 func (s *session) settle(ctx context.Context, planned plannedChange) *operator.Change {
 	for round := range settleRounds {
-		if round > 0 && !sleep(ctx, s.pause) {
+		if round > 0 && !pause.For(ctx, s.pause) {
 			return nil
 		}
 		for _, client := range s.clients {
@@ -136,18 +137,6 @@
 	return nil
 }
 
-// sleep waits and reports whether it did so to the end.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // elsewhere reports whether another node may succeed where this one failed:
 // it, or the store behind it, was not reached.
 func elsewhere(err error) bool {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -131,6 +131,7 @@
 	if err != nil {
 		return err
 	}
+	listener.SetMost(n.options.Settings.clientConnections())
 	n.listener = listener
 	n.state.idle = listener.SetIdle
 	return nil
--- a/internal/edge/registration.go
+++ b/internal/edge/registration.go
@@ -6,6 +6,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/bramblemast/bramblemast/internal/pause"
 	"github.com/bramblemast/bramblemast/pkg/directory"
 )
 
@@ -45,7 +46,7 @@
 		} else if lease == 0 {
 			next = 0
 		}
-		wait(ctx, next)
+		pause.For(ctx, next)
 	}
 	return nil
 }
@@ -67,12 +68,3 @@
 	}
 	return err
 }
-
-func wait(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -48,9 +48,11 @@
 	Address string `json:"address"`
 }
 
-// LimitSettings are the machine's limits.
+// LimitSettings are the machine's limits; zero for none.
 type LimitSettings struct {
-	MemoryMB    int `json:"memory_mb"`
+	// MemoryMB is the memory, in MiB, beyond which the platform ends the process.
+	MemoryMB int `json:"memory_mb"`
+	// Descriptors is the number of files and sockets that it may open.
 	Descriptors int `json:"descriptors"`
 }
 
@@ -123,6 +125,8 @@
 			problems = append(problems, name+" is negative")
 		}
 	}
+	negative("limits.memory_mb", float64(s.Limits.MemoryMB))
+	negative("limits.descriptors", float64(s.Limits.Descriptors))
 	negative("bounds.drain_ms", float64(s.Bounds.DrainMillis))
 	negative("bounds.contact_ms", float64(s.Bounds.ContactMillis))
 	negative("bounds.extra_ratio", s.Bounds.ExtraRatio)
@@ -149,6 +153,28 @@
 	return max(0, time.Duration(s.Bounds.ContactMillis)*time.Millisecond-settleReserve)
 }
 
+// Shares of the machine's limits.
+const (
+	// memoryShare of the memory is what the heap may grow to before memory is
+	// collected at any price in processor time.
+	memoryShare = 0.7
+	// clientShare of the descriptors is for clients' connections; the rest is
+	// for servers, the store, peers and files.
+	clientShare = 0.5
+)
+
+// MemoryBytes returns the memory from which on garbage is collected at once;
+// zero for no bound.
+func (s *Settings) MemoryBytes() int64 {
+	return int64(memoryShare * float64(s.Limits.MemoryMB) * (1 << 20))
+}
+
+// clientConnections returns how many connections of clients are kept at once;
+// zero for no bound.
+func (s *Settings) clientConnections() int {
+	return int(clientShare * float64(s.Limits.Descriptors))
+}
+
 // grace returns the time between the stop signal and the end.
 func (s *Settings) grace() time.Duration {
 	return time.Duration(s.Bounds.GraceSeconds * float64(time.Second))
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -76,6 +77,58 @@
 	g.Expect(target(&route.Route{}, began).IsZero()).To(BeTrue())
 }
 
+// TestTooManyConnectionsEndTheLongestResting one, and none that is being served.
+func TestTooManyConnectionsEndTheLongestResting(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := Listen("127.0.0.1:0", http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.WriteHeader(http.StatusNoContent)
+	}))
+	g.Expect(err).NotTo(HaveOccurred())
+	listener.SetMost(2)
+	served := make(chan error, 1)
+	go func() { served <- listener.Serve() }()
+	ask := func() (net.Conn, *bufio.Reader) {
+		opened, err := net.Dial("tcp", listener.Address())
+		g.Expect(err).NotTo(HaveOccurred())
+		reader := bufio.NewReader(opened)
+		_, err = fmt.Fprint(opened, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		g.Expect(err).NotTo(HaveOccurred())
+		answer, err := http.ReadResponse(reader, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.StatusCode).To(Equal(http.StatusNoContent))
+		return opened, reader
+	}
+	first, firstReader := ask()
+	g.Eventually(func() bool { return listener.rests(first) }).Should(BeTrue())
+	second, secondReader := ask()
+	g.Eventually(func() bool { return listener.rests(second) }).Should(BeTrue())
+	third, _ := ask()
+	_, err = firstReader.ReadByte()
+	g.Expect(err).To(MatchError(io.EOF), "the first one is ended")
+	_, err = fmt.Fprint(second, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	answer, err := http.ReadResponse(secondReader, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(answer.StatusCode).To(Equal(http.StatusNoContent), "the others go on")
+	for _, each := range []net.Conn{first, second, third} {
+		g.Expect(each.Close()).To(Succeed())
+	}
+	listener.Close()
+	g.Expect(<-served).To(Succeed())
+}
+
+// rests reports whether the listener's side of a connection rests.
+func (l *Listener) rests(client net.Conn) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for each, state := range l.states {
+		if each.RemoteAddr().String() == client.LocalAddr().String() {
+			return state.resting
+		}
+	}
+	return false
+}
+
 // TestARestingConnectionIsEnded after its time, while one that is being served
 // goes on for as long as it takes.
 func TestARestingConnectionIsEnded(t *testing.T) {
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -39,6 +39,8 @@
 	// The fields below are guarded by mutex.
 	states map[net.Conn]connectionState
 	idle   time.Duration
+	// most is how many connections are kept; zero for no bound.
+	most   int
 	drains bool
 	closed bool
 }
@@ -76,6 +78,14 @@
 	}
 }
 
+// SetMost bounds the connections that are kept: beyond it, a new one ends the
+// one that has rested for longest. Zero is no bound.
+func (l *Listener) SetMost(most int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.most = most
+}
+
 // Serve accepts connections and returns when Close was called; requests in
 // flight are still served after StopAccepting.
 func (l *Listener) Serve() error {
@@ -168,5 +178,21 @@
 	default:
 		resting := state == http.StateIdle || state == http.StateNew
 		l.states[changed] = connectionState{resting: resting, since: time.Now()}
+		if state == http.StateNew && l.most > 0 && len(l.states) > l.most {
+			l.endLongestResting(changed)
+		}
+	}
+}
+
+// endLongestResting makes room for a new connection. The mutex is held.
+func (l *Listener) endLongestResting(added net.Conn) {
+	var longest net.Conn
+	for each, state := range l.states {
+		if each != added && state.resting && (longest == nil || state.since.Before(l.states[longest].since)) {
+			longest = each
+		}
+	}
+	if longest != nil {
+		_ = longest.SetReadDeadline(longAgo)
 	}
 }
--- a/internal/lab/experiment/changes.go
+++ b/internal/lab/experiment/changes.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/bramblemast/bramblemast/internal/pause"
 	"github.com/bramblemast/bramblemast/pkg/policy"
 	"github.com/bramblemast/bramblemast/pkg/target"
 )
@@ -33,7 +33,7 @@
 			return
 		}
 		running.Go(func() {
-			for wait(ctx, interval.Std()) {
+			for pause.For(ctx, interval.Std()) {
 				if err := change(); err != nil && ctx.Err() == nil {
 					logger.Warn("change of back ends failed", "change", name, "error", err)
 				}
@@ -51,15 +51,3 @@
 		running.Wait()
 	}
 }
-
-// wait reports false if ctx ended first.
-func wait(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/bramblemast/bramblemast/internal/pause"
 )
 
 // Streams of the seed, so that arrivals don't depend on the mix.
@@ -75,28 +77,13 @@
 			return
 		}
 		intended := r.start.Add(next.at)
-		if !sleepUntil(ctx, intended) {
+		if !pause.For(ctx, time.Until(intended)) {
 			return
 		}
 		r.launch(ctx, requests.draw(next.step), intended)
 	}
 }
 
-func sleepUntil(ctx context.Context, moment time.Time) bool {
-	wait := time.Until(moment)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // launch starts a request unless too many are outstanding.
 func (r *runner) launch(ctx context.Context, request *Request, intended time.Time) {
 	measured := request.step != warmupStep
@@ -131,7 +118,7 @@
 func (r *runner) converse(ctx context.Context, request *Request, intended time.Time) finished {
 	attempt := 1
 	last := r.exchange(ctx, request, attempt)
-	for r.comesBack(last) && sleepUntil(ctx, time.Now().Add(retryAfter(last))) {
+	for r.comesBack(last) && pause.For(ctx, retryAfter(last)) {
 		attempt++
 		last = r.exchange(ctx, request, attempt)
 	}
--- a/internal/lab/scale/population.go
+++ b/internal/lab/scale/population.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bramblemast/bramblemast/internal/pause"
 	"github.com/bramblemast/bramblemast/pkg/configstore"
 	"github.com/bramblemast/bramblemast/pkg/membership"
 	"github.com/bramblemast/bramblemast/pkg/peer"
@@ -88,7 +89,7 @@
 		if time.Now().After(deadline) {
 			return errors.Errorf("after %v: %s", settleLimit, text)
 		}
-		if !sleep(ctx, pollPeriod) {
+		if !pause.For(ctx, pollPeriod) {
 			return ctx.Err()
 		}
 	}
@@ -139,7 +140,7 @@
 		before[index] = node.usage()
 	}
 	work()
-	sleep(ctx, duration-time.Since(started))
+	pause.For(ctx, duration-time.Since(started))
 	seconds := time.Since(started).Seconds()
 	count := float64(len(p.nodes))
 	membersAfter := p.memberStats()
@@ -211,7 +212,7 @@
 		if missing > 0 {
 			return suspected, removed, errors.Errorf("%d nodes still hold a killed node after %v", missing, spreadLimit)
 		}
-		if !sleep(ctx, killPause) {
+		if !pause.For(ctx, killPause) {
 			return suspected, removed, ctx.Err()
 		}
 	}
--- a/internal/lab/scale/publish.go
+++ b/internal/lab/scale/publish.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bramblemast/bramblemast/internal/pause"
 	"github.com/bramblemast/bramblemast/pkg/policy"
 	"github.com/bramblemast/bramblemast/pkg/publish"
 	"github.com/bramblemast/bramblemast/pkg/template"
@@ -129,7 +130,7 @@
 		if err := p.publishOne(ctx, log, p.nodes[random.IntN(len(p.nodes))], number%options.Templates); err != nil {
 			return nil, err
 		}
-		if !sleep(ctx, interval) {
+		if !pause.For(ctx, interval) {
 			return nil, ctx.Err()
 		}
 	}
@@ -178,7 +179,7 @@
 		if time.Now().After(deadline) {
 			return errors.Errorf("%d arrivals of changes are missing after %v", missing, spreadLimit)
 		}
-		if !sleep(ctx, pollPeriod) {
+		if !pause.For(ctx, pollPeriod) {
 			return ctx.Err()
 		}
 	}
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -15,6 +15,8 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
+
+	"github.com/bramblemast/bramblemast/internal/pause"
 )
 
 // TransportKind names how hollow nodes exchange messages.
@@ -103,7 +105,7 @@
 		return result, err
 	}
 	result.SettleSeconds = time.Since(started).Seconds()
-	if !sleep(ctx, calmTime) {
+	if !pause.For(ctx, calmTime) {
 		return result, ctx.Err()
 	}
 	result.MemoryBytes = float64(memoryInUse()-before) / float64(size)
@@ -122,15 +124,3 @@
 	result.Removed = summarize(removed, len(removed))
 	return result, ctx.Err()
 }
-
-// sleep waits; false if ctx ended.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/lab/standin/backend/fleet.go
+++ b/internal/lab/standin/backend/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/bramblemast/bramblemast/internal/lab/dataset"
 	"github.com/bramblemast/bramblemast/internal/lab/standin/labapi"
 	"github.com/bramblemast/bramblemast/internal/lab/topology"
+	"github.com/bramblemast/bramblemast/internal/pause"
 	"github.com/bramblemast/bramblemast/pkg/backend"
 	"github.com/bramblemast/bramblemast/pkg/target"
 )
@@ -155,9 +156,9 @@
 }
 
 func (f *Fleet) takeUpInTurn(version target.Version, stagger time.Duration) {
-	pause := stagger / time.Duration(len(f.servers))
+	interval := stagger / time.Duration(len(f.servers))
 	for _, server := range f.servers {
-		if !sleep(f.context, pause) {
+		if !pause.For(f.context, interval) {
 			return
 		}
 		f.mutex.Lock()
--- a/internal/lab/standin/backend/handler.go
+++ b/internal/lab/standin/backend/handler.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bramblemast/bramblemast/internal/lab/standin/labapi"
+	"github.com/bramblemast/bramblemast/internal/pause"
 	"github.com/bramblemast/bramblemast/pkg/backend"
 	"github.com/bramblemast/bramblemast/pkg/backend/backendpb"
 	"github.com/bramblemast/bramblemast/pkg/keyspace"
@@ -64,14 +65,14 @@
 		return
 	}
 	oneWay := s.oneWay(request.RemoteAddr)
-	if !sleep(request.Context(), oneWay) || !s.waitWhileHung(request.Context()) {
+	if !pause.For(request.Context(), oneWay) || !s.waitWhileHung(request.Context()) {
 		return
 	}
 	entry := s.newEntry(query)
 	s.log.add(entry)
 	answered, finished := s.process(request.Context(), current, query, entry)
 	if finished {
-		sleep(request.Context(), oneWay)
+		pause.For(request.Context(), oneWay)
 		s.setHints(writer.Header(), current)
 		s.respond(writer, request, query, answered)
 	}
@@ -117,7 +118,7 @@
 func (s *Server) execute(ctx, limited context.Context, current *run, query *subQuery, entry *labapi.Execution) (reply, bool) {
 	s.counters.executed.Add(1)
 	timesRun := s.log.start(entry)
-	if !sleep(limited, s.executionTime(current)) {
+	if !pause.For(limited, s.executionTime(current)) {
 		s.counters.aborted.Add(1)
 		if ctx.Err() != nil {
 			s.log.finish(entry, labapi.ExecutionAborted, string(outcome.ReasonCancelled))
--- a/internal/lab/standin/backend/repartition.go
+++ b/internal/lab/standin/backend/repartition.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bramblemast/bramblemast/internal/lab/standin/labapi"
+	"github.com/bramblemast/bramblemast/internal/pause"
 	"github.com/bramblemast/bramblemast/pkg/backend"
 	"github.com/bramblemast/bramblemast/pkg/keyspace"
 )
@@ -50,7 +51,7 @@
 		return
 	}
 	f.work.Go(func() {
-		if !sleep(f.context, time.Duration(overlapMS)*time.Millisecond) {
+		if !pause.For(f.context, time.Duration(overlapMS)*time.Millisecond) {
 			return
 		}
 		f.mutex.Lock()
--- a/internal/lab/standin/backend/respond.go
+++ b/internal/lab/standin/backend/respond.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bramblemast/bramblemast/internal/lab/standin/labapi"
+	"github.com/bramblemast/bramblemast/internal/pause"
 	"github.com/bramblemast/bramblemast/pkg/backend"
 	"github.com/bramblemast/bramblemast/pkg/backend/backendpb"
 	"github.com/bramblemast/bramblemast/pkg/keyspace"
@@ -107,7 +108,7 @@
 func (s *Server) writeAnswer(writer http.ResponseWriter, request *http.Request, query *subQuery, answered reply) {
 	faults := s.faults.Get()
 	if s.dice.chance(faults.LateShare) {
-		sleep(request.Context(), time.Duration(faults.LateMS)*time.Millisecond)
+		pause.For(request.Context(), time.Duration(faults.LateMS)*time.Millisecond)
 	}
 	if s.dice.chance(faults.ResetShare) {
 		panic(http.ErrAbortHandler)
--- a/internal/lab/standin/backend/server.go
+++ b/internal/lab/standin/backend/server.go
@@ -17,6 +17,7 @@
 	"github.com/bramblemast/bramblemast/internal/lab/standin/labapi"
 	"github.com/bramblemast/bramblemast/internal/lab/topology"
 	"github.com/bramblemast/bramblemast/internal/lab/watched"
+	"github.com/bramblemast/bramblemast/internal/pause"
 	"github.com/bramblemast/bramblemast/pkg/backend"
 	"github.com/bramblemast/bramblemast/pkg/target"
 )
@@ -190,7 +191,7 @@
 
 // stopAfterDrain ends the run after the grace, unless the drain was undone.
 func (s *Server) stopAfterDrain(current *run, grace time.Duration) {
-	if !sleep(current.context, grace) || !s.isDraining() {
+	if !pause.For(current.context, grace) || !s.isDraining() {
 		return
 	}
 	deadline, cancel := context.WithTimeout(current.context, drainStopTimeout)
@@ -293,18 +294,3 @@
 	s.counters.connections.Add(ended.listener.accepted.Load())
 	s.counters.connectionsRefused.Add(ended.listener.refused.Load())
 }
-
-// sleep waits and reports false if the context ended first.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	if duration <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/configstore/memory_faults.go
+++ b/pkg/configstore/memory_faults.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/bramblemast/bramblemast/internal/pause"
 )
 
 // memoryPeer names the store in errors.
@@ -101,8 +103,8 @@
 	delay := m.faults.delay
 	m.countLocked(isWrite)
 	m.mutex.Unlock()
-	if err := sleep(ctx, delay); err != nil {
-		return Failure(step, memoryPeer, ErrUnavailable, err)
+	if !pause.For(ctx, delay) {
+		return Failure(step, memoryPeer, ErrUnavailable, ctx.Err())
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -171,21 +173,6 @@
 	return f.write
 }
 
-// sleep waits for duration or until ctx ends.
-func sleep(ctx context.Context, duration time.Duration) error {
-	if duration <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Entries returns the present state past every fault, for the oracle of a test.
 func (m *Memory) Entries() map[string]Entry {
 	m.mutex.Lock()
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/bramblemast/bramblemast/internal/pause"
 )
 
 // Times of the follower.
@@ -130,13 +132,13 @@
 		}
 		if err != nil {
 			f.lost(err)
-			sleep(ctx, retryDelay(f.failures))
+			pause.For(ctx, retryDelay(f.failures))
 			f.failures++
 			continue
 		}
 		f.failures = 0
 		if changed {
-			sleep(ctx, EventPause)
+			pause.For(ctx, EventPause)
 		}
 	}
 	return nil
@@ -198,7 +200,7 @@
 // history again and again.
 func (f *Follower) load(ctx context.Context) error {
 	if since := time.Since(f.loadedAt); since < EventPause {
-		sleep(ctx, EventPause-since)
+		pause.For(ctx, EventPause-since)
 	}
 	fresh := f.failures%staleEvery != staleEvery-1
 	limited, cancel := context.WithTimeout(ctx, loadTimeout)
@@ -246,12 +248,3 @@
 func retryDelay(failures int) time.Duration {
 	return min(leastRetry<<min(failures, 6), greatestRetry)
 }
-
-func sleep(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -60,15 +61,7 @@
 // forgetUnreached lets the servers be asked again that the request has never
 // reached.
 func (p *part) forgetUnreached() {
-	kept := p.leases[:0]
-	for index, lease := range p.leases {
-		if !p.unreached[index] {
-			kept = append(kept, lease)
-		}
-	}
-	clear(p.leases[len(kept):])
-	p.leases = kept
-	p.unreached = make([]bool, len(kept))
+	p.asked = slices.DeleteFunc(p.asked, func(each askedServer) bool { return each.unreached })
 }
 
 // hedgeTime returns when a second server is to be asked; zero if never.
@@ -132,7 +125,11 @@
 }
 
 func (r *run) choice(owner *part) fleet.Choice {
-	return fleet.Choice{Service: owner.service, Kind: r.plan.Kind, Assumed: r.plan.Assumed, Excluded: owner.leases}
+	var excluded []*fleet.Lease
+	for _, each := range owner.asked {
+		excluded = append(excluded, each.lease)
+	}
+	return fleet.Choice{Service: owner.service, Kind: r.plan.Kind, Assumed: r.plan.Assumed, Excluded: excluded}
 }
 
 // send starts an attempt.
@@ -145,8 +142,7 @@
 		},
 		lease: lease, part: index,
 	}
-	owner.leases = append(owner.leases, lease)
-	owner.unreached = append(owner.unreached, false)
+	owner.asked = append(owner.asked, askedServer{lease: lease})
 	owner.live = append(owner.live, started)
 	owner.sent = append(owner.sent, started)
 	owner.arrivals++
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -30,11 +30,9 @@
 	answer  *exchange.Response
 	refusal *exchange.Response
 	failure error
-	// leases are the servers asked so far, live the attempts under way.
-	leases []*fleet.Lease
-	// unreached says for each of leases that the request never reached it.
-	unreached []bool
-	live      []*attempt
+	// asked are the servers asked so far, live the attempts under way.
+	asked []askedServer
+	live  []*attempt
 	// sent are all attempts, for the record.
 	sent []*attempt
 	// arrivals counts requests that may have reached a server, executions
@@ -62,6 +60,13 @@
 	closed bool
 }
 
+// askedServer is a server that a part was sent to.
+type askedServer struct {
+	lease *fleet.Lease
+	// unreached says that the request never reached it.
+	unreached bool
+}
+
 // attempt is one sub-request under way.
 type attempt struct {
 	*exchange.Attempt
@@ -203,9 +208,9 @@
 
 // markUnreached notes that a request never reached a server.
 func (p *part) markUnreached(lease *fleet.Lease) {
-	for index, each := range p.leases {
-		if each == lease {
-			p.unreached[index] = true
+	for index := range p.asked {
+		if p.asked[index].lease == lease {
+			p.asked[index].unreached = true
 		}
 	}
 }
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -59,12 +59,12 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	profile := f.profile(choice)
-	best, cost, availability := f.cheapest(choice, profile, now)
+	best, _, availability := f.cheapest(choice, profile, now)
 	if best == nil {
 		return nil, availability
 	}
 	lease := &Lease{
-		Server: best.Server, Pool: best.pool, member: best, profile: profile, began: now, Cost: cost,
+		Server: best.Server, Pool: best.pool, member: best, profile: profile, began: now,
 		Expected: best.zone.roundTrip + profile.typical() + 2*profile.deviation,
 	}
 	best.active = append(best.active, lease)
--- a/pkg/fleet/lease.go
+++ b/pkg/fleet/lease.go
@@ -14,8 +14,6 @@
 	// Expected is the time after which an answer is due at this server,
 	// network included.
 	Expected time.Duration
-	// Cost is the estimate by which the server was chosen.
-	Cost time.Duration
 
 	member  *member
 	profile *Profile
@@ -83,9 +81,6 @@
 // the ratio of its server. The mutex is held.
 func (f *Fleet) observeTime(lease *Lease, elapsed time.Duration, now time.Time) {
 	service := max(elapsed-lease.member.zone.roundTrip, 100*time.Microsecond)
-	if lease.profile == nil {
-		return
-	}
 	typical := lease.profile.typical()
 	lease.member.observe(lease.began, now, float64(service)/float64(typical))
 	lease.profile.observe(service)
