A hedge goes out in time for the server that is asked next

Change: hedge policy typical takes the expected time of the server that would be asked next, with its connection, and waits no longer than lets it answer, unless it could not anyway.

--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -76,6 +76,7 @@
 	}
 	if !r.plan.Target.IsZero() {
 		observed.Useful = max(r.plan.Target.Sub(now), time.Nanosecond)
+		observed.Alternative, _ = r.runner.Fleet.Estimate(r.choice(owner), now)
 	}
 	wait, ok := r.plan.Hedge.Delay(observed)
 	if !ok {
--- a/pkg/policy/hedge.go
+++ b/pkg/policy/hedge.go
@@ -88,8 +88,8 @@
 }
 
 // Delay implements HedgePolicy. The wait is shorter where otherwise a second
-// server, which takes about twice the typical time with its network, would
-// answer too late.
+// server would answer too late: it takes about twice the typical time, or what
+// is expected of it, unless that is too long for it to be of use at all.
 func (h typicalHedge) Delay(observed HedgeObservation) (time.Duration, bool) {
 	typical := observed.Typical
 	if typical <= 0 {
@@ -100,7 +100,11 @@
 	}
 	wait := observed.Network + time.Duration(h.factor*float64(typical))
 	if observed.Useful > 0 {
-		wait = min(wait, max(observed.Useful-2*typical, typical))
+		second := 2 * typical
+		if expected := typical + observed.Alternative; observed.Useful-expected >= typical {
+			second = max(second, expected)
+		}
+		wait = min(wait, max(observed.Useful-second, typical))
 	}
 	return wait, wait < observed.Remaining
 }
--- a/pkg/policy/policies_test.go
+++ b/pkg/policy/policies_test.go
@@ -143,6 +143,21 @@
 		Entry("quantile, the median no longer fits", policy.HedgeSpec{Policy: "quantile", Quantile: 0.9}, 22*ms, 0*ms, false),
 	)
 
+	DescribeTable("typical: in time for the server that is asked next",
+		func(useful, alternative, wantDelay time.Duration) {
+			delay, hedge := built(policy.Spec{Hedge: policy.HedgeSpec{Policy: "typical", Factor: 2.5}}).Hedge.Delay(policy.HedgeObservation{
+				Typical: 10 * ms, Network: 20 * ms, Remaining: time.Second, Useful: useful, Alternative: alternative,
+			})
+			Expect(hedge).To(BeTrue())
+			Expect(delay).To(Equal(wantDelay))
+		},
+		Entry("there is time", 200*ms, 20*ms, 45*ms),
+		Entry("nothing is known of it", 60*ms, 0*ms, 40*ms),
+		Entry("it is far and needs a connection", 110*ms, 60*ms, 40*ms),
+		Entry("it could not answer in time anyway", 60*ms, 2000*ms, 40*ms),
+		Entry("the answer is late already", time.Nanosecond, 20*ms, 10*ms),
+	)
+
 	It("send none while too few latencies are known", func() {
 		unknown := policy.HedgeObservation{Quantile: func(float64) time.Duration { return 0 }, Remaining: time.Second}
 		_, hedge := built(policy.Spec{}).Hedge.Delay(unknown)
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -60,6 +60,9 @@
 	// within which its answers usually come; zero if unknown.
 	Typical time.Duration
 	Network time.Duration
+	// Alternative is the expected time of the server that would be asked next,
+	// with its network and a new connection if it needs one; zero if unknown.
+	Alternative time.Duration
 }
 
 // HedgePolicy decides how long to wait for a sub-request before a second
