--- a/pkg/exchange/response.go
+++ b/pkg/exchange/response.go
@@ -18,6 +18,9 @@
 	maxInterimAnswers = 4
 	// maxBodySize bounds the body of an answer that is held in memory.
 	maxBodySize = 8 << 20
+	// trustedBodySize is the announced length up to which memory is taken before
+	// the bytes have come; a faulty server may announce what it never sends.
+	trustedBodySize = 64 << 10
 )
 
 // Response is the whole answer of a server.
@@ -89,7 +92,7 @@
 	if head.ContentLength > maxBodySize {
 		return nil, errors.Errorf("body of %d bytes is too large", head.ContentLength)
 	}
-	if head.ContentLength >= 0 && head.Body != http.NoBody {
+	if head.ContentLength >= 0 && head.ContentLength <= trustedBodySize && head.Body != http.NoBody {
 		body := make([]byte, head.ContentLength)
 		_, err := io.ReadFull(head.Body, body)
 		return body, err
