A refused request is told with its id and with what decided it

Cause: the lines of requests that were refused after they were read had an empty id: the headers that do not go along are taken off before the id was read again. Nothing led from such an id to its cause.

Change: the id is taken once, first. A refusal's line holds the gate's limit, what ran and what waited, and when the client was told to come back; log explain prints them, with the line of the overload before, and names two new causes.

Ruled out: a line of its own for each wait at the gate; waited_ms stands in the request's line.

Figures: TestOverloadIsRefusedAtOnce checks the id and what decided each refusal; without the change it fails.

--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -110,6 +110,12 @@
 	if record.Waited >= noticeableWait {
 		list = append(list, "waited_ms", record.Waited.Milliseconds())
 	}
+	if record.ComeBack > 0 {
+		list = append(list, "come_back_ms", record.ComeBack.Milliseconds())
+	}
+	if record.Gate != nil {
+		list = append(list, "limit", record.Gate.Limit, "in_flight", record.Gate.InFlight, "waiting", record.Gate.Queued)
+	}
 	if record.Cause != nil {
 		list = append(list, "error", record.Cause.Error())
 	}
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -15,6 +15,8 @@
 	CauseServed        Cause = "none: it was served whole"
 	CauseStarting      Cause = "the node knew no configuration yet"
 	CauseOverloaded    Cause = "the node served as many requests as it may"
+	CauseNotAdmitted   Cause = "overload: servers had no room for requests before it, so it was not admitted"
+	CauseNoRoom        Cause = "overload: servers had no room for it"
 	CauseNoRoute       Cause = "no route of the configuration in force fits"
 	CauseBadRequest    Cause = "the request itself: its body could not be taken"
 	CauseClientLeft    Cause = "the client left before the answer"
@@ -36,6 +38,8 @@
 	switch {
 	case line.Reason == "starting":
 		return CauseStarting
+	case line.Reason == "overloaded" && line.Limit > 0:
+		return CauseNotAdmitted
 	case line.Reason == "overloaded":
 		return CauseOverloaded
 	case line.Reason == "cancelled":
@@ -69,6 +73,8 @@
 		tally[causeOfAttempt(attempt)]++
 	}
 	switch {
+	case line.Shed > 0 && line.Parts < line.Required:
+		return CauseNoRoom
 	case tally[CauseSilent] > 0 && line.Denied > 0:
 		return CauseSilentBudget
 	case tally[CauseSilent] > 0:
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -20,6 +20,7 @@
 	messageConfiguration = "configuration in force"
 	messageLost          = "dependency lost"
 	messageRegained      = "dependency regained"
+	messageOverload      = "overload"
 )
 
 // maxLineBytes bounds one line.
@@ -48,6 +49,11 @@
 	Total      int                    `json:"total"`
 	Hedges     int                    `json:"hedges"`
 	Denied     int                    `json:"budget_denied"`
+	Shed       int                    `json:"shed"`
+	ComeBack   int64                  `json:"come_back_ms"`
+	Limit      int                    `json:"limit"`
+	InFlight   int                    `json:"in_flight"`
+	Waiting    int                    `json:"waiting"`
 	Missing    []string               `json:"missing"`
 	Attempts   []fanout.AttemptRecord `json:"attempts"`
 	Error      string                 `json:"error"`
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -86,6 +86,8 @@
 
 func concerns(line, request Line) bool {
 	switch line.Message {
+	case messageOverload:
+		return true
 	case messageConfiguration, messageLost, messageRegained, "started", "stopping", "configuration refused":
 		return true
 	}
@@ -106,6 +108,12 @@
 		}
 		fmt.Fprintf(output, "  +%4.0f ms  answered %d, %s; %d of %d parts, %d wanted\n",
 			try.TookMillis, try.Status, try.Reason, try.Parts, try.Total, try.Required)
+		if try.Limit > 0 {
+			fmt.Fprintf(output, "  the gate ran %d requests of at most %d, %d waited\n", try.InFlight, try.Limit, try.Waiting)
+		}
+		if try.ComeBack > 0 {
+			fmt.Fprintf(output, "  the client was told to come back in %d ms\n", try.ComeBack)
+		}
 		if try.Newer != nil {
 			fmt.Fprintf(output, "  an older configuration: %s had version %d in force %d ms before this answer; "+
 				"this node last heard the store %d ms before\n",
@@ -117,6 +125,8 @@
 
 func subject(line Line) string {
 	switch {
+	case line.Message == messageOverload:
+		return fmt.Sprintf(" (%s: at most %d at once from now on)", line.Service, line.Limit)
 	case line.Server != "":
 		return fmt.Sprintf(" (%s of %s)", line.Server, line.Service)
 	case line.Dependency != "":
--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -101,5 +101,7 @@
 	if errors.As(err, &refused) {
 		wait = max(wait, refused.RetryAfter)
 	}
+	state := c.handler.gates.For(plan.Services[0]).Observe()
+	c.refusedBy = &state
 	c.refuse(http.StatusServiceUnavailable, outcome.ReasonOverloaded, min(wait, greatestWait))
 }
--- a/internal/front/conversation.go
+++ b/internal/front/conversation.go
@@ -23,15 +23,17 @@
 	version  uint64
 	route    *route.Route
 	policy   Policy
-	// waited is how long the request waited to be admitted.
-	waited time.Duration
-	id     string
-	cause  error
+	// waited is how long the request waited to be admitted, toldWait when its
+	// client was told to come back, refusedBy the gate that refused it.
+	waited    time.Duration
+	toldWait  time.Duration
+	refusedBy *admission.Observation
+	id        string
+	cause     error
 }
 
 // serve asks servers and answers.
 func (c *conversation) serve(request *exchange.Request) {
-	c.id = request.ID
 	c.policy = c.handler.policies.For(c.route, c.id)
 	plan := fanout.Plan{
 		Kind: c.route.Name, Repeatable: c.route.Repeatable,
@@ -168,10 +170,10 @@
 	}
 	c.writer.Header().Set("Content-Length", "0")
 	c.writer.WriteHeader(status)
-	c.id = c.received.Header.Get(c.handler.dialect.RequestID)
 	c.recordRefusal(status, reason)
 }
 
 func (c *conversation) setRetryAfter(wait time.Duration) {
+	c.toldWait = wait
 	c.writer.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 2, 64))
 }
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -89,7 +89,9 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(writer http.ResponseWriter, received *http.Request) {
-	exchanged := &conversation{handler: h, writer: writer, received: received, began: time.Now()}
+	exchanged := &conversation{
+		handler: h, writer: writer, received: received, began: time.Now(), id: received.Header.Get(h.dialect.RequestID),
+	}
 	if h.state.Draining() {
 		writer.Header().Set("Connection", "close")
 	}
--- a/internal/front/overload_test.go
+++ b/internal/front/overload_test.go
@@ -96,15 +96,29 @@
 
 func (p simPolicies) For(*route.Route, string) Policy { return p.policy }
 
-type nobody struct{}
+// simRecords keeps what is told of refused requests.
+type simRecords struct {
+	mutex sync.Mutex
+	// refused are the records of refusals by id, guarded by mutex.
+	refused map[string]Record
+}
+
+func (r *simRecords) Record(record Record) {
+	if record.Status != http.StatusServiceUnavailable {
+		return
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.refused[record.ID] = record
+}
 
-func (nobody) Record(Record)                          {}
-func (nobody) Overload(string, admission.Observation) {}
+func (*simRecords) Overload(string, admission.Observation) {}
 
 // simulation is a node over servers with few slots.
 type simulation struct {
 	handler *Handler
 	fleet   *fleet.Fleet
+	records *simRecords
 	servers []*slotServer
 }
 
@@ -123,7 +137,7 @@
 	}
 	network := exchangetest.NewNetwork()
 	servers := fleet.New(fleet.Settings{Dialer: network, Random: rand.New(rand.NewPCG(1, 1))})
-	simulated := &simulation{fleet: servers}
+	simulated := &simulation{fleet: servers, records: &simRecords{refused: make(map[string]Record)}}
 	tally := route.Route{
 		Name: "tally", Host: "h", Prefix: "/", Repeatable: true, Target: simTarget, Priority: 1, MaxAttempts: 2,
 		TopRecords: 1, MinimumCoverage: 1,
@@ -142,7 +156,7 @@
 	simulated.handler = NewHandler(Options{
 		Dialect: Dialect{Dialect: exchangetest.Dialect, Parts: "Parts", MissingParts: "Missing"},
 		State:   simState{route.NewTable(&route.Configuration{Version: 1, Routes: []route.Route{tally}})},
-		Fleet:   servers, Budget: &simBudget{left: make(map[string]float64)}, Events: nobody{}, Random: rand.New(rand.NewPCG(2, 2)), MaxInFlight: 2000,
+		Fleet:   servers, Budget: &simBudget{left: make(map[string]float64)}, Events: simulated.records, Random: rand.New(rand.NewPCG(2, 2)), MaxInFlight: 2000,
 		Policies: simPolicies{Policy{Hedge: set.Hedge, Stop: set.Stop, Admission: set.Admission, MaxAttempts: 2, ExtraShare: 1}},
 	})
 	return simulated
@@ -213,6 +227,10 @@
 				continue
 			}
 			g.Expect(answer.wait).NotTo(BeEmpty())
+			told, found := admitted.records.refused[answer.id]
+			g.Expect(found).To(BeTrue(), "a refusal is told with the request's id")
+			g.Expect(told.ComeBack).To(BeNumerically(">", 0))
+			g.Expect(told.Gate != nil || told.Result.Shed > 0).To(BeTrue(), "and with what decided it")
 			g.Expect(answer.took).To(BeNumerically("<=", admissionWait(&route.Route{Target: simTarget})))
 			for _, server := range admitted.servers {
 				g.Expect(server.ran).NotTo(HaveKey(answer.id), "a refusal promises that nothing has run")
--- a/internal/front/record.go
+++ b/internal/front/record.go
@@ -20,6 +20,10 @@
 	Took    time.Duration
 	// Waited is how long the request waited to be admitted.
 	Waited time.Duration
+	// ComeBack is when the client was told to come back; zero if it was not.
+	ComeBack time.Duration
+	// Gate is what refused the admission; nil if nothing did.
+	Gate *admission.Observation
 	// Reason is why the request was refused or the wait ended.
 	Reason string
 	// Refused says that no server was asked.
@@ -45,7 +49,7 @@
 		ID: c.id, Host: c.received.Host, Path: c.received.RequestURI, Route: c.route.Name, Version: c.version,
 		Policy: c.policy, Status: status, Took: time.Since(c.began), Reason: string(result.Reason), Parts: result.Got,
 		Required: plan.Required, Total: len(plan.Services), Result: result, Services: plan.Services,
-		Waited: c.waited,
+		Waited: c.waited, ComeBack: c.toldWait,
 	})
 }
 
@@ -57,6 +61,6 @@
 	c.handler.events.Record(Record{
 		ID: c.id, Host: c.received.Host, Path: c.received.RequestURI, Route: name, Version: c.version,
 		Status: status, Took: time.Since(c.began), Reason: string(reason), Refused: true, Cause: c.cause,
-		Waited: c.waited,
+		Waited: c.waited, ComeBack: c.toldWait, Gate: c.refusedBy,
 	})
 }
