--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -17,10 +18,6 @@
 
 // Constants of admission.
 const (
-	// latencyTolerance is how many times as long as at low load requests may
-	// take on average before fewer run at once. It is beyond what they can take,
-	// since slow, pausing and lost servers make them longer without any load.
-	latencyTolerance = 1000
 	// leastPerSlot is the number of requests for each slot of this node's share
 	// of a service below which the limit does not fall.
 	leastPerSlot = 2
@@ -35,10 +32,12 @@
 // Routes over the same shards share a gate, since they share the servers.
 //
 // A gate admits everything until a request fails for want of room at servers.
+// Latency is no sign of overload here, since slow, pausing and lost servers make
+// requests longer without any load.
 func newGates(servers *fleet.Fleet, maxInFlight int) *admission.Group[string] {
 	return admission.NewGroup(func(service string) admission.Options {
 		return admission.Options{
-			StartLimit: maxInFlight, MaxLimit: maxInFlight, Tolerance: latencyTolerance,
+			StartLimit: maxInFlight, MaxLimit: maxInFlight, Tolerance: math.Inf(1),
 			LeastLimit: func() int { return 1 + int(leastPerSlot*servers.SlotsShare(service)) },
 		}
 	})
@@ -51,11 +50,6 @@
 	return result.Shed > 0 && result.Got < plan.Required
 }
 
-// late reports whether a request took until its target or longer.
-func late(plan fanout.Plan, result fanout.Result) bool {
-	return result.Reason == fanout.StopTarget || !plan.Target.IsZero() && time.Now().After(plan.Target)
-}
-
 // admit waits until the request may run. The error is an *outcome.Error with
 // when to come back.
 func (c *conversation) admit(plan fanout.Plan) (*admission.Ticket, error) {
--- a/internal/front/conversation.go
+++ b/internal/front/conversation.go
@@ -65,7 +65,7 @@
 	started := time.Now()
 	result := runner.Run(c.received.Context(), plan, request)
 	ticket.Release(admission.Result{
-		Latency: time.Since(started), Overloaded: overloaded(plan, result), Late: late(plan, result),
+		Latency: time.Since(started), Overloaded: overloaded(plan, result), PartTime: result.PartTime,
 		Cancelled: result.Reason == fanout.StopCancelled,
 	})
 	if overloaded(plan, result) {
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -168,6 +168,8 @@
 		return fleet.Abandoned
 	case err != nil && started.TurnedAway:
 		return fleet.TurnedAway
+	case err != nil && !started.Arrived && outcome.Of(err) == outcome.NotRun:
+		return fleet.Unreachable
 	case err != nil:
 		return fleet.Failed
 	case answer.Status == statusMisdirected:
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -40,6 +41,8 @@
 	arrivals   int
 	executions int
 	refusals   int
+	// took is the time of the answer without that of a new connection.
+	took time.Duration
 	// shed says that a server refused the request for want of room, or that
 	// none was free.
 	shed bool
@@ -269,6 +272,7 @@
 	}
 	if result.err == nil && r.runner.Sound(result.answer) {
 		owner.answer = result.answer
+		owner.took = now.Sub(result.attempt.lease.Began()) - result.attempt.ConnectTime
 		owner.ran = true
 		owner.hedgeAt = time.Time{}
 		r.got++
@@ -408,13 +412,28 @@
 	r.open--
 }
 
+// medianTime returns the median time of the answered parts; zero if none is.
+func (r *run) medianTime() time.Duration {
+	var times []time.Duration
+	for index := range r.parts {
+		if r.parts[index].answer != nil {
+			times = append(times, r.parts[index].took)
+		}
+	}
+	if len(times) == 0 {
+		return 0
+	}
+	slices.Sort(times)
+	return times[len(times)/2]
+}
+
 // result sums up the run.
 func (r *run) result(reason StopReason) Result {
 	result := Result{
 		Parts: make([]*exchange.Response, len(r.parts)), Failures: make([]error, len(r.parts)),
 		Refusals: make([]*exchange.Response, len(r.parts)),
 		Got:      r.got, Reason: reason, Hedges: r.hedges, Retries: r.retries, Sent: r.sent, Denied: r.denied,
-		Attempts: r.records(time.Now()),
+		Attempts: r.records(time.Now()), PartTime: r.medianTime(),
 	}
 	ran, mayRun := false, false
 	for index := range r.parts {
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -46,7 +46,8 @@
 	// Busy means that all servers have as many requests of this node as they
 	// may have.
 	Busy
-	// Absent means that the service has no server that was not asked before.
+	// Absent means that the service has no server that was not asked before and
+	// can be reached.
 	Absent
 )
 
@@ -108,7 +109,9 @@
 			continue
 		}
 		if len(each.active) >= f.limit(each, now) {
-			availability = Busy
+			if !each.unreachable {
+				availability = Busy
+			}
 			continue
 		}
 		cost := f.cost(each, profile, now)
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -211,6 +211,27 @@
 	g.Expect(slow).To(BeNumerically("<=", 12))
 }
 
+// TestAServerThatCannotBeReachedIsNotBusy, however many requests try to connect
+// to it: a lost shard is no overload. (valgsok trouble-1 --seed 406752304372)
+func TestAServerThatCannotBeReachedIsNotBusy(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	tested := fleet.New(fleet.Settings{Local: fleet.Place{Zone: "z"}, Random: rand.New(rand.NewPCG(1, 1))})
+	tested.Apply(fleet.Server{ID: "only", Service: "s", Address: "a", Zone: "z", Slots: 5}, now)
+	tested.SetConnections(map[string]int{"s": 4})
+	for _, step := range []struct {
+		result fleet.Result
+		full   fleet.Availability
+	}{{fleet.Answered, fleet.Busy}, {fleet.Unreachable, fleet.Absent}, {fleet.Refused, fleet.Busy}, {fleet.Unreachable, fleet.Absent}, {fleet.Answered, fleet.Busy}} {
+		ended, _ := tested.Acquire(choice, now)
+		tested.Finish(ended, step.result, 0, now)
+		held, _ := tested.Acquire(choice, now)
+		_, availability := tested.Acquire(choice, now)
+		g.Expect(availability).To(Equal(step.full), "after %s", step.result)
+		tested.Cancel(held)
+	}
+}
+
 // TestAServerThatTurnsConnectionsAwayGetsFewer for a while: it may still hold
 // those of a node that lost power. (variant3 trouble-1 --seed 949182802527)
 func TestAServerThatTurnsConnectionsAwayGetsFewer(t *testing.T) {
--- a/pkg/fleet/lease.go
+++ b/pkg/fleet/lease.go
@@ -32,6 +32,9 @@
 	Answered Result = iota
 	// Failed means that no sound answer came.
 	Failed
+	// Unreachable means that no connection could be opened, so that the request
+	// never arrived.
+	Unreachable
 	// Refused means that the server turned the request away.
 	Refused
 	// TurnedAway means that the server reset a new connection, most likely
@@ -45,7 +48,7 @@
 
 // String returns the name used in logs.
 func (r Result) String() string {
-	return [...]string{"answered", "failed", "refused", "turned_away", "abandoned", "wrong_instance"}[r]
+	return [...]string{"answered", "failed", "unreachable", "refused", "turned_away", "abandoned", "wrong_instance"}[r]
 }
 
 // Finish ends a lease. connect is the time that a new connection took, zero if
@@ -59,6 +62,7 @@
 		used.zone.observeConnect(connect)
 	}
 	elapsed := now.Sub(lease.began) - connect
+	used.unreachable = result == Unreachable || result == Abandoned && used.unreachable
 	switch result {
 	case Answered:
 		used.failures = 0
@@ -68,7 +72,7 @@
 		if elapsed > lease.Expected {
 			f.observeTime(lease, elapsed, now)
 		}
-	case Failed, Refused:
+	case Failed, Unreachable, Refused:
 		used.fail(now)
 	case TurnedAway:
 		used.narrow(now)
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -67,10 +67,12 @@
 	// before it tell nothing new.
 	slowEpisodeEnd time.Time
 	// slowRow counts slow episodes since the last normal answer.
-	slowRow    int
-	failures   int
-	avoidUntil time.Time
-	warmUntil  time.Time
+	slowRow  int
+	failures int
+	// unreachable says that the last request could not open a connection.
+	unreachable bool
+	avoidUntil  time.Time
+	warmUntil   time.Time
 	// narrowLimit bounds the requests at the server until narrowUntil, since it
 	// has turned connections away.
 	narrowLimit int
