--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -169,6 +169,12 @@
 	}
 	g.Expect(arms["eager"]).To(BeNumerically("~", 500, 80))
 	g.Expect(tested.For(single, "r").Template).To(BeEmpty())
+	full := policy.AdmissionState{InFlight: 9, Limit: 1, QueuedAhead: 9, DrainRate: 1, Remaining: time.Second}
+	g.Expect(tested.For(single, "r").Admission.Decide(full).Verdict).To(Equal(policy.Refuse))
+	publish(singleName, 1, func(document *template.Template) {
+		document.Policies.Admission = policy.AdmissionSpec{Policy: policy.AdmissionUnlimited}
+	})
+	g.Expect(tested.For(single, "r").Admission.Decide(full).Verdict).To(Equal(policy.Admit))
 	publish("tally", 3, func(document *template.Template) { document.Deleted = true })
 	g.Expect(tested.For(gathered, "r").Template).To(Equal("routes/gathered"))
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -14,9 +14,11 @@
 
 // recorded are lines of a day with servers that crash and turn slow, nodes that
 // are stopped and killed, and configurations in quick succession.
-func recorded(t *testing.T) []explain.Line {
+func recorded(t *testing.T) []explain.Line { return linesOf(t, "testdata/recorded.log") }
+
+func linesOf(t *testing.T, name string) []explain.Line {
 	t.Helper()
-	file, err := os.Open("testdata/recorded.log")
+	file, err := os.Open(name)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -59,6 +61,32 @@
 	}
 }
 
+// TestFromARefusalForOverloadToItsCause is the fourth walk, on lines of a burst.
+func TestFromARefusalForOverloadToItsCause(t *testing.T) {
+	lines := linesOf(t, "testdata/overload.log")
+	for id, expected := range map[string]struct {
+		cause explain.Cause
+		says  []string
+	}{
+		"0197d8c0e7855ef1": {explain.CauseNotAdmitted, []string{
+			"before: overload (lobo57a: at most 24 at once from now on)", "ran 24 requests of at most 24", "come back in 150 ms",
+		}},
+		"38dbaa67b622b477": {explain.CauseNoRoom, []string{"before: overload", "answered 502", "6 of 10 parts, 9 wanted"}},
+	} {
+		t.Run(id, func(t *testing.T) {
+			g := NewWithT(t)
+			story, err := explain.Explain(lines, id)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(story.Tries[0].Cause).To(Equal(expected.cause))
+			var text bytes.Buffer
+			story.Write(&text)
+			for _, part := range expected.says {
+				g.Expect(text.String()).To(ContainSubstring(part))
+			}
+		})
+	}
+}
+
 func TestAnUnknownRequest(t *testing.T) {
 	_, err := explain.Explain(recorded(t), "none")
 	NewWithT(t).Expect(err).To(MatchError(explain.ErrUnknownRequest))
