--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -58,12 +57,6 @@
 	owner.hedgeAt = now.Add(recheck)
 }
 
-// forgetUnreached lets the servers be asked again that the request has never
-// reached.
-func (p *part) forgetUnreached() {
-	p.asked = slices.DeleteFunc(p.asked, func(each askedServer) bool { return each.unreached })
-}
-
 // hedgeTime returns when a second server is to be asked; zero if never.
 func (r *run) hedgeTime(owner *part, lease *fleet.Lease, now time.Time) time.Time {
 	if !r.plan.Repeatable || owner.executions >= r.plan.MaxAttempts {
--- /dev/null
+++ b/pkg/fanout/part.go
@@ -0,0 +1,69 @@
+package fanout
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
+)
+
+// part is the state of one service in a run.
+type part struct {
+	service string
+	answer  *exchange.Response
+	refusal *exchange.Response
+	failure error
+	// asked are the servers asked so far, live the attempts under way.
+	asked []askedServer
+	live  []*attempt
+	// sent are all attempts, for the record.
+	sent []*attempt
+	// arrivals counts requests that may have reached a server, executions
+	// those that may have run.
+	arrivals   int
+	executions int
+	refusals   int
+	// took is the time of the answer without that of a new connection.
+	took time.Duration
+	// shed says that a server refused the request for want of room, or that
+	// none was free.
+	shed bool
+	// ran says that a server is known to have run the request.
+	ran bool
+	// hedgeAt is when a further server is to be asked; zero if never.
+	hedgeAt time.Time
+	// idleSince is since when no server is being asked and one is to be found;
+	// zero if one is being asked.
+	idleSince time.Time
+	// absent says that the service has no server, so that nothing is waited for
+	// but news of one.
+	absent bool
+	// unpaid says that a further server is to be asked once the budget pays for
+	// it.
+	unpaid bool
+	// closed says that no further server is asked.
+	closed bool
+}
+
+// askedServer is a server that a part was sent to.
+type askedServer struct {
+	lease *fleet.Lease
+	// unreached says that the request never reached it.
+	unreached bool
+}
+
+// markUnreached notes that a request never reached a server.
+func (p *part) markUnreached(lease *fleet.Lease) {
+	for index := range p.asked {
+		if p.asked[index].lease == lease {
+			p.asked[index].unreached = true
+		}
+	}
+}
+
+// forgetUnreached lets the servers be asked again that the request has never
+// reached.
+func (p *part) forgetUnreached() {
+	p.asked = slices.DeleteFunc(p.asked, func(each askedServer) bool { return each.unreached })
+}
--- /dev/null
+++ b/pkg/fanout/result.go
@@ -0,0 +1,127 @@
+package fanout
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+)
+
+// noteFailure updates what is known of the execution.
+func (r *run) noteFailure(owner *part, result finished) {
+	if result.err != nil {
+		owner.failure = result.err
+		owner.shed = owner.shed || result.attempt.TurnedAway
+		if r.plan.Repeatable && result.attempt.TurnedAway {
+			owner.executions--
+			owner.refusals++
+			return
+		}
+		if outcome.Of(result.err) == outcome.NotRun {
+			owner.executions--
+			if !result.attempt.Arrived {
+				owner.arrivals--
+				owner.markUnreached(result.attempt.lease)
+			}
+		}
+		return
+	}
+	owner.refusal = result.answer
+	if r.refused(result.answer) {
+		owner.shed = owner.shed || result.answer.Status != statusMisdirected
+		owner.executions--
+		owner.refusals++
+		return
+	}
+	owner.ran = true
+}
+
+func (r *run) refused(answer *exchange.Response) bool {
+	return answer.Header.Get(r.runner.Dialect.NotRun) != "" || answer.Status == statusMisdirected
+}
+
+// describe tells the end of an attempt in a few words.
+func (f finished) describe() string {
+	switch {
+	case f.err != nil:
+		return f.err.Error()
+	case f.answer.Status != http.StatusOK:
+		return "status " + strconv.Itoa(f.answer.Status)
+	}
+	return "answered"
+}
+
+// records lists the attempts of the parts that the first server did not answer.
+func (r *run) records(now time.Time) []AttemptRecord {
+	var records []AttemptRecord
+	for index := range r.parts {
+		each := &r.parts[index]
+		if len(each.sent) == 1 && each.answer != nil {
+			continue
+		}
+		for _, sent := range each.sent {
+			if len(records) == maxAttemptRecords {
+				return records
+			}
+			records = append(records, r.recordOf(each, sent, now))
+		}
+	}
+	return records
+}
+
+func (r *run) recordOf(owner *part, sent *attempt, now time.Time) AttemptRecord {
+	ended, result := sent.endedAt, sent.result
+	if ended.IsZero() {
+		ended, result = now, "pending"
+	}
+	return AttemptRecord{
+		Service: owner.service, Server: sent.lease.Server.ID, Zone: sent.lease.Server.Zone,
+		SentMillis: sent.lease.Began().Sub(r.began).Milliseconds(),
+		TookMillis: ended.Sub(sent.lease.Began()).Milliseconds(), Result: result,
+	}
+}
+
+// medianTime returns the median time of the answered parts; zero if none is.
+func (r *run) medianTime() time.Duration {
+	var times []time.Duration
+	for index := range r.parts {
+		if r.parts[index].answer != nil {
+			times = append(times, r.parts[index].took)
+		}
+	}
+	if len(times) == 0 {
+		return 0
+	}
+	slices.Sort(times)
+	return times[len(times)/2]
+}
+
+// result sums up the run.
+func (r *run) result(reason StopReason) Result {
+	result := Result{
+		Parts: make([]*exchange.Response, len(r.parts)), Failures: make([]error, len(r.parts)),
+		Refusals: make([]*exchange.Response, len(r.parts)),
+		Got:      r.got, Reason: reason, Hedges: r.hedges, Retries: r.retries, Sent: r.sent, Denied: r.denied,
+		Attempts: r.records(time.Now()), PartTime: r.medianTime(),
+	}
+	ran, mayRun := false, false
+	for index := range r.parts {
+		each := &r.parts[index]
+		result.Parts[index], result.Failures[index], result.Refusals[index] = each.answer, each.failure, each.refusal
+		if each.answer == nil && each.shed {
+			result.Shed++
+		}
+		ran = ran || each.ran
+		mayRun = mayRun || each.executions > 0
+	}
+	switch {
+	case ran:
+		result.Outcome = outcome.Completed
+	case !mayRun:
+		result.Outcome = outcome.NotRun
+	}
+	return result
+}
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"net/http"
-	"slices"
-	"strconv"
 	"time"
 
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
-	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/policy"
 )
 
@@ -25,51 +21,6 @@
 	freeRefusals = 2
 )
 
-// part is the state of one service in a run.
-type part struct {
-	service string
-	answer  *exchange.Response
-	refusal *exchange.Response
-	failure error
-	// asked are the servers asked so far, live the attempts under way.
-	asked []askedServer
-	live  []*attempt
-	// sent are all attempts, for the record.
-	sent []*attempt
-	// arrivals counts requests that may have reached a server, executions
-	// those that may have run.
-	arrivals   int
-	executions int
-	refusals   int
-	// took is the time of the answer without that of a new connection.
-	took time.Duration
-	// shed says that a server refused the request for want of room, or that
-	// none was free.
-	shed bool
-	// ran says that a server is known to have run the request.
-	ran bool
-	// hedgeAt is when a further server is to be asked; zero if never.
-	hedgeAt time.Time
-	// idleSince is since when no server is being asked and one is to be found;
-	// zero if one is being asked.
-	idleSince time.Time
-	// absent says that the service has no server, so that nothing is waited for
-	// but news of one.
-	absent bool
-	// unpaid says that a further server is to be asked once the budget pays for
-	// it.
-	unpaid bool
-	// closed says that no further server is asked.
-	closed bool
-}
-
-// askedServer is a server that a part was sent to.
-type askedServer struct {
-	lease *fleet.Lease
-	// unreached says that the request never reached it.
-	unreached bool
-}
-
 // attempt is one sub-request under way.
 type attempt struct {
 	*exchange.Attempt
@@ -209,15 +160,6 @@
 	return true
 }
 
-// markUnreached notes that a request never reached a server.
-func (p *part) markUnreached(lease *fleet.Lease) {
-	for index := range p.asked {
-		if p.asked[index].lease == lease {
-			p.asked[index].unreached = true
-		}
-	}
-}
-
 // nextEvent returns the next moment at which something is to be decided.
 func (r *run) nextEvent(now time.Time) time.Time {
 	next := r.plan.Deadline
@@ -288,80 +230,6 @@
 	}
 }
 
-// describe tells the end of an attempt in a few words.
-func (f finished) describe() string {
-	switch {
-	case f.err != nil:
-		return f.err.Error()
-	case f.answer.Status != http.StatusOK:
-		return "status " + strconv.Itoa(f.answer.Status)
-	}
-	return "answered"
-}
-
-// records lists the attempts of the parts that the first server did not answer.
-func (r *run) records(now time.Time) []AttemptRecord {
-	var records []AttemptRecord
-	for index := range r.parts {
-		each := &r.parts[index]
-		if len(each.sent) == 1 && each.answer != nil {
-			continue
-		}
-		for _, sent := range each.sent {
-			if len(records) == maxAttemptRecords {
-				return records
-			}
-			records = append(records, r.recordOf(each, sent, now))
-		}
-	}
-	return records
-}
-
-func (r *run) recordOf(owner *part, sent *attempt, now time.Time) AttemptRecord {
-	ended, result := sent.endedAt, sent.result
-	if ended.IsZero() {
-		ended, result = now, "pending"
-	}
-	return AttemptRecord{
-		Service: owner.service, Server: sent.lease.Server.ID, Zone: sent.lease.Server.Zone,
-		SentMillis: sent.lease.Began().Sub(r.began).Milliseconds(),
-		TookMillis: ended.Sub(sent.lease.Began()).Milliseconds(), Result: result,
-	}
-}
-
-// noteFailure updates what is known of the execution.
-func (r *run) noteFailure(owner *part, result finished) {
-	if result.err != nil {
-		owner.failure = result.err
-		owner.shed = owner.shed || result.attempt.TurnedAway
-		if r.plan.Repeatable && result.attempt.TurnedAway {
-			owner.executions--
-			owner.refusals++
-			return
-		}
-		if outcome.Of(result.err) == outcome.NotRun {
-			owner.executions--
-			if !result.attempt.Arrived {
-				owner.arrivals--
-				owner.markUnreached(result.attempt.lease)
-			}
-		}
-		return
-	}
-	owner.refusal = result.answer
-	if r.refused(result.answer) {
-		owner.shed = owner.shed || result.answer.Status != statusMisdirected
-		owner.executions--
-		owner.refusals++
-		return
-	}
-	owner.ran = true
-}
-
-func (r *run) refused(answer *exchange.Response) bool {
-	return answer.Header.Get(r.runner.Dialect.NotRun) != "" || answer.Status == statusMisdirected
-}
-
 // retry asks another server after all attempts of a part have failed, or
 // closes the part.
 func (r *run) retry(index int, now time.Time) {
@@ -412,48 +280,6 @@
 	r.open--
 }
 
-// medianTime returns the median time of the answered parts; zero if none is.
-func (r *run) medianTime() time.Duration {
-	var times []time.Duration
-	for index := range r.parts {
-		if r.parts[index].answer != nil {
-			times = append(times, r.parts[index].took)
-		}
-	}
-	if len(times) == 0 {
-		return 0
-	}
-	slices.Sort(times)
-	return times[len(times)/2]
-}
-
-// result sums up the run.
-func (r *run) result(reason StopReason) Result {
-	result := Result{
-		Parts: make([]*exchange.Response, len(r.parts)), Failures: make([]error, len(r.parts)),
-		Refusals: make([]*exchange.Response, len(r.parts)),
-		Got:      r.got, Reason: reason, Hedges: r.hedges, Retries: r.retries, Sent: r.sent, Denied: r.denied,
-		Attempts: r.records(time.Now()), PartTime: r.medianTime(),
-	}
-	ran, mayRun := false, false
-	for index := range r.parts {
-		each := &r.parts[index]
-		result.Parts[index], result.Failures[index], result.Refusals[index] = each.answer, each.failure, each.refusal
-		if each.answer == nil && each.shed {
-			result.Shed++
-		}
-		ran = ran || each.ran
-		mayRun = mayRun || each.executions > 0
-	}
-	switch {
-	case ran:
-		result.Outcome = outcome.Completed
-	case !mayRun:
-		result.Outcome = outcome.NotRun
-	}
-	return result
-}
-
 func without(list []*attempt, removed *attempt) []*attempt {
 	for index, each := range list {
 		if each == removed {
