--- a/internal/front/conversation.go
+++ b/internal/front/conversation.go
@@ -64,11 +64,12 @@
 	}
 	started := time.Now()
 	result := runner.Run(c.received.Context(), plan, request)
+	isOverloaded := overloaded(plan, result)
 	ticket.Release(admission.Result{
-		Latency: time.Since(started), Overloaded: overloaded(plan, result), PartTime: result.PartTime,
+		Latency: time.Since(started), Overloaded: isOverloaded, PartTime: result.PartTime,
 		Cancelled: result.Reason == fanout.StopCancelled,
 	})
-	if overloaded(plan, result) {
+	if isOverloaded {
 		c.handler.events.Overload(plan.Services[0], c.handler.gates.For(plan.Services[0]).Observe())
 	}
 	answer(plan, result)
