--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -78,14 +78,16 @@
 }
 
 func (i *injector) inject(chosen fault, lasts time.Duration, random *rand.Rand) {
+	// Noted before it begins: what it breaks at once is no broken promise.
+	end := i.deployment.history.begin(chosen.name)
+	defer end()
 	what, mend := chosen.run(i, random)
 	if mend == nil {
 		return
 	}
-	end := i.deployment.history.begin(chosen.name + " " + what)
+	i.deployment.history.note("%s: %s", chosen.name, what)
 	time.Sleep(lasts)
 	mend()
-	end()
 }
 
 // takeNode returns a node whose process nothing else is done to, or nil.
--- a/test/soak/promises_check_test.go
+++ b/test/soak/promises_check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"testing"
 	"time"
@@ -63,6 +64,13 @@
 	g.Expect(checkExtra("s", []time.Time{now}, arrivals[:extraBound])).To(BeEmpty())
 	g.Expect(checkExtra("s", []time.Time{now}, arrivals)).To(HaveLen(1))
 
+	noticed := newHistory()
+	breaking := &injector{deployment: &deployment{history: noticed}}
+	breaking.inject(fault{"instant", func(*injector, *rand.Rand) (string, func()) {
+		g.Expect(noticed.calm(time.Now().Add(-time.Second), time.Now())).To(BeFalse(), "a fault is noted before it breaks anything")
+		return "x", func() {}
+	}}, 0, nil)
+
 	noted := newHistory()
 	end := noted.begin("something")
 	g.Expect(noted.calm(time.Now().Add(-time.Second), time.Now())).To(BeFalse())
