--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -50,6 +50,11 @@
 	return result.Shed > 0 && result.Got < plan.Required
 }
 
+// late reports whether a request took until its target or longer.
+func late(plan fanout.Plan, result fanout.Result) bool {
+	return result.Reason == fanout.StopTarget || !plan.Target.IsZero() && time.Now().After(plan.Target)
+}
+
 // admit waits until the request may run. The error is an *outcome.Error with
 // when to come back.
 func (c *conversation) admit(plan fanout.Plan) (*admission.Ticket, error) {
--- a/internal/front/conversation.go
+++ b/internal/front/conversation.go
@@ -66,7 +66,7 @@
 	result := runner.Run(c.received.Context(), plan, request)
 	isOverloaded := overloaded(plan, result)
 	ticket.Release(admission.Result{
-		Latency: time.Since(started), Overloaded: isOverloaded, PartTime: result.PartTime,
+		Latency: time.Since(started), Overloaded: isOverloaded, Late: late(plan, result),
 		Cancelled: result.Reason == fanout.StopCancelled,
 	})
 	if isOverloaded {
--- a/pkg/admission/bench_test.go
+++ b/pkg/admission/bench_test.go
@@ -20,6 +20,6 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		ticket.Release(admission.Result{Latency: time.Millisecond, PartTime: time.Millisecond})
+		ticket.Release(admission.Result{Latency: time.Millisecond})
 	}
 }
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -16,11 +16,12 @@
 	// slowDecrease is the fall with a request that took too long while the
 	// average of its kind does.
 	slowDecrease = 0.05
-	// loadedDecrease is the fall with a request whose sub-requests took more than
-	// loadedRatio times as long as at low load, and loadedSlack beyond it.
-	loadedDecrease = 0.25
-	loadedRatio    = 1.8
-	loadedSlack    = 5 * time.Millisecond
+	// lateDecrease is the fall with a late request while more than lateShare of
+	// the requests are late and the limit holds others back.
+	lateDecrease = 0.25
+	lateShare    = 0.3
+	// lateWeight is the weight of one request in the share of late ones.
+	lateWeight = 0.1
 	// rampGrowth is the rise with a good request before the first sign of
 	// overload.
 	rampGrowth = 0.5
@@ -44,8 +45,8 @@
 	latencies latencies
 	// overloaded is when the last sign of overload came.
 	overloaded time.Time
-	// parts follows the times of sub-requests.
-	parts latencies
+	// late is the moving share of late requests, 0 to 1.
+	late float64
 }
 
 func newController(options *Options, now time.Time) controller {
@@ -53,8 +54,7 @@
 		options:    options,
 		limit:      float64(options.StartLimit),
 		ramping:    true,
-		latencies:  newLatencies(latencyFollow),
-		parts:      newLatencies(partFollow),
+		latencies:  newLatencies(),
 		overloaded: now,
 	}
 }
@@ -66,15 +66,15 @@
 // says that all places were taken when the request ran; only then is it
 // evidence that more could run.
 func (c *controller) record(of kind, result Result, running int, limited bool, now time.Time) {
-	loaded := c.loaded(of, result, limited, now)
+	c.noteLate(result)
 	switch {
 	case result.Cancelled:
 		return
 	case result.Overloaded:
 		c.fallToLoad(running)
 		c.lower(overloadDecrease, now)
-	case loaded:
-		c.lower(loadedDecrease, now)
+	case result.Late && c.lateCounts(limited):
+		c.lower(lateDecrease, now)
 	default:
 		c.recordGood(of, result.Latency, limited, now)
 	}
@@ -91,14 +91,23 @@
 	}
 }
 
-// loaded reports whether the sub-requests of a request show that servers are
-// under load: after the first overload, while the limit holds requests back.
-func (c *controller) loaded(of kind, result Result, limited bool, now time.Time) bool {
-	if result.PartTime <= 0 {
-		return false
+// noteLate follows the share of late requests.
+func (c *controller) noteLate(result Result) {
+	if result.Cancelled {
+		return
+	}
+	sample := 0.0
+	if result.Late {
+		sample = 1
 	}
-	trend := c.parts.record(of, result.PartTime, limited, now)
-	return !c.ramping && limited && trend.Inflated(result.PartTime, loadedRatio, loadedSlack)
+	c.late += lateWeight * (sample - c.late)
+}
+
+// lateCounts reports whether a late request is a sign of overload: after the
+// first one that failed for it, while the limit holds requests back and so many
+// are late that single slow servers are not the cause.
+func (c *controller) lateCounts(limited bool) bool {
+	return !c.ramping && limited && c.late > lateShare
 }
 
 // fallToLoad ends the time before the first sign of overload, in which the limit
--- a/pkg/admission/controller_test.go
+++ b/pkg/admission/controller_test.go
@@ -28,30 +28,32 @@
 	g.Expect(tested.places()).To(BeNumerically(">=", lowered-1), "later signs lower it step by step")
 }
 
-// TestSlowSubRequestsCountAfterAnOverloadOnly, while the limit holds requests
-// back, and down to the least limit.
-func TestSlowSubRequestsCountAfterAnOverloadOnly(t *testing.T) {
+// TestLateRequestsCountAfterAnOverloadOnly: slow servers make requests late at
+// any load.
+func TestLateRequestsCountAfterAnOverloadOnly(t *testing.T) {
 	g := NewWithT(t)
 	tested, now := controllerFor(20)
-	requests := func(count int, partTime time.Duration, limited bool) {
+	lateRequests := func(count int, limited bool) {
 		for range count {
-			tested.record(kind{}, Result{Latency: time.Millisecond, PartTime: partTime}, 20, limited, now)
+			tested.record(kind{}, Result{Late: true, Latency: time.Second}, 20, limited, now)
 		}
 	}
-	requests(50, 20*time.Millisecond, false)
-	requests(50, 100*time.Millisecond, false)
+	lateRequests(50, false)
 	g.Expect(tested.places()).To(Equal(20), "before any overload")
 	tested.record(kind{}, Result{Overloaded: true}, 20, true, now)
 	before := tested.limit
-	requests(4, 100*time.Millisecond, false)
+	lateRequests(4, false)
 	g.Expect(tested.limit).To(BeNumerically(">=", before), "while nothing is held back")
-	requests(4, 100*time.Millisecond, true)
-	g.Expect(tested.limit).To(BeNumerically("~", before-4*loadedDecrease, 0.01), "while the limit holds requests back")
-	before = tested.limit
-	requests(1, 25*time.Millisecond, true)
-	g.Expect(tested.limit).To(BeNumerically(">", before), "a request whose servers are quick")
-	requests(200, 100*time.Millisecond, true)
+	lateRequests(4, true)
+	g.Expect(tested.limit).To(BeNumerically("~", before-4*lateDecrease, 0.01), "while the limit holds requests back")
+	lateRequests(200, true)
 	g.Expect(tested.places()).To(Equal(5), "never below the least limit")
+	for range 50 {
+		tested.record(kind{}, Result{Latency: time.Millisecond}, 20, true, now)
+	}
+	before = tested.limit
+	lateRequests(1, true)
+	g.Expect(tested.limit).To(BeNumerically(">=", before), "a single late one among many in time")
 }
 
 // TestAnInfiniteToleranceIgnoresLatency, also after requests that ended at once:
--- a/pkg/admission/latencies.go
+++ b/pkg/admission/latencies.go
@@ -20,22 +20,16 @@
 // with what requests ask. Overloaded requests are the main sign of overload.
 var latencyFollow = trend.Follow{Idle: 5 * time.Second, Busy: 15 * time.Second}
 
-// partFollow is long under load: the times of sub-requests change little with
-// what requests ask.
-var partFollow = trend.Follow{Idle: 5 * time.Second, Busy: time.Minute}
-
 // latencies follows the latency of requests, of each kind and of all. It is not
 // safe for concurrent use.
 type latencies struct {
-	follow trend.Follow
 	all    trend.Latency
 	byKind map[kind]*trend.Latency
 }
 
-func newLatencies(follow trend.Follow) latencies {
+func newLatencies() latencies {
 	return latencies{
-		follow: follow,
-		all:    trend.Latency{Follow: follow},
+		all:    trend.Latency{Follow: latencyFollow},
 		byKind: make(map[kind]*trend.Latency),
 	}
 }
@@ -48,7 +42,7 @@
 		if len(l.byKind) >= mostKinds {
 			return &l.all
 		}
-		own = &trend.Latency{Follow: l.follow}
+		own = &trend.Latency{Follow: latencyFollow}
 		l.byKind[of] = own
 	}
 	own.Record(latency, busy, now)
--- a/pkg/admission/options.go
+++ b/pkg/admission/options.go
@@ -76,10 +76,10 @@
 	// Overloaded means that the back ends could not keep up with the request's
 	// sub-requests; see Overloaded.
 	Overloaded bool
-	// PartTime is the median time of the request's sub-requests; zero if unknown.
-	// It lowers the limit after an overloaded request, while it is well above
-	// that at low load. Unlike Latency it does not tell of single slow servers.
-	PartTime time.Duration
+	// Late means that the answer was not whole by its target. It lowers the limit
+	// only after an overloaded request, or while many are late: at other times
+	// slow servers are the likelier cause.
+	Late bool
 	// Cancelled means that the caller gave the request up. It says nothing
 	// about the load.
 	Cancelled bool
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -88,9 +88,6 @@
 	Hedges  int
 	Retries int
 	Sent    int
-	// PartTime is the median time of the answers, without new connections; zero
-	// if there is none. Single servers that are slow do not change it.
-	PartTime time.Duration
 	// Shed counts the parts without an answer that a server refused for want of
 	// room, or for which no server was free.
 	Shed int
--- a/pkg/fanout/part.go
+++ b/pkg/fanout/part.go
@@ -24,8 +24,6 @@
 	arrivals   int
 	executions int
 	refusals   int
-	// took is the time of the answer without that of a new connection.
-	took time.Duration
 	// shed says that a server refused the request for want of room, or that
 	// none was free.
 	shed bool
--- a/pkg/fanout/result.go
+++ b/pkg/fanout/result.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -84,28 +83,13 @@
 	}
 }
 
-// medianTime returns the median time of the answered parts; zero if none is.
-func (r *run) medianTime() time.Duration {
-	var times []time.Duration
-	for index := range r.parts {
-		if r.parts[index].answer != nil {
-			times = append(times, r.parts[index].took)
-		}
-	}
-	if len(times) == 0 {
-		return 0
-	}
-	slices.Sort(times)
-	return times[len(times)/2]
-}
-
 // result sums up the run.
 func (r *run) result(reason StopReason) Result {
 	result := Result{
 		Parts: make([]*exchange.Response, len(r.parts)), Failures: make([]error, len(r.parts)),
 		Refusals: make([]*exchange.Response, len(r.parts)),
 		Got:      r.got, Reason: reason, Hedges: r.hedges, Retries: r.retries, Sent: r.sent, Denied: r.denied,
-		Attempts: r.records(time.Now()), PartTime: r.medianTime(),
+		Attempts: r.records(time.Now()),
 	}
 	ran, mayRun := false, false
 	for index := range r.parts {
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -214,7 +214,6 @@
 	}
 	if result.err == nil && r.runner.Sound(result.answer) {
 		owner.answer = result.answer
-		owner.took = now.Sub(result.attempt.lease.Began()) - result.attempt.ConnectTime
 		owner.ran = true
 		owner.hedgeAt = time.Time{}
 		r.got++
