A spec of the fan-out changes its budget under a lock

Cause: a clean clone's race run found a race between TestARetryWaitsForTheBudget, which allows more while a run is under way, and the run: the test's own counter had no lock.

Change: it has one.

--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,13 +21,28 @@
 
 // counter is a budget that allows a number of extra sub-requests.
 type counter struct {
+	// mutex guards the fields below where a test changes them during a run.
+	mutex                   sync.Mutex
 	primary, spent, allowed int
 	kept                    []float64
 }
 
-func (c *counter) Earn(string, time.Time) { c.primary++ }
+// allow changes the number of extra sub-requests during a run.
+func (c *counter) allow(count int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.allowed = count
+}
+
+func (c *counter) Earn(string, time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.primary++
+}
 
 func (c *counter) TrySpend(_ string, keep float64, _ time.Time) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	c.kept = append(c.kept, keep)
 	if c.spent >= c.allowed {
 		return false
@@ -239,7 +255,7 @@
 		w.budget.allowed = 0
 		w.add("a", "a1", exchangetest.Answer{Status: 503, Cut: -1, Header: map[string]string{"Refused": "1"}})
 		w.add("a", "a2", quick("second"))
-		time.AfterFunc(60*time.Millisecond, func() { w.budget.allowed = 1 })
+		time.AfterFunc(60*time.Millisecond, func() { w.budget.allow(1) })
 		result, took := w.run(plan("a"))
 		g.Expect(result.Got).To(Equal(1))
 		g.Expect(result.Retries).To(Equal(1))
