Soak: the headers of its checks come from the platform's dialect

The check of the checks spelled three headers of the platform itself; outside platform/ nothing knows them. Assertions unchanged; go test ./test/soak passes.

--- a/test/soak/promises_check_test.go
+++ b/test/soak/promises_check_test.go
@@ -8,13 +8,15 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/bramblemast/bramblemast/platform"
 	"github.com/bramblemast/bramblemast/platform/platformtest"
 )
 
 func gathered(body string, missing string, marks ...string) platformtest.Answer {
-	answer := platformtest.Answer{Status: 200, Header: http.Header{"Part-Stamps": marks}, Body: body}
+	dialect := platform.Dialect()
+	answer := platformtest.Answer{Status: 200, Header: http.Header{dialect.Parts: marks}, Body: body}
 	if missing != "" {
-		answer.Header.Set("Missing-Parts", missing)
+		answer.Header.Set(dialect.MissingParts, missing)
 	}
 	return answer
 }
@@ -41,7 +43,7 @@
 	} {
 		g.Expect(checkGathered("r", wrong, servers, sets)).NotTo(Succeed(), name)
 	}
-	single := platformtest.Answer{Status: 200, Header: http.Header{"Server-Stamp": {"a.r.1"}}, Body: "answer of a"}
+	single := platformtest.Answer{Status: 200, Header: http.Header{platform.Dialect().Evidence: {"a.r.1"}}, Body: "answer of a"}
 	g.Expect(checkSingle("r", single, servers)).To(Succeed())
 	g.Expect(checkSingle("other", single, servers)).NotTo(Succeed())
 
