--- a/pkg/exchange/exchangetest/network.go
+++ b/pkg/exchange/exchangetest/network.go
@@ -106,16 +106,30 @@
 	if found == nil {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	}
-	timer := time.NewTimer(n.ConnectTime)
+	if err := wait(ctx, n.ConnectTime); err != nil {
+		return nil, err
+	}
+	near, far := net.Pipe()
+	go found.serve(far)
+	return near, nil
+}
+
+// wait returns after a span, or when ctx ends. It makes no timer that is due at
+// once: in a bubble of testing/synctest every goroutine that waits for such a
+// timer runs it itself, and under the race detector all of them use the bubble's
+// only race context (go1.26), which crashes the process.
+func wait(ctx context.Context, span time.Duration) error {
+	if span <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(span)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return ctx.Err()
 	case <-timer.C:
+		return nil
 	}
-	near, far := net.Pipe()
-	go found.serve(far)
-	return near, nil
 }
 
 func (s *Server) serve(connection net.Conn) {
--- /dev/null
+++ b/pkg/fanout/due_test.go
@@ -0,0 +1,32 @@
+package fanout
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+)
+
+// TestAResultGoesBeforeWhatIsDue: after a stall of the process an answer and the
+// moment of its part's hedge are found at once; the answer makes the hedge
+// needless. The run has no fleet, so that a hedge would panic.
+func TestAResultGoesBeforeWhatIsDue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		runner := &Runner{Sound: func(*exchange.Response) bool { return true }}
+		now := time.Now()
+		plan := Plan{Services: []string{"a"}, Required: 1, Repeatable: true, MaxAttempts: 2, Deadline: now.Add(time.Second)}
+		stalled := newRun(runner, plan, nil)
+		answered := &attempt{Attempt: &exchange.Attempt{}, part: 0}
+		stalled.parts[0].live = []*attempt{answered}
+		stalled.parts[0].hedgeAt = now.Add(-time.Millisecond)
+		stalled.results <- finished{attempt: answered, answer: &exchange.Response{Status: 200}}
+
+		g.Expect(stalled.loop(context.Background())).To(Equal(StopComplete))
+		g.Expect(stalled.hedges).To(BeZero())
+	})
+}
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -80,7 +80,12 @@
 		if reason, done := r.decide(now); done {
 			return reason
 		}
-		timer.Reset(r.nextEvent(now).Sub(now))
+		wait := r.nextEvent(now).Sub(now)
+		if wait <= 0 {
+			r.handleDue(now)
+			continue
+		}
+		timer.Reset(wait)
 		select {
 		case <-ctx.Done():
 			return StopCancelled
@@ -92,6 +97,18 @@
 	}
 }
 
+// handleDue handles what is due by now. A result that has come in goes first,
+// since it may make a hedge or a retry needless: after a stall of the process
+// both are found at once.
+func (r *run) handleDue(now time.Time) {
+	select {
+	case result := <-r.results:
+		r.take(result, now)
+	default:
+		r.handleTime(now)
+	}
+}
+
 // decide reports whether the answer is final.
 func (r *run) decide(now time.Time) (StopReason, bool) {
 	switch {
