Connections rest for a second where nodes outnumber them

A server still counts the connections of nodes that lost their power. A trial that printed what every node held: 27 to 30 of a server's 67 connections rested at any time with rests of 2.8 s (more with the 12 s in force), of which the nodes that ask it regularly need about 20; the rest was left over from hedges. Old and new ones together passed the cap.

Change: where half of a server's connections are not one for each node, a connection rests for at most a second or two. Deployments with fewer nodes than that keep rests as long as servers allow.

--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -14,9 +14,9 @@
 	// keepAliveSlack is how much earlier than announced by the server a resting
 	// connection is no longer used.
 	keepAliveSlack = 700 * time.Millisecond
-	// greatestRest bounds the rest of a connection. Those of a node that loses
+	// GreatestRest bounds the rest of a connection. Those of a node that loses
 	// power stay open at the server, so a node keeps only what it uses often.
-	greatestRest = 12 * time.Second
+	GreatestRest = 12 * time.Second
 )
 
 // Dialer opens connections to servers.
@@ -40,6 +40,9 @@
 	dialer  Dialer
 
 	mutex sync.Mutex
+	// rest bounds the rest of connections that are put back from now on; guarded
+	// by mutex.
+	rest time.Duration
 	// resting is guarded by mutex; the most recently used is last.
 	resting []*connection
 	// closed is guarded by mutex.
@@ -48,7 +51,14 @@
 
 // NewPool returns an empty pool for the server at address.
 func NewPool(address string, dialer Dialer) *Pool {
-	return &Pool{address: address, dialer: dialer}
+	return &Pool{address: address, dialer: dialer, rest: GreatestRest}
+}
+
+// SetRest bounds for how long connections rest that are put back from now on.
+func (p *Pool) SetRest(rest time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.rest = rest
 }
 
 // Resting returns the number of connections that can be used at once.
@@ -116,9 +126,9 @@
 
 // put keeps a connection for the next request.
 func (p *Pool) put(used *connection, rest time.Duration, now time.Time) {
-	used.restsUntil = now.Add(rest)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	used.restsUntil = now.Add(min(rest, p.rest))
 	if p.closed {
 		_ = used.Close()
 		return
--- a/pkg/exchange/response.go
+++ b/pkg/exchange/response.go
@@ -111,9 +111,9 @@
 			name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 			seconds, err := strconv.Atoi(strings.TrimSpace(value))
 			if err == nil && strings.EqualFold(name, "timeout") {
-				return min(max(0, time.Duration(seconds)*time.Second-keepAliveSlack), greatestRest)
+				return min(max(0, time.Duration(seconds)*time.Second-keepAliveSlack), GreatestRest)
 			}
 		}
 	}
-	return greatestRest
+	return GreatestRest
 }
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -71,6 +71,7 @@
 	added := &member{
 		Server: server, pool: exchange.NewPool(server.Address, f.settings.Dialer), ratio: 1, ratioAt: now, listed: true,
 	}
+	added.pool.SetRest(f.restBound(server.Service))
 	added.zone = f.zone(server.Zone)
 	added.warmUntil = now.Add(server.WarmUp)
 	if server.Draining {
@@ -161,6 +162,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.connections = connections
+	f.boundRests()
 }
 
 // Callers counts the nodes that share the servers, this node among them.
@@ -182,6 +184,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.callers = callers
+	f.boundRests()
 }
 
 // Len returns the number of listed servers.
