A node without configuration refuses at once while the store is lost

Once the store was back, nodes that had tried a few times waited up to 0.8 s before they tried again.

Ruled out: peers as a second source (all nodes were down), the servers.

Change: while the store does not answer, requests are refused at once with 2 s to come back (outages last for seconds; clients bound the wait by their own deadline). Before the first failure they wait 120 ms as before. TestRequestsComeBackLaterWhileTheStoreStaysAway now expects both cases and keeps its former expectations for a store that has not failed.

TestANodeThatKnowsNothingAsksOften fails on the code before.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -219,11 +219,14 @@
 func TestRequestsComeBackLaterWhileTheStoreStaysAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		starting := &state{startedAt: time.Now()}
-		g.Expect(starting.ComeBack()).To(Equal(leastStartingWait))
+		lost := false
+		starting := &state{startedAt: time.Now(), storeLost: func() bool { return lost }}
+		g.Expect(starting.Starting()).To(Equal(front.Starting{Patience: startingPatience, ComeBack: leastStartingWait}))
 		time.Sleep(600 * time.Millisecond)
-		g.Expect(starting.ComeBack()).To(Equal(600 * time.Millisecond))
+		g.Expect(starting.Starting().ComeBack).To(Equal(600 * time.Millisecond))
 		time.Sleep(time.Minute)
-		g.Expect(starting.ComeBack()).To(Equal(greatestStartingWait))
+		g.Expect(starting.Starting().ComeBack).To(Equal(greatestStartingWait))
+		lost = true
+		g.Expect(starting.Starting()).To(Equal(front.Starting{ComeBack: lostStoreWait}), "at once, and later")
 	})
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/bramblemast/bramblemast/internal/front"
 	"github.com/bramblemast/bramblemast/pkg/directory"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/route"
@@ -24,6 +25,8 @@
 	figures  *figures
 	// idle takes the configured time for which clients' connections may rest.
 	idle func(time.Duration)
+	// storeLost reports whether the store did not answer the last call.
+	storeLost func() bool
 	// doubtedUntil returns until when an absence in the store proves nothing.
 	doubtedUntil func(now time.Time) time.Time
 
@@ -41,6 +44,7 @@
 	return &state{
 		policies: rules, logger: node.logger, fleet: servers, budgets: newBudgets(node.options.Settings.Bounds), figures: node.figures,
 		nodes: make(map[string]directory.Node), startedAt: time.Now(),
+		storeLost: func() bool { return node.follower.HasLost() },
 		doubtedUntil: func(now time.Time) time.Time {
 			return node.follower.DoubtedUntil(node.settings.Load().listSettles(), now)
 		},
@@ -53,18 +57,30 @@
 // Draining implements front.State.
 func (s *state) Draining() bool { return s.draining.Load() }
 
-// Bounds of the time after which a request may come back that came before a
-// configuration was known.
+// Times of requests that come before a configuration is known.
 const (
+	// startingPatience is how long they wait for it: a node that has just
+	// started knows it within milliseconds.
+	startingPatience = 120 * time.Millisecond
+	// leastStartingWait and greatestStartingWait bound when they may come back.
 	leastStartingWait    = 200 * time.Millisecond
 	greatestStartingWait = 1200 * time.Millisecond
+	// lostStoreWait is when they may come back while the store does not answer:
+	// its outages last for seconds, and a client that may come back only once
+	// must not come too early.
+	lostStoreWait = 2 * time.Second
 )
 
-// ComeBack implements front.State. A store that has not answered for some time
-// is expected to stay away for about as long again, so a client that may come
-// back only once does not come too early.
-func (s *state) ComeBack() time.Duration {
-	return min(max(leastStartingWait, time.Since(s.startedAt)), greatestStartingWait)
+// Starting implements front.State. While the store does not answer, waiting
+// helps nobody: a request is refused at once, so that its client can turn to
+// another node or come back in time.
+func (s *state) Starting() front.Starting {
+	if s.storeLost() {
+		return front.Starting{ComeBack: lostStoreWait}
+	}
+	return front.Starting{
+		Patience: startingPatience, ComeBack: min(max(leastStartingWait, time.Since(s.startedAt)), greatestStartingWait),
+	}
 }
 
 // ready reports whether the node takes new connections.
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -24,9 +24,17 @@
 	Table() *route.Table
 	// Draining reports whether a planned stop is under way.
 	Draining() bool
-	// ComeBack returns when a request may be tried again that came before a
-	// configuration was known.
-	ComeBack() time.Duration
+	// Starting returns what to do with a request that comes before a
+	// configuration is known.
+	Starting() Starting
+}
+
+// Starting says what to do with requests while no configuration is known.
+type Starting struct {
+	// Patience is how long a request waits for the configuration.
+	Patience time.Duration
+	// ComeBack is when it may be tried again after that.
+	ComeBack time.Duration
 }
 
 // Handler serves clients' requests.
@@ -104,7 +112,7 @@
 	}
 	table := h.awaitTable()
 	if table == nil {
-		exchanged.refuse(http.StatusServiceUnavailable, outcome.ReasonStarting, h.state.ComeBack())
+		exchanged.refuse(http.StatusServiceUnavailable, outcome.ReasonStarting, h.state.Starting().ComeBack)
 		return
 	}
 	exchanged.version = table.Version
@@ -125,11 +133,10 @@
 	exchanged.serve(request)
 }
 
-// awaitTable returns the configuration in force. A node that has just started
-// knows it within milliseconds, so a request waits a little for it.
+// awaitTable returns the configuration in force, if need be after a wait.
 func (h *Handler) awaitTable() *route.Table {
 	table := h.state.Table()
-	for waited := time.Duration(0); table == nil && waited < startingPatience; waited += startingPoll {
+	for waited := time.Duration(0); table == nil && waited < h.state.Starting().Patience; waited += startingPoll {
 		time.Sleep(startingPoll)
 		table = h.state.Table()
 	}
--- a/internal/front/overload_test.go
+++ b/internal/front/overload_test.go
@@ -88,9 +88,9 @@
 
 type simState struct{ table *route.Table }
 
-func (s simState) Table() *route.Table     { return s.table }
-func (s simState) Draining() bool          { return false }
-func (s simState) ComeBack() time.Duration { return time.Second }
+func (s simState) Table() *route.Table { return s.table }
+func (s simState) Draining() bool      { return false }
+func (s simState) Starting() Starting  { return Starting{ComeBack: time.Second} }
 
 type simPolicies struct{ policy Policy }
 
--- a/internal/front/policy.go
+++ b/internal/front/policy.go
@@ -38,8 +38,6 @@
 	overloadedWait = time.Second
 	leastRefusal   = 50 * time.Millisecond
 	greatestWait   = 2 * time.Second
-	// startingPatience is how long a request waits for the first configuration.
-	startingPatience = 120 * time.Millisecond
 	// deadlineReserve is left for the final answer at the end of the time.
 	deadlineReserve = 15 * time.Millisecond
 	// assumedTargetShare is the typical time of a kind of request in relation
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -414,3 +414,25 @@
 		stop()
 	})
 }
+
+// TestANodeThatKnowsNothingAsksOften: it serves nothing until it has read the
+// store, so it finds out soon that the store is back. (valgsok trouble-3,
+// valgsok-grown fresh-fa94)
+func TestANodeThatKnowsNothingAsksOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		nodes, stop := cluster(t, 1)
+		source := nodes[0].source
+		source.set(func() { source.fail = errors.New("refused") })
+		writeAll(nodes, "key", false)
+		for _, away := range []time.Duration{1550 * time.Millisecond, 800 * time.Millisecond} {
+			time.Sleep(away)
+			loads, _ := source.calls()
+			g.Expect(loads).To(BeNumerically("<=", 12), "but not without pauses")
+		}
+		source.set(func() { source.fail = nil })
+		time.Sleep(greatestFirstRetry + time.Millisecond)
+		g.Expect(nodes[0].seen.has("key")).NotTo(BeZero())
+		stop()
+	})
+}
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -29,6 +29,9 @@
 	// leastRetry and greatestRetry bound the wait after a failed call.
 	leastRetry    = 100 * time.Millisecond
 	greatestRetry = 800 * time.Millisecond
+	// greatestFirstRetry bounds it until the store has been read once: a node
+	// that knows nothing serves nothing.
+	greatestFirstRetry = 250 * time.Millisecond
 	// staleEvery is how many failed readings come before one that may be
 	// answered by a copy that is seconds old.
 	staleEvery = 3
@@ -105,8 +108,8 @@
 	return f.contact == contactHeld
 }
 
-// hasLost reports whether the last call failed.
-func (f *Follower) hasLost() bool {
+// HasLost reports whether the store did not answer the last call.
+func (f *Follower) HasLost() bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return f.contact == contactLost
@@ -132,7 +135,7 @@
 		}
 		if err != nil {
 			f.lost(err)
-			pause.For(ctx, retryDelay(f.failures))
+			pause.For(ctx, f.retryDelay())
 			f.failures++
 			continue
 		}
@@ -245,6 +248,11 @@
 	return before
 }
 
-func retryDelay(failures int) time.Duration {
-	return min(leastRetry<<min(failures, 6), greatestRetry)
+// retryDelay returns the wait after a failed call. Only Run calls it.
+func (f *Follower) retryDelay() time.Duration {
+	greatest := greatestRetry
+	if revision, _ := f.Revision(); revision == 0 {
+		greatest = greatestFirstRetry
+	}
+	return min(leastRetry<<min(f.failures, 6), greatest)
 }
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -94,7 +94,7 @@
 // know more, if that is why.
 func (p *Peers) await(ctx context.Context) target.NodeID {
 	interval := compareInterval
-	if p.follower.hasLost() {
+	if p.follower.HasLost() {
 		interval = urgentInterval
 	}
 	timer := time.NewTimer(interval)
