--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -42,7 +42,7 @@
 	mutex sync.Mutex
 	// rest bounds the rest of connections that are put back from now on; guarded
 	// by mutex.
-	rest time.Duration
+	rest RestBound
 	// resting is guarded by mutex; the most recently used is last.
 	resting []*connection
 	// closed is guarded by mutex.
@@ -51,11 +51,21 @@
 
 // NewPool returns an empty pool for the server at address.
 func NewPool(address string, dialer Dialer) *Pool {
-	return &Pool{address: address, dialer: dialer, rest: GreatestRest}
+	return &Pool{address: address, dialer: dialer, rest: LongestRests}
 }
 
+// RestBound bounds for how long connections rest.
+type RestBound struct {
+	// First holds after the first request of a connection, Again after each
+	// further one: what was used again is likely to be used once more.
+	First, Again time.Duration
+}
+
+// LongestRests let connections rest for as long as servers allow.
+var LongestRests = RestBound{First: GreatestRest, Again: GreatestRest}
+
 // SetRest bounds for how long connections rest that are put back from now on.
-func (p *Pool) SetRest(rest time.Duration) {
+func (p *Pool) SetRest(rest RestBound) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.rest = rest
@@ -128,7 +138,11 @@
 func (p *Pool) put(used *connection, rest time.Duration, now time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	used.restsUntil = now.Add(min(rest, p.rest))
+	bound := p.rest.First
+	if used.reused {
+		bound = p.rest.Again
+	}
+	used.restsUntil = now.Add(min(rest, bound))
 	if p.closed {
 		_ = used.Close()
 		return
--- a/pkg/fleet/rest.go
+++ b/pkg/fleet/rest.go
@@ -13,27 +13,23 @@
 	// connections of nodes that have lost their power, while the same nodes come
 	// back and open new ones.
 	restShare = 0.5
-	// scarceRest times the part of a connection that each node may keep is how
-	// long a connection rests where that is less than one.
-	scarceRest = 2 * time.Second
-	// leastRest is the least bound of a rest.
-	leastRest = time.Second
 )
 
+// scarceRests are for how long connections rest where that is less than one for
+// each node: the few that are used regularly are kept, those of a hedge or two
+// are not.
+var scarceRests = exchange.RestBound{First: time.Second, Again: 2500 * time.Millisecond}
+
 // restBound returns for how long connections to the servers of a service rest.
 // Where each node may keep one, a rest is as long as servers allow. Where there
 // are more nodes than that, only what is used again soon rests. The mutex is
 // held.
-func (f *Fleet) restBound(service string) time.Duration {
+func (f *Fleet) restBound(service string) exchange.RestBound {
 	connections := f.connections[service]
-	if connections <= 0 {
-		return exchange.GreatestRest
-	}
-	share := restShare * float64(connections) / float64(max(1, f.callers.Total))
-	if share >= 1 {
-		return exchange.GreatestRest
+	if connections <= 0 || restShare*float64(connections) >= float64(f.callers.Total) {
+		return exchange.LongestRests
 	}
-	return max(leastRest, time.Duration(share*float64(scarceRest)))
+	return scarceRests
 }
 
 // boundRests gives all pools the bound of their service. The mutex is held.
