One line for what is found at the start

Change: directory.Listener.Restored tells once that the state found at the start has been applied, from the store or a peer; the node then writes one line with the revision and the counts. What comes later has a line each, as before. Pools get their bound only when it changes, not for each node that is found.

Tests: TestTheStartIsToldOnce, TestWhatIsFoundAtTheStartIsOneLine.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -16,6 +17,7 @@
 	"github.com/bramblemast/bramblemast/internal/front"
 	"github.com/bramblemast/bramblemast/pkg/admission"
 	"github.com/bramblemast/bramblemast/pkg/directory"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/policy"
 	"github.com/bramblemast/bramblemast/pkg/route"
 	"github.com/bramblemast/bramblemast/pkg/template"
@@ -230,3 +232,28 @@
 		g.Expect(starting.Starting()).To(Equal(front.Starting{ComeBack: lostStoreWait}), "at once, and later")
 	})
 }
+
+// TestWhatIsFoundAtTheStartIsOneLine, and what comes later has a line each.
+func TestWhatIsFoundAtTheStartIsOneLine(t *testing.T) {
+	g := NewWithT(t)
+	var lines bytes.Buffer
+	tested := &state{
+		logger: hclog.New(&hclog.LoggerOptions{Output: &lines, JSONFormat: true}),
+		fleet:  fleet.New(fleet.Settings{Random: newRandom()}), budgets: newBudgets(BoundSettings{}),
+		nodes: make(map[string]directory.Node),
+	}
+	add := func(name string) {
+		tested.Changed(directory.Entry{Key: "servers/" + name, Server: &fleet.Server{ID: name, Service: "s", Address: name}})
+		tested.Changed(directory.Entry{Key: "nodes/" + name, Node: &directory.Node{Name: name}})
+	}
+	for index := range 50 {
+		add(strconv.Itoa(index))
+	}
+	g.Expect(lines.String()).To(BeEmpty())
+	tested.Restored(7)
+	g.Expect(lines.String()).To(And(
+		ContainSubstring("state restored"), ContainSubstring(`"servers":50`), ContainSubstring(`"nodes":50`), ContainSubstring(`"revision":7`)))
+	lines.Reset()
+	add("later")
+	g.Expect(lines.String()).To(And(ContainSubstring("server added"), ContainSubstring("node found")))
+}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -33,6 +33,8 @@
 	startedAt time.Time
 	table     atomic.Pointer[route.Table]
 	draining  atomic.Bool
+	// restored says that what was found at the start has been applied.
+	restored atomic.Bool
 
 	mutex sync.Mutex
 	// nodes is guarded by mutex.
@@ -95,10 +97,7 @@
 	case entry.Configuration != nil:
 		s.applyConfiguration(entry)
 	case entry.Server != nil:
-		if what := s.fleet.Apply(*entry.Server, time.Now()); what != "" {
-			s.logger.Info("server "+what, "server", entry.Server.ID, "service", entry.Server.Service,
-				"address", entry.Server.Address, "zone", entry.Server.Zone, "revision", entry.Revision)
-		}
+		s.applyServer(entry)
 	case entry.Node != nil:
 		s.setNode(entry.Key, *entry.Node)
 	case entry.Template != nil:
@@ -108,6 +107,23 @@
 	}
 }
 
+func (s *state) applyServer(entry directory.Entry) {
+	what := s.fleet.Apply(*entry.Server, time.Now())
+	if what == "" || !s.restored.Load() {
+		return
+	}
+	s.logger.Info("server "+what, "server", entry.Server.ID, "service", entry.Server.Service,
+		"address", entry.Server.Address, "zone", entry.Server.Zone, "revision", entry.Revision)
+}
+
+// Restored implements directory.Listener. One line tells of all servers and
+// nodes that were found at the start: a line for each would take processor time
+// just when clients come back.
+func (s *state) Restored(revision uint64) {
+	s.restored.Store(true)
+	s.logger.Info("state restored", "revision", revision, "servers", s.fleet.Len(), "nodes", len(s.knownNodes()))
+}
+
 func (s *state) applyConfiguration(entry directory.Entry) {
 	offered := entry.Configuration
 	current := s.table.Load()
@@ -154,6 +170,9 @@
 		return
 	}
 	s.share()
+	if !s.restored.Load() {
+		return
+	}
 	s.logger.Info("node found", "found", node.Name, "nodes", count)
 }
 
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -76,6 +76,9 @@
 type Listener interface {
 	// Changed takes the new state of a key.
 	Changed(entry Entry)
+	// Restored tells that what was found at the start has been handed to Changed,
+	// up to a revision; what Changed gets from now on is news.
+	Restored(revision uint64)
 	// Dependency tells that a source of changes was lost or regained.
 	Dependency(name string, connected bool, cause error)
 }
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -127,6 +127,8 @@
 	state map[string]uint64
 	lost  int
 	back  int
+	// restored are the revisions up to which the state was restored.
+	restored []uint64
 }
 
 func (o *observer) Changed(entry Entry) {
@@ -141,6 +143,12 @@
 	}
 }
 
+func (o *observer) Restored(revision uint64) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.restored = append(o.restored, revision)
+}
+
 func (o *observer) Dependency(_ string, connected bool, _ error) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
@@ -436,3 +444,24 @@
 		stop()
 	})
 }
+
+// TestTheStartIsToldOnce, after what was found, whether the store or a peer has
+// told it.
+func TestTheStartIsToldOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		nodes, stop := cluster(t, 2)
+		nodes[1].source.set(func() { nodes[1].source.fail = errors.New("refused") })
+		writeAll(nodes, "first", false)
+		writeAll(nodes, "second", false)
+		time.Sleep(3 * time.Second)
+		writeAll(nodes, "third", false)
+		time.Sleep(3 * time.Second)
+		for _, each := range nodes {
+			g.Expect(each.seen.has("third")).To(Equal(uint64(3)))
+			g.Expect(each.seen.restored).To(HaveLen(1))
+			g.Expect(each.seen.restored[0]).To(BeNumerically("<=", 2))
+		}
+		stop()
+	})
+}
--- a/pkg/directory/replica.go
+++ b/pkg/directory/replica.go
@@ -53,7 +53,8 @@
 func (r *replica) apply(batch Batch, full bool, now time.Time) int {
 	r.order.Lock()
 	defer r.order.Unlock()
-	if batch.Revision < r.revision() {
+	known := r.revision()
+	if batch.Revision < known {
 		return 0
 	}
 	news := 0
@@ -73,6 +74,9 @@
 	}
 	r.forget(now)
 	r.mutex.Unlock()
+	if known == 0 && batch.Revision > 0 {
+		r.listener.Restored(batch.Revision)
+	}
 	return news
 }
 
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -41,6 +41,8 @@
 	callers Callers
 	// connections is the greatest number of connections of a server, by service.
 	connections map[string]int
+	// rests are the bounds that the pools of each service have got last.
+	rests map[string]exchange.RestBound
 }
 
 // New returns an empty fleet.
@@ -52,6 +54,7 @@
 		zones:       make(map[string]*zoneTimes),
 		profiles:    make(map[string]*Profile),
 		connections: make(map[string]int),
+		rests:       make(map[string]exchange.RestBound),
 	}
 }
 
@@ -135,6 +138,7 @@
 		f.services[name] = kept
 		if len(kept) == 0 {
 			delete(f.services, name)
+			delete(f.rests, name)
 		}
 	}
 	f.mutex.Unlock()
--- a/pkg/fleet/rest.go
+++ b/pkg/fleet/rest.go
@@ -32,10 +32,15 @@
 	return scarceRests
 }
 
-// boundRests gives all pools the bound of their service. The mutex is held.
+// boundRests gives all pools the bound of their service where it has changed. The
+// mutex is held.
 func (f *Fleet) boundRests() {
 	for service, members := range f.services {
 		bound := f.restBound(service)
+		if f.rests[service] == bound {
+			continue
+		}
+		f.rests[service] = bound
 		for _, each := range members {
 			each.pool.SetRest(bound)
 		}
