Nothing is sent to a server that turns connections away

Resets were seen 51 to 59 ms after a request to another region began, two round trips: the refusal is on its way when the request goes out.

Change: for 3 s after a server has turned a connection away, a new connection to it is used only once its refusal would have shown, about one round trip after it opened. What is refused then has provably not been sent: its retry is no extra load. Without refusals nothing changes.

--- a/pkg/exchange/attempt.go
+++ b/pkg/exchange/attempt.go
@@ -66,7 +66,7 @@
 func (a *Attempt) Run() (*Response, error) {
 	used, err := a.connect()
 	if err != nil {
-		a.TurnedAway = errors.Is(err, syscall.ECONNRESET)
+		a.noteTurnedAway(errors.Is(err, syscall.ECONNRESET))
 		return nil, a.failure("connect", outcome.NotRun, outcome.ReasonUnreachable, err)
 	}
 	if !a.own(used) {
@@ -83,12 +83,22 @@
 		a.Pool.put(used, rest, time.Now())
 	}
 	if err != nil {
-		a.TurnedAway = a.ConnectTime > 0 && errors.Is(err, syscall.ECONNRESET) && time.Since(sentAt) < turnedAwayWithin+2*a.ConnectTime
+		a.noteTurnedAway(a.ConnectTime > 0 && errors.Is(err, syscall.ECONNRESET) && time.Since(sentAt) < turnedAwayWithin+2*a.ConnectTime)
 		return nil, a.failure("exchange", outcome.Unknown, outcome.ReasonConnectionLost, err)
 	}
 	return answer, nil
 }
 
+func (a *Attempt) noteTurnedAway(turnedAway bool) {
+	a.TurnedAway = turnedAway
+	if turnedAway {
+		a.Pool.noteTurnedAway(time.Now())
+	}
+}
+
+// connect returns a resting connection or a new one. A new one is confirmed
+// before use while the server turns connections away, so that a refusal is
+// found before anything has been sent.
 func (a *Attempt) connect() (*connection, error) {
 	if resting := a.Pool.take(time.Now()); resting != nil {
 		return resting, nil
@@ -107,10 +117,18 @@
 	a.mutex.Lock()
 	a.cancelDial = nil
 	a.mutex.Unlock()
-	if err == nil {
-		a.ConnectTime = max(time.Since(started), time.Nanosecond)
+	if err != nil {
+		return nil, err
+	}
+	a.ConnectTime = max(time.Since(started), time.Nanosecond)
+	if !a.Pool.isScarce(time.Now()) {
+		return opened, nil
+	}
+	if err := opened.confirm(a.ConnectTime); err != nil {
+		_ = opened.Close()
+		return nil, err
 	}
-	return opened, err
+	return opened, nil
 }
 
 // own lets Expire reach the connection; it returns false if the attempt has
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -4,8 +4,11 @@
 	"bufio"
 	"context"
 	"net"
+	"os"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Sizes and times of connections.
@@ -17,6 +20,12 @@
 	// GreatestRest bounds the rest of a connection. Those of a node that loses
 	// power stay open at the server, so a node keeps only what it uses often.
 	GreatestRest = 12 * time.Second
+	// scarceSpan is for how long new connections are confirmed after the server
+	// has turned one away.
+	scarceSpan = 3 * time.Second
+	// confirmSlack is how much longer than a connection took to open its refusal
+	// may take.
+	confirmSlack = time.Millisecond
 )
 
 // Dialer opens connections to servers.
@@ -47,6 +56,9 @@
 	resting []*connection
 	// closed is guarded by mutex.
 	closed bool
+	// scarceUntil is until when new connections are confirmed, since the server
+	// has turned one away; guarded by mutex.
+	scarceUntil time.Time
 }
 
 // NewPool returns an empty pool for the server at address.
@@ -158,6 +170,36 @@
 	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferSize)}, nil
 }
 
+// noteTurnedAway notes that the server has turned a connection away.
+func (p *Pool) noteTurnedAway(now time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.scarceUntil = now.Add(scarceSpan)
+}
+
+func (p *Pool) isScarce(now time.Time) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return now.Before(p.scarceUntil)
+}
+
+// confirm waits until a new connection would have been turned away. A server
+// that has too many closes the connection when the last step of its opening
+// arrives, which shows here one round trip later: opening took about as long.
+func (c *connection) confirm(opened time.Duration) error {
+	if err := c.SetReadDeadline(time.Now().Add(opened + confirmSlack)); err != nil {
+		return err
+	}
+	_, err := c.reader.Peek(1)
+	if err == nil {
+		return errors.New("bytes before the request")
+	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	return c.SetReadDeadline(time.Time{})
+}
+
 func closeAll(connections []*connection) {
 	for _, each := range connections {
 		_ = each.Close()
--- a/pkg/fanout/result.go
+++ b/pkg/fanout/result.go
@@ -17,6 +17,9 @@
 		if r.plan.Repeatable && result.attempt.TurnedAway {
 			owner.executions--
 			owner.refusals++
+			if !result.attempt.Arrived {
+				owner.arrivals--
+			}
 			return
 		}
 		if outcome.Of(result.err) == outcome.NotRun {
