Refused clients come back later, the longer an overload lasts

They had been told 50 to 220 ms, the time in which those ahead of them would be served; the overload lasted for seconds, and these clients come back once.

Change: a refusal names at least the time for which the overload of its services has lasted, up to 2 s; a second without refusals ends it. Clients bound the wait by their own deadline.

Tests: TestRefusedClientsComeBackLaterInALongOverload (fails before), TestAnOverloadBeginsAnewAfterQuiet.

--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -95,7 +95,7 @@
 		c.recordRefusal(statusClientGone, outcome.ReasonCancelled)
 		panic(http.ErrAbortHandler)
 	}
-	wait := c.comeBack(plan)
+	wait := max(c.comeBack(plan), c.handler.overloads.note(plan.Services[0], time.Now()))
 	var refused *outcome.Error
 	if errors.As(err, &refused) {
 		wait = max(wait, refused.RetryAfter)
--- a/internal/front/conversation.go
+++ b/internal/front/conversation.go
@@ -142,7 +142,11 @@
 	switch {
 	case result.Outcome == outcome.NotRun:
 		status = http.StatusServiceUnavailable
-		c.setRetryAfter(c.comeBack(plan))
+		wait := c.comeBack(plan)
+		if result.Shed > 0 {
+			wait = max(wait, min(c.handler.overloads.note(plan.Services[0], time.Now()), greatestWait))
+		}
+		c.setRetryAfter(wait)
 	case result.Reason == fanout.StopDeadline:
 		status = http.StatusGatewayTimeout
 	}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -46,8 +46,10 @@
 	policies Policies
 	splitter *splitter
 	gates    *admission.Group[string]
-	events   Recorder
-	inFlight chan struct{}
+	// overloads are those of the services by which gates are kept.
+	overloads *episodes
+	events    Recorder
+	inFlight  chan struct{}
 }
 
 // Options of a Handler.
@@ -73,6 +75,7 @@
 	handler := &Handler{
 		dialect: options.Dialect, state: options.State, policies: options.Policies, events: options.Events,
 		splitter: newSplitter(options.Random), inFlight: make(chan struct{}, options.MaxInFlight),
+		overloads: newEpisodes(),
 	}
 	runner := fanout.Runner{
 		Fleet: options.Fleet, Budget: options.Budget, Dialect: &handler.dialect.Dialect, Linger: lingerAfterAnswer,
--- a/internal/front/overload_test.go
+++ b/internal/front/overload_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -262,3 +263,40 @@
 		served.close()
 	})
 }
+
+// TestRefusedClientsComeBackLaterInALongOverload: a client that may come back
+// once would otherwise be refused again. (valgsok-grown fresh-fa94: 681 requests
+// refused twice)
+func TestRefusedClientsComeBackLaterInALongOverload(t *testing.T) {
+	const span = 4 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		served := newSimulation(policy.AdmissionDeadlineAware)
+		answers := served.offer(2*simCapacity, span)
+		lastWait := 0.0
+		for _, answer := range answers[len(answers)*3/4:] {
+			if answer.status == http.StatusServiceUnavailable {
+				wait, err := strconv.ParseFloat(answer.wait, 64)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(wait).To(And(BeNumerically(">=", 1), BeNumerically("<=", greatestWait.Seconds())))
+				lastWait = wait
+			}
+		}
+		g.Expect(lastWait).NotTo(BeZero(), "some are refused")
+		served.close()
+	})
+}
+
+// TestAnOverloadBeginsAnewAfterQuiet: what was long ago tells nothing.
+func TestAnOverloadBeginsAnewAfterQuiet(t *testing.T) {
+	g := NewWithT(t)
+	overloads, now := newEpisodes(), time.Unix(0, 0)
+	g.Expect(overloads.note("a", now)).To(BeZero())
+	for range 5 {
+		now = now.Add(episodeQuiet)
+		overloads.note("a", now)
+	}
+	g.Expect(overloads.note("a", now)).To(Equal(5 * episodeQuiet))
+	g.Expect(overloads.note("b", now)).To(BeZero(), "each service for itself")
+	g.Expect(overloads.note("a", now.Add(2*episodeQuiet))).To(BeZero())
+}
