A starting node leaves the reading to the store, and peers tell only what is newer

Ruled out: a calm start (no full answer in 6,782).

Change: - a node whose first call to the store is under way asks nobody, also when it hears of one that knows more, unless the call fails; - nodes begin to count their turns at a random number; - a node that cannot tell which keys have gone tells the newer entries only; they complete nothing, and make the other ask the store. One that the store does not answer asks for everything instead.

--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -108,6 +108,14 @@
 	return f.contact == contactHeld
 }
 
+// isFirstCall reports whether the store has neither answered nor failed yet: a
+// starting node reads everything there rather than from a peer.
+func (f *Follower) isFirstCall() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.contact == contactUnknown
+}
+
 // HasLost reports whether the store did not answer the last call.
 func (f *Follower) HasLost() bool {
 	f.mutex.Lock()
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,11 @@
 	compareInterval = time.Second
 	urgentInterval  = 300 * time.Millisecond
 	compareTimeout  = time.Second
+	// firstInterval is how long a node that knows nothing leaves it to the store
+	// to tell everything, unless the store fails.
+	firstInterval = loadTimeout + 100*time.Millisecond
+	// maxFirstTurn bounds the number at which a node begins to count its turns.
+	maxFirstTurn = 1 << 16
 )
 
 // Peers keeps a follower up to date from other nodes: while the store does not
@@ -40,8 +46,12 @@
 	seeds atomic.Pointer[[]peer.Address]
 	// ahead takes nodes that were found to know more.
 	ahead chan target.NodeID
-	// turn counts the nodes that were asked; only Run uses it.
+	// turn counts the nodes that were asked, from a random number, so that nodes
+	// which start together ask different ones; only Run uses it.
 	turn int
+	// incomplete says that the last answer could not tell which keys have gone;
+	// only Run uses it.
+	incomplete bool
 }
 
 // PeersOptions are the parts of Peers.
@@ -57,7 +67,7 @@
 func NewPeers(options PeersOptions) *Peers {
 	peers := &Peers{
 		follower: options.Follower, transport: options.Transport, local: options.Local, nodes: options.Nodes,
-		ahead: make(chan target.NodeID, 1),
+		ahead: make(chan target.NodeID, 1), turn: rand.IntN(maxFirstTurn),
 	}
 	peers.SetSeeds(options.Seeds)
 	options.Transport.Handle(kindChanges, peers.answer)
@@ -93,33 +103,56 @@
 // await waits until it is time to ask, and returns the node that is known to
 // know more, if that is why.
 func (p *Peers) await(ctx context.Context) target.NodeID {
-	interval := compareInterval
-	if p.follower.HasLost() {
-		interval = urgentInterval
-	}
-	timer := time.NewTimer(interval)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ""
-	case <-timer.C:
-		return ""
-	case ahead := <-p.ahead:
-		return ahead
+	began := time.Now()
+	for time.Since(began) < p.interval() {
+		wait := p.interval() - time.Since(began)
+		if p.follower.isFirstCall() {
+			wait = min(wait, urgentInterval)
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ""
+		case <-timer.C:
+		case ahead := <-p.ahead:
+			timer.Stop()
+			return ahead
+		}
 	}
+	return ""
 }
 
-// compare asks one node for what this one does not know.
+// interval returns how long to wait between two questions, by what is known of
+// the store.
+func (p *Peers) interval() time.Duration {
+	switch {
+	case p.follower.HasLost():
+		return urgentInterval
+	case p.follower.isFirstCall():
+		return firstInterval
+	}
+	return compareInterval
+}
+
+// compare asks one node for what this one does not know. An answer that cannot
+// tell which keys have gone makes a node ask the store again; one that the store
+// does not answer asks for everything instead.
 func (p *Peers) compare(ctx context.Context, address peer.Address) error {
 	limited, cancel := context.WithTimeout(ctx, compareTimeout)
 	defer cancel()
 	known := p.follower.replica.revision()
+	after := known
+	if p.incomplete && p.follower.HasLost() {
+		after = 0
+	}
 	reply := &directorypb.ChangesReply{}
-	err := p.transport.Call(limited, address, kindChanges, &directorypb.ChangesRequest{After: known}, reply)
+	err := p.transport.Call(limited, address, kindChanges, &directorypb.ChangesRequest{After: after}, reply)
 	if err != nil {
 		return errors.WithMessage(err, "ask a peer for changes")
 	}
-	if reply.Revision <= known {
+	p.incomplete = after > 0 && reply.Revision == after && len(reply.Items) > 0
+	if reply.Revision <= known && !p.incomplete {
 		return nil
 	}
 	batch := Batch{Revision: reply.Revision}
@@ -148,7 +181,7 @@
 		return nil, errors.Wrap(err, "decode question for changes")
 	}
 	batch, full := p.follower.replica.since(request.After)
-	if request.After > batch.Revision {
+	if request.After > batch.Revision && !p.follower.isFirstCall() {
 		select {
 		case p.ahead <- from:
 		default:
--- a/pkg/directory/replica.go
+++ b/pkg/directory/replica.go
@@ -133,28 +133,36 @@
 	}
 }
 
-// since returns what has changed after a revision, and whether it is everything
-// there is.
-func (r *replica) since(after uint64) (Batch, bool) {
+// since returns what has changed after a revision, for a node that knows
+// everything up to it. There are three cases:
+//   - it is known which keys have gone since: the changes, up to the replica's
+//     revision;
+//   - the node knows nothing yet: everything, and full;
+//   - it is not known which keys have gone: the newer entries, which complete
+//     nothing, so the batch has the node's own revision.
+func (r *replica) since(after uint64) (batch Batch, full bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	batch := Batch{Revision: r.at}
+	batch.Revision = r.at
 	if after >= r.at {
 		return batch, false
 	}
-	full := after < r.forgottenUpTo || after == 0
-	if full {
-		after = 0
-	}
+	full = after == 0
 	for _, entry := range r.entries {
 		if entry.Revision > after {
 			batch.Entries = append(batch.Entries, entry)
 		}
 	}
+	if full {
+		return batch, full
+	}
 	for key, old := range r.tombstones {
-		if !full && old.revision > after {
+		if old.revision > after {
 			batch.Entries = append(batch.Entries, Entry{Key: key, Revision: old.revision, Gone: true})
 		}
 	}
+	if after < r.forgottenUpTo {
+		batch.Revision = after
+	}
 	return batch, full
 }
