A node behind is told when others cannot say which keys have gone

Change: such an answer is marked (full, with the revision of the question); it makes a node in contact watch anew, and one without the store ask for everything. The cases have names (allChanges, wholeState, newerOnly).

Test: TestASilentWatchIsNoticedWhenAKeyHasGone fails without the mark.

--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -378,12 +378,12 @@
 				if to.at >= from.at {
 					return
 				}
-				batch, full := from.since(to.at)
-				to.apply(batch, full, now)
+				batch, covered := from.since(to.at)
+				to.apply(batch, covered == wholeState, now)
 				for _, entry := range batch.Entries {
 					told[to][entry.Key] = max(told[to][entry.Key], entry.Revision)
 				}
-				if batch.Revision < from.at {
+				if covered == newerOnly {
 					return
 				}
 				for key, revision := range told[from] {
@@ -523,14 +523,14 @@
 	batch, _ = source.Load(context.Background(), true)
 	read.apply(batch, true, now)
 
-	told, full := read.since(behind.revision())
-	g.Expect(full).To(BeFalse())
+	told, covered := read.since(behind.revision())
+	g.Expect(covered).To(Equal(newerOnly))
 	g.Expect(told.Entries).To(HaveLen(1))
 	g.Expect(told.Revision).To(Equal(behind.revision()), "it completes nothing")
-	g.Expect(behind.apply(told, full, now)).To(Equal(1))
+	g.Expect(behind.apply(told, false, now)).To(Equal(1))
 	g.Expect(behind.entries).To(And(HaveKey("new"), HaveKey("0")))
-	everything, full := read.since(0)
-	g.Expect(full).To(BeTrue())
+	everything, covered := read.since(0)
+	g.Expect(covered).To(Equal(wholeState))
 	g.Expect(everything.Entries).To(HaveLen(100))
 }
 
@@ -555,3 +555,27 @@
 		stop()
 	})
 }
+
+// TestASilentWatchIsNoticedWhenAKeyHasGone, although the other node has read
+// everything anew and cannot tell which.
+func TestASilentWatchIsNoticedWhenAKeyHasGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		nodes, stop := cluster(t, 2)
+		writeAll(nodes, "stays", false)
+		writeAll(nodes, "gone", false)
+		time.Sleep(2 * time.Second)
+		silent, other := nodes[1].source, nodes[0].source
+		silent.set(func() { silent.deaf = true })
+		other.set(func() { other.deaf = true })
+		revision := writeAll(nodes, "gone", true)
+		other.set(func() { other.deaf, other.forgotten = false, revision })
+		silent.mutex.Lock()
+		silent.deaf = false // Only a new watch hears of it: nothing wakes the old one.
+		silent.mutex.Unlock()
+		time.Sleep(EventPause + 2*compareInterval)
+		g.Expect(nodes[0].seen.has("gone")).To(BeZero())
+		g.Expect(nodes[1].seen.has("gone")).To(BeZero())
+		stop()
+	})
+}
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -151,7 +151,7 @@
 	if err != nil {
 		return errors.WithMessage(err, "ask a peer for changes")
 	}
-	p.incomplete = after > 0 && reply.Revision == after && len(reply.Items) > 0
+	p.incomplete = isNewerOnly(reply, after)
 	if reply.Revision <= known && !p.incomplete {
 		return nil
 	}
@@ -159,13 +159,19 @@
 	for _, item := range reply.Items {
 		batch.Entries = append(batch.Entries, p.decode(item))
 	}
-	news := p.follower.replica.apply(batch, reply.Full, time.Now())
-	if news > 0 && p.follower.inContact() {
+	news := p.follower.replica.apply(batch, reply.Full && !p.incomplete, time.Now())
+	if (news > 0 || p.incomplete) && p.follower.inContact() {
 		p.follower.askAgain()
 	}
 	return nil
 }
 
+// isNewerOnly reports whether an answer cannot tell which keys have gone: it is
+// marked as full, but has the revision of the question.
+func isNewerOnly(reply *directorypb.ChangesReply, after uint64) bool {
+	return reply.Full && after > 0 && reply.Revision == after
+}
+
 func (p *Peers) decode(item *directorypb.Item) Entry {
 	entry := p.follower.source.Decode(item.Key, item.Value, item.Revision)
 	if item.Gone {
@@ -180,14 +186,14 @@
 	if err := request.UnmarshalVT(body); err != nil {
 		return nil, errors.Wrap(err, "decode question for changes")
 	}
-	batch, full := p.follower.replica.since(request.After)
+	batch, covered := p.follower.replica.since(request.After)
 	if request.After > batch.Revision && !p.follower.isFirstCall() {
 		select {
 		case p.ahead <- from:
 		default:
 		}
 	}
-	reply := &directorypb.ChangesReply{Revision: batch.Revision, Full: full}
+	reply := &directorypb.ChangesReply{Revision: batch.Revision, Full: covered != allChanges}
 	for _, entry := range batch.Entries {
 		reply.Items = append(reply.Items, &directorypb.Item{
 			Key: entry.Key, Value: entry.Value, Revision: entry.Revision, Gone: entry.Gone,
--- a/pkg/directory/replica.go
+++ b/pkg/directory/replica.go
@@ -133,28 +133,34 @@
 	}
 }
 
-// since returns what has changed after a revision, for a node that knows
-// everything up to it. There are three cases:
-//   - it is known which keys have gone since: the changes, up to the replica's
-//     revision;
-//   - the node knows nothing yet: everything, and full;
-//   - it is not known which keys have gone: the newer entries, which complete
-//     nothing, so the batch has the node's own revision.
-func (r *replica) since(after uint64) (batch Batch, full bool) {
+// coverage says what a batch tells a node that knows everything up to a revision.
+type coverage int
+
+const (
+	// allChanges since that revision, also which keys have gone.
+	allChanges coverage = iota
+	// wholeState is everything; what is missing from it has gone.
+	wholeState
+	// newerOnly are entries that are newer; which keys have gone is not known, so
+	// they complete nothing and the batch keeps the node's own revision.
+	newerOnly
+)
+
+// since returns what has changed after a revision, as far as it is known.
+func (r *replica) since(after uint64) (Batch, coverage) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	batch.Revision = r.at
+	batch := Batch{Revision: r.at}
 	if after >= r.at {
-		return batch, false
+		return batch, allChanges
 	}
-	full = after == 0
 	for _, entry := range r.entries {
 		if entry.Revision > after {
 			batch.Entries = append(batch.Entries, entry)
 		}
 	}
-	if full {
-		return batch, full
+	if after == 0 {
+		return batch, wholeState
 	}
 	for key, old := range r.tombstones {
 		if old.revision > after {
@@ -163,6 +169,7 @@
 	}
 	if after < r.forgottenUpTo {
 		batch.Revision = after
+		return batch, newerOnly
 	}
-	return batch, full
+	return batch, allChanges
 }
