Requests wait for busy servers in one order; the gate before them goes

The users weigh what is never served most.

Change: a sub-request for which all servers are busy waits in the fleet and is woken when one becomes free. The order is the same at every shard and node: what is needed for an answer first, then what is in time, then by a lot drawn from the request's id, late ones by their deadline. Newcomers and hedges keep to it. The room at a server falls while its answers take more than half of the target, so that the wait is where the order can be changed. A request of which no part has begun to run after a quarter of its target is refused, as before. internal/front has no gate any more; pkg/admission stays in bramblemastd.

--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -8,7 +8,6 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/bramblemast/bramblemast/internal/front"
-	"github.com/bramblemast/bramblemast/pkg/admission"
 )
 
 // Bounds of request logs.
@@ -17,8 +16,6 @@
 	linesPerSecond = 50
 	// sampleEvery is the share of ordinary successes that is logged.
 	sampleEvery = 200
-	// noticeableWait is the wait for an admission from which on it is told.
-	noticeableWait = time.Millisecond
 )
 
 // events writes the story of requests. It implements front.Recorder.
@@ -64,7 +61,7 @@
 const overloadSpan = 5 * time.Second
 
 // Overload implements front.Recorder.
-func (e *events) Overload(service string, state admission.Observation) {
+func (e *events) Overload(service string, waiting int) {
 	e.figures.overloads.WithLabelValues(service).Inc()
 	now := time.Now()
 	e.mutex.Lock()
@@ -74,8 +71,7 @@
 	}
 	e.mutex.Unlock()
 	if !told {
-		e.logger.Warn("overload", "service", service, "limit", state.Limit, "in_flight", state.InFlight, "waiting", state.Queued,
-			"typical_ms", state.TypicalService.Milliseconds())
+		e.logger.Warn("overload", "service", service, "waiting", waiting)
 	}
 }
 
@@ -107,15 +103,9 @@
 		"version", record.Version, "store_age_ms", e.storeAge().Milliseconds(), "status", record.Status, "reason", record.Reason,
 		"took_ms", float64(record.Took.Microseconds()) / 1000,
 	}
-	if record.Waited >= noticeableWait {
-		list = append(list, "waited_ms", record.Waited.Milliseconds())
-	}
 	if record.ComeBack > 0 {
 		list = append(list, "come_back_ms", record.ComeBack.Milliseconds())
 	}
-	if record.Gate != nil {
-		list = append(list, "limit", record.Gate.Limit, "in_flight", record.Gate.InFlight, "waiting", record.Gate.Queued)
-	}
 	if record.Cause != nil {
 		list = append(list, "error", record.Cause.Error())
 	}
--- a/internal/edge/policies.go
+++ b/internal/edge/policies.go
@@ -84,7 +84,7 @@
 
 func newPolicy(name string, revision uint64, arm string, set policy.Set, attempts int) front.Policy {
 	return front.Policy{
-		Template: name, Revision: revision, Arm: arm, Hedge: set.Hedge, Stop: set.Stop, Admission: set.Admission,
+		Template: name, Revision: revision, Arm: arm, Hedge: set.Hedge, Stop: set.Stop,
 		MaxAttempts: max(1, attempts), ExtraShare: set.ExtraLoad.Share,
 	}
 }
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -15,7 +15,7 @@
 	CauseServed        Cause = "none: it was served whole"
 	CauseStarting      Cause = "the node knew no configuration yet"
 	CauseOverloaded    Cause = "the node served as many requests as it may"
-	CauseNotAdmitted   Cause = "overload: servers had no room for requests before it, so it was not admitted"
+	CauseNotOffered    Cause = "overload: no server had room for it in time, so it was not run"
 	CauseNoRoom        Cause = "overload: servers had no room for it"
 	CauseNoRoute       Cause = "no route of the configuration in force fits"
 	CauseBadRequest    Cause = "the request itself: its body could not be taken"
@@ -38,8 +38,6 @@
 	switch {
 	case line.Reason == "starting":
 		return CauseStarting
-	case line.Reason == "overloaded" && line.Limit > 0:
-		return CauseNotAdmitted
 	case line.Reason == "overloaded":
 		return CauseOverloaded
 	case line.Reason == "cancelled":
@@ -73,6 +71,8 @@
 		tally[causeOfAttempt(attempt)]++
 	}
 	switch {
+	case line.Reason == string(fanout.StopNotOffered) && line.Shed > 0:
+		return CauseNotOffered
 	case line.Shed > 0 && line.Parts < line.Required:
 		return CauseNoRoom
 	case tally[CauseSilent] > 0 && line.Denied > 0:
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -51,8 +51,6 @@
 	Denied     int                    `json:"budget_denied"`
 	Shed       int                    `json:"shed"`
 	ComeBack   int64                  `json:"come_back_ms"`
-	Limit      int                    `json:"limit"`
-	InFlight   int                    `json:"in_flight"`
 	Waiting    int                    `json:"waiting"`
 	Missing    []string               `json:"missing"`
 	Attempts   []fanout.AttemptRecord `json:"attempts"`
--- a/internal/front/conversation.go
+++ b/internal/front/conversation.go
@@ -5,7 +5,6 @@
 	"strconv"
 	"time"
 
-	"github.com/bramblemast/bramblemast/pkg/admission"
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/fanout"
 	"github.com/bramblemast/bramblemast/pkg/gather"
@@ -23,13 +22,10 @@
 	version  uint64
 	route    *route.Route
 	policy   Policy
-	// waited is how long the request waited to be admitted, toldWait when its
-	// client was told to come back, refusedBy the gate that refused it.
-	waited    time.Duration
-	toldWait  time.Duration
-	refusedBy *admission.Observation
-	id        string
-	cause     error
+	// toldWait is when the client was told to come back.
+	toldWait time.Duration
+	id       string
+	cause    error
 }
 
 // serve asks servers and answers.
@@ -41,40 +37,36 @@
 		Target:      target(c.route, c.began), Deadline: c.deadline, Assumed: assumedTime(c.route),
 		Hedge: c.policy.Hedge, Stop: c.policy.Stop, ExtraShare: c.policy.ExtraShare,
 	}
-	plan.Patience = patience(c.route)
-	plan.RefuseBy = c.began.Add(admissionWait(c.route))
+	plan.Patience = patience(c.route, time.Until(c.deadline))
+	plan.RefuseBy = c.began.Add(offerSpan(c.route))
 	if c.route.Gathered() {
 		plan.Services, plan.Required = c.route.Shards, c.route.RequiredShards()
 	} else {
 		plan.Services, plan.Required = []string{c.handler.splitter.pick(c.route)}, 1
 	}
-	ticket, err := c.admit(plan)
-	if err != nil {
-		c.refuseAdmission(plan, err)
-		return
-	}
-	c.run(plan, request, ticket)
+	c.run(plan, request)
 }
 
-// run asks servers while the ticket is held, and answers.
-func (c *conversation) run(plan fanout.Plan, request *exchange.Request, ticket *admission.Ticket) {
+// run asks servers and answers.
+func (c *conversation) run(plan fanout.Plan, request *exchange.Request) {
 	runner, answer := c.handler.forwarder, c.answerForwarded
 	if c.route.Gathered() {
 		runner, answer = c.handler.gatherer, c.answerGathered
 	}
-	started := time.Now()
 	result := runner.Run(c.received.Context(), plan, request)
-	isOverloaded := overloaded(plan, result)
-	ticket.Release(admission.Result{
-		Latency: time.Since(started), Overloaded: isOverloaded, Late: late(plan, result),
-		Cancelled: result.Reason == fanout.StopCancelled,
-	})
-	if isOverloaded {
-		c.handler.events.Overload(plan.Services[0], c.handler.gates.For(plan.Services[0]).Observe())
+	if isShortOfRoom(plan, result) {
+		c.handler.events.Overload(plan.Services[0], c.handler.fleet.Waiting(plan.Services...))
 	}
 	answer(plan, result)
 }
 
+// isShortOfRoom reports whether a request failed for want of room at servers.
+// One that succeeds although a server is full is no sign of overload: single
+// servers are slow, fail and refuse at any load.
+func isShortOfRoom(plan fanout.Plan, result fanout.Result) bool {
+	return result.Shed > 0 && result.Got < plan.Required && result.Reason != fanout.StopCancelled
+}
+
 // answerGathered merges the parts, if they are enough.
 func (c *conversation) answerGathered(plan fanout.Plan, result fanout.Result) {
 	if result.Got < plan.Required || result.Reason == fanout.StopCancelled {
@@ -162,7 +154,7 @@
 // the time that a server needs for the requests before it.
 func (c *conversation) comeBack(plan fanout.Plan) time.Duration {
 	wait := 4 * plan.Assumed
-	if estimate, ok := c.handler.gatherer.Fleet.Estimate(fleetChoice(plan), time.Now()); ok {
+	if estimate, ok := c.handler.fleet.Estimate(fleetChoice(plan), time.Now()); ok {
 		wait = estimate
 	}
 	return min(max(wait, leastRefusal), greatestWait)
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -10,7 +10,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/bramblemast/bramblemast/pkg/admission"
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/fanout"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
@@ -45,8 +44,9 @@
 	forwarder *fanout.Runner
 	policies Policies
 	splitter *splitter
-	gates    *admission.Group[string]
-	// overloads are those of the services by which gates are kept.
+	fleet    *fleet.Fleet
+	// overloads are since when requests are refused for want of room, by the
+	// first service of their route.
 	overloads *episodes
 	events    Recorder
 	inFlight  chan struct{}
@@ -75,7 +75,7 @@
 	handler := &Handler{
 		dialect: options.Dialect, state: options.State, policies: options.Policies, events: options.Events,
 		splitter: newSplitter(options.Random), inFlight: make(chan struct{}, options.MaxInFlight),
-		overloads: newEpisodes(),
+		overloads: newEpisodes(), fleet: options.Fleet,
 	}
 	runner := fanout.Runner{
 		Fleet: options.Fleet, Budget: options.Budget, Dialect: &handler.dialect.Dialect, Linger: lingerAfterAnswer,
@@ -83,7 +83,6 @@
 	gatherer, forwarder := runner, runner
 	gatherer.Sound, forwarder.Sound = isPart, isWholeAnswer
 	handler.gatherer, handler.forwarder = &gatherer, &forwarder
-	handler.gates = newGates(options.Fleet, options.MaxInFlight)
 	return handler
 }
 
--- a/internal/front/record.go
+++ b/internal/front/record.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/bramblemast/bramblemast/pkg/admission"
 	"github.com/bramblemast/bramblemast/pkg/fanout"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 )
@@ -18,12 +17,8 @@
 	Policy  Policy
 	Status  int
 	Took    time.Duration
-	// Waited is how long the request waited to be admitted.
-	Waited time.Duration
 	// ComeBack is when the client was told to come back; zero if it was not.
 	ComeBack time.Duration
-	// Gate is what refused the admission; nil if nothing did.
-	Gate *admission.Observation
 	// Reason is why the request was refused or the wait ended.
 	Reason string
 	// Refused says that no server was asked.
@@ -39,9 +34,10 @@
 // Recorder takes the story of each request. It does not block.
 type Recorder interface {
 	Record(record Record)
-	// Overload tells that a request failed for want of room at the servers of
-	// the routes that begin with a service, so that fewer are admitted.
-	Overload(service string, state admission.Observation)
+	// Overload tells that a request failed for want of room at the servers of a
+	// route that begins with a service, and how many sub-requests wait there for
+	// a free server.
+	Overload(service string, waiting int)
 }
 
 func (c *conversation) record(status int, plan fanout.Plan, result fanout.Result) {
@@ -49,7 +45,7 @@
 		ID: c.id, Host: c.received.Host, Path: c.received.RequestURI, Route: c.route.Name, Version: c.version,
 		Policy: c.policy, Status: status, Took: time.Since(c.began), Reason: string(result.Reason), Parts: result.Got,
 		Required: plan.Required, Total: len(plan.Services), Result: result, Services: plan.Services,
-		Waited: c.waited, ComeBack: c.toldWait,
+		ComeBack: c.toldWait,
 	})
 }
 
@@ -61,6 +57,6 @@
 	c.handler.events.Record(Record{
 		ID: c.id, Host: c.received.Host, Path: c.received.RequestURI, Route: name, Version: c.version,
 		Status: status, Took: time.Since(c.began), Reason: string(reason), Refused: true, Cause: c.cause,
-		Waited: c.waited, ComeBack: c.toldWait, Gate: c.refusedBy,
+		ComeBack: c.toldWait,
 	})
 }
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -68,7 +68,9 @@
 	StopRule      StopReason = "stop_rule"
 	StopDeadline  StopReason = "deadline"
 	StopExhausted StopReason = "no_server_left"
-	StopCancelled StopReason = "cancelled"
+	// StopNotOffered means that no server had begun to run any part by RefuseBy.
+	StopNotOffered StopReason = "not_offered"
+	StopCancelled  StopReason = "cancelled"
 )
 
 // Result is what Run has got.
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -28,9 +28,10 @@
 // busy, it is tried again a little later.
 func (r *run) launchNext(index int, now time.Time) {
 	owner := &r.parts[index]
+	r.withdraw(owner)
 	lease, availability := r.runner.Fleet.Acquire(r.choice(owner), now)
 	if lease == nil {
-		r.awaitServer(owner, availability, now)
+		r.awaitServer(index, availability, now)
 		return
 	}
 	owner.idleSince, owner.absent = time.Time{}, false
@@ -41,7 +42,8 @@
 // awaitServer keeps a part open for a while when no server can be asked: all
 // are busy, unreachable, or not listed yet. Such a part does not hold back an
 // answer that is good enough without it; see decide.
-func (r *run) awaitServer(owner *part, availability fleet.Availability, now time.Time) {
+func (r *run) awaitServer(index int, availability fleet.Availability, now time.Time) {
+	owner := &r.parts[index]
 	if owner.failure == nil {
 		owner.failure = &outcome.Error{
 			Step: "choose server", Peer: owner.service, Outcome: outcome.NotRun,
@@ -55,6 +57,41 @@
 	}
 	owner.forgetUnreached()
 	owner.hedgeAt = now.Add(recheck)
+	if availability == fleet.Busy {
+		r.await(index)
+	}
+}
+
+// await lets a part wait for a free server in the order of the fleet.
+func (r *run) await(index int) {
+	owner := &r.parts[index]
+	owner.waiter = &fleet.Waiter{
+		Choice: r.choice(owner),
+		Wake: func() {
+			select {
+			case r.wakes <- index:
+			default:
+			}
+		},
+	}
+	r.runner.Fleet.Await(owner.waiter)
+}
+
+// withdraw ends the wait of a part for a free server.
+func (r *run) withdraw(owner *part) {
+	if owner.waiter != nil {
+		r.runner.Fleet.Withdraw(owner.waiter)
+		owner.waiter = nil
+	}
+}
+
+// handleWake asks the server that has become free.
+func (r *run) handleWake(index int, now time.Time) {
+	owner := &r.parts[index]
+	if owner.waiter == nil || owner.answer != nil || owner.closed {
+		return
+	}
+	r.launchNext(index, now)
 }
 
 // hedgeTime returns when a second server is to be asked; zero if never.
@@ -123,7 +160,22 @@
 	for _, each := range owner.asked {
 		excluded = append(excluded, each.lease)
 	}
-	return fleet.Choice{Service: owner.service, Kind: r.plan.Kind, Assumed: r.plan.Assumed, Excluded: excluded}
+	return fleet.Choice{Service: owner.service, Kind: r.plan.Kind, Assumed: r.plan.Assumed, Target: r.targetSpan(), Rank: r.rank(owner), Excluded: excluded}
+}
+
+// rank orders the sub-requests of a part among those of other requests.
+func (r *run) rank(owner *part) fleet.Rank {
+	return fleet.Rank{
+		Needed: r.got < r.plan.Required && len(owner.live) == 0, Target: r.plan.Target, Lot: r.lot, Deadline: r.plan.Deadline,
+	}
+}
+
+// targetSpan is the time within which the whole answer is of full value.
+func (r *run) targetSpan() time.Duration {
+	if r.plan.Target.IsZero() {
+		return 0
+	}
+	return r.plan.Target.Sub(r.began)
 }
 
 // send starts an attempt.
@@ -184,6 +236,7 @@
 		end = end.Add(r.runner.Linger)
 	}
 	for index := range r.parts {
+		r.withdraw(&r.parts[index])
 		for _, each := range r.parts[index].live {
 			each.Expire(end)
 		}
--- a/pkg/fanout/part.go
+++ b/pkg/fanout/part.go
@@ -34,6 +34,8 @@
 	// idleSince is since when no server is being asked and one is to be found;
 	// zero if one is being asked.
 	idleSince time.Time
+	// waiter waits for a free server; nil if the part waits for none.
+	waiter *fleet.Waiter
 	// absent says that the service has no server, so that nothing is waited for
 	// but news of one.
 	absent bool
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/policy"
@@ -45,6 +47,8 @@
 	request *exchange.Request
 	parts   []part
 	results chan finished
+	// wakes takes the parts for which a server has become free.
+	wakes chan int
 	// ended is closed when nobody waits for results any longer.
 	ended chan struct{}
 	began time.Time
@@ -52,12 +56,14 @@
 	// the rule is to be asked again; zero for never.
 	coveredAt time.Time
 	recheckAt time.Time
-	got       int
-	open      int
-	hedges    int
-	retries   int
-	sent      int
-	denied    int
+	// lot is drawn from the request's id, alike on all nodes.
+	lot     uint64
+	got     int
+	open    int
+	hedges  int
+	retries int
+	sent    int
+	denied  int
 }
 
 func newRun(runner *Runner, plan Plan, request *exchange.Request) *run {
@@ -66,8 +72,8 @@
 		parts[index].service = service
 	}
 	return &run{
-		runner: runner, plan: plan, request: request, parts: parts, began: time.Now(),
-		results: make(chan finished, len(parts)), ended: make(chan struct{}), open: len(parts),
+		runner: runner, plan: plan, request: request, parts: parts, began: time.Now(), lot: xxhash.Sum64String(request.ID),
+		results: make(chan finished, len(parts)), wakes: make(chan int, len(parts)), ended: make(chan struct{}), open: len(parts),
 	}
 }
 
@@ -91,6 +97,8 @@
 			return StopCancelled
 		case result := <-r.results:
 			r.take(result, time.Now())
+		case index := <-r.wakes:
+			r.handleWake(index, time.Now())
 		case <-timer.C:
 			r.handleTime(time.Now())
 		}
@@ -123,7 +131,7 @@
 	case r.got+r.open < r.plan.Required:
 		return StopExhausted, true
 	case !r.plan.RefuseBy.IsZero() && !now.Before(r.plan.RefuseBy) && r.nothingRuns():
-		return StopExhausted, true
+		return StopNotOffered, true
 	case r.got >= r.plan.Required && r.stops(now):
 		return StopRule, true
 	case r.got >= r.plan.Required && r.allAbsent():
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -32,6 +32,11 @@
 	Kind string
 	// Assumed is the typical time of the kind until one is measured.
 	Assumed time.Duration
+	// Target is the time within which an answer is of full value; zero if it is
+	// not bounded.
+	Target time.Duration
+	// Rank orders sub-requests where not all find a free server.
+	Rank Rank
 	// Excluded are servers that were asked already.
 	Excluded []*Lease
 }
@@ -64,11 +69,15 @@
 	if best == nil {
 		return nil, availability
 	}
+	if f.isAwaited(best, choice.Rank, now) {
+		return nil, Busy
+	}
 	lease := &Lease{
 		Server: best.Server, Pool: best.pool, member: best, profile: profile, began: now,
 		Expected: best.zone.roundTrip + profile.typical() + 2*profile.deviation,
 	}
 	best.active = append(best.active, lease)
+	lease.target, lease.filled = choice.Target, len(best.active) >= f.limit(best, now)
 	return lease, Available
 }
 
@@ -139,25 +148,13 @@
 // own zone have more of them, since servers nearby are asked first. The mutex
 // is held.
 func (f *Fleet) limit(each *member, now time.Time) int {
-	shared := f.sharedLimit(each)
+	shared := min(f.sharedLimit(each), max(leastLimit, int(each.room)))
 	if now.Before(each.narrowUntil) {
 		return min(shared, each.narrowLimit)
 	}
 	return shared
 }
 
-// SlotsShare returns this node's share of the slots of a service, if all nodes
-// have the same; zero if the service has no server.
-func (f *Fleet) SlotsShare(service string) float64 {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	slots := 0
-	for _, each := range f.services[service] {
-		slots += each.Slots
-	}
-	return float64(slots) / float64(max(1, f.callers.Total))
-}
-
 // sharedLimit is the limit by the connections of the server alone. The mutex is
 // held.
 func (f *Fleet) sharedLimit(each *member) int {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -41,6 +42,8 @@
 	callers Callers
 	// connections is the greatest number of connections of a server, by service.
 	connections map[string]int
+	// waiters are the sub-requests for which no server was free, by service.
+	waiters map[string][]*Waiter
 	// rests are the bounds that the pools of each service have got last.
 	rests map[string]exchange.RestBound
 }
@@ -54,6 +57,7 @@
 		zones:       make(map[string]*zoneTimes),
 		profiles:    make(map[string]*Profile),
 		connections: make(map[string]int),
+		waiters:     make(map[string][]*Waiter),
 		rests:       make(map[string]exchange.RestBound),
 	}
 }
@@ -73,6 +77,7 @@
 	}
 	added := &member{
 		Server: server, pool: exchange.NewPool(server.Address, f.settings.Dialer), ratio: 1, ratioAt: now, listed: true,
+		room: math.MaxInt32,
 	}
 	added.pool.SetRest(f.restBound(server.Service))
 	added.zone = f.zone(server.Zone)
--- a/pkg/fleet/lease.go
+++ b/pkg/fleet/lease.go
@@ -18,6 +18,10 @@
 	member  *member
 	profile *Profile
 	began   time.Time
+	// target is that of the Choice; filled says that the server had no room left
+	// beside this request.
+	target time.Duration
+	filled bool
 }
 
 // Began returns when the lease was taken.
@@ -68,17 +72,23 @@
 		used.failures = 0
 		used.avoidUntil = time.Time{}
 		f.observeTime(lease, elapsed, now)
+		f.adapt(lease, elapsed, now)
 	case Abandoned:
 		if elapsed > lease.Expected {
 			f.observeTime(lease, elapsed, now)
+			f.adapt(lease, elapsed, now)
 		}
-	case Failed, Unreachable, Refused:
+	case Failed, Unreachable:
 		used.fail(now)
+	case Refused:
+		used.fail(now)
+		f.lowerRoom(lease, now)
 	case TurnedAway:
 		used.narrow(now)
 	case WrongInstance:
 		used.leave(now, now)
 	}
+	f.wakeWaiters(used, now)
 }
 
 // observeTime takes the time of one request into the profile of its kind and
@@ -133,4 +143,5 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	lease.member.removeLease(lease)
+	f.wakeWaiters(lease.member, time.Now())
 }
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -77,6 +77,10 @@
 	// has turned connections away.
 	narrowLimit int
 	narrowUntil time.Time
+	// room bounds the requests at the server by the times of its answers;
+	// crowdedAt is when it was lowered last.
+	room      float64
+	crowdedAt time.Time
 	// listed says that the platform lists the server.
 	listed bool
 	// leavesAt is from when it is asked only if its service has no other, and
--- /dev/null
+++ b/pkg/fleet/waiting.go
@@ -0,0 +1,133 @@
+package fleet
+
+import "time"
+
+// Rank orders sub-requests for which no server is free.
+type Rank struct {
+	// Needed says that the request cannot be answered without this sub-request,
+	// and that no other server has been asked for it.
+	Needed bool
+	// Target is until when an answer is of full value; zero if always.
+	Target time.Time
+	// Lot orders requests that are alike; it is the same for all sub-requests of
+	// a request.
+	Lot uint64
+	// Deadline is when the request ends.
+	Deadline time.Time
+}
+
+// goesBefore orders by what an answer can still earn. Those without which no
+// answer can be given go first; among them those that are in time, by lot, so
+// that under overload the same requests go first at every service: in the order
+// of arrival all would be late together. Late ones follow, the one that ends
+// soonest first.
+func (r Rank) goesBefore(other Rank, now time.Time) bool {
+	if r.Needed != other.Needed {
+		return r.Needed
+	}
+	isInTime, isOtherInTime := r.isInTime(now), other.isInTime(now)
+	switch {
+	case isInTime != isOtherInTime:
+		return isInTime
+	case isInTime:
+		return r.Lot > other.Lot
+	}
+	return r.Deadline.Before(other.Deadline)
+}
+
+func (r Rank) isInTime(now time.Time) bool { return r.Target.IsZero() || now.Before(r.Target) }
+
+// Waiter is a sub-request for which all servers of its service are busy. The
+// fields do not change while it waits.
+type Waiter struct {
+	Choice Choice
+	// Wake is called once when a server has become free; the waiter is then no
+	// longer waiting. It does not block.
+	Wake func()
+}
+
+// Await lets a sub-request wait until a server of its service is free.
+func (f *Fleet) Await(waiter *Waiter) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.waiters[waiter.Choice.Service] = append(f.waiters[waiter.Choice.Service], waiter)
+}
+
+// Withdraw ends the wait of a sub-request; it does nothing if it waits no more.
+func (f *Fleet) Withdraw(waiter *Waiter) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.removeWaiter(waiter)
+}
+
+// Waiting returns how many sub-requests wait for a free server of the services.
+func (f *Fleet) Waiting(services ...string) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	count := 0
+	for _, service := range services {
+		count += len(f.waiters[service])
+	}
+	return count
+}
+
+// removeWaiter takes a waiter from its list. The mutex is held.
+func (f *Fleet) removeWaiter(waiter *Waiter) {
+	service := waiter.Choice.Service
+	waiting := f.waiters[service]
+	for index, each := range waiting {
+		if each != waiter {
+			continue
+		}
+		last := len(waiting) - 1
+		waiting[index] = waiting[last]
+		waiting[last] = nil
+		f.waiters[service] = waiting[:last]
+		if last == 0 {
+			delete(f.waiters, service)
+		}
+		return
+	}
+}
+
+// isAwaited reports whether a waiter that goes before a rank may use a server.
+// The mutex is held.
+func (f *Fleet) isAwaited(free *member, rank Rank, now time.Time) bool {
+	for _, each := range f.waiters[free.Service] {
+		if each.Choice.Rank.goesBefore(rank, now) && !wasAsked(each.Choice.Excluded, free) {
+			return true
+		}
+	}
+	return false
+}
+
+// wakeWaiters wakes as many waiters as a server has room for, in their order.
+// The mutex is held.
+func (f *Fleet) wakeWaiters(freed *member, now time.Time) {
+	if len(f.waiters[freed.Service]) == 0 || freed.hasEnded(now) || freed.isLeaving(now) {
+		return
+	}
+	for room := f.limit(freed, now) - len(freed.active); room > 0; room-- {
+		next := f.firstWaiter(freed, now)
+		if next == nil {
+			return
+		}
+		f.removeWaiter(next)
+		next.Wake()
+	}
+}
+
+// firstWaiter returns the waiter that goes first among those that may use a
+// server, or nil. The mutex is held.
+func (f *Fleet) firstWaiter(freed *member, now time.Time) *Waiter {
+	var first *Waiter
+	for _, each := range f.waiters[freed.Service] {
+		if wasAsked(each.Choice.Excluded, freed) {
+			continue
+		}
+		if first == nil || each.Choice.Rank.goesBefore(first.Choice.Rank, now) {
+			first = each
+		}
+	}
+	return first
+}
