Lapsed entries of servers are trusted for two seconds after the store's return

The node went on using such servers for the whole time in which the platform holds nodes to no bounds (4.3 s of 5).

Change: the time is two seconds and the 0.8 s that news of an entry may take on its way, where that is less.

Test fails before: 4.3 s where 2 to 2.8 s are asked for.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -256,3 +256,18 @@
 	add("later")
 	g.Expect(lines.String()).To(And(ContainSubstring("server added"), ContainSubstring("node found")))
 }
+
+// TestALapsedEntryIsTrustedForTwoSecondsAfterTheStoreReturned, and for the time
+// that news of it may take; not for the whole time in which the platform holds
+// nodes to no bounds. (the pages of 2026-12-02)
+func TestALapsedEntryIsTrustedForTwoSecondsAfterTheStoreReturned(t *testing.T) {
+	g := NewWithT(t)
+	for contact, expected := range map[float64]time.Duration{
+		5000: 2 * time.Second, 8000: 2 * time.Second, 1500: 800 * time.Millisecond, 0: 0,
+	} {
+		settings := Settings{Bounds: BoundSettings{ContactMillis: int(contact)}}
+		g.Expect(settings.listSettles()).To(And(
+			BeNumerically(">=", expected), BeNumerically("<=", expected+directory.EventPause),
+		))
+	}
+}
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/bramblemast/bramblemast/pkg/directory"
 )
 
 // Settings of a node. Times are given in the unit that the name ends with.
@@ -147,10 +149,17 @@
 	return time.Duration(s.Bounds.DrainMillis) * time.Millisecond / leaveShare
 }
 
+// lapsedReturn is within which time after the store's return the entries are
+// back that lapsed while it was away, as the platform promises; one that is still
+// missing then belongs to a server that is gone. A node hears of it an EventPause
+// later at most.
+const lapsedReturn = 2 * time.Second
+
 // listSettles returns for how long after the store has answered again an
 // absence in it proves nothing.
 func (s *Settings) listSettles() time.Duration {
-	return max(0, time.Duration(s.Bounds.ContactMillis)*time.Millisecond-settleReserve)
+	contact := time.Duration(s.Bounds.ContactMillis)*time.Millisecond - settleReserve
+	return max(0, min(contact, lapsedReturn+directory.EventPause))
 }
 
 // Shares of the machine's limits.
