A part that servers turn away waits and asks them again

Change: beyond two refusals a part waits 60 ms at a time, as long as its request waits for servers, and may ask those again that have not run it; each arrival beyond the first is paid for by the extra-load budget.

--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -368,3 +368,31 @@
 		g.Expect(took).To(Equal(40 * time.Millisecond))
 	})
 }
+
+// TestAPartThatServersRefuseAsksThemAgain: servers that are full have room later,
+// so the part waits and asks them anew, as far as the budget pays for it, while
+// the request has time. (skipulag-leit trouble-2 --seed 12: 40 requests given up
+// after 100 to 300 ms of their 3 s)
+func TestAPartThatServersRefuseAsksThemAgain(t *testing.T) {
+	in(t, func(g *WithT, w *world) {
+		const refusals = 5
+		var mutex sync.Mutex
+		asked := 0
+		w.servers["a1"] = w.network.Add("a1", func(exchangetest.Request) exchangetest.Answer {
+			mutex.Lock()
+			defer mutex.Unlock()
+			asked++
+			if asked <= refusals {
+				return exchangetest.Answer{Status: http.StatusServiceUnavailable, Cut: -1, Header: map[string]string{"Refused": "1"}}
+			}
+			return quick("at last")
+		})
+		w.fleet.Apply(fleet.Server{ID: "a1", Service: "a", Address: "a1", Zone: "z", Slots: 5}, time.Now())
+		patient := plan("a")
+		patient.Patience = time.Second
+		result, _ := w.run(patient)
+		g.Expect(result.Reason).To(Equal(fanout.StopComplete))
+		g.Expect(string(result.Parts[0].Body)).To(Equal("at last"))
+		g.Expect(w.budget.spent).To(Equal(refusals), "each further arrival is paid for")
+	})
+}
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -55,7 +55,7 @@
 	if !r.staysOpen(owner, now) {
 		return
 	}
-	owner.forgetUnreached()
+	owner.forgetNotRun()
 	owner.hedgeAt = now.Add(recheck)
 	if availability == fleet.Busy {
 		r.await(index)
--- a/pkg/fanout/part.go
+++ b/pkg/fanout/part.go
@@ -49,21 +49,20 @@
 // askedServer is a server that a part was sent to.
 type askedServer struct {
 	lease *fleet.Lease
-	// unreached says that the request never reached it.
-	unreached bool
+	// notRun says that it has not run the request and never will.
+	notRun bool
 }
 
-// markUnreached notes that a request never reached a server.
-func (p *part) markUnreached(lease *fleet.Lease) {
+// markNotRun notes that a server has not run the request.
+func (p *part) markNotRun(lease *fleet.Lease) {
 	for index := range p.asked {
 		if p.asked[index].lease == lease {
-			p.asked[index].unreached = true
+			p.asked[index].notRun = true
 		}
 	}
 }
 
-// forgetUnreached lets the servers be asked again that the request has never
-// reached.
-func (p *part) forgetUnreached() {
-	p.asked = slices.DeleteFunc(p.asked, func(each askedServer) bool { return each.unreached })
+// forgetNotRun lets the servers be asked again that have not run the request.
+func (p *part) forgetNotRun() {
+	p.asked = slices.DeleteFunc(p.asked, func(each askedServer) bool { return each.notRun })
 }
--- a/pkg/fanout/result.go
+++ b/pkg/fanout/result.go
@@ -17,6 +17,7 @@
 		if r.plan.Repeatable && result.attempt.TurnedAway {
 			owner.executions--
 			owner.refusals++
+			owner.markNotRun(result.attempt.lease)
 			if !result.attempt.Arrived {
 				owner.arrivals--
 			}
@@ -26,7 +27,7 @@
 			owner.executions--
 			if !result.attempt.Arrived {
 				owner.arrivals--
-				owner.markUnreached(result.attempt.lease)
+				owner.markNotRun(result.attempt.lease)
 			}
 		}
 		return
@@ -36,6 +37,7 @@
 		owner.shed = owner.shed || result.answer.Status != statusMisdirected
 		owner.executions--
 		owner.refusals++
+		owner.markNotRun(result.attempt.lease)
 		return
 	}
 	owner.ran = true
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -18,9 +18,10 @@
 	// deniedRecheck is when a hedge or a retry is tried again that the budget
 	// denied.
 	deniedRecheck = 40 * time.Millisecond
-	// freeRefusals is how many refusals of servers a part may meet beyond the
-	// attempts that may have run.
+	// freeRefusals is how many refusals of servers a part may meet at once.
 	freeRefusals = 2
+	// refusedRecheck is when it is tried again after that.
+	refusedRecheck = 60 * time.Millisecond
 )
 
 // attempt is one sub-request under way.
@@ -262,10 +263,14 @@
 		r.closePart(owner)
 		return
 	}
-	if owner.executions >= max(r.plan.MaxAttempts, 1) || owner.refusals > freeRefusals {
+	if owner.executions >= max(r.plan.MaxAttempts, 1) {
 		r.closePart(owner)
 		return
 	}
+	if owner.refusals > freeRefusals {
+		r.awaitRoom(owner, now)
+		return
+	}
 	if owner.arrivals > 0 && !r.spend(owner, now) {
 		r.awaitBudget(owner, now)
 		return
@@ -285,6 +290,18 @@
 	owner.hedgeAt = now.Add(deniedRecheck)
 }
 
+// awaitRoom keeps a part open for a while when servers have turned it away again
+// and again: they have room later. Those that did not run it may be asked anew.
+func (r *run) awaitRoom(owner *part, now time.Time) {
+	if !r.staysOpen(owner, now) {
+		return
+	}
+	owner.refusals = 0
+	owner.forgetNotRun()
+	owner.unpaid = true
+	owner.hedgeAt = now.Add(refusedRecheck)
+}
+
 // staysOpen reports whether a part that is being asked nowhere may still wait,
 // and closes it if not.
 func (r *run) staysOpen(owner *part, now time.Time) bool {
