--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -252,6 +252,29 @@
 	g.Expect(tries).To(BeNumerically("~", 20, 2))
 }
 
+// TestAFullServerIsAskedLessAndLess: where nodes outnumber the places at a server,
+// one request of each node is too many, and each one refused is extra load; an
+// answer ends that. (skipulag-leit-grown scale-1 --seed 11: 20,000 denied retries)
+func TestAFullServerIsAskedLessAndLess(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	tested := fleet.New(fleet.Settings{Local: fleet.Place{Zone: "z"}, Random: rand.New(rand.NewPCG(1, 1))})
+	tested.Apply(fleet.Server{ID: "only", Service: "s", Address: "a", Zone: "z", Slots: 5}, now)
+	asks := func(result fleet.Result, span time.Duration) int {
+		count := 0
+		for end := now.Add(span); now.Before(end); now = now.Add(10 * time.Millisecond) {
+			if lease, _ := tested.Acquire(choice, now); lease != nil {
+				count++
+				tested.Finish(lease, result, 0, now)
+			}
+		}
+		return count
+	}
+	g.Expect(asks(fleet.Refused, 10*time.Second)).To(BeNumerically("<=", 18))
+	g.Expect(asks(fleet.Answered, 2*time.Second)).To(BeNumerically(">=", 100))
+	g.Expect(asks(fleet.Refused, 300*time.Millisecond)).To(BeNumerically(">=", 2), "it begins anew")
+}
+
 // TestAServerThatTurnsConnectionsAwayGetsFewer for a while: it may still hold
 // those of a node that lost power. (variant3 trouble-1 --seed 949182802527)
 func TestAServerThatTurnsConnectionsAwayGetsFewer(t *testing.T) {
--- a/pkg/fleet/lease.go
+++ b/pkg/fleet/lease.go
@@ -84,6 +84,7 @@
 	case Failed:
 		used.fail(now)
 	case Refused:
+		used.retryAt = now.Add(min(firstRefusedRetry<<min(used.failures, 6), greatestRefusedRetry))
 		used.fail(now)
 		f.lowerRoom(lease, now)
 	case TurnedAway:
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -49,6 +49,12 @@
 	// again by this node: a refused connection costs little, but takes the place
 	// of another server in the choice of every request.
 	unreachableRetry = 100 * time.Millisecond
+	// firstRefusedRetry and greatestRefusedRetry bound for how long a server that
+	// refused a request for want of room is not asked by this node; each refusal
+	// in a row doubles the time. Refused requests are extra load, and where nodes
+	// outnumber the places at a server, one request of each is too many.
+	firstRefusedRetry    = 50 * time.Millisecond
+	greatestRefusedRetry = 800 * time.Millisecond
 	// narrowSpan is for how long a server that turned a connection away gets
 	// fewer requests at a time.
 	narrowSpan = time.Second
