--- a/pkg/configsync/measure_test.go
+++ b/pkg/configsync/measure_test.go
@@ -24,7 +24,7 @@
 	"github.com/bramblemast/bramblemast/pkg/template"
 )
 
-var measureLarge = flag.Bool("measure", false, "measure with up to 1,000 hollow nodes")
+var measureLarge = flag.Bool("measure", false, "measure with up to 1,000 nodes in one process")
 
 // The load and the bounds of the measurement, in virtual time.
 const (
--- a/pkg/peer/network.go
+++ b/pkg/peer/network.go
@@ -13,7 +13,7 @@
 // link is one direction between two nodes.
 type link struct{ from, to Address }
 
-// Network is an in-memory network for tests, simulations and hollow nodes that
+// Network is an in-memory network for tests and simulations that
 // share a process. It can delay, lose and cut messages and freeze nodes. It is
 // safe for concurrent use and works inside testing/synctest bubbles.
 type Network struct {
