Soak: the words of a gathered route come from the platform's stand-in

Route.Wanting in platform/platformtest sets what the spec set by name. The soak of make test passes.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -20,6 +20,7 @@
 	perService  = 2
 	topRecords  = 3
 	coverage    = 0.5
+	target      = 250 * time.Millisecond
 	// work is how long servers take for a request.
 	work        = 4 * time.Millisecond
 	shardName   = "shard-%d"
@@ -131,10 +132,8 @@
 	d.version++
 	number := d.version
 	d.mutex.Unlock()
-	gather := platformtest.Gather("tally", host, "/tally/", shards...)
-	gather["TopK"], gather["MinCoverage"], gather["TargetMs"] = topRecords, coverage, 250
 	routes := []platformtest.Route{
-		gather,
+		platformtest.Gather("tally", host, "/tally/", shards...).Wanting(topRecords, coverage, target),
 		platformtest.Single("lookup", host, "/lookup/", "idempotent", lookupName),
 		platformtest.Single("orders", host, "/orders/", "non_idempotent", ordersName),
 	}
