Late requests have the whole extra-load budget

Cause: found by the ablation: half of the budget was kept from requests past their target, since a late answer is worth little.

Change: nothing is kept but what the template says.

--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -12,10 +12,6 @@
 	"github.com/bramblemast/bramblemast/pkg/policy"
 )
 
-// lateKeep is the share of the budget that is kept for requests that can still
-// be answered in time.
-const lateKeep = 0.5
-
 const statusMisdirected = http.StatusMisdirectedRequest
 
 // launchFirst asks the first server of a part.
@@ -141,13 +137,10 @@
 	return now.Add(lease.Expected).After(r.plan.Deadline)
 }
 
-// spend pays for an extra sub-request. Once the target is missed, an answer is
-// worth little, and half of the budget is kept for others.
+// spend pays for an extra sub-request, as far as the template lets it. Late
+// requests have the same right as others: what they lack is their last parts.
 func (r *run) spend(owner *part, now time.Time) bool {
 	keep := 1 - r.plan.ExtraShare
-	if !r.plan.Target.IsZero() && now.After(r.plan.Target) {
-		keep = max(keep, lateKeep)
-	}
 	if r.runner.Budget.TrySpend(owner.service, keep, now) {
 		return true
 	}
