A full server is busy while it is not asked, not absent

Change: only unreachable servers are absent in their pause.

Test: TestAFullServerIsBusyWhileItIsNotAsked fails before (absent after a refusal).

--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -114,10 +114,10 @@
 	var bestCost, leavingCost time.Duration
 	availability := Absent
 	for _, each := range f.services[choice.Service] {
-		if wasAsked(choice.Excluded, each) || each.hasEnded(now) || now.Before(each.retryAt) {
+		if wasAsked(choice.Excluded, each) || each.hasEnded(now) {
 			continue
 		}
-		if len(each.active) >= f.limit(each, now) {
+		if now.Before(each.retryAt) || len(each.active) >= f.limit(each, now) {
 			if !each.unreachable {
 				availability = Busy
 			}
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -309,6 +309,25 @@
 	g.Expect(takeAll()).To(HaveLen(len(before)))
 }
 
+// TestAFullServerIsBusyWhileItIsNotAsked: a part waits for it, rather than being
+// left out as one without servers.
+func TestAFullServerIsBusyWhileItIsNotAsked(t *testing.T) {
+	for result, expected := range map[fleet.Result]fleet.Availability{
+		fleet.Refused: fleet.Busy, fleet.TurnedAway: fleet.Busy, fleet.Unreachable: fleet.Absent,
+	} {
+		t.Run(result.String(), func(t *testing.T) {
+			g := NewWithT(t)
+			now := time.Unix(0, 0)
+			tested := fleet.New(fleet.Settings{Local: fleet.Place{Zone: "z"}, Random: rand.New(rand.NewPCG(1, 1))})
+			tested.Apply(fleet.Server{ID: "only", Service: "s", Address: "a", Zone: "z", Slots: 5}, now)
+			lease, _ := tested.Acquire(choice, now)
+			tested.Finish(lease, result, 0, now)
+			_, availability := tested.Acquire(choice, now)
+			g.Expect(availability).To(Equal(expected))
+		})
+	}
+}
+
 // TestAServerThatTurnsConnectionsAwayIsTriedSeldom: it spends its time on what it
 // turns away. (valgsok-grown fresh-fa94: 70,000 connections in six seconds)
 func TestAServerThatTurnsConnectionsAwayIsTriedSeldom(t *testing.T) {
