A request leaves a scarce shard to those that cannot do without it

Change: a part is needed only if the parts that are answered or being asked for are fewer than required.

--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -159,10 +159,27 @@
 // rank orders the sub-requests of a part among those of other requests.
 func (r *run) rank(owner *part) fleet.Rank {
 	return fleet.Rank{
-		Needed: r.got < r.plan.Required && len(owner.live) == 0, Target: r.plan.Target, Lot: r.lot, Deadline: r.plan.Deadline,
+		Needed: r.isNeeded(owner), Target: r.plan.Target, Lot: r.lot, Deadline: r.plan.Deadline,
 	}
 }
 
+// isNeeded reports whether the request cannot be answered without a part that is
+// being asked nowhere: the parts that are answered or being asked for are fewer
+// than required. A request that has enough without a shard whose servers are
+// scarce leaves them to others.
+func (r *run) isNeeded(owner *part) bool {
+	if len(owner.live) > 0 {
+		return false
+	}
+	covered := r.got
+	for index := range r.parts {
+		if each := &r.parts[index]; each.answer == nil && len(each.live) > 0 {
+			covered++
+		}
+	}
+	return covered < r.plan.Required
+}
+
 // targetSpan is the time within which the whole answer is of full value.
 func (r *run) targetSpan() time.Duration {
 	if r.plan.Target.IsZero() {
