Room at a server grows by one request a round trip

The share is low because room grew by half a request with each calm answer, which is exponential: it overshoots by the answers that are still under way, and the server's queue then makes all of them late.

Change: room grows by one for as many calm answers as there is room for, as TCP's window does. The test asks for 0.90.

--- a/internal/front/overload_test.go
+++ b/internal/front/overload_test.go
@@ -206,8 +206,10 @@
 // TestOverloadServesTheSameRequestsEverywhere: with twice the load that the
 // shards can bear, the same requests go first at every shard, so that nearly all
 // of what the shards can do ends in whole answers in time; the others are refused
-// early, with when to come back, or wait for their last parts. (own days with
-// bursts of two, four and six times; valgsok-grown fresh-bfe4)
+// early, with when to come back, or wait for their last parts. The share differs by
+// the order in which goroutines run at one moment of the bubble's time: 0.95 to 0.99
+// in 100 runs on one to eight processors. (own days with bursts of two, four and six
+// times; valgsok-grown fresh-bfe4)
 func TestOverloadServesTheSameRequestsEverywhere(t *testing.T) {
 	const span = 6 * time.Second
 	synctest.Test(t, func(t *testing.T) {
@@ -216,7 +218,7 @@
 		answers := simulated.offer(2*simCapacity, span)
 		simulated.close()
 		t.Logf("useful: %.2f of the capacity", useful(answers, span))
-		g.Expect(useful(answers, span)).To(BeNumerically(">=", 0.85))
+		g.Expect(useful(answers, span)).To(BeNumerically(">=", 0.9))
 		refused := 0
 		for _, answer := range answers {
 			if answer.status == http.StatusServiceUnavailable {
--- a/pkg/fleet/room.go
+++ b/pkg/fleet/room.go
@@ -12,9 +12,12 @@
 	// calmShare of a request's target is within which an answer shows that the
 	// server may get more.
 	calmShare = 0.35
-	// roomFactor lowers the room, and roomStep raises it.
+	// roomFactor lowers the room. roomStep is how much it grows with as many calm
+	// answers as there is room for: growth by a fixed step for each answer is
+	// exponential, and overshoots by the answers that are still under way (0.86
+	// instead of 0.96 of the capacity useful in TestOverloadServesTheSameRequestsEverywhere).
 	roomFactor = 0.7
-	roomStep   = 0.5
+	roomStep   = 1.0
 	// leastRoomPerSlot is the least room for each slot of this node's share of a
 	// server.
 	leastRoomPerSlot = 1.0
@@ -33,7 +36,7 @@
 	case share > crowdedShare:
 		f.lowerRoom(lease, now)
 	case share < calmShare && lease.filled && used.room < shared:
-		used.room += roomStep
+		used.room += roomStep / max(1, used.room)
 	}
 }
 
