A calm answer counts if the room was full while it ran; constants say where they come from

Change: all requests under way while the room was full count, as bytes in flight do for a window that is in use. Comments of the fan-out's and the front's constants name the source of each figure.

--- a/internal/front/policy.go
+++ b/internal/front/policy.go
@@ -28,18 +28,26 @@
 }
 
 // targetReserve is the share of a route's target that is left for the way back
-// to the client.
+// to the client: 1 to 3 ms on the users' deployments, and the node's own time. It
+// is bounded by leastTargetReserve and greatestTargetReserve.
 const targetReserve = 0.1
 
 // Waits that clients are told, and reserves of time.
 const (
+	// overloadedWait is told at the node's own bound: other nodes have room within
+	// a second.
 	overloadedWait = time.Second
-	leastRefusal   = 50 * time.Millisecond
-	greatestWait   = 2 * time.Second
-	// deadlineReserve is left for the final answer at the end of the time.
+	// leastRefusal and greatestWait bound what clients are told: one that comes
+	// back at once meets the same servers, and the shortest deadline of the users'
+	// requests is 2 s.
+	leastRefusal = 50 * time.Millisecond
+	greatestWait = 2 * time.Second
+	// deadlineReserve is left for the final answer at the end of the time: the way
+	// to the client and a wake-up of a node with a fifth of a core.
 	deadlineReserve = 15 * time.Millisecond
 	// assumedTargetShare is the typical time of a kind of request in relation
-	// to its target, until it is measured.
+	// to its target, until it is measured: 20 ms of work and a round trip for a
+	// target of 200 ms.
 	assumedTargetShare = 0.15
 	// defaultDeadline bounds requests that name no time on routes without one.
 	defaultDeadline = 30 * time.Second
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -13,14 +13,19 @@
 
 // Times of the event loop.
 const (
-	// recheck is when a part for which no server could be asked is tried again.
+	// recheck is when a part for which no server could be asked is tried again: a
+	// tenth of the shortest target of the users' requests (120 ms), so that a part
+	// whose rank has changed meanwhile loses little. Waiters are woken without it.
 	recheck = 12 * time.Millisecond
 	// deniedRecheck is when a hedge or a retry is tried again that the budget
-	// denied.
+	// denied: a third of that target. At 3 requests a second and node the budget
+	// of a service changes less often than that.
 	deniedRecheck = 40 * time.Millisecond
-	// freeRefusals is how many refusals of servers a part may meet at once.
+	// freeRefusals is how many refusals of servers a part may meet at once: with
+	// three servers a shard, each of them is then asked once.
 	freeRefusals = 2
-	// refusedRecheck is when it is tried again after that.
+	// refusedRecheck is when it is tried again after that: about the time that a
+	// full server (3 to 5 slots, 20 to 28 ms a request) needs to empty its slots twice.
 	refusedRecheck = 60 * time.Millisecond
 )
 
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -77,7 +77,10 @@
 		Expected: best.zone.roundTrip + profile.typical() + 2*profile.deviation,
 	}
 	best.active = append(best.active, lease)
-	lease.target, lease.filled = choice.Target, len(best.active) >= f.limit(best, now)
+	lease.target = choice.Target
+	if len(best.active) >= f.limit(best, now) {
+		best.filledAt = now
+	}
 	return lease, Available
 }
 
--- a/pkg/fleet/lease.go
+++ b/pkg/fleet/lease.go
@@ -18,10 +18,8 @@
 	member  *member
 	profile *Profile
 	began   time.Time
-	// target is that of the Choice; filled says that the server had no room left
-	// beside this request.
+	// target is that of the Choice.
 	target time.Duration
-	filled bool
 }
 
 // Began returns when the lease was taken.
--- a/pkg/fleet/room.go
+++ b/pkg/fleet/room.go
@@ -24,7 +24,8 @@
 )
 
 // adapt takes what the time of one request shows of the room at its server. The
-// requests that were sent before the last reduction tell nothing new.
+// requests that were sent before the last reduction tell nothing new, and neither
+// does a calm answer while the room was never full.
 func (f *Fleet) adapt(lease *Lease, elapsed time.Duration, now time.Time) {
 	used := lease.member
 	if lease.target <= 0 {
@@ -35,7 +36,7 @@
 	switch {
 	case share > crowdedShare:
 		f.lowerRoom(lease, now)
-	case share < calmShare && lease.filled && used.room < shared:
+	case share < calmShare && !used.filledAt.Before(lease.began) && used.room < shared:
 		used.room += roomStep / max(1, used.room)
 	}
 }
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -99,9 +99,11 @@
 	narrowLimit int
 	narrowUntil time.Time
 	// room bounds the requests at the server by the times of its answers;
-	// crowdedAt is when it was lowered last.
+	// crowdedAt is when it was lowered last, filledAt when a request last took all
+	// that was left of it.
 	room      float64
 	crowdedAt time.Time
+	filledAt  time.Time
 	// listed says that the platform lists the server.
 	listed bool
 	// leavesAt is from when it is asked only if its service has no other, and
