Soak: a second shape in which two nodes read the store for four others

The nodes of the soak had bounds of 3 s, with which each reads the store for itself, so that readers that are killed, paused, refused or cut were only tested in memory.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -37,13 +37,31 @@
 	records [][]byte
 }
 
+// shape is what differs between the deployments of the soak.
+type shape struct {
+	nodes int
+	// drainBound and configBound are within which time news of servers and of the
+	// configuration must be in force; the nodes' settings name them.
+	drainBound, configBound time.Duration
+}
+
+// The shapes.
+var (
+	// smallShape has so few nodes and such short bounds that each node reads the
+	// store for itself.
+	smallShape = shape{nodes: 3, drainBound: 3 * time.Second, configBound: 3 * time.Second}
+	// sharedShape has two nodes that read the store for four others.
+	sharedShape = shape{nodes: 6, drainBound: 5 * time.Second, configBound: 5 * time.Second}
+)
+
 // deployment is the platform's stand-in with everything that runs on it.
 type deployment struct {
+	shape
 	t       *testing.T
 	history *history
 	proxy   *faultproxy.Proxy
 	store   *platformtest.Store
-	nodes   []*node
+	running []*node
 
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
@@ -53,9 +71,9 @@
 	version   int
 }
 
-func newDeployment(t *testing.T, seed uint64) *deployment {
+func newDeployment(t *testing.T, shaped shape, seed uint64) *deployment {
 	created := &deployment{
-		t: t, history: newHistory(), proxy: faultproxy.New(seed, nil), store: platformtest.StartStore(),
+		shape: shaped, t: t, history: newHistory(), proxy: faultproxy.New(seed, nil), store: platformtest.StartStore(),
 		servers: make(map[string]*server), byService: make(map[string][]*server),
 	}
 	t.Cleanup(func() {
@@ -189,7 +207,7 @@
 	d.mutex.Unlock()
 	leaving.List("draining")
 	d.history.leaves(leaving.ID)
-	time.AfterFunc(drainBound+2*time.Second, func() { d.store.Remove("servers/" + leaving.ID) })
+	time.AfterFunc(d.drainBound+2*time.Second, func() { d.store.Remove("servers/" + leaving.ID) })
 }
 
 // recut starts the servers of another shard set and names it a little later.
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -94,7 +94,7 @@
 func (i *injector) takeNode(random *rand.Rand) *node {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	chosen := i.deployment.nodes[random.IntN(len(i.deployment.nodes))]
+	chosen := i.deployment.running[random.IntN(len(i.deployment.running))]
 	if i.busy[chosen] {
 		return nil
 	}
@@ -122,7 +122,7 @@
 
 func killAll(i *injector, _ *rand.Rand) (string, func()) {
 	var killed []*node
-	for _, each := range i.deployment.nodes {
+	for _, each := range i.deployment.running {
 		i.mutex.Lock()
 		free := !i.busy[each]
 		i.busy[each] = true
@@ -165,7 +165,7 @@
 
 // storeOf returns the link of a node to the store, serverOf that of a server.
 func storeOf(d *deployment, random *rand.Rand) string {
-	return storeLink(d.nodes[random.IntN(len(d.nodes))].name)
+	return storeLink(d.running[random.IntN(len(d.running))].name)
 }
 
 func serverOf(d *deployment, random *rand.Rand) string { return d.anyServer(random).link }
--- a/test/soak/node_test.go
+++ b/test/soak/node_test.go
@@ -42,12 +42,12 @@
 // storeLink returns the name of the link between a node and the store.
 func storeLink(node string) string { return "store-" + node }
 
-func (d *deployment) startNodes(program, folder string, count int) {
+func (d *deployment) startNodes(program, folder string) {
 	var peers []string
-	for range count {
+	for range d.nodes {
 		peers = append(peers, freePort(d.t))
 	}
-	for index := range count {
+	for index := range d.nodes {
 		name := fmt.Sprintf("node%d", index)
 		store, err := d.proxy.AddLink(faultproxy.LinkConfig{Name: storeLink(name), Listen: "127.0.0.1:0", Upstream: d.store.Address()})
 		if err != nil {
@@ -61,24 +61,24 @@
 		if err != nil {
 			d.t.Fatal(err)
 		}
-		started.writeSettings(store, peers)
+		started.writeSettings(d.shape, store, peers)
 		started.start()
-		d.nodes = append(d.nodes, started)
+		d.running = append(d.running, started)
 		d.t.Cleanup(started.close)
 	}
-	for _, each := range d.nodes {
+	for _, each := range d.running {
 		each.awaitReady()
 	}
 }
 
-func (n *node) writeSettings(store string, peers []string) {
+func (n *node) writeSettings(shaped shape, store string, peers []string) {
 	encoded, err := json.Marshal(edge.Settings{
 		Node:   edge.NodeSettings{Name: n.name, Zone: "zone-a", Region: "region", Address: "127.0.0.1"},
 		Zones:  map[string]string{"zone-a": "region"},
 		Listen: edge.ListenSettings{Clients: n.clients, Ready: n.ready, Peers: n.peers},
 		Store:  edge.StoreSettings{Address: store},
 		Bounds: edge.BoundSettings{
-			DrainMillis: int(drainBound.Milliseconds()), ContactMillis: int(contactBound.Milliseconds()),
+			DrainMillis: int(shaped.drainBound.Milliseconds()), ApplyMillis: int(shaped.configBound.Milliseconds()), ContactMillis: int(contactBound.Milliseconds()),
 			GraceSeconds: graceBound.Seconds(), ExtraRatio: extraRatio, Extra: extraBound, ExtraWindowSeconds: extraWindow.Seconds(),
 		},
 		Peers: peers,
--- a/test/soak/promises_test.go
+++ b/test/soak/promises_test.go
@@ -12,11 +12,9 @@
 	"github.com/bramblemast/bramblemast/platform/platformtest"
 )
 
-// Bounds of the deployment, as its settings name them.
+// Bounds of every deployment, as its settings name them; shape has the others.
 const (
-	drainBound   = 3 * time.Second
 	contactBound = 5 * time.Second
-	configBound  = 3 * time.Second
 	graceBound   = 6 * time.Second
 	extraRatio   = 0.2
 	extraBound   = 50
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -31,7 +31,6 @@
 
 // Phases of a soak.
 const (
-	nodes      = 3
 	chaosSpan  = 8 * time.Second
 	calmSpan   = 6 * time.Second
 	recoverFor = 2 * time.Second
@@ -41,15 +40,20 @@
 )
 
 // TestSoak keeps the promises while everything fails in turn.
-func TestSoak(t *testing.T) {
+func TestSoak(t *testing.T) { soak(t, smallShape) }
+
+// TestSoakOfReaders is the same where two nodes read the store for the others.
+func TestSoakOfReaders(t *testing.T) { soak(t, sharedShape) }
+
+func soak(t *testing.T, shaped shape) {
 	seed, folder := *seedFlag, *folderFlag
 	if seed == 0 {
 		seed = rand.Uint64()
 	}
 	if folder == "" {
 		folder = t.TempDir()
-	} else if err := os.MkdirAll(folder, 0o755); err != nil {
-		t.Fatal(err)
+	} else if folder = filepath.Join(folder, t.Name()); os.MkdirAll(folder, 0o755) != nil {
+		t.Fatalf("the folder %s cannot be made", folder)
 	}
 	t.Logf("seed %d, %s, logs in %s", seed, *spanFlag, folder)
 	program, err := gexec.Build("github.com/bramblemast/bramblemast/cmd/bramblemast-edge")
@@ -57,8 +61,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(gexec.CleanupBuildArtifacts)
-	deployed := newDeployment(t, seed)
-	deployed.startNodes(program, folder, nodes)
+	deployed := newDeployment(t, shaped, seed)
+	deployed.startNodes(program, folder)
 	ctx, cancel := context.WithCancel(context.Background())
 	requests := deployed.traffic(ctx, seed)
 	deployed.run(rand.New(rand.NewPCG(seed, 1)), *spanFlag, *timedFlag)
@@ -74,7 +78,7 @@
 	end := time.Now().Add(span)
 	for time.Now().Before(end) {
 		broken.chaos(min(chaosSpan, time.Until(end)))
-		for _, each := range d.nodes {
+		for _, each := range d.running {
 			each.awaitReady()
 		}
 		if timed {
@@ -97,7 +101,7 @@
 	case 2:
 		d.recut(random)
 	case 3:
-		d.stopAndStart(d.nodes[random.IntN(len(d.nodes))])
+		d.stopAndStart(d.running[random.IntN(len(d.running))])
 	}
 	time.Sleep(time.Until(began.Add(calmSpan)))
 	d.checkServed()
@@ -171,7 +175,7 @@
 func (d *deployment) judgeTimes(replies []reply, arrivals []arrival) {
 	for _, each := range arrivals {
 		since, leaves := d.history.leaving[each.Server]
-		if leaves && each.At.Sub(since) > drainBound+arrivalSlack && d.history.calm(since.Add(-contactBound), each.At) {
+		if leaves && each.At.Sub(since) > d.drainBound+arrivalSlack && d.history.calm(since.Add(-contactBound), each.At) {
 			d.history.violated("%s reached %s %s after it left", each.ID, each.Server, each.At.Sub(since))
 		}
 	}
@@ -179,7 +183,7 @@
 		number, versioned := versionOfPath(got.Path)
 		if versioned && got.Status == 404 {
 			since := d.history.versions[number-1].At
-			if got.Sent.Sub(since) > configBound && d.history.calm(since.Add(-contactBound), got.Ended) {
+			if got.Sent.Sub(since) > d.configBound && d.history.calm(since.Add(-contactBound), got.Ended) {
 				d.history.violated("%s: version %d not in force at %s after %s", got.ID, number, got.Node, got.Sent.Sub(since))
 			}
 		}
--- a/test/soak/traffic_test.go
+++ b/test/soak/traffic_test.go
@@ -40,7 +40,7 @@
 
 // call sends one request to a node and checks what can be checked at once.
 func (d *deployment) call(ctx context.Context, random *rand.Rand, id string) {
-	chosen := d.nodes[random.IntN(len(d.nodes))]
+	chosen := d.running[random.IntN(len(d.running))]
 	method, path := d.draw(random)
 	got := reply{ID: id, Node: chosen.name, Life: chosen.currentLife(), Path: path, Sent: time.Now(), Repeated: path != "/orders/"}
 	limited, cancel := context.WithTimeout(ctx, callerDeadline+time.Second)
