Zones of more than 16 nodes have one reader for 8 of them

Change: the number of readers grows with the zone, by one for 8 nodes; up to 16 nodes it is two, as measured.

--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -130,7 +130,7 @@
 // not answer or its own news is old.
 func (p *Peers) askReaders(ctx context.Context) {
 	p.turn++
-	for range readersPerZone {
+	for range leastReaders {
 		reader := p.readers.ask(p.nodes(), p.turn, time.Now())
 		if reader.Name == p.local.Name {
 			return
--- a/pkg/directory/readers.go
+++ b/pkg/directory/readers.go
@@ -10,9 +10,13 @@
 
 // Constants of the division of reading.
 const (
-	// readersPerZone is how many nodes of a zone read the store for the others:
-	// one that is lost does not take the news of its zone with it.
-	readersPerZone = 2
+	// leastReaders is how many nodes of a zone read the store for the others at
+	// least: one that is lost does not take the news of its zone with it.
+	leastReaders = 2
+	// nodesPerReader bounds what a reader sends: each change goes to as many nodes.
+	// At the size to design for that is 8 times 0.6 kB/s, of 12 kB/s that a node may
+	// spend for control (docs/CAPACITY.md).
+	nodesPerReader = 8
 	// avoidSpan is for how long a node that did not answer, or answered with old
 	// news, is not counted among the readers.
 	avoidSpan = 10 * time.Second
@@ -84,13 +88,18 @@
 	return ranked
 }
 
+// readerCount returns how many nodes of a zone with so many nodes read the store.
+func readerCount(nodes int) int {
+	return min(nodes, max(leastReaders, (nodes+nodesPerReader-1)/nodesPerReader))
+}
+
 // role returns what this node does while news may be as old as newsAge.
 func (r *readers) role(nodes []Node, newsAge time.Duration, now time.Time) Role {
 	ranked := r.rank(nodes, now)
 	switch {
-	case newsAge < leastSharedNewsAge || len(ranked) <= readersPerZone:
+	case newsAge < leastSharedNewsAge || len(ranked) <= leastReaders:
 		return Alone
-	case slices.Contains(ranked[:readersPerZone], r.local):
+	case slices.Contains(ranked[:readerCount(len(ranked))], r.local):
 		return Reader
 	}
 	return Asker
@@ -99,5 +108,5 @@
 // ask returns the reader to ask in a turn: this node itself if it has become one.
 func (r *readers) ask(nodes []Node, turn int, now time.Time) Node {
 	ranked := r.rank(nodes, now)
-	return ranked[turn%min(readersPerZone, len(ranked))]
+	return ranked[turn%readerCount(len(ranked))]
 }
