Refusals tell retry_after_ms in logs, as the callers' interface does

The node's request lines had a name of their own (come_back_ms) for what callers' answers call retry_after_ms, and the code a field ComeBack for the header Retry-After. Names and the text of log explain only; the specs of explain expect the new text.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -222,13 +222,13 @@
 		g := NewWithT(t)
 		lost := false
 		starting := &state{startedAt: time.Now(), storeLost: func() bool { return lost }}
-		g.Expect(starting.Starting()).To(Equal(front.Starting{Patience: startingPatience, ComeBack: leastStartingWait}))
+		g.Expect(starting.Starting()).To(Equal(front.Starting{Patience: startingPatience, RetryAfter: leastStartingWait}))
 		time.Sleep(600 * time.Millisecond)
-		g.Expect(starting.Starting().ComeBack).To(Equal(600 * time.Millisecond))
+		g.Expect(starting.Starting().RetryAfter).To(Equal(600 * time.Millisecond))
 		time.Sleep(time.Minute)
-		g.Expect(starting.Starting().ComeBack).To(Equal(greatestStartingWait))
+		g.Expect(starting.Starting().RetryAfter).To(Equal(greatestStartingWait))
 		lost = true
-		g.Expect(starting.Starting()).To(Equal(front.Starting{ComeBack: lostStoreWait}), "at once, and later")
+		g.Expect(starting.Starting()).To(Equal(front.Starting{RetryAfter: lostStoreWait}), "at once, and later")
 	})
 }
 
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -103,8 +103,8 @@
 		"version", record.Version, "store_age_ms", e.storeAge().Milliseconds(), "status", record.Status, "reason", record.Reason,
 		"took_ms", float64(record.Took.Microseconds()) / 1000,
 	}
-	if record.ComeBack > 0 {
-		list = append(list, "come_back_ms", record.ComeBack.Milliseconds())
+	if record.RetryAfter > 0 {
+		list = append(list, "retry_after_ms", record.RetryAfter.Milliseconds())
 	}
 	if record.Cause != nil {
 		list = append(list, "error", record.Cause.Error())
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -78,10 +78,10 @@
 // another node or come back in time.
 func (s *state) Starting() front.Starting {
 	if s.storeLost() {
-		return front.Starting{ComeBack: lostStoreWait}
+		return front.Starting{RetryAfter: lostStoreWait}
 	}
 	return front.Starting{
-		Patience: startingPatience, ComeBack: min(max(leastStartingWait, time.Since(s.startedAt)), greatestStartingWait),
+		Patience: startingPatience, RetryAfter: min(max(leastStartingWait, time.Since(s.startedAt)), greatestStartingWait),
 	}
 }
 
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -69,7 +69,7 @@
 		says  []string
 	}{
 		"842d6d83a8d798bc": {explain.CauseNotOffered, []string{
-			"before: overload (kade41a: 94 sub-requests wait for a free server)", "0 of 10 parts, 9 wanted", "come back in 120 ms",
+			"before: overload (kade41a: 94 sub-requests wait for a free server)", "0 of 10 parts, 9 wanted", "retry after 120 ms",
 		}},
 		"0d5f99e88e38d915": {explain.CauseNoRoom, []string{"answered 504, deadline", "2 of 10 parts, 9 wanted"}},
 	} {
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -50,7 +50,7 @@
 	Hedges     int                    `json:"hedges"`
 	Denied     int                    `json:"budget_denied"`
 	Shed       int                    `json:"shed"`
-	ComeBack   int64                  `json:"come_back_ms"`
+	RetryAfter int64                  `json:"retry_after_ms"`
 	Waiting    int                    `json:"waiting"`
 	Missing    []string               `json:"missing"`
 	Attempts   []fanout.AttemptRecord `json:"attempts"`
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -108,8 +108,8 @@
 		}
 		fmt.Fprintf(output, "  +%4.0f ms  answered %d, %s; %d of %d parts, %d wanted\n",
 			try.TookMillis, try.Status, try.Reason, try.Parts, try.Total, try.Required)
-		if try.ComeBack > 0 {
-			fmt.Fprintf(output, "  the client was told to come back in %d ms\n", try.ComeBack)
+		if try.RetryAfter > 0 {
+			fmt.Fprintf(output, "  the client was told to retry after %d ms\n", try.RetryAfter)
 		}
 		if try.Newer != nil {
 			fmt.Fprintf(output, "  an older configuration: %s had version %d in force %d ms before this answer; "+
--- a/internal/front/conversation.go
+++ b/internal/front/conversation.go
@@ -134,7 +134,7 @@
 	switch {
 	case result.Outcome == outcome.NotRun:
 		status = http.StatusServiceUnavailable
-		wait := c.comeBack(plan)
+		wait := c.retryAfter(plan)
 		if result.Shed > 0 {
 			wait = max(wait, min(c.handler.overloads.note(plan.Services[0], time.Now()), greatestWait))
 		}
@@ -150,9 +150,9 @@
 // statusClientGone is logged for a request whose client went away.
 const statusClientGone = 499
 
-// comeBack returns when a request that did not run may be tried again: after
+// retryAfter returns when a request that did not run may be tried again: after
 // the time that a server needs for the requests before it.
-func (c *conversation) comeBack(plan fanout.Plan) time.Duration {
+func (c *conversation) retryAfter(plan fanout.Plan) time.Duration {
 	wait := 4 * plan.Assumed
 	if estimate, ok := c.handler.fleet.Estimate(fleetChoice(plan), time.Now()); ok {
 		wait = estimate
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -32,8 +32,8 @@
 type Starting struct {
 	// Patience is how long a request waits for the configuration.
 	Patience time.Duration
-	// ComeBack is when it may be tried again after that.
-	ComeBack time.Duration
+	// RetryAfter is after how long the client may retry then.
+	RetryAfter time.Duration
 }
 
 // Handler serves clients' requests.
@@ -114,7 +114,7 @@
 	}
 	table := h.awaitTable()
 	if table == nil {
-		exchanged.refuse(http.StatusServiceUnavailable, outcome.ReasonStarting, h.state.Starting().ComeBack)
+		exchanged.refuse(http.StatusServiceUnavailable, outcome.ReasonStarting, h.state.Starting().RetryAfter)
 		return
 	}
 	exchanged.version = table.Version
--- a/internal/front/overload_test.go
+++ b/internal/front/overload_test.go
@@ -90,7 +90,7 @@
 
 func (s simState) Table() *route.Table { return s.table }
 func (s simState) Draining() bool      { return false }
-func (s simState) Starting() Starting  { return Starting{ComeBack: time.Second} }
+func (s simState) Starting() Starting  { return Starting{RetryAfter: time.Second} }
 
 type simPolicies struct{ policy Policy }
 
@@ -236,7 +236,7 @@
 	g.Expect(answer.wait).NotTo(BeEmpty())
 	told, found := s.records.refused[answer.id]
 	g.Expect(found).To(BeTrue(), "a refusal is told with the request's id")
-	g.Expect(told.ComeBack).To(BeNumerically(">", 0))
+	g.Expect(told.RetryAfter).To(BeNumerically(">", 0))
 	g.Expect(told.Result.Shed).To(BeNumerically(">", 0), "and with what decided it")
 	g.Expect(answer.took).To(BeNumerically("<=", offerSpan(&route.Route{Target: simTarget})))
 	for _, server := range s.servers {
--- a/internal/front/record.go
+++ b/internal/front/record.go
@@ -17,8 +17,8 @@
 	Policy  Policy
 	Status  int
 	Took    time.Duration
-	// ComeBack is when the client was told to come back; zero if it was not.
-	ComeBack time.Duration
+	// RetryAfter is after how long the client was told to retry; zero if it was not.
+	RetryAfter time.Duration
 	// Reason is why the request was refused or the wait ended.
 	Reason string
 	// Refused says that no server was asked.
@@ -45,7 +45,7 @@
 		ID: c.id, Host: c.received.Host, Path: c.received.RequestURI, Route: c.route.Name, Version: c.version,
 		Policy: c.policy, Status: status, Took: time.Since(c.began), Reason: string(result.Reason), Parts: result.Got,
 		Required: plan.Required, Total: len(plan.Services), Result: result, Services: plan.Services,
-		ComeBack: c.toldWait,
+		RetryAfter: c.toldWait,
 	})
 }
 
@@ -57,6 +57,6 @@
 	c.handler.events.Record(Record{
 		ID: c.id, Host: c.received.Host, Path: c.received.RequestURI, Route: name, Version: c.version,
 		Status: status, Took: time.Since(c.began), Reason: string(reason), Refused: true, Cause: c.cause,
-		ComeBack: c.toldWait,
+		RetryAfter: c.toldWait,
 	})
 }
