--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -164,9 +164,9 @@
 	greatestNewsAge = 3 * time.Second
 )
 
-// newsAge returns how old news of the store may be while it answers. Every node
-// reads it for itself, so that the calls of all nodes grow with their number;
-// where the deployment allows older news, they are fewer.
+// newsAge returns how old news of the store may be while it answers. A node reads
+// the store itself as soon as what it knows is older, and where the deployment
+// allows older news, few nodes of a zone read for the others (directory.Role).
 func (s *Settings) newsAge() time.Duration {
 	bound := time.Duration(min(s.Bounds.ApplyMillis, s.Bounds.DrainMillis)) * time.Millisecond
 	return min(max(bound-newsReserve, directory.LeastNewsAge), greatestNewsAge)
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -96,7 +96,7 @@
 
 // SetNewsAge takes how old news may be while the store answers: changes that
 // come within that time are read by one call, and where it is long enough, few
-// nodes of a zone read for the others. All nodes together make calls in inverse
+// nodes of a zone read for the others. Those that read make calls in inverse
 // proportion to it.
 func (f *Follower) SetNewsAge(span time.Duration) {
 	f.newsAge.Store(int64(max(span, LeastNewsAge)))
@@ -115,7 +115,7 @@
 // readerPause returns how old a reader's own news may be, so that the nodes which
 // ask it have news in time: it waits as long after a change, or for one.
 func (f *Follower) readerPause() time.Duration {
-	return time.Duration(readerShare * float64(f.newsAge.Load()))
+	return time.Duration(readerShare * float64(f.allowedNewsAge()))
 }
 
 // KnownAt returns the latest moment at which the node knew all that the store
