--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,6 +16,7 @@
 	"github.com/bramblemast/bramblemast/internal/version"
 	"github.com/bramblemast/bramblemast/pkg/directory"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/owner"
 	"github.com/bramblemast/bramblemast/pkg/peer"
 	"github.com/bramblemast/bramblemast/pkg/target"
 )
@@ -26,11 +27,18 @@
 	// maxPeerFrame bounds a message between nodes, which may hold all entries.
 	maxPeerFrame = 16 << 20
 	// maxPeerConnections bounds the connections to other nodes; one that was
-	// unused for longest gives way to a new one.
-	maxPeerConnections = 4
-	maxPeerInbound     = 64
-	maxInFlight        = 2000
-	sweepInterval      = time.Second
+	// unused for longest gives way to a new one. A gathered request needs one for each
+	// group of its shards: 15 for 220 shards, and those of two sets while the shards
+	// are being cut anew.
+	maxPeerConnections = 48
+	// maxPeerInbound bounds the connections of other nodes: all nodes of a region ask
+	// an owner, 680 at the size to design for.
+	maxPeerInbound = 1024
+	// maxPeerHandlers bounds the questions that are answered at once; one beyond it is
+	// refused, and the asking node turns to the servers.
+	maxPeerHandlers = 512
+	maxInFlight     = 2000
+	sweepInterval   = time.Second
 	// settleReserve is kept of the time in which the platform holds nodes to no
 	// bounds, since a request takes its time to arrive.
 	settleReserve = 700 * time.Millisecond
@@ -77,9 +85,10 @@
 	metrics         *http.Server
 	metricsListener net.Listener
 	member          *registration
-	// transport and peers are nil if the node has no address for its peers.
+	// transport, peers and owners are nil if the node has no address for its peers.
 	transport *peer.TCP
 	peers     *directory.Peers
+	owners    *owner.Client
 }
 
 // New opens the node's listeners.
@@ -95,13 +104,13 @@
 	node.state = newState(node, newFleet(settings), rules)
 	node.follower = directory.NewFollower(options.Platform, node.state)
 	node.follower.SetNewsAge(settings.newsAge())
-	if err := node.openClients(rules); err != nil {
-		return nil, err
-	}
 	local := directory.Node{Name: settings.Node.Name, Zone: settings.Node.Zone}
 	if err := node.openPeers(settings, &local); err != nil {
 		return nil, err
 	}
+	if err := node.openClients(rules); err != nil {
+		return nil, err
+	}
 	node.member = &registration{registry: options.Platform, node: local, logger: options.Logger}
 	if err := node.openReady(); err != nil {
 		return nil, err
@@ -123,11 +132,18 @@
 
 // openClients opens the address for clients.
 func (n *Node) openClients(rules *policies) error {
-	handler := front.NewHandler(front.Options{
+	recorder := newEvents(n.logger, n.figures, n.storeAge)
+	options := front.Options{
 		Dialect: n.options.Dialect, State: n.state, Fleet: n.state.fleet, Budget: n.state.budgets, Policies: rules,
-		Events: newEvents(n.logger, n.figures, n.storeAge),
-		Random: newRandom(), MaxInFlight: maxInFlight,
-	})
+		Events: recorder, Random: newRandom(), MaxInFlight: maxInFlight,
+	}
+	if n.owners != nil {
+		options.Owners = n.owners
+	}
+	handler := front.NewHandler(options)
+	if n.transport != nil {
+		n.serveOwned(handler, rules, recorder)
+	}
 	listener, err := front.Listen(n.options.Settings.Listen.Clients, handler)
 	if err != nil {
 		return err
@@ -160,6 +176,7 @@
 	n.transport = peer.NewTCP(peer.TCPOptions{
 		Node: target.NodeID(settings.Node.Name), Listener: opened, DialTimeout: connectTimeout,
 		MaxFrameBytes: maxPeerFrame, MaxInbound: maxPeerInbound, MaxConnections: maxPeerConnections,
+		MaxHandlers: maxPeerHandlers,
 	})
 	local.PeerAddress = string(n.transport.Address())
 	n.peers = directory.NewPeers(directory.PeersOptions{
@@ -170,6 +187,8 @@
 			n.logger.Warn("reader of the store left out", "reader", name, "error", cause.Error())
 		},
 	})
+	n.state.roster = owner.NewRoster(*local, settings.Zones, n.state.fleet)
+	n.owners = owner.NewClient(n.state.roster, n.transport, ownerEvents{node: n})
 	return nil
 }
 
@@ -193,6 +212,7 @@
 	if n.transport != nil {
 		add(n.transport.Run)
 		add(n.peers.Run)
+		add(n.owners.Run)
 	}
 	add(n.listener.Sweep)
 	add(n.sweepServers)
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/bramblemast/bramblemast/internal/front"
+	"github.com/bramblemast/bramblemast/pkg/fanout"
 )
 
 // Bounds of request logs.
@@ -47,14 +48,20 @@
 	if isOrdinary(record) && e.successes.Add(1)%sampleEvery != 1 {
 		return
 	}
+	if e.mayWrite() {
+		e.logger.Info("request", e.fields(record)...)
+	}
+}
+
+// mayWrite reports whether a line about a request may be written, and tells of
+// those that were left out.
+func (e *events) mayWrite() bool {
 	left, ok := e.admit(time.Now())
 	if left > 0 {
 		e.figures.logLines.WithLabelValues("rate").Add(float64(left))
 		e.logger.Warn("lines left out", "count", left)
 	}
-	if ok {
-		e.logger.Info("request", e.fields(record)...)
-	}
+	return ok
 }
 
 // overloadSpan is for how long an overload is told once.
@@ -113,9 +120,14 @@
 		return list
 	}
 	result := record.Result
-	list = append(list, "parts", record.Parts, "required", record.Required, "total", record.Total,
-		"sent", result.Sent, "hedges", result.Hedges, "retries", result.Retries, "budget_denied", result.Denied,
-		"shed", result.Shed, "outcome", result.Outcome.String())
+	list = append(list, "parts", record.Parts, "required", record.Required, "total", record.Total)
+	list = append(appendCounts(list, result), "shed", result.Shed, "outcome", result.Outcome.String())
+	if result.Asked > 0 {
+		list = append(list, "owners_asked", result.Asked)
+	}
+	if len(result.Owners) > 0 {
+		list = append(list, "owners", result.Owners)
+	}
 	if record.Policy.Template != "" {
 		list = append(list, "template", record.Policy.Template, "template_revision", record.Policy.Revision,
 			"arm", record.Policy.Arm)
@@ -123,21 +135,26 @@
 	if len(result.Attempts) > 0 {
 		list = append(list, "attempts", result.Attempts)
 	}
-	return appendMissing(list, record)
+	return appendMissing(list, result, record.Services)
+}
+
+// appendCounts lists how many sub-requests were sent, and why.
+func appendCounts(list []any, result fanout.Result) []any {
+	return append(list, "sent", result.Sent, "hedges", result.Hedges, "retries", result.Retries, "budget_denied", result.Denied)
 }
 
 // appendMissing names the services without an answer, and the last error of the
 // first of them.
-func appendMissing(list []any, record front.Record) []any {
+func appendMissing(list []any, result fanout.Result, services []string) []any {
 	var missing []string
 	var failure error
-	for index, part := range record.Result.Parts {
+	for index, part := range result.Parts {
 		if part != nil {
 			continue
 		}
-		missing = append(missing, record.Services[index])
+		missing = append(missing, services[index])
 		if failure == nil {
-			failure = record.Result.Failures[index]
+			failure = result.Failures[index]
 		}
 	}
 	if len(missing) > 0 {
--- a/internal/edge/figures.go
+++ b/internal/edge/figures.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/bramblemast/bramblemast/internal/front"
+	"github.com/bramblemast/bramblemast/pkg/owner"
 )
 
 // metricsPath is where the figures are served.
@@ -30,6 +31,8 @@
 	refused     *prometheus.CounterVec
 	overloads   *prometheus.CounterVec
 	logLines    *prometheus.CounterVec
+	owned       *prometheus.CounterVec
+	ownersLost  *prometheus.CounterVec
 }
 
 func newFigures() *figures {
@@ -48,8 +51,12 @@
 		refused:   counters("state_refused_total", "Entries of the store that were refused.", "what"),
 		overloads: counters("overloads_total", "Requests that failed for want of room, by the first service of their route.", "service"),
 		logLines:  counters("log_lines_left_out_total", "Log lines that were left out, by cause.", "cause"),
+		owned: counters("owned_parts_total", "Parts of other nodes' requests that this node was asked for as their owner.",
+			"route", "result"),
+		ownersLost: counters("owners_lost_total", "Times that an owner did not answer and was left out for a while."),
 	}
-	f.registry.MustRegister(f.requests, f.latency, f.missing, f.subRequests, f.denied, f.dependency, f.refused, f.overloads, f.logLines)
+	f.registry.MustRegister(f.requests, f.latency, f.missing, f.subRequests, f.denied, f.dependency, f.refused, f.overloads, f.logLines,
+		f.owned, f.ownersLost)
 	return f
 }
 
@@ -93,6 +100,15 @@
 	}
 }
 
+// countOwned takes one question of another node.
+func (f *figures) countOwned(record owner.Record) {
+	result := record.Result
+	f.owned.WithLabelValues(record.Kind, "answered").Add(float64(result.Got))
+	if missing := len(record.Services) - result.Got; missing > 0 {
+		f.owned.WithLabelValues(record.Kind, "missing").Add(float64(missing))
+	}
+}
+
 func (f *figures) sent(route, arm, kind string, count int) {
 	if count > 0 {
 		f.subRequests.WithLabelValues(route, arm, kind).Add(float64(count))
--- /dev/null
+++ b/internal/edge/owners.go
@@ -0,0 +1,59 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/bramblemast/bramblemast/internal/front"
+	"github.com/bramblemast/bramblemast/pkg/owner"
+	"github.com/bramblemast/bramblemast/pkg/policy"
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// serveOwned answers the questions of other nodes about the shards that this one
+// owns.
+func (n *Node) serveOwned(handler *front.Handler, rules *policies, recorder *events) {
+	owner.NewServer(owner.ServerOptions{
+		Transport: n.transport, Runner: handler.Collector(), Servers: n.state.fleet, Draining: n.state.Draining,
+		Policies: func(kind, requestID string) (policy.HedgePolicy, float64) {
+			found := rules.For(&route.Route{Name: kind, Shards: []string{""}}, requestID)
+			return found.Hedge, found.ExtraShare
+		},
+		Recorder: recorder.RecordOwned,
+	})
+}
+
+// ownerEvents tells in the log which owners are lost and regained.
+type ownerEvents struct{ node *Node }
+
+// OwnerLost implements owner.Events.
+func (e ownerEvents) OwnerLost(name string, cause error) {
+	e.node.figures.ownersLost.WithLabelValues().Inc()
+	e.node.logger.Warn("owner lost", "owner", name, "error", cause.Error())
+}
+
+// OwnerRegained implements owner.Events.
+func (e ownerEvents) OwnerRegained(name string, lost time.Duration) {
+	e.node.logger.Info("owner regained", "owner", name, "lost_ms", lost.Milliseconds())
+}
+
+// RecordOwned takes the story of one question of another node.
+func (e *events) RecordOwned(record owner.Record) {
+	e.figures.countOwned(record)
+	result := record.Result
+	isWhole := result.Got == len(record.Services)
+	if isWhole && e.successes.Add(1)%sampleEvery != 1 {
+		return
+	}
+	if !e.mayWrite() {
+		return
+	}
+	list := []any{
+		"request", record.RequestID, "route", record.Kind, "asked_by", record.AskedBy, "reason", string(result.Reason),
+		"took_ms", float64(record.Took.Microseconds()) / 1000, "parts", result.Got, "total", len(record.Services),
+	}
+	list = appendCounts(list, result)
+	if len(result.Attempts) > 0 {
+		list = append(list, "attempts", result.Attempts)
+	}
+	e.logger.Info("owned parts", appendMissing(list, result, record.Services)...)
+}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -12,6 +12,7 @@
 	"github.com/bramblemast/bramblemast/internal/front"
 	"github.com/bramblemast/bramblemast/pkg/directory"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/owner"
 	"github.com/bramblemast/bramblemast/pkg/route"
 )
 
@@ -30,6 +31,9 @@
 	// doubtedUntil returns until when an absence in the store proves nothing.
 	doubtedUntil func(now time.Time) time.Time
 
+	// roster divides shards among the nodes; nil if the node has no peers.
+	roster *owner.Roster
+
 	startedAt time.Time
 	table     atomic.Pointer[route.Table]
 	draining  atomic.Bool
@@ -209,6 +213,9 @@
 		callers.ByZone[node.Zone]++
 	}
 	s.mutex.Unlock()
+	if s.roster != nil {
+		s.roster.SetNodes(s.knownNodes())
+	}
 	s.fleet.SetCallers(callers)
 	s.budgets.setNodes(callers.Total)
 }
--- a/internal/front/conversation.go
+++ b/internal/front/conversation.go
@@ -35,7 +35,7 @@
 		Kind: c.route.Name, Repeatable: c.route.Repeatable,
 		MaxAttempts: min(c.route.MaxAttempts, c.policy.MaxAttempts),
 		Target:      target(c.route, c.began), Deadline: c.deadline, Assumed: assumedTime(c.route),
-		Hedge: c.policy.Hedge, Stop: c.policy.Stop, ExtraShare: c.policy.ExtraShare,
+		Hedge: c.policy.Hedge, Stop: c.policy.Stop, ExtraShare: c.policy.ExtraShare, TopRecords: c.route.TopRecords,
 	}
 	plan.Patience = patience(c.route, time.Until(c.deadline))
 	plan.RefuseBy = c.began.Add(offerSpan(c.route))
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -54,10 +54,13 @@
 
 // Options of a Handler.
 type Options struct {
-	Dialect  Dialect
-	State    State
-	Fleet    *fleet.Fleet
-	Budget   fanout.Budget
+	Dialect Dialect
+	State   State
+	Fleet   *fleet.Fleet
+	Budget  fanout.Budget
+	// Owners are the nodes to ask for the shards of gathered requests; nil if this
+	// node asks all servers itself.
+	Owners   fanout.Owners
 	Policies Policies
 	Events   Recorder
 	// Random is not shared with other users.
@@ -82,10 +85,18 @@
 	}
 	gatherer, forwarder := runner, runner
 	gatherer.Sound, forwarder.Sound = isPart, isWholeAnswer
+	gatherer.Owners = options.Owners
 	handler.gatherer, handler.forwarder = &gatherer, &forwarder
 	return handler
 }
 
+// Collector returns what asks servers for parts on behalf of other nodes.
+func (h *Handler) Collector() *fanout.Runner {
+	collector := *h.gatherer
+	collector.Owners = nil
+	return &collector
+}
+
 // isPart reports whether an answer can be merged.
 func isPart(answer *exchange.Response) bool {
 	return answer.Status/100 == 2 && answer.Evidence != "" && answer.Header.Get("Content-Encoding") == ""
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -47,6 +47,28 @@
 	// ExtraShare bounds the extra sub-requests in relation to what the budget
 	// allows, 0 to 1.
 	ExtraShare float64
+	// TopRecords is how many of the greatest records of all parts are of use to a
+	// gathered answer.
+	TopRecords int
+	// Collect is set for a run on behalf of another node; nil for a client's request.
+	Collect *Collect
+}
+
+// Collect makes a run tell another node of its parts as they come. That node
+// decides when the answer is final: the run ends when nothing is missing any more,
+// at the deadline, or with its context. It asks one server for each part, and a
+// further one once that is granted, since that node may ask servers itself when it
+// hears nothing.
+type Collect struct {
+	// Report takes the answers since the last report by the positions of their
+	// services, and the positions of which a further server is wanted. Without either
+	// it tells that the run is still under way. An error ends the run.
+	Report func(answers map[int]*exchange.Response, wanted []int) error
+	// Granted brings positions of which one further server may be asked.
+	Granted <-chan []int
+	// Within is the time after which a report is due; before it the answers are kept
+	// back, so that most runs send one message.
+	Within time.Duration
 }
 
 // Budget pays for sub-requests beyond the first of each part.
@@ -98,6 +120,15 @@
 	// Attempts are the sub-requests of the parts that were not answered by the
 	// first server that was asked; at most maxAttemptRecords.
 	Attempts []AttemptRecord
+	// Asked counts the owners that were asked for parts, and Owners tells of those
+	// that did not answer whole at first.
+	Asked  int
+	Owners []OwnerRecord
+	// MayRun says of each part without an answer whether a server may have run it.
+	MayRun []bool
+	// NoRoom says of each part whether a server refused it for want of room, or none
+	// was free.
+	NoRoom []bool
 }
 
 // AttemptRecord is the story of one sub-request, for logs.
@@ -126,13 +157,19 @@
 	// Linger is for how long an attempt that nobody waits for may go on, so
 	// that its connection can be used again.
 	Linger time.Duration
+	// Owners are the nodes to ask for groups of parts; nil where this node asks all
+	// servers itself.
+	Owners Owners
 }
 
 // Run asks the services of a plan. It returns as soon as the answer is final.
 func (r *Runner) Run(ctx context.Context, plan Plan, request *exchange.Request) Result {
 	run := newRun(r, plan, request)
+	run.askOwners(time.Now())
 	for index := range plan.Services {
-		run.launchFirst(index, time.Now())
+		if run.parts[index].question == nil {
+			run.launchFirst(index, time.Now())
+		}
 	}
 	reason := run.loop(ctx)
 	run.abandon(reason)
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -114,7 +114,7 @@
 // hedge asks a further server while an earlier one is still silent.
 func (r *run) hedge(index int, now time.Time) {
 	owner := &r.parts[index]
-	if owner.executions >= r.plan.MaxAttempts || !r.plan.Repeatable {
+	if owner.executions >= r.plan.MaxAttempts || !r.plan.Repeatable || r.mustAsk(index) {
 		return
 	}
 	lease, _ := r.runner.Fleet.Acquire(r.choice(owner), now)
@@ -153,7 +153,7 @@
 	for _, each := range owner.asked {
 		excluded = append(excluded, each.lease)
 	}
-	return fleet.Choice{Service: owner.service, Kind: r.plan.Kind, Assumed: r.plan.Assumed, Target: r.targetSpan(), Rank: r.rank(owner), Excluded: excluded}
+	return fleet.Choice{Service: owner.service, Kind: r.plan.Kind, Assumed: r.plan.Assumed, Target: r.targetSpan(), Rank: r.rank(owner), Excluded: excluded, Owned: owner.owned}
 }
 
 // rank orders the sub-requests of a part among those of other requests.
@@ -173,7 +173,7 @@
 	}
 	covered := r.got
 	for index := range r.parts {
-		if each := &r.parts[index]; each.answer == nil && len(each.live) > 0 {
+		if each := &r.parts[index]; each.answer == nil && (len(each.live) > 0 || each.question != nil) {
 			covered++
 		}
 	}
@@ -238,13 +238,18 @@
 }
 
 // abandon lets the attempts that are still under way end: soon, so that their
-// connections can be used again, or at once if the client has gone.
+// connections can be used again, or at once if the client has gone. A run for
+// another node does not know which of the two it is.
 func (r *run) abandon(reason StopReason) {
 	close(r.ended)
 	end := time.Now()
-	if reason != StopCancelled {
+	if reason != StopCancelled || r.plan.Collect != nil {
 		end = end.Add(r.runner.Linger)
 	}
+	r.inbox.close()
+	for _, asked := range r.questions {
+		asked.cancel()
+	}
 	for index := range r.parts {
 		r.withdraw(&r.parts[index])
 		for _, each := range r.parts[index].live {
--- /dev/null
+++ b/pkg/fanout/owners.go
@@ -0,0 +1,390 @@
+package fanout
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+)
+
+// Owners divides services among the nodes that ask their servers on behalf of
+// others, and asks those nodes. It is safe for concurrent use.
+type Owners interface {
+	// Divide returns the groups of services that have an owner. Services in none are
+	// asked by this node, on its own behalf alone.
+	Divide(services []string) []Group
+	// Ask sends a question to the owner of its group. report takes what the owner
+	// has got; it does not block and may be called before Ask returns.
+	Ask(question Question, report func(Report)) Pending
+}
+
+// Group is some services with one owner.
+type Group struct {
+	// Owner is the name of the node to ask; empty if it is this node.
+	Owner string
+	// Indexes are the positions of the services among those that were divided.
+	Indexes []int
+}
+
+// Question is what an owner is asked.
+type Question struct {
+	Owner    string
+	Services []string
+	// Plan is that of the whole request; Required is that of the question.
+	Plan     *Plan
+	Required int
+	Request  *exchange.Request
+	// ReportWithin is the time after which the owner reports what it has.
+	ReportWithin time.Duration
+}
+
+// Pending is a question under way.
+type Pending interface {
+	// Cancel ends it.
+	Cancel()
+	// Grant lets the owner ask one further server of each service at the positions.
+	Grant(indexes []int)
+	// Silent tells that no report came in time.
+	Silent()
+}
+
+// Report is what an owner has got since its last report.
+type Report struct {
+	// Answers are sound answers by the position of their service in the question.
+	Answers map[int]*exchange.Response
+	// Wanted are the positions of the services of which the owner wants to ask a
+	// further server.
+	Wanted []int
+	// Failures tell of the services without an answer once Ended is set.
+	Failures map[int]OwnerFailure
+	// Ended says that the owner has answered whole.
+	Ended bool
+	// Err is why nothing more comes; an *outcome.Error.
+	Err error
+	// Sent, Hedges, Retries and Denied count as in Result.
+	Sent, Hedges, Retries, Denied int
+}
+
+// OwnerFailure is why an owner has no answer of a service.
+type OwnerFailure struct {
+	Cause error
+	// Shed says that a server had no room or none was free, NotRun that no server
+	// has run the request or will.
+	Shed, NotRun bool
+}
+
+// OwnerRecord is the story of a question that was not answered whole in time.
+type OwnerRecord struct {
+	Owner    string `json:"owner"`
+	Services int    `json:"services"`
+	Result   string `json:"result"`
+}
+
+// Constants of questions to owners.
+const (
+	// reportShare of the time that is left to the target is when an owner reports
+	// what it has: early enough for the asking node to ask the servers itself.
+	reportShare = 0.3
+	// leastReport and greatestReport bound it: an owner needs some milliseconds of
+	// a small processor, and its silence is to be noticed also without a target.
+	leastReport    = 20 * time.Millisecond
+	greatestReport = 250 * time.Millisecond
+	// silenceFactor times ReportWithin is when an owner without a report is taken
+	// for silent: the report's way, and the delays of two busy processes.
+	silenceFactor = 1.5
+	// stallSlack is how late a timer may fire before silence is put down to this
+	// process, which has stood still itself: what came meanwhile is read first.
+	stallSlack = 10 * time.Millisecond
+)
+
+// question is a question to the owner of some parts.
+type question struct {
+	owner   string
+	indexes []int
+	pending Pending
+	within  time.Duration
+	// silentAt is when the owner is taken for silent; zero once it was, or has ended.
+	silentAt time.Time
+	ended    bool
+	result   string
+}
+
+// cancel ends the question if it is under way.
+func (q *question) cancel() {
+	if !q.ended && q.pending != nil {
+		q.pending.Cancel()
+	}
+}
+
+// inbox keeps the reports of owners until the event loop takes them, so that
+// nobody who brings one has to wait.
+type inbox struct {
+	// arrived has an element while there are reports.
+	arrived chan struct{}
+
+	mutex sync.Mutex
+	// reports and closed are guarded by mutex.
+	reports []questionReport
+	closed  bool
+}
+
+type questionReport struct {
+	question *question
+	report   Report
+}
+
+func newInbox() *inbox { return &inbox{arrived: make(chan struct{}, 1)} }
+
+func (i *inbox) put(from *question, report Report) {
+	i.mutex.Lock()
+	if !i.closed {
+		i.reports = append(i.reports, questionReport{question: from, report: report})
+	}
+	i.mutex.Unlock()
+	select {
+	case i.arrived <- struct{}{}:
+	default:
+	}
+}
+
+func (i *inbox) take() []questionReport {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	taken := i.reports
+	i.reports = nil
+	return taken
+}
+
+func (i *inbox) close() {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.closed, i.reports = true, nil
+}
+
+// askOwners asks the owners of the plan's services.
+func (r *run) askOwners(now time.Time) {
+	if r.plan.Collect != nil {
+		r.fresh, r.reportAt = make(map[int]*exchange.Response), now.Add(r.plan.Collect.Within)
+		for index := range r.parts {
+			r.parts[index].owned = true
+		}
+		return
+	}
+	if r.runner.Owners == nil || !r.plan.Repeatable {
+		return
+	}
+	for _, group := range r.runner.Owners.Divide(r.plan.Services) {
+		if group.Owner != "" {
+			r.ask(group, now)
+			continue
+		}
+		for _, index := range group.Indexes {
+			r.parts[index].owned = true
+		}
+	}
+}
+
+// ask sends a question to an owner.
+func (r *run) ask(group Group, now time.Time) {
+	asked := &question{owner: group.Owner, indexes: group.Indexes, within: r.reportWithin(now)}
+	asked.silentAt = now.Add(asked.patience())
+	services := make([]string, len(group.Indexes))
+	for position, index := range group.Indexes {
+		owner := &r.parts[index]
+		owner.question = asked
+		owner.arrivals, owner.executions = 1, 1
+		services[position] = owner.service
+	}
+	r.questions = append(r.questions, asked)
+	required := (r.plan.Required*len(services) + len(r.parts) - 1) / len(r.parts)
+	asked.pending = r.runner.Owners.Ask(Question{
+		Owner: group.Owner, Services: services, Plan: &r.plan, Required: required, Request: r.request,
+		ReportWithin: asked.within,
+	}, func(report Report) { r.inbox.put(asked, report) })
+}
+
+// reportWithin returns after which time an owner is to report.
+func (r *run) reportWithin(now time.Time) time.Duration {
+	left := r.plan.Target.Sub(now)
+	if r.plan.Target.IsZero() || left <= 0 {
+		return greatestReport
+	}
+	return min(max(time.Duration(reportShare*float64(left)), leastReport), greatestReport)
+}
+
+// patience is the time without a report after which the owner is silent.
+func (q *question) patience() time.Duration { return time.Duration(silenceFactor * float64(q.within)) }
+
+// takeReports takes what owners have reported.
+func (r *run) takeReports(now time.Time) {
+	for _, taken := range r.inbox.take() {
+		r.takeReport(taken.question, taken.report, now)
+	}
+}
+
+func (r *run) takeReport(from *question, report Report, now time.Time) {
+	if !from.silentAt.IsZero() {
+		from.silentAt = now.Add(from.patience())
+	}
+	for position, answer := range report.Answers {
+		if position < 0 || position >= len(from.indexes) || !r.runner.Sound(answer) {
+			continue
+		}
+		if index := from.indexes[position]; r.parts[index].answer == nil {
+			r.accept(index, answer, now)
+		}
+	}
+	r.grant(from, report.Wanted)
+	r.sent += report.Sent
+	r.hedges += report.Hedges
+	r.retries += report.Retries
+	r.denied += report.Denied
+	if !report.Ended && report.Err == nil {
+		return
+	}
+	from.ended, from.silentAt = true, time.Time{}
+	if report.Err != nil {
+		from.result = report.Err.Error()
+	}
+	for position, index := range from.indexes {
+		if owner := &r.parts[index]; owner.question == from && owner.answer == nil {
+			r.endQuestion(index, report, report.Failures[position], now)
+		}
+		r.parts[index].question = nil
+	}
+}
+
+// grant lets an owner ask further servers, as far as the plan allows them: what the
+// owner may do from now on this node does not do any more.
+func (r *run) grant(to *question, wanted []int) {
+	var granted []int
+	for _, position := range wanted {
+		if position < 0 || position >= len(to.indexes) {
+			continue
+		}
+		owner := &r.parts[to.indexes[position]]
+		if owner.question == to && owner.answer == nil && owner.executions < r.plan.MaxAttempts {
+			owner.executions++
+			granted = append(granted, position)
+		}
+	}
+	if len(granted) > 0 {
+		to.pending.Grant(granted)
+	}
+}
+
+// mustAsk reports whether a run for another node may not ask a further server of a
+// part by itself, and asks for it.
+func (r *run) mustAsk(index int) bool {
+	owner := &r.parts[index]
+	if r.plan.Collect == nil || owner.executions < 1+owner.granted {
+		return false
+	}
+	if !owner.wanted {
+		owner.wanted = true
+		r.wants = append(r.wants, index)
+	}
+	return true
+}
+
+// granted returns where a run for another node hears of grants.
+func (r *run) granted() <-chan []int {
+	if r.plan.Collect == nil {
+		return nil
+	}
+	return r.plan.Collect.Granted
+}
+
+// takeGrant asks a further server of each of some parts.
+func (r *run) takeGrant(indexes []int, now time.Time) {
+	for _, index := range indexes {
+		if index < 0 || index >= len(r.parts) || !r.parts[index].wanted {
+			continue
+		}
+		owner := &r.parts[index]
+		owner.granted++
+		owner.wanted = false
+		switch {
+		case owner.answer != nil || owner.closed:
+		case len(owner.live) > 0:
+			r.hedge(index, now)
+		default:
+			r.retry(index, now)
+		}
+	}
+}
+
+// endQuestion decides what becomes of a part that its owner did not get.
+func (r *run) endQuestion(index int, report Report, failure OwnerFailure, now time.Time) {
+	owner := &r.parts[index]
+	owner.question = nil
+	switch {
+	case report.Err != nil && outcome.Of(report.Err) == outcome.NotRun:
+		owner.failure, owner.arrivals, owner.executions = report.Err, 0, 0
+		r.launchFirst(index, now)
+	case report.Err != nil:
+		owner.failure = report.Err
+		r.retry(index, now)
+	default:
+		owner.failure, owner.shed = failure.Cause, failure.Shed
+		if failure.NotRun {
+			owner.arrivals, owner.executions = 0, 0
+		}
+		r.retry(index, now)
+	}
+}
+
+// handleSilence asks the servers of an owner that has not reported in time. What
+// it reports later is still taken.
+func (r *run) handleSilence(now time.Time) {
+	for _, asked := range r.questions {
+		if asked.silentAt.IsZero() || now.Before(asked.silentAt) {
+			continue
+		}
+		if now.Sub(asked.silentAt) > stallSlack {
+			asked.silentAt = now.Add(stallSlack)
+			continue
+		}
+		asked.silentAt, asked.result = time.Time{}, "silent"
+		asked.pending.Silent()
+		for _, index := range asked.indexes {
+			owner := &r.parts[index]
+			if owner.question == asked && owner.answer == nil && owner.executions < r.plan.MaxAttempts {
+				owner.question = nil
+				r.retry(index, now)
+			}
+		}
+	}
+}
+
+// tell reports to the node that this run collects for: what has come, once a
+// report is due, and from then on each answer at once; and what it wants, at once.
+func (r *run) tell(now time.Time) error {
+	collect := r.plan.Collect
+	if collect == nil {
+		return nil
+	}
+	isDue := !now.Before(r.reportAt) || len(r.wants) > 0 || r.told && len(r.fresh) > 0
+	if !isDue {
+		return nil
+	}
+	fresh, wants := r.fresh, r.wants
+	r.fresh, r.wants, r.told, r.reportAt = make(map[int]*exchange.Response), nil, true, now.Add(collect.Within)
+	return collect.Report(fresh, wants)
+}
+
+// ownerRecords tells of the questions that were not answered whole.
+func (r *run) ownerRecords() []OwnerRecord {
+	var records []OwnerRecord
+	for _, asked := range r.questions {
+		result := asked.result
+		if result == "" && !asked.ended {
+			result = "pending"
+		}
+		if result != "" && len(records) < maxAttemptRecords {
+			records = append(records, OwnerRecord{Owner: asked.owner, Services: len(asked.indexes), Result: result})
+		}
+	}
+	return records
+}
--- a/pkg/fanout/part.go
+++ b/pkg/fanout/part.go
@@ -44,6 +44,15 @@
 	unpaid bool
 	// closed says that no further server is asked.
 	closed bool
+	// question is the question to an owner that this part waits for; nil if this
+	// node asks servers itself.
+	question *question
+	// owned says that this node asks the service's servers for others too.
+	owned bool
+	// granted counts the further servers that may be asked in a run for another
+	// node; wanted says that one was asked for.
+	granted int
+	wanted  bool
 }
 
 // askedServer is a server that a part was sent to.
--- a/pkg/fanout/result.go
+++ b/pkg/fanout/result.go
@@ -94,7 +94,8 @@
 		Parts: make([]*exchange.Response, len(r.parts)), Failures: make([]error, len(r.parts)),
 		Refusals: make([]*exchange.Response, len(r.parts)),
 		Got:      r.got, Reason: reason, Hedges: r.hedges, Retries: r.retries, Sent: r.sent, Denied: r.denied,
-		Attempts: r.records(time.Now()),
+		Attempts: r.records(time.Now()), Asked: len(r.questions), Owners: r.ownerRecords(),
+		MayRun: make([]bool, len(r.parts)), NoRoom: make([]bool, len(r.parts)),
 	}
 	ran, mayRun := false, false
 	for index := range r.parts {
@@ -103,6 +104,7 @@
 		if each.answer == nil && each.shed {
 			result.Shed++
 		}
+		result.MayRun[index], result.NoRoom[index] = each.ran || each.executions > 0, each.shed
 		ran = ran || each.ran
 		mayRun = mayRun || each.executions > 0
 	}
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -62,6 +62,16 @@
 	// the rule is to be asked again; zero for never.
 	coveredAt time.Time
 	recheckAt time.Time
+	// questions are those to owners, and inbox what they have reported.
+	questions []*question
+	inbox     *inbox
+	// fresh are the answers that Plan.Collect has not been told, and wants the parts
+	// that need a further server; reportAt is when it is told next, and told says that
+	// it was once.
+	fresh    map[int]*exchange.Response
+	wants    []int
+	reportAt time.Time
+	told     bool
 	// lot is drawn from the request's id, alike on all nodes.
 	lot     uint64
 	got     int
@@ -80,6 +90,7 @@
 	return &run{
 		runner: runner, plan: plan, request: request, parts: parts, began: time.Now(), lot: xxhash.Sum64String(request.ID),
 		results: make(chan finished, len(parts)), wakes: make(chan int, len(parts)), ended: make(chan struct{}), open: len(parts),
+		inbox: newInbox(),
 	}
 }
 
@@ -92,6 +103,9 @@
 		if reason, done := r.decide(now); done {
 			return reason
 		}
+		if err := r.tell(now); err != nil {
+			return StopCancelled
+		}
 		wait := r.nextEvent(now).Sub(now)
 		if wait <= 0 {
 			r.handleDue(now)
@@ -103,6 +117,10 @@
 			return StopCancelled
 		case result := <-r.results:
 			r.take(result, time.Now())
+		case <-r.inbox.arrived:
+			r.takeReports(time.Now())
+		case granted := <-r.granted():
+			r.takeGrant(granted, time.Now())
 		case index := <-r.wakes:
 			r.handleWake(index, time.Now())
 		case <-timer.C:
@@ -118,6 +136,8 @@
 	select {
 	case result := <-r.results:
 		r.take(result, now)
+	case <-r.inbox.arrived:
+		r.takeReports(now)
 	default:
 		r.handleTime(now)
 	}
@@ -132,6 +152,8 @@
 		return StopExhausted, true
 	case !now.Before(r.plan.Deadline):
 		return StopDeadline, true
+	case r.plan.Collect != nil:
+		return "", false
 	case !r.plan.Target.IsZero() && !now.Before(r.plan.Target) && r.got >= r.plan.Required:
 		return StopTarget, true
 	case r.got+r.open < r.plan.Required:
@@ -173,7 +195,7 @@
 func (r *run) allAbsent() bool {
 	for index := range r.parts {
 		each := &r.parts[index]
-		if each.answer == nil && !each.closed && !each.absent {
+		if each.answer == nil && !each.closed && (!each.absent || each.question != nil) {
 			return false
 		}
 	}
@@ -197,10 +219,14 @@
 	if r.plan.RefuseBy.After(now) {
 		next = earlier(next, r.plan.RefuseBy)
 	}
-	if r.got >= r.plan.Required {
+	if r.got >= r.plan.Required && r.plan.Collect == nil {
 		next = earlier(next, r.plan.Target)
 	}
 	next = earlier(next, r.recheckAt)
+	next = earlier(next, r.reportAt)
+	for _, asked := range r.questions {
+		next = earlier(next, asked.silentAt)
+	}
 	for index := range r.parts {
 		next = earlier(next, r.parts[index].hedgeAt)
 	}
@@ -217,6 +243,7 @@
 
 // handleTime asks further servers for the parts that are due.
 func (r *run) handleTime(now time.Time) {
+	r.handleSilence(now)
 	for index := range r.parts {
 		due := &r.parts[index]
 		if due.hedgeAt.IsZero() || now.Before(due.hedgeAt) {
@@ -244,14 +271,7 @@
 		return
 	}
 	if result.err == nil && r.runner.Sound(result.answer) {
-		owner.answer = result.answer
-		owner.ran = true
-		owner.hedgeAt = time.Time{}
-		r.got++
-		r.open--
-		for _, other := range owner.live {
-			other.Expire(now.Add(r.runner.Linger))
-		}
+		r.accept(index, result.answer, now)
 		return
 	}
 	r.noteFailure(owner, result)
@@ -260,6 +280,25 @@
 	}
 }
 
+// accept takes the answer of a part.
+func (r *run) accept(index int, answer *exchange.Response, now time.Time) {
+	owner := &r.parts[index]
+	r.withdraw(owner)
+	owner.answer = answer
+	owner.ran = true
+	owner.hedgeAt = time.Time{}
+	r.got++
+	if !owner.closed {
+		r.open--
+	}
+	for _, other := range owner.live {
+		other.Expire(now.Add(r.runner.Linger))
+	}
+	if r.plan.Collect != nil {
+		r.fresh[index] = answer
+	}
+}
+
 // retry asks another server after all attempts of a part have failed, or
 // closes the part.
 func (r *run) retry(index int, now time.Time) {
@@ -272,6 +311,9 @@
 		r.closePart(owner)
 		return
 	}
+	if r.mustAsk(index) {
+		return
+	}
 	if owner.refusals > freeRefusals {
 		r.awaitRoom(owner, now)
 		return
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -39,6 +39,9 @@
 	Rank Rank
 	// Excluded are servers that were asked already.
 	Excluded []*Lease
+	// Owned says that this node asks the service on behalf of the nodes around it,
+	// so that it may use their share of the connections of its servers.
+	Owned bool
 }
 
 // Availability says why there is no server.
@@ -117,6 +120,9 @@
 	var bestCost, leavingCost time.Duration
 	availability := Absent
 	for _, each := range f.services[choice.Service] {
+		if choice.Owned {
+			each.ownedAt = now
+		}
 		if wasAsked(choice.Excluded, each) || each.hasEnded(now) {
 			continue
 		}
@@ -151,7 +157,7 @@
 // own zone have more of them, since servers nearby are asked first. The mutex
 // is held.
 func (f *Fleet) limit(each *member, now time.Time) int {
-	shared := min(f.sharedLimit(each), max(leastLimit, int(each.room)))
+	shared := min(f.sharedLimit(each, now), max(leastLimit, int(each.room)))
 	if now.Before(each.narrowUntil) {
 		return min(shared, each.narrowLimit)
 	}
@@ -160,16 +166,43 @@
 
 // sharedLimit is the limit by the connections of the server alone. The mutex is
 // held.
-func (f *Fleet) sharedLimit(each *member) int {
+func (f *Fleet) sharedLimit(each *member, now time.Time) int {
 	connections := f.connections[each.Service]
 	if connections <= 0 {
 		return math.MaxInt
 	}
-	share, sharers := farShare, f.callers.Total-f.callers.ByZone[each.Zone]
+	share := farShare
 	if each.Zone == f.settings.Local.Zone {
-		share, sharers = nearShare, f.callers.ByZone[each.Zone]
+		share = nearShare
 	}
-	return max(leastLimit, int(share*float64(connections)/float64(max(1, sharers))))
+	return max(leastLimit, int(share*float64(connections)/float64(max(1, f.sharers(each, now)))))
+}
+
+// sharers counts the nodes that divide a part of a server's connections among
+// them: for a server nearby those of its zone, for another one all others. Where
+// owners ask on behalf of the nodes around them, there is about one in each zone.
+// The mutex is held.
+func (f *Fleet) sharers(each *member, now time.Time) int {
+	near, isOwned := each.Zone == f.settings.Local.Zone, f.isOwned(each, now)
+	switch {
+	case near && isOwned:
+		return 1
+	case near:
+		return f.callers.ByZone[each.Zone]
+	case isOwned:
+		return len(f.callers.ByZone)
+	}
+	return f.callers.Total - f.callers.ByZone[each.Zone]
+}
+
+// ownedSpan is for how long a node counts as the owner of a service after it was
+// last asked as such: longer than the pauses between requests at a low rate.
+const ownedSpan = 5 * time.Second
+
+// isOwned reports whether this node asks a server's service on behalf of others.
+// The mutex is held.
+func (f *Fleet) isOwned(each *member, now time.Time) bool {
+	return !each.ownedAt.IsZero() && now.Sub(each.ownedAt) < ownedSpan
 }
 
 // cost estimates when a server would answer. The mutex is held.
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -44,6 +44,8 @@
 	connections map[string]int
 	// waiters are the sub-requests for which no server was free, by service.
 	waiters map[string][]*Waiter
+	// generation changes with the servers that are listed and their zones.
+	generation uint64
 }
 
 // New returns an empty fleet.
@@ -82,6 +84,7 @@
 	if server.Draining {
 		added.leave(now, now.Add(f.settings.LeaveWithin))
 	}
+	f.generation++
 	f.members[server.ID] = added
 	f.services[server.Service] = append(f.services[server.Service], added)
 	return "added"
@@ -93,9 +96,11 @@
 	known.Server, known.listed = server, true
 	switch {
 	case server.Draining && !wasDraining:
+		f.generation++
 		known.leave(now, now.Add(f.settings.LeaveWithin))
 		return "draining"
 	case !server.Draining && (wasDraining || !wasListed):
+		f.generation++
 		known.stay()
 		return "returned"
 	}
@@ -113,6 +118,7 @@
 		return false
 	}
 	known.listed = false
+	f.generation++
 	if doubtedUntil.After(now) {
 		known.leave(doubtedUntil, doubtedUntil)
 		return true
--- a/pkg/fleet/idle.go
+++ b/pkg/fleet/idle.go
@@ -35,7 +35,7 @@
 	if connections <= 0 {
 		return exchange.LongestIdle
 	}
-	if idleShare*connections < float64(f.callers.Total) {
+	if f.crowds(connections) {
 		return scarceIdle
 	}
 	share, sharers := farIdleShare, f.callers.Total-f.callers.ByZone[kept.Zone]
@@ -47,6 +47,12 @@
 	return bound
 }
 
+// crowds reports whether there are more nodes than a server with so many
+// connections can keep one for. The mutex is held.
+func (f *Fleet) crowds(connections float64) bool {
+	return connections > 0 && idleShare*connections < float64(f.callers.Total)
+}
+
 // boundIdle gives all pools their bounds, which depend on the nodes and on the
 // connections of the service. The mutex is held.
 func (f *Fleet) boundIdle() {
--- a/pkg/fleet/room.go
+++ b/pkg/fleet/room.go
@@ -33,7 +33,7 @@
 	if lease.target <= 0 {
 		return
 	}
-	shared := float64(f.sharedLimit(used))
+	shared := float64(f.sharedLimit(used, now))
 	share := float64(elapsed) / float64(lease.target)
 	switch {
 	case share > crowdedShare:
@@ -51,12 +51,16 @@
 		return
 	}
 	running := float64(len(used.active) + 1)
-	used.room = max(f.leastRoom(used), roomFactor*min(used.room, running))
+	used.room = max(f.leastRoom(used, now), roomFactor*min(used.room, running))
 	used.crowdedAt = now
 }
 
 // leastRoom is the room that a server keeps, so that all nodes together can use
 // all of its slots. The mutex is held.
-func (f *Fleet) leastRoom(each *member) float64 {
-	return max(leastLimit, leastRoomPerSlot*float64(each.Slots)/float64(max(1, f.callers.Total)))
+func (f *Fleet) leastRoom(each *member, now time.Time) float64 {
+	sharers := f.callers.Total
+	if f.isOwned(each, now) {
+		sharers = len(f.callers.ByZone)
+	}
+	return max(leastLimit, leastRoomPerSlot*float64(each.Slots)/float64(max(1, sharers)))
 }
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -104,6 +104,9 @@
 	room      float64
 	crowdedAt time.Time
 	filledAt  time.Time
+	// ownedAt is when this node last asked for its service as the owner; zero for
+	// never.
+	ownedAt time.Time
 	// listed says that the platform lists the server.
 	listed bool
 	// leavesAt is from when it is asked only if its service has no other, and
--- /dev/null
+++ b/pkg/owner/client.go
@@ -0,0 +1,216 @@
+package owner
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramblemast/bramblemast/pkg/directory"
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/owner/ownerpb"
+	"github.com/bramblemast/bramblemast/pkg/peer"
+)
+
+// The kinds of messages.
+const (
+	kindQuestion peer.Kind = "owner.question"
+	kindPing     peer.Kind = "owner.ping"
+)
+
+// Times of the return of owners.
+const (
+	// pingInterval is how often an owner that did not answer is asked whether it
+	// does: requests go to the next in rank meanwhile, so that nobody waits for it.
+	pingInterval = time.Second
+	pingTimeout  = 500 * time.Millisecond
+)
+
+// Client asks owners. It implements fanout.Owners.
+type Client struct {
+	roster    *Roster
+	transport peer.Streamer
+	events    Events
+}
+
+// Events takes what a Client finds out of other nodes. It does not block.
+type Events interface {
+	// OwnerLost tells that a node is not asked as an owner for now, and why.
+	OwnerLost(name string, cause error)
+	// OwnerRegained tells that it is asked again, and for how long it was not.
+	OwnerRegained(name string, lost time.Duration)
+}
+
+var _ fanout.Owners = (*Client)(nil)
+
+// NewClient returns a client that asks the nodes of a roster.
+func NewClient(roster *Roster, transport peer.Streamer, events Events) *Client {
+	return &Client{roster: roster, transport: transport, events: events}
+}
+
+// Divide implements fanout.Owners.
+func (c *Client) Divide(services []string) []fanout.Group { return c.roster.Divide(services) }
+
+// pending implements fanout.Pending.
+type pending struct {
+	peer.Stream
+	client *Client
+	node   directory.Node
+}
+
+// Grant implements fanout.Pending.
+func (p *pending) Grant(indexes []int) {
+	grant := &ownerpb.Grant{}
+	for _, index := range indexes {
+		grant.Indexes = append(grant.Indexes, uint32(index))
+	}
+	p.Send(grant)
+}
+
+// errSilent is why an owner that reports nothing is left out.
+var errSilent = errors.New("no report came in time")
+
+// Silent implements fanout.Pending.
+func (p *pending) Silent() {
+	p.NoteSilence()
+	p.client.lose(p.node, errSilent)
+}
+
+// unsent is a question whose owner is not known any more.
+type unsent struct{}
+
+func (unsent) Cancel()     {}
+func (unsent) Silent()     {}
+func (unsent) Grant([]int) {}
+
+// Ask implements fanout.Owners.
+func (c *Client) Ask(question fanout.Question, report func(fanout.Report)) fanout.Pending {
+	node, ok := c.roster.find(question.Owner)
+	if !ok {
+		report(fanout.Report{Err: &outcome.Error{
+			Step: "ask owner", Peer: question.Owner, Outcome: outcome.NotRun, Reason: outcome.ReasonUnreachable,
+		}})
+		return unsent{}
+	}
+	now := time.Now()
+	receive := func(body []byte, err error) { c.receive(node, body, err, report) }
+	stream := c.transport.Open(
+		peer.Address(node.PeerAddress), kindQuestion, encodeQuestion(question, now), question.Plan.Deadline.Sub(now), receive)
+	return &pending{Stream: stream, client: c, node: node}
+}
+
+// receive hands on one message of an owner, or the end of its answer.
+func (c *Client) receive(node directory.Node, body []byte, err error, report func(fanout.Report)) {
+	switch {
+	case errors.Is(err, io.EOF):
+		return
+	case err != nil:
+		c.lose(node, err)
+		report(fanout.Report{Err: err})
+		return
+	}
+	decoded, err := decodeReport(body)
+	if err != nil {
+		err = &outcome.Error{Step: "decode report", Peer: node.Name, Reason: outcome.ReasonCorruptResponse, Cause: err}
+		c.lose(node, err)
+		decoded = fanout.Report{Err: err}
+	}
+	if c.roster.isAvoided(node.Name) && decoded.Err == nil {
+		c.regain(node)
+	}
+	report(decoded)
+}
+
+// regain lets a node be an owner again that has shown that it answers.
+func (c *Client) regain(node directory.Node) {
+	c.events.OwnerRegained(node.Name, c.roster.restore(node.Name, time.Now()))
+}
+
+func (c *Client) lose(node directory.Node, cause error) {
+	if c.roster.avoid(node, time.Now()) {
+		c.events.OwnerLost(node.Name, cause)
+	}
+}
+
+// Run asks the owners that are left out whether they answer again, until ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		for _, node := range c.roster.avoidedNodes() {
+			go c.ping(ctx, node)
+		}
+	}
+}
+
+func (c *Client) ping(ctx context.Context, node directory.Node) {
+	limited, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	err := c.transport.Call(limited, peer.Address(node.PeerAddress), kindPing, &ownerpb.Ping{}, &ownerpb.Ping{})
+	if err != nil {
+		// It stays left out, which was told when it was lost.
+		return
+	}
+	c.regain(node)
+}
+
+func encodeQuestion(question fanout.Question, now time.Time) *ownerpb.Question {
+	plan, request := question.Plan, question.Request
+	encoded := &ownerpb.Question{
+		RequestId: request.ID, Method: request.Method, Target: request.Target, Host: request.Host, Body: request.Body,
+		HasBody: request.HasBody, Kind: plan.Kind, Services: question.Services, Required: uint32(question.Required),
+		MaxAttempts: uint32(plan.MaxAttempts), TopRecords: uint32(plan.TopRecords),
+		DeadlineUs: microseconds(plan.Deadline.Sub(now)), AssumedUs: microseconds(plan.Assumed),
+		ReportUs: microseconds(question.ReportWithin),
+	}
+	if !plan.Target.IsZero() {
+		encoded.TargetUs = microseconds(plan.Target.Sub(now))
+	}
+	for name, values := range request.Header {
+		for _, value := range values {
+			encoded.Headers = append(encoded.Headers, &ownerpb.Header{Name: name, Value: value})
+		}
+	}
+	return encoded
+}
+
+func microseconds(span time.Duration) uint64 { return uint64(max(0, span.Microseconds())) }
+
+// decodeReport reads a report. The records of all its parts stand in the answer of
+// one of them, since they are merged.
+func decodeReport(body []byte) (fanout.Report, error) {
+	encoded := &ownerpb.Report{}
+	if err := encoded.UnmarshalVT(body); err != nil {
+		return fanout.Report{}, err
+	}
+	report := fanout.Report{
+		Answers: make(map[int]*exchange.Response, len(encoded.Parts)), Ended: encoded.Ended,
+		Sent: int(encoded.Sent), Hedges: int(encoded.Hedges), Retries: int(encoded.Retries), Denied: int(encoded.Denied),
+	}
+	for _, index := range encoded.Wanted {
+		report.Wanted = append(report.Wanted, int(index))
+	}
+	records := encoded.Records
+	for _, part := range encoded.Parts {
+		report.Answers[int(part.Index)] = &exchange.Response{Status: http.StatusOK, Evidence: part.Evidence, Body: records}
+		records = nil
+	}
+	if len(encoded.Failures) > 0 {
+		report.Failures = make(map[int]fanout.OwnerFailure, len(encoded.Failures))
+	}
+	for _, failure := range encoded.Failures {
+		report.Failures[int(failure.Index)] = fanout.OwnerFailure{
+			Cause: errors.New(failure.Cause), Shed: failure.Shed, NotRun: failure.NotRun,
+		}
+	}
+	return report, nil
+}
--- /dev/null
+++ b/pkg/owner/owner_test.go
@@ -0,0 +1,524 @@
+package owner_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramblemast/bramblemast/pkg/directory"
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/exchange/exchangetest"
+	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/gather"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/owner"
+	"github.com/bramblemast/bramblemast/pkg/owner/ownerpb"
+	"github.com/bramblemast/bramblemast/pkg/peer"
+	"github.com/bramblemast/bramblemast/pkg/policy"
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+const (
+	shardCount = 9
+	// groupCount is the square root of shardCount.
+	groupCount = 3
+	nodeCount  = 8
+	// maxAttempts is how many servers may run a request for each shard.
+	maxAttempts = 2
+)
+
+// budget allows any extra sub-request and counts it. It is safe for concurrent use.
+type budget struct {
+	mutex  sync.Mutex
+	earned int
+	spent  int
+}
+
+func (b *budget) Earn(string, time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.earned++
+}
+
+func (b *budget) TrySpend(string, float64, time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.spent++
+	return true
+}
+
+// node is one node with its own view of the servers.
+type node struct {
+	directory.Node
+	transport *peer.MemoryTransport
+	fleet     *fleet.Fleet
+	budget    *budget
+	roster    *owner.Roster
+	client    *owner.Client
+	runner    *fanout.Runner
+	draining  bool
+	mutex     sync.Mutex
+	// records and lost are guarded by mutex.
+	records []owner.Record
+	lost    map[string]int
+}
+
+// OwnerLost implements owner.Events.
+func (n *node) OwnerLost(name string, _ error) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.lost[name]++
+}
+
+// OwnerRegained implements owner.Events.
+func (n *node) OwnerRegained(name string, _ time.Duration) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.lost[name] = 0
+}
+
+func (n *node) hasLost(name string) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.lost[name] > 0
+}
+
+func (n *node) record(record owner.Record) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.records = append(n.records, record)
+}
+
+// cluster is some nodes of one zone, and two servers for each shard.
+type cluster struct {
+	t        *testing.T
+	network  *peer.Network
+	servers  *exchangetest.Network
+	nodes    []*node
+	services []string
+	// answers decides what the server with a name does; guarded by mutex.
+	mutex   sync.Mutex
+	answers map[string]exchangetest.Answer
+	byName  map[string]*exchangetest.Server
+	cancel  context.CancelFunc
+	stopped sync.WaitGroup
+	// required is how many shards an answer needs.
+	required int
+}
+
+// in runs a test with nodes in virtual time.
+func in(t *testing.T, test func(g *WithT, c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		test(NewWithT(t), c)
+		c.cancel()
+		c.stopped.Wait()
+		time.Sleep(time.Minute)
+		c.network.Close()
+		for _, each := range c.nodes {
+			each.fleet.Sweep(time.Now())
+		}
+	})
+}
+
+func newCluster(t *testing.T) *cluster {
+	c := &cluster{
+		t: t, network: peer.NewNetwork(1), servers: exchangetest.NewNetwork(),
+		answers: map[string]exchangetest.Answer{}, byName: map[string]*exchangetest.Server{},
+		required: shardCount - 1,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	c.network.SetLatency(func(_, _ peer.Address) time.Duration { return 200 * time.Microsecond })
+	for number := range shardCount {
+		c.services = append(c.services, fmt.Sprint("shard", number))
+		for _, place := range []string{"near", "far"} {
+			c.addServer(number, place)
+		}
+	}
+	for number := range nodeCount {
+		c.addNode(ctx, fmt.Sprint("node", number))
+	}
+	var known []directory.Node
+	for _, each := range c.nodes {
+		known = append(known, each.Node)
+	}
+	for _, each := range c.nodes {
+		each.roster.SetNodes(known)
+		each.fleet.SetCallers(fleet.Callers{Total: nodeCount, ByZone: map[string]int{"z": nodeCount}})
+	}
+	return c
+}
+
+func serverName(shard int, place string) string { return fmt.Sprint(place, shard) }
+
+// addServer puts a server into a shard; each holds one record of its own.
+func (c *cluster) addServer(shard int, place string) {
+	name := serverName(shard, place)
+	quick := exchangetest.Whole(fmt.Sprintf("record-of-shard%d", shard))
+	quick.Delay = 10 * time.Millisecond
+	quick.Header = map[string]string{"Mark": "mark of " + name}
+	c.answers[name] = quick
+	c.byName[name] = c.servers.Add(name, func(exchangetest.Request) exchangetest.Answer {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		return c.answers[name]
+	})
+}
+
+// hang lets a server take requests and never answer.
+func (c *cluster) hang(name string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.answers[name] = exchangetest.Answer{Hang: true}
+}
+
+func (c *cluster) addNode(ctx context.Context, name string) {
+	created := &node{
+		Node:      directory.Node{Name: name, Zone: "z", PeerAddress: name},
+		transport: c.network.Transport(peer.Address(name)), budget: &budget{}, lost: map[string]int{},
+	}
+	created.fleet = fleet.New(fleet.Settings{
+		Local: fleet.Place{Zone: "z", Region: "r"}, Regions: map[string]string{"z": "r", "y": "q"}, LeaveWithin: time.Second,
+		Dialer: c.servers, Random: rand.New(rand.NewPCG(1, uint64(len(c.nodes)))),
+	})
+	connections := map[string]int{}
+	for number, service := range c.services {
+		// Half of the connections are not enough for one of each node.
+		connections[service] = 2*nodeCount - 1
+		for place, zone := range map[string]string{"near": "z", "far": "y"} {
+			server := serverName(number, place)
+			created.fleet.Apply(fleet.Server{ID: server, Service: service, Address: server, Zone: zone, Slots: 5}, time.Now())
+		}
+	}
+	created.fleet.SetConnections(connections)
+	created.roster = owner.NewRoster(created.Node, map[string]string{"z": "r", "y": "q"}, created.fleet)
+	created.client = owner.NewClient(created.roster, created.transport, created)
+	runner := fanout.Runner{
+		Fleet: created.fleet, Budget: created.budget, Dialect: &exchangetest.Dialect, Linger: 350 * time.Millisecond,
+		Sound: func(answer *exchange.Response) bool { return answer.Status == http.StatusOK && answer.Evidence != "" },
+	}
+	collector := runner
+	runner.Owners = created.client
+	created.runner = &runner
+	owner.NewServer(owner.ServerOptions{
+		Transport: created.transport, Runner: &collector, Servers: created.fleet, Draining: func() bool { return created.draining },
+		Policies: func(string, string) (policy.HedgePolicy, float64) { return hedge, 1 }, Recorder: created.record,
+	})
+	c.stopped.Go(func() { _ = created.client.Run(ctx) })
+	c.nodes = append(c.nodes, created)
+}
+
+var hedge = func() policy.HedgePolicy {
+	set, err := policy.Build(policy.Spec{Hedge: policy.HedgeSpec{Policy: policy.HedgeTypical, Factor: 2.5}})
+	if err != nil {
+		panic(err)
+	}
+	return set.Hedge
+}()
+
+// ask sends a request through a node.
+func (c *cluster) ask(ctx context.Context, through *node) (fanout.Result, time.Duration) {
+	began := time.Now()
+	plan := fanout.Plan{
+		Kind: "k", Services: c.services, Required: c.required, Repeatable: true, MaxAttempts: maxAttempts, TopRecords: 5,
+		Target: began.Add(200 * time.Millisecond), Deadline: began.Add(time.Second), Assumed: 10 * time.Millisecond,
+		Patience: time.Second, Hedge: hedge, ExtraShare: 1,
+	}
+	request := &exchange.Request{Method: "GET", Target: "/", ID: "r", Header: http.Header{"Name": {"value"}}}
+	result := through.runner.Run(ctx, plan, request)
+	return result, time.Since(began)
+}
+
+// outsider returns a node that owns nothing, and the names of the owners.
+func (c *cluster) outsider() (*node, []string) {
+	c.t.Helper()
+	for _, each := range c.nodes {
+		groups := each.roster.Divide(c.services)
+		var owners []string
+		for _, group := range groups {
+			if group.Owner != "" {
+				owners = append(owners, group.Owner)
+			}
+		}
+		if len(owners) == groupCount {
+			return each, owners
+		}
+	}
+	c.t.Fatal("every node owns something")
+	return nil, nil
+}
+
+func (c *cluster) node(name string) *node {
+	for _, each := range c.nodes {
+		if each.Name == name {
+			return each
+		}
+	}
+	return nil
+}
+
+// executions returns the greatest number of servers of a shard that got the request.
+func (c *cluster) executions() int {
+	most := 0
+	for number := range shardCount {
+		count := len(c.byName[serverName(number, "near")].Requests()) + len(c.byName[serverName(number, "far")].Requests())
+		most = max(most, count)
+	}
+	return most
+}
+
+func TestOwnersAnswerForTheirShards(t *testing.T) {
+	in(t, func(g *WithT, c *cluster) {
+		asker, _ := c.outsider()
+		result, took := c.ask(c.t.Context(), asker)
+		g.Expect(result.Reason).To(Equal(fanout.StopComplete))
+		g.Expect(result.Asked).To(Equal(groupCount))
+		g.Expect(took).To(BeNumerically("<", 20*time.Millisecond))
+		g.Expect(c.executions()).To(Equal(1))
+		g.Expect(asker.budget.earned).To(BeZero(), "owners pay for what they send")
+		var bodies [][]byte
+		for number, part := range result.Parts {
+			g.Expect(part.Evidence).To(Equal("mark of " + serverName(number, "near")))
+			bodies = append(bodies, part.Body)
+		}
+		g.Expect(string(gather.Greatest(bodies, 2))).To(Equal("record-of-shard8record-of-shard7"))
+	})
+}
+
+func TestAnOwnerAsksForItselfToo(t *testing.T) {
+	in(t, func(g *WithT, c *cluster) {
+		_, owners := c.outsider()
+		result, _ := c.ask(c.t.Context(), c.node(owners[0]))
+		g.Expect(result.Reason).To(Equal(fanout.StopComplete))
+		g.Expect(result.Asked).To(BeNumerically("<", groupCount))
+		g.Expect(c.executions()).To(Equal(1))
+	})
+}
+
+func TestFewNodesNeedNoOwners(t *testing.T) {
+	in(t, func(g *WithT, c *cluster) {
+		asker, _ := c.outsider()
+		asker.fleet.SetCallers(fleet.Callers{Total: 2, ByZone: map[string]int{"z": 2}})
+		result, _ := c.ask(c.t.Context(), asker)
+		g.Expect(result.Reason).To(Equal(fanout.StopComplete))
+		g.Expect(result.Asked).To(BeZero())
+		g.Expect(asker.budget.earned).To(Equal(shardCount))
+	})
+}
+
+func TestAnOwnerThatRefusesConnectionsIsReplacedAtOnce(t *testing.T) {
+	in(t, func(g *WithT, c *cluster) {
+		asker, owners := c.outsider()
+		c.node(owners[0]).transport.Close()
+		result, took := c.ask(c.t.Context(), asker)
+		g.Expect(result.Reason).To(Equal(fanout.StopComplete))
+		g.Expect(took).To(BeNumerically("<", 20*time.Millisecond))
+		g.Expect(c.executions()).To(Equal(1))
+		g.Expect(asker.budget.spent).To(BeZero(), "nothing was sent to the owner")
+		result, _ = c.ask(c.t.Context(), asker)
+		g.Expect(result.Owners).To(BeEmpty(), "the next in rank has taken its place")
+	})
+}
+
+func TestASilentOwnerIsReplacedWithinTheTarget(t *testing.T) {
+	in(t, func(g *WithT, c *cluster) {
+		asker, owners := c.outsider()
+		lost := peer.Address(owners[0])
+		c.network.Cut([]peer.Address{asker.transport.Address()}, []peer.Address{lost})
+		result, took := c.ask(c.t.Context(), asker)
+		g.Expect(result.Reason).To(Equal(fanout.StopComplete))
+		g.Expect(took).To(BeNumerically("<", 150*time.Millisecond))
+		g.Expect(asker.budget.spent).To(Equal(shardCount/groupCount), "the owner may have sent the same")
+		g.Expect(asker.hasLost(owners[0])).To(BeTrue())
+		result, took = c.ask(c.t.Context(), asker)
+		g.Expect(result.Reason).To(Equal(fanout.StopComplete))
+		g.Expect(took).To(BeNumerically("<", 20*time.Millisecond))
+
+		c.network.Heal()
+		time.Sleep(3 * time.Second)
+		g.Expect(asker.hasLost(owners[0])).To(BeFalse())
+	})
+}
+
+// TestLateMessagesRunNothingMoreOftenThanAllowed holds back what the owner gets or
+// says, while the servers that are asked first do not answer: the owner wants to ask
+// others, and so does the asking node.
+func TestLateMessagesRunNothingMoreOftenThanAllowed(t *testing.T) {
+	silences := map[string]func(c *cluster, asker, owner peer.Address){
+		"reports are lost": func(c *cluster, asker, owner peer.Address) {
+			c.network.CutOneWay([]peer.Address{owner}, []peer.Address{asker})
+		},
+		"questions are late": func(c *cluster, _, owner peer.Address) {
+			c.network.Freeze(owner)
+			time.AfterFunc(700*time.Millisecond, func() { c.network.Thaw(owner) })
+		},
+		"the owner stands still before it hears of grants": func(c *cluster, _, owner peer.Address) {
+			time.AfterFunc(21*time.Millisecond, func() { c.network.Freeze(owner) })
+			time.AfterFunc(500*time.Millisecond, func() { c.network.Thaw(owner) })
+		},
+	}
+	for name, silence := range silences {
+		t.Run(name, func(t *testing.T) {
+			in(t, func(g *WithT, c *cluster) {
+				asker, owners := c.outsider()
+				for number := range shardCount {
+					c.hang(serverName(number, "near"))
+				}
+				silence(c, asker.transport.Address(), peer.Address(owners[0]))
+				c.ask(c.t.Context(), asker)
+				time.Sleep(2 * time.Second)
+				g.Expect(c.executions()).To(BeNumerically("<=", maxAttempts))
+			})
+		})
+	}
+}
+
+func TestAnOwnerAsksAFurtherServerOnceThatIsGranted(t *testing.T) {
+	in(t, func(g *WithT, c *cluster) {
+		asker, _ := c.outsider()
+		c.hang(serverName(4, "near"))
+		result, took := c.ask(c.t.Context(), asker)
+		g.Expect(result.Reason).To(Equal(fanout.StopComplete))
+		g.Expect(result.Parts[4].Evidence).To(Equal("mark of " + serverName(4, "far")))
+		g.Expect(took).To(BeNumerically("<", 120*time.Millisecond))
+		g.Expect(asker.budget.spent).To(BeZero())
+		g.Expect(c.executions()).To(Equal(2))
+	})
+}
+
+func TestPartsThatCameBeforeAnOwnerIsLostAreKept(t *testing.T) {
+	in(t, func(g *WithT, c *cluster) {
+		asker, owners := c.outsider()
+		for number := range shardCount {
+			c.hang(serverName(number, "far"))
+		}
+		c.hang(serverName(4, "near"))
+		time.AfterFunc(100*time.Millisecond, func() {
+			for _, name := range owners {
+				c.node(name).transport.Close()
+			}
+		})
+		result, _ := c.ask(c.t.Context(), asker)
+		g.Expect(result.Reason).To(Equal(fanout.StopTarget))
+		g.Expect(result.Got).To(Equal(shardCount - 1))
+	})
+}
+
+// TestAnOwnerIsIdleWhileItWaits would not end if an owner that has as many parts as
+// are required looked for something to do again and again after the target: virtual
+// time goes on only while nothing runs. The end of the request does not reach it.
+func TestAnOwnerIsIdleWhileItWaits(t *testing.T) {
+	in(t, func(g *WithT, c *cluster) {
+		c.required = shardCount - groupCount
+		asker, owners := c.outsider()
+		c.hang(serverName(4, "near"))
+		c.hang(serverName(4, "far"))
+		time.AfterFunc(150*time.Millisecond, func() {
+			for _, name := range owners {
+				c.network.CutOneWay([]peer.Address{asker.transport.Address()}, []peer.Address{peer.Address(name)})
+			}
+		})
+		result, took := c.ask(c.t.Context(), asker)
+		g.Expect(result.Reason).To(Equal(fanout.StopTarget))
+		g.Expect(took).To(Equal(200 * time.Millisecond))
+		time.Sleep(2 * time.Second)
+		for _, name := range owners {
+			g.Expect(c.node(name).records).To(HaveLen(1))
+		}
+	})
+}
+
+func TestOwnersEndTheirWorkWhenTheClientHasGone(t *testing.T) {
+	in(t, func(g *WithT, c *cluster) {
+		asker, owners := c.outsider()
+		for number := range shardCount {
+			c.hang(serverName(number, "near"))
+		}
+		ctx, cancel := context.WithCancel(c.t.Context())
+		time.AfterFunc(5*time.Millisecond, cancel)
+		result, _ := c.ask(ctx, asker)
+		g.Expect(result.Reason).To(Equal(fanout.StopCancelled))
+		time.Sleep(10 * time.Millisecond)
+		for _, name := range owners {
+			g.Expect(c.node(name).records).To(HaveLen(1))
+			g.Expect(c.node(name).records[0].Result.Reason).To(Equal(fanout.StopCancelled))
+		}
+		time.Sleep(2 * time.Second)
+		g.Expect(c.executions()).To(Equal(1), "nothing more is sent")
+	})
+}
+
+func TestAnOwnerThatStopsOrKnowsNoServersRefuses(t *testing.T) {
+	unable := map[string]func(*node){
+		"stops": func(n *node) { n.draining = true },
+		"knows no servers": func(n *node) {
+			n.fleet.Remove("near0", time.Time{}, time.Now())
+			n.fleet.Remove("far0", time.Time{}, time.Now())
+		},
+	}
+	for name, make := range unable {
+		t.Run(name, func(t *testing.T) {
+			in(t, func(g *WithT, c *cluster) {
+				asker, owners := c.outsider()
+				make(c.node(owners[0]))
+				result, took := c.ask(c.t.Context(), asker)
+				g.Expect(result.Reason).To(Equal(fanout.StopComplete))
+				g.Expect(took).To(BeNumerically("<", 20*time.Millisecond))
+				g.Expect(c.executions()).To(Equal(1))
+				g.Expect(asker.budget.spent).To(BeZero())
+			})
+		})
+	}
+}
+
+// TestReportsAtFaultDoNoHarm answers questions with reports that make no sense.
+func TestReportsAtFaultDoNoHarm(t *testing.T) {
+	reports := map[string]*ownerpb.Report{
+		"positions out of range": {
+			Parts: []*ownerpb.Part{{Index: 99, Evidence: "x"}, {Index: 1 << 31, Evidence: "y"}}, Wanted: []uint32{77},
+			Failures: []*ownerpb.Failure{{Index: 55}}, Ended: true,
+		},
+		"no evidence": {Parts: []*ownerpb.Part{{Index: 0}, {Index: 1}, {Index: 2}}, Ended: true},
+		"nothing":     {Ended: true},
+	}
+	for name, report := range reports {
+		t.Run(name, func(t *testing.T) {
+			in(t, func(g *WithT, c *cluster) {
+				asker, owners := c.outsider()
+				c.node(owners[0]).transport.HandleStream("owner.question",
+					func(_ context.Context, _ target.NodeID, _ []byte, exchange peer.Exchange) error {
+						return exchange.Send(proto.Message(report))
+					})
+				result, _ := c.ask(c.t.Context(), asker)
+				g.Expect(result.Reason).To(Equal(fanout.StopComplete))
+				for number, part := range result.Parts {
+					g.Expect(part.Evidence).To(Equal("mark of " + serverName(number, "near")))
+				}
+			})
+		})
+	}
+}
+
+func TestWhatNoServerRanIsNotRun(t *testing.T) {
+	in(t, func(g *WithT, c *cluster) {
+		asker, _ := c.outsider()
+		refused := exchangetest.Answer{Status: http.StatusServiceUnavailable, Header: map[string]string{"Refused": "yes"}, Cut: -1}
+		for name := range c.answers {
+			c.answers[name] = refused
+		}
+		result, _ := c.ask(c.t.Context(), asker)
+		g.Expect(result.Reason).To(Equal(fanout.StopDeadline))
+		g.Expect(result.Outcome).NotTo(Equal(outcome.Completed))
+	})
+}
--- /dev/null
+++ b/pkg/owner/server.go
@@ -0,0 +1,196 @@
+package owner
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/gather"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/owner/ownerpb"
+	"github.com/bramblemast/bramblemast/pkg/peer"
+	"github.com/bramblemast/bramblemast/pkg/policy"
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+// ServerOptions are the parts of a Server.
+type ServerOptions struct {
+	Transport peer.Streamer
+	// Runner asks the servers; it has no owners itself.
+	Runner  *fanout.Runner
+	Servers Servers
+	// Draining reports whether a planned stop is under way.
+	Draining func() bool
+	// Policies returns when a second server is asked for a kind of request, and the
+	// share of the extra load that it may use.
+	Policies func(kind, requestID string) (policy.HedgePolicy, float64)
+	// Recorder takes the story of each question; it does not block.
+	Recorder func(Record)
+}
+
+// Record is the story of one question, for logs.
+type Record struct {
+	RequestID string
+	Kind      string
+	AskedBy   string
+	Services  []string
+	Took      time.Duration
+	Result    fanout.Result
+}
+
+// Server answers other nodes' questions.
+type Server struct{ options ServerOptions }
+
+// NewServer registers the handlers of other nodes' questions.
+func NewServer(options ServerOptions) *Server {
+	created := &Server{options: options}
+	options.Transport.HandleStream(kindQuestion, created.answer)
+	options.Transport.Handle(kindPing, created.ping)
+	return created
+}
+
+// ping answers if questions would be answered.
+func (s *Server) ping(context.Context, target.NodeID, []byte) (proto.Message, error) {
+	if s.options.Draining() {
+		return nil, refusal(outcome.ReasonDraining)
+	}
+	return &ownerpb.Ping{}, nil
+}
+
+// answer asks the servers of a question and reports what they answer.
+func (s *Server) answer(ctx context.Context, from target.NodeID, body []byte, open peer.Exchange) error {
+	question := &ownerpb.Question{}
+	if err := question.UnmarshalVT(body); err != nil {
+		return errors.Wrap(err, "decode question")
+	}
+	if s.options.Draining() {
+		return refusal(outcome.ReasonDraining)
+	}
+	if len(question.Services) == 0 || !s.options.Servers.Knows(question.Services) {
+		return refusal(outcome.ReasonNoReplica)
+	}
+	began := time.Now()
+	plan := s.plan(question, began)
+	told := make(map[int]bool, len(question.Services))
+	plan.Collect.Report = func(answers map[int]*exchange.Response, wanted []int) error {
+		for index := range answers {
+			told[index] = true
+		}
+		report := reportOf(answers, int(question.TopRecords))
+		for _, index := range wanted {
+			report.Wanted = append(report.Wanted, uint32(index))
+		}
+		return open.Send(report)
+	}
+	plan.Collect.Granted = listenForGrants(open, len(question.Services))
+	result := s.options.Runner.Run(ctx, plan, requestOf(question))
+	s.options.Recorder(Record{
+		RequestID: question.RequestId, Kind: question.Kind, AskedBy: string(from), Services: question.Services,
+		Took: time.Since(began), Result: result,
+	})
+	if result.Reason == fanout.StopCancelled {
+		return ctx.Err()
+	}
+	return open.Send(lastReport(result, told, int(question.TopRecords)))
+}
+
+// listenForGrants returns what the asking node grants. It grants each service of
+// the question once for each time that a further server is wanted, so a bounded
+// number of messages come; what is beyond is dropped.
+func listenForGrants(open peer.Exchange, services int) <-chan []int {
+	grants := make(chan []int, services)
+	open.Listen(func(body []byte) {
+		grant := &ownerpb.Grant{}
+		if err := grant.UnmarshalVT(body); err != nil {
+			// Nothing is granted by it; the asking node turns to the servers.
+			return
+		}
+		indexes := make([]int, len(grant.Indexes))
+		for position, index := range grant.Indexes {
+			indexes[position] = int(index)
+		}
+		select {
+		case grants <- indexes:
+		default:
+		}
+	})
+	return grants
+}
+
+// refusal is the error of a question that was not begun.
+func refusal(reason outcome.Reason) error {
+	return &outcome.Error{Step: "take question", Outcome: outcome.NotRun, Reason: reason}
+}
+
+// plan is what is done for a question.
+func (s *Server) plan(question *ownerpb.Question, began time.Time) fanout.Plan {
+	hedge, share := s.options.Policies(question.Kind, question.RequestId)
+	left := span(question.DeadlineUs)
+	plan := fanout.Plan{
+		Kind: question.Kind, Services: question.Services, Required: int(question.Required), Repeatable: true,
+		MaxAttempts: int(question.MaxAttempts), Deadline: began.Add(left), Assumed: span(question.AssumedUs),
+		Patience: left, Hedge: hedge, ExtraShare: share, Collect: &fanout.Collect{Within: span(question.ReportUs)},
+	}
+	if question.TargetUs > 0 {
+		plan.Target = began.Add(span(question.TargetUs))
+	}
+	return plan
+}
+
+func span(microseconds uint64) time.Duration { return time.Duration(microseconds) * time.Microsecond }
+
+// requestOf returns the client's request as a question carries it.
+func requestOf(question *ownerpb.Question) *exchange.Request {
+	request := &exchange.Request{
+		Method: question.Method, Target: question.Target, Host: question.Host, ID: question.RequestId,
+		Header: make(http.Header, len(question.Headers)), HasBody: question.HasBody, Body: question.Body,
+	}
+	for _, each := range question.Headers {
+		request.Header.Add(each.Name, each.Value)
+	}
+	return request
+}
+
+// reportOf merges answers into one report.
+func reportOf(answers map[int]*exchange.Response, topRecords int) *ownerpb.Report {
+	report := &ownerpb.Report{}
+	bodies := make([][]byte, 0, len(answers))
+	for index, answer := range answers {
+		report.Parts = append(report.Parts, &ownerpb.Part{Index: uint32(index), Evidence: answer.Evidence})
+		bodies = append(bodies, answer.Body)
+	}
+	if len(bodies) > 0 {
+		report.Records = gather.Greatest(bodies, topRecords)
+	}
+	return report
+}
+
+// lastReport tells what has not been told, and why there is no more.
+func lastReport(result fanout.Result, told map[int]bool, topRecords int) *ownerpb.Report {
+	rest := make(map[int]*exchange.Response)
+	for index, answer := range result.Parts {
+		if answer != nil && !told[index] {
+			rest[index] = answer
+		}
+	}
+	report := reportOf(rest, topRecords)
+	report.Ended = true
+	report.Sent, report.Hedges = uint32(result.Sent), uint32(result.Hedges)
+	report.Retries, report.Denied = uint32(result.Retries), uint32(result.Denied)
+	for index, answer := range result.Parts {
+		if answer != nil {
+			continue
+		}
+		failure := &ownerpb.Failure{Index: uint32(index), Cause: "no answer", Shed: result.NoRoom[index], NotRun: !result.MayRun[index]}
+		if err := result.Failures[index]; err != nil {
+			failure.Cause = err.Error()
+		}
+		report.Failures = append(report.Failures, failure)
+	}
+	return report
+}
--- a/pkg/peer/dispatch.go
+++ b/pkg/peer/dispatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/peer/peerpb"
@@ -24,8 +25,9 @@
 	// slots bounds the handlers that run at once.
 	slots chan struct{}
 	mutex sync.RWMutex
-	// handlers is guarded by mutex.
+	// handlers and streams are guarded by mutex.
 	handlers map[Kind]Handler
+	streams  map[Kind]StreamHandler
 }
 
 func newDispatcher(node target.NodeID, maxHandlers int) *dispatcher {
@@ -33,6 +35,7 @@
 		node:     node,
 		slots:    make(chan struct{}, maxHandlers),
 		handlers: make(map[Kind]Handler),
+		streams:  make(map[Kind]StreamHandler),
 	}
 }
 
@@ -43,6 +46,21 @@
 	d.handlers[kind] = handler
 }
 
+// HandleStream registers the stream handler of a kind; a later one replaces an
+// earlier one.
+func (d *dispatcher) HandleStream(kind Kind, handler StreamHandler) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.streams[kind] = handler
+}
+
+// stream returns the stream handler of a kind, or nil.
+func (d *dispatcher) stream(kind Kind) StreamHandler {
+	d.mutex.RLock()
+	defer d.mutex.RUnlock()
+	return d.streams[kind]
+}
+
 // tryAcquire takes a handler slot; false if all are taken.
 func (d *dispatcher) tryAcquire() bool {
 	select {
@@ -56,19 +74,20 @@
 // release gives a handler slot back.
 func (d *dispatcher) release() { <-d.slots }
 
-// serve runs the handler of a request and returns the reply.
-func (d *dispatcher) serve(ctx context.Context, request *peerpb.Frame) *peerpb.Frame {
+// serve runs the handler of a request and returns the reply, the last one if
+// there are several; open carries those before it.
+func (d *dispatcher) serve(ctx context.Context, request *peerpb.Frame, open *handling) *peerpb.Frame {
+	if handler := d.stream(Kind(request.Kind)); handler != nil {
+		return d.serveStream(ctx, request, handler, open)
+	}
 	d.mutex.RLock()
 	handler := d.handlers[Kind(request.Kind)]
 	d.mutex.RUnlock()
 	if handler == nil {
 		return d.refuse(request, outcome.ReasonInvalid, errors.Errorf("no handler for %q", request.Kind), 0)
 	}
-	if request.TimeoutMs > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, time.Duration(request.TimeoutMs)*time.Millisecond)
-		defer cancel()
-	}
+	ctx, cancel := limit(ctx, request)
+	defer cancel()
 	message, err := handler(ctx, target.NodeID(request.From), request.Body)
 	if err != nil {
 		return d.fail(request, err)
@@ -80,6 +99,65 @@
 	return &peerpb.Frame{Id: request.Id, Reply: true, From: string(d.node), Body: body}
 }
 
+// serveStream runs the stream handler of a request and returns the last reply.
+func (d *dispatcher) serveStream(ctx context.Context, request *peerpb.Frame, handler StreamHandler, open *handling) *peerpb.Frame {
+	ctx, cancel := limit(ctx, request)
+	defer cancel()
+	open.id, open.node = request.Id, d.node
+	if err := handler(ctx, target.NodeID(request.From), request.Body, open); err != nil {
+		return d.fail(request, err)
+	}
+	return &peerpb.Frame{Id: request.Id, Reply: true, From: string(d.node)}
+}
+
+// handling is a request whose handler runs. It implements Exchange.
+type handling struct {
+	id   uint64
+	node target.NodeID
+	// write sends one reply.
+	write func(*peerpb.Frame) error
+	// cancel ends the context of the handler.
+	cancel context.CancelFunc
+
+	mutex sync.Mutex
+	// receive is guarded by mutex.
+	receive func(body []byte)
+}
+
+// Send implements Exchange.
+func (h *handling) Send(message proto.Message) error {
+	body, err := marshal(message)
+	if err != nil {
+		return errors.Wrap(err, "encode reply")
+	}
+	return h.write(&peerpb.Frame{Id: h.id, Reply: true, More: true, From: string(h.node), Body: body})
+}
+
+// Listen implements Exchange.
+func (h *handling) Listen(receive func(body []byte)) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.receive = receive
+}
+
+// take hands on a message that follows the request.
+func (h *handling) take(body []byte) {
+	h.mutex.Lock()
+	receive := h.receive
+	h.mutex.Unlock()
+	if receive != nil {
+		receive(body)
+	}
+}
+
+// limit bounds a handler by the time for which its request is awaited.
+func limit(ctx context.Context, request *peerpb.Frame) (context.Context, context.CancelFunc) {
+	if request.TimeoutMs == 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(request.TimeoutMs)*time.Millisecond)
+}
+
 // busy refuses a request because every handler slot is taken.
 func (d *dispatcher) busy(request *peerpb.Frame) *peerpb.Frame {
 	return d.refuse(request, outcome.ReasonOverloaded, errors.New("all handlers are busy"), busyRetryAfter)
--- a/pkg/peer/inbound.go
+++ b/pkg/peer/inbound.go
@@ -20,11 +20,15 @@
 	socket    net.Conn
 	// writeMutex guards writes to socket, so that frames do not mix.
 	writeMutex sync.Mutex
+
+	mutex sync.Mutex
+	// running are the requests under way by their id; guarded by mutex.
+	running map[uint64]*handling
 }
 
 // serveInbound starts serving a connection, or closes it if there are too many.
 func (t *TCP) serveInbound(ctx context.Context, socket net.Conn) {
-	connection := &inboundConnection{transport: t, socket: socket}
+	connection := &inboundConnection{transport: t, socket: socket, running: make(map[uint64]*handling)}
 	t.mutex.Lock()
 	refused := t.closed || len(t.inbound) >= t.options.MaxInbound
 	if !refused {
@@ -64,19 +68,65 @@
 			}
 			return
 		}
+		if request.Cancel || request.More {
+			c.follow(request)
+			continue
+		}
 		if !c.transport.tryAcquire() {
-			c.reply(Kind(request.Kind), c.transport.busy(request))
+			// An error has closed the connection, which the next read shows.
+			_ = c.reply(Kind(request.Kind), c.transport.busy(request))
 			continue
 		}
+		begun, handlingContext := c.begin(ctx, request)
 		c.transport.handlerGroup.Add(1)
 		go func() {
 			defer c.transport.handlerGroup.Done()
 			defer c.transport.release()
-			c.reply(Kind(request.Kind), c.transport.serve(ctx, request))
+			defer c.end(request.Id)
+			// An error of the last reply has closed the connection: the peer learns
+			// of it there.
+			_ = begun.write(c.transport.serve(handlingContext, request, begun))
 		}()
 	}
 }
 
+// begin notes that a request is being handled, and returns the context for it.
+func (c *inboundConnection) begin(ctx context.Context, request *peerpb.Frame) (*handling, context.Context) {
+	handlingContext, cancel := context.WithCancel(ctx)
+	kind := Kind(request.Kind)
+	begun := &handling{cancel: cancel, write: func(reply *peerpb.Frame) error { return c.reply(kind, reply) }}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.running[request.Id] = begun
+	return begun, handlingContext
+}
+
+// follow takes a message that belongs to an earlier request; it is dropped if that
+// is over.
+func (c *inboundConnection) follow(message *peerpb.Frame) {
+	if message.Cancel {
+		c.end(message.Id)
+		return
+	}
+	c.mutex.Lock()
+	found := c.running[message.Id]
+	c.mutex.Unlock()
+	if found != nil {
+		found.take(message.Body)
+	}
+}
+
+// end ends the handling of a request; it does nothing if that is over.
+func (c *inboundConnection) end(id uint64) {
+	c.mutex.Lock()
+	found := c.running[id]
+	delete(c.running, id)
+	c.mutex.Unlock()
+	if found != nil {
+		found.cancel()
+	}
+}
+
 // next reads one request.
 func (c *inboundConnection) next(reader *bufio.Reader) (*peerpb.Frame, error) {
 	idle := inboundIdleFactor * c.transport.options.IdleTimeout
@@ -93,7 +143,7 @@
 
 // reply writes a reply; on failure it closes the connection, because what the
 // peer reads next could be half a frame.
-func (c *inboundConnection) reply(kind Kind, reply *peerpb.Frame) {
+func (c *inboundConnection) reply(kind Kind, reply *peerpb.Frame) error {
 	data, err := appendFrame(reply, c.transport.options.MaxFrameBytes)
 	if err != nil {
 		failed := c.transport.fail(reply, err)
@@ -101,16 +151,17 @@
 	}
 	if err != nil {
 		c.socket.Close()
-		return
+		return err
 	}
 	c.writeMutex.Lock()
 	defer c.writeMutex.Unlock()
 	c.socket.SetWriteDeadline(time.Now().Add(replyTimeout))
 	if _, err := c.socket.Write(data); err != nil {
 		c.socket.Close()
-		return
+		return errors.Wrap(err, "write reply")
 	}
 	c.transport.of(kind).out(len(data))
+	return nil
 }
 
 // errIdle means that no frame began within the idle time.
--- a/pkg/peer/memory.go
+++ b/pkg/peer/memory.go
@@ -28,7 +28,7 @@
 	closed  atomic.Bool
 }
 
-var _ Transport = (*MemoryTransport)(nil)
+var _ Streamer = (*MemoryTransport)(nil)
 
 // Address returns the address on the Network.
 func (t *MemoryTransport) Address() Address { return t.address }
@@ -99,20 +99,23 @@
 	t.network.WaitThawed(t.address)
 	counted := t.of(Kind(frame.Kind))
 	counted.in(lengthBytes + frame.SizeVT())
-	received := t.run(ctx, frame)
+	received := t.run(ctx, frame, &handling{write: noStream})
 	t.network.WaitThawed(t.address)
 	counted.out(lengthBytes + received.SizeVT())
 	return received
 }
 
-func (t *MemoryTransport) run(ctx context.Context, frame *peerpb.Frame) *peerpb.Frame {
+func (t *MemoryTransport) run(ctx context.Context, frame *peerpb.Frame, open *handling) *peerpb.Frame {
 	if !t.tryAcquire() {
 		return t.busy(frame)
 	}
 	defer t.release()
-	return t.serve(ctx, frame)
+	return t.serve(ctx, frame, open)
 }
 
+// noStream refuses a message beyond the one that a call awaits.
+func noStream(*peerpb.Frame) error { return errors.New("the request awaits one reply") }
+
 // Close takes the transport off the network: calls to it are refused, and what
 // it sent and is still on its way is lost.
 func (t *MemoryTransport) Close() {
--- a/pkg/peer/outbound.go
+++ b/pkg/peer/outbound.go
@@ -26,8 +26,10 @@
 // waiter is one call that waits for its reply.
 type waiter struct {
 	kind Kind
-	// done gets the reply, or is closed when the connection ended.
+	// done gets the reply, or is closed when the connection ended; nil for a stream.
 	done chan *peerpb.Frame
+	// stream takes the replies; nil for a call with one reply.
+	stream *tcpStream
 }
 
 // outboundConnection is a connection that this node opened; it carries requests
@@ -45,6 +47,10 @@
 	waiters        map[uint64]waiter
 	lastUse        time.Time
 	silentTimeouts int
+	// lastRead is when a reply was read, silentSince when the last request that got
+	// none in time was noted.
+	lastRead    time.Time
+	silentSince time.Time
 	// closed is the reason why the connection ended, or nil.
 	closed error
 }
@@ -61,11 +67,12 @@
 
 // roundTrip sends a request and waits for its reply.
 func (c *outboundConnection) roundTrip(ctx context.Context, request *peerpb.Frame) (*peerpb.Frame, error) {
-	wait, err := c.register(request)
-	if err != nil {
+	wait := waiter{kind: Kind(request.Kind), done: make(chan *peerpb.Frame, 1)}
+	if err := c.register(request, wait); err != nil {
 		return nil, notRun("send request", c.address, outcome.ReasonConnectionLost, err)
 	}
 	defer c.unregister(request.Id)
+	sentAt := time.Now()
 	if err := c.send(ctx, request); err != nil {
 		return nil, err
 	}
@@ -76,24 +83,23 @@
 		}
 		return reply, nil
 	case <-ctx.Done():
-		c.timedOut(ctx)
+		c.timedOut(ctx, sentAt)
 		return nil, contextError(ctx, "wait for reply", c.address, outcome.Unknown)
 	}
 }
 
 // register gives the request its id and notes that its reply is awaited.
-func (c *outboundConnection) register(request *peerpb.Frame) (waiter, error) {
+func (c *outboundConnection) register(request *peerpb.Frame, wait waiter) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.closed != nil {
-		return waiter{}, c.closed
+		return c.closed
 	}
 	c.lastID++
 	request.Id = c.lastID
-	wait := waiter{kind: Kind(request.Kind), done: make(chan *peerpb.Frame, 1)}
 	c.waiters[request.Id] = wait
 	c.lastUse = time.Now()
-	return wait, nil
+	return nil
 }
 
 // unregister makes a later reply a late one, which is dropped.
@@ -135,12 +141,23 @@
 
 // timedOut gives the connection up if it looks dead, so that the next call
 // opens another one.
-func (c *outboundConnection) timedOut(ctx context.Context) {
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return
+func (c *outboundConnection) timedOut(ctx context.Context, sentAt time.Time) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.noteSilence(sentAt)
 	}
+}
+
+// noteSilence counts requests without a reply in time, unless something was read
+// since they were sent: then the peer is late and the connection is sound. Requests
+// that were sent before the last silence was noted tell nothing new.
+func (c *outboundConnection) noteSilence(sentAt time.Time) {
 	c.mutex.Lock()
+	if c.lastRead.After(sentAt) || sentAt.Before(c.silentSince) {
+		c.mutex.Unlock()
+		return
+	}
 	c.silentTimeouts++
+	c.silentSince = time.Now()
 	silent := c.silentTimeouts >= maxSilentTimeouts
 	c.mutex.Unlock()
 	if silent {
@@ -176,21 +193,36 @@
 // deliver hands a reply to its call. A late reply is dropped; a reply to a
 // request that was never sent puts the framing in doubt.
 func (c *outboundConnection) deliver(reply *peerpb.Frame, size int) error {
+	wait, err := c.awaited(reply)
+	if err != nil {
+		return err
+	}
+	c.transport.of(wait.kind).in(size)
+	switch {
+	case wait.stream != nil:
+		wait.stream.take(reply)
+	case wait.done != nil:
+		wait.done <- reply
+	}
+	return nil
+}
+
+// awaited returns the call that waits for a reply; one of lateKind if none does.
+func (c *outboundConnection) awaited(reply *peerpb.Frame) (waiter, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if !reply.Reply || reply.Id == 0 || reply.Id > c.lastID {
-		return errors.Wrapf(errFraming, "reply with unknown id %d", reply.Id)
+		return waiter{}, errors.Wrapf(errFraming, "reply with unknown id %d", reply.Id)
 	}
-	c.silentTimeouts = 0
+	c.silentTimeouts, c.lastRead = 0, time.Now()
 	wait, ok := c.waiters[reply.Id]
 	if !ok {
-		c.transport.of(lateKind).in(size)
-		return nil
+		return waiter{kind: lateKind}, nil
 	}
-	c.transport.of(wait.kind).in(size)
-	delete(c.waiters, reply.Id)
-	wait.done <- reply
-	return nil
+	if !reply.More {
+		delete(c.waiters, reply.Id)
+	}
+	return wait, nil
 }
 
 // lateKind counts the replies that came after their call had ended.
@@ -199,16 +231,27 @@
 // close ends the connection and every call that waits on it.
 func (c *outboundConnection) close(cause error) {
 	c.socket.Close()
+	for _, wait := range c.abandon(cause) {
+		if wait.stream != nil {
+			wait.stream.end(&outcome.Error{Step: "wait for reply", Peer: string(c.address), Reason: outcome.ReasonConnectionLost, Cause: cause})
+			continue
+		}
+		close(wait.done)
+	}
+}
+
+// abandon notes the end of the connection and returns the calls that wait on it;
+// none if it had ended before.
+func (c *outboundConnection) abandon(cause error) map[uint64]waiter {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.closed != nil {
-		return
+		return nil
 	}
 	c.closed = cause
-	for id, wait := range c.waiters {
-		close(wait.done)
-		delete(c.waiters, id)
-	}
+	waiting := c.waiters
+	c.waiters = make(map[uint64]waiter)
+	return waiting
 }
 
 // cause returns why the connection ended.
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -76,6 +76,17 @@
 	}
 }
 
+// held returns the open connection to a peer, or nil.
+func (p *pool) held(address Address) *outboundConnection {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	connection := p.connections[address]
+	if connection == nil || connection.cause() != nil {
+		return nil
+	}
+	return connection
+}
+
 // connect opens a connection for every call that waits for the attempt, and
 // reads it until it ends.
 func (p *pool) connect(address Address, attempt *dial) {
