A report of an owner is taken whole

The records of a report are merged and stand in one of its answers; when an owner was late and this node had asked some of the shards itself meanwhile, a report was taken in part, and the records of all its shards could be dropped with the one answer that held them. Ruled out: reports of other requests (matched by stream), positions out of range (checked).

Change: a report counts whole or not at all, and takes the place of what this node got for the same parts itself.

Before: TestALateReportIsTakenWhole fails, the record of a shard is missing. After: it passes.

--- a/pkg/fanout/owners.go
+++ b/pkg/fanout/owners.go
@@ -51,7 +51,8 @@
 
 // Report is what an owner has got since its last report.
 type Report struct {
-	// Answers are sound answers by the position of their service in the question.
+	// Answers are sound answers by the position of their service in the question. The
+	// records of all of them stand merged in the bodies, whichever holds them.
 	Answers map[int]*exchange.Response
 	// Wanted are the positions of the services of which the owner wants to ask a
 	// further server.
@@ -108,6 +109,8 @@
 	silentAt time.Time
 	ended    bool
 	result   string
+	// told are the positions of the services that the owner has answered for.
+	told map[int]bool
 }
 
 // cancel ends the question if it is under way.
@@ -187,7 +190,7 @@
 
 // ask sends a question to an owner.
 func (r *run) ask(group Group, now time.Time) {
-	asked := &question{owner: group.Owner, indexes: group.Indexes, within: r.reportWithin(now)}
+	asked := &question{owner: group.Owner, indexes: group.Indexes, within: r.reportWithin(now), told: make(map[int]bool)}
 	asked.silentAt = now.Add(asked.patience())
 	services := make([]string, len(group.Indexes))
 	for position, index := range group.Indexes {
@@ -227,14 +230,7 @@
 	if !from.silentAt.IsZero() {
 		from.silentAt = now.Add(from.patience())
 	}
-	for position, answer := range report.Answers {
-		if position < 0 || position >= len(from.indexes) || !r.runner.Sound(answer) {
-			continue
-		}
-		if index := from.indexes[position]; r.parts[index].answer == nil {
-			r.accept(index, answer, now)
-		}
-	}
+	r.takeAnswers(from, report.Answers, now)
 	r.grant(from, report.Wanted)
 	r.sent += report.Sent
 	r.hedges += report.Hedges
@@ -255,6 +251,24 @@
 	}
 }
 
+// takeAnswers takes the answers of one report, all or none of them: their records
+// are merged. They take the place of what this node has got for the same parts itself.
+func (r *run) takeAnswers(from *question, answers map[int]*exchange.Response, now time.Time) {
+	for position, answer := range answers {
+		if position < 0 || position >= len(from.indexes) || !r.runner.Sound(answer) || from.told[position] {
+			return
+		}
+	}
+	for position, answer := range answers {
+		from.told[position] = true
+		index := from.indexes[position]
+		if r.parts[index].answer == nil {
+			r.accept(index, answer, now)
+		}
+		r.parts[index].answer = answer
+	}
+}
+
 // grant lets an owner ask further servers, as far as the plan allows them: what the
 // owner may do from now on this node does not do any more.
 func (r *run) grant(to *question, wanted []int) {
--- a/pkg/owner/owner_test.go
+++ b/pkg/owner/owner_test.go
@@ -231,7 +231,7 @@
 func (c *cluster) ask(ctx context.Context, through *node) (fanout.Result, time.Duration) {
 	began := time.Now()
 	plan := fanout.Plan{
-		Kind: "k", Services: c.services, Required: c.required, Repeatable: true, MaxAttempts: maxAttempts, TopRecords: 5,
+		Kind: "k", Services: c.services, Required: c.required, Repeatable: true, MaxAttempts: maxAttempts, TopRecords: 2 * shardCount,
 		Target: began.Add(200 * time.Millisecond), Deadline: began.Add(time.Second), Assumed: 10 * time.Millisecond,
 		Patience: time.Second, Hedge: hedge, ExtraShare: 1,
 	}
@@ -384,6 +384,33 @@
 	}
 }
 
+// TestALateReportIsTakenWhole: its records are merged, so they stand for all of its
+// parts, those among them that this node has asked for itself meanwhile too.
+func TestALateReportIsTakenWhole(t *testing.T) {
+	in(t, func(g *WithT, c *cluster) {
+		c.required = shardCount
+		asker, owners := c.outsider()
+		late := c.node(owners[1])
+		c.network.SetLatency(func(from, _ peer.Address) time.Duration {
+			if from == late.transport.Address() {
+				return 120 * time.Millisecond
+			}
+			return 200 * time.Microsecond
+		})
+		// The server of one of the owner's shards answers the owner, but not this node.
+		time.AfterFunc(50*time.Millisecond, func() { c.hang("near4"); c.hang("far4") })
+		result, _ := c.ask(c.t.Context(), asker)
+		g.Expect(result.Reason).To(Equal(fanout.StopComplete))
+		var bodies [][]byte
+		var want string
+		for number, part := range result.Parts {
+			bodies = append(bodies, part.Body)
+			want = fmt.Sprintf("record-of-shard%d", number) + want
+		}
+		g.Expect(string(gather.Greatest(bodies, 2*shardCount))).To(Equal(want), "each record once")
+	})
+}
+
 func TestAnOwnerAsksAFurtherServerOnceThatIsGranted(t *testing.T) {
 	in(t, func(g *WithT, c *cluster) {
 		asker, _ := c.outsider()
