Nodes that start together wait for their roles before they read the store

Change: each reading of everything is followed by a new choice of roles before the store is asked; a node that has only read a copy asks others for everything if they cannot tell it the difference; nobody is left out for a refused connection before the first news.

--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -200,11 +200,14 @@
 // clusterOn is cluster with the network between the nodes.
 func clusterOn(t *testing.T, count int) ([]*node, func(), *peer.Network) {
 	t.Helper()
-	return preparedCluster(t, count, func(*history) {})
+	return preparedCluster(t, count, func(*node) {}, func(_ *node, members []Node) []Node { return members })
 }
 
-// preparedCluster is clusterOn with stores that are prepared before the nodes start.
-func preparedCluster(t *testing.T, count int, prepare func(*history)) ([]*node, func(), *peer.Network) {
+// preparedCluster is clusterOn with nodes that are prepared before they start and know
+// a part of the others.
+func preparedCluster(
+	t *testing.T, count int, prepare func(*node), known func(of *node, members []Node) []Node,
+) ([]*node, func(), *peer.Network) {
 	t.Helper()
 	network := peer.NewNetwork(1)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -217,11 +220,11 @@
 	for index := range count {
 		seen := &observer{state: make(map[string]uint64)}
 		source := newHistory()
-		prepare(source)
 		started := &node{Follower: NewFollower(source, seen), seen: seen, source: source}
+		prepare(started)
 		peers := NewPeers(PeersOptions{
 			Follower: started.Follower, Transport: network.Transport(peer.Address(members[index].PeerAddress)),
-			Local: members[index], Nodes: func() []Node { return members }, Seeds: []string{"0"},
+			Local: members[index], Nodes: func() []Node { return known(started, members) }, Seeds: []string{"0"},
 			ReaderLeftOut: func(string, error) { started.leftOut.Add(1) },
 		})
 		nodes = append(nodes, started)
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -47,9 +47,9 @@
 	// seconds old, leaves it to others to tell it the rest. They answer within an
 	// urgentInterval once they have read the store themselves.
 	confirmSpan = time.Second
-	// gatherSpan is for how long a node that has found no other one reads copies of
-	// the store, once in a confirmSpan: nodes that start together show there within
-	// seconds, and few of them need to read the store itself.
+	// gatherSpan is for how long a node of a system that starts for the first time reads
+	// copies of the store, once in a confirmSpan, until others read for it: nodes that
+	// start together show there within seconds, and few need to read the store itself.
 	gatherSpan = 3 * time.Second
 	// outageSpread is by how much the nodes' own readings are spread when those that
 	// read for them have old news too, as in an outage of the store.
@@ -75,10 +75,15 @@
 	others func() int
 	// isFirstStart says that the whole system starts for the first time.
 	isFirstStart bool
-	// firstLoad is closed when the store has been read for the first time, and assigned
-	// when the node has got its role after that.
+	// firstLoad is closed when the store has been read for the first time.
 	firstLoad chan struct{}
-	assigned  chan struct{}
+	// loads counts the readings of everything, and assigned those after which the node
+	// has got its role from the nodes that were found. loadDone and roleSet have an
+	// element after a change of the one and the other.
+	loads    atomic.Int64
+	assigned atomic.Int64
+	loadDone chan struct{}
+	roleSet  chan struct{}
 	// spread is how much longer than the others this node waits in an outage, and
 	// isOutage says that those that read for it have old news.
 	spread   time.Duration
@@ -90,6 +95,8 @@
 	// knownAt is the latest moment at which the replica was all that the store
 	// held, as the store or another node has shown; zero for never.
 	knownAt time.Time
+	// roleSince is when the node got its role.
+	roleSince time.Time
 	// regainedAt is when the store answered again after it had not, and lostAt when
 	// it last did not.
 	regainedAt time.Time
@@ -119,7 +126,7 @@
 func NewFollower(source Source, listener Listener) *Follower {
 	created := &Follower{
 		source: source, listener: listener, replica: newReplica(listener), kick: make(chan struct{}, 1),
-		firstLoad: make(chan struct{}), assigned: make(chan struct{}), spread: rand.N(outageSpread),
+		firstLoad: make(chan struct{}), loadDone: make(chan struct{}, 1), roleSet: make(chan struct{}, 1), spread: rand.N(outageSpread),
 	}
 	created.SetNewsAge(LeastNewsAge)
 	return created
@@ -144,24 +151,32 @@
 // Role returns how the node learns what changes in the store.
 func (f *Follower) Role() Role { return Role(f.role.Load()) }
 
-// setRole takes how the node learns what changes, and reports whether that is
-// new. It is called by one goroutine.
-func (f *Follower) setRole(role Role) bool {
+// setRole takes how the node learns what changes, by the nodes that were known after
+// so many loads, and reports whether that is new.
+func (f *Follower) setRole(role Role, loads int64) bool {
 	isNew := f.role.Swap(int32(role)) != int32(role)
-	select {
-	case <-f.firstLoad:
-		f.noteAssigned()
-	default:
-		// It may change as soon as the other nodes are known.
+	if isNew {
+		f.mutex.Lock()
+		f.roleSince = time.Now()
+		f.mutex.Unlock()
 	}
+	f.assigned.Store(loads)
+	signal(f.roleSet)
 	return isNew
 }
 
-func (f *Follower) noteAssigned() {
+// assignedAt returns when the node got its role.
+func (f *Follower) assignedAt() time.Time {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.roleSince
+}
+
+// signal puts an element into a channel that holds one at most.
+func signal(channel chan<- struct{}) {
 	select {
-	case <-f.assigned:
+	case channel <- struct{}{}:
 	default:
-		close(f.assigned)
 	}
 }
 
@@ -278,10 +293,7 @@
 
 // askAgain ends a watch that waits, since it seems to miss changes.
 func (f *Follower) askAgain() {
-	select {
-	case f.kick <- struct{}{}:
-	default:
-	}
+	signal(f.kick)
 }
 
 // Run follows the store until ctx ends.
@@ -324,18 +336,22 @@
 	}
 }
 
-// awaitRole waits, after the first reading, until the nodes that were found there have
-// decided what this one does.
+// awaitRole waits, after a reading of everything, until the nodes that were found there
+// have decided what this one does. Only Run calls it.
 func (f *Follower) awaitRole(ctx context.Context) {
-	if f.others == nil || !f.loaded {
+	if f.others == nil {
 		return
 	}
 	timer := time.NewTimer(confirmSpan)
 	defer timer.Stop()
-	select {
-	case <-f.assigned:
-	case <-timer.C:
-	case <-ctx.Done():
+	for f.assigned.Load() < f.loads.Load() {
+		select {
+		case <-f.roleSet:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
@@ -346,7 +362,9 @@
 	}
 	knownAt := f.KnownAt()
 	switch {
-	case knownAt.IsZero() && (f.Role() == Asker || f.gathers()):
+	case knownAt.IsZero() && f.Role() == Asker:
+		return later(f.loadedAt, f.assignedAt()).Add(confirmSpan)
+	case f.gathers():
 		return f.loadedAt.Add(confirmSpan)
 	case f.Role() != Asker || knownAt.IsZero():
 		return time.Time{}
@@ -356,10 +374,18 @@
 	return knownAt.Add(f.allowedNewsAge())
 }
 
-// gathers reports whether this node has found no other one yet but will find some,
-// since they all start within seconds. Only Run calls it.
+// later returns the later of two moments.
+func later(one, other time.Time) time.Time {
+	if one.After(other) {
+		return one
+	}
+	return other
+}
+
+// gathers reports whether this node reads for itself alone only because it has not
+// found the others yet, which all start within seconds. Only Run calls it.
 func (f *Follower) gathers() bool {
-	return f.isFirstStart && f.others != nil && f.others() == 0 && f.KnownAt().IsZero() && time.Since(f.startedAt) < gatherSpan
+	return f.isFirstStart && f.others != nil && f.Role() == Alone && f.KnownAt().IsZero() && time.Since(f.startedAt) < gatherSpan
 }
 
 // pauseAfterChange returns the pause after a change. Right after a reading of
@@ -480,6 +506,8 @@
 		close(f.firstLoad)
 	}
 	f.loaded, f.loadedAt = true, now
+	f.loads.Add(1)
+	signal(f.loadDone)
 }
 
 func (f *Follower) lost(cause error) {
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -59,9 +59,6 @@
 	incomplete bool
 	// readers divides the reading of the store; only Run uses it.
 	readers *readers
-	// firstLoad is closed when the store has been read for the first time; nil once
-	// that was seen. Only Run uses it.
-	firstLoad <-chan struct{}
 	// roleChanged is told of a new role.
 	roleChanged func(Role)
 	// readerLeftOut is told of a reader that is not asked for a while, and why.
@@ -88,7 +85,7 @@
 	peers := &Peers{
 		follower: options.Follower, transport: options.Transport, local: options.Local, nodes: options.Nodes,
 		ahead: make(chan target.NodeID, 1), turn: rand.IntN(maxFirstTurn),
-		firstLoad: options.Follower.firstLoad, readers: newReaders(options.Local), roleChanged: options.RoleChanged, readerLeftOut: options.ReaderLeftOut,
+		readers: newReaders(options.Local), roleChanged: options.RoleChanged, readerLeftOut: options.ReaderLeftOut,
 	}
 	if peers.roleChanged == nil {
 		peers.roleChanged = func(Role) {}
@@ -120,7 +117,8 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		p.assume(p.readers.role(p.nodes(), p.follower.allowedNewsAge(), time.Now()))
+		loads := p.follower.loads.Load()
+		p.assume(p.readers.role(p.nodes(), p.follower.allowedNewsAge(), time.Now()), loads)
 		if ahead == "" && p.follower.Role() == Asker {
 			p.askReaders(ctx)
 			continue
@@ -133,9 +131,10 @@
 	return nil
 }
 
-// assume takes the node's role. A watch that waits goes on in the new one.
-func (p *Peers) assume(role Role) {
-	if p.follower.setRole(role) {
+// assume takes the node's role, by the nodes that were known after so many loads. A
+// watch that waits goes on in the new one.
+func (p *Peers) assume(role Role, loads int64) {
+	if p.follower.setRole(role, loads) {
 		p.follower.askAgain()
 		p.roleChanged(role)
 	}
@@ -157,6 +156,8 @@
 		isOld := err == nil && time.Since(knownAt) >= p.follower.allowedNewsAge()
 		p.follower.heardOldNews(isOld)
 		switch {
+		case err != nil && p.follower.KnownAt().IsZero():
+			// Nodes that start together are not all up yet: it is asked again soon.
 		case err != nil:
 			p.leaveOut(reader, err)
 		case !isOld:
@@ -196,10 +197,9 @@
 		case ahead := <-p.ahead:
 			timer.Stop()
 			return ahead
-		case <-p.firstLoad:
-			// From now on the nodes are known.
+		case <-p.follower.loadDone:
+			// Other nodes may have been found.
 			timer.Stop()
-			p.firstLoad = nil
 			return ""
 		}
 	}
@@ -225,14 +225,15 @@
 // compare asks one node for what this one does not know, and returns when that
 // node knew all that the store held; zero if the answer does not tell. An answer
 // that cannot tell which keys have gone makes a node ask the store again; one that
-// the store does not answer asks for everything instead.
+// the store does not answer, or that has only read a copy of it, asks for everything
+// instead.
 func (p *Peers) compare(ctx context.Context, address peer.Address) (time.Time, error) {
 	began := time.Now()
 	limited, cancel := context.WithTimeout(ctx, compareTimeout)
 	defer cancel()
 	known := p.follower.replica.revision()
 	after := known
-	if p.incomplete && p.follower.HasLost() {
+	if p.incomplete && (p.follower.HasLost() || p.follower.KnownAt().IsZero()) {
 		after = 0
 	}
 	reply := &directorypb.ChangesReply{}
--- a/pkg/directory/readers_test.go
+++ b/pkg/directory/readers_test.go
@@ -302,20 +302,60 @@
 	})
 }
 
+// knowAll lets every node know all others.
+func knowAll(_ *node, members []Node) []Node { return members }
+
+// TestAWholeSystemStartsWithFewCalls: nodes that start together find each other in
+// copies of the store, and only the readers read the store itself.
+func TestAWholeSystemStartsWithFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const count = 12
+		knowRegistered := func(of *node, members []Node) []Node {
+			var known []Node
+			for _, member := range members {
+				if of.seen.has(member.Name) != 0 {
+					known = append(known, member)
+				}
+			}
+			return known
+		}
+		nodes, stop, _ := preparedCluster(t, count, func(prepared *node) {
+			prepared.source.lag = count
+			prepared.SetFirstStart(true)
+			prepared.SetNewsAge(sharedNewsAge)
+		}, knowRegistered)
+		time.Sleep(20 * time.Millisecond)
+		for index := range nodes {
+			writeAll(nodes, fmt.Sprint(index), false)
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, each := range nodes {
+			each.source.set(func() { each.source.lag = 0 })
+		}
+		time.Sleep(5 * time.Second)
+		g.Expect(withRole(nodes, Reader)).To(HaveLen(leastReaders))
+		for _, asker := range withRole(nodes, Asker) {
+			loads, watches := asker.source.calls()
+			g.Expect(loads).To(Equal(asker.source.copies))
+			g.Expect(watches).To(BeZero())
+		}
+		stop()
+	})
+}
+
 // TestAStartReadsACopyAndHearsTheRest from the readers, which read the store itself.
 func TestAStartReadsACopyAndHearsTheRest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		const written, lag = 20, 5
-		nodes, stop, _ := preparedCluster(t, 12, func(source *history) {
-			source.lag = lag
+		nodes, stop, _ := preparedCluster(t, 12, func(prepared *node) {
+			prepared.source.lag = lag
+			prepared.SetNewsAge(sharedNewsAge)
 			for index := range written {
-				source.write(fmt.Sprint("key ", index), index >= written-lag && index%2 == 0)
+				prepared.source.write(fmt.Sprint("key ", index), index >= written-lag && index%2 == 0)
 			}
-		})
-		for _, each := range nodes {
-			each.SetNewsAge(sharedNewsAge)
-		}
+		}, knowAll)
 		time.Sleep(2 * confirmSpan)
 		for index, each := range nodes {
 			g.Expect(each.seen.has(fmt.Sprint("key ", written-1))).To(BeEquivalentTo(written), "node %d, role %s", index, each.Role())
@@ -334,12 +374,12 @@
 func TestACopyWhoseHistoryIsForgottenIsNotReadAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		nodes, stop, _ := preparedCluster(t, 1, func(source *history) {
-			source.lag = 1
-			source.write("gone", false)
-			source.write("gone", true)
-			source.forgotten = source.write("new", false)
-		})
+		nodes, stop, _ := preparedCluster(t, 1, func(prepared *node) {
+			prepared.source.lag = 1
+			prepared.source.write("gone", false)
+			prepared.source.write("gone", true)
+			prepared.source.forgotten = prepared.source.write("new", false)
+		}, knowAll)
 		time.Sleep(2 * LeastNewsAge)
 		g.Expect(nodes[0].seen.has("new")).To(BeEquivalentTo(3))
 		g.Expect(nodes[0].seen.has("gone")).To(BeZero())
