--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/bramblemast/bramblemast/pkg/fanout"
@@ -28,12 +29,28 @@
 	CauseSilentBudget  Cause = "servers did not answer in time, and the extra-load budget was used up"
 	CauseServerFailed  Cause = "servers ran it and failed"
 	CauseBroken        Cause = "connections broke after it was sent"
+	CauseOwnerSilent   Cause = "the owner of some shards did not answer, and their servers were asked too late instead"
 	CauseThinSilent    Cause = "answered without some shards, whose servers did not answer in time"
 	CauseThinNoServer  Cause = "answered without some shards, which had no server"
 	CauseThinAttempted Cause = "answered without some shards, whose servers failed or could not be reached"
 )
 
-// CauseOf reads the cause from the line of a request.
+// withOwned adds to the line of a request what its owners did for the services that it
+// lacks.
+func withOwned(request Line, owned []Line) Line {
+	for _, line := range owned {
+		for _, attempt := range line.Attempts {
+			if slices.Contains(request.Missing, attempt.Service) {
+				request.Attempts = append(slices.Clone(request.Attempts), attempt)
+			}
+		}
+		request.Denied += line.Denied
+	}
+	return request
+}
+
+// CauseOf reads the cause from the line of a request; withOwned adds what its owners
+// know.
 func CauseOf(line Line) Cause {
 	switch {
 	case line.Reason == "starting":
@@ -60,6 +77,8 @@
 		return CauseThinNoServer
 	case CauseSilent, CauseSilentBudget:
 		return CauseThinSilent
+	case CauseOwnerSilent:
+		return CauseOwnerSilent
 	}
 	return CauseThinAttempted
 }
@@ -87,12 +106,17 @@
 		return CauseRefused
 	case tally[CauseUnreachable] > 0:
 		return CauseUnreachable
+	case slices.ContainsFunc(line.Owners, isUnanswered):
+		return CauseOwnerSilent
 	case strings.Contains(line.Error, "busy"):
 		return CauseBusy
 	}
 	return CauseNoServer
 }
 
+// isUnanswered reports whether an owner did not answer, rather than being still at work.
+func isUnanswered(asked fanout.OwnerRecord) bool { return asked.Result != "pending" }
+
 func causeOfAttempt(attempt fanout.AttemptRecord) Cause {
 	switch {
 	case attempt.Result == "answered":
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -61,6 +61,42 @@
 	}
 }
 
+// TestFromARequestThroughItsOwnerToItsCause is the fifth walk: the servers that were
+// asked for a shard stand in the line of its owner.
+func TestFromARequestThroughItsOwnerToItsCause(t *testing.T) {
+	g := NewWithT(t)
+	story, err := explain.Explain(linesOf(t, "testdata/owners.log"), "dd38e8a6bd64c044")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(story.Tries).To(HaveLen(1))
+	g.Expect(story.Tries[0].Cause).To(Equal(explain.CauseThinSilent))
+	var text bytes.Buffer
+	story.Write(&text)
+	for _, part := range []string{
+		"asked edge-oslo-hall-a-18 for 9 shards: pending", "at their owner edge-oslo-hall-a-18: 8 of 9 parts",
+		"of lemi16i in oslo-hall-d: pending", "of lemi16i in trondheim-hall-c: pending",
+	} {
+		g.Expect(text.String()).To(ContainSubstring(part))
+	}
+}
+
+// TestAnOwnerThatDidNotAnswerIsNamed, where nothing else is known.
+func TestAnOwnerThatDidNotAnswerIsNamed(t *testing.T) {
+	g := NewWithT(t)
+	lines, _, err := explain.Read(strings.NewReader(`{"@timestamp":"2026-03-13T13:02:12Z","@message":"owner lost","node":"a",` +
+		`"owner":"b","error":"no report came in time"}
+{"@timestamp":"2026-03-13T13:02:12.1Z","@message":"request","node":"a","request":"r","status":200,"reason":"target","missing":["s"],` +
+		`"parts":8,"required":8,"total":9,"owners":[{"owner":"b","services":3,"result":"silent"}]}
+`))
+	g.Expect(err).NotTo(HaveOccurred())
+	story, err := explain.Explain(lines, "r")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(story.Tries[0].Cause).To(Equal(explain.CauseOwnerSilent))
+	var text bytes.Buffer
+	story.Write(&text)
+	g.Expect(text.String()).To(ContainSubstring("before: owner lost (b) no report came in time"))
+	g.Expect(text.String()).To(ContainSubstring("asked b for 3 shards: silent"))
+}
+
 // TestFromARefusalForOverloadToItsCause is the fourth walk, on lines of a burst.
 func TestFromARefusalForOverloadToItsCause(t *testing.T) {
 	lines := linesOf(t, "testdata/overload.log")
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -17,6 +17,9 @@
 // Messages of the nodes' lines that are looked at.
 const (
 	messageRequest       = "request"
+	messageOwned         = "owned parts"
+	messageOwnerLost     = "owner lost"
+	messageOwnerRegained = "owner regained"
 	messageConfiguration = "configuration in force"
 	messageLost          = "dependency lost"
 	messageRegained      = "dependency regained"
@@ -54,6 +57,9 @@
 	Waiting    int                    `json:"waiting"`
 	Missing    []string               `json:"missing"`
 	Attempts   []fanout.AttemptRecord `json:"attempts"`
+	AskedBy    string                 `json:"asked_by"`
+	Owner      string                 `json:"owner"`
+	Owners     []fanout.OwnerRecord   `json:"owners"`
 	Error      string                 `json:"error"`
 	Dependency string                 `json:"dependency"`
 	Server     string                 `json:"server"`
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/bramblemast/bramblemast/pkg/fanout"
 )
 
 // contextSpan is how long before a request what its node believed is looked at.
@@ -27,6 +29,8 @@
 type Try struct {
 	Line
 	Cause Cause
+	// Owned are the lines of the nodes that were asked for its shards as their owners.
+	Owned []Line
 	// Before are the lines by which the node changed what it believed about the
 	// services that the request lacked, or about the store.
 	Before []Line
@@ -42,9 +46,12 @@
 // Explain finds the story of one request.
 func Explain(lines []Line, id string) (Story, error) {
 	story := Story{ID: id}
+	owned := ownedBy(lines)[id]
 	for _, line := range lines {
 		if line.Message == messageRequest && line.Request == id {
-			story.Tries = append(story.Tries, Try{Line: line, Cause: CauseOf(line), Before: before(lines, line), Newer: newer(lines, line)})
+			story.Tries = append(story.Tries, Try{
+				Line: line, Cause: CauseOf(withOwned(line, owned)), Owned: owned, Before: before(lines, line), Newer: newer(lines, line),
+			})
 		}
 	}
 	if len(story.Tries) == 0 {
@@ -54,6 +61,17 @@
 	return story, nil
 }
 
+// ownedBy returns the lines of owners by the id of the request.
+func ownedBy(lines []Line) map[string][]Line {
+	found := make(map[string][]Line)
+	for _, line := range lines {
+		if line.Message == messageOwned {
+			found[line.Request] = append(found[line.Request], line)
+		}
+	}
+	return found
+}
+
 // before returns what the node learned before a request and had to do with it.
 func before(lines []Line, request Line) []Line {
 	var found []Line
@@ -88,7 +106,7 @@
 	switch line.Message {
 	case messageOverload:
 		return true
-	case messageConfiguration, messageLost, messageRegained, "started", "stopping", "configuration refused":
+	case messageConfiguration, messageLost, messageRegained, messageOwnerLost, messageOwnerRegained, "started", "stopping", "configuration refused":
 		return true
 	}
 	return strings.HasPrefix(line.Message, "server ") && slices.Contains(request.Missing, line.Service)
@@ -102,9 +120,13 @@
 		for _, line := range try.Before {
 			fmt.Fprintf(output, "  %s  before: %s%s\n", clock(line.At), line.Message, subject(line))
 		}
-		for _, attempt := range try.Attempts {
-			fmt.Fprintf(output, "  +%4d ms  asked %s of %s in %s: %s after %d ms\n",
-				attempt.SentMillis, attempt.Server, attempt.Service, attempt.Zone, attempt.Result, attempt.TookMillis)
+		for _, asked := range try.Owners {
+			fmt.Fprintf(output, "  asked %s for %d shards: %s\n", asked.Owner, asked.Services, asked.Result)
+		}
+		writeAttempts(output, "", try.Attempts)
+		for _, owned := range try.Owned {
+			fmt.Fprintf(output, "  at their owner %s: %d of %d parts in %.0f ms\n", owned.Node, owned.Parts, owned.Total, owned.TookMillis)
+			writeAttempts(output, "  ", owned.Attempts)
 		}
 		fmt.Fprintf(output, "  +%4.0f ms  answered %d, %s; %d of %d parts, %d wanted\n",
 			try.TookMillis, try.Status, try.Reason, try.Parts, try.Total, try.Required)
@@ -120,8 +142,19 @@
 	}
 }
 
+// writeAttempts prints sub-requests; their times count from when their node got the
+// request.
+func writeAttempts(output io.Writer, indent string, attempts []fanout.AttemptRecord) {
+	for _, attempt := range attempts {
+		fmt.Fprintf(output, "%s  +%4d ms  asked %s of %s in %s: %s after %d ms\n",
+			indent, attempt.SentMillis, attempt.Server, attempt.Service, attempt.Zone, attempt.Result, attempt.TookMillis)
+	}
+}
+
 func subject(line Line) string {
 	switch {
+	case line.Owner != "":
+		return fmt.Sprintf(" (%s) %s", line.Owner, line.Error)
 	case line.Message == messageOverload:
 		return fmt.Sprintf(" (%s: %d sub-requests wait for a free server)", line.Service, line.Waiting)
 	case line.Server != "":
--- a/internal/explain/summary.go
+++ b/internal/explain/summary.go
@@ -29,8 +29,9 @@
 	}
 	groups := make(map[key]*Group)
 	services := make(map[key]map[string]int)
+	owned := ownedBy(lines)
 	for _, line := range lines {
-		cause := CauseOf(line)
+		cause := CauseOf(withOwned(line, owned[line.Request]))
 		if line.Message != messageRequest || cause == CauseServed || !within(line.At, from, to) {
 			continue
 		}
