--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -113,15 +113,6 @@
 	historyGone bool
 }
 
-// contact is whether the store answers.
-type contact int
-
-const (
-	contactUnknown contact = iota
-	contactLost
-	contactHeld
-)
-
 // NewFollower returns a follower that has read nothing yet.
 func NewFollower(source Source, listener Listener) *Follower {
 	created := &Follower{
@@ -210,21 +201,6 @@
 	}
 }
 
-// regainedByOthers notes that other nodes have read the store since it did not
-// answer this one.
-func (f *Follower) regainedByOthers() {
-	f.mutex.Lock()
-	isLost := f.contact == contactLost
-	if isLost {
-		f.contact = contactHeld
-		f.regainedAt = time.Now()
-	}
-	f.mutex.Unlock()
-	if isLost {
-		f.listener.Dependency(storeDependency, true, nil)
-	}
-}
-
 // heardOldNews notes whether the nodes that read for this one have old news.
 func (f *Follower) heardOldNews(isOld bool) { f.isOutage.Store(isOld) }
 
@@ -254,43 +230,6 @@
 	return f.replica.revision(), f.contactAt
 }
 
-// DoubtedUntil returns until when the absence of a key proves nothing, because
-// the store does not answer or has begun to answer only lately: it may have
-// lost keys that their owners are about to write again.
-func (f *Follower) DoubtedUntil(settle time.Duration, now time.Time) time.Time {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	if f.contact == contactLost {
-		return now.Add(settle)
-	}
-	if f.regainedAt.IsZero() {
-		return time.Time{}
-	}
-	return f.regainedAt.Add(settle)
-}
-
-// inContact reports whether the store answered the last call.
-func (f *Follower) inContact() bool {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return f.contact == contactHeld
-}
-
-// isFirstCall reports whether the store has neither answered nor failed yet: a
-// starting node reads everything there rather than from a peer.
-func (f *Follower) isFirstCall() bool {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return f.contact == contactUnknown
-}
-
-// HasLost reports whether the store did not answer the last call.
-func (f *Follower) HasLost() bool {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return f.contact == contactLost
-}
-
 // askAgain ends a watch that waits, since it seems to miss changes.
 func (f *Follower) askAgain() {
 	signal(f.kick)
@@ -322,98 +261,6 @@
 	return nil
 }
 
-// awaitTurn waits while other nodes read for this one: until what it knows is as
-// old as allowed. Only Run calls it.
-func (f *Follower) awaitTurn(ctx context.Context) {
-	f.awaitRole(ctx)
-	for ctx.Err() == nil {
-		left := time.Until(f.turn())
-		if left <= 0 {
-			return
-		}
-		// A node may be given another role meanwhile.
-		pause.For(ctx, min(left, confirmSpan))
-	}
-}
-
-// awaitRole waits, after a reading of everything, until the nodes that were found there
-// have decided what this one does. Only Run calls it.
-func (f *Follower) awaitRole(ctx context.Context) {
-	if f.others == nil {
-		return
-	}
-	timer := time.NewTimer(confirmSpan)
-	defer timer.Stop()
-	for f.assigned.Load() < f.loads.Load() {
-		select {
-		case <-f.roleSet:
-		case <-timer.C:
-			return
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// turn returns when this node reads the store itself. Only Run calls it.
-func (f *Follower) turn() time.Time {
-	if !f.loaded {
-		return time.Time{}
-	}
-	knownAt := f.KnownAt()
-	switch {
-	case knownAt.IsZero() && f.Role() == Asker:
-		return later(f.loadedAt, f.assignedAt()).Add(confirmSpan)
-	case f.gathers():
-		return f.loadedAt.Add(confirmSpan)
-	case f.Role() != Asker || knownAt.IsZero():
-		return time.Time{}
-	case f.isOutage.Load():
-		return knownAt.Add(f.allowedNewsAge() + f.spread)
-	}
-	return knownAt.Add(f.allowedNewsAge())
-}
-
-// later returns the later of two moments.
-func later(one, other time.Time) time.Time {
-	if one.After(other) {
-		return one
-	}
-	return other
-}
-
-// gathers reports whether this node reads for itself alone only because it has not
-// found the others yet, which all start within seconds. Only Run calls it.
-func (f *Follower) gathers() bool {
-	return f.isFirstStart && f.others != nil && f.Role() == Alone && f.KnownAt().IsZero() && time.Since(f.startedAt) < gatherSpan
-}
-
-// pauseAfterChange returns the pause after a change. Right after a reading of
-// everything or a return of the store it is the least one: entries that lapsed
-// while the store was away come back then. Only Run calls it.
-func (f *Follower) pauseAfterChange(now time.Time) time.Duration {
-	switch role := f.Role(); {
-	case role == Asker:
-		return 0
-	case now.Sub(f.loadedAt) < settleSpan || now.Sub(f.regainedTime()) < settleSpan:
-		return LeastNewsAge
-	case role == Reader:
-		return f.readerPause()
-	}
-	return f.allowedNewsAge()
-}
-
-// watchWait returns how long a watch waits for a change.
-func (f *Follower) watchWait() time.Duration {
-	switch f.Role() {
-	case Reader:
-		return max(leastWatchWait, f.readerPause()-time.Since(f.KnownAt()))
-	case Asker:
-		return leastWatchWait
-	}
-	return leastWait + rand.N(greatestWait-leastWait)
-}
-
 // step makes one call and reports whether anything changed.
 func (f *Follower) step(ctx context.Context) (bool, error) {
 	if !f.loaded || f.gathers() {
@@ -516,36 +363,6 @@
 	signal(f.loadDone)
 }
 
-func (f *Follower) lost(cause error) {
-	if f.setContact(contactLost) != contactLost {
-		f.listener.Dependency(storeDependency, false, cause)
-	}
-}
-
-func (f *Follower) regained() {
-	if f.setContact(contactHeld) != contactHeld {
-		f.listener.Dependency(storeDependency, true, nil)
-	}
-}
-
-// setContact notes whether the store answers and returns what was known before.
-func (f *Follower) setContact(now contact) contact {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	before := f.contact
-	f.contact = now
-	if now == contactHeld {
-		f.contactAt = time.Now()
-	}
-	if now == contactLost {
-		f.lostAt = time.Now()
-	}
-	if now == contactHeld && before == contactLost {
-		f.regainedAt = f.contactAt
-	}
-	return before
-}
-
 // retryDelay returns the wait after a failed call. Only Run calls it.
 func (f *Follower) retryDelay() time.Duration {
 	greatest := greatestRetry
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -23,36 +23,36 @@
 // launchNext asks a server of a part that is being asked nowhere. If all are
 // busy, it is tried again a little later.
 func (r *run) launchNext(index int, now time.Time) {
-	owner := &r.parts[index]
-	r.withdraw(owner)
-	lease, availability := r.runner.Fleet.Acquire(r.choice(owner), now)
+	part := &r.parts[index]
+	r.withdraw(part)
+	lease, availability := r.runner.Fleet.Acquire(r.choice(part), now)
 	if lease == nil {
 		r.awaitServer(index, availability, now)
 		return
 	}
-	owner.idleSince, owner.absent = time.Time{}, false
+	part.idleSince, part.absent = time.Time{}, false
 	r.send(index, lease, now)
-	owner.hedgeAt = r.hedgeTime(owner, lease, now)
+	part.hedgeAt = r.hedgeTime(part, lease, now)
 }
 
 // awaitServer keeps a part open for a while when no server can be asked: all
 // are busy, unreachable, or not listed yet. Such a part does not hold back an
 // answer that is good enough without it; see decide.
 func (r *run) awaitServer(index int, availability fleet.Availability, now time.Time) {
-	owner := &r.parts[index]
-	if owner.failure == nil {
-		owner.failure = &outcome.Error{
-			Step: "choose server", Peer: owner.service, Outcome: outcome.NotRun,
+	part := &r.parts[index]
+	if part.failure == nil {
+		part.failure = &outcome.Error{
+			Step: "choose server", Peer: part.service, Outcome: outcome.NotRun,
 			Reason: outcome.ReasonNoReplica, Cause: errors.Errorf("all servers are %s", availability),
 		}
 	}
-	owner.absent = availability == fleet.Absent
-	owner.shed = owner.shed || availability == fleet.Busy
-	if !r.staysOpen(owner, now) {
+	part.absent = availability == fleet.Absent
+	part.shed = part.shed || availability == fleet.Busy
+	if !r.staysOpen(part, now) {
 		return
 	}
-	owner.forgetNotRun()
-	owner.hedgeAt = now.Add(recheck)
+	part.forgetNotRun()
+	part.hedgeAt = now.Add(recheck)
 	if availability == fleet.Busy {
 		r.await(index)
 	}
@@ -60,9 +60,9 @@
 
 // await lets a part wait for a free server in the order of the fleet.
 func (r *run) await(index int) {
-	owner := &r.parts[index]
-	owner.waiter = &fleet.Waiter{
-		Choice: r.choice(owner),
+	part := &r.parts[index]
+	part.waiter = &fleet.Waiter{
+		Choice: r.choice(part),
 		Wake: func() {
 			select {
 			case r.wakes <- index:
@@ -70,29 +70,29 @@
 			}
 		},
 	}
-	r.runner.Fleet.Await(owner.waiter)
+	r.runner.Fleet.Await(part.waiter)
 }
 
 // withdraw ends the wait of a part for a free server.
-func (r *run) withdraw(owner *part) {
-	if owner.waiter != nil {
-		r.runner.Fleet.Withdraw(owner.waiter)
-		owner.waiter = nil
+func (r *run) withdraw(part *part) {
+	if part.waiter != nil {
+		r.runner.Fleet.Withdraw(part.waiter)
+		part.waiter = nil
 	}
 }
 
 // handleWake asks the server that has become free.
 func (r *run) handleWake(index int, now time.Time) {
-	owner := &r.parts[index]
-	if owner.waiter == nil || owner.answer != nil || owner.closed {
+	part := &r.parts[index]
+	if part.waiter == nil || part.answer != nil || part.closed {
 		return
 	}
 	r.launchNext(index, now)
 }
 
 // hedgeTime returns when a second server is to be asked; zero if never.
-func (r *run) hedgeTime(owner *part, lease *fleet.Lease, now time.Time) time.Time {
-	if !r.plan.Repeatable || owner.executions >= r.plan.MaxAttempts {
+func (r *run) hedgeTime(part *part, lease *fleet.Lease, now time.Time) time.Time {
+	if !r.plan.Repeatable || part.executions >= r.plan.MaxAttempts {
 		return time.Time{}
 	}
 	profile := r.runner.Fleet.Profile(r.plan.Kind, r.plan.Assumed)
@@ -102,7 +102,7 @@
 	}
 	if !r.plan.Target.IsZero() {
 		observed.Useful = max(r.plan.Target.Sub(now), time.Nanosecond)
-		observed.Alternative, _ = r.runner.Fleet.Estimate(r.choice(owner), now)
+		observed.Alternative, _ = r.runner.Fleet.Estimate(r.choice(part), now)
 	}
 	wait, ok := r.plan.Hedge.Delay(observed)
 	if !ok {
@@ -113,23 +113,23 @@
 
 // hedge asks a further server while an earlier one is still silent.
 func (r *run) hedge(index int, now time.Time) {
-	owner := &r.parts[index]
-	if owner.executions >= r.plan.MaxAttempts || !r.plan.Repeatable || r.mustAsk(index) {
+	part := &r.parts[index]
+	if part.executions >= r.plan.MaxAttempts || !r.plan.Repeatable || r.mustAsk(index) {
 		return
 	}
-	lease, _ := r.runner.Fleet.Acquire(r.choice(owner), now)
+	lease, _ := r.runner.Fleet.Acquire(r.choice(part), now)
 	if lease == nil {
-		owner.hedgeAt = now.Add(recheck)
+		part.hedgeAt = now.Add(recheck)
 		return
 	}
-	if r.tooLate(lease, now) || !r.spend(owner, now) {
+	if r.tooLate(lease, now) || !r.spend(part, now) {
 		r.runner.Fleet.Cancel(lease)
-		owner.hedgeAt = now.Add(deniedRecheck)
+		part.hedgeAt = now.Add(deniedRecheck)
 		return
 	}
 	r.hedges++
 	r.send(index, lease, now)
-	owner.hedgeAt = r.hedgeTime(owner, lease, now)
+	part.hedgeAt = r.hedgeTime(part, lease, now)
 }
 
 // tooLate reports whether a hedge would miss the deadline anyway.
@@ -139,27 +139,27 @@
 
 // spend pays for an extra sub-request, as far as the template lets it. Late
 // requests have the same right as others: what they lack is their last parts.
-func (r *run) spend(owner *part, now time.Time) bool {
+func (r *run) spend(part *part, now time.Time) bool {
 	keep := 1 - r.plan.ExtraShare
-	if r.runner.Budget.TrySpend(owner.service, keep, now) {
+	if r.runner.Budget.TrySpend(part.service, keep, now) {
 		return true
 	}
 	r.denied++
 	return false
 }
 
-func (r *run) choice(owner *part) fleet.Choice {
+func (r *run) choice(part *part) fleet.Choice {
 	var excluded []*fleet.Lease
-	for _, each := range owner.asked {
+	for _, each := range part.asked {
 		excluded = append(excluded, each.lease)
 	}
-	return fleet.Choice{Service: owner.service, Kind: r.plan.Kind, Assumed: r.plan.Assumed, Target: r.targetSpan(), Rank: r.rank(owner), Excluded: excluded, Owned: owner.owned}
+	return fleet.Choice{Service: part.service, Kind: r.plan.Kind, Assumed: r.plan.Assumed, Target: r.targetSpan(), Rank: r.rank(part), Excluded: excluded, Owned: part.owned}
 }
 
 // rank orders the sub-requests of a part among those of other requests.
-func (r *run) rank(owner *part) fleet.Rank {
+func (r *run) rank(part *part) fleet.Rank {
 	return fleet.Rank{
-		Needed: r.isNeeded(owner), Target: r.plan.Target, Lot: r.lot, Deadline: r.plan.Deadline,
+		Needed: r.isNeeded(part), Target: r.plan.Target, Lot: r.lot, Deadline: r.plan.Deadline,
 	}
 }
 
@@ -167,8 +167,8 @@
 // being asked nowhere: the parts that are answered or being asked for are fewer
 // than required. A request that has enough without a shard whose servers are
 // scarce leaves them to others.
-func (r *run) isNeeded(owner *part) bool {
-	if len(owner.live) > 0 {
+func (r *run) isNeeded(part *part) bool {
+	if len(part.live) > 0 {
 		return false
 	}
 	covered := r.got
@@ -190,7 +190,7 @@
 
 // send starts an attempt.
 func (r *run) send(index int, lease *fleet.Lease, now time.Time) {
-	owner := &r.parts[index]
+	part := &r.parts[index]
 	started := &attempt{
 		Attempt: &exchange.Attempt{
 			Dialect: r.runner.Dialect, Pool: lease.Pool, Request: r.request,
@@ -198,11 +198,11 @@
 		},
 		lease: lease, part: index,
 	}
-	owner.asked = append(owner.asked, askedServer{lease: lease})
-	owner.live = append(owner.live, started)
-	owner.sent = append(owner.sent, started)
-	owner.arrivals++
-	owner.executions++
+	part.asked = append(part.asked, askedServer{lease: lease})
+	part.live = append(part.live, started)
+	part.sent = append(part.sent, started)
+	part.arrivals++
+	part.executions++
 	r.sent++
 	go r.runner.perform(started, r.results, r.ended)
 }
--- a/pkg/fanout/owners.go
+++ b/pkg/fanout/owners.go
@@ -194,10 +194,10 @@
 	asked.silentAt = now.Add(asked.patience())
 	services := make([]string, len(group.Indexes))
 	for position, index := range group.Indexes {
-		owner := &r.parts[index]
-		owner.question = asked
-		owner.arrivals, owner.executions = 1, 1
-		services[position] = owner.service
+		part := &r.parts[index]
+		part.question = asked
+		part.arrivals, part.executions = 1, 1
+		services[position] = part.service
 	}
 	r.questions = append(r.questions, asked)
 	required := (r.plan.Required*len(services) + len(r.parts) - 1) / len(r.parts)
@@ -244,7 +244,7 @@
 		from.result = report.Err.Error()
 	}
 	for position, index := range from.indexes {
-		if owner := &r.parts[index]; owner.question == from && owner.answer == nil {
+		if part := &r.parts[index]; part.question == from && part.answer == nil {
 			r.endQuestion(index, report, report.Failures[position], now)
 		}
 		r.parts[index].question = nil
@@ -277,9 +277,9 @@
 		if position < 0 || position >= len(to.indexes) {
 			continue
 		}
-		owner := &r.parts[to.indexes[position]]
-		if owner.question == to && owner.answer == nil && owner.executions < r.plan.MaxAttempts {
-			owner.executions++
+		part := &r.parts[to.indexes[position]]
+		if part.question == to && part.answer == nil && part.executions < r.plan.MaxAttempts {
+			part.executions++
 			granted = append(granted, position)
 		}
 	}
@@ -291,12 +291,12 @@
 // mustAsk reports whether a run for another node may not ask a further server of a
 // part by itself, and asks for it.
 func (r *run) mustAsk(index int) bool {
-	owner := &r.parts[index]
-	if r.plan.Collect == nil || owner.executions < 1+owner.granted {
+	part := &r.parts[index]
+	if r.plan.Collect == nil || part.executions < 1+part.granted {
 		return false
 	}
-	if !owner.wanted {
-		owner.wanted = true
+	if !part.wanted {
+		part.wanted = true
 		r.wants = append(r.wants, index)
 	}
 	return true
@@ -316,12 +316,12 @@
 		if index < 0 || index >= len(r.parts) || !r.parts[index].wanted {
 			continue
 		}
-		owner := &r.parts[index]
-		owner.granted++
-		owner.wanted = false
+		part := &r.parts[index]
+		part.granted++
+		part.wanted = false
 		switch {
-		case owner.answer != nil || owner.closed:
-		case len(owner.live) > 0:
+		case part.answer != nil || part.closed:
+		case len(part.live) > 0:
 			r.hedge(index, now)
 		default:
 			r.retry(index, now)
@@ -331,19 +331,19 @@
 
 // endQuestion decides what becomes of a part that its owner did not get.
 func (r *run) endQuestion(index int, report Report, failure OwnerFailure, now time.Time) {
-	owner := &r.parts[index]
-	owner.question = nil
+	part := &r.parts[index]
+	part.question = nil
 	switch {
 	case report.Err != nil && outcome.Of(report.Err) == outcome.NotRun:
-		owner.failure, owner.arrivals, owner.executions = report.Err, 0, 0
+		part.failure, part.arrivals, part.executions = report.Err, 0, 0
 		r.launchFirst(index, now)
 	case report.Err != nil:
-		owner.failure = report.Err
+		part.failure = report.Err
 		r.retry(index, now)
 	default:
-		owner.failure, owner.shed = failure.Cause, failure.Shed
+		part.failure, part.shed = failure.Cause, failure.Shed
 		if failure.NotRun {
-			owner.arrivals, owner.executions = 0, 0
+			part.arrivals, part.executions = 0, 0
 		}
 		r.retry(index, now)
 	}
@@ -363,9 +363,9 @@
 		asked.silentAt, asked.result = time.Time{}, "silent"
 		asked.pending.Silent()
 		for _, index := range asked.indexes {
-			owner := &r.parts[index]
-			if owner.question == asked && owner.answer == nil && owner.executions < r.plan.MaxAttempts {
-				owner.question = nil
+			part := &r.parts[index]
+			if part.question == asked && part.answer == nil && part.executions < r.plan.MaxAttempts {
+				part.question = nil
 				r.retry(index, now)
 			}
 		}
--- a/pkg/fanout/result.go
+++ b/pkg/fanout/result.go
@@ -10,37 +10,37 @@
 )
 
 // noteFailure updates what is known of the execution.
-func (r *run) noteFailure(owner *part, result finished) {
+func (r *run) noteFailure(part *part, result finished) {
 	if result.err != nil {
-		owner.failure = result.err
-		owner.shed = owner.shed || result.attempt.TurnedAway
+		part.failure = result.err
+		part.shed = part.shed || result.attempt.TurnedAway
 		if r.plan.Repeatable && result.attempt.TurnedAway {
-			owner.executions--
-			owner.refusals++
-			owner.markNotRun(result.attempt.lease)
+			part.executions--
+			part.refusals++
+			part.markNotRun(result.attempt.lease)
 			if !result.attempt.Arrived {
-				owner.arrivals--
+				part.arrivals--
 			}
 			return
 		}
 		if outcome.Of(result.err) == outcome.NotRun {
-			owner.executions--
+			part.executions--
 			if !result.attempt.Arrived {
-				owner.arrivals--
-				owner.markNotRun(result.attempt.lease)
+				part.arrivals--
+				part.markNotRun(result.attempt.lease)
 			}
 		}
 		return
 	}
-	owner.refusal = result.answer
+	part.refusal = result.answer
 	if r.refused(result.answer) {
-		owner.shed = owner.shed || result.answer.Status != statusMisdirected
-		owner.executions--
-		owner.refusals++
-		owner.markNotRun(result.attempt.lease)
+		part.shed = part.shed || result.answer.Status != statusMisdirected
+		part.executions--
+		part.refusals++
+		part.markNotRun(result.attempt.lease)
 		return
 	}
-	owner.ran = true
+	part.ran = true
 }
 
 func (r *run) refused(answer *exchange.Response) bool {
@@ -76,13 +76,13 @@
 	return records
 }
 
-func (r *run) recordOf(owner *part, sent *attempt, now time.Time) AttemptRecord {
+func (r *run) recordOf(part *part, sent *attempt, now time.Time) AttemptRecord {
 	ended, result := sent.endedAt, sent.result
 	if ended.IsZero() {
 		ended, result = now, "pending"
 	}
 	return AttemptRecord{
-		Service: owner.service, Server: sent.lease.Server.ID, Zone: sent.lease.Server.Zone,
+		Service: part.service, Server: sent.lease.Server.ID, Zone: sent.lease.Server.Zone,
 		SentMillis: sent.lease.Began().Sub(r.began).Milliseconds(),
 		TookMillis: ended.Sub(sent.lease.Began()).Milliseconds(), Result: result,
 	}
@@ -121,10 +121,10 @@
 // than they can.
 func (r *run) refusal() Result {
 	for index := range r.parts {
-		owner := &r.parts[index]
-		owner.shed = true
-		owner.failure = &outcome.Error{
-			Step: "let in", Peer: owner.service, Outcome: outcome.NotRun, Reason: outcome.ReasonOverloaded,
+		part := &r.parts[index]
+		part.shed = true
+		part.failure = &outcome.Error{
+			Step: "let in", Peer: part.service, Outcome: outcome.NotRun, Reason: outcome.ReasonOverloaded,
 		}
 	}
 	return r.result(StopNotOffered)
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -291,34 +291,34 @@
 // take handles the end of an attempt.
 func (r *run) take(result finished, now time.Time) {
 	index := result.attempt.part
-	owner := &r.parts[index]
-	owner.live = without(owner.live, result.attempt)
+	part := &r.parts[index]
+	part.live = without(part.live, result.attempt)
 	result.attempt.endedAt, result.attempt.result = now, result.describe()
-	if owner.answer != nil {
+	if part.answer != nil {
 		return
 	}
 	if result.err == nil && r.runner.Sound(result.answer) {
 		r.accept(index, result.answer, now)
 		return
 	}
-	r.noteFailure(owner, result)
-	if len(owner.live) == 0 {
+	r.noteFailure(part, result)
+	if len(part.live) == 0 {
 		r.retry(index, now)
 	}
 }
 
 // accept takes the answer of a part.
 func (r *run) accept(index int, answer *exchange.Response, now time.Time) {
-	owner := &r.parts[index]
-	r.withdraw(owner)
-	owner.answer = answer
-	owner.ran = true
-	owner.hedgeAt = time.Time{}
+	part := &r.parts[index]
+	r.withdraw(part)
+	part.answer = answer
+	part.ran = true
+	part.hedgeAt = time.Time{}
 	r.got++
-	if !owner.closed {
+	if !part.closed {
 		r.open--
 	}
-	for _, other := range owner.live {
+	for _, other := range part.live {
 		other.Expire(now.Add(r.runner.Linger))
 	}
 	if r.plan.Collect != nil {
@@ -329,76 +329,76 @@
 // retry asks another server after all attempts of a part have failed, or
 // closes the part.
 func (r *run) retry(index int, now time.Time) {
-	owner := &r.parts[index]
-	if owner.executions > 0 && !r.plan.Repeatable {
-		r.closePart(owner)
+	part := &r.parts[index]
+	if part.executions > 0 && !r.plan.Repeatable {
+		r.closePart(part)
 		return
 	}
-	if owner.executions >= max(r.plan.MaxAttempts, 1) {
-		r.closePart(owner)
+	if part.executions >= max(r.plan.MaxAttempts, 1) {
+		r.closePart(part)
 		return
 	}
 	if r.mustAsk(index) {
 		return
 	}
-	if owner.refusals > freeRefusals {
-		r.awaitRoom(owner, now)
+	if part.refusals > freeRefusals {
+		r.awaitRoom(part, now)
 		return
 	}
-	if owner.arrivals > 0 && !r.spend(owner, now) {
-		r.awaitBudget(owner, now)
+	if part.arrivals > 0 && !r.spend(part, now) {
+		r.awaitBudget(part, now)
 		return
 	}
-	owner.unpaid = false
+	part.unpaid = false
 	r.retries++
 	r.launchNext(index, now)
 }
 
 // awaitBudget keeps a part open for a while when the budget does not pay for a
 // further server: it pays again as soon as the service is asked for others.
-func (r *run) awaitBudget(owner *part, now time.Time) {
-	if !r.staysOpen(owner, now) {
+func (r *run) awaitBudget(part *part, now time.Time) {
+	if !r.staysOpen(part, now) {
 		return
 	}
-	owner.unpaid = true
-	owner.hedgeAt = now.Add(deniedRecheck)
+	part.unpaid = true
+	part.hedgeAt = now.Add(deniedRecheck)
 }
 
 // awaitRoom keeps a part open for a while when servers have turned it away again
 // and again: they have room later. Those that did not run it may be asked anew.
-func (r *run) awaitRoom(owner *part, now time.Time) {
-	if !r.staysOpen(owner, now) {
+func (r *run) awaitRoom(part *part, now time.Time) {
+	if !r.staysOpen(part, now) {
 		return
 	}
-	owner.refusals = 0
-	owner.forgetNotRun()
-	owner.unpaid = true
-	owner.hedgeAt = now.Add(refusedRecheck)
+	part.refusals = 0
+	part.forgetNotRun()
+	part.unpaid = true
+	part.hedgeAt = now.Add(refusedRecheck)
 }
 
 // staysOpen reports whether a part that is being asked nowhere may still wait,
 // and closes it if not.
-func (r *run) staysOpen(owner *part, now time.Time) bool {
-	if owner.idleSince.IsZero() {
-		owner.idleSince = now
+func (r *run) staysOpen(part *part, now time.Time) bool {
+	if part.idleSince.IsZero() {
+		part.idleSince = now
 	}
-	if now.Sub(owner.idleSince) < r.plan.Patience && !r.isHopeless(owner, now) {
+	if now.Sub(part.idleSince) < r.plan.Patience && !r.isHopeless(part, now) {
 		return true
 	}
-	r.closePart(owner)
+	r.closePart(part)
 	return false
 }
 
 // isHopeless reports whether a request of one service has no server, and none is
 // expected before it ends: an outage lasts about as long again as it has. A gathered
 // request keeps what it has got.
-func (r *run) isHopeless(owner *part, now time.Time) bool {
-	return len(r.parts) == 1 && owner.absent && r.runner.Fleet.AbsentFor(owner.service, now) >= r.plan.Deadline.Sub(now)
+func (r *run) isHopeless(part *part, now time.Time) bool {
+	return len(r.parts) == 1 && part.absent && r.runner.Fleet.AbsentFor(part.service, now) >= r.plan.Deadline.Sub(now)
 }
 
-func (r *run) closePart(owner *part) {
-	owner.closed = true
-	owner.hedgeAt = time.Time{}
+func (r *run) closePart(part *part) {
+	part.closed = true
+	part.hedgeAt = time.Time{}
 	r.open--
 }
 
