Owners: a return is told once, and a node is found by its name

Cause: a late report and a ping may both show that an owner answers again. Change: Roster.restore reports whether the node was left out, and nothing is told if not. Beside it Roster.find, which runs for each question to an owner, looked through all nodes under the mutex; nodes are kept by name now, and candidates and avoidedNodes use the same map in place of one of their own. What is asked of whom is the same. No figure of it was measured.

--- a/pkg/owner/client.go
+++ b/pkg/owner/client.go
@@ -119,7 +119,7 @@
 		c.lose(node, err)
 		decoded = fanout.Report{Err: err}
 	}
-	if c.roster.isAvoided(node.Name) && decoded.Err == nil {
+	if decoded.Err == nil {
 		c.regain(node)
 	}
 	report(decoded)
@@ -127,7 +127,9 @@
 
 // regain lets a node be an owner again that has shown that it answers.
 func (c *Client) regain(node directory.Node) {
-	c.events.OwnerRegained(node.Name, c.roster.restore(node.Name, time.Now()))
+	if lost, ok := c.roster.restore(node.Name, time.Now()); ok {
+		c.events.OwnerRegained(node.Name, lost)
+	}
 }
 
 func (c *Client) lose(node directory.Node, cause error) {
--- /dev/null
+++ b/pkg/owner/client_test.go
@@ -0,0 +1,71 @@
+package owner_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/owner"
+	"github.com/bramblemast/bramblemast/pkg/owner/ownerpb"
+	"github.com/bramblemast/bramblemast/pkg/peer"
+)
+
+// slowPings is a transport whose pings are answered after a while, and whose streams
+// the test feeds itself.
+type slowPings struct {
+	peer.Streamer
+	delay   time.Duration
+	opened  []peer.Receive
+	pending peer.Stream
+}
+
+func (s *slowPings) Call(context.Context, peer.Address, peer.Kind, proto.Message, proto.Message) error {
+	time.Sleep(s.delay)
+	return nil
+}
+
+func (s *slowPings) Open(_ peer.Address, _ peer.Kind, _ proto.Message, _ time.Duration, receive peer.Receive) peer.Stream {
+	s.opened = append(s.opened, receive)
+	return s.pending
+}
+
+// returns keeps for how long owners were lost that are asked again.
+type returns struct{ lost []time.Duration }
+
+func (r *returns) OwnerLost(string, error) {}
+
+func (r *returns) OwnerRegained(_ string, lost time.Duration) { r.lost = append(r.lost, lost) }
+
+// TestAnOwnerReturnsOnce, although both a late report and a ping show that it answers.
+func TestAnOwnerReturnsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		_, known, nodes := deployment(4, 2)
+		transport, told := &slowPings{delay: 400 * time.Millisecond}, &returns{}
+		client := owner.NewClient(rosterOf(nodes[0], known, nodes), transport, told)
+		plan := &fanout.Plan{Deadline: time.Now().Add(time.Minute)}
+		for range 2 {
+			client.Ask(fanout.Question{Owner: nodes[1].Name, Plan: plan, Request: &exchange.Request{}}, func(fanout.Report) {})
+		}
+		transport.opened[0](nil, errors.New("connection lost"))
+
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- client.Run(ctx) }()
+		time.Sleep(1200 * time.Millisecond)
+		report, err := (&ownerpb.Report{}).MarshalVT()
+		g.Expect(err).NotTo(HaveOccurred())
+		transport.opened[1](report, nil)
+		time.Sleep(time.Second)
+		g.Expect(told.lost).To(Equal([]time.Duration{1200 * time.Millisecond}))
+		cancel()
+		g.Expect(<-ended).To(Succeed())
+	})
+}
--- a/pkg/owner/roster.go
+++ b/pkg/owner/roster.go
@@ -47,8 +47,10 @@
 
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
-	// byZone are the nodes that can be asked, this one among them.
-	byZone map[string][]directory.Node
+	// byName are the nodes that can be asked, this one among them, and byZone their
+	// names.
+	byName map[string]directory.Node
+	byZone map[string][]string
 	// layouts are kept until nodes or servers change, by the list of services.
 	layouts    map[serviceList]layout
 	generation uint64
@@ -81,24 +83,27 @@
 // NewRoster returns a roster that knows no other node. regions maps each zone to
 // its region.
 func NewRoster(local directory.Node, regions map[string]string, servers Servers) *Roster {
-	return &Roster{
-		local: local, regions: regions, servers: servers,
-		byZone: map[string][]directory.Node{local.Zone: {local}}, layouts: make(map[serviceList]layout),
+	created := &Roster{
+		local: local, regions: regions, servers: servers, layouts: make(map[serviceList]layout),
 		avoided: make(map[string]avoidance),
 	}
+	created.SetNodes(nil)
+	return created
 }
 
 // SetNodes takes the nodes that are known.
 func (r *Roster) SetNodes(nodes []directory.Node) {
-	byZone := map[string][]directory.Node{r.local.Zone: {r.local}}
+	byName := map[string]directory.Node{r.local.Name: r.local}
+	byZone := map[string][]string{r.local.Zone: {r.local.Name}}
 	for _, node := range nodes {
 		if node.Name != r.local.Name && node.PeerAddress != "" {
-			byZone[node.Zone] = append(byZone[node.Zone], node)
+			byName[node.Name] = node
+			byZone[node.Zone] = append(byZone[node.Zone], node.Name)
 		}
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.byZone = byZone
+	r.byName, r.byZone = byName, byZone
 	clear(r.layouts)
 }
 
@@ -194,15 +199,9 @@
 // candidates ranks the nodes of a zone for a group, which is named by its first
 // service. The mutex is held.
 func (r *Roster) candidates(group, zone string) []directory.Node {
-	byName := make(map[string]directory.Node, len(r.byZone[zone]))
-	names := make([]string, 0, len(r.byZone[zone]))
-	for _, node := range r.byZone[zone] {
-		byName[node.Name] = node
-		names = append(names, node.Name)
-	}
 	var ranked []directory.Node
-	for _, name := range rendezvous.Top(group, names, candidateCount) {
-		ranked = append(ranked, byName[name])
+	for _, name := range rendezvous.Top(group, r.byZone[zone], candidateCount) {
+		ranked = append(ranked, r.byName[name])
 	}
 	return ranked
 }
@@ -211,14 +210,8 @@
 func (r *Roster) find(name string) (directory.Node, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	for _, nodes := range r.byZone {
-		for _, node := range nodes {
-			if node.Name == name {
-				return node, true
-			}
-		}
-	}
-	return directory.Node{}, false
+	node, ok := r.byName[name]
+	return node, ok
 }
 
 // avoid leaves a node out of the owners until it is restored, and reports whether
@@ -233,21 +226,14 @@
 	return true
 }
 
-// isAvoided reports whether a node is left out of the owners.
-func (r *Roster) isAvoided(name string) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	_, found := r.avoided[name]
-	return found
-}
-
-// restore lets a node be an owner again, and returns for how long it was none.
-func (r *Roster) restore(name string, now time.Time) time.Duration {
+// restore lets a node be an owner again, and returns for how long it was none; false
+// if it was not left out.
+func (r *Roster) restore(name string, now time.Time) (time.Duration, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	since := r.avoided[name].since
+	left, ok := r.avoided[name]
 	delete(r.avoided, name)
-	return now.Sub(since)
+	return now.Sub(left.since), ok
 }
 
 // avoidedNodes returns the nodes that are left out, and forgets those that are no
@@ -257,7 +243,7 @@
 	defer r.mutex.Unlock()
 	var nodes []directory.Node
 	for name, left := range r.avoided {
-		if !slices.Contains(r.byZone[left.node.Zone], left.node) {
+		if r.byName[name] != left.node {
 			delete(r.avoided, name)
 			continue
 		}
