Reading of the change: one copy of streams' ends, of growing waits and of timeouts; no made-up route

- peer: the streams over TCP and in memory share the type that hands on replies and the end (answer); a timeout is put into frames in one place.
The stream in memory no longer holds its mutex while it hands on a message, as the one over TCP never did and Stream says.
- edge: owners' questions ask for a policy by the name of the route, no longer by a route made up for that.
- front: Collector is the gatherer itself, since a plan with Collect asks no owners.
- explain: what owners did is added to the lines of requests only, and their attempts are copied once.
- directory: moments are compared by later().
Ruled out: one kind of log line, or one file format, changing by it: the tests of edge and explain hold as they were.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -216,7 +216,7 @@
 }
 
 // TestRequestsComeBackLaterWhileTheStoreStaysAway: a client that may come back
-// once would otherwise be refused again. (valgsok trouble-3)
+// once would otherwise be refused again.
 func TestRequestsComeBackLaterWhileTheStoreStaysAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -274,8 +274,7 @@
 
 // TestNewsIsAsOldAsTheDeploymentAllows: nodes read the store as seldom as its
 // bounds on configurations and leaving servers allow, with a reserve, and not
-// more often where these are unknown. (skipulag-leit-grown: 2,100 to 2,900 calls
-// a day)
+// more often where these are unknown.
 func TestNewsIsAsOldAsTheDeploymentAllows(t *testing.T) {
 	g := NewWithT(t)
 	for _, each := range []struct {
--- a/internal/edge/owners.go
+++ b/internal/edge/owners.go
@@ -6,7 +6,6 @@
 	"github.com/bramblemast/bramblemast/internal/front"
 	"github.com/bramblemast/bramblemast/pkg/owner"
 	"github.com/bramblemast/bramblemast/pkg/policy"
-	"github.com/bramblemast/bramblemast/pkg/route"
 )
 
 // serveOwned answers the questions of other nodes about the shards that this one
@@ -15,7 +14,7 @@
 	owner.NewServer(owner.ServerOptions{
 		Transport: n.transport, Runner: handler.Collector(), Servers: n.state.fleet, Draining: n.state.Draining,
 		Policies: func(kind, requestID string) (policy.HedgePolicy, float64) {
-			found := rules.For(&route.Route{Name: kind, Shards: []string{""}}, requestID)
+			found := rules.forKind(kind, true, requestID)
 			return found.Hedge, found.ExtraShare
 		},
 		Recorder: recorder.RecordOwned,
--- a/internal/edge/policies.go
+++ b/internal/edge/policies.go
@@ -70,7 +70,12 @@
 
 // For implements front.Policies.
 func (p *policies) For(found *route.Route, requestID string) front.Policy {
-	compiled := p.find(found)
+	return p.forKind(found.Name, found.Gathered(), requestID)
+}
+
+// forKind returns the policy of a request by the name of its route.
+func (p *policies) forKind(name string, isGathered bool, requestID string) front.Policy {
+	compiled := p.find(name, isGathered)
 	if compiled == nil {
 		return newPolicy("", builtInRevision, template.ControlArm, p.builtIn, builtInAttempts)
 	}
@@ -89,9 +94,9 @@
 	}
 }
 
-func (p *policies) find(found *route.Route) *template.Compiled {
+func (p *policies) find(name string, isGathered bool) *template.Compiled {
 	kind := singleName
-	if found.Gathered() {
+	if isGathered {
 		kind = gatheredName
 	}
 	p.mutex.RLock()
@@ -99,7 +104,7 @@
 	if len(p.compiled) == 0 {
 		return nil
 	}
-	if own := p.compiled[template.Key{Tenant: routeTenant, Name: found.Name}]; own != nil {
+	if own := p.compiled[template.Key{Tenant: routeTenant, Name: name}]; own != nil {
 		return own
 	}
 	return p.compiled[template.Key{Tenant: routeTenant, Name: kind}]
--- a/internal/edge/registration.go
+++ b/internal/edge/registration.go
@@ -92,7 +92,7 @@
 
 // registerRetry returns the wait after so many failures in a row.
 func registerRetry(failures int) time.Duration {
-	span := min(leastRegisterRetry<<min(failures, 4), greatestRegisterRetry)
+	span := pause.Doubled(leastRegisterRetry, greatestRegisterRetry, failures)
 	return span/2 + rand.N(span/2)
 }
 
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -38,10 +38,11 @@
 // withOwned adds to the line of a request what its owners did for the services that it
 // lacks.
 func withOwned(request Line, owned []Line) Line {
+	request.Attempts = slices.Clone(request.Attempts)
 	for _, line := range owned {
 		for _, attempt := range line.Attempts {
 			if slices.Contains(request.Missing, attempt.Service) {
-				request.Attempts = append(slices.Clone(request.Attempts), attempt)
+				request.Attempts = append(request.Attempts, attempt)
 			}
 		}
 		request.Denied += line.Denied
--- a/internal/explain/summary.go
+++ b/internal/explain/summary.go
@@ -31,8 +31,11 @@
 	services := make(map[key]map[string]int)
 	owned := ownedBy(lines)
 	for _, line := range lines {
+		if line.Message != messageRequest || !within(line.At, from, to) {
+			continue
+		}
 		cause := CauseOf(withOwned(line, owned[line.Request]))
-		if line.Message != messageRequest || cause == CauseServed || !within(line.At, from, to) {
+		if cause == CauseServed {
 			continue
 		}
 		at := key{cause, line.Route}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -90,12 +90,9 @@
 	return handler
 }
 
-// Collector returns what asks servers for parts on behalf of other nodes.
-func (h *Handler) Collector() *fanout.Runner {
-	collector := *h.gatherer
-	collector.Owners = nil
-	return &collector
-}
+// Collector returns what asks servers for parts on behalf of other nodes; a plan with
+// fanout.Collect asks no owners.
+func (h *Handler) Collector() *fanout.Runner { return h.gatherer }
 
 // isPart reports whether an answer can be merged.
 func isPart(answer *exchange.Response) bool {
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -1,5 +1,5 @@
 // Package pause holds the one way in which this module waits for a span of time
-// that a context may end early.
+// that a context may end early, and the growth of such spans.
 package pause
 
 import (
@@ -22,3 +22,12 @@
 		return true
 	}
 }
+
+// maxDoublings keeps a span from overflowing.
+const maxDoublings = 6
+
+// Doubled returns the wait after so many failures in a row: it doubles with each of
+// them, at most maxDoublings times, and never exceeds greatest.
+func Doubled(first, greatest time.Duration, failures int) time.Duration {
+	return min(first<<min(failures, maxDoublings), greatest)
+}
--- a/internal/pause/pause_test.go
+++ b/internal/pause/pause_test.go
@@ -23,3 +23,11 @@
 		g.Expect(For(context.Background(), -time.Second)).To(BeTrue())
 	})
 }
+
+func TestAPauseDoublesUpToItsBound(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(Doubled(time.Second, time.Minute, 0)).To(Equal(time.Second))
+	g.Expect(Doubled(time.Second, time.Minute, 5)).To(Equal(32 * time.Second))
+	g.Expect(Doubled(time.Second, time.Minute, 6)).To(Equal(time.Minute))
+	g.Expect(Doubled(time.Second, time.Hour, 1000)).To(Equal(64*time.Second), "no overflow")
+}
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -191,9 +191,7 @@
 // confirm takes a moment at which the replica was all that the store held.
 func (f *Follower) confirm(at time.Time) {
 	f.mutex.Lock()
-	if at.After(f.knownAt) {
-		f.knownAt = at
-	}
+	f.knownAt = later(f.knownAt, at)
 	isBack := f.contact == contactLost && f.Role() == Asker && at.After(f.lostAt)
 	f.mutex.Unlock()
 	if isBack {
@@ -209,9 +207,7 @@
 func (f *Follower) hearRegained(at time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if at.After(f.regainedAt) {
-		f.regainedAt = at
-	}
+	f.regainedAt = later(f.regainedAt, at)
 }
 
 // regainedTime returns when the store answered again after it had not; zero for
@@ -372,5 +368,5 @@
 	case f.Role() == Asker:
 		return leastAskerRetry + rand.N(greatestAskerRetry-leastAskerRetry)
 	}
-	return min(leastRetry<<min(f.failures, 6), greatest)
+	return pause.Doubled(leastRetry, greatest, f.failures)
 }
--- a/pkg/fleet/lease.go
+++ b/pkg/fleet/lease.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bramblemast/bramblemast/internal/pause"
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 )
 
@@ -86,7 +87,7 @@
 	case Failed:
 		used.fail(now)
 	case Refused:
-		used.retryAt = now.Add(min(firstRefusedRetry<<min(used.failures, 6), greatestRefusedRetry))
+		used.retryAt = now.Add(pause.Doubled(firstRefusedRetry, greatestRefusedRetry, used.failures))
 		used.fail(now)
 		f.lowerRoom(lease, now)
 	case TurnedAway:
@@ -153,9 +154,9 @@
 	if now.Before(used.retryAt) {
 		return
 	}
-	pause := min(firstTurnedAwayRetry<<min(used.turnedAway, 6), greatestTurnedAwayRetry)
+	mean := pause.Doubled(firstTurnedAwayRetry, greatestTurnedAwayRetry, used.turnedAway)
 	used.turnedAway++
-	used.retryAt = now.Add(pause/2 + time.Duration(f.settings.Random.Int64N(int64(pause))))
+	used.retryAt = now.Add(mean/2 + time.Duration(f.settings.Random.Int64N(int64(mean))))
 }
 
 // Cancel ends a lease whose request was not sent.
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"github.com/bramblemast/bramblemast/internal/pause"
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 )
 
@@ -59,7 +60,7 @@
 	// which this node opens a connection again to a server that turned one away;
 	// each one in a row doubles it. A server spends its time on connections that
 	// it turns away: 70,000 of them kept 70 nodes from serving for six seconds
-	// (valgsok-grown fresh-fa94).
+	// after a loss of power.
 	firstTurnedAwayRetry    = 50 * time.Millisecond
 	greatestTurnedAwayRetry = 1600 * time.Millisecond
 	// narrowSpan is for how long a server that turned a connection away gets
@@ -157,9 +158,8 @@
 
 // fail notes a request that failed or was refused.
 func (m *member) fail(now time.Time) {
-	penalty := firstPenalty << min(m.failures, 6)
+	m.avoidUntil = now.Add(pause.Doubled(firstPenalty, greatestPenalty, m.failures))
 	m.failures++
-	m.avoidUntil = now.Add(min(penalty, greatestPenalty))
 }
 
 // silentSince returns since when the server owes an answer and has given none; zero
--- a/pkg/owner/server.go
+++ b/pkg/owner/server.go
@@ -21,7 +21,7 @@
 // ServerOptions are the parts of a Server.
 type ServerOptions struct {
 	Transport peer.Streamer
-	// Runner asks the servers; it has no owners itself.
+	// Runner asks the servers.
 	Runner  *fanout.Runner
 	Servers Servers
 	// Draining reports whether a planned stop is under way.
--- a/pkg/peer/dispatch.go
+++ b/pkg/peer/dispatch.go
@@ -239,9 +239,12 @@
 	if !ok {
 		return 0
 	}
-	return uint64(max(time.Until(deadline).Milliseconds(), 1))
+	return timeoutMillis(time.Until(deadline))
 }
 
+// timeoutMillis is a timeout as frames carry it: at least 1, since zero means none.
+func timeoutMillis(timeout time.Duration) uint64 { return uint64(max(timeout.Milliseconds(), 1)) }
+
 // contextError returns the error of a call whose context ended.
 func contextError(ctx context.Context, step string, address Address, known outcome.Outcome) error {
 	reason := outcome.ReasonDeadline
--- a/pkg/peer/memory_stream.go
+++ b/pkg/peer/memory_stream.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,25 +13,16 @@
 
 // memoryStream is a request over a Network that is answered by several messages.
 type memoryStream struct {
-	from    *MemoryTransport
-	address Address
-	receive Receive
-	// cancel ends the handling at the peer.
-	cancel context.CancelFunc
+	answer
+	from *MemoryTransport
 	// handling is the peer's side.
 	handling *handling
-
-	// mutex is held while receive is called, so that nothing is received after
-	// Cancel.
-	mutex sync.Mutex
-	// over is guarded by mutex.
-	over bool
 }
 
 // Open implements Streamer.
 func (t *MemoryTransport) Open(address Address, kind Kind, request proto.Message, timeout time.Duration, receive Receive) Stream {
 	ctx, cancel := context.WithCancel(t.network.context)
-	opened := &memoryStream{from: t, address: address, receive: receive, cancel: cancel, handling: &handling{cancel: cancel}}
+	opened := &memoryStream{from: t, answer: answer{address: address, receive: receive}, handling: &handling{cancel: cancel}}
 	body, err := marshal(request)
 	if err != nil {
 		opened.end(notRun("encode request", address, outcome.ReasonInternal, err))
@@ -41,7 +30,7 @@
 	}
 	frame := &peerpb.Frame{
 		Id: t.network.nextID.Add(1), Kind: string(kind), Body: body, From: string(t.node),
-		TimeoutMs: uint64(max(timeout.Milliseconds(), 1)),
+		TimeoutMs: timeoutMillis(timeout),
 	}
 	t.network.start(func() { t.carry(ctx, address, frame, opened) })
 	return opened
@@ -64,7 +53,7 @@
 		t.network.WaitThawed(address)
 		if t.network.travel(address, t.address) && !peer.closed.Load() {
 			t.network.WaitThawed(t.address)
-			opened.take(reply, address)
+			opened.take(reply)
 		}
 		return nil
 	}
@@ -83,36 +72,12 @@
 	s.follow(func() { s.handling.take(body) })
 }
 
-func (s *memoryStream) take(reply *peerpb.Frame, address Address) {
-	switch {
-	case reply.Error != "":
-		s.end(remoteError(reply, address))
-	case !reply.More:
-		s.end(io.EOF)
-	default:
-		s.mutex.Lock()
-		defer s.mutex.Unlock()
-		if !s.over {
-			s.receive(reply.Body, nil)
-		}
-	}
-}
-
-func (s *memoryStream) end(err error) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if !s.over {
-		s.over = true
-		s.receive(nil, err)
-	}
-}
-
 // Cancel implements Stream.
 func (s *memoryStream) Cancel() {
 	s.mutex.Lock()
 	s.over = true
 	s.mutex.Unlock()
-	s.follow(s.cancel)
+	s.follow(s.handling.cancel)
 }
 
 // follow does something at the peer once a message has travelled there.
--- a/pkg/peer/stream.go
+++ b/pkg/peer/stream.go
@@ -14,33 +14,69 @@
 
 var _ Streamer = (*TCP)(nil)
 
+// answer hands on the messages that answer one request, until it is over.
+type answer struct {
+	address Address
+	receive Receive
+
+	mutex sync.Mutex
+	// over is guarded by mutex.
+	over bool
+}
+
+// take hands on one reply.
+func (a *answer) take(reply *peerpb.Frame) {
+	switch {
+	case reply.Error != "":
+		a.end(remoteError(reply, a.address))
+	case !reply.More:
+		a.end(io.EOF)
+	case !a.isOver():
+		a.receive(reply.Body, nil)
+	}
+}
+
+// end hands on how the answer ended, once.
+func (a *answer) end(err error) {
+	a.mutex.Lock()
+	over := a.over
+	a.over = true
+	a.mutex.Unlock()
+	if !over {
+		a.receive(nil, err)
+	}
+}
+
+func (a *answer) isOver() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.over
+}
+
 // tcpStream is a request over TCP that is answered by several messages. It has no
 // goroutine of its own once its connection is open: what arrives is handed on by
 // the reader of the connection.
 type tcpStream struct {
-	address Address
-	receive Receive
+	answer
 
-	mutex sync.Mutex
-	// The fields below are guarded by mutex.
-	// connection and id are set once the request is registered.
+	// The fields below are guarded by the mutex of the answer, and set once the request
+	// is registered.
 	connection *outboundConnection
 	id         uint64
 	sentAt     time.Time
-	over       bool
 }
 
 // Open implements Streamer. An error says NotRun if no byte was sent or the peer
 // refused the request.
 func (t *TCP) Open(address Address, kind Kind, request proto.Message, timeout time.Duration, receive Receive) Stream {
-	opened := &tcpStream{address: address, receive: receive}
+	opened := &tcpStream{answer: answer{address: address, receive: receive}}
 	body, err := marshal(request)
 	if err != nil {
 		opened.end(notRun("encode request", address, outcome.ReasonInternal, err))
 		return opened
 	}
 	frame := &peerpb.Frame{
-		Kind: string(kind), Body: body, From: string(t.node), TimeoutMs: uint64(max(timeout.Milliseconds(), 1)),
+		Kind: string(kind), Body: body, From: string(t.node), TimeoutMs: timeoutMillis(timeout),
 	}
 	if connection := t.pool.held(address); connection != nil {
 		opened.begin(connection, frame, timeout)
@@ -93,35 +129,6 @@
 	return err == nil
 }
 
-// take hands on one reply.
-func (s *tcpStream) take(reply *peerpb.Frame) {
-	switch {
-	case reply.Error != "":
-		s.end(remoteError(reply, s.address))
-	case !reply.More:
-		s.end(io.EOF)
-	case !s.isOver():
-		s.receive(reply.Body, nil)
-	}
-}
-
-// end hands on how the answer ended, once.
-func (s *tcpStream) end(err error) {
-	s.mutex.Lock()
-	over := s.over
-	s.over = true
-	s.mutex.Unlock()
-	if !over {
-		s.receive(nil, err)
-	}
-}
-
-func (s *tcpStream) isOver() bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.over
-}
-
 // Cancel implements Stream.
 func (s *tcpStream) Cancel() {
 	s.mutex.Lock()
