Residency: a request goes only to servers and nodes in the regions of its route

Ruled out: a check at the end of a request alone: hedges, retries, waits for a free server and owners choose servers too, and opening a connection can outlast a change. What no allowed server can serve is refused at once.

--- a/internal/edge/owners.go
+++ b/internal/edge/owners.go
@@ -6,6 +6,7 @@
 	"github.com/bramblemast/bramblemast/internal/front"
 	"github.com/bramblemast/bramblemast/pkg/owner"
 	"github.com/bramblemast/bramblemast/pkg/policy"
+	"github.com/bramblemast/bramblemast/pkg/route"
 )
 
 // serveOwned answers the questions of other nodes about the shards that this one
@@ -17,10 +18,21 @@
 			found := rules.forKind(kind, true, requestID)
 			return found.Hedge, found.ExtraShare
 		},
+		Regions:  n.state.regionsNow,
 		Recorder: recorder.RecordOwned,
 	})
 }
 
+// regionsNow returns where another node's request may be served: by the newer one of its
+// configuration and this node's.
+func (s *state) regionsNow(asked owner.Asked) route.Regions {
+	table := s.table.Load()
+	if table == nil || table.Version <= asked.Version {
+		return asked.Regions
+	}
+	return table.RegionsOf(asked.Host, asked.Target, asked.Regions)
+}
+
 // ownerEvents tells in the log which owners are lost and regained.
 type ownerEvents struct{ node *Node }
 
--- a/internal/front/conversation.go
+++ b/internal/front/conversation.go
@@ -32,7 +32,7 @@
 func (c *conversation) serve(request *exchange.Request) {
 	c.policy = c.handler.policies.For(c.route, c.id)
 	plan := fanout.Plan{
-		Kind: c.route.Name, Repeatable: c.route.Repeatable,
+		Kind: c.route.Name, Version: c.version, Regions: c.regions, Repeatable: c.route.Repeatable,
 		MaxAttempts: min(c.route.MaxAttempts, c.policy.MaxAttempts),
 		Target:      target(c.route, c.began), Deadline: c.deadline, Assumed: assumedTime(c.route),
 		Hedge: c.policy.Hedge, Stop: c.policy.Stop, ExtraShare: c.policy.ExtraShare, TopRecords: c.route.TopRecords,
@@ -46,6 +46,16 @@
 	c.run(plan, request)
 }
 
+// regions returns where the request may be served by the configuration in force now, which
+// may be newer than the one that the request began with.
+func (c *conversation) regions() route.Regions {
+	table := c.handler.state.Table()
+	if table == nil || table.Version == c.version {
+		return c.route.Regions
+	}
+	return table.RegionsOf(c.received.Host, c.received.RequestURI, c.route.Regions)
+}
+
 // run asks servers and answers.
 func (c *conversation) run(plan fanout.Plan, request *exchange.Request) {
 	runner, answer := c.handler.forwarder, c.answerForwarded
--- a/internal/front/split.go
+++ b/internal/front/split.go
@@ -62,5 +62,5 @@
 }
 
 func fleetChoice(plan fanout.Plan) fleet.Choice {
-	return fleet.Choice{Service: plan.Services[0], Kind: plan.Kind, Assumed: plan.Assumed}
+	return fleet.Choice{Service: plan.Services[0], Kind: plan.Kind, Assumed: plan.Assumed, Regions: plan.Regions()}
 }
--- a/pkg/exchange/attempt.go
+++ b/pkg/exchange/attempt.go
@@ -35,6 +35,11 @@
 	Instance string
 	// Deadline is when the server's work loses its use.
 	Deadline time.Time
+	// MaySend reports, right before the request is sent, whether it still may be: opening a
+	// connection can take seconds. Nil if nothing can change meanwhile.
+	MaySend func() bool
+	// Withdrawn reports that MaySend did not allow it. Valid after Run.
+	Withdrawn bool
 	// Arrived reports whether any byte of the request may have reached the
 	// server; valid after Run.
 	Arrived bool
@@ -67,6 +72,9 @@
 	}
 }
 
+// errWithdrawn is why a request was not sent although a connection was open.
+var errWithdrawn = errors.New("the server may not be asked any more")
+
 // Run sends the request and returns the server's whole answer, or an
 // *outcome.Error with what is known about the execution.
 func (a *Attempt) Run() (*Response, error) {
@@ -79,6 +87,12 @@
 		_ = used.Close()
 		return nil, a.failure("send", outcome.NotRun, outcome.ReasonCancelled, context.Canceled)
 	}
+	if a.MaySend != nil && !a.MaySend() {
+		a.Withdrawn = true
+		a.disown()
+		_ = used.Close()
+		return nil, a.failure("send", outcome.NotRun, outcome.ReasonCancelled, errWithdrawn)
+	}
 	sentAt := time.Now()
 	answer, keep, err := a.converse(used)
 	a.disown()
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -13,6 +13,7 @@
 	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/policy"
+	"github.com/bramblemast/bramblemast/pkg/route"
 )
 
 // Plan is what Run is to do for one request.
@@ -23,6 +24,11 @@
 	Services []string
 	// Required is how many parts make a successful answer.
 	Required int
+	// Version is that of the configuration by which the request is served.
+	Version uint64
+	// Regions returns the regions in which the request may be served now; a change of
+	// the configuration binds also a request that is under way. Nil for no bound.
+	Regions func() route.Regions
 	// Repeatable says that a request may run more than once.
 	Repeatable bool
 	// MaxAttempts is the largest number of servers that may run the request,
@@ -90,6 +96,10 @@
 	// StopNotOffered means that no server has begun to run any part, and that the
 	// servers have more to do than they can.
 	StopNotOffered StopReason = "not_offered"
+	// StopUnservable means that the known servers of too many services may not be asked
+	// for the request: they stand in regions to which it is not to go, or in zones that are
+	// being evacuated.
+	StopUnservable StopReason = "unservable"
 	StopCancelled  StopReason = "cancelled"
 )
 
@@ -163,8 +173,8 @@
 // Run asks the services of a plan. It returns as soon as the answer is final.
 func (r *Runner) Run(ctx context.Context, plan Plan, request *exchange.Request) Result {
 	run := newRun(r, plan, request)
-	if plan.Collect == nil && !r.Fleet.Admits(plan.Services[0], run.lot, run.began) {
-		return run.refusal()
+	if reason := run.refusedBecause(); reason != "" {
+		return run.refusal(reason)
 	}
 	run.askOwners(time.Now())
 	for index := range plan.Services {
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -153,7 +153,7 @@
 	for _, each := range part.asked {
 		excluded = append(excluded, each.lease)
 	}
-	return fleet.Choice{Service: part.service, Kind: r.plan.Kind, Assumed: r.plan.Assumed, Target: r.targetSpan(), Rank: r.rank(part), Excluded: excluded, Owned: part.owned}
+	return fleet.Choice{Service: part.service, Kind: r.plan.Kind, Assumed: r.plan.Assumed, Target: r.targetSpan(), Rank: r.rank(part), Excluded: excluded, Owned: part.owned, Regions: r.regions()}
 }
 
 // rank orders the sub-requests of a part among those of other requests.
@@ -194,7 +194,7 @@
 	started := &attempt{
 		Attempt: &exchange.Attempt{
 			Dialect: r.runner.Dialect, Pool: lease.Pool, Request: r.request,
-			Instance: lease.Server.ID, Deadline: r.plan.Deadline,
+			Instance: lease.Server.ID, Deadline: r.plan.Deadline, MaySend: r.maySend(lease),
 		},
 		lease: lease, part: index,
 	}
@@ -207,6 +207,12 @@
 	go r.runner.perform(started, r.results, r.ended)
 }
 
+// maySend returns what is asked right before a request is sent. It is called from the
+// attempt's goroutine.
+func (r *run) maySend(lease *fleet.Lease) func() bool {
+	return func() bool { return r.runner.Fleet.MaySend(lease, r.regions(), time.Now()) }
+}
+
 // perform runs an attempt and tells the fleet and the run what it showed.
 func (r *Runner) perform(started *attempt, results chan<- finished, ended <-chan struct{}) {
 	answer, err := started.Run()
@@ -219,6 +225,8 @@
 
 func (r *Runner) classify(started *attempt, answer *exchange.Response, err error) fleet.Result {
 	switch {
+	case started.Withdrawn:
+		return fleet.Withdrawn
 	case err != nil && started.Expired():
 		return fleet.Abandoned
 	case err != nil && started.TurnedAway:
--- a/pkg/fanout/owners.go
+++ b/pkg/fanout/owners.go
@@ -6,14 +6,16 @@
 
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/route"
 )
 
 // Owners divides services among the nodes that ask their servers on behalf of
 // others, and asks those nodes. It is safe for concurrent use.
 type Owners interface {
-	// Divide returns the groups of services that have an owner. Services in none are
-	// asked by this node, on its own behalf alone.
-	Divide(services []string) []Group
+	// Divide returns the groups of services that have an owner to which a request bound
+	// to some regions may be sent on. Services in none are asked by this node, on its own
+	// behalf alone.
+	Divide(services []string, regions route.Regions) []Group
 	// Ask sends a question to the owner of its group. report takes what the owner
 	// has got; it does not block and may be called before Ask returns.
 	Ask(question Question, report func(Report)) Pending
@@ -177,7 +179,7 @@
 	if r.runner.Owners == nil || !r.plan.Repeatable {
 		return
 	}
-	for _, group := range r.runner.Owners.Divide(r.plan.Services) {
+	for _, group := range r.runner.Owners.Divide(r.plan.Services, r.regions()) {
 		if group.Owner != "" {
 			r.ask(group, now)
 			continue
--- /dev/null
+++ b/pkg/fanout/regions_test.go
@@ -0,0 +1,88 @@
+package fanout_test
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange/exchangetest"
+	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// inRegions gives the world's zones a region each.
+func (w *world) inRegions() {
+	w.fleet = fleet.New(fleet.Settings{
+		Local: fleet.Place{Zone: "z", Region: "here"}, LeaveWithin: time.Second, Dialer: w.network,
+		Regions: map[string]string{"z": "here", "far": "there"}, Random: rand.New(rand.NewPCG(1, 1)),
+	})
+	w.runner.Fleet = w.fleet
+}
+
+// boundPlan is a plan whose regions may change while it runs.
+func boundPlan(regions *atomic.Pointer[route.Regions], services ...string) fanout.Plan {
+	bound := plan(services...)
+	bound.Regions = func() route.Regions { return *regions.Load() }
+	return bound
+}
+
+func only(names ...string) *atomic.Pointer[route.Regions] {
+	bound := route.OnlyRegions(names)
+	holder := &atomic.Pointer[route.Regions]{}
+	holder.Store(&bound)
+	return holder
+}
+
+// TestNoHedgeOrRetryLeavesTheRegions: the server in the allowed region is silent, another
+// one refuses; both stay the only ones that get the request.
+func TestNoHedgeOrRetryLeavesTheRegions(t *testing.T) {
+	in(t, func(g *WithT, w *world) {
+		w.inRegions()
+		w.add("a", "a-near", exchangetest.Answer{Hang: true})
+		w.add("a", "a-far", quick("A"))
+		result, _ := w.run(boundPlan(only("here"), "a"))
+		g.Expect(result.Got).To(BeZero())
+		g.Expect(w.arrivals("a-near")).To(Equal(1))
+		g.Expect(w.arrivals("a-far")).To(BeZero())
+	})
+}
+
+// TestAChangeOfRegionsBindsARequestUnderWay: what is sent after the change goes where it
+// allows only.
+func TestAChangeOfRegionsBindsARequestUnderWay(t *testing.T) {
+	in(t, func(g *WithT, w *world) {
+		w.inRegions()
+		w.add("a", "a-near", exchangetest.Answer{Hang: true})
+		w.add("a", "a-far", quick("A"))
+		regions := only("here", "there")
+		time.AfterFunc(10*time.Millisecond, func() { regions.Store(only("here").Load()) })
+		result, _ := w.run(boundPlan(regions, "a"))
+		g.Expect(result.Got).To(BeZero())
+		g.Expect(w.arrivals("a-far")).To(BeZero())
+	})
+}
+
+// TestWhatNoAllowedServerCanServeIsRefusedAtOnce, as not run.
+func TestWhatNoAllowedServerCanServeIsRefusedAtOnce(t *testing.T) {
+	in(t, func(g *WithT, w *world) {
+		w.inRegions()
+		for _, service := range []string{"a", "b", "c"} {
+			w.add(service, service+"-near", quick(service))
+		}
+		result, took := w.run(boundPlan(only("there"), "a", "b", "c"))
+		g.Expect(result.Reason).To(Equal(fanout.StopUnservable))
+		g.Expect(result.Outcome).To(Equal(outcome.NotRun))
+		g.Expect(took).To(BeZero())
+		g.Expect(w.arrivals("a-near", "b-near", "c-near")).To(BeZero())
+		w.add("a", "a-far", quick("A"))
+		w.add("b", "b-far", quick("B"))
+		result, _ = w.run(boundPlan(only("there"), "a", "b", "c"))
+		g.Expect(result.Got).To(Equal(2), "enough shards have a server there")
+		g.Expect(w.arrivals("a-near", "b-near", "c-near")).To(BeZero())
+	})
+}
--- a/pkg/fanout/result.go
+++ b/pkg/fanout/result.go
@@ -117,15 +117,43 @@
 	return result
 }
 
-// refusal is the result of a request that is not let in: its services have more to do
-// than they can.
-func (r *run) refusal() Result {
+// refusedBecause returns why a request is not begun at all; empty if it is. A question of
+// another node was let in there.
+func (r *run) refusedBecause() StopReason {
+	if r.plan.Collect != nil {
+		return ""
+	}
+	if !r.isServable() {
+		return StopUnservable
+	}
+	if !r.runner.Fleet.Admits(r.demand(), r.lot, r.began) {
+		return StopNotOffered
+	}
+	return ""
+}
+
+// isServable reports whether servers of enough services may be asked.
+func (r *run) isServable() bool {
+	servable := 0
+	for _, service := range r.plan.Services {
+		if r.runner.Fleet.CanServe(service, r.regions(), r.began) {
+			servable++
+		}
+	}
+	return servable >= r.plan.Required
+}
+
+// refusal is the result of a request that is not begun: its services have more to do than
+// they can, or no server that may be asked.
+func (r *run) refusal(reason StopReason) Result {
+	cause := outcome.ReasonOverloaded
+	if reason == StopUnservable {
+		cause = outcome.ReasonNoReplica
+	}
 	for index := range r.parts {
 		part := &r.parts[index]
-		part.shed = true
-		part.failure = &outcome.Error{
-			Step: "let in", Peer: part.service, Outcome: outcome.NotRun, Reason: outcome.ReasonOverloaded,
-		}
+		part.shed = reason == StopNotOffered
+		part.failure = &outcome.Error{Step: "let in", Peer: part.service, Outcome: outcome.NotRun, Reason: cause}
 	}
-	return r.result(StopNotOffered)
+	return r.result(reason)
 }
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -9,6 +9,7 @@
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/policy"
+	"github.com/bramblemast/bramblemast/pkg/route"
 )
 
 // Times of the event loop.
@@ -94,6 +95,19 @@
 	}
 }
 
+// regions returns where the request may be served now.
+func (r *run) regions() route.Regions {
+	if r.plan.Regions == nil {
+		return route.Regions{}
+	}
+	return r.plan.Regions()
+}
+
+// demand names the load that the request is counted in.
+func (r *run) demand() fleet.DemandKey {
+	return fleet.DemandKey{Service: r.plan.Services[0], Regions: r.regions().Key()}
+}
+
 // loop handles events until the answer is final.
 func (r *run) loop(ctx context.Context) StopReason {
 	timer := time.NewTimer(time.Hour)
@@ -207,7 +221,7 @@
 // come back.
 func (r *run) isRefused(now time.Time) bool {
 	isLate := !r.plan.Target.IsZero() && !now.Before(r.plan.Target)
-	return isLate && r.nothingRuns() && r.runner.Fleet.IsOverloaded(r.plan.Services[0], now)
+	return isLate && r.nothingRuns() && r.runner.Fleet.IsOverloaded(r.demand(), now)
 }
 
 // noteDemand tells the fleet, at the end, whether the servers had room for the request
@@ -225,7 +239,7 @@
 	}
 	served := r.got >= r.plan.Required
 	if served || r.got+waiting >= r.plan.Required {
-		r.runner.Fleet.NoteDemand(r.plan.Services[0], r.began, served, time.Now())
+		r.runner.Fleet.NoteDemand(r.demand(), r.began, served, time.Now())
 	}
 }
 
@@ -393,7 +407,7 @@
 // expected before it ends: an outage lasts about as long again as it has. A gathered
 // request keeps what it has got.
 func (r *run) isHopeless(part *part, now time.Time) bool {
-	return len(r.parts) == 1 && part.absent && r.runner.Fleet.AbsentFor(part.service, now) >= r.plan.Deadline.Sub(now)
+	return len(r.parts) == 1 && part.absent && r.runner.Fleet.AbsentFor(r.demand(), now) >= r.plan.Deadline.Sub(now)
 }
 
 func (r *run) closePart(part *part) {
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/route"
 )
 
 // Constants of the choice of a server.
@@ -39,6 +41,8 @@
 	Rank Rank
 	// Excluded are servers that were asked already.
 	Excluded []*Lease
+	// Regions are those in which the request may be served.
+	Regions route.Regions
 	// Owned says that this node asks the service on behalf of the nodes around it,
 	// so that it may use their share of the connections of its servers.
 	Owned bool
@@ -71,7 +75,7 @@
 	best, _, availability := f.cheapest(choice, profile, now)
 	if best == nil {
 		if availability == Absent {
-			f.demandOf(choice.Service, now).noteAbsent(now)
+			f.demandOf(choice.demand(), now).noteAbsent(now)
 		}
 		return nil, availability
 	}
@@ -79,7 +83,7 @@
 		return nil, Busy
 	}
 	lease := &Lease{
-		Server: best.Server, Pool: best.pool, member: best, profile: profile, began: now,
+		Server: best.Server, Pool: best.pool, member: best, profile: profile, demand: choice.demand(), began: now,
 		Expected: best.zone.roundTrip + profile.typical() + 2*profile.deviation,
 	}
 	best.active = append(best.active, lease)
@@ -126,7 +130,7 @@
 		if choice.Owned {
 			each.ownedAt = now
 		}
-		if wasAsked(choice.Excluded, each) || each.hasEnded(now) {
+		if !f.mayAsk(choice, each) || each.hasEnded(now) {
 			continue
 		}
 		if now.Before(each.retryAt) || len(each.active) >= f.limit(each, now) {
@@ -242,11 +246,19 @@
 	return overdue + 2*typical
 }
 
-func wasAsked(excluded []*Lease, candidate *member) bool {
-	for _, lease := range excluded {
+// mayAsk reports whether a request may go to a server at all: it was not asked before and
+// stands in an allowed region. The mutex is held.
+func (f *Fleet) mayAsk(choice Choice, candidate *member) bool {
+	for _, lease := range choice.Excluded {
 		if lease.member == candidate {
-			return true
+			return false
 		}
 	}
-	return false
+	return f.isAllowed(choice.Regions, candidate)
+}
+
+// isAllowed reports whether a server stands in an allowed region. A zone without a known
+// region is in none.
+func (f *Fleet) isAllowed(regions route.Regions, candidate *member) bool {
+	return regions.Allow(f.settings.Regions[candidate.Zone])
 }
--- a/pkg/fleet/demand.go
+++ b/pkg/fleet/demand.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -43,33 +44,49 @@
 	absentSince, absentAt time.Time
 }
 
-// demandOf returns what is known of a service. The mutex is held.
-func (f *Fleet) demandOf(service string, now time.Time) *demand {
-	found := f.demands[service]
+// DemandKey names the load on the servers that some requests may use.
+type DemandKey struct {
+	// Service is the first service of the requests.
+	Service string
+	// Regions is the key of the regions to which they are bound.
+	Regions string
+}
+
+// demand names the load that a choice is counted in.
+func (c Choice) demand() DemandKey { return DemandKey{Service: c.Service, Regions: c.Regions.Key()} }
+
+// demandOf returns what is known of a load. The mutex is held.
+func (f *Fleet) demandOf(key DemandKey, now time.Time) *demand {
+	found := f.demands[key]
 	if found == nil {
 		found = &demand{share: 1, judgedAt: now}
-		f.demands[service] = found
+		f.demands[key] = found
 	}
 	return found
 }
 
+// forgetDemands drops what is known of a service without servers. The mutex is held.
+func (f *Fleet) forgetDemands(service string) {
+	maps.DeleteFunc(f.demands, func(key DemandKey, _ *demand) bool { return key.Service == service })
+}
+
 // Admits reports whether a request of a lot is let in. What it does not let in would
 // wait behind what it does, and the lots are alike at all services and nodes, so that
 // the same requests are let in everywhere. The requests of a set of services are kept
 // under the name of its first one.
-func (f *Fleet) Admits(service string, lot uint64, now time.Time) bool {
-	return float64(lot)/math.MaxUint64 >= 1-f.admittedShare(service, now)
+func (f *Fleet) Admits(key DemandKey, lot uint64, now time.Time) bool {
+	return float64(lot)/math.MaxUint64 >= 1-f.admittedShare(key, now)
 }
 
 // IsOverloaded reports whether only a part of the requests is let in.
-func (f *Fleet) IsOverloaded(service string, now time.Time) bool {
-	return f.admittedShare(service, now) < 1
+func (f *Fleet) IsOverloaded(key DemandKey, now time.Time) bool {
+	return f.admittedShare(key, now) < 1
 }
 
-func (f *Fleet) admittedShare(service string, now time.Time) float64 {
+func (f *Fleet) admittedShare(key DemandKey, now time.Time) float64 {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	known := f.demands[service]
+	known := f.demands[key]
 	if known == nil {
 		return 1
 	}
@@ -79,13 +96,13 @@
 
 // NoteDemand takes whether a request that was let in at a moment was served, in time or
 // late, or ended for want of room.
-func (f *Fleet) NoteDemand(service string, letIn time.Time, served bool, now time.Time) {
+func (f *Fleet) NoteDemand(key DemandKey, letIn time.Time, served bool, now time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if served && f.demands[service] == nil {
+	if served && f.demands[key] == nil {
 		return
 	}
-	noted := f.demandOf(service, now)
+	noted := f.demandOf(key, now)
 	if letIn.Before(noted.cutAt) {
 		return
 	}
@@ -122,10 +139,10 @@
 
 // AbsentFor returns for how long requests for a service have found no server; zero if
 // they find one or nothing is known lately. It is expected to last about as long again.
-func (f *Fleet) AbsentFor(service string, now time.Time) time.Duration {
+func (f *Fleet) AbsentFor(key DemandKey, now time.Time) time.Duration {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	known := f.demands[service]
+	known := f.demands[key]
 	if known == nil || now.Sub(known.absentAt) > absenceQuiet {
 		return 0
 	}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -44,8 +44,9 @@
 	connections map[string]int
 	// waiters are the sub-requests for which no server was free, by service.
 	waiters map[string][]*Waiter
-	// demands are what is known of the load of each service.
-	demands map[string]*demand
+	// demands are what is known of the load of each service, apart for requests that are
+	// bound to regions.
+	demands map[DemandKey]*demand
 	// generation changes with the servers that are listed and their zones.
 	generation uint64
 }
@@ -60,7 +61,7 @@
 		profiles:    make(map[string]*Profile),
 		connections: make(map[string]int),
 		waiters:     make(map[string][]*Waiter),
-		demands:     make(map[string]*demand),
+		demands:     make(map[DemandKey]*demand),
 	}
 }
 
@@ -149,7 +150,7 @@
 		f.services[name] = kept
 		if len(kept) == 0 {
 			delete(f.services, name)
-			delete(f.demands, name)
+			f.forgetDemands(name)
 		}
 	}
 	f.mutex.Unlock()
--- a/pkg/fleet/lease.go
+++ b/pkg/fleet/lease.go
@@ -5,6 +5,7 @@
 
 	"github.com/bramblemast/bramblemast/internal/pause"
 	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/route"
 )
 
 // Lease is the right to send one request to a server. It is ended by exactly
@@ -18,7 +19,9 @@
 
 	member  *member
 	profile *Profile
-	began   time.Time
+	// demand is the load that the request is counted in.
+	demand DemandKey
+	began  time.Time
 	// target is that of the Choice.
 	target time.Duration
 }
@@ -47,11 +50,22 @@
 	Abandoned
 	// WrongInstance means that another server has the address.
 	WrongInstance
+	// Withdrawn means that the request was not sent, since the server may not be asked
+	// any more.
+	Withdrawn
 )
 
 // String returns the name used in logs.
 func (r Result) String() string {
-	return [...]string{"answered", "failed", "unreachable", "refused", "turned_away", "abandoned", "wrong_instance"}[r]
+	return [...]string{"answered", "failed", "unreachable", "refused", "turned_away", "abandoned", "wrong_instance", "withdrawn"}[r]
+}
+
+// MaySend reports whether a leased server may still be asked. It is called right before
+// the request is sent: what the platform told meanwhile binds it too.
+func (f *Fleet) MaySend(lease *Lease, regions route.Regions, now time.Time) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return !lease.member.hasEnded(now) && f.isAllowed(regions, lease.member)
 }
 
 // Finish ends a lease. connect is the time that a new connection took, zero if
@@ -70,7 +84,7 @@
 	case Answered:
 		used.failures, used.turnedAway = 0, 0
 		used.answeredAt = now
-		if known := f.demands[used.Service]; known != nil {
+		if known := f.demands[lease.demand]; known != nil {
 			known.absentAt = time.Time{}
 		}
 		used.avoidUntil = time.Time{}
--- a/pkg/fleet/places.go
+++ b/pkg/fleet/places.go
@@ -1,6 +1,11 @@
 package fleet
 
-import "slices"
+import (
+	"slices"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
 
 // Generation changes whenever Places may have.
 func (f *Fleet) Generation() uint64 {
@@ -34,6 +39,24 @@
 	return true
 }
 
+// CanServe reports whether a server of a service may be asked in the regions. While no
+// server of it is known it may: those that start are listed soon.
+func (f *Fleet) CanServe(service string, regions route.Regions, now time.Time) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	isKnown := false
+	for _, each := range f.services[service] {
+		if each.hasEnded(now) {
+			continue
+		}
+		if f.isAllowed(regions, each) {
+			return true
+		}
+		isKnown = true
+	}
+	return !isKnown
+}
+
 // IsCrowded reports whether there are more nodes than a server of a service can
 // keep a connection for: each node alone then opens connections again and again,
 // and sees too little of a server to know how it fares.
--- /dev/null
+++ b/pkg/fleet/regions_test.go
@@ -0,0 +1,93 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// bound is a choice of a request that may be served in some regions only.
+func bound(regions ...string) fleet.Choice {
+	limited := choice
+	limited.Regions = route.OnlyRegions(regions)
+	return limited
+}
+
+// TestABoundRequestStaysInItsRegions, also as the last resort: when the only server there
+// leaves, has no room, or none stands there.
+func TestABoundRequestStaysInItsRegions(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	tested := newFleet(now)
+	tested.Apply(fleet.Server{ID: "lost", Service: "s", Address: "lost", Zone: "unmapped", Slots: 5}, now)
+	for range 50 {
+		lease, _ := tested.Acquire(bound("there"), now)
+		g.Expect(lease.Server.ID).To(Equal("far"))
+		now = now.Add(20 * time.Millisecond)
+		tested.Finish(lease, fleet.Answered, 0, now)
+	}
+	g.Expect(tested.CanServe("s", route.OnlyRegions([]string{"there"}), now)).To(BeTrue())
+	_, availability := tested.Acquire(bound("nowhere"), now)
+	g.Expect(availability).To(Equal(fleet.Absent))
+	_, availability = tested.Acquire(bound(""), now)
+	g.Expect(availability).To(Equal(fleet.Absent), "a zone without a known region is in none")
+	g.Expect(tested.CanServe("s", route.OnlyRegions([]string{"nowhere"}), now)).To(BeFalse())
+	g.Expect(tested.CanServe("unknown", route.OnlyRegions([]string{"nowhere"}), now)).To(BeTrue(), "its servers may start")
+	tested.Remove("far", time.Time{}, now)
+	now = now.Add(2 * leaveWithin)
+	_, availability = tested.Acquire(bound("there"), now)
+	g.Expect(availability).To(Equal(fleet.Absent))
+	lease, _ := tested.Acquire(bound("there", "elsewhere"), now)
+	g.Expect(lease.Server.ID).To(Equal("farther"))
+}
+
+// TestALeaseIsCheckedBeforeTheRequestIsSent: opening a connection can take longer than a
+// change of the regions or the end of the server.
+func TestALeaseIsCheckedBeforeTheRequestIsSent(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	tested := newFleet(now)
+	lease, _ := tested.Acquire(bound("there"), now)
+	g.Expect(tested.MaySend(lease, route.OnlyRegions([]string{"there"}), now)).To(BeTrue())
+	g.Expect(tested.MaySend(lease, route.OnlyRegions([]string{"here"}), now)).To(BeFalse())
+	tested.Remove("far", time.Time{}, now)
+	g.Expect(tested.MaySend(lease, route.Regions{}, now.Add(2*leaveWithin))).To(BeFalse())
+}
+
+// TestABoundRequestIsNotWokenByAServerElsewhere, and one that waits does not keep a server
+// from others that it may not use itself.
+func TestABoundRequestIsNotWokenByAServerElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	tested := newFleet(now)
+	tested.SetConnections(map[string]int{"s": 1})
+	first, _ := tested.Acquire(choice, now)
+	g.Expect(first.Server.ID).To(Equal("near"))
+	woken := false
+	waiting := bound("there")
+	waiting.Rank = fleet.Rank{Needed: true, Lot: 9}
+	tested.Await(&fleet.Waiter{Choice: waiting, Wake: func() { woken = true }})
+	tested.Finish(first, fleet.Answered, 0, now)
+	g.Expect(woken).To(BeFalse())
+	lease, _ := tested.Acquire(bound("here"), now)
+	g.Expect(lease).NotTo(BeNil(), "the waiter cannot use this server")
+}
+
+// TestTheLoadOfBoundRequestsIsTheirOwn: the servers of one region may have too much to do
+// while the others have not.
+func TestTheLoadOfBoundRequestsIsTheirOwn(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	tested := newFleet(now)
+	there := fleet.DemandKey{Service: "s", Regions: route.OnlyRegions([]string{"there"}).Key()}
+	for range 20 {
+		now = now.Add(20 * time.Millisecond)
+		tested.NoteDemand(there, now, false, now)
+	}
+	g.Expect(tested.IsOverloaded(there, now)).To(BeTrue())
+	g.Expect(tested.IsOverloaded(fleet.DemandKey{Service: "s"}, now)).To(BeFalse())
+}
--- a/pkg/fleet/waiting.go
+++ b/pkg/fleet/waiting.go
@@ -94,7 +94,7 @@
 // The mutex is held.
 func (f *Fleet) isAwaited(free *member, rank Rank, now time.Time) bool {
 	for _, each := range f.waiters[free.Service] {
-		if each.Choice.Rank.goesBefore(rank, now) && !wasAsked(each.Choice.Excluded, free) {
+		if each.Choice.Rank.goesBefore(rank, now) && f.mayAsk(each.Choice, free) {
 			return true
 		}
 	}
@@ -122,7 +122,7 @@
 func (f *Fleet) firstWaiter(freed *member, now time.Time) *Waiter {
 	var first *Waiter
 	for _, each := range f.waiters[freed.Service] {
-		if wasAsked(each.Choice.Excluded, freed) {
+		if !f.mayAsk(each.Choice, freed) {
 			continue
 		}
 		if first == nil || each.Choice.Rank.goesBefore(first.Choice.Rank, now) {
--- a/pkg/owner/client.go
+++ b/pkg/owner/client.go
@@ -14,6 +14,7 @@
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/owner/ownerpb"
 	"github.com/bramblemast/bramblemast/pkg/peer"
+	"github.com/bramblemast/bramblemast/pkg/route"
 )
 
 // The kinds of messages.
@@ -53,7 +54,9 @@
 }
 
 // Divide implements fanout.Owners.
-func (c *Client) Divide(services []string) []fanout.Group { return c.roster.Divide(services) }
+func (c *Client) Divide(services []string, regions route.Regions) []fanout.Group {
+	return c.roster.Divide(services, regions)
+}
 
 // pending implements fanout.Pending.
 type pending struct {
@@ -172,7 +175,10 @@
 		HasBody: request.HasBody, Kind: plan.Kind, Services: question.Services, Required: uint32(question.Required),
 		MaxAttempts: uint32(plan.MaxAttempts), TopRecords: uint32(plan.TopRecords),
 		DeadlineUs: microseconds(plan.Deadline.Sub(now)), AssumedUs: microseconds(plan.Assumed),
-		ReportUs: microseconds(question.ReportWithin),
+		ReportUs: microseconds(question.ReportWithin), Version: plan.Version,
+	}
+	if plan.Regions != nil {
+		encoded.Regions = plan.Regions().Names()
 	}
 	if !plan.Target.IsZero() {
 		encoded.TargetUs = microseconds(plan.Target.Sub(now))
--- a/pkg/owner/owner_test.go
+++ b/pkg/owner/owner_test.go
@@ -25,6 +25,7 @@
 	"github.com/bramblemast/bramblemast/pkg/owner/ownerpb"
 	"github.com/bramblemast/bramblemast/pkg/peer"
 	"github.com/bramblemast/bramblemast/pkg/policy"
+	"github.com/bramblemast/bramblemast/pkg/route"
 	"github.com/bramblemast/bramblemast/pkg/target"
 )
 
@@ -67,7 +68,10 @@
 	client    *owner.Client
 	runner    *fanout.Runner
 	draining  bool
-	mutex     sync.Mutex
+	// regions is where this node's own configuration lets requests be served; nil if it is
+	// not newer than that of the asking node.
+	regions *route.Regions
+	mutex   sync.Mutex
 	// records and lost are guarded by mutex.
 	records []owner.Record
 	lost    map[string]int
@@ -113,6 +117,8 @@
 	servers  *exchangetest.Network
 	nodes    []*node
 	services []string
+	// regions bound where requests may be served.
+	regions route.Regions
 	// answers decides what the server with a name does; guarded by mutex.
 	mutex   sync.Mutex
 	answers map[string]exchangetest.Answer
@@ -222,6 +228,12 @@
 	owner.NewServer(owner.ServerOptions{
 		Transport: created.transport, Runner: &collector, Servers: created.fleet, Draining: func() bool { return created.draining },
 		Policies: func(string, string) (policy.HedgePolicy, float64) { return hedge, 1 }, Recorder: created.record,
+		Regions: func(asked owner.Asked) route.Regions {
+			if created.regions != nil {
+				return *created.regions
+			}
+			return asked.Regions
+		},
 	})
 	c.stopped.Go(func() { _ = created.client.Run(ctx) })
 	c.nodes = append(c.nodes, created)
@@ -244,6 +256,9 @@
 		Patience: time.Second, Hedge: hedge, ExtraShare: 1,
 	}
 	request := &exchange.Request{Method: "GET", Target: "/", ID: "r", Header: http.Header{"Name": {"value"}}}
+	if c.regions.IsBound() {
+		plan.Regions = func() route.Regions { return c.regions }
+	}
 	result := through.runner.Run(ctx, plan, request)
 	return result, time.Since(began)
 }
@@ -252,7 +267,7 @@
 func (c *cluster) outsider() (*node, []string) {
 	c.t.Helper()
 	for _, each := range c.nodes {
-		groups := each.roster.Divide(c.services)
+		groups := each.roster.Divide(c.services, route.Regions{})
 		var owners []string
 		for _, group := range groups {
 			if group.Owner != "" {
--- /dev/null
+++ b/pkg/owner/regions_test.go
@@ -0,0 +1,57 @@
+package owner_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// arrivals counts the requests that the servers of a place got.
+func (c *cluster) arrivals(place string) int {
+	count := 0
+	for number := range shardCount {
+		count += len(c.byName[serverName(number, place)].Requests())
+	}
+	return count
+}
+
+// TestARequestIsNotSentOnOutsideItsRegions: a node outside them asks the servers inside
+// itself, since other nodes of its region may not get the request.
+func TestARequestIsNotSentOnOutsideItsRegions(t *testing.T) {
+	in(t, func(g *WithT, c *cluster) {
+		asker, _ := c.outsider()
+		c.regions = route.OnlyRegions([]string{"q"})
+		result, _ := c.ask(c.t.Context(), asker)
+		g.Expect(result.Asked).To(BeZero(), "no owner")
+		g.Expect(result.Got).To(Equal(shardCount))
+		g.Expect(c.arrivals("near")).To(BeZero())
+		g.Expect(c.arrivals("far")).To(Equal(shardCount))
+	})
+}
+
+// TestAnOwnerKeepsToTheRegions, those that it was told and those of its own configuration
+// where that is newer; no hedge goes elsewhere.
+func TestAnOwnerKeepsToTheRegions(t *testing.T) {
+	in(t, func(g *WithT, c *cluster) {
+		asker, owners := c.outsider()
+		for number := range shardCount {
+			c.hang(serverName(number, "near"))
+		}
+		c.regions = route.OnlyRegions([]string{"r"})
+		result, _ := c.ask(c.t.Context(), asker)
+		g.Expect(result.Asked).To(Equal(groupCount))
+		g.Expect(result.Got).To(BeZero())
+		g.Expect(c.arrivals("far")).To(BeZero())
+
+		c.regions = route.OnlyRegions([]string{"r", "q"})
+		narrowed := route.OnlyRegions([]string{"r"})
+		for _, name := range owners {
+			c.node(name).regions = &narrowed
+		}
+		asked := c.arrivals("far")
+		c.ask(c.t.Context(), asker)
+		g.Expect(c.arrivals("far")-asked).To(BeZero(), "the owners know a newer configuration")
+	})
+}
--- a/pkg/owner/roster.go
+++ b/pkg/owner/roster.go
@@ -19,6 +19,7 @@
 	"github.com/bramblemast/bramblemast/pkg/directory"
 	"github.com/bramblemast/bramblemast/pkg/fanout"
 	"github.com/bramblemast/bramblemast/pkg/rendezvous"
+	"github.com/bramblemast/bramblemast/pkg/route"
 )
 
 // candidateCount is how many nodes a group of services has in rank: the owner, and
@@ -108,9 +109,10 @@
 }
 
 // Divide returns the groups of services that have an owner. There is none where
-// each node can keep connections of its own.
-func (r *Roster) Divide(services []string) []fanout.Group {
-	if len(services) == 0 || !r.servers.IsCrowded(services[0]) {
+// each node can keep connections of its own, and none for a request that may not be sent
+// on within this node's region, where all owners are.
+func (r *Roster) Divide(services []string, regions route.Regions) []fanout.Group {
+	if len(services) == 0 || !r.servers.IsCrowded(services[0]) || !regions.Allow(r.regions[r.local.Zone]) {
 		return nil
 	}
 	r.mutex.Lock()
--- a/pkg/owner/roster_test.go
+++ b/pkg/owner/roster_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/bramblemast/bramblemast/pkg/directory"
 	"github.com/bramblemast/bramblemast/pkg/owner"
+	"github.com/bramblemast/bramblemast/pkg/route"
 )
 
 // servers is what is known of servers in a test: the zones of each service.
@@ -54,7 +55,7 @@
 // ownersOf returns the owner of each service as a node sees it.
 func ownersOf(local directory.Node, roster *owner.Roster, services []string) map[string]string {
 	owners := make(map[string]string)
-	for _, group := range roster.Divide(services) {
+	for _, group := range roster.Divide(services, route.Regions{}) {
 		name := group.Owner
 		if name == "" {
 			name = local.Name
@@ -96,7 +97,7 @@
 	g := NewWithT(t)
 	for services, most := range map[int]int{1: 1, 4: 3, 35: 7, 90: 11, 135: 13, 220: 16} {
 		names, known, nodes := deployment(services, 20)
-		groups := rosterOf(nodes[0], known, nodes).Divide(names)
+		groups := rosterOf(nodes[0], known, nodes).Divide(names, route.Regions{})
 		g.Expect(len(groups)).To(BeNumerically("<=", most), "%d services", services)
 	}
 }
@@ -147,9 +148,9 @@
 	g := NewWithT(t)
 	services, known, nodes := deployment(220, 80)
 	roster := rosterOf(nodes[0], known, nodes)
-	roster.Divide(services)
+	roster.Divide(services, route.Regions{})
 	began := time.Now()
-	allocations := testing.AllocsPerRun(100, func() { roster.Divide(services) })
+	allocations := testing.AllocsPerRun(100, func() { roster.Divide(services, route.Regions{}) })
 	t.Logf("%v for 100 divisions that are known", time.Since(began))
 	g.Expect(allocations).To(BeNumerically("<=", 10), "a list of groups and nothing else")
 }
--- a/pkg/owner/server.go
+++ b/pkg/owner/server.go
@@ -15,6 +15,7 @@
 	"github.com/bramblemast/bramblemast/pkg/owner/ownerpb"
 	"github.com/bramblemast/bramblemast/pkg/peer"
 	"github.com/bramblemast/bramblemast/pkg/policy"
+	"github.com/bramblemast/bramblemast/pkg/route"
 	"github.com/bramblemast/bramblemast/pkg/target"
 )
 
@@ -29,6 +30,9 @@
 	// Policies returns when a second server is asked for a kind of request, and the
 	// share of the extra load that it may use.
 	Policies func(kind, requestID string) (policy.HedgePolicy, float64)
+	// Regions returns where a request may be served now, by this node's configuration or by
+	// what the asking node told, whichever is newer.
+	Regions func(asked Asked) route.Regions
 	// Recorder takes the story of each question; it does not block.
 	Recorder func(Record)
 }
@@ -43,6 +47,14 @@
 	Result    fanout.Result
 }
 
+// Asked is what an asking node tells of where its request may be served.
+type Asked struct {
+	Host, Target string
+	// Version is that of the asking node's configuration.
+	Version uint64
+	Regions route.Regions
+}
+
 // Server answers other nodes' questions.
 type Server struct{ options ServerOptions }
 
@@ -136,6 +148,10 @@
 		MaxAttempts: int(question.MaxAttempts), Deadline: began.Add(left), Assumed: span(question.AssumedUs),
 		Patience: left, Hedge: hedge, ExtraShare: share, Collect: &fanout.Collect{Within: span(question.ReportUs)},
 	}
+	asked := Asked{
+		Host: question.Host, Target: question.Target, Version: question.Version, Regions: route.OnlyRegions(question.Regions),
+	}
+	plan.Version, plan.Regions = question.Version, func() route.Regions { return s.options.Regions(asked) }
 	if question.TargetUs > 0 {
 		plan.Target = began.Add(span(question.TargetUs))
 	}
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -41,6 +41,8 @@
 	// MinimumCoverage is the share of the shards below which a gathered answer
 	// is not a success; 0 to 1.
 	MinimumCoverage float64
+	// Regions are those in which its requests may be served.
+	Regions Regions
 }
 
 // Gathered reports whether the route's answers are merged from shards.
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -53,6 +53,16 @@
 	return nil
 }
 
+// RegionsOf returns where a request of a host and target (a path, with its query if it has
+// one) may be served by this version; otherwise where no route matches it any more.
+func (t *Table) RegionsOf(host, target string, otherwise Regions) Regions {
+	path, _, _ := strings.Cut(target, "?")
+	if found := t.Match(host, path); found != nil {
+		return found.Regions
+	}
+	return otherwise
+}
+
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
