A cut of one node is no outage of the store for the others

Six nodes that had been cut off got the store back at 18.5 to 19.4 s and told the others when; 19 of 65 nodes took that for an outage of the store, kept a server whose entry had gone at 18.2 s in use as one that may come back, until 23.3 s. Ruled out: an outage at that moment: 59 nodes were in contact from 11.5 s on (replay with the logs of all nodes). Change: nodes tell the whole span in which the store did not answer them; who knows that it answered others within that span does not take it for an outage. Test: TestACutOfOneNodeIsNoOutageOfTheStore.

--- a/pkg/directory/contact.go
+++ b/pkg/directory/contact.go
@@ -18,7 +18,7 @@
 	isLost := f.contact == contactLost
 	if isLost {
 		f.contact = contactHeld
-		f.regainedAt = time.Now()
+		f.last = outage{from: f.lostSince, to: time.Now()}
 	}
 	f.mutex.Unlock()
 	if isLost {
@@ -35,10 +35,10 @@
 	if f.contact == contactLost {
 		return now.Add(settle)
 	}
-	if f.regainedAt.IsZero() {
+	if f.last.to.IsZero() {
 		return time.Time{}
 	}
-	return f.regainedAt.Add(settle)
+	return f.last.to.Add(settle)
 }
 
 // inContact reports whether the store answered the last call.
@@ -87,8 +87,70 @@
 	if now == contactLost {
 		f.lostAt = time.Now()
 	}
+	if now == contactLost && before != contactLost {
+		f.lostSince = f.lostAt
+	}
 	if now == contactHeld && before == contactLost {
-		f.regainedAt = f.contactAt
+		f.last = outage{from: f.lostSince, to: f.contactAt}
 	}
 	return before
 }
+
+// Constants of what another node's loss of the store says about the store.
+const (
+	// agesDiffer is by how much two moments may be in the wrong order that other nodes
+	// tell as ages: the way of an answer between regions, and a busy process.
+	agesDiffer = 200 * time.Millisecond
+	// confirmationSpacing and maxConfirmations bound what is remembered: 8 s.
+	confirmationSpacing = 250 * time.Millisecond
+	maxConfirmations    = 32
+)
+
+// outage is a span in which the store did not answer a node; the zero value stands for
+// none.
+type outage struct{ from, to time.Time }
+
+// hearOutage takes when the store did not answer a node that this one learns from. What
+// went missing then may be written again soon, for this node too; unless the store is known
+// to have answered others meanwhile, so that the other node alone was cut off from it. Each
+// healed cut would otherwise keep servers that have left in use at all nodes.
+func (f *Follower) hearOutage(heard outage) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.wasKnown(heard.from.Add(agesDiffer), heard.to.Add(-agesDiffer)) {
+		return
+	}
+	if heard.to.After(f.last.to) {
+		f.last = heard
+	}
+}
+
+// lastOutage returns when the store did not answer last; see outage.
+func (f *Follower) lastOutage() outage {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.last
+}
+
+// noteConfirmation remembers a moment at which the store is known to have answered. The
+// mutex is held.
+func (f *Follower) noteConfirmation(at time.Time) {
+	if last := len(f.confirmations) - 1; last >= 0 && at.Before(f.confirmations[last].Add(confirmationSpacing)) {
+		return
+	}
+	if len(f.confirmations) == maxConfirmations {
+		f.confirmations = append(f.confirmations[:0], f.confirmations[1:]...)
+	}
+	f.confirmations = append(f.confirmations, at)
+}
+
+// wasKnown reports whether the store is known to have answered between two moments. The
+// mutex is held.
+func (f *Follower) wasKnown(from, to time.Time) bool {
+	for _, at := range f.confirmations {
+		if at.After(from) && at.Before(to) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/directory/contact_test.go
@@ -0,0 +1,30 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// TestACutOfOneNodeIsNoOutageOfTheStore: a node whose own way to the store was cut tells
+// when the store answered it again. Nodes that heard from the store meanwhile go on
+// believing that a missing entry is gone; those that did not, doubt it.
+func TestACutOfOneNodeIsNoOutageOfTheStore(t *testing.T) {
+	g := NewWithT(t)
+	const settle = 4 * time.Second
+	start := time.Unix(0, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	inTouch, cutOff := NewFollower(nil, nil), NewFollower(nil, nil)
+	for second := 0.0; second < 20; second += 0.5 {
+		inTouch.confirm(at(second))
+		if second < 7 || second > 17.9 {
+			cutOff.confirm(at(second))
+		}
+	}
+	cut := outage{from: at(7), to: at(18)}
+	inTouch.hearOutage(cut)
+	g.Expect(inTouch.DoubtedUntil(settle, at(18.1))).To(BeZero())
+	cutOff.hearOutage(cut)
+	g.Expect(cutOff.DoubtedUntil(settle, at(18.1))).To(Equal(at(22)))
+}
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -95,13 +95,17 @@
 	// knownAt is the latest moment at which the replica was all that the store
 	// held, as the store or another node has shown; zero for never.
 	knownAt time.Time
+	// confirmations are the latest moments of that kind, oldest first, a
+	// confirmationSpacing apart at least.
+	confirmations []time.Time
 	// roleSince is when the node got its role.
 	roleSince time.Time
-	// regainedAt is when the store answered again after it had not, and lostAt when
-	// it last did not.
-	regainedAt time.Time
-	lostAt     time.Time
-	contact    contact
+	// last is when the store did not answer last, and then did again; lostSince is since
+	// when it does not, and lostAt when it last did not.
+	last      outage
+	lostSince time.Time
+	lostAt    time.Time
+	contact   contact
 
 	// Only Run uses the fields below.
 	loaded    bool
@@ -192,6 +196,7 @@
 func (f *Follower) confirm(at time.Time) {
 	f.mutex.Lock()
 	f.knownAt = later(f.knownAt, at)
+	f.noteConfirmation(at)
 	isBack := f.contact == contactLost && f.Role() == Asker && at.After(f.lostAt)
 	f.mutex.Unlock()
 	if isBack {
@@ -202,22 +207,6 @@
 // heardOldNews notes whether the nodes that read for this one have old news.
 func (f *Follower) heardOldNews(isOld bool) { f.isOutage.Store(isOld) }
 
-// hearRegained takes when the store answered a node again that this one learns
-// from. What went missing then may be written again soon, for this node too.
-func (f *Follower) hearRegained(at time.Time) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.regainedAt = later(f.regainedAt, at)
-}
-
-// regainedTime returns when the store answered again after it had not; zero for
-// never.
-func (f *Follower) regainedTime() time.Time {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return f.regainedAt
-}
-
 // Revision returns up to which revision the store is known, and when it last
 // answered.
 func (f *Follower) Revision() (uint64, time.Time) {
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -277,12 +277,27 @@
 // them, whether the store has been away.
 func (p *Peers) hearTimes(reply *directorypb.ChangesReply, asked time.Time) time.Time {
 	if reply.RegainedAgeMs != nil && p.follower.Role() == Asker {
-		p.follower.hearRegained(asked.Add(-time.Duration(*reply.RegainedAgeMs) * time.Millisecond))
+		p.follower.hearOutage(outageOf(reply, asked))
 	}
 	if reply.KnownAgeMs == nil || p.incomplete {
 		return time.Time{}
 	}
-	return asked.Add(-time.Duration(*reply.KnownAgeMs) * time.Millisecond)
+	return momentOf(asked, reply.KnownAgeMs)
+}
+
+// outageOf returns the outage that an answer to a question tells of; one that began too
+// long ago to be told began longer ago than anything that this node remembers.
+func outageOf(reply *directorypb.ChangesReply, asked time.Time) outage {
+	heard := outage{from: asked.Add(-greatestToldAge), to: momentOf(asked, reply.RegainedAgeMs)}
+	if reply.LostAgeMs != nil {
+		heard.from = momentOf(asked, reply.LostAgeMs)
+	}
+	return heard
+}
+
+// momentOf returns the moment that an answer to a question tells as an age.
+func momentOf(asked time.Time, ageMillis *uint32) time.Time {
+	return asked.Add(-time.Duration(*ageMillis) * time.Millisecond)
 }
 
 // coverageOf returns what the last answer tells.
@@ -325,9 +340,10 @@
 		default:
 		}
 	}
+	lapse := p.follower.lastOutage()
 	reply := &directorypb.ChangesReply{
 		Revision: batch.Revision, Full: covered != allChanges,
-		KnownAgeMs: ageMillis(knownAt), RegainedAgeMs: ageMillis(p.follower.regainedTime()),
+		KnownAgeMs: ageMillis(knownAt), RegainedAgeMs: ageMillis(lapse.to), LostAgeMs: ageMillis(lapse.from),
 	}
 	for _, each := range batch.gaps {
 		reply.Gaps = append(reply.Gaps, &directorypb.Gap{From: each.from, To: each.to})
--- a/pkg/directory/turn.go
+++ b/pkg/directory/turn.go
@@ -81,7 +81,7 @@
 	switch role := f.Role(); {
 	case role == Asker:
 		return 0
-	case now.Sub(f.loadedAt) < settleSpan || now.Sub(f.regainedTime()) < settleSpan:
+	case now.Sub(f.loadedAt) < settleSpan || now.Sub(f.lastOutage().to) < settleSpan:
 		return LeastNewsAge
 	case role == Reader:
 		return f.readerPause()
