A server that refuses a part of its requests is asked where no better one is

Each refusal kept its server from being asked for 50 to 800 ms, also where all three servers of a shard refused: sub-requests waited 12 to 60 ms at a time with nobody being asked (logs of owners). Change: fleet keeps a rate of failures for each server (half-life 3 s); its cost counts in the choice, and a server that has answered within a second is asked in its pause where no other can.

--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -135,7 +135,7 @@
 		if !f.mayAsk(choice, each) || f.isOut(each, now) {
 			continue
 		}
-		if now.Before(each.retryAt) || len(each.active) >= f.limit(each, now) {
+		if now.Before(each.retryAt) && !each.refusesInPart(now) || len(each.active) >= f.limit(each, now) {
 			if !each.unreachable {
 				availability = Busy
 			}
@@ -233,6 +233,10 @@
 	if now.Before(each.avoidUntil) {
 		cost += failedCost
 	}
+	if now.Before(each.retryAt) {
+		cost += failedCost
+	}
+	cost += time.Duration(each.currentFailureRate(now) * float64(failureCost))
 	cost += stallCost(each, typical, now)
 	return cost + time.Duration(jitterShare*f.settings.Random.Float64()*float64(typical))
 }
--- a/pkg/fleet/lease.go
+++ b/pkg/fleet/lease.go
@@ -84,6 +84,7 @@
 	switch result {
 	case Answered:
 		used.failures, used.turnedAway = 0, 0
+		used.noteOutcome(false, now)
 		used.answeredAt = now
 		if known := f.demands[lease.demand]; known != nil {
 			known.absentAt = time.Time{}
@@ -100,8 +101,10 @@
 		used.fail(now)
 		used.retryAt = now.Add(unreachableRetry)
 	case Failed:
+		used.noteOutcome(true, now)
 		used.fail(now)
 	case Refused:
+		used.noteOutcome(true, now)
 		used.retryAt = now.Add(pause.Doubled(firstRefusedRetry, greatestRefusedRetry, used.failures))
 		used.fail(now)
 		f.lowerRoom(lease, now)
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -40,6 +40,21 @@
 	// ratioHalfLife is the time in which the doubt in a slow server halves, so
 	// that it is tried again.
 	ratioHalfLife = 3 * time.Second
+	// failureGain is the weight of one outcome in the rate of failures: two failures in a
+	// row show a server that fails every second request or more.
+	failureGain = 0.25
+	// failureHalfLife is the time in which a rate of failures halves without requests, so
+	// that a server is tried again: one that fails 0.6 of its requests gets about one a
+	// second of each owner.
+	failureHalfLife = 3 * time.Second
+	// failureCost is what a request is delayed by that fails: the way to another server,
+	// mostly in another region, its work, and the extra load that is then missing for others.
+	failureCost = 60 * time.Millisecond
+	// answeringSpan is for how long after an answer a server counts as one that serves.
+	answeringSpan = time.Second
+	// partialFailureRate is the rate of failures below which a server is known to serve a
+	// part of its requests: three refusals in a row after any success are above it.
+	partialFailureRate = 0.75
 	// ratioGain is the weight of one ordinary sample.
 	ratioGain = 0.25
 	// firstPenalty and greatestPenalty bound for how long a server that failed
@@ -89,6 +104,10 @@
 	// slowRow counts slow episodes since the last normal answer.
 	slowRow  int
 	failures int
+	// failureRate is the share of the requests that failed or were refused lately, as of
+	// failureRateAt.
+	failureRate   float64
+	failureRateAt time.Time
 	// turnedAway counts connections turned away since the last answer.
 	turnedAway int
 	// unreachable says that the last request could not open a connection.
@@ -156,6 +175,31 @@
 	m.setRatio(max(current, suspicionRatio), now)
 }
 
+// currentFailureRate returns the rate of failures with its decay since the last outcome.
+func (m *member) currentFailureRate(now time.Time) float64 {
+	if m.failureRate == 0 {
+		return 0
+	}
+	return m.failureRate * exp2(-float64(now.Sub(m.failureRateAt))/float64(failureHalfLife))
+}
+
+// refusesInPart reports whether a server that refused its last request serves others: it is
+// not full, and asked where no better one is.
+func (m *member) refusesInPart(now time.Time) bool {
+	isAnswering := !m.answeredAt.IsZero() && now.Sub(m.answeredAt) < answeringSpan
+	return isAnswering && !m.unreachable && m.turnedAway == 0 && m.currentFailureRate(now) < partialFailureRate
+}
+
+// noteOutcome takes whether a request failed at the server or was refused by it.
+func (m *member) noteOutcome(failed bool, now time.Time) {
+	rate := m.currentFailureRate(now)
+	outcome := 0.0
+	if failed {
+		outcome = 1
+	}
+	m.failureRate, m.failureRateAt = rate+failureGain*(outcome-rate), now
+}
+
 func (m *member) setRatio(ratio float64, now time.Time) {
 	m.ratio, m.ratioAt = ratio, now
 }
