--- a/internal/front/conversation.go
+++ b/internal/front/conversation.go
@@ -146,8 +146,11 @@
 	case result.Outcome == outcome.NotRun:
 		status = http.StatusServiceUnavailable
 		wait := c.retryAfter(plan)
-		if result.Shed > 0 {
-			wait = max(wait, min(c.handler.overloads.note(plan.Services[0], c.began, time.Now()), greatestWait))
+		switch {
+		case result.Reason == fanout.StopUnservable:
+			wait = max(unservableWait, c.refusedFor(plan))
+		case result.Shed > 0:
+			wait = max(wait, c.refusedFor(plan))
 		}
 		c.setRetryAfter(wait)
 	case result.Reason == fanout.StopDeadline:
@@ -158,6 +161,12 @@
 	c.record(status, plan, result)
 }
 
+// refusedFor returns for how long requests like this one have been refused, as far as that
+// matters to a client that comes back.
+func (c *conversation) refusedFor(plan fanout.Plan) time.Duration {
+	return min(c.handler.overloads.note(plan.Services[0], c.began, time.Now()), greatestWait)
+}
+
 // statusClientGone is logged for a request whose client went away.
 const statusClientGone = 499
 
--- a/internal/front/overload_test.go
+++ b/internal/front/overload_test.go
@@ -130,10 +130,6 @@
 }
 
 func newSimulation() *simulation {
-	set, err := policy.Build(policy.Spec{Hedge: policy.HedgeSpec{Policy: policy.HedgeTypical}})
-	if err != nil {
-		panic(err)
-	}
 	network := exchangetest.NewNetwork()
 	servers := fleet.New(fleet.Settings{Dialer: network, Random: rand.New(rand.NewPCG(1, 1))})
 	simulated := &simulation{fleet: servers, records: &simRecords{refused: make(map[string]Record)}}
@@ -152,13 +148,22 @@
 			servers.Apply(fleet.Server{ID: name, Service: service, Address: name, Slots: simSlots}, time.Now())
 		}
 	}
-	simulated.handler = NewHandler(Options{
+	simulated.serve(tally)
+	return simulated
+}
+
+// serve gives the node one route.
+func (s *simulation) serve(served route.Route) {
+	set, err := policy.Build(policy.Spec{Hedge: policy.HedgeSpec{Policy: policy.HedgeTypical}})
+	if err != nil {
+		panic(err)
+	}
+	s.handler = NewHandler(Options{
 		Dialect: Dialect{Dialect: exchangetest.Dialect, Parts: "Parts", MissingParts: "Missing"},
-		State:   simState{route.NewTable(&route.Configuration{Version: 1, Routes: []route.Route{tally}})},
-		Fleet:   servers, Budget: &simBudget{left: make(map[string]float64)}, Events: simulated.records, Random: rand.New(rand.NewPCG(2, 2)), MaxInFlight: 2000,
+		State:   simState{route.NewTable(&route.Configuration{Version: 1, Routes: []route.Route{served}})},
+		Fleet:   s.fleet, Budget: &simBudget{left: make(map[string]float64)}, Events: s.records, Random: rand.New(rand.NewPCG(2, 2)), MaxInFlight: 2000,
 		Policies: simPolicies{Policy{Hedge: set.Hedge, Stop: set.Stop, MaxAttempts: 2, ExtraShare: 1}},
 	})
-	return simulated
 }
 
 // simAnswer is what one client has got.
--- a/internal/front/policy.go
+++ b/internal/front/policy.go
@@ -38,6 +38,10 @@
 	// overloadedWait is told at the node's own bound: other nodes have room within
 	// a second.
 	overloadedWait = time.Second
+	// unservableWait is told at least where no server may be asked for a request: a server
+	// that comes back is listed within one to two heartbeats of 1.2 s, and an evacuation or a
+	// bound to regions lasts longer than that.
+	unservableWait = time.Second
 	// leastRefusal and greatestWait bound what clients are told: one that comes
 	// back at once meets the same servers, and the shortest deadline of the users'
 	// requests is 2 s.
