--- a/api/query.go
+++ b/api/query.go
@@ -152,7 +152,7 @@
 	// Step and Peer say where the error arose.
 	Step string `json:"step,omitempty"`
 	Peer string `json:"peer,omitempty"`
-	// RetryAfterMS is when to come back, in milliseconds; also in the
+	// RetryAfterMS is when to retry, in milliseconds; also in the
 	// Retry-After header, rounded up to seconds.
 	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
 	// Coverage is set when an answer was withheld because its coverage was
--- a/internal/callerapi/problem.go
+++ b/internal/callerapi/problem.go
@@ -118,7 +118,7 @@
 }
 
 // writeProblem answers with the problem document and, where it is known when
-// to come back, a Retry-After header in whole seconds, at least 1.
+// to retry, a Retry-After header in whole seconds, at least 1.
 func writeProblem(context echo.Context, problem *api.Problem) error {
 	header := context.Response().Header()
 	if problem.RetryAfterMS > 0 {
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -73,18 +73,18 @@
 	// startingPatience is how long they wait for it: a node that has just
 	// started knows it within milliseconds.
 	startingPatience = 120 * time.Millisecond
-	// leastStartingWait and greatestStartingWait bound when they may come back.
+	// leastStartingWait and greatestStartingWait bound when they may be retried.
 	leastStartingWait    = 200 * time.Millisecond
 	greatestStartingWait = 1200 * time.Millisecond
-	// lostStoreWait is when they may come back while the store does not answer:
-	// its outages last for seconds, and a client that may come back only once
+	// lostStoreWait is when they may be retried while the store does not answer:
+	// its outages last for seconds, and a client that may retry only once
 	// must not come too early.
 	lostStoreWait = 2 * time.Second
 )
 
 // Starting implements front.State. While the store does not answer, waiting
 // helps nobody: a request is refused at once, so that its client can turn to
-// another node or come back in time.
+// another node or retry in time.
 func (s *state) Starting() front.Starting {
 	if s.storeLost() {
 		return front.Starting{RetryAfter: lostStoreWait}
@@ -132,7 +132,7 @@
 
 // Restored implements directory.Listener. One line tells of all servers and
 // nodes that were found at the start: a line for each would take processor time
-// just when clients come back.
+// just when clients retry.
 func (s *state) Restored(revision uint64) {
 	s.restored.Store(true)
 	s.logger.Info("state restored", "revision", revision, "servers", s.fleet.Len(), "nodes", len(s.knownNodes()))
--- a/internal/front/conversation.go
+++ b/internal/front/conversation.go
@@ -22,7 +22,7 @@
 	version  uint64
 	route    *route.Route
 	policy   Policy
-	// toldWait is when the client was told to come back.
+	// toldWait is when the client was told to retry.
 	toldWait time.Duration
 	id       string
 	cause    error
@@ -162,7 +162,7 @@
 }
 
 // refusedFor returns for how long requests like this one have been refused, as far as that
-// matters to a client that comes back.
+// matters to a client that retries.
 func (c *conversation) refusedFor(plan fanout.Plan) time.Duration {
 	return min(c.handler.overloads.note(plan.Services[0], c.began, time.Now()), greatestWait)
 }
--- a/internal/front/episode.go
+++ b/internal/front/episode.go
@@ -23,7 +23,7 @@
 
 // note takes the refusal of a request that has waited since a moment, and returns how
 // long the overload has lasted. It is expected to last about as long again: a client
-// that may come back once must not come into the same overload.
+// that may retry once must not run into the same overload.
 func (e *episodes) note(service string, since, now time.Time) time.Duration {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
--- a/internal/lab/experiment/document.go
+++ b/internal/lab/experiment/document.go
@@ -80,7 +80,7 @@
 	// template without queries and keys draws from those of load.GroupQueries.
 	Mix            []load.TemplateLoad `yaml:"mix"`
 	MaxOutstanding int                 `yaml:"max_outstanding"`
-	// HonourRetryAfter makes refused callers come back, at most MaxAttempts
+	// HonourRetryAfter makes refused callers retry, at most MaxAttempts
 	// times in all.
 	HonourRetryAfter bool `yaml:"honour_retry_after"`
 	MaxAttempts      int  `yaml:"max_attempts"`
--- a/internal/lab/load/exchange.go
+++ b/internal/lab/load/exchange.go
@@ -70,7 +70,7 @@
 }
 
 // Refused reports whether the node turned the request away, without running
-// it, with a status that asks the caller to come back.
+// it, with a status that asks the caller to retry.
 func (e *Exchange) Refused() bool {
 	asksBack := e.Status == http.StatusTooManyRequests || e.Status == http.StatusServiceUnavailable
 	return asksBack && e.Outcome() == outcome.NotRun
--- a/internal/lab/load/options.go
+++ b/internal/lab/load/options.go
@@ -72,7 +72,7 @@
 	// 1 if zero.
 	UsefulCoverage float64 `json:"useful_coverage,omitempty" yaml:"useful_coverage,omitempty"`
 	// UsefulWithin is the greatest latency of an answer that counts as useful,
-	// from the intended send time or, for a caller that came back, from when it
+	// from the intended send time or, for a caller that retried, from when it
 	// did; no bound if zero.
 	UsefulWithin policy.Duration `json:"useful_within,omitempty" yaml:"useful_within,omitempty"`
 }
@@ -99,7 +99,7 @@
 	// MaxOutstanding bounds the unanswered requests. An arrival beyond it is
 	// not sent and is counted in Result.NotSent.
 	MaxOutstanding int
-	// HonourRetryAfter makes a refused caller come back when the answer says,
+	// HonourRetryAfter makes a refused caller retry when the answer says,
 	// at most MaxAttempts times in all.
 	HonourRetryAfter bool
 	MaxAttempts      int
--- a/internal/lab/load/recorder.go
+++ b/internal/lab/load/recorder.go
@@ -19,11 +19,11 @@
 	exchanges int
 }
 
-// latency is what the caller saw in all, waits before coming back included.
+// latency is what the caller saw in all, waits before retries included.
 func (f finished) latency() time.Duration { return f.last.Finished.Sub(f.intended) }
 
 // answerLatency is the time of the last exchange. For the first one it runs
-// from the intended send time; a caller that came back counts from then on.
+// from the intended send time; a caller that retried counts from then on.
 func (f finished) answerLatency() time.Duration {
 	if f.exchanges <= 1 {
 		return f.latency()
--- a/internal/operator/adapters.go
+++ b/internal/operator/adapters.go
@@ -20,7 +20,7 @@
 // storePeer names the configuration store in errors.
 const storePeer = "configuration store"
 
-// storeRetryAfter is when to come back after the store refused or was away.
+// storeRetryAfter is when to retry after the store refused or was away.
 const storeRetryAfter = 2 * time.Second
 
 // ReplicaTemplates implements Templates by a node's replica and the template
--- a/internal/serve/pipeline.go
+++ b/internal/serve/pipeline.go
@@ -15,7 +15,7 @@
 	"github.com/bramblemast/bramblemast/pkg/template"
 )
 
-// retryStarting is when callers should come back to a node that is starting:
+// retryStarting is when callers should retry at a node that is starting:
 // fetching the templates takes about this long unless the store is slow.
 const retryStarting = time.Second
 
--- a/pkg/admission/drain.go
+++ b/pkg/admission/drain.go
@@ -64,7 +64,7 @@
 }
 
 // refusalBacklog counts the recently refused requests, of which many are going
-// to come back. It is not safe for concurrent use.
+// to retry. It is not safe for concurrent use.
 type refusalBacklog struct {
 	count   float64
 	updated time.Time
--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -6,7 +6,7 @@
 // keep up. The rest waits, tickers before interactive requests before archive
 // ones, with turns for each tenant and a least share for each class. A request
 // that cannot be served in time is refused as soon as the measured drain of
-// the queue shows it, with when to come back; it is never held back.
+// the queue shows it, with when to retry; it is never held back.
 //
 // All methods are safe for concurrent use.
 package admission
--- a/pkg/admission/predict.go
+++ b/pkg/admission/predict.go
@@ -11,7 +11,7 @@
 // mostRetryAfter bounds what callers are told.
 const mostRetryAfter = 30 * time.Second
 
-// returningShare is the part of the drain that callers who come back are told
+// returningShare is the part of the drain that callers who retry are told
 // to share; the rest is left to new requests.
 const returningShare = 0.7
 
@@ -70,8 +70,8 @@
 	return state
 }
 
-// overloaded is the refusal of a request, with when to come back: after those
-// that wait and those that were refused just before and will come back too.
+// overloaded is the refusal of a request, with when to retry: after those
+// that wait and those that were refused just before and will retry too.
 func (g *Gate) overloaded(state policy.AdmissionState, decision policy.AdmissionDecision, now time.Time) *outcome.Error {
 	backlog := g.refused.add(now)
 	retryAfter := max(decision.RetryAfter, policy.RetryAfter(state))
--- a/pkg/backend/httpbackend/exchange.go
+++ b/pkg/backend/httpbackend/exchange.go
@@ -37,7 +37,7 @@
 	}
 	response, err = c.receive(ctx, pool.server, request, identity, answer)
 	if err != nil && outcome.Of(err) == outcome.Unknown {
-		// What is left on the connection is in doubt.
+		// What is left on the connection is unreliable.
 		tracked.abandon()
 	}
 	_ = answer.Body.Close()
--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -95,7 +95,7 @@
 	// StoreTimeout bounds each call to the store, and all calls of one Acquire
 	// together: a caller is refused then, and not only at its deadline.
 	StoreTimeout time.Duration
-	// RetryAfter is when callers should come back while the store is away or
+	// RetryAfter is when callers should retry while the store is away or
 	// the request is in flight.
 	RetryAfter time.Duration
 	// SweepPeriod is the time between two sweeps of expired claims.
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -15,7 +15,7 @@
 // Times of the event loop.
 const (
 	// recheck is when a part for which no server could be asked is tried again: a
-	// tenth of the shortest target of the users' requests (120 ms), so that a part
+	// tenth of the shortest target that is set for gathered requests (120 ms), so that a part
 	// whose rank has changed meanwhile loses little. Waiters are woken without it.
 	recheck = 12 * time.Millisecond
 	// deniedRecheck is when a hedge or a retry is tried again that the budget
@@ -218,7 +218,7 @@
 
 // isRefused reports whether the request has come to its target without a server, while
 // not all requests get one: those in time go before it from now on, and its client can
-// come back.
+// retry.
 func (r *run) isRefused(now time.Time) bool {
 	isLate := !r.plan.Target.IsZero() && !now.Before(r.plan.Target)
 	return isLate && r.nothingRuns() && r.runner.Fleet.IsOverloaded(r.demand(), now)
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -124,7 +124,7 @@
 }
 
 // Remove takes a server that left the platform's list and reports whether it
-// was listed. Until the moment doubtedUntil the list itself is in doubt, and
+// was listed. Until the moment doubtedUntil the list itself is not confirmed, and
 // the server is asked as before as long as it answers.
 func (f *Fleet) Remove(id string, doubtedUntil, now time.Time) bool {
 	f.mutex.Lock()
--- a/pkg/peer/inbound.go
+++ b/pkg/peer/inbound.go
@@ -55,7 +55,7 @@
 }
 
 // serve reads requests until the connection ends, is idle for too long, or its
-// framing is in doubt.
+// framing is unreliable.
 func (c *inboundConnection) serve(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/pkg/peer/outbound.go
+++ b/pkg/peer/outbound.go
@@ -191,7 +191,7 @@
 }
 
 // deliver hands a reply to its call. A late reply is dropped; a reply to a
-// request that was never sent puts the framing in doubt.
+// request that was never sent makes the framing unreliable.
 func (c *outboundConnection) deliver(reply *peerpb.Frame, size int) error {
 	wait, err := c.awaited(reply)
 	if err != nil {
--- a/pkg/policy/admission.go
+++ b/pkg/policy/admission.go
@@ -133,7 +133,7 @@
 }
 
 // RetryAfter is the time until everything ahead will have drained: a caller
-// that comes back then is served at once unless others came in between.
+// that retries then is served at once unless others came in between.
 func RetryAfter(state AdmissionState) time.Duration {
 	wait := drainTime(state, float64(state.QueuedAhead)+1)
 	if wait == 0 {
--- a/pkg/policy/policy.go
+++ b/pkg/policy/policy.go
@@ -176,7 +176,7 @@
 	Refuse
 )
 
-// AdmissionDecision is a verdict with, for a refusal, when to come back.
+// AdmissionDecision is a verdict with, for a refusal, when to retry.
 type AdmissionDecision struct {
 	Verdict    Verdict
 	RetryAfter time.Duration
