Soak: a zone is evacuated beside the planned work of each calm

Change: every second server of the soak stands in a second zone, which is evacuated in each calm unless a service would have no server left; what reaches it after the bound is a broken promise. Test of the check itself: TestLateRequestsToAnEvacuatedZoneAreFound.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -29,6 +30,11 @@
 	lookupName  = "lookup"
 	ordersName  = "orders"
 	versionPath = "/version-%d/"
+	// nodeZone has the nodes and every second server, evacuatedZone, in the same region, the
+	// other servers.
+	nodeZone      = "zone-a"
+	evacuatedZone = "zone-b"
+	region        = "region"
 )
 
 // server is a server behind a link of the proxy.
@@ -118,7 +124,11 @@
 	number := d.started
 	d.mutex.Unlock()
 	id := fmt.Sprintf("server%d", number)
-	added := &server{Server: platformtest.NewServer(d.store, id, service, "zone-a"), link: id}
+	zone := nodeZone
+	if number%2 == 0 {
+		zone = evacuatedZone
+	}
+	added := &server{Server: platformtest.NewServer(d.store, id, service, zone), link: id}
 	// Servers of a service hold the same records.
 	for index := range topRecords {
 		added.records = append(added.records, []byte(fmt.Sprintf("%-12.12s%04d", service, index)))
@@ -217,6 +227,23 @@
 	time.AfterFunc(d.drainBound+2*time.Second, func() { d.store.Remove("servers/" + leaving.ID) })
 }
 
+// evacuate asks to send nothing more to the servers of a zone and returns what takes that
+// back. It does nothing while a service in use would have no server left.
+func (d *deployment) evacuate() (end func()) {
+	for _, service := range append([]string{lookupName, ordersName}, d.history.newest().Shards...) {
+		if !slices.ContainsFunc(d.of(service), func(each *server) bool { return each.Zone != evacuatedZone }) {
+			return func() {}
+		}
+	}
+	d.store.Evacuate(evacuatedZone)
+	ended := d.history.evacuates()
+	return func() {
+		// Noted before: what comes after it is no broken promise.
+		ended()
+		d.store.EndEvacuation(evacuatedZone)
+	}
+}
+
 // recut starts the servers of another shard set and names it a little later.
 func (d *deployment) recut(random *rand.Rand) {
 	name, count := otherName, otherShards
--- a/test/soak/history_test.go
+++ b/test/soak/history_test.go
@@ -39,7 +39,9 @@
 	versions []version
 	// leaving holds since when servers are leaving.
 	leaving map[string]time.Time
-	replies []reply
+	// evacuations are the spans in which evacuatedZone was to get nothing.
+	evacuations []*interval
+	replies     []reply
 }
 
 // version is one configuration.
@@ -160,6 +162,22 @@
 	h.events = append(h.events, event{time.Now(), "server " + server + " leaves"})
 }
 
+// evacuates notes that a zone is to get nothing from now on, until the returned function is
+// called.
+func (h *history) evacuates() (end func()) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	running := &interval{Begin: time.Now()}
+	h.evacuations = append(h.evacuations, running)
+	h.events = append(h.events, event{running.Begin, "begin evacuation"})
+	return func() {
+		h.mutex.Lock()
+		defer h.mutex.Unlock()
+		running.End = time.Now()
+		h.events = append(h.events, event{running.End, "end evacuation"})
+	}
+}
+
 func (h *history) took(got reply) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/test/soak/node_test.go
+++ b/test/soak/node_test.go
@@ -83,13 +83,14 @@
 
 func (n *node) writeSettings(shaped shape, store string, peers []string) {
 	encoded, err := json.Marshal(edge.Settings{
-		Node:   edge.NodeSettings{Name: n.name, Zone: "zone-a", Region: "region", Address: "127.0.0.1"},
-		Zones:  map[string]string{"zone-a": "region"},
+		Node:   edge.NodeSettings{Name: n.name, Zone: nodeZone, Region: region, Address: "127.0.0.1"},
+		Zones:  map[string]string{nodeZone: region, evacuatedZone: region},
 		Listen: edge.ListenSettings{Clients: n.clients, Ready: n.ready, Peers: n.peers, PeersAdvertised: n.advertised},
 		Store:  edge.StoreSettings{Address: store},
 		Bounds: edge.BoundSettings{
 			DrainMillis: int(shaped.drainBound.Milliseconds()), ApplyMillis: int(shaped.configBound.Milliseconds()), ContactMillis: int(contactBound.Milliseconds()),
-			GraceSeconds: graceBound.Seconds(), ExtraRatio: extraRatio, Extra: extraBound, ExtraWindowSeconds: extraWindow.Seconds(),
+			EvacuateMillis: int(shaped.drainBound.Milliseconds()),
+			GraceSeconds:   graceBound.Seconds(), ExtraRatio: extraRatio, Extra: extraBound, ExtraWindowSeconds: extraWindow.Seconds(),
 		},
 		Peers: peers,
 	})
--- a/test/soak/promises_check_test.go
+++ b/test/soak/promises_check_test.go
@@ -79,3 +79,26 @@
 	end()
 	g.Expect(noted.calm(time.Now().Add(time.Millisecond), time.Now().Add(time.Second))).To(BeTrue())
 }
+
+// TestLateRequestsToAnEvacuatedZoneAreFound, but not those within the bound, after the end,
+// elsewhere, or while something was broken.
+func TestLateRequestsToAnEvacuatedZoneAreFound(t *testing.T) {
+	g := NewWithT(t)
+	const bound = 5 * time.Second
+	servers := map[string]*server{
+		"in":  {Server: &platformtest.Server{ID: "in", Zone: evacuatedZone}},
+		"out": {Server: &platformtest.Server{ID: "out", Zone: nodeZone}},
+	}
+	began := time.Now()
+	history := newHistory()
+	history.evacuations = []*interval{{Begin: began, End: began.Add(2 * bound)}}
+	found := func(server string, after time.Duration) []string {
+		return checkEvacuations(history, []arrival{{ID: "r", Server: server, At: began.Add(after)}}, servers, bound)
+	}
+	g.Expect(found("in", bound+time.Second)).To(HaveLen(1))
+	g.Expect(found("in", bound)).To(BeEmpty())
+	g.Expect(found("in", 2*bound+time.Millisecond)).To(BeEmpty())
+	g.Expect(found("out", bound+time.Second)).To(BeEmpty())
+	history.past = []interval{{Begin: began.Add(-time.Second), End: began}}
+	g.Expect(found("in", bound+time.Second)).To(BeEmpty())
+}
--- a/test/soak/promises_test.go
+++ b/test/soak/promises_test.go
@@ -204,3 +204,21 @@
 	}
 	return nil
 }
+
+// checkEvacuations checks that nothing reached the servers of an evacuated zone later than
+// its bound, where nothing was broken.
+func checkEvacuations(history *history, arrivals []arrival, servers map[string]*server, bound time.Duration) []string {
+	var broken []string
+	for _, each := range arrivals {
+		if servers[each.Server].Zone != evacuatedZone {
+			continue
+		}
+		for _, span := range history.evacuations {
+			isLate := each.At.After(span.Begin.Add(bound+arrivalSlack)) && (span.End.IsZero() || each.At.Before(span.End))
+			if isLate && history.calm(span.Begin.Add(-contactBound), each.At) {
+				broken = append(broken, fmt.Sprintf("%s reached %s %s after its zone was evacuated", each.ID, each.Server, each.At.Sub(span.Begin)))
+			}
+		}
+	}
+	return broken
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -96,6 +96,8 @@
 	time.Sleep(contactBound + time.Second)
 	began := time.Now()
 	d.history.note("calm")
+	// Beside the work that is drawn below, so that a seed still draws the same.
+	defer d.evacuate()()
 	switch random.IntN(4) {
 	case 0:
 		d.replace(d.anyServer(random))
@@ -182,6 +184,9 @@
 			d.history.violated("%s reached %s %s after it left", each.ID, each.Server, each.At.Sub(since))
 		}
 	}
+	for _, broken := range checkEvacuations(d.history, arrivals, d.known(), d.drainBound) {
+		d.history.violated("%s", broken)
+	}
 	for _, got := range replies {
 		number, versioned := versionOfPath(got.Path)
 		if versioned && got.Status == 404 {
