Reading of the change: one rule for zones of a region, a test that waits for the log

Cause: the rule which zones are near stood in the readers of the store and in the roster of owners; a comment gave three refusals for a rate that five reach. No behaviour of the node changes.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -324,11 +324,12 @@
 // log.
 func TestEvacuationsReachTheFleet(t *testing.T) {
 	g := NewWithT(t)
-	var output bytes.Buffer
+	// The log is written by a goroutine of its own.
+	lines := make(chan string, 8)
 	servers := fleet.New(fleet.Settings{Random: newRandom()})
 	servers.Apply(fleet.Server{ID: "i", Service: "s", Address: "a", Zone: "z"}, time.Now())
 	tested := &state{
-		fleet: servers, figures: newFigures(), logger: NewLogger("test", &output),
+		fleet: servers, figures: newFigures(), logger: NewLogger("test", writerFunc(func(line []byte) { lines <- string(line) })),
 		evacuateWithin: func() time.Duration { return time.Hour },
 	}
 	mayServe := func() bool { return servers.CanServe("s", route.Regions{}, time.Now()) }
@@ -343,5 +344,9 @@
 	tested.Changed(directory.Entry{Key: "k", Revision: 4, EvacuatedZone: "z", Gone: true})
 	tested.Changed(directory.Entry{Key: "k", Revision: 5, EvacuatedZone: "z"})
 	g.Expect(mayServe()).To(BeFalse())
-	g.Expect(output.String()).To(And(ContainSubstring("zone evacuated"), ContainSubstring("zone open again")))
+	for _, want := range []string{
+		"zone evacuated", "zone open again", "state restored", "zone evacuated", "zone open again", "zone evacuated",
+	} {
+		g.Expect(<-lines).To(ContainSubstring(want))
+	}
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -165,7 +165,7 @@
 }
 
 // applyEvacuation takes that nothing more is to be sent to the servers of a zone, or that it
-// may be again. What is found at the start may be as old as it likes, so it holds at once.
+// may be again. What is found at the start may have been told long ago, so it holds at once.
 func (s *state) applyEvacuation(entry directory.Entry) {
 	now, within := time.Now(), s.evacuateWithin()
 	if !s.restored.Load() {
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -51,6 +51,13 @@
 	Zone        string
 }
 
+// SameRegion reports whether two zones are the same or stand in the same region, where
+// regions maps each zone to its region. A zone without a region is near to itself only.
+func SameRegion(regions map[string]string, zone, other string) bool {
+	region := regions[zone]
+	return zone == other || region != "" && region == regions[other]
+}
+
 // Batch is the answer to one read of the source.
 type Batch struct {
 	Entries []Entry
--- a/pkg/directory/readers.go
+++ b/pkg/directory/readers.go
@@ -70,13 +70,6 @@
 	return &readers{local: local, regions: regions, avoided: make(map[string]time.Time)}
 }
 
-// isNear reports whether a node stands in this node's region, or in its zone where the
-// region is not known.
-func (r *readers) isNear(node Node) bool {
-	region := r.regions[node.Zone]
-	return node.Zone == r.local.Zone || region != "" && region == r.regions[r.local.Zone]
-}
-
 // avoid leaves a node out of the readers for a while.
 func (r *readers) avoid(name string, now time.Time) {
 	maps.DeleteFunc(r.avoided, func(_ string, until time.Time) bool { return !now.Before(until) })
@@ -88,7 +81,7 @@
 func (r *readers) rank(nodes []Node, now time.Time) []Node {
 	byName := map[string]Node{r.local.Name: r.local}
 	for _, node := range nodes {
-		if node.Name != r.local.Name && r.isNear(node) && node.PeerAddress != "" && !now.Before(r.avoided[node.Name]) {
+		if node.Name != r.local.Name && SameRegion(r.regions, node.Zone, r.local.Zone) && node.PeerAddress != "" && !now.Before(r.avoided[node.Name]) {
 			byName[node.Name] = node
 		}
 	}
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -53,7 +53,7 @@
 	// answeringSpan is for how long after an answer a server counts as one that serves.
 	answeringSpan = time.Second
 	// partialFailureRate is the rate of failures below which a server is known to serve a
-	// part of its requests: three refusals in a row after any success are above it.
+	// part of its requests: five refusals in a row are above it.
 	partialFailureRate = 0.75
 	// ratioGain is the weight of one ordinary sample.
 	ratioGain = 0.25
--- a/pkg/owner/roster.go
+++ b/pkg/owner/roster.go
@@ -182,7 +182,7 @@
 func (r *Roster) ownerZone(service string) string {
 	var zones []string
 	for _, zone := range r.servers.Places(service) {
-		if r.isNear(zone) && len(r.byZone[zone]) > 0 {
+		if directory.SameRegion(r.regions, zone, r.local.Zone) && len(r.byZone[zone]) > 0 {
 			zones = append(zones, zone)
 		}
 	}
@@ -192,12 +192,6 @@
 	return rendezvous.Top(service, zones, 1)[0]
 }
 
-// isNear reports whether a zone is in this node's region.
-func (r *Roster) isNear(zone string) bool {
-	region := r.regions[zone]
-	return zone == r.local.Zone || region != "" && region == r.regions[r.local.Zone]
-}
-
 // candidates ranks the nodes of a zone for a group, which is named by its first
 // service. The mutex is held.
 func (r *Roster) candidates(group, zone string) []directory.Node {
