A change heard of while the store is read is no store that went back

The publisher read the store (revision 1), the winner's change committed and reached this node by its watch (revision 2, 0.8 ms later), and only then did the publisher look up what the node holds: 2 > 1. Ruled out: load alone: the order of the two look-ups allows it at any speed; the log has the three lines within 1 ms. No line of the node on the platform is concerned. Change: what the node holds is looked up before the store is read. A spec with a store whose answer arrives after such a change failed before and passes now.

--- a/pkg/publish/publisher.go
+++ b/pkg/publish/publisher.go
@@ -146,10 +146,18 @@
 func (p *Publisher) change(ctx context.Context, content template.Template, expected uint64) (Result, error) {
 	content.ChangeID = p.options.NewChangeID()
 	for attempt := 0; ; attempt++ {
+		// Looked up before the store is read: a change that commits, and is heard of, after the
+		// reading does not show that the store went back.
+		held, isHeld := p.options.Held(content.Key())
 		base, err := p.read(ctx, content.Key())
 		if err != nil {
 			return Result{}, err
 		}
+		if isHeld {
+			if err := p.checkStoreIsAhead(held, base); err != nil {
+				return Result{}, err
+			}
+		}
 		content.Revision = base.version().Revision + 1
 		result, err := p.changeOver(ctx, base, content, expected)
 		if errors.Is(err, errMoved) && p.backoff(ctx, attempt) {
@@ -167,9 +175,6 @@
 // changeOver writes one new document over a state of the store.
 func (p *Publisher) changeOver(ctx context.Context, base state, content template.Template, expected uint64) (Result, error) {
 	key := content.Key()
-	if err := p.checkStoreIsAhead(key, base); err != nil {
-		return Result{}, err
-	}
 	if base.document.IsRejected(content.ChangeID) {
 		return Result{}, &outcome.Error{Step: "publish " + key.String(), Outcome: outcome.NotRun, Reason: outcome.ReasonInvalid, Cause: ErrRejected}
 	}
@@ -193,12 +198,13 @@
 	return result, nil
 }
 
-// checkStoreIsAhead refuses to build on a store that went back.
-func (p *Publisher) checkStoreIsAhead(key template.Key, base state) error {
-	held, isHeld := p.options.Held(key)
-	if !isHeld || held.Version().Compare(base.version()) <= 0 {
+// checkStoreIsAhead refuses to build on a store that went back behind what this node held
+// before it read the store.
+func (p *Publisher) checkStoreIsAhead(held template.Published, base state) error {
+	if held.Version().Compare(base.version()) <= 0 {
 		return nil
 	}
+	key := held.Key()
 	p.options.Logger.Error("store is behind this node", "template", key, "held", held.Version(), "stored", base.version())
 	return &StoreBehindError{Key: key, Held: held.Version(), Stored: base.version()}
 }
--- a/pkg/publish/publisher_test.go
+++ b/pkg/publish/publisher_test.go
@@ -240,8 +240,44 @@
 		Expect(publisher.History(ctx, testKey)).To(HaveLen(2))
 		Expect(publish("third", 2).Template.Revision).To(BeEquivalentTo(3))
 	})
+
+	It("does not take a change that it hears of while it reads the store for a store that went back", func() {
+		publish("first", 0)
+		other := publisher
+		known := accepted[0]
+		// Another operator's change commits, and is in force here, after the store was read.
+		late := readLate{Memory: store, once: &sync.Once{}, after: func() {
+			_, err := other.Publish(ctx, content("other"), 1)
+			Expect(err).NotTo(HaveOccurred())
+			known = accepted[1]
+		}}
+		racing, err := New(Options{
+			Store: late, NewChangeID: newID, Accepted: func(template.Published) {}, FirstBackoff: time.Microsecond, MaxBackoff: time.Microsecond,
+			Held: func(template.Key) (template.Published, bool) { return known, true },
+		})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = racing.Publish(ctx, content("mine"), 1)
+		Expect(err).NotTo(MatchError(ErrStoreBehind))
+		var conflict *ConflictError
+		Expect(errors.As(err, &conflict)).To(BeTrue(), "%v", err)
+	})
 })
 
+// readLate is a store whose first answer to a reading arrives after something else has
+// happened.
+type readLate struct {
+	*configstore.Memory
+	once  *sync.Once
+	after func()
+}
+
+// Get implements configstore.Store.
+func (r readLate) Get(ctx context.Context, key string) (configstore.Entry, error) {
+	found, err := r.Memory.Get(ctx, key)
+	r.once.Do(r.after)
+	return found, err
+}
+
 // overtaken is a store at which another operator writes before the first write
 // arrives, or, if fault is set, right after that write failed so.
 type overtaken struct {
