Sight: connections that servers end, and which tries are the same request

Change: a request whose sub-requests end with a broken connection is logged with how many (connections_broken) and with a fingerprint that its tries have in common; metric connections_broken_total by route. The fingerprint is made only then.

--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -122,6 +122,9 @@
 	result := record.Result
 	list = append(list, "parts", record.Parts, "required", record.Required, "total", record.Total)
 	list = append(appendCounts(list, result), "shed", result.Shed, "outcome", result.Outcome.String())
+	if record.Fingerprint != nil {
+		list = append(list, "fingerprint", record.Fingerprint.String())
+	}
 	if result.Asked > 0 {
 		list = append(list, "owners_asked", result.Asked)
 	}
@@ -140,7 +143,11 @@
 
 // appendCounts lists how many sub-requests were sent, and why.
 func appendCounts(list []any, result fanout.Result) []any {
-	return append(list, "sent", result.Sent, "hedges", result.Hedges, "retries", result.Retries, "budget_denied", result.Denied)
+	list = append(list, "sent", result.Sent, "hedges", result.Hedges, "retries", result.Retries, "budget_denied", result.Denied)
+	if result.Broken > 0 {
+		list = append(list, "connections_broken", result.Broken)
+	}
+	return list
 }
 
 // appendMissing names the services without an answer, and the last error of the
--- a/internal/edge/figures.go
+++ b/internal/edge/figures.go
@@ -35,6 +35,7 @@
 	ownersLost  *prometheus.CounterVec
 	storeCalls  *prometheus.CounterVec
 	evacuated   *prometheus.GaugeVec
+	broken      *prometheus.CounterVec
 }
 
 func newFigures() *figures {
@@ -59,10 +60,11 @@
 			Namespace: namespace, Name: "zone_evacuated", Help: "1 while nothing is to be sent to the servers of a zone.",
 		}, []string{"zone"}),
 		storeCalls: counters("store_calls_total", "Calls to the platform's store, by what was asked and whether it answered as hoped.", "call", "result"),
+		broken:     counters("connections_broken_total", "Sub-requests whose server ended the connection before its answer.", "route"),
 		ownersLost: counters("owners_lost_total", "Times that an owner did not answer and was left out for a while."),
 	}
 	f.registry.MustRegister(f.requests, f.latency, f.missing, f.subRequests, f.denied, f.dependency, f.refused, f.overloads, f.logLines,
-		f.owned, f.ownersLost, f.storeCalls, f.evacuated)
+		f.owned, f.ownersLost, f.storeCalls, f.evacuated, f.broken)
 	return f
 }
 
@@ -101,11 +103,18 @@
 	f.sent(route, arm, "first", result.Sent-result.Hedges-result.Retries)
 	f.sent(route, arm, "hedge", result.Hedges)
 	f.sent(route, arm, "retry", result.Retries)
+	f.countBroken(route, result.Broken)
 	if result.Denied > 0 {
 		f.denied.WithLabelValues(route, arm).Add(float64(result.Denied))
 	}
 }
 
+func (f *figures) countBroken(route string, count int) {
+	if count > 0 {
+		f.broken.WithLabelValues(route).Add(float64(count))
+	}
+}
+
 // countCall takes one call to the store.
 func (f *figures) countCall(call string, err error) {
 	result := "ok"
@@ -118,6 +127,7 @@
 // countOwned takes one question of another node.
 func (f *figures) countOwned(record owner.Record) {
 	result := record.Result
+	f.countBroken(record.Kind, result.Broken)
 	f.owned.WithLabelValues(record.Kind, "answered").Add(float64(result.Got))
 	if missing := len(record.Services) - result.Got; missing > 0 {
 		f.owned.WithLabelValues(record.Kind, "missing").Add(float64(missing))
--- a/internal/front/conversation.go
+++ b/internal/front/conversation.go
@@ -22,6 +22,8 @@
 	version  uint64
 	route    *route.Route
 	policy   Policy
+	// request is what servers are sent.
+	request *exchange.Request
 	// toldWait is when the client was told to retry.
 	toldWait time.Duration
 	id       string
@@ -30,6 +32,7 @@
 
 // serve asks servers and answers.
 func (c *conversation) serve(request *exchange.Request) {
+	c.request = request
 	c.policy = c.handler.policies.For(c.route, c.id)
 	plan := fanout.Plan{
 		Kind: c.route.Name, Version: c.version, Regions: c.regions, Repeatable: c.route.Repeatable,
--- a/internal/front/record.go
+++ b/internal/front/record.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/fanout"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 )
@@ -29,6 +30,9 @@
 	Result   fanout.Result
 	Services []string
 	Cause    error
+	// Fingerprint is what the request has in common with its client's other tries; nil
+	// unless a server ended while it had the request.
+	Fingerprint *exchange.Fingerprint
 }
 
 // Recorder takes the story of each request. It does not block.
@@ -41,11 +45,16 @@
 }
 
 func (c *conversation) record(status int, plan fanout.Plan, result fanout.Result) {
+	var fingerprint *exchange.Fingerprint
+	if result.Broken > 0 {
+		known := c.request.Fingerprint()
+		fingerprint = &known
+	}
 	c.handler.events.Record(Record{
 		ID: c.id, Host: c.received.Host, Path: c.received.RequestURI, Route: c.route.Name, Version: c.version,
 		Policy: c.policy, Status: status, Took: time.Since(c.began), Reason: string(result.Reason), Parts: result.Got,
 		Required: plan.Required, Total: len(plan.Services), Result: result, Services: plan.Services,
-		RetryAfter: c.toldWait,
+		RetryAfter: c.toldWait, Fingerprint: fingerprint,
 	})
 }
 
--- a/pkg/exchange/attempt.go
+++ b/pkg/exchange/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -50,6 +51,9 @@
 	// have done any work: it likely has too many connections. It is no evidence
 	// that the request did not run. Valid after Run.
 	TurnedAway bool
+	// Broken reports that the other side ended the connection after the request may have
+	// arrived and before its whole answer, as a server does that crashes. Valid after Run.
+	Broken bool
 
 	mutex sync.Mutex
 	// end, cancelDial and current are guarded by mutex.
@@ -107,6 +111,7 @@
 			a.Pool.distrust(sentAt)
 		}
 		a.noteTurnedAway(a.ConnectTime > 0 && errors.Is(err, syscall.ECONNRESET) && time.Since(sentAt) < turnedAwayWithin+2*a.ConnectTime)
+		a.Broken = !a.TurnedAway && isEnded(err)
 		return nil, a.failure("exchange", outcome.Unknown, outcome.ReasonConnectionLost, err)
 	}
 	return answer, nil
@@ -115,6 +120,12 @@
 // isTimeout reports whether a read or write ended because of its deadline.
 func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
+// isEnded reports whether the other side ended the connection.
+func isEnded(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 func (a *Attempt) noteTurnedAway(turnedAway bool) {
 	a.TurnedAway = turnedAway
 	if turnedAway {
--- /dev/null
+++ b/pkg/exchange/fingerprint_test.go
@@ -0,0 +1,39 @@
+package exchange_test
+
+import (
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+)
+
+// TestAFingerprintFollowsARequestThroughItsTries, and tells it from others.
+func TestAFingerprintFollowsARequestThroughItsTries(t *testing.T) {
+	g := NewWithT(t)
+	first := exchange.Request{
+		Method: "POST", Host: "h", Target: "/a?b", ID: "1", Body: []byte("body"),
+		Header: http.Header{"Authorization": {"one"}, "Traceparent": {"x"}},
+	}
+	again := first
+	again.ID, again.Header = "2", http.Header{"Authorization": {"one"}, "Traceparent": {"y"}}
+	g.Expect(again.Fingerprint()).To(Equal(first.Fingerprint()))
+	parsed, ok := exchange.ParseFingerprint(first.Fingerprint().String())
+	g.Expect(ok).To(BeTrue())
+	g.Expect(parsed).To(Equal(first.Fingerprint()))
+	_, ok = exchange.ParseFingerprint("00")
+	g.Expect(ok).To(BeFalse())
+	for name, change := range map[string]func(*exchange.Request){
+		"method":      func(r *exchange.Request) { r.Method = "PUT" },
+		"host":        func(r *exchange.Request) { r.Host = "other" },
+		"target":      func(r *exchange.Request) { r.Target = "/a?c" },
+		"body":        func(r *exchange.Request) { r.Body = []byte("bodY") },
+		"credentials": func(r *exchange.Request) { r.Header = http.Header{"Authorization": {"two"}} },
+		"fields":      func(r *exchange.Request) { r.Host, r.Target = "h/", "a?b" },
+	} {
+		other := first
+		change(&other)
+		g.Expect(other.Fingerprint()).NotTo(Equal(first.Fingerprint()), name)
+	}
+}
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -125,6 +125,8 @@
 	Shed int
 	// Denied counts extra sub-requests that the budget did not pay for.
 	Denied int
+	// Broken counts the sub-requests whose server ended the connection before its answer.
+	Broken int
 	// Attempts are the sub-requests of the parts that were not answered by the
 	// first server that was asked; at most maxAttemptRecords.
 	Attempts []AttemptRecord
--- a/pkg/fanout/result.go
+++ b/pkg/fanout/result.go
@@ -93,7 +93,7 @@
 	result := Result{
 		Parts: make([]*exchange.Response, len(r.parts)), Failures: make([]error, len(r.parts)),
 		Refusals: make([]*exchange.Response, len(r.parts)),
-		Got:      r.got, Reason: reason, Hedges: r.hedges, Retries: r.retries, Sent: r.sent, Denied: r.denied,
+		Got:      r.got, Reason: reason, Hedges: r.hedges, Retries: r.retries, Sent: r.sent, Denied: r.denied, Broken: r.broken,
 		Attempts: r.records(time.Now()), Asked: len(r.questions), Owners: r.ownerRecords(),
 		MayRun: make([]bool, len(r.parts)), NoRoom: make([]bool, len(r.parts)),
 	}
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -81,6 +81,7 @@
 	retries int
 	sent    int
 	denied  int
+	broken  int
 }
 
 func newRun(runner *Runner, plan Plan, request *exchange.Request) *run {
@@ -308,6 +309,9 @@
 	part := &r.parts[index]
 	part.live = without(part.live, result.attempt)
 	result.attempt.endedAt, result.attempt.result = now, result.describe()
+	if result.attempt.Broken {
+		r.broken++
+	}
 	if part.answer != nil {
 		return
 	}
