--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -18,6 +18,7 @@
 	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/owner"
 	"github.com/bramblemast/bramblemast/pkg/peer"
+	"github.com/bramblemast/bramblemast/pkg/quarantine"
 	"github.com/bramblemast/bramblemast/pkg/target"
 )
 
@@ -51,6 +52,7 @@
 type Platform interface {
 	directory.Source
 	Registry
+	quarantine.Ledger
 	// SetObserver lets a function take each call by its name and its error; it does
 	// not block. It is called before the first call.
 	SetObserver(observe func(call string, err error))
@@ -78,6 +80,7 @@
 	// reloadProblem is the last fault of the settings; only watchSettings uses it.
 	reloadProblem string
 	state         *state
+	quarantine    *quarantine.Guard
 	listener      *front.Listener
 	ready         *http.Server
 	// readyListener takes the platform's questions about readiness.
@@ -109,6 +112,10 @@
 	node.follower = directory.NewFollower(options.Platform, node.state)
 	node.follower.SetNewsAge(settings.newsAge())
 	node.follower.SetFirstStart(settings.Node.FirstStart)
+	node.quarantine = quarantine.New(quarantine.Options{
+		Ledger: options.Platform, LedgerLost: node.follower.HasLost, Dialer: newServerDialer(), Events: suspectEvents{node},
+	})
+	node.state.quarantine = node.quarantine
 	local := directory.Node{Name: settings.Node.Name, Zone: settings.Node.Zone}
 	if err := node.openPeers(settings, &local); err != nil {
 		return nil, err
@@ -132,11 +139,14 @@
 		Local:       fleet.Place{Zone: settings.Node.Zone, Region: settings.Node.Region},
 		Regions:     settings.Zones,
 		LeaveWithin: settings.leaveWithin(), WarmUpBounds: settings.warmUpBounds(),
-		Dialer: &net.Dialer{Timeout: connectTimeout, KeepAlive: -1},
+		Dialer: newServerDialer(),
 		Random: newRandom(),
 	})
 }
 
+// newServerDialer returns what opens connections to servers.
+func newServerDialer() *net.Dialer { return &net.Dialer{Timeout: connectTimeout, KeepAlive: -1} }
+
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // openClients opens the address for clients.
@@ -145,6 +155,7 @@
 	options := front.Options{
 		Dialect: n.options.Dialect, State: n.state, Fleet: n.state.fleet, Budget: n.state.budgets, Policies: rules,
 		Events: recorder, Random: newRandom(), MaxInFlight: maxInFlight,
+		Quarantine: n.quarantine,
 	}
 	if n.owners != nil {
 		options.Owners = n.owners
@@ -219,6 +230,7 @@
 	}
 	add(n.follower.Run)
 	add(n.member.run)
+	add(n.quarantine.Run)
 	if n.transport != nil {
 		add(n.transport.Run)
 		add(n.peers.Run)
@@ -242,6 +254,7 @@
 			return nil
 		case now := <-ticker.C:
 			n.state.fleet.Sweep(now)
+			n.quarantine.Sweep(now)
 		}
 	}
 }
--- a/internal/edge/figures.go
+++ b/internal/edge/figures.go
@@ -36,6 +36,7 @@
 	storeCalls  *prometheus.CounterVec
 	evacuated   *prometheus.GaugeVec
 	broken      *prometheus.CounterVec
+	standings   *prometheus.CounterVec
 }
 
 func newFigures() *figures {
@@ -61,10 +62,12 @@
 		}, []string{"zone"}),
 		storeCalls: counters("store_calls_total", "Calls to the platform's store, by what was asked and whether it answered as hoped.", "call", "result"),
 		broken:     counters("connections_broken_total", "Sub-requests whose server ended the connection before its answer.", "route"),
+		standings: counters("suspect_requests_total", "Changes of what is known of requests under which servers ended, by the new standing.",
+			"standing"),
 		ownersLost: counters("owners_lost_total", "Times that an owner did not answer and was left out for a while."),
 	}
 	f.registry.MustRegister(f.requests, f.latency, f.missing, f.subRequests, f.denied, f.dependency, f.refused, f.overloads, f.logLines,
-		f.owned, f.ownersLost, f.storeCalls, f.evacuated, f.broken)
+		f.owned, f.ownersLost, f.storeCalls, f.evacuated, f.broken, f.standings)
 	return f
 }
 
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -13,6 +13,7 @@
 	"github.com/bramblemast/bramblemast/pkg/directory"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/owner"
+	"github.com/bramblemast/bramblemast/pkg/quarantine"
 	"github.com/bramblemast/bramblemast/pkg/route"
 )
 
@@ -33,6 +34,9 @@
 	// evacuateWithin returns the span in which the load of an evacuated zone leaves it.
 	evacuateWithin func() time.Duration
 
+	// quarantine is told what other nodes found out about requests that end servers.
+	quarantine *quarantine.Guard
+
 	// roster divides shards among the nodes; nil if the node has no peers.
 	roster *owner.Roster
 	// member is told of the nodes' entries.
@@ -109,6 +113,8 @@
 		s.applyServer(entry)
 	case entry.EvacuatedZone != "":
 		s.applyEvacuation(entry)
+	case entry.Note != nil:
+		s.quarantine.Learn(*entry.Note, entry.Gone, time.Now())
 	case entry.Node != nil:
 		if s.member != nil {
 			s.member.found(entry)
--- /dev/null
+++ b/internal/edge/suspects.go
@@ -0,0 +1,26 @@
+package edge
+
+import (
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/quarantine"
+)
+
+// suspectEvents tells in the log which requests are kept from servers, and why. It
+// implements quarantine.Events.
+type suspectEvents struct{ node *Node }
+
+// Standing implements quarantine.Events.
+func (e suspectEvents) Standing(fingerprint exchange.Fingerprint, standing quarantine.Standing, servers []string) {
+	e.node.figures.standings.WithLabelValues(standing.String()).Inc()
+	list := []any{"fingerprint", fingerprint.String(), "servers_ended", servers}
+	if standing == quarantine.Clear {
+		e.node.logger.Info("request cleared", list...)
+		return
+	}
+	e.node.logger.Warn("request "+standing.String(), list...)
+}
+
+// LedgerFailed implements quarantine.Events.
+func (e suspectEvents) LedgerFailed(call string, err error) {
+	e.node.logger.Warn("notes on suspect requests not kept", "call", call, "error", err.Error())
+}
--- a/internal/front/conversation.go
+++ b/internal/front/conversation.go
@@ -33,12 +33,18 @@
 // serve asks servers and answers.
 func (c *conversation) serve(request *exchange.Request) {
 	c.request = request
+	trial, isKeptBack := c.claimTrial()
+	if isKeptBack {
+		c.refuse(http.StatusServiceUnavailable, outcome.ReasonQuarantined, c.quarantineWait())
+		return
+	}
 	c.policy = c.handler.policies.For(c.route, c.id)
 	plan := fanout.Plan{
 		Kind: c.route.Name, Version: c.version, Regions: c.regions, Repeatable: c.route.Repeatable,
 		MaxAttempts: min(c.route.MaxAttempts, c.policy.MaxAttempts),
 		Target:      target(c.route, c.began), Deadline: c.deadline, Assumed: assumedTime(c.route),
 		Hedge: c.policy.Hedge, Stop: c.policy.Stop, ExtraShare: c.policy.ExtraShare, TopRecords: c.route.TopRecords,
+		IsTrial: trial != nil,
 	}
 	plan.Patience = time.Until(c.deadline)
 	if c.route.Gathered() {
@@ -46,7 +52,10 @@
 	} else {
 		plan.Services, plan.Required = []string{c.handler.splitter.pick(c.route)}, 1
 	}
-	c.run(plan, request)
+	result := c.run(plan, request)
+	if trial != nil && result.Outcome == outcome.NotRun {
+		trial.GiveBack()
+	}
 }
 
 // regions returns where the request may be served by the configuration in force now, which
@@ -60,7 +69,7 @@
 }
 
 // run asks servers and answers.
-func (c *conversation) run(plan fanout.Plan, request *exchange.Request) {
+func (c *conversation) run(plan fanout.Plan, request *exchange.Request) fanout.Result {
 	runner, answer := c.handler.forwarder, c.answerForwarded
 	if c.route.Gathered() {
 		runner, answer = c.handler.gatherer, c.answerGathered
@@ -70,6 +79,7 @@
 		c.handler.events.Overload(plan.Services[0], c.handler.fleet.Waiting(plan.Services...))
 	}
 	answer(plan, result)
+	return result
 }
 
 // isShortOfRoom reports whether a request failed for want of room at servers.
@@ -152,6 +162,8 @@
 		switch {
 		case result.Reason == fanout.StopUnservable:
 			wait = max(unservableWait, c.refusedFor(plan))
+		case result.Reason == fanout.StopQuarantined:
+			wait = c.quarantineWait()
 		case result.Shed > 0:
 			wait = max(wait, c.refusedFor(plan))
 		}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -14,6 +14,7 @@
 	"github.com/bramblemast/bramblemast/pkg/fanout"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/quarantine"
 	"github.com/bramblemast/bramblemast/pkg/route"
 )
 
@@ -42,9 +43,10 @@
 	state   State
 	gatherer,
 	forwarder *fanout.Runner
-	policies Policies
-	splitter *splitter
-	fleet    *fleet.Fleet
+	policies   Policies
+	quarantine *quarantine.Guard
+	splitter   *splitter
+	fleet      *fleet.Fleet
 	// overloads are since when requests are refused for want of room, by the
 	// first service of their route.
 	overloads *episodes
@@ -63,6 +65,8 @@
 	Owners   fanout.Owners
 	Policies Policies
 	Events   Recorder
+	// Quarantine keeps requests from servers that end when they run them; nil for none.
+	Quarantine *quarantine.Guard
 	// Random is not shared with other users.
 	Random *rand.Rand
 	// MaxInFlight bounds the requests that are served at once.
@@ -78,10 +82,11 @@
 	handler := &Handler{
 		dialect: options.Dialect, state: options.State, policies: options.Policies, events: options.Events,
 		splitter: newSplitter(options.Random), inFlight: make(chan struct{}, options.MaxInFlight),
-		overloads: newEpisodes(), fleet: options.Fleet,
+		overloads: newEpisodes(), fleet: options.Fleet, quarantine: options.Quarantine,
 	}
 	runner := fanout.Runner{
 		Fleet: options.Fleet, Budget: options.Budget, Dialect: &handler.dialect.Dialect, Linger: lingerAfterAnswer,
+		Quarantine: options.Quarantine,
 	}
 	gatherer, forwarder := runner, runner
 	gatherer.Sound, forwarder.Sound = isPart, isWholeAnswer
--- /dev/null
+++ b/internal/front/suspect.go
@@ -0,0 +1,48 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/quarantine"
+)
+
+// Times of requests that are suspect of ending servers.
+const (
+	// claimTimeout bounds the question whether a trial may be made: two round trips
+	// between regions, and a store that is slow for a moment.
+	claimTimeout = 300 * time.Millisecond
+	// trialWait is told to the client of a suspect request while another one's trial is
+	// under way: a trial takes a few tenths of a second, and news of it a second or two.
+	trialWait = time.Second
+)
+
+// claimTrial returns leave to send a request that is suspect of ending servers to one of
+// them, and whether it is kept from them instead. Other requests need no leave.
+func (c *conversation) claimTrial() (trial *quarantine.Trial, isKeptBack bool) {
+	guard := c.handler.quarantine
+	if guard == nil || guard.IsIdle() {
+		return nil, false
+	}
+	fingerprint := c.request.Fingerprint()
+	switch guard.Standing(fingerprint) {
+	case quarantine.Quarantined:
+		return nil, true
+	case quarantine.Suspect:
+		limited, cancel := context.WithTimeout(c.received.Context(), claimTimeout)
+		defer cancel()
+		trial = guard.ClaimTrial(limited, fingerprint)
+		return trial, trial == nil
+	}
+	return nil, false
+}
+
+// quarantineWait returns when a request that is kept from servers may come back: soon while
+// it may still be cleared, else once it is forgotten.
+func (c *conversation) quarantineWait() time.Duration {
+	guard, fingerprint := c.handler.quarantine, c.request.Fingerprint()
+	if guard.Standing(fingerprint) != quarantine.Quarantined {
+		return trialWait
+	}
+	return max(trialWait, guard.Until(fingerprint, time.Now()))
+}
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/quarantine"
 	"github.com/bramblemast/bramblemast/pkg/route"
 	"github.com/bramblemast/bramblemast/pkg/template"
 )
@@ -33,6 +34,8 @@
 	// EvacuatedZone is set for the key that asks to send nothing to a zone's servers, also
 	// when it is gone and that is taken back.
 	EvacuatedZone string
+	// Note is set for the key of a note on a request that ends servers, also when it is gone.
+	Note *quarantine.Note
 
 	Configuration *route.Configuration
 	Server        *fleet.Server
@@ -43,6 +46,11 @@
 	Problem error
 }
 
+// end returns the state of the entry's key once it is gone at a revision.
+func (e Entry) end(revision uint64) Entry {
+	return Entry{Key: e.Key, Revision: revision, Gone: true, ServerID: e.ServerID, EvacuatedZone: e.EvacuatedZone, Note: e.Note}
+}
+
 // Node is one node of the query tier.
 type Node struct {
 	Name string
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -323,7 +323,7 @@
 func (p *Peers) decode(item *directorypb.Item) Entry {
 	entry := p.follower.source.Decode(item.Key, item.Value, item.Revision)
 	if item.Gone {
-		return Entry{Key: item.Key, ServerID: entry.ServerID, EvacuatedZone: entry.EvacuatedZone, Revision: item.Revision, Gone: true}
+		return entry.end(item.Revision)
 	}
 	return entry
 }
--- a/pkg/directory/replica.go
+++ b/pkg/directory/replica.go
@@ -137,9 +137,9 @@
 		delete(missing, entry.Key)
 	}
 	var ends []Entry
-	for key, entry := range missing {
+	for _, entry := range missing {
 		if entry.Revision > after && entry.Revision <= batch.Revision {
-			ends = append(ends, Entry{Key: key, ServerID: entry.ServerID, EvacuatedZone: entry.EvacuatedZone, Revision: batch.Revision, Gone: true})
+			ends = append(ends, entry.end(batch.Revision))
 		}
 	}
 	return ends
--- a/pkg/exchange/exchangetest/network.go
+++ b/pkg/exchange/exchangetest/network.go
@@ -90,6 +90,13 @@
 	return added
 }
 
+// Remove takes the server at an address away, so that new connections are refused.
+func (n *Network) Remove(address string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	delete(n.servers, address)
+}
+
 // Dials returns the number of connections that were opened.
 func (n *Network) Dials() int {
 	n.mutex.Lock()
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -13,6 +13,7 @@
 	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/policy"
+	"github.com/bramblemast/bramblemast/pkg/quarantine"
 	"github.com/bramblemast/bramblemast/pkg/route"
 )
 
@@ -55,6 +56,9 @@
 	TopRecords int
 	// Collect is set for a run on behalf of another node; nil for a client's request.
 	Collect *Collect
+	// IsTrial lets a request that is suspect of ending servers go to one server, and to the
+	// others once that has answered.
+	IsTrial bool
 }
 
 // Collect makes a run tell another node of its parts as they come. That node
@@ -100,7 +104,10 @@
 	// for the request: they stand in regions to which it is not to go, or in zones that are
 	// being evacuated.
 	StopUnservable StopReason = "unservable"
-	StopCancelled  StopReason = "cancelled"
+	// StopQuarantined means that servers have ended while they had the request, and that it
+	// is kept from others.
+	StopQuarantined StopReason = "quarantined"
+	StopCancelled   StopReason = "cancelled"
 )
 
 // Result is what Run has got.
@@ -136,6 +143,9 @@
 	Owners []OwnerRecord
 	// MayRun says of each part without an answer whether a server may have run it.
 	MayRun []bool
+	// EndedServers are those that ended while they had the request, if it is kept from
+	// others.
+	EndedServers []string
 	// NoRoom says of each part whether a server refused it for want of room, or none
 	// was free.
 	NoRoom []bool
@@ -170,6 +180,8 @@
 	// Owners are the nodes to ask for groups of parts; nil where this node asks all
 	// servers itself.
 	Owners Owners
+	// Quarantine keeps requests from servers that end when they run them; nil for none.
+	Quarantine *quarantine.Guard
 }
 
 // Run asks the services of a plan. It returns as soon as the answer is final.
--- /dev/null
+++ b/pkg/fanout/kept_back_test.go
@@ -0,0 +1,169 @@
+package fanout_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/exchange/exchangetest"
+	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/quarantine"
+)
+
+// silentLedger keeps nothing and grants every trial.
+type silentLedger struct{}
+
+func (silentLedger) AddNotes(context.Context, []quarantine.Note) error            { return nil }
+func (silentLedger) ClaimNote(context.Context, quarantine.Note) (bool, error)     { return true, nil }
+func (silentLedger) RemoveNotes(context.Context, []quarantine.Note) error         { return nil }
+func (silentLedger) Standing(exchange.Fingerprint, quarantine.Standing, []string) {}
+func (silentLedger) LedgerFailed(string, error)                                   {}
+
+const deadlyTarget = "/deadly"
+
+// newDeadlyWorld has shards with some servers each, which end when they run a deadly request.
+// broken is called when a server ends.
+func newDeadlyWorld(services []string, copies []string) *world {
+	w := newWorld()
+	guard := quarantine.New(quarantine.Options{
+		Ledger: silentLedger{}, LedgerLost: func() bool { return false }, Dialer: w.network, Events: silentLedger{},
+	})
+	w.runner.Quarantine = guard
+	for _, service := range services {
+		for _, copied := range copies {
+			name := service + copied
+			w.add(service, name, exchangetest.Answer{})
+			w.servers[name].Respond = func(request exchangetest.Request) exchangetest.Answer {
+				answer := exchangetest.Whole("x")
+				answer.Delay = 10 * time.Millisecond
+				if request.RequestURI == deadlyTarget {
+					w.network.Remove(name)
+					answer.Cut = 0
+				}
+				return answer
+			}
+		}
+	}
+	return w
+}
+
+// send runs a request to a target.
+func (w *world) send(plan fanout.Plan, target string) fanout.Result {
+	return w.runner.Run(context.Background(), plan, &exchange.Request{Method: "GET", Target: target, ID: "r"})
+}
+
+// arrivedFor counts the requests for a target at all servers.
+func (w *world) arrivedFor(target string) int {
+	count := 0
+	for _, each := range w.servers {
+		for _, request := range each.Requests() {
+			if request.RequestURI == target {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func (w *world) close() {
+	time.Sleep(time.Minute)
+	w.fleet.Sweep(time.Now())
+}
+
+var fourShards, threeCopies = []string{"a", "b", "c", "d"}, []string{"1", "2", "3"}
+
+// TestADeadlyRequestEndsOneServerOfEachShard, and not a second one: the run ends as soon as
+// nothing can clear the request any more, and the next one is refused with a promise.
+func TestADeadlyRequestEndsOneServerOfEachShard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newDeadlyWorld(fourShards, threeCopies)
+		defer w.close()
+		began := time.Now()
+		result := w.send(plan(fourShards...), deadlyTarget)
+		g.Expect(result.Reason).To(Equal(fanout.StopQuarantined))
+		g.Expect(result.Outcome).To(Equal(outcome.Unknown))
+		g.Expect(time.Since(began)).To(BeNumerically("<", 60*time.Millisecond))
+		ended := w.arrivedFor(deadlyTarget)
+		g.Expect(ended).To(BeNumerically("<=", 6), "two ends are retried at once")
+		result = w.send(plan(fourShards...), deadlyTarget)
+		g.Expect(result.Reason).To(Equal(fanout.StopQuarantined))
+		g.Expect(result.Outcome).To(Equal(outcome.NotRun))
+		g.Expect(w.arrivedFor(deadlyTarget)).To(Equal(ended))
+	})
+}
+
+// TestWhatSharedAServerIsRetriedAtOnce: a request that lost parts with the servers of another
+// one is answered, and is not suspect.
+func TestWhatSharedAServerIsRetriedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newDeadlyWorld(fourShards, threeCopies)
+		defer w.close()
+		// The near servers of three shards break the connections of all that they have, and end.
+		for _, name := range []string{"a1", "b1", "c1"} {
+			w.servers[name].Respond = func(exchangetest.Request) exchangetest.Answer {
+				w.network.Remove(name)
+				return exchangetest.Answer{}
+			}
+		}
+		wanted := plan(fourShards...)
+		wanted.Required = len(fourShards)
+		began := time.Now()
+		result := w.send(wanted, "/shared")
+		g.Expect(result.Got).To(Equal(len(fourShards)))
+		g.Expect(time.Since(began)).To(BeNumerically("<", 60*time.Millisecond))
+		g.Expect(w.runner.Quarantine.IsIdle()).To(BeTrue())
+	})
+}
+
+// TestATrialAsksOneServerFirst, and the others once that has answered; a deadly request ends
+// no more than that one.
+func TestATrialAsksOneServerFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newDeadlyWorld(fourShards, threeCopies)
+		defer w.close()
+		for _, target := range []string{deadlyTarget, "/shared"} {
+			request := exchange.Request{Method: "GET", Target: target}
+			w.runner.Quarantine.LearnEnded(request.Fingerprint(), []string{"x", "y", "z"}, time.Now())
+		}
+		tried := plan(fourShards...)
+		tried.IsTrial = true
+		result := w.send(tried, deadlyTarget)
+		g.Expect(result.Reason).To(Equal(fanout.StopQuarantined))
+		g.Expect(w.arrivedFor(deadlyTarget)).To(Equal(1))
+		tried = plan(fourShards...)
+		tried.IsTrial, tried.Required = true, len(fourShards)
+		result = w.send(tried, "/shared")
+		g.Expect(result.Got).To(Equal(len(fourShards)))
+		cleared := exchange.Request{Method: "GET", Target: "/shared"}
+		g.Expect(w.runner.Quarantine.Standing(cleared.Fingerprint())).To(Equal(quarantine.Clear))
+	})
+}
+
+// TestARequestThatWaitsForAServerIsKeptFromIt if it becomes suspect meanwhile.
+func TestARequestThatWaitsForAServerIsKeptFromIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newDeadlyWorld(nil, nil)
+		defer w.close()
+		time.AfterFunc(100*time.Millisecond, func() {
+			request := exchange.Request{Method: "GET", Target: deadlyTarget}
+			w.runner.Quarantine.LearnEnded(request.Fingerprint(), []string{"x", "y", "z"}, time.Now())
+		})
+		time.AfterFunc(200*time.Millisecond, func() { w.add("late", "late1", exchangetest.Whole("x")) })
+		waiting := plan("late")
+		waiting.Patience = time.Second
+		w.fleet.Apply(fleet.Server{ID: "gone", Service: "late", Address: "gone", Zone: "z"}, time.Now())
+		result := w.send(waiting, deadlyTarget)
+		g.Expect(result.Reason).To(Equal(fanout.StopQuarantined))
+		g.Expect(result.Outcome).To(Equal(outcome.NotRun))
+	})
+}
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -24,6 +24,12 @@
 // busy, it is tried again a little later.
 func (r *run) launchNext(index int, now time.Time) {
 	part := &r.parts[index]
+	if r.keepBack(part, now) {
+		if part.idleSince.IsZero() {
+			part.idleSince = now
+		}
+		return
+	}
 	r.withdraw(part)
 	lease, availability := r.runner.Fleet.Acquire(r.choice(part), now)
 	if lease == nil {
@@ -114,7 +120,7 @@
 // hedge asks a further server while an earlier one is still silent.
 func (r *run) hedge(index int, now time.Time) {
 	part := &r.parts[index]
-	if part.executions >= r.plan.MaxAttempts || !r.plan.Repeatable || r.mustAsk(index) {
+	if part.executions >= r.plan.MaxAttempts || !r.plan.Repeatable || r.mustAsk(index) || r.keepBack(part, now) {
 		return
 	}
 	lease, _ := r.runner.Fleet.Acquire(r.choice(part), now)
@@ -204,7 +210,7 @@
 	part.arrivals++
 	part.executions++
 	r.sent++
-	go r.runner.perform(started, r.results, r.ended)
+	go r.perform(started)
 }
 
 // maySend returns what is asked right before a request is sent. It is called from the
@@ -214,12 +220,14 @@
 }
 
 // perform runs an attempt and tells the fleet and the run what it showed.
-func (r *Runner) perform(started *attempt, results chan<- finished, ended <-chan struct{}) {
+func (r *run) perform(started *attempt) {
 	answer, err := started.Run()
-	r.Fleet.Finish(started.lease, r.classify(started, answer, err), started.ConnectTime, time.Now())
+	now := time.Now()
+	r.runner.Fleet.Finish(started.lease, r.runner.classify(started, answer, err), started.ConnectTime, now)
+	r.noteBroken(started, now)
 	select {
-	case results <- finished{attempt: started, answer: answer, err: err}:
-	case <-ended:
+	case r.results <- finished{attempt: started, answer: answer, err: err}:
+	case <-r.ended:
 	}
 }
 
--- a/pkg/fanout/owners.go
+++ b/pkg/fanout/owners.go
@@ -65,6 +65,9 @@
 	Ended bool
 	// Err is why nothing more comes; an *outcome.Error.
 	Err error
+	// EndedServers are those that ended while they had the request, if the owner keeps it
+	// from others.
+	EndedServers []string
 	// Sent, Hedges, Retries and Denied count as in Result.
 	Sent, Hedges, Retries, Denied int
 }
@@ -176,7 +179,7 @@
 		}
 		return
 	}
-	if r.runner.Owners == nil || !r.plan.Repeatable {
+	if r.runner.Owners == nil || !r.plan.Repeatable || r.plan.IsTrial {
 		return
 	}
 	for _, group := range r.runner.Owners.Divide(r.plan.Services, r.regions()) {
@@ -233,6 +236,7 @@
 		from.silentAt = now.Add(from.patience())
 	}
 	r.takeAnswers(from, report.Answers, now)
+	r.learnEnded(report.EndedServers, now)
 	r.grant(from, report.Wanted)
 	r.sent += report.Sent
 	r.hedges += report.Hedges
--- a/pkg/fanout/result.go
+++ b/pkg/fanout/result.go
@@ -7,6 +7,7 @@
 
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/quarantine"
 )
 
 // noteFailure updates what is known of the execution.
@@ -95,7 +96,8 @@
 		Refusals: make([]*exchange.Response, len(r.parts)),
 		Got:      r.got, Reason: reason, Hedges: r.hedges, Retries: r.retries, Sent: r.sent, Denied: r.denied, Broken: r.broken,
 		Attempts: r.records(time.Now()), Asked: len(r.questions), Owners: r.ownerRecords(),
-		MayRun: make([]bool, len(r.parts)), NoRoom: make([]bool, len(r.parts)),
+		EndedServers: r.endedServers(),
+		MayRun:       make([]bool, len(r.parts)), NoRoom: make([]bool, len(r.parts)),
 	}
 	ran, mayRun := false, false
 	for index := range r.parts {
@@ -120,6 +122,9 @@
 // refusedBecause returns why a request is not begun at all; empty if it is. A question of
 // another node was let in there.
 func (r *run) refusedBecause() StopReason {
+	if r.standing() > quarantine.Doubtful && !r.plan.IsTrial {
+		return StopQuarantined
+	}
 	if r.plan.Collect != nil {
 		return ""
 	}
@@ -147,8 +152,11 @@
 // they can, or no server that may be asked.
 func (r *run) refusal(reason StopReason) Result {
 	cause := outcome.ReasonOverloaded
-	if reason == StopUnservable {
+	switch reason {
+	case StopUnservable:
 		cause = outcome.ReasonNoReplica
+	case StopQuarantined:
+		cause = outcome.ReasonQuarantined
 	}
 	for index := range r.parts {
 		part := &r.parts[index]
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -73,6 +74,10 @@
 	wants    []int
 	reportAt time.Time
 	told     bool
+	// served says that a server has answered the request; attempts read it too.
+	served atomic.Bool
+	// fingerprinted is the request's fingerprint once it was made.
+	fingerprinted *exchange.Fingerprint
 	// lot is drawn from the request's id, alike on all nodes.
 	lot     uint64
 	got     int
@@ -167,6 +172,8 @@
 		return StopExhausted, true
 	case !now.Before(r.plan.Deadline):
 		return StopDeadline, true
+	case r.isQuarantined():
+		return StopQuarantined, true
 	case r.plan.Collect != nil:
 		return "", false
 	case !r.plan.Target.IsZero() && !now.Before(r.plan.Target) && r.got >= r.plan.Required:
@@ -328,6 +335,9 @@
 // accept takes the answer of a part.
 func (r *run) accept(index int, answer *exchange.Response, now time.Time) {
 	part := &r.parts[index]
+	if r.got == 0 {
+		r.noteServed()
+	}
 	r.withdraw(part)
 	part.answer = answer
 	part.ran = true
@@ -359,6 +369,10 @@
 	if r.mustAsk(index) {
 		return
 	}
+	if r.keepBack(part, now) {
+		part.unpaid = true
+		return
+	}
 	if part.refusals > freeRefusals {
 		r.awaitRoom(part, now)
 		return
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -80,7 +80,9 @@
 	ReasonDuplicate       Reason = "duplicate_request"
 	ReasonStoreAway       Reason = "store_unavailable"
 	ReasonStarting        Reason = "starting"
-	ReasonInternal        Reason = "internal"
+	// ReasonQuarantined refuses a request that ended the servers that ran it.
+	ReasonQuarantined Reason = "quarantined"
+	ReasonInternal    Reason = "internal"
 )
 
 // Error is a failure with the step and the peer at which it arose, and with
--- a/pkg/owner/client.go
+++ b/pkg/owner/client.go
@@ -203,6 +203,7 @@
 	report := fanout.Report{
 		Answers: make(map[int]*exchange.Response, len(encoded.Parts)), Ended: encoded.Ended,
 		Sent: int(encoded.Sent), Hedges: int(encoded.Hedges), Retries: int(encoded.Retries), Denied: int(encoded.Denied),
+		EndedServers: encoded.EndedServers,
 	}
 	for _, index := range encoded.Wanted {
 		report.Wanted = append(report.Wanted, int(index))
--- a/pkg/owner/owner_test.go
+++ b/pkg/owner/owner_test.go
@@ -26,6 +26,7 @@
 	"github.com/bramblemast/bramblemast/pkg/owner/ownerpb"
 	"github.com/bramblemast/bramblemast/pkg/peer"
 	"github.com/bramblemast/bramblemast/pkg/policy"
+	"github.com/bramblemast/bramblemast/pkg/quarantine"
 	"github.com/bramblemast/bramblemast/pkg/route"
 	"github.com/bramblemast/bramblemast/pkg/target"
 )
@@ -223,6 +224,9 @@
 		Fleet: created.fleet, Budget: created.budget, Dialect: &exchangetest.Dialect, Linger: 350 * time.Millisecond,
 		Sound: func(answer *exchange.Response) bool { return answer.Status == http.StatusOK && answer.Evidence != "" },
 	}
+	runner.Quarantine = quarantine.New(quarantine.Options{
+		Ledger: silentLedger{}, LedgerLost: func() bool { return false }, Dialer: c.servers, Events: silentLedger{},
+	})
 	collector := runner
 	runner.Owners = created.client
 	created.runner = &runner
--- a/pkg/owner/server.go
+++ b/pkg/owner/server.go
@@ -198,6 +198,7 @@
 	report.Ended = true
 	report.Sent, report.Hedges = uint32(result.Sent), uint32(result.Hedges)
 	report.Retries, report.Denied = uint32(result.Retries), uint32(result.Denied)
+	report.EndedServers = result.EndedServers
 	for index, answer := range result.Parts {
 		if answer != nil {
 			continue
--- /dev/null
+++ b/pkg/quarantine/quarantine.go
@@ -0,0 +1,351 @@
+// Package quarantine keeps requests from servers that end when they run them.
+//
+// A request is suspect once several servers have ended while they had it and none has
+// answered it. From then on it reaches servers only in trials: each asks one server at
+// first, and all nodes together make a bounded number of them, which the platform's store
+// counts. An answer clears the request; when the trials are used up without one, it is
+// refused at once. So a request that shared a server with a deadly one is served by its
+// trial, and the deadly one ends a few servers rather than all.
+//
+// Nodes tell each other through notes in the store: one for each server that ended and one
+// for each trial, so that notes of different nodes add up without a conflict.
+package quarantine
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+)
+
+// Bounds and times of suspicion.
+const (
+	// suspectAfter is how many servers end under a request before it is suspect. Two end
+	// under an ordinary request that meets two crashes in a row; the third makes it worth
+	// the time of a trial.
+	suspectAfter = 3
+	// greatestTrials is how many trials all nodes together make: one that fails may have
+	// met the crash of another request's server, two in a row hardly do.
+	greatestTrials = 2
+	// lifetime is for how long a request is remembered after its last note: long enough
+	// that its clients have given up, short enough that a mended server gets it again.
+	lifetime = 10 * time.Minute
+	// lifetimeSpread keeps nodes from removing the same old notes at once.
+	lifetimeSpread = time.Minute
+	// noteDelay is how long a server's end is kept back from the store, since most requests
+	// that met one are answered by another server within a few tenths of a second.
+	noteDelay = 300 * time.Millisecond
+	// probeTimeout bounds the connection that tells whether a server has ended. A server
+	// that has ended refuses within a round trip.
+	probeTimeout = time.Second
+	// endedSpan is for how long a server that has ended is known to have.
+	endedSpan = 30 * time.Second
+	// maxRecords bounds the requests that are remembered: one crash of a server leaves as
+	// many as it had requests of this node. With 300 bytes each they take 0.3 MB.
+	maxRecords = 1024
+)
+
+// Standing is what is known of a request.
+type Standing int
+
+// The standings.
+const (
+	// Clear requests are sent as any other.
+	Clear Standing = iota
+	// Doubtful means that connections to enough servers broke, and that it is being found
+	// out whether the servers ended.
+	Doubtful
+	// Suspect requests are sent in trials only.
+	Suspect
+	// Quarantined requests are not sent.
+	Quarantined
+)
+
+// String returns the name used in logs.
+func (s Standing) String() string {
+	return [...]string{"clear", "doubtful", "suspect", "quarantined"}[s]
+}
+
+// Note is what nodes tell each other of a request: that a server ended while it had the
+// request, or that a trial was made.
+type Note struct {
+	Fingerprint exchange.Fingerprint
+	// Server is the incarnation that ended; empty for a trial.
+	Server string
+	// Trial is the number of the trial, from 1; zero for a server.
+	Trial int
+}
+
+// Ledger keeps notes where all nodes find them. It is safe for concurrent use.
+type Ledger interface {
+	// AddNotes writes notes; those that exist stay.
+	AddNotes(ctx context.Context, notes []Note) error
+	// ClaimNote writes a note that must not exist; false if it does.
+	ClaimNote(ctx context.Context, note Note) (bool, error)
+	// RemoveNotes removes notes, as far as they exist.
+	RemoveNotes(ctx context.Context, notes []Note) error
+}
+
+// Events takes what a Guard finds out. It does not block.
+type Events interface {
+	// Standing tells of a new standing of a request, and of the servers that ended under it.
+	Standing(fingerprint exchange.Fingerprint, standing Standing, servers []string)
+	// LedgerFailed tells that a call to the ledger failed; notes are written later, a trial
+	// is not made.
+	LedgerFailed(call string, err error)
+}
+
+// Options are the parts of a Guard.
+type Options struct {
+	Ledger Ledger
+	// LedgerLost reports whether the ledger has been out of reach for a while. Each node
+	// then makes trials on its own.
+	LedgerLost func() bool
+	Dialer     exchange.Dialer
+	Events     Events
+}
+
+// Guard is what one node knows of deadly requests. It is safe for concurrent use.
+type Guard struct {
+	options Options
+	// known is the number of records, so that nothing is spent while there are none.
+	known atomic.Int64
+	// work has an element while there is something to write.
+	work chan struct{}
+
+	mutex sync.Mutex
+	// The fields below are guarded by mutex.
+	records map[exchange.Fingerprint]*record
+	// ended are the servers that were found to have ended, and when.
+	ended map[string]time.Time
+	// probed are the servers that are being looked at.
+	probed map[string]bool
+	// removals are notes that are to be removed.
+	removals []Note
+}
+
+// New returns a Guard that knows of no request.
+func New(options Options) *Guard {
+	return &Guard{
+		options: options, work: make(chan struct{}, 1), records: make(map[exchange.Fingerprint]*record),
+		ended: make(map[string]time.Time), probed: make(map[string]bool),
+	}
+}
+
+// IsIdle reports whether no request is remembered, so that all are clear.
+func (g *Guard) IsIdle() bool { return g.known.Load() == 0 }
+
+// Standing returns what is known of a request.
+func (g *Guard) Standing(fingerprint exchange.Fingerprint) Standing {
+	if g.IsIdle() {
+		return Clear
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if known := g.records[fingerprint]; known != nil {
+		return known.standing()
+	}
+	return Clear
+}
+
+// Until returns for how long a request will be remembered if nothing new comes.
+func (g *Guard) Until(fingerprint exchange.Fingerprint, now time.Time) time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if known := g.records[fingerprint]; known != nil {
+		return max(0, known.expiresAt.Sub(now))
+	}
+	return 0
+}
+
+// Servers returns the servers that ended under a request, as far as it is known.
+func (g *Guard) Servers(fingerprint exchange.Fingerprint) []string {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if known := g.records[fingerprint]; known != nil {
+		return known.servers()
+	}
+	return nil
+}
+
+// NoteBroken takes that a server ended its connection while it had a request that no server
+// has answered. Whether the server itself ended is found out by a connection to it.
+func (g *Guard) NoteBroken(fingerprint exchange.Fingerprint, server, address string, now time.Time) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	_, hasEnded := g.ended[server]
+	before := g.standing(fingerprint)
+	g.record(fingerprint, now).add(server, hasEnded, now)
+	if !hasEnded && !g.probed[server] {
+		g.probed[server] = true
+		go g.probe(server, address)
+	}
+	g.changed(fingerprint, before)
+}
+
+// LearnEnded takes the servers that another node has seen end under a request.
+func (g *Guard) LearnEnded(fingerprint exchange.Fingerprint, servers []string, now time.Time) {
+	if len(servers) == 0 {
+		return
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	before := g.standing(fingerprint)
+	known := g.record(fingerprint, now)
+	for _, server := range servers {
+		known.add(server, true, now)
+	}
+	g.changed(fingerprint, before)
+}
+
+// NoteServed takes that a server has answered a request: it is not what ends servers.
+func (g *Guard) NoteServed(fingerprint exchange.Fingerprint) {
+	if g.IsIdle() {
+		return
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	known := g.records[fingerprint]
+	if known == nil {
+		return
+	}
+	before := known.standing()
+	g.removals = append(g.removals, known.written(fingerprint)...)
+	g.drop(fingerprint)
+	if before == Suspect || before == Quarantined {
+		g.options.Events.Standing(fingerprint, Clear, known.servers())
+	}
+	g.signal()
+}
+
+// probe finds out whether a server has ended: its address refuses connections then.
+func (g *Guard) probe(server, address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	opened, err := g.options.Dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = opened.Close()
+	}
+	g.settle(server, errors.Is(err, syscall.ECONNREFUSED), time.Now())
+}
+
+// settle takes whether a server has ended that broke connections.
+func (g *Guard) settle(server string, hasEnded bool, now time.Time) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	delete(g.probed, server)
+	if hasEnded {
+		g.ended[server] = now
+	}
+	for fingerprint, known := range g.records {
+		before := known.standing()
+		if known.settle(server, hasEnded) {
+			g.changed(fingerprint, before)
+		}
+	}
+}
+
+// Learn takes a note of the store, or that it is gone.
+func (g *Guard) Learn(note Note, isGone bool, now time.Time) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if isGone && g.records[note.Fingerprint] == nil {
+		return
+	}
+	before := g.standing(note.Fingerprint)
+	known := g.record(note.Fingerprint, now)
+	if isGone {
+		known.forget(note)
+	} else {
+		known.learn(note, now)
+	}
+	g.changed(note.Fingerprint, before)
+}
+
+// Sweep forgets what is old.
+func (g *Guard) Sweep(now time.Time) {
+	if g.IsIdle() {
+		return
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for server, at := range g.ended {
+		if now.Sub(at) > endedSpan {
+			delete(g.ended, server)
+		}
+	}
+	for fingerprint, known := range g.records {
+		if now.After(known.expiresAt) {
+			g.removals = append(g.removals, known.written(fingerprint)...)
+			g.drop(fingerprint)
+			g.signal()
+		}
+	}
+}
+
+// record returns the record of a request, and makes it if there is none. The mutex is held.
+func (g *Guard) record(fingerprint exchange.Fingerprint, now time.Time) *record {
+	known := g.records[fingerprint]
+	if known == nil {
+		g.makeRoom()
+		known = newRecord(now)
+		g.records[fingerprint] = known
+		g.known.Add(1)
+	}
+	return known
+}
+
+// makeRoom forgets some request, if there are too many: one that is not suspect, unless all
+// are. The mutex is held.
+func (g *Guard) makeRoom() {
+	if len(g.records) < maxRecords {
+		return
+	}
+	var chosen exchange.Fingerprint
+	for fingerprint, known := range g.records {
+		chosen = fingerprint
+		if known.standing() <= Doubtful {
+			break
+		}
+	}
+	g.drop(chosen)
+}
+
+// drop forgets a request. The mutex is held.
+func (g *Guard) drop(fingerprint exchange.Fingerprint) {
+	delete(g.records, fingerprint)
+	g.known.Add(-1)
+}
+
+func (g *Guard) standing(fingerprint exchange.Fingerprint) Standing {
+	if known := g.records[fingerprint]; known != nil {
+		return known.standing()
+	}
+	return Clear
+}
+
+// changed tells of a request's new standing, and of work for Run. The mutex is held.
+func (g *Guard) changed(fingerprint exchange.Fingerprint, before Standing) {
+	known := g.records[fingerprint]
+	if known.isEmpty() {
+		g.drop(fingerprint)
+	}
+	if now := known.standing(); now != before && (max(now, before) > Doubtful) {
+		g.options.Events.Standing(fingerprint, now, known.servers())
+	}
+	if known.hasUnwritten() {
+		g.signal()
+	}
+}
+
+func (g *Guard) signal() {
+	select {
+	case g.work <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/pkg/quarantine/quarantine_test.go
@@ -0,0 +1,292 @@
+package quarantine_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/exchange/exchangetest"
+	"github.com/bramblemast/bramblemast/pkg/quarantine"
+)
+
+// ledger is a store that all guards of a test share and hear of at once. It is safe for
+// concurrent use.
+type ledger struct {
+	mutex sync.Mutex
+	// The fields below are guarded by mutex.
+	notes  map[quarantine.Note]bool
+	guards []*quarantine.Guard
+	broken bool
+	calls  int
+}
+
+var errBroken = errors.New("the ledger is broken")
+
+func (l *ledger) change(apply func() []quarantine.Note, isGone bool) error {
+	l.mutex.Lock()
+	l.calls++
+	if l.broken {
+		l.mutex.Unlock()
+		return errBroken
+	}
+	changed, told := apply(), l.guards
+	l.mutex.Unlock()
+	for _, guard := range told {
+		for _, note := range changed {
+			guard.Learn(note, isGone, time.Now())
+		}
+	}
+	return nil
+}
+
+func (l *ledger) AddNotes(_ context.Context, notes []quarantine.Note) error {
+	return l.change(func() []quarantine.Note {
+		for _, note := range notes {
+			l.notes[note] = true
+		}
+		return notes
+	}, false)
+}
+
+func (l *ledger) ClaimNote(_ context.Context, note quarantine.Note) (bool, error) {
+	isClaimed := false
+	err := l.change(func() []quarantine.Note {
+		if l.notes[note] {
+			return nil
+		}
+		isClaimed, l.notes[note] = true, true
+		return []quarantine.Note{note}
+	}, false)
+	return isClaimed, err
+}
+
+func (l *ledger) RemoveNotes(_ context.Context, notes []quarantine.Note) error {
+	return l.change(func() []quarantine.Note {
+		for _, note := range notes {
+			delete(l.notes, note)
+		}
+		return notes
+	}, true)
+}
+
+func (l *ledger) held() map[quarantine.Note]bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return maps.Clone(l.notes)
+}
+
+func (l *ledger) setBroken(broken bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.broken = broken
+}
+
+// recorder keeps the standings that guards told.
+type recorder struct {
+	mutex sync.Mutex
+	// told is guarded by mutex.
+	told []quarantine.Standing
+}
+
+func (r *recorder) Standing(_ exchange.Fingerprint, standing quarantine.Standing, _ []string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.told = append(r.told, standing)
+}
+
+func (r *recorder) LedgerFailed(string, error) {}
+
+// world is some guards with one ledger, and servers that they can reach.
+type world struct {
+	ledger  *ledger
+	network *exchangetest.Network
+	events  *recorder
+	guards  []*quarantine.Guard
+	lost    bool
+}
+
+// in runs a test with guards in virtual time.
+func in(t *testing.T, count int, test func(g *WithT, w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{ledger: &ledger{notes: make(map[quarantine.Note]bool)}, network: exchangetest.NewNetwork(), events: &recorder{}}
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		for range count {
+			guard := quarantine.New(quarantine.Options{
+				Ledger: w.ledger, LedgerLost: func() bool { return w.lost }, Dialer: w.network, Events: w.events,
+			})
+			w.guards = append(w.guards, guard)
+			running.Go(func() { _ = guard.Run(ctx) })
+		}
+		w.ledger.guards = w.guards
+		test(NewWithT(t), w)
+		cancel()
+		running.Wait()
+	})
+}
+
+// end lets servers end under a request at one node.
+func (w *world) end(guard *quarantine.Guard, request exchange.Fingerprint, servers ...string) {
+	for _, server := range servers {
+		guard.NoteBroken(request, server, server, time.Now())
+	}
+	synctest.Wait()
+}
+
+var deadly, other = exchange.Fingerprint{1}, exchange.Fingerprint{2}
+
+// news is longer than a node takes to write what it found.
+const news = time.Second
+
+// TestARequestIsSuspectAfterThreeServers that ended while they had it, wherever that was seen.
+func TestARequestIsSuspectAfterThreeServers(t *testing.T) {
+	in(t, 3, func(g *WithT, w *world) {
+		for index, guard := range w.guards {
+			g.Expect(guard.Standing(deadly)).To(Equal(quarantine.Clear))
+			w.end(guard, deadly, fmt.Sprint("server", index))
+		}
+		time.Sleep(news)
+		for _, guard := range w.guards {
+			g.Expect(guard.Standing(deadly)).To(Equal(quarantine.Suspect))
+			g.Expect(guard.Standing(other)).To(Equal(quarantine.Clear))
+		}
+	})
+}
+
+// TestBrokenConnectionsToLivingServersProveNothing: a server that can be reached has not
+// ended. Until that is known the request is not sent on.
+func TestBrokenConnectionsToLivingServersProveNothing(t *testing.T) {
+	in(t, 1, func(g *WithT, w *world) {
+		w.network.ConnectTime = 10 * time.Millisecond
+		for _, server := range []string{"a", "b", "c"} {
+			w.network.Add(server, func(exchangetest.Request) exchangetest.Answer { return exchangetest.Whole("") })
+			w.guards[0].NoteBroken(deadly, server, server, time.Now())
+		}
+		g.Expect(w.guards[0].Standing(deadly)).To(Equal(quarantine.Doubtful))
+		time.Sleep(news)
+		g.Expect(w.guards[0].Standing(deadly)).To(Equal(quarantine.Clear))
+		g.Expect(w.guards[0].IsIdle()).To(BeTrue())
+		g.Expect(w.network.Dials()).To(Equal(3))
+		g.Expect(w.ledger.calls).To(BeZero())
+	})
+}
+
+// TestAnAnswerClearsARequest at all nodes, and before it was told if it comes soon.
+func TestAnAnswerClearsARequest(t *testing.T) {
+	in(t, 2, func(g *WithT, w *world) {
+		w.end(w.guards[0], other, "a", "b")
+		w.guards[0].NoteServed(other)
+		time.Sleep(news)
+		g.Expect(w.ledger.held()).To(BeEmpty(), "answered before it was told")
+
+		w.end(w.guards[0], deadly, "a", "b", "c")
+		time.Sleep(news)
+		g.Expect(w.guards[1].Standing(deadly)).To(Equal(quarantine.Suspect))
+		trial := w.guards[1].ClaimTrial(context.Background(), deadly)
+		g.Expect(trial).NotTo(BeNil())
+		w.guards[1].NoteServed(deadly)
+		time.Sleep(news)
+		g.Expect(w.ledger.held()).To(BeEmpty())
+		for _, guard := range w.guards {
+			g.Expect(guard.Standing(deadly)).To(Equal(quarantine.Clear))
+			g.Expect(guard.IsIdle()).To(BeTrue())
+		}
+	})
+}
+
+// TestAllNodesTogetherMakeTwoTrials, however many claim them at once.
+func TestAllNodesTogetherMakeTwoTrials(t *testing.T) {
+	in(t, 8, func(g *WithT, w *world) {
+		w.end(w.guards[0], deadly, "a", "b", "c")
+		time.Sleep(news)
+		var mutex sync.Mutex
+		granted := 0
+		var claims sync.WaitGroup
+		for _, guard := range w.guards {
+			for range 4 {
+				claims.Go(func() {
+					if guard.ClaimTrial(context.Background(), deadly) != nil {
+						mutex.Lock()
+						defer mutex.Unlock()
+						granted++
+					}
+				})
+			}
+		}
+		claims.Wait()
+		g.Expect(granted).To(Equal(2))
+		for _, guard := range w.guards {
+			g.Expect(guard.Standing(deadly)).To(Equal(quarantine.Quarantined))
+			g.Expect(guard.Until(deadly, time.Now())).To(BeNumerically(">", 9*time.Minute))
+		}
+	})
+}
+
+// TestATrialThatReachedNoServerIsMadeAgain.
+func TestATrialThatReachedNoServerIsMadeAgain(t *testing.T) {
+	in(t, 1, func(g *WithT, w *world) {
+		w.end(w.guards[0], deadly, "a", "b", "c")
+		for range 5 {
+			trial := w.guards[0].ClaimTrial(context.Background(), deadly)
+			g.Expect(trial).NotTo(BeNil())
+			trial.GiveBack()
+			time.Sleep(news)
+		}
+	})
+}
+
+// TestWhatWasFoundWhileTheLedgerWasAwayIsToldOnItsReturn, within a second and a half.
+func TestWhatWasFoundWhileTheLedgerWasAwayIsToldOnItsReturn(t *testing.T) {
+	in(t, 2, func(g *WithT, w *world) {
+		w.ledger.setBroken(true)
+		w.end(w.guards[0], deadly, "a", "b", "c")
+		time.Sleep(20 * time.Second)
+		g.Expect(w.guards[0].ClaimTrial(context.Background(), deadly)).To(BeNil(), "the bound cannot be kept")
+		w.lost = true
+		g.Expect(w.guards[0].ClaimTrial(context.Background(), deadly)).NotTo(BeNil(), "nobody is told anything")
+		g.Expect(w.guards[0].ClaimTrial(context.Background(), deadly)).To(BeNil(), "one by itself")
+		w.ledger.setBroken(false)
+		time.Sleep(1500 * time.Millisecond)
+		g.Expect(w.guards[1].Standing(deadly)).To(Equal(quarantine.Suspect))
+	})
+}
+
+// TestARequestIsForgottenInTheEnd, also in the ledger.
+func TestARequestIsForgottenInTheEnd(t *testing.T) {
+	in(t, 2, func(g *WithT, w *world) {
+		w.end(w.guards[0], deadly, "a", "b", "c")
+		time.Sleep(9 * time.Minute)
+		for _, guard := range w.guards {
+			guard.Sweep(time.Now())
+			g.Expect(guard.Standing(deadly)).To(Equal(quarantine.Suspect))
+		}
+		time.Sleep(3 * time.Minute)
+		for _, guard := range w.guards {
+			guard.Sweep(time.Now())
+			g.Expect(guard.IsIdle()).To(BeTrue())
+		}
+		time.Sleep(news)
+		g.Expect(w.ledger.held()).To(BeEmpty())
+	})
+}
+
+// TestManyRequestsUnderOneCrashHideNoSuspect: the number of remembered requests is bounded,
+// and suspect ones are kept.
+func TestManyRequestsUnderOneCrashHideNoSuspect(t *testing.T) {
+	in(t, 1, func(g *WithT, w *world) {
+		w.end(w.guards[0], deadly, "a", "b", "c")
+		for number := range 5000 {
+			w.guards[0].NoteBroken(exchange.Fingerprint{3, byte(number), byte(number >> 8)}, "d", "d", time.Now())
+		}
+		g.Expect(w.guards[0].Standing(deadly)).To(Equal(quarantine.Suspect))
+	})
+}
--- /dev/null
+++ b/pkg/quarantine/record.go
@@ -0,0 +1,153 @@
+package quarantine
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+)
+
+// record is what is known of one request. It is guarded by the mutex of its Guard.
+type record struct {
+	// ends are the servers that ended, or seem to have ended, while they had the request.
+	ends map[string]*end
+	// trials are the numbers of the trials that were made.
+	trials map[int]bool
+	// alone counts the trials that this node made without the ledger.
+	alone   int
+	beganAt time.Time
+	// expiresAt is put off by every server that ends.
+	expiresAt time.Time
+}
+
+// end is one server that ended, or seems to have.
+type end struct {
+	at time.Time
+	// isConfirmed says that the server itself ended, isWritten that the store holds it.
+	isConfirmed bool
+	isWritten   bool
+}
+
+func newRecord(now time.Time) *record {
+	return &record{ends: make(map[string]*end), trials: make(map[int]bool), beganAt: now, expiresAt: now.Add(lifetime)}
+}
+
+func (r *record) add(server string, isConfirmed bool, now time.Time) *end {
+	known := r.ends[server]
+	if known == nil {
+		known = &end{at: now}
+		r.ends[server] = known
+		r.expiresAt = now.Add(lifetime + rand.N(lifetimeSpread))
+	}
+	known.isConfirmed = known.isConfirmed || isConfirmed
+	return known
+}
+
+// settle takes whether a server ended, and reports whether that is news here.
+func (r *record) settle(server string, hasEnded bool) bool {
+	known := r.ends[server]
+	if known == nil || known.isConfirmed {
+		return false
+	}
+	known.isConfirmed = hasEnded
+	if !hasEnded {
+		delete(r.ends, server)
+	}
+	return true
+}
+
+func (r *record) learn(note Note, now time.Time) {
+	if note.Trial > 0 {
+		r.trials[note.Trial] = true
+		return
+	}
+	r.add(note.Server, true, now).isWritten = true
+}
+
+func (r *record) forget(note Note) {
+	if note.Trial > 0 {
+		delete(r.trials, note.Trial)
+		return
+	}
+	if known := r.ends[note.Server]; known != nil && known.isWritten {
+		delete(r.ends, note.Server)
+	}
+}
+
+func (r *record) standing() Standing {
+	confirmed := r.confirmed()
+	switch {
+	case confirmed >= suspectAfter && len(r.trials)+r.alone >= greatestTrials:
+		return Quarantined
+	case confirmed >= suspectAfter:
+		return Suspect
+	case len(r.ends) >= suspectAfter:
+		return Doubtful
+	}
+	return Clear
+}
+
+func (r *record) confirmed() int {
+	count := 0
+	for _, each := range r.ends {
+		if each.isConfirmed {
+			count++
+		}
+	}
+	return count
+}
+
+func (r *record) isEmpty() bool { return len(r.ends) == 0 && len(r.trials) == 0 }
+
+// servers returns the servers that ended, in their order.
+func (r *record) servers() []string {
+	var names []string
+	for name, each := range r.ends {
+		if each.isConfirmed {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int { return r.ends[a].at.Compare(r.ends[b].at) })
+	return names
+}
+
+// unwritten returns the servers that the store lacks, as many as it needs to know.
+func (r *record) unwritten(fingerprint exchange.Fingerprint) []Note {
+	var notes []Note
+	for _, name := range r.servers() {
+		if r.countWritten()+len(notes) >= suspectAfter {
+			break
+		}
+		if !r.ends[name].isWritten {
+			notes = append(notes, Note{Fingerprint: fingerprint, Server: name})
+		}
+	}
+	return notes
+}
+
+func (r *record) hasUnwritten() bool { return len(r.unwritten(exchange.Fingerprint{})) > 0 }
+
+func (r *record) countWritten() int {
+	count := 0
+	for _, each := range r.ends {
+		if each.isWritten {
+			count++
+		}
+	}
+	return count
+}
+
+// written returns the notes that the store holds.
+func (r *record) written(fingerprint exchange.Fingerprint) []Note {
+	var notes []Note
+	for name, each := range r.ends {
+		if each.isWritten {
+			notes = append(notes, Note{Fingerprint: fingerprint, Server: name})
+		}
+	}
+	for number := range r.trials {
+		notes = append(notes, Note{Fingerprint: fingerprint, Trial: number})
+	}
+	return notes
+}
--- /dev/null
+++ b/pkg/quarantine/trial.go
@@ -0,0 +1,91 @@
+package quarantine
+
+import (
+	"context"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+)
+
+// Trial is leave to send a suspect request to one server.
+type Trial struct {
+	guard *Guard
+	note  Note
+}
+
+// ClaimTrial returns leave to try a suspect request, or nil if none is left, or if the ledger
+// could not be asked. All nodes together get greatestTrials.
+func (g *Guard) ClaimTrial(ctx context.Context, fingerprint exchange.Fingerprint) *Trial {
+	for number := 1; number <= greatestTrials; number++ {
+		note := Note{Fingerprint: fingerprint, Trial: number}
+		if g.hasTrial(note) {
+			continue
+		}
+		isClaimed, err := g.options.Ledger.ClaimNote(ctx, note)
+		if err != nil {
+			g.options.Events.LedgerFailed("claim trial", err)
+			return g.claimAlone(fingerprint)
+		}
+		g.noteTrial(note)
+		if isClaimed {
+			return &Trial{guard: g, note: note}
+		}
+	}
+	return nil
+}
+
+// claimAlone returns leave for the one trial that a node makes by itself while the ledger is
+// out of reach, where its bound on all nodes cannot be kept.
+func (g *Guard) claimAlone(fingerprint exchange.Fingerprint) *Trial {
+	if !g.options.LedgerLost() {
+		return nil
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	known := g.records[fingerprint]
+	if known == nil || known.alone > 0 {
+		return nil
+	}
+	before := known.standing()
+	known.alone++
+	g.changed(fingerprint, before)
+	return &Trial{guard: g}
+}
+
+func (g *Guard) hasTrial(note Note) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	known := g.records[note.Fingerprint]
+	return known != nil && known.trials[note.Trial]
+}
+
+func (g *Guard) noteTrial(note Note) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	known := g.records[note.Fingerprint]
+	if known == nil {
+		// It was cleared meanwhile.
+		g.removals = append(g.removals, note)
+		g.signal()
+		return
+	}
+	before := known.standing()
+	known.trials[note.Trial] = true
+	g.changed(note.Fingerprint, before)
+}
+
+// GiveBack ends a trial in which nothing reached a server: it may be made again.
+func (t *Trial) GiveBack() {
+	if t.note.Trial == 0 {
+		return
+	}
+	g := t.guard
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if known := g.records[t.note.Fingerprint]; known != nil {
+		before := known.standing()
+		delete(known.trials, t.note.Trial)
+		g.changed(t.note.Fingerprint, before)
+	}
+	g.removals = append(g.removals, t.note)
+	g.signal()
+}
--- /dev/null
+++ b/pkg/quarantine/write.go
@@ -0,0 +1,117 @@
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	"github.com/bramblemast/bramblemast/internal/pause"
+)
+
+// Times and bounds of writing.
+const (
+	// maxNotes is how many notes are written by one call, within the 32 that a
+	// transaction of the store may hold.
+	maxNotes = 30
+	// writeTimeout bounds a call; leastRetry and greatestRetry the wait after one that
+	// failed, so that a store that is back knows what was found meanwhile within a second.
+	writeTimeout  = time.Second
+	leastRetry    = 200 * time.Millisecond
+	greatestRetry = time.Second
+)
+
+// Run writes notes to the ledger until ctx ends.
+func (g *Guard) Run(ctx context.Context) error {
+	failures := 0
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-g.work:
+		}
+		pause.For(ctx, noteDelay)
+		if err := g.write(ctx); err != nil {
+			pause.For(ctx, pause.Doubled(leastRetry, greatestRetry, failures))
+			failures++
+			g.signal()
+			continue
+		}
+		failures = 0
+	}
+	return nil
+}
+
+// write makes at most one call for what is to be added and one for what is to be removed.
+func (g *Guard) write(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if removals := g.takeRemovals(); len(removals) > 0 {
+		if err := g.options.Ledger.RemoveNotes(limited, removals); err != nil {
+			g.options.Events.LedgerFailed("remove notes", err)
+			g.returnRemovals(removals)
+			return err
+		}
+	}
+	additions := g.additions()
+	if len(additions) == 0 {
+		return nil
+	}
+	if err := g.options.Ledger.AddNotes(limited, additions); err != nil {
+		g.options.Events.LedgerFailed("add notes", err)
+		return err
+	}
+	g.noteWritten(additions)
+	return nil
+}
+
+// additions returns notes that the store lacks, those of suspect requests first.
+func (g *Guard) additions() []Note {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	var suspects, others []Note
+	for fingerprint, known := range g.records {
+		notes := known.unwritten(fingerprint)
+		if known.standing() > Doubtful {
+			suspects = append(suspects, notes...)
+		} else {
+			others = append(others, notes...)
+		}
+	}
+	all := append(suspects, others...)
+	if len(all) > maxNotes {
+		g.signal()
+	}
+	return all[:min(len(all), maxNotes)]
+}
+
+func (g *Guard) noteWritten(notes []Note) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for _, note := range notes {
+		known := g.records[note.Fingerprint]
+		if known == nil || known.ends[note.Server] == nil {
+			// It was cleared while the note was being written.
+			g.removals = append(g.removals, note)
+			g.signal()
+			continue
+		}
+		known.ends[note.Server].isWritten = true
+	}
+}
+
+func (g *Guard) takeRemovals() []Note {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	count := min(len(g.removals), maxNotes)
+	taken := g.removals[:count:count]
+	g.removals = g.removals[count:]
+	if len(g.removals) > 0 {
+		g.signal()
+	}
+	return taken
+}
+
+func (g *Guard) returnRemovals(notes []Note) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.removals = append(g.removals, notes...)
+}
