Suspect requests: told at once, callers told apart, lines bounded

Cause: a node that died within 0.3 s of the crashes told nobody; two callers whose requests differ in their credential alone counted as one; one crash of many servers could write a line for each request that was there.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -112,15 +112,17 @@
 	node.follower = directory.NewFollower(options.Platform, node.state)
 	node.follower.SetNewsAge(settings.newsAge())
 	node.follower.SetFirstStart(settings.Node.FirstStart)
+	recorder := newEvents(node.logger, node.figures, node.storeAge)
 	node.quarantine = quarantine.New(quarantine.Options{
-		Ledger: options.Platform, LedgerLost: node.follower.HasLost, Dialer: newServerDialer(), Events: suspectEvents{node},
+		Ledger: options.Platform, LedgerLost: node.follower.HasLost, Dialer: newServerDialer(),
+		Events: suspectEvents{node: node, recorder: recorder},
 	})
 	node.state.quarantine = node.quarantine
 	local := directory.Node{Name: settings.Node.Name, Zone: settings.Node.Zone}
 	if err := node.openPeers(settings, &local); err != nil {
 		return nil, err
 	}
-	if err := node.openClients(rules); err != nil {
+	if err := node.openClients(rules, recorder); err != nil {
 		return nil, err
 	}
 	node.member = &registration{
@@ -150,8 +152,7 @@
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // openClients opens the address for clients.
-func (n *Node) openClients(rules *policies) error {
-	recorder := newEvents(n.logger, n.figures, n.storeAge)
+func (n *Node) openClients(rules *policies, recorder *events) error {
 	options := front.Options{
 		Dialect: n.options.Dialect, State: n.state, Fleet: n.state.fleet, Budget: n.state.budgets, Policies: rules,
 		Events: recorder, Random: newRandom(), MaxInFlight: maxInFlight,
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -7,11 +7,18 @@
 
 // suspectEvents tells in the log which requests are kept from servers, and why. It
 // implements quarantine.Events.
-type suspectEvents struct{ node *Node }
+type suspectEvents struct {
+	node *Node
+	// recorder bounds the lines: one crash leaves as many suspects as it had requests.
+	recorder *events
+}
 
 // Standing implements quarantine.Events.
 func (e suspectEvents) Standing(fingerprint exchange.Fingerprint, standing quarantine.Standing, servers []string) {
 	e.node.figures.standings.WithLabelValues(standing.String()).Inc()
+	if !e.recorder.mayWrite() {
+		return
+	}
 	list := []any{"fingerprint", fingerprint.String(), "servers_ended", servers}
 	if standing == quarantine.Clear {
 		e.node.logger.Info("request cleared", list...)
@@ -22,5 +29,8 @@
 
 // LedgerFailed implements quarantine.Events.
 func (e suspectEvents) LedgerFailed(call string, err error) {
+	if !e.recorder.mayWrite() {
+		return
+	}
 	e.node.logger.Warn("notes on suspect requests not kept", "call", call, "error", err.Error())
 }
--- a/internal/front/record.go
+++ b/internal/front/record.go
@@ -47,7 +47,7 @@
 func (c *conversation) record(status int, plan fanout.Plan, result fanout.Result) {
 	var fingerprint *exchange.Fingerprint
 	if result.Broken > 0 {
-		known := c.request.Fingerprint()
+		known := c.fingerprint()
 		fingerprint = &known
 	}
 	c.handler.events.Record(Record{
--- a/internal/front/suspect.go
+++ b/internal/front/suspect.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/quarantine"
 )
 
@@ -17,6 +18,11 @@
 	trialWait = time.Second
 )
 
+// fingerprint tells the request from others, through all tries of its client.
+func (c *conversation) fingerprint() exchange.Fingerprint {
+	return c.request.Fingerprint(&c.handler.dialect.Dialect)
+}
+
 // claimTrial returns leave to send a request that is suspect of ending servers to one of
 // them, and whether it is kept from them instead. Other requests need no leave.
 func (c *conversation) claimTrial() (trial *quarantine.Trial, isKeptBack bool) {
@@ -24,7 +30,7 @@
 	if guard == nil || guard.IsIdle() {
 		return nil, false
 	}
-	fingerprint := c.request.Fingerprint()
+	fingerprint := c.fingerprint()
 	switch guard.Standing(fingerprint) {
 	case quarantine.Quarantined:
 		return nil, true
@@ -40,7 +46,7 @@
 // quarantineWait returns when a request that is kept from servers may come back: soon while
 // it may still be cleared, else once it is forgotten.
 func (c *conversation) quarantineWait() time.Duration {
-	guard, fingerprint := c.handler.quarantine, c.request.Fingerprint()
+	guard, fingerprint := c.handler.quarantine, c.fingerprint()
 	if guard.Standing(fingerprint) != quarantine.Quarantined {
 		return trialWait
 	}
--- a/pkg/exchange/dialect.go
+++ b/pkg/exchange/dialect.go
@@ -18,4 +18,7 @@
 	Evidence string
 	// NotRun marks an answer of a server that did not run the request.
 	NotRun string
+	// Credential tells who asks, beside the standard headers; empty for none. It goes along
+	// to the servers.
+	Credential string
 }
--- a/pkg/exchange/fingerprint.go
+++ b/pkg/exchange/fingerprint.go
@@ -10,13 +10,14 @@
 // its own, but the same method, host, target, credentials and body.
 type Fingerprint [16]byte
 
-// credentialHeaders name who asks (RFC 9110, section 11.6.2, and RFC 6265). Other headers
-// differ between tries of one client, such as those that trace a request.
+// credentialHeaders name who asks (RFC 9110, section 11.6.2, and RFC 6265), beside that of the
+// dialect. Other headers differ between tries of one client, such as those that trace a
+// request.
 var credentialHeaders = []string{"Authorization", "Cookie"}
 
 // Fingerprint returns the request's fingerprint. It costs some microseconds, so it is asked
 // for only where something is known of requests like this one.
-func (r *Request) Fingerprint() Fingerprint {
+func (r *Request) Fingerprint(dialect *Dialect) Fingerprint {
 	sum := sha256.New()
 	write := func(text []byte) {
 		// The length keeps neighbouring fields apart.
@@ -28,7 +29,7 @@
 	write([]byte(r.Method))
 	write([]byte(r.Host))
 	write([]byte(r.Target))
-	for _, name := range credentialHeaders {
+	for _, name := range append([]string{dialect.Credential}, credentialHeaders...) {
 		for _, value := range r.Header[name] {
 			write([]byte(name))
 			write([]byte(value))
--- a/pkg/exchange/fingerprint_test.go
+++ b/pkg/exchange/fingerprint_test.go
@@ -12,16 +12,17 @@
 // TestAFingerprintFollowsARequestThroughItsTries, and tells it from others.
 func TestAFingerprintFollowsARequestThroughItsTries(t *testing.T) {
 	g := NewWithT(t)
+	dialect := &exchange.Dialect{Credential: "Name"}
 	first := exchange.Request{
 		Method: "POST", Host: "h", Target: "/a?b", ID: "1", Body: []byte("body"),
 		Header: http.Header{"Authorization": {"one"}, "Traceparent": {"x"}},
 	}
 	again := first
 	again.ID, again.Header = "2", http.Header{"Authorization": {"one"}, "Traceparent": {"y"}}
-	g.Expect(again.Fingerprint()).To(Equal(first.Fingerprint()))
-	parsed, ok := exchange.ParseFingerprint(first.Fingerprint().String())
+	g.Expect(again.Fingerprint(dialect)).To(Equal(first.Fingerprint(dialect)))
+	parsed, ok := exchange.ParseFingerprint(first.Fingerprint(dialect).String())
 	g.Expect(ok).To(BeTrue())
-	g.Expect(parsed).To(Equal(first.Fingerprint()))
+	g.Expect(parsed).To(Equal(first.Fingerprint(dialect)))
 	_, ok = exchange.ParseFingerprint("00")
 	g.Expect(ok).To(BeFalse())
 	for name, change := range map[string]func(*exchange.Request){
@@ -30,10 +31,13 @@
 		"target":      func(r *exchange.Request) { r.Target = "/a?c" },
 		"body":        func(r *exchange.Request) { r.Body = []byte("bodY") },
 		"credentials": func(r *exchange.Request) { r.Header = http.Header{"Authorization": {"two"}} },
-		"fields":      func(r *exchange.Request) { r.Host, r.Target = "h/", "a?b" },
+		"own credentials": func(r *exchange.Request) {
+			r.Header = http.Header{"Authorization": {"one"}, "Name": {"two"}}
+		},
+		"fields": func(r *exchange.Request) { r.Host, r.Target = "h/", "a?b" },
 	} {
 		other := first
 		change(&other)
-		g.Expect(other.Fingerprint()).NotTo(Equal(first.Fingerprint()), name)
+		g.Expect(other.Fingerprint(dialect)).NotTo(Equal(first.Fingerprint(dialect)), name)
 	}
 }
--- a/pkg/fanout/kept_back.go
+++ b/pkg/fanout/kept_back.go
@@ -10,7 +10,7 @@
 // fingerprint returns the fingerprint of the request. Only the event loop calls it.
 func (r *run) fingerprint() exchange.Fingerprint {
 	if r.fingerprinted == nil {
-		made := r.request.Fingerprint()
+		made := r.request.Fingerprint(r.runner.Dialect)
 		r.fingerprinted = &made
 	}
 	return *r.fingerprinted
@@ -73,7 +73,7 @@
 		return
 	}
 	server := broken.lease.Server
-	guard.NoteBroken(r.request.Fingerprint(), server.ID, server.Address, now)
+	guard.NoteBroken(r.request.Fingerprint(r.runner.Dialect), server.ID, server.Address, now)
 }
 
 // noteServed tells the guard that a server has answered the request.
--- a/pkg/fanout/kept_back_test.go
+++ b/pkg/fanout/kept_back_test.go
@@ -132,7 +132,7 @@
 		defer w.close()
 		for _, target := range []string{deadlyTarget, "/shared"} {
 			request := exchange.Request{Method: "GET", Target: target}
-			w.runner.Quarantine.LearnEnded(request.Fingerprint(), []string{"x", "y", "z"}, time.Now())
+			w.runner.Quarantine.LearnEnded(request.Fingerprint(&exchangetest.Dialect), []string{"x", "y", "z"}, time.Now())
 		}
 		tried := plan(fourShards...)
 		tried.IsTrial = true
@@ -144,7 +144,7 @@
 		result = w.send(tried, "/shared")
 		g.Expect(result.Got).To(Equal(len(fourShards)))
 		cleared := exchange.Request{Method: "GET", Target: "/shared"}
-		g.Expect(w.runner.Quarantine.Standing(cleared.Fingerprint())).To(Equal(quarantine.Clear))
+		g.Expect(w.runner.Quarantine.Standing(cleared.Fingerprint(&exchangetest.Dialect))).To(Equal(quarantine.Clear))
 	})
 }
 
@@ -156,7 +156,7 @@
 		defer w.close()
 		time.AfterFunc(100*time.Millisecond, func() {
 			request := exchange.Request{Method: "GET", Target: deadlyTarget}
-			w.runner.Quarantine.LearnEnded(request.Fingerprint(), []string{"x", "y", "z"}, time.Now())
+			w.runner.Quarantine.LearnEnded(request.Fingerprint(&exchangetest.Dialect), []string{"x", "y", "z"}, time.Now())
 		})
 		time.AfterFunc(200*time.Millisecond, func() { w.add("late", "late1", exchangetest.Whole("x")) })
 		waiting := plan("late")
--- a/pkg/quarantine/write.go
+++ b/pkg/quarantine/write.go
@@ -28,7 +28,9 @@
 			return nil
 		case <-g.work:
 		}
-		pause.For(ctx, noteDelay)
+		if !g.isUrgent() {
+			pause.For(ctx, noteDelay)
+		}
 		if err := g.write(ctx); err != nil {
 			pause.For(ctx, pause.Doubled(leastRetry, greatestRetry, failures))
 			failures++
@@ -40,6 +42,19 @@
 	return nil
 }
 
+// isUrgent reports whether a suspect request is to be told: the other nodes send it to all its
+// shards until they know.
+func (g *Guard) isUrgent() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for _, known := range g.records {
+		if known.standing() > Doubtful && known.hasUnwritten() {
+			return true
+		}
+	}
+	return false
+}
+
 // write makes at most one call for what is to be added and one for what is to be removed.
 func (g *Guard) write(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, writeTimeout)
