--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -43,6 +43,9 @@
 	// probeTimeout bounds the connection that tells whether a server has ended. A server
 	// that has ended refuses within a round trip.
 	probeTimeout = time.Second
+	// probeAgain is when a server that took the connection is probed once more: a process
+	// that ends may close its connections some milliseconds before it ceases to listen.
+	probeAgain = 100 * time.Millisecond
 	// endedSpan is for how long a server that has ended is known to have.
 	endedSpan = 30 * time.Second
 	// maxRecords bounds the requests that are remembered: one crash of a server leaves as
@@ -225,13 +228,23 @@
 
 // probe finds out whether a server has ended: its address refuses connections then.
 func (g *Guard) probe(server, address string) {
+	err := g.connect(address)
+	if err == nil {
+		time.Sleep(probeAgain)
+		err = g.connect(address)
+	}
+	g.settle(server, errors.Is(err, syscall.ECONNREFUSED), time.Now())
+}
+
+// connect opens a connection to a server and closes it.
+func (g *Guard) connect(address string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	opened, err := g.options.Dialer.DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = opened.Close()
+	if err != nil {
+		return err
 	}
-	g.settle(server, errors.Is(err, syscall.ECONNREFUSED), time.Now())
+	return opened.Close()
 }
 
 // settle takes whether a server has ended that broke connections.
--- a/test/soak/history_test.go
+++ b/test/soak/history_test.go
@@ -65,6 +65,8 @@
 	Repeated bool
 	// HasWait tells whether the answer named a time to come back.
 	HasWait bool
+	// IsKept says that the caller keeps its connections.
+	IsKept bool
 }
 
 func newHistory() *history {
--- a/test/soak/node_test.go
+++ b/test/soak/node_test.go
@@ -34,8 +34,9 @@
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
 	command *exec.Cmd
-	// life counts the processes so far.
-	life int
+	// life counts the processes so far, and startedAt is when the last one began.
+	life      int
+	startedAt time.Time
 	// expected says that the process is meant to end.
 	expected bool
 	ended    chan struct{}
@@ -113,6 +114,7 @@
 		return
 	}
 	n.command, n.expected = command, false
+	n.startedAt = time.Now()
 	n.life++
 	ended := make(chan struct{})
 	n.ended = ended
@@ -138,6 +140,13 @@
 	return n.life
 }
 
+// age returns how long ago the running process began.
+func (n *node) age() time.Duration {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return time.Since(n.startedAt)
+}
+
 func (n *node) signal(signal os.Signal) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
