A suspended machine knows that what it knows is old

Cause: the steady clock, by which spans are measured, does not count the time for which a machine is suspended: news of the store seemed as fresh as before, to the node and to those that ask it, and connections that servers had closed seemed to have rested for a moment. Change: the age of what is known adds the suspended time (CLOCK_BOOTTIME less CLOCK_MONOTONIC), exactly and at each look; within a second after it a node closes its idle connections to servers, asks the store anew and says so in the log. Not done: the deadlines of requests that were under way are not shortened.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bramblemast/bramblemast/internal/front"
+	"github.com/bramblemast/bramblemast/internal/suspension"
 	"github.com/bramblemast/bramblemast/internal/version"
 	"github.com/bramblemast/bramblemast/pkg/directory"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
@@ -67,6 +68,9 @@
 	ReadyPath string
 	// Reload reads the settings again; nil if they cannot change.
 	Reload func() (*Settings, error)
+	// Suspended tells for how long the machine has been suspended so far; nil to ask its
+	// clocks.
+	Suspended func() time.Duration
 	// Hangup tells that the settings have changed; it may be nil.
 	Hangup Hangups
 }
@@ -101,6 +105,9 @@
 func New(options Options) (*Node, error) {
 	settings := options.Settings
 	options.Logger = options.Logger.With("node", settings.Node.Name)
+	if options.Suspended == nil {
+		options.Suspended = suspension.Total
+	}
 	node := &Node{options: options, logger: options.Logger, figures: newFigures()}
 	node.settings.Store(settings)
 	options.Platform.SetObserver(node.figures.countCall)
@@ -110,6 +117,7 @@
 	}
 	node.state = newState(node, newFleet(settings), rules)
 	node.follower = directory.NewFollower(options.Platform, node.state)
+	node.follower.SetSuspended(options.Suspended)
 	node.follower.SetNewsAge(settings.newsAge())
 	node.follower.SetFirstStart(settings.Node.FirstStart)
 	recorder := newEvents(node.logger, node.figures, node.storeAge)
@@ -249,13 +257,25 @@
 func (n *Node) sweepServers(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	suspensions := suspension.NewWatch(n.options.Suspended)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
+			if span := suspensions.Since(); span > 0 {
+				n.resume(span)
+			}
 			n.state.fleet.Sweep(now)
 			n.quarantine.Sweep(now)
 		}
 	}
 }
+
+// resume makes up for a suspension of the machine: what was known is old, and connections that
+// seem to have rested for a moment may be dead.
+func (n *Node) resume(span time.Duration) {
+	n.logger.Warn("machine was suspended", "span_ms", span.Milliseconds())
+	n.state.fleet.DropIdle()
+	n.follower.Resumed()
+}
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -477,3 +477,21 @@
 		stop()
 	})
 }
+
+// TestWhatWasKnownIsOlderByASuspension of the machine, which the steady clock does not count.
+func TestWhatWasKnownIsOlderByASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var suspended time.Duration
+		tested := NewFollower(newHistory(), &observer{state: make(map[string]uint64)})
+		tested.SetSuspended(func() time.Duration { return suspended })
+		g.Expect(tested.KnownAt().IsZero()).To(BeTrue())
+		tested.confirm(time.Now())
+		suspended += 6 * time.Second
+		g.Expect(time.Since(tested.KnownAt())).To(Equal(6 * time.Second))
+		tested.confirm(time.Now().Add(-time.Second))
+		g.Expect(time.Since(tested.KnownAt())).To(Equal(time.Second))
+		tested.confirm(time.Now().Add(-3 * time.Second))
+		g.Expect(time.Since(tested.KnownAt())).To(Equal(time.Second), "the latest moment counts")
+	})
+}
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -71,6 +71,8 @@
 	newsAge atomic.Int64
 	// role is a Role.
 	role atomic.Int32
+	// suspended returns for how long the machine has been suspended so far.
+	suspended func() time.Duration
 	// others returns how many other nodes are known; nil if there is nobody to ask.
 	others func() int
 	// isFirstStart says that the whole system starts for the first time.
@@ -95,6 +97,8 @@
 	// knownAt is the latest moment at which the replica was all that the store
 	// held, as the store or another node has shown; zero for never.
 	knownAt time.Time
+	// knownSuspended is for how long the machine had been suspended then.
+	knownSuspended time.Duration
 	// confirmations are the latest moments of that kind, oldest first, a
 	// confirmationSpacing apart at least.
 	confirmations []time.Time
@@ -122,6 +126,7 @@
 	created := &Follower{
 		source: source, listener: listener, replica: newReplica(listener), kick: make(chan struct{}, 1),
 		firstLoad: make(chan struct{}), loadDone: make(chan struct{}, 1), roleSet: make(chan struct{}, 1), spread: rand.N(outageSpread),
+		suspended: func() time.Duration { return 0 },
 	}
 	created.SetNewsAge(LeastNewsAge)
 	return created
@@ -189,13 +194,30 @@
 func (f *Follower) KnownAt() time.Time {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.knownAt
+	return f.knownMoment()
 }
 
+// knownMoment returns knownAt on the steady clock as if that had run on while the machine was
+// suspended. The mutex is held.
+func (f *Follower) knownMoment() time.Time {
+	if f.knownAt.IsZero() {
+		return f.knownAt
+	}
+	return f.knownAt.Add(f.knownSuspended - f.suspended())
+}
+
+// SetSuspended takes what tells for how long the machine has been suspended so far: what was
+// known before is older by what has been added since. It is called before Run.
+func (f *Follower) SetSuspended(total func() time.Duration) { f.suspended = total }
+
+// Resumed tells that the machine was suspended: a watch that waits may be dead.
+func (f *Follower) Resumed() { f.askAgain() }
+
 // confirm takes a moment at which the replica was all that the store held.
 func (f *Follower) confirm(at time.Time) {
 	f.mutex.Lock()
-	f.knownAt = later(f.knownAt, at)
+	f.knownAt = later(f.knownMoment(), at)
+	f.knownSuspended = f.suspended()
 	f.noteConfirmation(at)
 	isBack := f.contact == contactLost && f.Role() == Asker && at.After(f.lostAt)
 	f.mutex.Unlock()
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -116,6 +116,10 @@
 	p.keep(func(candidate *connection) bool { return candidate.idleSince.After(since) })
 }
 
+// DropIdle closes all idle connections: after a suspension of the machine, the other side may
+// have closed them long ago.
+func (p *Pool) DropIdle() { p.keep(func(*connection) bool { return false }) }
+
 // keep closes the idle connections that are not to be kept.
 func (p *Pool) keep(isKept func(*connection) bool) {
 	p.mutex.Lock()
--- a/pkg/fleet/idle.go
+++ b/pkg/fleet/idle.go
@@ -53,6 +53,15 @@
 	return connections > 0 && idleShare*connections < float64(f.callers.Total)
 }
 
+// DropIdle closes all idle connections.
+func (f *Fleet) DropIdle() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, each := range f.members {
+		each.pool.DropIdle()
+	}
+}
+
 // boundIdle gives all pools their bounds, which depend on the nodes and on the
 // connections of the service. The mutex is held.
 func (f *Fleet) boundIdle() {
--- a/pkg/fleet/idle_test.go
+++ b/pkg/fleet/idle_test.go
@@ -185,3 +185,18 @@
 		Deadline: time.Now().Add(time.Second),
 	}
 }
+
+// TestNoIdleConnectionIsUsedAfterASuspension of the machine: the other side may have closed it.
+func TestNoIdleConnectionIsUsedAfterASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		nodes := newIdleNodes(3, 41)
+		nodes.work(g, 2*time.Second)
+		g.Expect(nodes.mostIdle()).To(BeNumerically(">", 0))
+		for _, each := range nodes.fleets {
+			each.DropIdle()
+		}
+		g.Expect(nodes.mostIdle()).To(BeZero())
+		nodes.close()
+	})
+}
