Leftovers: servable services under one lock, one constant of owners, settings that change

A request took the fleet's lock once for each shard to see whether it is servable; two constants had to be equal; two settings that change were not among the guarded fields; a field of an owner's plan that nothing reads. Change: Fleet.CountServable; owner.candidateCount is fleet.OwnersPerRegion; leaveWithin and warmUpBounds are guarded fields; the field is gone.

--- a/pkg/fanout/result.go
+++ b/pkg/fanout/result.go
@@ -147,13 +147,7 @@
 
 // isServable reports whether servers of enough services may be asked.
 func (r *run) isServable() bool {
-	servable := 0
-	for _, service := range r.plan.Services {
-		if r.runner.Fleet.CanServe(service, r.regions(), r.began) {
-			servable++
-		}
-	}
-	return servable >= r.plan.Required
+	return r.runner.Fleet.CountServable(r.plan.Services, r.regions(), r.began) >= r.plan.Required
 }
 
 // refusal is the result of a request that is not begun: its services have more to do than
--- a/pkg/fleet/cold.go
+++ b/pkg/fleet/cold.go
@@ -35,9 +35,9 @@
 	// ownersShare of that is for the owners of services that have owners; the rest is for
 	// all nodes, which turn to the servers themselves where an owner is silent.
 	ownersShare = 0.75
-	// ownersPerRegion is how many nodes of a region may take themselves for the owner of a
+	// OwnersPerRegion is how many nodes of a region may take themselves for the owner of a
 	// service at the same time: as many as have a rank for it (package owner).
-	ownersPerRegion = 3
+	OwnersPerRegion = 3
 	// assumedCallers share the bound until the nodes are known.
 	assumedCallers = 64
 )
@@ -55,7 +55,7 @@
 func (f *Fleet) SetWarmUpBounds(bounds WarmUpBounds) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.settings.WarmUpBounds = bounds
+	f.warmUpBounds = bounds
 	f.callersGeneration++
 }
 
@@ -99,11 +99,11 @@
 // parts, and where that is less than one request for each, one for each of the first nodes
 // by rank. The mutex is held.
 func (f *Fleet) quotaOf(each *member) coldQuota {
-	bounds := f.settings.WarmUpBounds
+	bounds := f.warmUpBounds
 	bound := coldShare * (max(1, bounds.Factor)*f.warmUps[each.Service].PerSecond + bounds.Extra)
 	quota := coldQuota{generation: f.callersGeneration}
 	if f.crowds(float64(f.connections[each.Service])) {
-		quota.owned = int(ownersShare * bound / float64(ownersPerRegion*f.regionCount()))
+		quota.owned = int(ownersShare * bound / float64(OwnersPerRegion*f.regionCount()))
 		bound *= 1 - ownersShare
 	}
 	callers := len(f.callers.Names)
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -38,10 +38,13 @@
 
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
-	members  map[string]*member
-	services map[string][]*member
-	zones    map[string]*zoneTimes
-	profiles map[string]*Profile
+	// leaveWithin and warmUpBounds are those of the settings until others are set.
+	leaveWithin  time.Duration
+	warmUpBounds WarmUpBounds
+	members      map[string]*member
+	services     map[string][]*member
+	zones        map[string]*zoneTimes
+	profiles     map[string]*Profile
 	// callers are the nodes that share the servers' connections.
 	callers Callers
 	// connections is the greatest number of connections of a server, by service.
@@ -65,6 +68,7 @@
 func New(settings Settings) *Fleet {
 	return &Fleet{
 		settings:    settings,
+		leaveWithin: settings.LeaveWithin, warmUpBounds: settings.WarmUpBounds,
 		members:     make(map[string]*member),
 		services:    make(map[string][]*member),
 		zones:       make(map[string]*zoneTimes),
@@ -97,7 +101,7 @@
 	added.zone = f.zone(server.Zone)
 	added.cool(now.Add(server.WarmUp))
 	if server.Draining {
-		added.leave(now, now.Add(f.settings.LeaveWithin))
+		added.leave(now, now.Add(f.leaveWithin))
 	}
 	f.generation++
 	f.members[server.ID] = added
@@ -113,7 +117,7 @@
 	switch {
 	case server.Draining && !wasDraining:
 		f.generation++
-		known.leave(now, now.Add(f.settings.LeaveWithin))
+		known.leave(now, now.Add(f.leaveWithin))
 		return "draining"
 	case !server.Draining && (wasDraining || !wasListed):
 		f.generation++
@@ -139,7 +143,7 @@
 		known.leave(doubtedUntil, doubtedUntil)
 		return true
 	}
-	known.leave(now, now.Add(f.settings.LeaveWithin))
+	known.leave(now, now.Add(f.leaveWithin))
 	return true
 }
 
@@ -205,7 +209,7 @@
 func (f *Fleet) SetLeaveWithin(span time.Duration) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.settings.LeaveWithin = span
+	f.leaveWithin = span
 }
 
 // SetCallers takes the nodes that share the servers; the caller does not change
--- a/pkg/owner/roster.go
+++ b/pkg/owner/roster.go
@@ -18,13 +18,14 @@
 
 	"github.com/bramblemast/bramblemast/pkg/directory"
 	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/rendezvous"
 	"github.com/bramblemast/bramblemast/pkg/route"
 )
 
 // candidateCount is how many nodes a group of services has in rank: the owner, and
 // those that take its place while it does not answer.
-const candidateCount = 3
+const candidateCount = fleet.OwnersPerRegion
 
 // Servers tells what is known of the servers of services; *fleet.Fleet implements
 // it.
--- a/pkg/owner/server.go
+++ b/pkg/owner/server.go
@@ -151,7 +151,7 @@
 	asked := Asked{
 		Host: question.Host, Target: question.Target, Version: question.Version, Regions: route.OnlyRegions(question.Regions),
 	}
-	plan.Version, plan.Regions = question.Version, func() route.Regions { return s.options.Regions(asked) }
+	plan.Regions = func() route.Regions { return s.options.Regions(asked) }
 	if question.TargetUs > 0 {
 		plan.Target = began.Add(span(question.TargetUs))
 	}
