--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -116,15 +116,15 @@
 	if record.Cause != nil {
 		list = append(list, "error", record.Cause.Error())
 	}
+	if record.Fingerprint != nil {
+		list = append(list, "fingerprint", record.Fingerprint.String())
+	}
 	if record.Refused {
 		return list
 	}
 	result := record.Result
 	list = append(list, "parts", record.Parts, "required", record.Required, "total", record.Total)
 	list = append(appendCounts(list, result), "shed", result.Shed, "outcome", result.Outcome.String())
-	if record.Fingerprint != nil {
-		list = append(list, "fingerprint", record.Fingerprint.String())
-	}
 	if result.Asked > 0 {
 		list = append(list, "owners_asked", result.Asked)
 	}
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -25,6 +25,7 @@
 	CauseBusy          Cause = "all servers of a service were busy with this node's requests"
 	CauseRefused       Cause = "servers refused to run it"
 	CauseUnreachable   Cause = "servers could not be reached"
+	CauseQuarantined   Cause = "servers ended while they had it, so it was kept from others"
 	CauseSilent        Cause = "servers did not answer in time"
 	CauseSilentBudget  Cause = "servers did not answer in time, and the extra-load budget was used up"
 	CauseServerFailed  Cause = "servers ran it and failed"
@@ -58,6 +59,8 @@
 		return CauseStarting
 	case line.Reason == "overloaded":
 		return CauseOverloaded
+	case line.Reason == string(fanout.StopQuarantined):
+		return CauseQuarantined
 	case line.Reason == "cancelled":
 		return CauseClientLeft
 	case line.Reason == "invalid_request" && line.Status == http.StatusNotFound:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -154,3 +154,22 @@
 	g.Expect(lines).To(HaveLen(1))
 	g.Expect(lines[0].Node).To(Equal("node-1"))
 }
+
+// TestARequestThatEndedItsServersIsNamed, with what its node found out about it.
+func TestARequestThatEndedItsServersIsNamed(t *testing.T) {
+	g := NewWithT(t)
+	lines, _, err := explain.Read(strings.NewReader(`{"@timestamp":"2026-03-13T13:02:12Z","@message":"request suspect","node":"a",` +
+		`"fingerprint":"f1","servers_ended":["s1","s2","s3"]}
+{"@timestamp":"2026-03-13T13:02:12.02Z","@message":"request suspect","node":"a","fingerprint":"f2","servers_ended":["s9"]}
+{"@timestamp":"2026-03-13T13:02:12.1Z","@message":"request","node":"a","request":"r","status":502,"reason":"quarantined",` +
+		`"fingerprint":"f1","parts":0,"required":8,"total":9}
+`))
+	g.Expect(err).NotTo(HaveOccurred())
+	story, err := explain.Explain(lines, "r")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(story.Tries[0].Cause).To(Equal(explain.CauseQuarantined))
+	var text bytes.Buffer
+	story.Write(&text)
+	g.Expect(text.String()).To(ContainSubstring("before: request suspect (servers ended: s1, s2, s3)"))
+	g.Expect(text.String()).NotTo(ContainSubstring("s9"))
+}
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -61,11 +61,14 @@
 	Owner      string                 `json:"owner"`
 	Owners     []fanout.OwnerRecord   `json:"owners"`
 	Error      string                 `json:"error"`
-	Dependency string                 `json:"dependency"`
-	Server     string                 `json:"server"`
-	Service    string                 `json:"service"`
-	Template   string                 `json:"template"`
-	Arm        string                 `json:"arm"`
+	// Fingerprint is the same for all tries of a request; ServersEnded ended while they had it.
+	Fingerprint  string   `json:"fingerprint"`
+	ServersEnded []string `json:"servers_ended"`
+	Dependency   string   `json:"dependency"`
+	Server       string   `json:"server"`
+	Service      string   `json:"service"`
+	Template     string   `json:"template"`
+	Arm          string   `json:"arm"`
 }
 
 // header are the fields that the logger itself writes.
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -109,6 +109,9 @@
 	case messageConfiguration, messageLost, messageRegained, messageOwnerLost, messageOwnerRegained, "started", "stopping", "configuration refused":
 		return true
 	}
+	if len(line.ServersEnded) > 0 {
+		return line.Fingerprint == request.Fingerprint
+	}
 	return strings.HasPrefix(line.Message, "server ") && slices.Contains(request.Missing, line.Service)
 }
 
@@ -157,6 +160,8 @@
 		return fmt.Sprintf(" (%s) %s", line.Owner, line.Error)
 	case line.Message == messageOverload:
 		return fmt.Sprintf(" (%s: %d sub-requests wait for a free server)", line.Service, line.Waiting)
+	case len(line.ServersEnded) > 0:
+		return fmt.Sprintf(" (servers ended: %s)", strings.Join(line.ServersEnded, ", "))
 	case line.Server != "":
 		return fmt.Sprintf(" (%s of %s)", line.Server, line.Service)
 	case line.Dependency != "":
--- a/internal/front/record.go
+++ b/internal/front/record.go
@@ -31,7 +31,8 @@
 	Services []string
 	Cause    error
 	// Fingerprint is what the request has in common with its client's other tries; nil
-	// unless a server ended while it had the request.
+	// unless a server broke its connection while it had the request, or it was kept from
+	// servers for that.
 	Fingerprint *exchange.Fingerprint
 }
 
@@ -45,16 +46,11 @@
 }
 
 func (c *conversation) record(status int, plan fanout.Plan, result fanout.Result) {
-	var fingerprint *exchange.Fingerprint
-	if result.Broken > 0 {
-		known := c.fingerprint()
-		fingerprint = &known
-	}
 	c.handler.events.Record(Record{
 		ID: c.id, Host: c.received.Host, Path: c.received.RequestURI, Route: c.route.Name, Version: c.version,
 		Policy: c.policy, Status: status, Took: time.Since(c.began), Reason: string(result.Reason), Parts: result.Got,
 		Required: plan.Required, Total: len(plan.Services), Result: result, Services: plan.Services,
-		RetryAfter: c.toldWait, Fingerprint: fingerprint,
+		RetryAfter: c.toldWait, Fingerprint: c.fingerprintIf(result.Broken > 0 || result.Reason == fanout.StopQuarantined),
 	})
 }
 
@@ -66,6 +62,15 @@
 	c.handler.events.Record(Record{
 		ID: c.id, Host: c.received.Host, Path: c.received.RequestURI, Route: name, Version: c.version,
 		Status: status, Took: time.Since(c.began), Reason: string(reason), Refused: true, Cause: c.cause,
-		RetryAfter: c.toldWait,
+		RetryAfter: c.toldWait, Fingerprint: c.fingerprintIf(reason == outcome.ReasonQuarantined),
 	})
 }
+
+// fingerprintIf returns the fingerprint if it matters to the story of the request.
+func (c *conversation) fingerprintIf(matters bool) *exchange.Fingerprint {
+	if !matters {
+		return nil
+	}
+	fingerprint := c.fingerprint()
+	return &fingerprint
+}
