bramblemastd: a query under which servers end is not sent to a second one of each part

A query whose sub-requests all lose their connections was retried for each of its parts. Change: once three sub-requests have lost their connections and none has answered, retries and hedges wait for what is under way, and then for at most two trials, one after the other; an answer sets them free.

--- a/pkg/query/extra.go
+++ b/pkg/query/extra.go
@@ -89,6 +89,9 @@
 		return
 	}
 	part.hedgeAt = p.laterHedge()
+	if p.isSuspect() {
+		return
+	}
 	budget := p.execution.budget
 	if budget.TrySpend() && !p.launch(index, Hedge, true) {
 		budget.Refund()
@@ -108,6 +111,9 @@
 	part := &p.parts[index]
 	part.retryAt = never
 	p.scheduled--
+	if p.keepBack(index) {
+		return
+	}
 	if part.sent == 0 {
 		p.relaunch(index, Primary, false)
 		return
@@ -136,6 +142,7 @@
 func (p *pass) failed(finished *attempt) {
 	x := p.execution
 	x.noteFailure(finished.err)
+	p.noteLost(finished.err)
 	p.account(finished)
 	part := &p.parts[finished.part]
 	result := outcome.Of(finished.err)
--- a/pkg/query/pass.go
+++ b/pkg/query/pass.go
@@ -101,6 +101,10 @@
 	scheduled int
 	// strandedParts counts the parts that no known server holds.
 	strandedParts int
+	// lost counts the sub-requests whose server broke the connection, and trials those that
+	// were sent although the request was suspect for that; see keepBack.
+	lost   int
+	trials int
 	// refused is what servers said that they do not serve.
 	refused []refusal
 	fatal   *outcome.Error
