--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/bramblemast/bramblemast/pkg/directory/directorypb"
 	"github.com/bramblemast/bramblemast/pkg/peer"
@@ -274,102 +273,6 @@
 	return knownAt, nil
 }
 
-// hearTimes takes the moments in an answer to a question that was asked at a
-// moment, and returns when the other node knew all that the store held; zero if
-// it does not tell. A node that learns from others what has gone must know, like
-// them, whether the store has been away.
-func (p *Peers) hearTimes(reply *directorypb.ChangesReply, asked time.Time) time.Time {
-	if reply.RegainedAgeMs != nil && p.follower.Role() == Asker {
-		p.follower.hearOutage(outageOf(reply, asked))
-	}
-	if reply.KnownAgeMs == nil || p.incomplete {
-		return time.Time{}
-	}
-	return momentOf(asked, reply.KnownAgeMs)
-}
-
-// outageOf returns the outage that an answer to a question tells of; one that began too
-// long ago to be told began longer ago than anything that this node remembers.
-func outageOf(reply *directorypb.ChangesReply, asked time.Time) outage {
-	heard := outage{from: asked.Add(-greatestToldAge), to: momentOf(asked, reply.RegainedAgeMs)}
-	if reply.LostAgeMs != nil {
-		heard.from = momentOf(asked, reply.LostAgeMs)
-	}
-	return heard
-}
-
-// momentOf returns the moment that an answer to a question tells as an age.
-func momentOf(asked time.Time, ageMillis *uint32) time.Time {
-	return asked.Add(-time.Duration(*ageMillis) * time.Millisecond)
-}
-
-// coverageOf returns what the last answer tells.
-func (p *Peers) coverageOf(reply *directorypb.ChangesReply) coverage {
-	switch {
-	case p.incomplete:
-		return newerOnly
-	case reply.Full:
-		return wholeState
-	}
-	return allChanges
-}
-
-// isNewerOnly reports whether an answer cannot tell which keys have gone: it is
-// marked as full, but has the revision of the question.
-func isNewerOnly(reply *directorypb.ChangesReply, after uint64) bool {
-	return reply.Full && after > 0 && reply.Revision == after
-}
-
-func (p *Peers) decode(item *directorypb.Item) Entry {
-	entry := p.follower.source.Decode(item.Key, item.Value, item.Revision)
-	if item.Gone {
-		return entry.end(item.Revision)
-	}
-	return entry
-}
-
-// answer tells another node what it does not know.
-func (p *Peers) answer(_ context.Context, from target.NodeID, body []byte) (proto.Message, error) {
-	request := &directorypb.ChangesRequest{}
-	if err := request.UnmarshalVT(body); err != nil {
-		return nil, errors.Wrap(err, "decode question for changes")
-	}
-	// Read before the replica, which may know more by then.
-	knownAt := p.follower.KnownAt()
-	batch, covered := p.follower.replica.since(request.After)
-	if request.After > batch.Revision && !p.follower.isFirstCall() {
-		select {
-		case p.ahead <- from:
-		default:
-		}
-	}
-	lapse := p.follower.lastOutage()
-	reply := &directorypb.ChangesReply{
-		Revision: batch.Revision, Full: covered != allChanges,
-		KnownAgeMs: ageMillis(knownAt), RegainedAgeMs: ageMillis(lapse.to), LostAgeMs: ageMillis(lapse.from),
-	}
-	for _, each := range batch.gaps {
-		reply.Gaps = append(reply.Gaps, &directorypb.Gap{From: each.from, To: each.to})
-	}
-	for _, entry := range batch.Entries {
-		reply.Items = append(reply.Items, &directorypb.Item{
-			Key: entry.Key, Value: entry.Value, Revision: entry.Revision, Gone: entry.Gone,
-		})
-	}
-	return reply, nil
-}
-
-// ageMillis returns how long ago a moment was, in milliseconds; nil if it is zero
-// or too long ago to matter.
-func ageMillis(at time.Time) *uint32 {
-	age := time.Since(at)
-	if at.IsZero() || age > greatestToldAge {
-		return nil
-	}
-	millis := uint32(max(0, age).Milliseconds())
-	return &millis
-}
-
 // choose returns the node to ask: the one that was found to know more, or else
 // each other one in turn, so that what one node knows reaches all in a number of
 // steps that grows with the logarithm of their number, also where a whole zone
--- /dev/null
+++ b/pkg/fanout/decide.go
@@ -0,0 +1,134 @@
+package fanout
+
+import (
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/policy"
+)
+
+// decide reports whether the answer is final.
+func (r *run) decide(now time.Time) (StopReason, bool) {
+	switch {
+	case r.got == len(r.parts):
+		return StopComplete, true
+	case r.open == 0:
+		return StopExhausted, true
+	case !now.Before(r.plan.Deadline):
+		return StopDeadline, true
+	case r.isQuarantined():
+		return StopQuarantined, true
+	case r.plan.Collect != nil:
+		return "", false
+	case !r.plan.Target.IsZero() && !now.Before(r.plan.Target) && r.got >= r.plan.Required:
+		return StopTarget, true
+	case r.got+r.open < r.plan.Required:
+		return StopExhausted, true
+	case r.isRefused(now):
+		return StopNotOffered, true
+	case r.got >= r.plan.Required && r.stops(now):
+		return StopRule, true
+	case r.got >= r.plan.Required && r.allAbsent():
+		return StopExhausted, true
+	}
+	return "", false
+}
+
+// stops asks the stop rule.
+func (r *run) stops(now time.Time) bool {
+	if r.plan.Stop == nil {
+		return false
+	}
+	progress := policy.Progress{
+		CoveredWidth: uint32(r.got), TotalWidth: uint32(len(r.parts)), Outstanding: r.open,
+		Elapsed: now.Sub(r.began), Remaining: r.plan.Deadline.Sub(now),
+	}
+	if progress.Share() >= r.plan.Stop.TargetShare() {
+		if r.coveredAt.IsZero() {
+			r.coveredAt = now
+		}
+		progress.SinceCoverage = now.Sub(r.coveredAt)
+	}
+	decision := r.plan.Stop.Decide(progress)
+	r.recheckAt = time.Time{}
+	if decision.Recheck > 0 {
+		r.recheckAt = now.Add(decision.Recheck)
+	}
+	return decision.Stop
+}
+
+// allAbsent reports whether every part that is missing has no server.
+func (r *run) allAbsent() bool {
+	for index := range r.parts {
+		each := &r.parts[index]
+		if each.answer == nil && !each.closed && (!each.absent || each.question != nil) {
+			return false
+		}
+	}
+	return true
+}
+
+// isRefused reports whether the request has come to its target without a server, while
+// not all requests get one: those in time go before it from now on, and its client can
+// retry.
+func (r *run) isRefused(now time.Time) bool {
+	isLate := !r.plan.Target.IsZero() && !now.Before(r.plan.Target)
+	return isLate && r.nothingRuns() && r.runner.Fleet.IsOverloaded(r.demand(), now)
+}
+
+// noteDemand tells the fleet, at the end, whether the servers had room for the request
+// in the time that it had. One that failed for other reasons shows no load, and what
+// owners ask for is known to them.
+func (r *run) noteDemand(reason StopReason) {
+	if r.plan.Collect != nil || reason == StopCancelled {
+		return
+	}
+	waiting := 0
+	for index := range r.parts {
+		if each := &r.parts[index]; each.answer == nil && each.waiter != nil {
+			waiting++
+		}
+	}
+	served := r.got >= r.plan.Required
+	if served || r.got+waiting >= r.plan.Required {
+		r.runner.Fleet.NoteDemand(r.demand(), r.began, served, time.Now())
+	}
+}
+
+// nothingRuns reports whether no server runs or has run any part.
+func (r *run) nothingRuns() bool {
+	for index := range r.parts {
+		each := &r.parts[index]
+		if each.ran || each.executions > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// nextEvent returns the next moment at which something is to be decided.
+func (r *run) nextEvent(now time.Time) time.Time {
+	next := r.plan.Deadline
+	if r.plan.Target.After(now) && r.nothingRuns() {
+		next = earlier(next, r.plan.Target)
+	}
+	if r.got >= r.plan.Required && r.plan.Collect == nil {
+		next = earlier(next, r.plan.Target)
+	}
+	next = earlier(next, r.recheckAt)
+	next = earlier(next, r.reportAt)
+	for _, asked := range r.questions {
+		next = earlier(next, asked.silentAt)
+	}
+	for index := range r.parts {
+		next = earlier(next, r.parts[index].hedgeAt)
+	}
+	return next
+}
+
+// earlier returns the earlier of two moments; a zero candidate stands for none.
+func earlier(known, candidate time.Time) time.Time {
+	if candidate.IsZero() || known.Before(candidate) {
+		return known
+	}
+	return candidate
+}
