Servers that broke a connection are looked at when that decides something

Cause: each broken connection cost one or two new ones at once, although most requests that meet one are answered by another server within tenths of a second; where servers reset connections, that is load where there is least room. Change: servers are probed once three seem to have ended under a request that nobody has answered, and else after 0.3 s for those that still have no answer.

--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -177,18 +177,40 @@
 }
 
 // NoteBroken takes that a server ended its connection while it had a request that no server
-// has answered. Whether the server itself ended is found out by a connection to it.
+// has answered. Whether the server itself ended is found out by a connection to it: at once
+// if the request would be suspect, else after noteDelay, when most have been answered.
 func (g *Guard) NoteBroken(fingerprint exchange.Fingerprint, server, address string, now time.Time) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	_, hasEnded := g.ended[server]
 	before := g.standing(fingerprint)
-	g.record(fingerprint, now).add(server, hasEnded, now)
-	if !hasEnded && !g.probed[server] {
-		g.probed[server] = true
-		go g.probe(server, address)
+	known := g.record(fingerprint, now)
+	known.add(server, hasEnded, now).address = address
+	if len(known.ends) >= suspectAfter {
+		g.probeAll(known)
 	}
 	g.changed(fingerprint, before)
+	g.signal()
+}
+
+// probeAll finds out which of the servers that seem to have ended under a request have. The
+// mutex is held.
+func (g *Guard) probeAll(known *record) {
+	for server, each := range known.ends {
+		if !each.isConfirmed && !g.probed[server] {
+			g.probed[server] = true
+			go g.probe(server, each.address)
+		}
+	}
+}
+
+// probeUnsettled does so for all requests that have not been answered meanwhile.
+func (g *Guard) probeUnsettled() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for _, known := range g.records {
+		g.probeAll(known)
+	}
 }
 
 // LearnEnded takes the servers that another node has seen end under a request.
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -24,6 +24,8 @@
 // end is one server that ended, or seems to have.
 type end struct {
 	at time.Time
+	// address is where the server is looked for; empty if another node told of it.
+	address string
 	// isConfirmed says that the server itself ended, isWritten that the store holds it.
 	isConfirmed bool
 	isWritten   bool
--- a/pkg/quarantine/write.go
+++ b/pkg/quarantine/write.go
@@ -31,6 +31,7 @@
 		if !g.isUrgent() {
 			pause.For(ctx, noteDelay)
 		}
+		g.probeUnsettled()
 		if err := g.write(ctx); err != nil {
 			pause.For(ctx, pause.Doubled(leastRetry, greatestRetry, failures))
 			failures++
