A request that was answered lately is not suspect, and a quarantined one is tried again later

Ruled out: a higher count of servers, since a request that comes all the time is at all of them. After the two prompt trials one more is made after 1, 3 and 7 minutes, so nothing is refused for ten minutes because of two accidents.

--- a/pkg/fanout/kept_back.go
+++ b/pkg/fanout/kept_back.go
@@ -117,8 +117,8 @@
 // noteServed tells the guard that a server has answered the request.
 func (r *run) noteServed() {
 	r.served.Store(true)
-	if guard := r.runner.Quarantine; guard != nil && !guard.IsIdle() {
-		guard.NoteServed(r.fingerprint())
+	if guard := r.runner.Quarantine; guard != nil {
+		guard.NoteServed(r.fingerprint(), time.Now())
 	}
 }
 
--- /dev/null
+++ b/pkg/quarantine/bench_test.go
@@ -0,0 +1,24 @@
+package quarantine_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/exchange/exchangetest"
+	"github.com/bramblemast/bramblemast/pkg/quarantine"
+)
+
+// BenchmarkAnAnsweredRequest is what the quarantine costs each request that is answered while
+// no request is suspect.
+func BenchmarkAnAnsweredRequest(b *testing.B) {
+	guard := quarantine.New(quarantine.Options{})
+	request := exchange.Request{
+		Method: "GET", Host: "h.example", Target: "/tally/0123456789abcdef?page=2", Header: http.Header{"Accept": {"*/*"}},
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		guard.NoteServed(request.Fingerprint(&exchangetest.Dialect), time.Now())
+	}
+}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -29,9 +29,13 @@
 	// under an ordinary request that meets two crashes in a row; the third makes it worth
 	// the time of a trial.
 	suspectAfter = 3
-	// greatestTrials is how many trials all nodes together make: one that fails may have
-	// met the crash of another request's server, two in a row hardly do.
-	greatestTrials = 2
+	// promptTrials is how many trials all nodes together make at once: one that fails may
+	// have met the crash of another request's server, two in a row hardly do.
+	promptTrials = 2
+	// laterTrial is when a further trial is made after those, and each later one twice as
+	// long after the one before: an ordinary request that lost its trials too is cleared,
+	// and a deadly one ends three servers more in ten minutes.
+	laterTrial = time.Minute
 	// lifetime is for how long a request is remembered after its last note: long enough
 	// that its clients have given up, short enough that a mended server gets it again.
 	lifetime = 10 * time.Minute
@@ -116,6 +120,8 @@
 // Guard is what one node knows of deadly requests. It is safe for concurrent use.
 type Guard struct {
 	options Options
+	// served are the requests that were answered lately.
+	served *served
 	// known is the number of records, so that nothing is spent while there are none.
 	known atomic.Int64
 	// work has an element while there is something to write.
@@ -135,7 +141,7 @@
 // New returns a Guard that knows of no request.
 func New(options Options) *Guard {
 	return &Guard{
-		options: options, work: make(chan struct{}, 1), records: make(map[exchange.Fingerprint]*record),
+		options: options, served: newServed(), work: make(chan struct{}, 1), records: make(map[exchange.Fingerprint]*record),
 		ended: make(map[string]time.Time), probed: make(map[string]bool),
 	}
 }
@@ -150,10 +156,7 @@
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if known := g.records[fingerprint]; known != nil {
-		return known.standing()
-	}
-	return Clear
+	return g.standing(fingerprint, time.Now())
 }
 
 // Until returns for how long a request will be remembered if nothing new comes.
@@ -178,18 +181,22 @@
 
 // NoteBroken takes that a server ended its connection while it had a request that no server
 // has answered. Whether the server itself ended is found out by a connection to it: at once
-// if the request would be suspect, else after noteDelay, when most have been answered.
+// if the request would be suspect, else after noteDelay, when most have been answered. A
+// request that was answered lately is not what ends servers.
 func (g *Guard) NoteBroken(fingerprint exchange.Fingerprint, server, address string, now time.Time) {
+	if g.served.has(fingerprint, now) {
+		return
+	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	_, hasEnded := g.ended[server]
-	before := g.standing(fingerprint)
+	before := g.standing(fingerprint, now)
 	known := g.record(fingerprint, now)
 	known.add(server, hasEnded, now).address = address
 	if len(known.ends) >= suspectAfter {
 		g.probeAll(known)
 	}
-	g.changed(fingerprint, before)
+	g.changed(fingerprint, before, now)
 	g.signal()
 }
 
@@ -215,21 +222,22 @@
 
 // LearnEnded takes the servers that another node has seen end under a request.
 func (g *Guard) LearnEnded(fingerprint exchange.Fingerprint, servers []string, now time.Time) {
-	if len(servers) == 0 {
+	if len(servers) == 0 || g.served.has(fingerprint, now) {
 		return
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	before := g.standing(fingerprint)
+	before := g.standing(fingerprint, now)
 	known := g.record(fingerprint, now)
 	for _, server := range servers {
 		known.add(server, true, now)
 	}
-	g.changed(fingerprint, before)
+	g.changed(fingerprint, before, now)
 }
 
 // NoteServed takes that a server has answered a request: it is not what ends servers.
-func (g *Guard) NoteServed(fingerprint exchange.Fingerprint) {
+func (g *Guard) NoteServed(fingerprint exchange.Fingerprint, now time.Time) {
+	g.served.add(fingerprint, now)
 	if g.IsIdle() {
 		return
 	}
@@ -239,7 +247,7 @@
 	if known == nil {
 		return
 	}
-	before := known.standing()
+	before := known.standing(now)
 	g.removals = append(g.removals, known.written(fingerprint)...)
 	g.drop(fingerprint)
 	if before == Suspect || before == Quarantined {
@@ -278,28 +286,35 @@
 		g.ended[server] = now
 	}
 	for fingerprint, known := range g.records {
-		before := known.standing()
+		before := known.standing(now)
 		if known.settle(server, hasEnded) {
-			g.changed(fingerprint, before)
+			g.changed(fingerprint, before, now)
 		}
 	}
 }
 
-// Learn takes a note of the store, or that it is gone.
+// Learn takes a note of the store, or that it is gone. One on a request that was answered
+// here lately is removed: the node that wrote it had not seen that.
 func (g *Guard) Learn(note Note, isGone bool, now time.Time) {
+	isServed := !isGone && g.served.has(note.Fingerprint, now)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	if isServed {
+		g.removals = append(g.removals, note)
+		g.signal()
+		return
+	}
 	if isGone && g.records[note.Fingerprint] == nil {
 		return
 	}
-	before := g.standing(note.Fingerprint)
+	before := g.standing(note.Fingerprint, now)
 	known := g.record(note.Fingerprint, now)
 	if isGone {
 		known.forget(note)
 	} else {
 		known.learn(note, now)
 	}
-	g.changed(note.Fingerprint, before)
+	g.changed(note.Fingerprint, before, now)
 }
 
 // Sweep forgets what is old.
@@ -327,7 +342,7 @@
 func (g *Guard) record(fingerprint exchange.Fingerprint, now time.Time) *record {
 	known := g.records[fingerprint]
 	if known == nil {
-		g.makeRoom()
+		g.makeRoom(now)
 		known = newRecord(now)
 		g.records[fingerprint] = known
 		g.known.Add(1)
@@ -337,14 +352,14 @@
 
 // makeRoom forgets some request, if there are too many: one that is not suspect, unless all
 // are. The mutex is held.
-func (g *Guard) makeRoom() {
+func (g *Guard) makeRoom(now time.Time) {
 	if len(g.records) < maxRecords {
 		return
 	}
 	var chosen exchange.Fingerprint
 	for fingerprint, known := range g.records {
 		chosen = fingerprint
-		if known.standing() <= Doubtful {
+		if known.standing(now) <= Doubtful {
 			break
 		}
 	}
@@ -357,21 +372,22 @@
 	g.known.Add(-1)
 }
 
-func (g *Guard) standing(fingerprint exchange.Fingerprint) Standing {
+// standing is Standing. The mutex is held.
+func (g *Guard) standing(fingerprint exchange.Fingerprint, now time.Time) Standing {
 	if known := g.records[fingerprint]; known != nil {
-		return known.standing()
+		return known.standing(now)
 	}
 	return Clear
 }
 
 // changed tells of a request's new standing, and of work for Run. The mutex is held.
-func (g *Guard) changed(fingerprint exchange.Fingerprint, before Standing) {
+func (g *Guard) changed(fingerprint exchange.Fingerprint, before Standing, now time.Time) {
 	known := g.records[fingerprint]
 	if known.isEmpty() {
 		g.drop(fingerprint)
 	}
-	if now := known.standing(); now != before && (max(now, before) > Doubtful) {
-		g.options.Events.Standing(fingerprint, now, known.servers())
+	if after := known.standing(now); after != before && max(after, before) > Doubtful {
+		g.options.Events.Standing(fingerprint, after, known.servers())
 	}
 	if known.hasUnwritten() {
 		g.signal()
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -14,6 +14,8 @@
 	ends map[string]*end
 	// trials are the numbers of the trials that were made.
 	trials map[int]bool
+	// nextTrialAt is when a further trial is made after the prompt ones.
+	nextTrialAt time.Time
 	// alone counts the trials that this node made without the ledger.
 	alone   int
 	beganAt time.Time
@@ -61,7 +63,7 @@
 
 func (r *record) learn(note Note, now time.Time) {
 	if note.Trial > 0 {
-		r.trials[note.Trial] = true
+		r.noteTrial(note.Trial, now)
 		return
 	}
 	r.add(note.Server, true, now).isWritten = true
@@ -77,19 +79,33 @@
 	}
 }
 
-func (r *record) standing() Standing {
+func (r *record) standing(now time.Time) Standing {
 	confirmed := r.confirmed()
 	switch {
-	case confirmed >= suspectAfter && len(r.trials)+r.alone >= greatestTrials:
-		return Quarantined
-	case confirmed >= suspectAfter:
+	case confirmed >= suspectAfter && r.mayTry(now):
 		return Suspect
+	case confirmed >= suspectAfter:
+		return Quarantined
 	case len(r.ends) >= suspectAfter:
 		return Doubtful
 	}
 	return Clear
 }
 
+// mayTry reports whether a trial may be made now: two at once, then one now and then.
+func (r *record) mayTry(now time.Time) bool {
+	return len(r.trials)+r.alone < promptTrials || !now.Before(r.nextTrialAt)
+}
+
+// noteTrial takes that a trial was made.
+func (r *record) noteTrial(number int, now time.Time) {
+	if r.trials[number] {
+		return
+	}
+	r.trials[number] = true
+	r.nextTrialAt = now.Add(laterTrial << max(0, len(r.trials)-promptTrials))
+}
+
 func (r *record) confirmed() int {
 	count := 0
 	for _, each := range r.ends {
--- a/pkg/quarantine/write.go
+++ b/pkg/quarantine/write.go
@@ -48,8 +48,9 @@
 func (g *Guard) isUrgent() bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	now := time.Now()
 	for _, known := range g.records {
-		if known.standing() > Doubtful && known.hasUnwritten() {
+		if known.standing(now) > Doubtful && known.hasUnwritten() {
 			return true
 		}
 	}
@@ -83,10 +84,11 @@
 func (g *Guard) additions() []Note {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	now := time.Now()
 	var suspects, others []Note
 	for fingerprint, known := range g.records {
 		notes := known.unwritten(fingerprint)
-		if known.standing() > Doubtful {
+		if known.standing(now) > Doubtful {
 			suspects = append(suspects, notes...)
 		} else {
 			others = append(others, notes...)
