--- a/internal/front/suspect.go
+++ b/internal/front/suspect.go
@@ -23,7 +23,7 @@
 }
 
 // quarantineWait returns when a request that is kept from servers may come back: soon while
-// it may still be cleared, else once it is forgotten.
+// it may still be cleared, else when it may be tried again.
 func (c *conversation) quarantineWait() time.Duration {
 	guard, fingerprint := c.handler.quarantine, c.fingerprint()
 	if guard.Standing(fingerprint) != quarantine.Quarantined {
--- a/pkg/fanout/kept_back.go
+++ b/pkg/fanout/kept_back.go
@@ -41,27 +41,28 @@
 	return false
 }
 
-// isQuarantined reports whether the request is kept back for good: nothing that could still
-// clear it is under way, and no trial is left. One that is suspect and has a trial left
-// claims it. A run for another node leaves that to the other one.
+// isStuck reports whether the request is kept back and nothing that could still clear it is
+// under way.
+func (r *run) isStuck() bool {
+	return r.standing() > quarantine.Doubtful && r.isKeptBack() && !r.isClaiming && !r.isUnderWay()
+}
+
+// isQuarantined reports whether the request is kept back for good: it is stuck, and no trial
+// is left. A run for another node leaves trials to that one.
 func (r *run) isQuarantined() bool {
-	standing := r.standing()
-	if standing <= quarantine.Doubtful || !r.isKeptBack() || r.isClaiming || r.isUnderWay() {
-		return false
-	}
-	if standing == quarantine.Quarantined || r.isRefusedTrial || r.plan.Collect != nil {
-		return true
-	}
-	r.claimTrial()
-	return false
+	hasTrial := r.standing() == quarantine.Suspect && !r.isRefusedTrial && r.plan.Collect == nil
+	return r.isStuck() && !hasTrial
 }
 
 // claimTimeout bounds the claim of a trial: two round trips between regions, and a store that
 // is slow for a moment.
 const claimTimeout = 300 * time.Millisecond
 
-// claimTrial asks for leave to send the request to one server; see takeTrial.
+// claimTrial asks for leave to send the request to one server if it is stuck; see takeTrial.
 func (r *run) claimTrial() {
+	if !r.isStuck() {
+		return
+	}
 	r.isClaiming = true
 	guard, fingerprint := r.runner.Quarantine, r.fingerprint()
 	go func() {
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -132,6 +132,7 @@
 		if reason, done := r.decide(now); done {
 			return reason
 		}
+		r.claimTrial()
 		if err := r.tell(now); err != nil {
 			return StopCancelled
 		}
@@ -203,6 +204,10 @@
 	if result.attempt.Broken {
 		r.broken++
 	}
+	if result.err == nil && result.answer.Evidence != "" && !r.served.Load() {
+		// Also a failure that a server has made shows that it lives.
+		r.noteServed()
+	}
 	if part.answer != nil {
 		return
 	}
@@ -219,7 +224,7 @@
 // accept takes the answer of a part.
 func (r *run) accept(index int, answer *exchange.Response, now time.Time) {
 	part := &r.parts[index]
-	if r.got == 0 {
+	if !r.served.Load() {
 		r.noteServed()
 	}
 	r.withdraw(part)
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -53,7 +53,7 @@
 	// endedSpan is for how long a server that has ended is known to have.
 	endedSpan = 30 * time.Second
 	// maxRecords bounds the requests that are remembered: one crash of a server leaves as
-	// many as it had requests of this node. With 300 bytes each they take 0.3 MB.
+	// many as it had requests of this node.
 	maxRecords = 1024
 )
 
@@ -134,15 +134,16 @@
 	ended map[string]time.Time
 	// probed are the servers that are being looked at.
 	probed map[string]bool
-	// removals are notes that are to be removed.
+	// removals are notes that are to be removed, and disputed those that are so soon.
 	removals []Note
+	disputed map[Note]bool
 }
 
 // New returns a Guard that knows of no request.
 func New(options Options) *Guard {
 	return &Guard{
 		options: options, served: newServed(), work: make(chan struct{}, 1), records: make(map[exchange.Fingerprint]*record),
-		ended: make(map[string]time.Time), probed: make(map[string]bool),
+		ended: make(map[string]time.Time), probed: make(map[string]bool), disputed: make(map[Note]bool),
 	}
 }
 
@@ -159,12 +160,12 @@
 	return g.standing(fingerprint, time.Now())
 }
 
-// Until returns for how long a request will be remembered if nothing new comes.
+// Until returns the time until a quarantined request may be tried again.
 func (g *Guard) Until(fingerprint exchange.Fingerprint, now time.Time) time.Duration {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if known := g.records[fingerprint]; known != nil {
-		return max(0, known.expiresAt.Sub(now))
+		return max(0, min(known.nextTrialAt.Sub(now), known.expiresAt.Sub(now)))
 	}
 	return 0
 }
@@ -300,10 +301,12 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if isServed {
-		g.removals = append(g.removals, note)
-		g.signal()
+		g.dispute(note)
 		return
 	}
+	if isGone {
+		delete(g.disputed, note)
+	}
 	if isGone && g.records[note.Fingerprint] == nil {
 		return
 	}
@@ -319,9 +322,6 @@
 
 // Sweep forgets what is old.
 func (g *Guard) Sweep(now time.Time) {
-	if g.IsIdle() {
-		return
-	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	for server, at := range g.ended {
--- a/pkg/quarantine/write.go
+++ b/pkg/quarantine/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/bramblemast/bramblemast/internal/pause"
@@ -17,6 +18,12 @@
 	writeTimeout  = time.Second
 	leastRetry    = 200 * time.Millisecond
 	greatestRetry = time.Second
+	// lostRetry is the wait between two looks at whether the ledger is in reach again; it
+	// is not called meanwhile.
+	lostRetry = 250 * time.Millisecond
+	// disputeSpread is within which time nodes remove a note that they know to be wrong, so
+	// that one of them does it for all.
+	disputeSpread = time.Second
 )
 
 // Run writes notes to the ledger until ctx ends.
@@ -32,6 +39,11 @@
 			pause.For(ctx, noteDelay)
 		}
 		g.probeUnsettled()
+		if g.options.LedgerLost() {
+			pause.For(ctx, lostRetry)
+			g.signal()
+			continue
+		}
 		if err := g.write(ctx); err != nil {
 			pause.For(ctx, pause.Doubled(leastRetry, greatestRetry, failures))
 			failures++
@@ -116,6 +128,24 @@
 	}
 }
 
+// dispute removes a note that this node knows to be wrong, unless another one has done so by
+// then. The mutex is held.
+func (g *Guard) dispute(note Note) {
+	if g.disputed[note] {
+		return
+	}
+	g.disputed[note] = true
+	time.AfterFunc(rand.N(disputeSpread), func() {
+		g.mutex.Lock()
+		defer g.mutex.Unlock()
+		if g.disputed[note] {
+			delete(g.disputed, note)
+			g.removals = append(g.removals, note)
+			g.signal()
+		}
+	})
+}
+
 func (g *Guard) takeRemovals() []Note {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
