--- a/pkg/fanout/kept_back_test.go
+++ b/pkg/fanout/kept_back_test.go
@@ -71,6 +71,16 @@
 	return count
 }
 
+// endWithTheNext lets servers end with the next request that they run, whatever it is.
+func (w *world) endWithTheNext(names ...string) {
+	for _, name := range names {
+		w.servers[name].Respond = func(exchangetest.Request) exchangetest.Answer {
+			w.network.Remove(name)
+			return exchangetest.Answer{}
+		}
+	}
+}
+
 // suspect lets a request for a target be suspect.
 func (w *world) suspect(target string) {
 	request := exchange.Request{Method: "GET", Target: target}
@@ -119,13 +129,7 @@
 		g := NewWithT(t)
 		w := newDeadlyWorld(fourShards, threeCopies)
 		defer w.close()
-		// The near servers of three shards break the connections of all that they have, and end.
-		for _, name := range []string{"a1", "b1", "c1"} {
-			w.servers[name].Respond = func(exchangetest.Request) exchangetest.Answer {
-				w.network.Remove(name)
-				return exchangetest.Answer{}
-			}
-		}
+		w.endWithTheNext("a1", "b1", "c1")
 		wanted := plan(fourShards...)
 		wanted.Required = len(fourShards)
 		began := time.Now()
@@ -164,13 +168,7 @@
 		g := NewWithT(t)
 		w := newDeadlyWorld(fourShards, threeCopies)
 		defer w.close()
-		for _, service := range fourShards {
-			name := service + "1"
-			w.servers[name].Respond = func(exchangetest.Request) exchangetest.Answer {
-				w.network.Remove(name)
-				return exchangetest.Answer{}
-			}
-		}
+		w.endWithTheNext("a1", "b1", "c1", "d1")
 		wanted := plan(fourShards...)
 		wanted.Required = len(fourShards)
 		began := time.Now()
