A pause between two reads of the clocks is no suspension

Cause: reading. A process that is paused between its reads of the two clocks took the pause for a suspension, and at the next look what it knew seemed newer than it was by that span. Change: the steady clock is read before and after; a reading that took over a millisecond is made again, and no reading tells more than there was.

--- a/internal/suspension/suspension.go
+++ b/internal/suspension/suspension.go
@@ -8,16 +8,37 @@
 	"golang.org/x/sys/unix"
 )
 
+// Bounds of a reading of the clocks.
+const (
+	// readingSpan is within which time both clocks are read; a process that is paused between
+	// the two reads them again, since it would take the pause for a suspension.
+	readingSpan = time.Millisecond
+	// maxReadings bounds that on a machine where every reading takes longer.
+	maxReadings = 3
+)
+
 // Total returns for how long the machine has been suspended since it started; zero where its
-// clocks do not tell. It costs two system calls.
+// clocks do not tell. It costs three system calls.
 func Total() time.Duration {
-	var steady, boot unix.Timespec
-	// The steady clock is read first, so that the time between the two reads is not taken for
-	// a step back.
-	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady) != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil {
+	var total time.Duration
+	for range maxReadings {
+		before, boot, after := read(unix.CLOCK_MONOTONIC), read(unix.CLOCK_BOOTTIME), read(unix.CLOCK_MONOTONIC)
+		// Less than it is if the process was paused after the second read, never more.
+		total = max(0, boot-after)
+		if after-before <= readingSpan {
+			break
+		}
+	}
+	return total
+}
+
+// read returns the time of a clock; zero if there is no such clock.
+func read(clock int32) time.Duration {
+	var now unix.Timespec
+	if unix.ClockGettime(clock, &now) != nil {
 		return 0
 	}
-	return max(0, time.Duration(boot.Nano()-steady.Nano()))
+	return time.Duration(now.Nano())
 }
 
 // Watch notices suspensions by looking now and then. It is not safe for concurrent use.
