Callers have keys: a request is its tenant's, and its key goes no further

Cause: requests of a deployment with tenants went to servers with the client's key and without the tenant's name. Ruled out: looking the key up again at owners; another node is told the tenant's name, never the key. Change: tenants in pkg/route with a look-up by key; 401 for a key that nobody holds unless the route is public; the tenant's name stands in its header whatever the client sent; regions of route and tenant both bind; priority and tenant travel to owners. Conclusion: deployments without tenants are served as before; limits and removals of keys follow.

--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -110,6 +110,9 @@
 		"version", record.Version, "store_age_ms", e.storeAge().Milliseconds(), "status", record.Status, "reason", record.Reason,
 		"took_ms", float64(record.Took.Microseconds()) / 1000,
 	}
+	if record.Tenant != "" {
+		list = append(list, "tenant", record.Tenant)
+	}
 	if record.RetryAfter > 0 {
 		list = append(list, "retry_after_ms", record.RetryAfter.Milliseconds())
 	}
--- a/internal/edge/owners.go
+++ b/internal/edge/owners.go
@@ -30,7 +30,7 @@
 	if table == nil || table.Version <= asked.Version {
 		return asked.Regions
 	}
-	return table.RegionsOf(asked.Host, asked.Target, asked.Regions)
+	return table.RegionsOf(asked.Host, asked.Target, asked.Tenant, asked.Regions)
 }
 
 // ownerEvents tells in the log which owners are lost and regained.
--- a/internal/front/conversation.go
+++ b/internal/front/conversation.go
@@ -21,7 +21,11 @@
 	deadline time.Time
 	version  uint64
 	route    *route.Route
-	policy   Policy
+	// hasTenants says that callers have keys, tenant is the one that holds the request's key;
+	// nil on public routes without one.
+	hasTenants bool
+	tenant     *route.Tenant
+	policy     Policy
 	// request is what servers are sent.
 	request *exchange.Request
 	// toldWait is when the client was told to retry.
@@ -37,9 +41,13 @@
 		c.refuse(http.StatusServiceUnavailable, outcome.ReasonQuarantined, c.quarantineWait())
 		return
 	}
+	if !c.isWithinLimit() {
+		return
+	}
 	c.policy = c.handler.policies.For(c.route, c.id)
 	plan := fanout.Plan{
 		Kind: c.route.Name, Version: c.version, Regions: c.regions, Repeatable: c.route.Repeatable,
+		Tenant: c.tenantName(), Priority: route.PriorityOf(c.route, c.tenant),
 		MaxAttempts: min(c.route.MaxAttempts, c.policy.MaxAttempts),
 		Target:      target(c.route, c.began), Deadline: c.deadline, Assumed: assumedTime(c.route),
 		Hedge: c.policy.Hedge, Stop: c.policy.Stop, ExtraShare: c.policy.ExtraShare, TopRecords: c.route.TopRecords,
@@ -57,10 +65,11 @@
 // may be newer than the one that the request began with.
 func (c *conversation) regions() route.Regions {
 	table := c.handler.state.Table()
+	known := route.RegionsFor(c.route, c.tenant)
 	if table == nil || table.Version == c.version {
-		return c.route.Regions
+		return known
 	}
-	return table.RegionsOf(c.received.Host, c.received.RequestURI, c.route.Regions)
+	return table.RegionsOf(c.received.Host, c.received.RequestURI, c.tenantName(), known)
 }
 
 // run asks servers and answers.
@@ -70,6 +79,7 @@
 		runner, answer = c.handler.gatherer, c.answerGathered
 	}
 	result := runner.Run(c.received.Context(), plan, request)
+	c.refundIf(result.Outcome == outcome.NotRun)
 	if isShortOfRoom(plan, result) {
 		c.handler.events.Overload(plan.Services[0], c.handler.fleet.Waiting(plan.Services...))
 	}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -50,6 +50,7 @@
 	// overloads are since when requests are refused for want of room, by the
 	// first service of their route.
 	overloads *episodes
+	limits    Limits
 	events    Recorder
 	inFlight  chan struct{}
 }
@@ -64,7 +65,9 @@
 	// node asks all servers itself.
 	Owners   fanout.Owners
 	Policies Policies
-	Events   Recorder
+	// Limits holds tenants to their limits; nil for none.
+	Limits Limits
+	Events Recorder
 	// Quarantine keeps requests from servers that end when they run them; nil for none.
 	Quarantine *quarantine.Guard
 	// Random is not shared with other users.
@@ -82,7 +85,10 @@
 	handler := &Handler{
 		dialect: options.Dialect, state: options.State, policies: options.Policies, events: options.Events,
 		splitter: newSplitter(options.Random), inFlight: make(chan struct{}, options.MaxInFlight),
-		overloads: newEpisodes(), fleet: options.Fleet, quarantine: options.Quarantine,
+		overloads: newEpisodes(), fleet: options.Fleet, quarantine: options.Quarantine, limits: options.Limits,
+	}
+	if handler.limits == nil {
+		handler.limits = noLimits{}
 	}
 	runner := fanout.Runner{
 		Fleet: options.Fleet, Budget: options.Budget, Dialect: &handler.dialect.Dialect, Linger: lingerAfterAnswer,
@@ -138,6 +144,10 @@
 		return
 	}
 	exchanged.route = found
+	if !exchanged.authenticate(table) {
+		exchanged.refuse(http.StatusUnauthorized, outcome.ReasonUnauthenticated, 0)
+		return
+	}
 	exchanged.deadline = deadline(found, h.clientDeadline(received.Header), exchanged.began)
 	request, status, err := h.read(received, table.Limits)
 	if err != nil {
@@ -145,6 +155,7 @@
 		exchanged.refuse(status, outcome.ReasonInvalid, 0)
 		return
 	}
+	exchanged.replaceCaller(request.Header)
 	exchanged.serve(request)
 }
 
--- a/internal/front/record.go
+++ b/internal/front/record.go
@@ -10,10 +10,12 @@
 
 // Record is the story of one request, for logs and metrics.
 type Record struct {
-	ID      string
-	Host    string
-	Path    string
-	Route   string
+	ID    string
+	Host  string
+	Path  string
+	Route string
+	// Tenant is the name of the caller; empty where callers have no keys.
+	Tenant  string
 	Version uint64
 	Policy  Policy
 	Status  int
@@ -47,7 +49,7 @@
 
 func (c *conversation) record(status int, plan fanout.Plan, result fanout.Result) {
 	c.handler.events.Record(Record{
-		ID: c.id, Host: c.received.Host, Path: c.received.RequestURI, Route: c.route.Name, Version: c.version,
+		ID: c.id, Host: c.received.Host, Path: c.received.RequestURI, Route: c.route.Name, Tenant: c.tenantName(), Version: c.version,
 		Policy: c.policy, Status: status, Took: time.Since(c.began), Reason: string(result.Reason), Parts: result.Got,
 		Required: plan.Required, Total: len(plan.Services), Result: result, Services: plan.Services,
 		RetryAfter: c.toldWait, Fingerprint: c.fingerprintIf(result.Broken > 0 || result.Reason == fanout.StopQuarantined),
@@ -60,7 +62,7 @@
 		name = c.route.Name
 	}
 	c.handler.events.Record(Record{
-		ID: c.id, Host: c.received.Host, Path: c.received.RequestURI, Route: name, Version: c.version,
+		ID: c.id, Host: c.received.Host, Path: c.received.RequestURI, Route: name, Tenant: c.tenantName(), Version: c.version,
 		Status: status, Took: time.Since(c.began), Reason: string(reason), Refused: true, Cause: c.cause,
 		RetryAfter: c.toldWait, Fingerprint: c.fingerprintIf(reason == outcome.ReasonQuarantined),
 	})
--- a/pkg/exchange/dialect.go
+++ b/pkg/exchange/dialect.go
@@ -18,7 +18,10 @@
 	Evidence string
 	// NotRun marks an answer of a server that did not run the request.
 	NotRun string
-	// Credential tells who asks, beside the standard headers; empty for none. It goes along
-	// to the servers.
+	// Credential tells who asks, beside the standard headers; empty for none. Where callers
+	// have keys it goes no further than the node that the client asks.
 	Credential string
+	// Tenant names the caller towards servers and other nodes where callers have keys; empty
+	// for none.
+	Tenant string
 }
--- a/pkg/exchange/fingerprint.go
+++ b/pkg/exchange/fingerprint.go
@@ -10,7 +10,7 @@
 // its own, but the same method, host, target, credentials and body.
 type Fingerprint [16]byte
 
-// credentialHeaders name who asks (RFC 9110, section 11.6.2, and RFC 6265), beside that of the
+// credentialHeaders name who asks (RFC 9110, section 11.6.2, and RFC 6265), beside those of the
 // dialect. Other headers differ between tries of one client, such as those that trace a
 // request.
 var credentialHeaders = []string{"Authorization", "Cookie"}
@@ -29,7 +29,7 @@
 	write([]byte(r.Method))
 	write([]byte(r.Host))
 	write([]byte(r.Target))
-	for _, name := range append([]string{dialect.Credential}, credentialHeaders...) {
+	for _, name := range append([]string{dialect.Credential, dialect.Tenant}, credentialHeaders...) {
 		for _, value := range r.Header[name] {
 			write([]byte(name))
 			write([]byte(value))
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -30,6 +30,10 @@
 	// Regions returns the regions in which the request may be served now; a change of
 	// the configuration binds also a request that is under way. Nil for no bound.
 	Regions func() route.Regions
+	// Tenant is the name of the caller; empty where callers have no keys.
+	Tenant string
+	// Priority ranks the request among others; zero is the highest.
+	Priority int
 	// Repeatable says that a request may run more than once.
 	Repeatable bool
 	// MaxAttempts is the largest number of servers that may run the request,
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -82,7 +82,11 @@
 	ReasonStarting        Reason = "starting"
 	// ReasonQuarantined refuses a request that ended the servers that ran it.
 	ReasonQuarantined Reason = "quarantined"
-	ReasonInternal    Reason = "internal"
+	// ReasonUnauthenticated refuses a request without a key that a tenant holds.
+	ReasonUnauthenticated Reason = "unauthenticated"
+	// ReasonOverLimit refuses a request beyond its tenant's limit.
+	ReasonOverLimit Reason = "over_limit"
+	ReasonInternal  Reason = "internal"
 )
 
 // Error is a failure with the step and the peer at which it arose, and with
--- a/pkg/owner/server.go
+++ b/pkg/owner/server.go
@@ -52,6 +52,8 @@
 	Host, Target string
 	// Version is that of the asking node's configuration.
 	Version uint64
+	// Tenant is the name of the caller; empty where callers have no keys.
+	Tenant  string
 	Regions route.Regions
 }
 
@@ -144,12 +146,12 @@
 	hedge, share := s.options.Policies(question.Kind, question.RequestId)
 	left := span(question.DeadlineUs)
 	plan := fanout.Plan{
-		Kind: question.Kind, Services: question.Services, Required: int(question.Required), Repeatable: true,
+		Kind: question.Kind, Tenant: question.Tenant, Priority: int(question.Priority), Services: question.Services, Required: int(question.Required), Repeatable: true,
 		MaxAttempts: int(question.MaxAttempts), Deadline: began.Add(left), Assumed: span(question.AssumedUs),
 		Patience: left, Hedge: hedge, ExtraShare: share, Collect: &fanout.Collect{Within: span(question.ReportUs)},
 	}
 	asked := Asked{
-		Host: question.Host, Target: question.Target, Version: question.Version, Regions: route.OnlyRegions(question.Regions),
+		Host: question.Host, Target: question.Target, Version: question.Version, Tenant: question.Tenant, Regions: route.OnlyRegions(question.Regions),
 	}
 	plan.Regions = func() route.Regions { return s.options.Regions(asked) }
 	if question.TargetUs > 0 {
--- a/pkg/route/regions.go
+++ b/pkg/route/regions.go
@@ -22,6 +22,24 @@
 	return Regions{isBound: true, names: slices.Compact(sorted)}
 }
 
+// And returns the bound to regions that both allow; none is left where they have none in
+// common.
+func (r Regions) And(other Regions) Regions {
+	switch {
+	case !other.isBound:
+		return r
+	case !r.isBound:
+		return other
+	}
+	both := Regions{isBound: true}
+	for _, name := range r.names {
+		if other.Allow(name) {
+			both.names = append(both.names, name)
+		}
+	}
+	return both
+}
+
 // IsBound reports whether some region is not allowed.
 func (r Regions) IsBound() bool { return r.isBound }
 
@@ -41,8 +59,14 @@
 
 // Key returns a text that is alike for equal bounds; empty without one.
 func (r Regions) Key() string {
-	if !r.isBound {
+	switch {
+	case !r.isBound:
 		return ""
+	case len(r.names) == 0:
+		return noRegion
 	}
 	return strings.Join(r.names, ",")
 }
+
+// noRegion is the key of a bound that allows no region.
+const noRegion = "-"
--- a/pkg/route/regions_test.go
+++ b/pkg/route/regions_test.go
@@ -30,7 +30,7 @@
 	changed.Routes[1].Regions = route.OnlyRegions([]string{"north"})
 	table := route.NewTable(changed)
 	pinned := route.OnlyRegions([]string{"south"})
-	g.Expect(table.RegionsOf("a.example", "/x/y/z?q=/", pinned).Names()).To(Equal([]string{"north"}))
-	g.Expect(table.RegionsOf("a.example", "/x/", pinned).IsBound()).To(BeFalse())
-	g.Expect(table.RegionsOf("gone.example", "/", pinned)).To(Equal(pinned), "no route is left")
+	g.Expect(table.RegionsOf("a.example", "/x/y/z?q=/", "", pinned).Names()).To(Equal([]string{"north"}))
+	g.Expect(table.RegionsOf("a.example", "/x/", "", pinned).IsBound()).To(BeFalse())
+	g.Expect(table.RegionsOf("gone.example", "/", "", pinned)).To(Equal(pinned), "no route is left")
 }
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -43,6 +43,8 @@
 	MinimumCoverage float64
 	// Regions are those in which its requests may be served.
 	Regions Regions
+	// Public says that its requests need no key.
+	Public bool
 }
 
 // Gathered reports whether the route's answers are merged from shards.
@@ -85,5 +87,7 @@
 	Version  uint64
 	Routes   []Route
 	Services []Service
-	Limits   Limits
+	// Tenants are the callers with keys; without any, requests need none.
+	Tenants []Tenant
+	Limits  Limits
 }
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -13,6 +13,8 @@
 	Limits   Limits
 	byHost   map[string][]*Route
 	services map[string]*Service
+	// tenants are by name, byKey by each of their keys.
+	tenants, byKey map[string]*Tenant
 }
 
 // NewTable indexes a configuration that Validate has accepted.
@@ -35,6 +37,7 @@
 		service := &configuration.Services[index]
 		table.services[service.Name] = service
 	}
+	table.indexTenants(configuration.Tenants)
 	return table
 }
 
@@ -54,11 +57,13 @@
 }
 
 // RegionsOf returns where a request of a host and target (a path, with its query if it has
-// one) may be served by this version; otherwise where no route matches it any more.
-func (t *Table) RegionsOf(host, target string, otherwise Regions) Regions {
+// one) may be served by this version; otherwise where no route matches it any more. tenant
+// is the name of its caller, empty for none; one that this version does not name any more
+// adds no bound.
+func (t *Table) RegionsOf(host, target, tenant string, otherwise Regions) Regions {
 	path, _, _ := strings.Cut(target, "?")
 	if found := t.Match(host, path); found != nil {
-		return found.Regions
+		return RegionsFor(found, t.tenants[tenant])
 	}
 	return otherwise
 }
--- a/pkg/route/validate.go
+++ b/pkg/route/validate.go
@@ -28,6 +28,7 @@
 			report("service %q: a figure of its warm-up is negative", service.Name)
 		}
 	}
+	validateTenants(configuration.Tenants, report)
 	if len(problems) == 0 {
 		return nil
 	}
