A server is its id and its start, and nothing of an earlier start holds for a later one

Cause: a server may start again under the id that it had. The fleet kept servers by id alone, so the later process had the times, refusals, drain and connections of the earlier one, and an announced drain kept it out for good. The quarantine counted three processes of one server that a request ended as one, and took a later process for ended since the earlier one was.

Ruled out: the greater start as the newer one. Clocks are set back, and a server whose clock was would then be left out until it caught up. The order of the platform's store decides, as for all else; the start only tells one process from another. Ruled out as well: to remember starts that were replaced and to refuse them. An entry that another writer made under the id would then keep the server out.

Change: fleet.Incarnation is the id with the start. An entry with another start makes a new member with connections of its own; the old one gets no more requests, and what ends there changes the old one alone. Notes, probes and the owners' reports of servers that ended name incarnations. That a process was replaced shows that it has ended, which a connection to its address cannot show. An entry without the start that its server has told is not the server's own. An entry that can not be read takes the server that was known under its key away within the bound, with a line whose rate is bounded; before, the last good state stayed.

The owners' report has a new field, so while nodes of both versions run, an asking node learns of suspects from the store alone.

--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 
 	"github.com/bramblemast/bramblemast/internal/front"
 	"github.com/bramblemast/bramblemast/pkg/directory"
@@ -25,6 +26,8 @@
 	budgets  *budgets
 	policies *policies
 	figures  *figures
+	// refusals bounds the lines about entries that were refused.
+	refusals *events
 	// idle takes the configured time for which clients' connections may rest.
 	idle func(time.Duration)
 	// storeLost reports whether the store did not answer the last call.
@@ -57,7 +60,8 @@
 func newState(node *Node, servers *fleet.Fleet, rules *policies) *state {
 	return &state{
 		policies: rules, logger: node.logger, fleet: servers, budgets: newBudgets(node.options.Settings.Bounds), figures: node.figures,
-		nodes: make(map[string]directory.Node), startedAt: time.Now(),
+		refusals: newEvents(node.logger, node.figures, nil),
+		nodes:    make(map[string]directory.Node), startedAt: time.Now(),
 		evacuateWithin: func() time.Duration { return node.settings.Load().evacuateWithin() },
 		storeLost:      func() bool { return node.follower.HasLost() },
 		doubtedUntil: func(now time.Time) time.Time {
@@ -105,8 +109,7 @@
 func (s *state) Changed(entry directory.Entry) {
 	switch {
 	case entry.Problem != nil:
-		s.figures.refused.WithLabelValues("entry").Inc()
-		s.logger.Error("entry refused", "key", entry.Key, "revision", entry.Revision, "error", entry.Problem.Error())
+		s.refuse(entry)
 	case entry.Configuration != nil:
 		s.applyConfiguration(entry)
 	case entry.Server != nil:
@@ -128,14 +131,46 @@
 }
 
 func (s *state) applyServer(entry directory.Entry) {
-	what := s.fleet.Apply(*entry.Server, time.Now())
-	if what == "" || !s.restored.Load() {
+	now := time.Now()
+	change := s.fleet.Apply(*entry.Server, now)
+	switch change.Kind {
+	case fleet.Unchanged:
+		return
+	case fleet.Mistaken:
+		entry.Problem = errNoStart
+		s.tellRefused(entry, true)
+		return
+	case fleet.Restarted:
+		s.quarantine.NoteReplaced(change.Replaced, now)
+	}
+	if !s.restored.Load() {
 		return
 	}
-	s.logger.Info("server "+what, "server", entry.Server.ID, "service", entry.Server.Service,
+	s.logger.Info("server "+string(change.Kind), "server", entry.Server.Incarnation().String(), "service", entry.Server.Service,
 		"address", entry.Server.Address, "zone", entry.Server.Zone, "revision", entry.Revision)
 }
 
+// errNoStart is why an entry is not taken for that of a server which has told its start.
+var errNoStart = errors.New("it lacks the start that the server has told before")
+
+// refuse takes an entry that could not be read. It names no server, so that the one which was
+// known under its key is left as if the key had gone; for anything else the last good state stays
+// in force.
+func (s *state) refuse(entry directory.Entry) {
+	isKnown := entry.ServerID != "" && s.fleet.Refuse(entry.ServerID, time.Now())
+	s.tellRefused(entry, isKnown)
+}
+
+// tellRefused counts an entry that was refused and writes a line about it, as far as the rate of
+// lines allows.
+func (s *state) tellRefused(entry directory.Entry, leftOut bool) {
+	s.figures.refused.WithLabelValues("entry").Inc()
+	if s.refusals.mayWrite() {
+		s.logger.Error("entry refused", "key", entry.Key, "revision", entry.Revision, "server_left_out", leftOut,
+			"error", entry.Problem.Error())
+	}
+}
+
 // Restored implements directory.Listener. One line tells of all servers and
 // nodes that were found at the start: a line for each would take processor time
 // just when clients retry.
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/quarantine"
 )
 
@@ -14,12 +15,16 @@
 }
 
 // Standing implements quarantine.Events.
-func (e suspectEvents) Standing(fingerprint exchange.Fingerprint, standing quarantine.Standing, servers []string) {
+func (e suspectEvents) Standing(fingerprint exchange.Fingerprint, standing quarantine.Standing, servers []fleet.Incarnation) {
 	e.node.figures.standings.WithLabelValues(standing.String()).Inc()
 	if !e.recorder.mayWrite() {
 		return
 	}
-	list := []any{"fingerprint", fingerprint.String(), "servers_ended", servers}
+	names := make([]string, 0, len(servers))
+	for _, server := range servers {
+		names = append(names, server.String())
+	}
+	list := []any{"fingerprint", fingerprint.String(), "servers_ended", names}
 	if standing == quarantine.Clear {
 		e.node.logger.Info("request cleared", list...)
 		return
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -146,7 +146,7 @@
 	MayRun []bool
 	// EndedServers are those that ended while they had the request, if it is kept from
 	// others.
-	EndedServers []string
+	EndedServers []fleet.Incarnation
 	// NoRoom says of each part whether a server refused it for want of room, or none
 	// was free.
 	NoRoom []bool
--- a/pkg/fanout/kept_back.go
+++ b/pkg/fanout/kept_back.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/quarantine"
 )
 
@@ -112,7 +113,7 @@
 		return
 	}
 	server := broken.lease.Server
-	guard.NoteBroken(r.request.Fingerprint(r.runner.Dialect), server.ID, server.Address, now)
+	guard.NoteBroken(r.request.Fingerprint(r.runner.Dialect), server.Incarnation(), server.Address, now)
 }
 
 // noteServed tells the guard that a server has answered the request.
@@ -124,14 +125,14 @@
 }
 
 // learnEnded takes the servers that an owner has seen end under the request.
-func (r *run) learnEnded(servers []string, now time.Time) {
+func (r *run) learnEnded(servers []fleet.Incarnation, now time.Time) {
 	if guard := r.runner.Quarantine; guard != nil && r.got == 0 {
 		guard.LearnEnded(r.fingerprint(), servers, now)
 	}
 }
 
 // endedServers returns the servers that are known to have ended under the request.
-func (r *run) endedServers() []string {
+func (r *run) endedServers() []fleet.Incarnation {
 	if r.standing() == quarantine.Clear {
 		return nil
 	}
--- a/pkg/fanout/kept_back_test.go
+++ b/pkg/fanout/kept_back_test.go
@@ -19,11 +19,11 @@
 // silentLedger keeps nothing and grants every trial.
 type silentLedger struct{}
 
-func (silentLedger) AddNotes(context.Context, []quarantine.Note) error            { return nil }
-func (silentLedger) ClaimNote(context.Context, quarantine.Note) (bool, error)     { return true, nil }
-func (silentLedger) RemoveNotes(context.Context, []quarantine.Note) error         { return nil }
-func (silentLedger) Standing(exchange.Fingerprint, quarantine.Standing, []string) {}
-func (silentLedger) LedgerFailed(string, error)                                   {}
+func (silentLedger) AddNotes(context.Context, []quarantine.Note) error                       { return nil }
+func (silentLedger) ClaimNote(context.Context, quarantine.Note) (bool, error)                { return true, nil }
+func (silentLedger) RemoveNotes(context.Context, []quarantine.Note) error                    { return nil }
+func (silentLedger) Standing(exchange.Fingerprint, quarantine.Standing, []fleet.Incarnation) {}
+func (silentLedger) LedgerFailed(string, error)                                              {}
 
 const deadlyTarget = "/deadly"
 
@@ -84,7 +84,7 @@
 // suspect lets a request for a target be suspect.
 func (w *world) suspect(target string) {
 	request := exchange.Request{Method: "GET", Target: target}
-	w.runner.Quarantine.LearnEnded(request.Fingerprint(&exchangetest.Dialect), []string{"x", "y", "z"}, time.Now())
+	w.runner.Quarantine.LearnEnded(request.Fingerprint(&exchangetest.Dialect), []fleet.Incarnation{{ID: "x"}, {ID: "y"}, {ID: "z"}}, time.Now())
 }
 
 func (w *world) standing(target string) quarantine.Standing {
--- a/pkg/fanout/owners.go
+++ b/pkg/fanout/owners.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/route"
 )
@@ -66,7 +67,7 @@
 	Err error
 	// EndedServers are those that ended while they had the request, if the owner keeps it
 	// from others.
-	EndedServers []string
+	EndedServers []fleet.Incarnation
 	// Sent, Hedges, Retries and Denied count as in Result.
 	Sent, Hedges, Retries, Denied int
 }
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -53,6 +53,9 @@
 	// them and with callers.
 	warmUps           map[string]WarmUp
 	callersGeneration uint64
+	// toldStarts are the ids whose entry is not that of a server, but whose server had told its
+	// start before.
+	toldStarts map[string]bool
 	// evacuations are the zones to whose servers nothing is to be sent.
 	evacuations map[string]evacuation
 	// waiters are the sub-requests for which no server was free, by service.
@@ -76,23 +79,34 @@
 		connections: make(map[string]int),
 		waiters:     make(map[string][]*Waiter),
 		evacuations: make(map[string]evacuation),
+		toldStarts:  make(map[string]bool),
 		demands:     make(map[DemandKey]*demand),
 	}
 }
 
-// Apply takes the state of one server from the platform's list and returns
-// what changed; an empty text if nothing did.
-func (f *Fleet) Apply(server Server, now time.Time) string {
+// Apply takes the state of one server from the platform's list and returns what changed. The
+// order of the calls is that of the list: a server whose start differs from the known one has
+// started again, whichever of the two is the later moment.
+func (f *Fleet) Apply(server Server, now time.Time) Change {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	known := f.members[server.ID]
-	if known != nil && known.Address == server.Address && known.Service == server.Service {
-		return f.update(known, server, now)
-	}
-	if known != nil {
-		known.listed = false
-		known.leave(now, now)
+	switch {
+	case known == nil && server.Start == 0 && f.toldStarts[server.ID]:
+		return Change{}
+	case known == nil:
+		f.add(server, now)
+		return Change{Kind: Added}
+	case server.Start == 0 && known.Start != 0:
+		return f.mistake(known, now)
+	case known.Address != server.Address || known.Service != server.Service || known.Start != server.Start:
+		return f.replace(known, server, now)
 	}
+	return Change{Kind: f.update(known, server, now)}
+}
+
+// add takes a server that was not known. The mutex is held.
+func (f *Fleet) add(server Server, now time.Time) {
 	added := &member{
 		Server: server, pool: exchange.NewPool(server.Address, f.settings.Dialer), ratio: 1, ratioAt: now, listed: true,
 		room: math.MaxInt32,
@@ -106,11 +120,10 @@
 	f.generation++
 	f.members[server.ID] = added
 	f.services[server.Service] = append(f.services[server.Service], added)
-	return "added"
 }
 
 // update takes the new state of a known server. The mutex is held.
-func (f *Fleet) update(known *member, server Server, now time.Time) string {
+func (f *Fleet) update(known *member, server Server, now time.Time) ChangeKind {
 	wasListed, wasDraining := known.listed, known.Draining
 	known.Server, known.listed = server, true
 	known.cool(now.Add(server.WarmUp))
@@ -118,23 +131,30 @@
 	case server.Draining && !wasDraining:
 		f.generation++
 		known.leave(now, now.Add(f.leaveWithin))
-		return "draining"
+		return Draining
 	case !server.Draining && (wasDraining || !wasListed):
 		f.generation++
 		known.stay()
-		return "returned"
+		return Returned
 	}
-	return ""
+	return Unchanged
 }
 
-// Remove takes a server that left the platform's list and reports whether it
-// was listed. Until the moment doubtedUntil the list itself is not confirmed, and
-// the server is asked as before as long as it answers.
+// Remove takes a server that left the platform's list and reports whether it was listed. Until
+// the moment doubtedUntil the list itself is not confirmed, and the server is asked as before as
+// long as it answers.
 func (f *Fleet) Remove(id string, doubtedUntil, now time.Time) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	delete(f.toldStarts, id)
 	known := f.members[id]
-	if known == nil || !known.listed {
+	return known != nil && f.unlist(known, doubtedUntil, now)
+}
+
+// unlist notes that the platform's list names a server no longer, and reports whether it did.
+// The mutex is held.
+func (f *Fleet) unlist(known *member, doubtedUntil, now time.Time) bool {
+	if !known.listed {
 		return false
 	}
 	known.listed = false
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -136,8 +136,8 @@
 	now := time.Unix(0, 0)
 	tested := newFleet(now)
 	draining := fleet.Server{ID: "near", Service: "s", Address: "near", Zone: "near", Draining: true}
-	g.Expect(tested.Apply(draining, now)).To(Equal("draining"))
-	g.Expect(tested.Apply(draining, now.Add(time.Second))).To(BeEmpty())
+	g.Expect(tested.Apply(draining, now)).To(Equal(fleet.Change{Kind: fleet.Draining}))
+	g.Expect(tested.Apply(draining, now.Add(time.Second))).To(Equal(fleet.Change{}))
 	g.Expect(ask(tested, &now, time.Millisecond)).NotTo(Equal("near"))
 	for _, other := range []string{"far", "farther"} {
 		g.Expect(tested.Remove(other, time.Time{}, now)).To(BeTrue())
@@ -164,7 +164,7 @@
 	tested.Sweep(now)
 	g.Expect(ask(tested, &now, time.Millisecond)).To(Equal("near"))
 	listed := fleet.Server{ID: "far", Service: "s", Address: "far", Zone: "far"}
-	g.Expect(tested.Apply(listed, now)).To(Equal("returned"))
+	g.Expect(tested.Apply(listed, now)).To(Equal(fleet.Change{Kind: fleet.Returned}))
 	now = now.Add(2 * time.Second)
 	tested.Sweep(now)
 	g.Expect(ask(tested, &now, time.Millisecond)).To(Equal("far"))
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -15,6 +15,7 @@
 // Server is one incarnation of a server as the platform lists it.
 type Server struct {
 	ID      string
+	Start   Start
 	Service string
 	Address string
 	Zone    string
--- a/pkg/owner/client.go
+++ b/pkg/owner/client.go
@@ -11,6 +11,7 @@
 	"github.com/bramblemast/bramblemast/pkg/directory"
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/owner/ownerpb"
 	"github.com/bramblemast/bramblemast/pkg/peer"
@@ -203,7 +204,9 @@
 	report := fanout.Report{
 		Answers: make(map[int]*exchange.Response, len(encoded.Parts)), Ended: encoded.Ended,
 		Sent: int(encoded.Sent), Hedges: int(encoded.Hedges), Retries: int(encoded.Retries), Denied: int(encoded.Denied),
-		EndedServers: encoded.EndedServers,
+	}
+	for _, each := range encoded.EndedIncarnations {
+		report.EndedServers = append(report.EndedServers, fleet.Incarnation{ID: each.Id, Start: fleet.Start(each.Start)})
 	}
 	for _, index := range encoded.Wanted {
 		report.Wanted = append(report.Wanted, int(index))
--- a/pkg/owner/deadly_test.go
+++ b/pkg/owner/deadly_test.go
@@ -11,6 +11,7 @@
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/exchange/exchangetest"
 	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/quarantine"
 )
@@ -31,10 +32,10 @@
 	return isFree, nil
 }
 
-func (*claims) AddNotes(context.Context, []quarantine.Note) error            { return nil }
-func (*claims) RemoveNotes(context.Context, []quarantine.Note) error         { return nil }
-func (*claims) Standing(exchange.Fingerprint, quarantine.Standing, []string) {}
-func (*claims) LedgerFailed(string, error)                                   {}
+func (*claims) AddNotes(context.Context, []quarantine.Note) error                       { return nil }
+func (*claims) RemoveNotes(context.Context, []quarantine.Note) error                    { return nil }
+func (*claims) Standing(exchange.Fingerprint, quarantine.Standing, []fleet.Incarnation) {}
+func (*claims) LedgerFailed(string, error)                                              {}
 
 // endAll lets every server end with the first request that it runs.
 func (c *cluster) endAll() {
--- a/pkg/owner/server.go
+++ b/pkg/owner/server.go
@@ -200,7 +200,9 @@
 	report.Ended = true
 	report.Sent, report.Hedges = uint32(result.Sent), uint32(result.Hedges)
 	report.Retries, report.Denied = uint32(result.Retries), uint32(result.Denied)
-	report.EndedServers = result.EndedServers
+	for _, each := range result.EndedServers {
+		report.EndedIncarnations = append(report.EndedIncarnations, &ownerpb.Incarnation{Id: each.ID, Start: int64(each.Start)})
+	}
 	for index, answer := range result.Parts {
 		if answer != nil {
 			continue
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -21,6 +21,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
 )
 
 // Bounds and times of suspicion.
@@ -83,7 +84,7 @@
 type Note struct {
 	Fingerprint exchange.Fingerprint
 	// Server is the incarnation that ended; empty for a trial.
-	Server string
+	Server fleet.Incarnation
 	// Trial is the number of the trial, from 1; zero for a server.
 	Trial int
 }
@@ -101,7 +102,7 @@
 // Events takes what a Guard finds out. It does not block.
 type Events interface {
 	// Standing tells of a new standing of a request, and of the servers that ended under it.
-	Standing(fingerprint exchange.Fingerprint, standing Standing, servers []string)
+	Standing(fingerprint exchange.Fingerprint, standing Standing, servers []fleet.Incarnation)
 	// LedgerFailed tells that a call to the ledger failed; notes are written later, a trial
 	// is not made.
 	LedgerFailed(call string, err error)
@@ -131,9 +132,9 @@
 	// The fields below are guarded by mutex.
 	records map[exchange.Fingerprint]*record
 	// ended are the servers that were found to have ended, and when.
-	ended map[string]time.Time
+	ended map[fleet.Incarnation]time.Time
 	// probed are the servers that are being looked at.
-	probed map[string]bool
+	probed map[fleet.Incarnation]bool
 	// removals are notes that are to be removed, and disputed those that are so soon.
 	removals []Note
 	disputed map[Note]bool
@@ -143,7 +144,7 @@
 func New(options Options) *Guard {
 	return &Guard{
 		options: options, served: newServed(), work: make(chan struct{}, 1), records: make(map[exchange.Fingerprint]*record),
-		ended: make(map[string]time.Time), probed: make(map[string]bool), disputed: make(map[Note]bool),
+		ended: make(map[fleet.Incarnation]time.Time), probed: make(map[fleet.Incarnation]bool), disputed: make(map[Note]bool),
 	}
 }
 
@@ -171,7 +172,7 @@
 }
 
 // Servers returns the servers that ended under a request, as far as it is known.
-func (g *Guard) Servers(fingerprint exchange.Fingerprint) []string {
+func (g *Guard) Servers(fingerprint exchange.Fingerprint) []fleet.Incarnation {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if known := g.records[fingerprint]; known != nil {
@@ -184,7 +185,7 @@
 // has answered. Whether the server itself ended is found out by a connection to it: at once
 // if the request would be suspect, else after noteDelay, when most have been answered. A
 // request that was answered lately is not what ends servers.
-func (g *Guard) NoteBroken(fingerprint exchange.Fingerprint, server, address string, now time.Time) {
+func (g *Guard) NoteBroken(fingerprint exchange.Fingerprint, server fleet.Incarnation, address string, now time.Time) {
 	if g.served.has(fingerprint, now) {
 		return
 	}
@@ -222,7 +223,7 @@
 }
 
 // LearnEnded takes the servers that another node has seen end under a request.
-func (g *Guard) LearnEnded(fingerprint exchange.Fingerprint, servers []string, now time.Time) {
+func (g *Guard) LearnEnded(fingerprint exchange.Fingerprint, servers []fleet.Incarnation, now time.Time) {
 	if len(servers) == 0 || g.served.has(fingerprint, now) {
 		return
 	}
@@ -258,7 +259,7 @@
 }
 
 // probe finds out whether a server has ended: its address refuses connections then.
-func (g *Guard) probe(server, address string) {
+func (g *Guard) probe(server fleet.Incarnation, address string) {
 	err := g.connect(address)
 	if err == nil {
 		time.Sleep(probeAgain)
@@ -279,7 +280,7 @@
 }
 
 // settle takes whether a server has ended that broke connections.
-func (g *Guard) settle(server string, hasEnded bool, now time.Time) {
+func (g *Guard) settle(server fleet.Incarnation, hasEnded bool, now time.Time) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	delete(g.probed, server)
@@ -294,6 +295,10 @@
 	}
 }
 
+// NoteReplaced takes that another process of a server has taken the place of an incarnation, which
+// has ended therefore. A connection would not show that: the later process takes it.
+func (g *Guard) NoteReplaced(server fleet.Incarnation, now time.Time) { g.settle(server, true, now) }
+
 // Learn takes a note of the store, or that it is gone. One on a request that was answered
 // here lately is removed: the node that wrote it had not seen that.
 func (g *Guard) Learn(note Note, isGone bool, now time.Time) {
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/exchange/exchangetest"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/quarantine"
 )
 
@@ -97,7 +98,7 @@
 	told []quarantine.Standing
 }
 
-func (r *recorder) Standing(_ exchange.Fingerprint, standing quarantine.Standing, _ []string) {
+func (r *recorder) Standing(_ exchange.Fingerprint, standing quarantine.Standing, _ []fleet.Incarnation) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.told = append(r.told, standing)
@@ -138,7 +139,7 @@
 // end lets servers end under a request at one node.
 func (w *world) end(guard *quarantine.Guard, request exchange.Fingerprint, servers ...string) {
 	for _, server := range servers {
-		guard.NoteBroken(request, server, server, time.Now())
+		guard.NoteBroken(request, fleet.Incarnation{ID: server}, server, time.Now())
 	}
 	synctest.Wait()
 }
@@ -170,7 +171,7 @@
 		w.network.ConnectTime = 10 * time.Millisecond
 		for _, server := range []string{"a", "b", "c"} {
 			w.network.Add(server, func(exchangetest.Request) exchangetest.Answer { return exchangetest.Whole("") })
-			w.guards[0].NoteBroken(deadly, server, server, time.Now())
+			w.guards[0].NoteBroken(deadly, fleet.Incarnation{ID: server}, server, time.Now())
 		}
 		g.Expect(w.guards[0].Standing(deadly)).To(Equal(quarantine.Doubtful))
 		time.Sleep(news)
@@ -349,8 +350,57 @@
 	in(t, 1, func(g *WithT, w *world) {
 		w.end(w.guards[0], deadly, "a", "b", "c")
 		for number := range 5000 {
-			w.guards[0].NoteBroken(exchange.Fingerprint{3, byte(number), byte(number >> 8)}, "d", "d", time.Now())
+			w.guards[0].NoteBroken(exchange.Fingerprint{3, byte(number), byte(number >> 8)}, fleet.Incarnation{ID: "d"}, "d", time.Now())
 		}
 		g.Expect(w.guards[0].Standing(deadly)).To(Equal(quarantine.Suspect))
 	})
 }
+
+// TestAServerThatStartsAgainEndsAsOftenAsItDoes: a request that ended three processes of one
+// server is suspect, and what a later process did not end under is not held against it.
+func TestAServerThatStartsAgainEndsAsOftenAsItDoes(t *testing.T) {
+	in(t, 2, func(g *WithT, w *world) {
+		for start := range 3 {
+			process := fleet.Incarnation{ID: "a", Start: fleet.Start(start + 1)}
+			w.guards[start%2].NoteBroken(deadly, process, "a", time.Now())
+		}
+		time.Sleep(news)
+		for _, guard := range w.guards {
+			g.Expect(guard.Standing(deadly)).To(Equal(quarantine.Suspect))
+			g.Expect(guard.Servers(deadly)).To(HaveLen(3))
+		}
+	})
+}
+
+// TestALaterProcessIsLookedAtAnew: that an earlier one has ended says nothing of it.
+func TestALaterProcessIsLookedAtAnew(t *testing.T) {
+	in(t, 1, func(g *WithT, w *world) {
+		for _, server := range []string{"a", "b", "c"} {
+			w.guards[0].NoteBroken(other, fleet.Incarnation{ID: server, Start: 1}, server, time.Now())
+		}
+		time.Sleep(news)
+		g.Expect(w.guards[0].Standing(other)).To(Equal(quarantine.Suspect))
+		for _, server := range []string{"a", "b", "c"} {
+			w.network.Add(server, func(exchangetest.Request) exchangetest.Answer { return exchangetest.Whole("") })
+			w.guards[0].NoteBroken(deadly, fleet.Incarnation{ID: server, Start: 2}, server, time.Now())
+		}
+		time.Sleep(news)
+		g.Expect(w.guards[0].Standing(deadly)).To(Equal(quarantine.Clear), "the later processes take connections")
+	})
+}
+
+// TestAProcessThatWasReplacedHasEnded, though the later one at its address takes connections.
+func TestAProcessThatWasReplacedHasEnded(t *testing.T) {
+	in(t, 1, func(g *WithT, w *world) {
+		w.network.ConnectTime = 10 * time.Millisecond
+		for _, server := range []string{"a", "b", "c"} {
+			w.network.Add(server, func(exchangetest.Request) exchangetest.Answer { return exchangetest.Whole("") })
+			process := fleet.Incarnation{ID: server, Start: 1}
+			w.guards[0].NoteBroken(deadly, process, server, time.Now())
+			w.guards[0].NoteReplaced(process, time.Now())
+		}
+		g.Expect(w.guards[0].Standing(deadly)).To(Equal(quarantine.Suspect))
+		time.Sleep(news)
+		g.Expect(w.guards[0].Standing(deadly)).To(Equal(quarantine.Suspect), "the look that came later proves nothing")
+	})
+}
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -6,12 +6,13 @@
 	"time"
 
 	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
 )
 
 // record is what is known of one request. It is guarded by the mutex of its Guard.
 type record struct {
 	// ends are the servers that ended, or seem to have ended, while they had the request.
-	ends map[string]*end
+	ends map[fleet.Incarnation]*end
 	// trials are the numbers of the trials that were made.
 	trials map[int]bool
 	// nextTrialAt is when a further trial is made after the prompt ones.
@@ -34,10 +35,10 @@
 }
 
 func newRecord(now time.Time) *record {
-	return &record{ends: make(map[string]*end), trials: make(map[int]bool), beganAt: now, expiresAt: now.Add(lifetime)}
+	return &record{ends: make(map[fleet.Incarnation]*end), trials: make(map[int]bool), beganAt: now, expiresAt: now.Add(lifetime)}
 }
 
-func (r *record) add(server string, isConfirmed bool, now time.Time) *end {
+func (r *record) add(server fleet.Incarnation, isConfirmed bool, now time.Time) *end {
 	known := r.ends[server]
 	if known == nil {
 		known = &end{at: now}
@@ -49,7 +50,7 @@
 }
 
 // settle takes whether a server ended, and reports whether that is news here.
-func (r *record) settle(server string, hasEnded bool) bool {
+func (r *record) settle(server fleet.Incarnation, hasEnded bool) bool {
 	known := r.ends[server]
 	if known == nil || known.isConfirmed {
 		return false
@@ -119,14 +120,14 @@
 func (r *record) isEmpty() bool { return len(r.ends) == 0 && len(r.trials) == 0 }
 
 // servers returns the servers that ended, in their order.
-func (r *record) servers() []string {
-	var names []string
+func (r *record) servers() []fleet.Incarnation {
+	var names []fleet.Incarnation
 	for name, each := range r.ends {
 		if each.isConfirmed {
 			names = append(names, name)
 		}
 	}
-	slices.SortFunc(names, func(a, b string) int { return r.ends[a].at.Compare(r.ends[b].at) })
+	slices.SortFunc(names, func(a, b fleet.Incarnation) int { return r.ends[a].at.Compare(r.ends[b].at) })
 	return names
 }
 
