--- /dev/null
+++ b/pkg/directory/earlier_test.go
@@ -0,0 +1,47 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/fleet"
+)
+
+// startsOf keeps the starts that a listener was told of.
+type startsOf struct {
+	told []fleet.Start
+}
+
+func (s *startsOf) Changed(entry Entry) {
+	if entry.Server != nil {
+		s.told = append(s.told, entry.Server.Start)
+	}
+}
+func (*startsOf) Restored(uint64)                {}
+func (*startsOf) Dependency(string, bool, error) {}
+
+// TestAnEntryOfAnEarlierStartComesLate, from a node or a copy of the store that is behind, or from a
+// store that went back: it is passed over. The order of the store decides, not that of the starts.
+func TestAnEntryOfAnEarlierStartComesLate(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	entry := func(revision uint64, start fleet.Start) Entry {
+		return Entry{Key: "servers/i", Revision: revision, ServerID: "i", Server: &fleet.Server{ID: "i", Start: start}}
+	}
+	heard := &startsOf{}
+	tested := newReplica(heard)
+	tested.apply(Batch{Revision: 10, Entries: []Entry{entry(8, 100)}}, wholeState, now)
+	tested.apply(Batch{Revision: 12, Entries: []Entry{entry(12, 50)}}, allChanges, now)
+	for _, covered := range []coverage{wholeState, allChanges, newerOnly} {
+		tested.apply(Batch{Revision: 10, Entries: []Entry{entry(8, 100)}}, covered, now)
+		tested.apply(Batch{Revision: 20, Entries: []Entry{entry(8, 100), entry(11, 70), entry(12, 50)}}, covered, now)
+	}
+	g.Expect(heard.told).To(Equal([]fleet.Start{100, 50}), "the later start tells an earlier time, since its clock was set back")
+
+	tested.apply(Batch{Revision: 22, Entries: []Entry{entry(21, 0).end(21), entry(22, 200)}}, allChanges, now)
+	tested.apply(Batch{Revision: 22, Entries: []Entry{entry(21, 0).end(21)}}, allChanges, now)
+	g.Expect(heard.told).To(Equal([]fleet.Start{100, 50, 200}), "a key that was deleted is written again")
+	g.Expect(tested.entries["servers/i"].Server.Start).To(Equal(fleet.Start(200)))
+}
--- /dev/null
+++ b/pkg/directory/fuzz_test.go
@@ -0,0 +1,76 @@
+package directory
+
+import (
+	"bytes"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/directory/directorypb"
+)
+
+// FuzzChanges checks that no message of another node makes this one fail, take memory out of
+// proportion or go back: neither the revision up to which it is complete, nor that of any key.
+func FuzzChanges(f *testing.F) {
+	whole := &directorypb.ChangesReply{Revision: 9, Full: true, Gaps: []*directorypb.Gap{{From: 3, To: 5}}, Items: []*directorypb.Item{
+		{Key: "a", Revision: 8, Value: []byte("x")}, {Key: "b", Revision: 2, Gone: true}, {Key: "c", Revision: 12},
+	}}
+	encoded, err := whole.MarshalVT()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(encoded)
+	// A value of 1 MB, as many items without content as fit into 1 MB, and groups within groups.
+	whole.Items[0].Value = make([]byte, 1<<20)
+	if encoded, err = whole.MarshalVT(); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(encoded)
+	f.Add(bytes.Repeat([]byte{0x1a, 0}, 1<<19))
+	f.Add(bytes.Repeat([]byte{0x4b}, 1<<20))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		before := allocated()
+		reply := &directorypb.ChangesReply{}
+		if reply.UnmarshalVT(body) != nil {
+			return
+		}
+		watched := &observer{state: make(map[string]uint64)}
+		known := newReplica(watched)
+		now := time.Now()
+		known.apply(Batch{Revision: 7, Entries: []Entry{{Key: "a", Revision: 6}, {Key: "b", Revision: 7}}}, wholeState, now)
+		asker := &Peers{follower: &Follower{source: newHistory()}}
+		batch := Batch{Revision: reply.Revision}
+		for _, each := range reply.Gaps {
+			batch.gaps = append(batch.gaps, gap{from: each.From, to: each.To})
+		}
+		for _, item := range reply.Items {
+			batch.Entries = append(batch.Entries, asker.decode(item))
+		}
+		known.apply(batch, asker.coverageOf(reply), now)
+		if known.revision() < 7 {
+			t.Fatalf("went back to %d", known.revision())
+		}
+		for key, least := range map[string]uint64{"a": 6, "b": 7} {
+			if entry, isHeld := known.entries[key]; isHeld && entry.Revision < least {
+				t.Fatalf("%s went back to %d", key, entry.Revision)
+			}
+		}
+		if taken := allocated() - before; taken > leastFuzzMemory+fuzzMemoryPerByte*uint64(len(body)) {
+			t.Fatalf("%d bytes for a message of %d", taken, len(body))
+		}
+	})
+}
+
+// Bounds of the memory that is taken, in all, to read a message: an item without content has two
+// bytes on the wire, and an entry in several lists here.
+const (
+	leastFuzzMemory   = 256 << 10
+	fuzzMemoryPerByte = 1 << 10
+)
+
+// allocated returns how much memory has been taken so far.
+func allocated() uint64 {
+	var figures runtime.MemStats
+	runtime.ReadMemStats(&figures)
+	return figures.TotalAlloc
+}
--- /dev/null
+++ b/pkg/owner/fuzz_test.go
@@ -0,0 +1,70 @@
+package owner
+
+import (
+	"bytes"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/owner/ownerpb"
+	"github.com/bramblemast/bramblemast/pkg/policy"
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// Bounds of the memory that is taken, in all, to read a message: a part without content has two
+// bytes on the wire.
+const (
+	leastFuzzMemory   = 256 << 10
+	fuzzMemoryPerByte = 1 << 9
+)
+
+// FuzzMessages checks that no question, report or grant of another node makes this one fail or take
+// memory out of proportion.
+func FuzzMessages(f *testing.F) {
+	report, err := (&ownerpb.Report{
+		Parts: []*ownerpb.Part{{Index: 1 << 31, Evidence: "e"}}, Records: make([]byte, 48), Ended: true, Wanted: []uint32{7},
+		Failures:          []*ownerpb.Failure{{Index: 3, Cause: "c"}},
+		EndedIncarnations: []*ownerpb.Incarnation{{Id: "i", Start: -1}},
+	}).MarshalVT()
+	if err != nil {
+		f.Fatal(err)
+	}
+	question, err := (&ownerpb.Question{
+		RequestId: "r", Method: "GET", Target: "/", Services: []string{"s"}, DeadlineUs: 1 << 63, TargetUs: 1 << 63,
+		Headers: []*ownerpb.Header{{Name: "a\r\nb", Value: "c"}}, Regions: []string{"x"}, Body: make([]byte, 1<<20),
+	}).MarshalVT()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(report)
+	f.Add(question)
+	f.Add(bytes.Repeat([]byte{0x0a, 0}, 1<<19))
+	f.Add(bytes.Repeat([]byte{0x4b}, 1<<20))
+	server := &Server{options: ServerOptions{
+		Policies: func(string, string) (policy.HedgePolicy, float64) { return nil, 1 },
+		Regions:  func(asked Asked) route.Regions { return asked.Regions },
+	}}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		before := allocated()
+		if decoded, err := decodeReport(body); err == nil && len(decoded.EndedServers) > len(body) {
+			t.Fatalf("%d servers from %d bytes", len(decoded.EndedServers), len(body))
+		}
+		asked := &ownerpb.Question{}
+		if asked.UnmarshalVT(body) == nil {
+			server.plan(asked, time.Now()).Regions()
+			requestOf(asked)
+		}
+		// A grant that can not be read grants nothing.
+		_ = (&ownerpb.Grant{}).UnmarshalVT(body)
+		if taken := allocated() - before; taken > leastFuzzMemory+fuzzMemoryPerByte*uint64(len(body)) {
+			t.Fatalf("%d bytes for a message of %d", taken, len(body))
+		}
+	})
+}
+
+// allocated returns how much memory has been taken so far.
+func allocated() uint64 {
+	var figures runtime.MemStats
+	runtime.ReadMemStats(&figures)
+	return figures.TotalAlloc
+}
--- a/pkg/peer/fuzz_test.go
+++ b/pkg/peer/fuzz_test.go
@@ -17,6 +17,12 @@
 	f.Add(valid[:len(valid)-1])
 	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"))
 	f.Add([]byte{0, 0, 0, 0})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
+	if large, err := appendFrame(&peerpb.Frame{Kind: "k", Body: make([]byte, 1<<20)}, 2<<20); err == nil {
+		f.Add(large)
+	}
+	// Groups within groups, as far as the bound reaches.
+	f.Add(append([]byte{0, 0, 4, 0}, bytes.Repeat([]byte{0x4b}, 1024)...))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		frame, size, err := readFrame(bytes.NewReader(data), 1024)
 		if err != nil {
