Soak: servers that start again under their id, entries of other writers, servers that differ

Cause: the soak's servers had one speed, never started again under their id, and nobody but they wrote their entries.

Change: servers tell their start and work at 0.8, 1.0 and 1.3 of the usual time.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -43,6 +43,8 @@
 	deadly  *platformtest.Deadly
 	link    string
 	records [][]byte
+	// speed is how long it works, as a multiple of the usual.
+	speed float64
 }
 
 // shape is what differs between the deployments of the soak.
@@ -75,6 +77,8 @@
 	proxy   *faultproxy.Proxy
 	store   *platformtest.Store
 	running []*node
+	// listing orders what is written of servers that leave and of such as start again.
+	listing sync.Mutex
 
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
@@ -138,7 +142,10 @@
 	if number%2 == 0 {
 		zone = evacuatedZone
 	}
-	added := &server{deadly: d.deadly, Server: platformtest.NewServer(d.store, id, service, zone), link: id}
+	added := &server{
+		deadly: d.deadly, Server: platformtest.NewServer(d.store, id, service, zone), link: id, speed: speeds[number%len(speeds)],
+	}
+	added.TellStart(time.Now())
 	// Servers of a service hold the same records.
 	for index := range topRecords {
 		added.records = append(added.records, []byte(fmt.Sprintf("%-12.12s%04d", service, index)))
@@ -161,15 +168,17 @@
 
 func (s *server) sound() platformtest.Behaviour {
 	if s.Service == lookupName || s.Service == ordersName {
-		return platformtest.Behaviour{Work: work, Deadly: s.deadly}
+		return platformtest.Behaviour{Work: s.work(), Deadly: s.deadly}
 	}
 	var body []byte
 	for _, record := range s.records {
 		body = append(body, record...)
 	}
-	return platformtest.Behaviour{Work: work, Records: body, Deadly: s.deadly}
+	return platformtest.Behaviour{Work: s.work(), Records: body, Deadly: s.deadly}
 }
 
+func (s *server) work() time.Duration { return time.Duration(s.speed * float64(work)) }
+
 // configure writes the next version: the gathered route over the shards, the
 // routes of single services, and one more route that tells the version.
 func (d *deployment) configure(shards []string) {
@@ -223,6 +232,8 @@
 // says so, serves on for the drain time, and ends.
 func (d *deployment) replace(leaving *server) {
 	d.startServer(leaving.Service)
+	d.listing.Lock()
+	defer d.listing.Unlock()
 	d.mutex.Lock()
 	kept := d.byService[leaving.Service][:0:0]
 	for _, each := range d.byService[leaving.Service] {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -73,7 +73,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	requests := deployed.traffic(ctx, seed)
 	pestered := deployed.pester(ctx, seed)
-	deployed.run(rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2)), *spanFlag, *timedFlag)
+	deployed.run(sources{
+		faults: rand.New(rand.NewPCG(seed, 1)), series: rand.New(rand.NewPCG(seed, 2)), servers: rand.New(rand.NewPCG(seed, 3)),
+	}, *spanFlag, *timedFlag)
 	cancel()
 	requests.Wait()
 	pestered.Wait()
@@ -81,19 +83,24 @@
 	deployed.report(t, folder)
 }
 
+// sources are the sources of randomness of a seed. Each part of the faults has its own, so that a
+// seed draws the same in one whatever another one draws.
+type sources struct{ faults, series, servers *rand.Rand }
+
 // run alternates between faults and calm until the span is over.
-func (d *deployment) run(random, ofSeries *rand.Rand, span time.Duration, timed bool) {
-	broken := &injector{deployment: d, random: random, busy: make(map[*node]bool)}
+func (d *deployment) run(random sources, span time.Duration, timed bool) {
+	broken := &injector{deployment: d, random: random.faults, busy: make(map[*node]bool)}
 	end := time.Now().Add(span)
 	for time.Now().Before(end) {
 		span := min(chaosSpan, time.Until(end))
-		broken.running.Go(func() { broken.chaosOfSeries(ofSeries, span) })
+		broken.running.Go(func() { broken.chaosOfSeries(random.series, span) })
+		broken.running.Go(func() { broken.chaosOfServers(random.servers, span) })
 		broken.chaos(span)
 		for _, each := range d.running {
 			each.awaitReady()
 		}
 		if timed {
-			d.calm(random)
+			d.calm(random.faults)
 		}
 	}
 }
