Tenants whose names or keys no header carries are refused, and a removed tenant's bounds hold on

Cause: a tenant's name with blanks around it or a control character arrived at servers as another name; a key of that kind could never be matched. A request whose tenant was removed while it was under way lost the tenant's regions and kept the route's alone. Ruled out: leaving such keys out silently; an operator would look for a caller that is refused, not for the configuration. Change: names and keys must fit a header; the report names the tenant, never the key. Table.RegionsOf keeps the bounds that a request began with where its tenant is not named any more. Conclusion: a version with such a tenant leaves the one before in force.

--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -58,14 +58,19 @@
 
 // RegionsOf returns where a request of a host and target (a path, with its query if it has
 // one) may be served by this version; otherwise where no route matches it any more. tenant
-// is the name of its caller, empty for none; one that this version does not name any more
-// adds no bound.
+// is the name of its caller, empty for none. Where this version does not name the tenant any
+// more, the bounds that its request began with hold on beside those of the route.
 func (t *Table) RegionsOf(host, target, tenant string, otherwise Regions) Regions {
 	path, _, _ := strings.Cut(target, "?")
-	if found := t.Match(host, path); found != nil {
-		return RegionsFor(found, t.tenants[tenant])
+	found := t.Match(host, path)
+	switch known := t.tenants[tenant]; {
+	case found == nil:
+		return otherwise
+	case known == nil && tenant != "":
+		return found.Regions.And(otherwise)
+	default:
+		return RegionsFor(found, known)
 	}
-	return otherwise
 }
 
 // Service returns a service by name, or nil.
--- a/pkg/route/tenant.go
+++ b/pkg/route/tenant.go
@@ -75,7 +75,7 @@
 func validateTenants(tenants []Tenant, report func(string, ...any)) {
 	names, holders := make(map[string]bool, len(tenants)), make(map[string]string, len(tenants))
 	for _, tenant := range tenants {
-		if tenant.Name == "" || strings.ContainsAny(tenant.Name, "\r\n") {
+		if !fitsHeader(tenant.Name) {
 			report("tenant %q: not a name that fits a header", tenant.Name)
 		}
 		if names[tenant.Name] {
@@ -87,12 +87,23 @@
 		}
 		for _, key := range tenant.Keys {
 			holder, isHeld := holders[key]
-			if key == "" {
+			switch {
+			case key == "":
 				report("tenant %q: a key is empty", tenant.Name)
-			} else if isHeld && holder != tenant.Name {
+			case !fitsHeader(key):
+				report("tenant %q: a key does not fit a header, so no request can carry it", tenant.Name)
+			case isHeld && holder != tenant.Name:
 				report("tenant %q: holds a key of tenant %q", tenant.Name, holder)
 			}
 			holders[key] = tenant.Name
 		}
 	}
 }
+
+// fitsHeader reports whether a text arrives as it is when it is sent as the value of a
+// header (RFC 9110, section 5.5): blanks around it would be cut off, and control characters
+// could end the header.
+func fitsHeader(text string) bool {
+	isControl := func(each rune) bool { return each < ' ' || each == 0x7f }
+	return text != "" && strings.TrimSpace(text) == text && !strings.ContainsFunc(text, isControl)
+}
--- a/pkg/route/tenant_test.go
+++ b/pkg/route/tenant_test.go
@@ -50,6 +50,8 @@
 	pinned := route.OnlyRegions([]string{"south"})
 	g.Expect(table.RegionsOf("a.example", "/", "ranked", pinned).Names()).To(Equal([]string{"north"}))
 	g.Expect(table.RegionsOf("a.example", "/", "plain", pinned).Names()).To(Equal([]string{"north", "south"}))
+	g.Expect(table.RegionsOf("a.example", "/", "gone", pinned).Names()).To(Equal([]string{"south"}),
+		"a tenant that is removed leaves its request bound as it began")
 	none := table.RegionsOf("a.example", "/x/y/z", "ranked", pinned)
 	g.Expect(none.IsBound()).To(BeTrue())
 	g.Expect(none.Allow("north") || none.Allow("west")).To(BeFalse())
@@ -64,12 +66,21 @@
 	wrong.Tenants = append(wrong.Tenants,
 		route.Tenant{Name: "plain", Limit: route.RateLimit{PerSecond: -1}},
 		route.Tenant{Name: "", Keys: []string{"", "key-1"}},
+		route.Tenant{Name: "two\r\nlines", Keys: []string{"secret\x00"}},
+		route.Tenant{Name: " blank", Keys: []string{" secret"}},
+		route.Tenant{Name: "Kuching", Keys: []string{"fits"}},
 	)
 	err := route.Validate(wrong)
 	for _, part := range []string{`"plain": named twice`, "limit is negative", "not a name", "a key is empty", `holds a key of tenant "plain"`} {
 		g.Expect(err).To(MatchError(ContainSubstring(part)))
 	}
-	g.Expect(err.Error()).NotTo(ContainSubstring("key-1"))
+	for _, name := range []string{"two\r\nlines", " blank"} {
+		g.Expect(err).To(MatchError(ContainSubstring(fmt.Sprintf("tenant %q: not a name that fits a header", name))))
+		g.Expect(err).To(MatchError(ContainSubstring(fmt.Sprintf("tenant %q: a key does not fit a header", name))))
+	}
+	for _, part := range []string{"key-1", "secret", "Kuching"} {
+		g.Expect(err.Error()).NotTo(ContainSubstring(part))
+	}
 }
 
 // BenchmarkLookUps compares finding a route with finding a tenant among 10,000 with five
