Keys are judged by how old the node's news of them is

Cause: a node whose news of the store was old refused keys with 401 that had been added meanwhile, and clients never retry a 401. A deployment could not ask that removed keys are refused where the configuration cannot be confirmed. Several keys in one request were judged by the first one, a wrong key was let in on public routes without its tenant's bounds, and a key that was removed while a slow client sent the body was served. Ruled out: 503 for every unknown key while the store does not answer the node itself, since other nodes may have told it the news; refusing the settings' bound at the news age itself, which would refuse keys at each late call. Change: front.KeyNews (current, old, lapsed). An unknown key gets 503 with a time to retry where the news is old. With bounds.strict_revoke all keys do once the news is older than bounds.revoke_ms less a reserve; nodes then confirm their news within its age also where nothing changes, one line tells when it begins and ends, and bramblemast_edge_keys_lapsed shows it. One key exactly, on public routes too; the key is looked up again after a body. 401 names the header that is wanted.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -83,10 +83,13 @@
 	settings atomic.Pointer[Settings]
 	// reloadProblem is the last fault of the settings; only watchSettings uses it.
 	reloadProblem string
-	state         *state
-	quarantine    *quarantine.Guard
-	listener      *front.Listener
-	ready         *http.Server
+	// keysLapsed says that requests with keys were refused when last looked at; only
+	// sweepServers uses it.
+	keysLapsed bool
+	state      *state
+	quarantine *quarantine.Guard
+	listener   *front.Listener
+	ready      *http.Server
 	// readyListener takes the platform's questions about readiness.
 	readyListener net.Listener
 	follower      *directory.Follower
@@ -119,6 +122,7 @@
 	node.follower = directory.NewFollower(options.Platform, node.state)
 	node.follower.SetSuspended(options.Suspended)
 	node.follower.SetNewsAge(settings.newsAge())
+	node.follower.SetConfirms(settings.Bounds.StrictRevoke)
 	node.follower.SetFirstStart(settings.Node.FirstStart)
 	recorder := newEvents(node.logger, node.figures, node.storeAge)
 	node.quarantine = quarantine.New(quarantine.Options{
@@ -164,7 +168,7 @@
 	options := front.Options{
 		Dialect: n.options.Dialect, State: n.state, Fleet: n.state.fleet, Budget: n.state.budgets, Policies: rules,
 		Events: recorder, Random: newRandom(), MaxInFlight: maxInFlight,
-		Quarantine: n.quarantine,
+		Quarantine: n.quarantine, KeyNews: n.keyNews,
 	}
 	if n.owners != nil {
 		options.Owners = n.owners
@@ -268,6 +272,7 @@
 			}
 			n.state.fleet.Sweep(now)
 			n.quarantine.Sweep(now)
+			n.watchKeys()
 		}
 	}
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -195,9 +195,12 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(all.Bounds.EvacuateMillis).To(Equal(1))
 	g.Expect(all.warmUpBounds()).To(Equal(fleet.WarmUpBounds{Factor: 1, Extra: 1}))
+	g.Expect(all.Bounds.StrictRevoke).To(BeTrue())
+	g.Expect(all.Bounds.RevokeMillis).To(Equal(1))
 	fewest, err := ParseSettings([]byte(fillTemplate(string(content), false)))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(fewest.Bounds.EvacuateMillis).To(BeZero())
+	g.Expect(fewest.Bounds.StrictRevoke).To(BeFalse())
 }
 
 // section is a part of the template that stands only where the deployment tells a value.
--- a/internal/edge/figures.go
+++ b/internal/edge/figures.go
@@ -37,6 +37,7 @@
 	evacuated   *prometheus.GaugeVec
 	broken      *prometheus.CounterVec
 	standings   *prometheus.CounterVec
+	keysLapsed  prometheus.Gauge
 }
 
 func newFigures() *figures {
@@ -64,10 +65,13 @@
 		broken:     counters("connections_broken_total", "Sub-requests whose server ended the connection before its answer.", "route"),
 		standings: counters("suspect_requests_total", "Changes of what is known of requests under which servers ended, by the new standing.",
 			"standing"),
+		keysLapsed: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "keys_lapsed", Help: "1 while requests with keys are refused because the keys cannot be confirmed.",
+		}),
 		ownersLost: counters("owners_lost_total", "Times that an owner did not answer and was left out for a while."),
 	}
 	f.registry.MustRegister(f.requests, f.latency, f.missing, f.subRequests, f.denied, f.dependency, f.refused, f.overloads, f.logLines,
-		f.owned, f.ownersLost, f.storeCalls, f.evacuated, f.broken, f.standings)
+		f.owned, f.ownersLost, f.storeCalls, f.evacuated, f.broken, f.standings, f.keysLapsed)
 	return f
 }
 
--- /dev/null
+++ b/internal/edge/keys.go
@@ -0,0 +1,47 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/bramblemast/bramblemast/internal/front"
+)
+
+// keyNews returns how far what the node knows of callers' keys may be trusted now.
+func (n *Node) keyNews() front.KeyNews {
+	settings := n.settings.Load()
+	switch {
+	case settings.Bounds.StrictRevoke && !n.follower.IsKnownWithin(settings.revocationAge()):
+		return front.KeysLapsed
+	case !n.follower.HasNews():
+		return front.KeysOld
+	}
+	return front.KeysCurrent
+}
+
+// watchKeys tells once when requests begin and cease to be refused because their keys cannot
+// be confirmed. Only sweepServers calls it.
+func (n *Node) watchKeys() {
+	table := n.state.Table()
+	lapsed := table != nil && table.HasTenants() && n.keyNews() == front.KeysLapsed
+	if lapsed == n.keysLapsed {
+		return
+	}
+	n.keysLapsed = lapsed
+	age := n.newsAgeMillis()
+	if lapsed {
+		n.figures.keysLapsed.Set(1)
+		n.logger.Warn("keys lapsed", "news_age_ms", age, "error", "the store cannot be asked which keys were removed")
+		return
+	}
+	n.figures.keysLapsed.Set(0)
+	n.logger.Info("keys confirmed", "news_age_ms", age)
+}
+
+// newsAgeMillis returns how old the node's news of the store is; -1 if it has none.
+func (n *Node) newsAgeMillis() int64 {
+	knownAt := n.follower.KnownAt()
+	if knownAt.IsZero() {
+		return -1
+	}
+	return time.Since(knownAt).Milliseconds()
+}
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -88,6 +88,11 @@
 	// reach it; zero if unknown.
 	ColdFactor float64 `json:"cold_factor"`
 	ColdExtra  float64 `json:"cold_extra"`
+	// StrictRevoke asks to refuse requests that need a key while it cannot be confirmed that
+	// what is known of keys is at most RevokeMillis old. Without it nodes serve on with the
+	// keys that they know.
+	StrictRevoke bool `json:"strict_revoke"`
+	RevokeMillis int  `json:"revoke_ms"`
 }
 
 // LoadSettings reads and checks a settings file.
@@ -155,6 +160,10 @@
 	negative("bounds.extra_ratio", s.Bounds.ExtraRatio)
 	negative("bounds.extra", s.Bounds.Extra)
 	negative("bounds.extra_window_s", s.Bounds.ExtraWindowSeconds)
+	negative("bounds.revoke_ms", float64(s.Bounds.RevokeMillis))
+	if s.Bounds.StrictRevoke && s.Bounds.RevokeMillis == 0 {
+		problems = append(problems, "bounds.strict_revoke wants bounds.revoke_ms")
+	}
 	if s.Bounds.GraceSeconds <= 0 {
 		problems = append(problems, "bounds.grace_s must be above 0")
 	}
@@ -190,6 +199,9 @@
 	if s.Bounds.EvacuateMillis > 0 {
 		least = min(least, s.Bounds.EvacuateMillis)
 	}
+	if s.Bounds.StrictRevoke {
+		least = min(least, s.Bounds.RevokeMillis)
+	}
 	// Notes on requests that end servers are to be known at all nodes within it.
 	if s.Bounds.ContactMillis > 0 {
 		least = min(least, s.Bounds.ContactMillis)
@@ -209,6 +221,16 @@
 	return max(0, bound-s.newsAge()-evacuationReserve)
 }
 
+// revocationReserve is kept of the time after which a removed key must be refused: nodes tell
+// each other the age of their news, and a busy process is late to use it.
+const revocationReserve = 500 * time.Millisecond
+
+// revocationAge returns how old news of keys may be where removed keys must be refused even
+// if the store cannot be asked.
+func (s *Settings) revocationAge() time.Duration {
+	return time.Duration(s.Bounds.RevokeMillis)*time.Millisecond - revocationReserve
+}
+
 // warmUpBounds returns how far the requests to a cold server may go beyond what it bears.
 func (s *Settings) warmUpBounds() fleet.WarmUpBounds {
 	return fleet.WarmUpBounds{Factor: s.Bounds.ColdFactor, Extra: s.Bounds.ColdExtra}
--- a/internal/front/conversation.go
+++ b/internal/front/conversation.go
@@ -21,9 +21,10 @@
 	deadline time.Time
 	version  uint64
 	route    *route.Route
-	// hasTenants says that callers have keys, tenant is the one that holds the request's key;
-	// nil on public routes without one.
+	// hasTenants says that callers have keys. keys are those that the client sent, and tenant
+	// is the one that holds its key; nil on public routes without one.
 	hasTenants bool
+	keys       []string
 	tenant     *route.Tenant
 	policy     Policy
 	// request is what servers are sent.
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -51,6 +51,7 @@
 	// first service of their route.
 	overloads *episodes
 	limits    Limits
+	keyNews   func() KeyNews
 	events    Recorder
 	inFlight  chan struct{}
 }
@@ -67,7 +68,9 @@
 	Policies Policies
 	// Limits holds tenants to their limits; nil for none.
 	Limits Limits
-	Events Recorder
+	// KeyNews tells how far what is known of keys may be trusted; nil if it is always current.
+	KeyNews func() KeyNews
+	Events  Recorder
 	// Quarantine keeps requests from servers that end when they run them; nil for none.
 	Quarantine *quarantine.Guard
 	// Random is not shared with other users.
@@ -86,10 +89,14 @@
 		dialect: options.Dialect, state: options.State, policies: options.Policies, events: options.Events,
 		splitter: newSplitter(options.Random), inFlight: make(chan struct{}, options.MaxInFlight),
 		overloads: newEpisodes(), fleet: options.Fleet, quarantine: options.Quarantine, limits: options.Limits,
+		keyNews: options.KeyNews,
 	}
 	if handler.limits == nil {
 		handler.limits = noLimits{}
 	}
+	if handler.keyNews == nil {
+		handler.keyNews = func() KeyNews { return KeysCurrent }
+	}
 	runner := fanout.Runner{
 		Fleet: options.Fleet, Budget: options.Budget, Dialect: &handler.dialect.Dialect, Linger: lingerAfterAnswer,
 		Quarantine: options.Quarantine,
@@ -145,7 +152,6 @@
 	}
 	exchanged.route = found
 	if !exchanged.authenticate(table) {
-		exchanged.refuse(http.StatusUnauthorized, outcome.ReasonUnauthenticated, 0)
 		return
 	}
 	exchanged.deadline = deadline(found, h.clientDeadline(received.Header), exchanged.began)
@@ -155,6 +161,10 @@
 		exchanged.refuse(status, outcome.ReasonInvalid, 0)
 		return
 	}
+	// The key may have been removed while a slow client sent the body.
+	if request.HasBody && !exchanged.authenticate(h.state.Table()) {
+		return
+	}
 	exchanged.replaceCaller(request.Header)
 	exchanged.serve(request)
 }
--- a/internal/front/tenant.go
+++ b/internal/front/tenant.go
@@ -27,16 +27,61 @@
 // Refund implements Limits.
 func (noLimits) Refund(*route.Tenant, time.Time) {}
 
-// authenticate finds the tenant of the request by its key, and reports whether the request
-// may be served: one of a route that is not public needs a key that a tenant holds. Where
-// the configuration has no tenants, nothing is asked and the headers go along as they are.
+// KeyNews says how far a node may trust what it knows of callers' keys.
+type KeyNews int
+
+// What a node may know of keys.
+const (
+	// KeysCurrent are as new as the deployment asks for.
+	KeysCurrent KeyNews = iota
+	// KeysOld are served on with, but a key that is not among them may have been added since.
+	KeysOld
+	// KeysLapsed are so old that each of them may have been removed since.
+	KeysLapsed
+)
+
+// keysWait is after how long a request may be retried whose key this node cannot confirm:
+// another node, to which a retry goes, mostly can, and it leaves most of a short deadline.
+const keysWait = 200 * time.Millisecond
+
+// authenticate finds the tenant of the request by its key, and refuses the request if it may
+// not be served: a route that is not public needs a key, and a key that nobody holds is
+// wrong on any route, since its caller counts on what its tenant is granted and bound to.
+// Where the configuration has no tenants, nothing is asked and the headers go along as they
+// are.
 func (c *conversation) authenticate(table *route.Table) bool {
 	if !table.HasTenants() {
 		return true
 	}
-	c.hasTenants = true
-	c.tenant = table.TenantOf(c.received.Header.Get(c.handler.dialect.Credential))
-	return c.tenant != nil || c.route.Public
+	if !c.hasTenants {
+		c.hasTenants, c.keys = true, c.received.Header[c.handler.dialect.Credential]
+	}
+	if len(c.keys) == 0 && c.route.Public {
+		return true
+	}
+	if len(c.keys) != 1 {
+		// Several keys do not tell which one is meant.
+		c.refuseUnauthenticated()
+		return false
+	}
+	c.tenant = table.TenantOf(c.keys[0])
+	news := c.handler.keyNews()
+	switch {
+	case news == KeysLapsed || c.tenant == nil && news == KeysOld:
+		c.refuse(http.StatusServiceUnavailable, outcome.ReasonKeysUnconfirmed, keysWait)
+	case c.tenant == nil:
+		c.refuseUnauthenticated()
+	default:
+		return true
+	}
+	return false
+}
+
+// refuseUnauthenticated answers with the header in which a key is wanted (RFC 9110, section
+// 11.6.1).
+func (c *conversation) refuseUnauthenticated() {
+	c.writer.Header().Set("WWW-Authenticate", c.handler.dialect.Credential)
+	c.refuse(http.StatusUnauthorized, outcome.ReasonUnauthenticated, 0)
 }
 
 // replaceCaller puts the tenant's name in the place of what the client said of itself. The
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -69,6 +69,9 @@
 	kick chan struct{}
 	// newsAge is how old news may be, in nanoseconds.
 	newsAge atomic.Int64
+	// confirms says that what is known is confirmed within newsAge also where nothing
+	// changes.
+	confirms atomic.Bool
 	// role is a Role.
 	role atomic.Int32
 	// suspended returns for how long the machine has been suspended so far.
--- /dev/null
+++ b/pkg/directory/news.go
@@ -0,0 +1,24 @@
+package directory
+
+import "time"
+
+// SetConfirms tells whether what is known is to be confirmed within the age that news may
+// have also where nothing changes: a node that reads for itself alone then asks more often.
+func (f *Follower) SetConfirms(isAsked bool) { f.confirms.Store(isAsked) }
+
+// IsKnownWithin reports whether the node is known to have had all that the store held a span
+// ago.
+func (f *Follower) IsKnownWithin(span time.Duration) bool {
+	knownAt := f.KnownAt()
+	return !knownAt.IsZero() && time.Since(knownAt) <= span
+}
+
+// HasNews reports whether what the node knows is as new as it is while the store answers. A
+// watch that waits for a change counts as news while the store answers this node.
+func (f *Follower) HasNews() bool {
+	greatest := f.allowedNewsAge() + watchSlack
+	if f.Role() == Alone && f.inContact() {
+		greatest += greatestWait
+	}
+	return f.IsKnownWithin(greatest)
+}
--- /dev/null
+++ b/pkg/directory/news_test.go
@@ -0,0 +1,58 @@
+package directory
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// TestNewsGetsOld: sooner at a node that the store does not answer than at one whose watch
+// waits for a change, and later by a suspension of the machine than the clock shows.
+func TestNewsGetsOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const newsAge = 2 * time.Second
+		tested := NewFollower(nil, &observer{})
+		tested.SetNewsAge(newsAge)
+		g.Expect(tested.HasNews()).To(BeFalse(), "nothing is known yet")
+		g.Expect(tested.IsKnownWithin(time.Hour)).To(BeFalse())
+		tested.regained()
+		tested.confirm(time.Now())
+		time.Sleep(newsAge + greatestWait + watchSlack)
+		g.Expect(tested.HasNews()).To(BeTrue(), "its watch tells changes as they happen")
+		g.Expect(tested.IsKnownWithin(newsAge)).To(BeFalse())
+		time.Sleep(time.Millisecond)
+		g.Expect(tested.HasNews()).To(BeFalse())
+		tested.confirm(time.Now())
+		tested.lost(errors.New("refused"))
+		time.Sleep(newsAge + watchSlack)
+		g.Expect(tested.HasNews()).To(BeTrue())
+		time.Sleep(time.Millisecond)
+		g.Expect(tested.HasNews()).To(BeFalse())
+		tested.confirm(time.Now())
+		g.Expect(tested.HasNews()).To(BeTrue(), "another node has told")
+		tested.SetSuspended(func() time.Duration { return time.Minute })
+		g.Expect(tested.HasNews()).To(BeFalse())
+	})
+}
+
+// TestNewsIsConfirmedWithinItsAgeWhereAsked though nothing changes.
+func TestNewsIsConfirmedWithinItsAgeWhereAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const newsAge = time.Second
+		tested := NewFollower(nil, &observer{})
+		tested.SetNewsAge(newsAge)
+		tested.confirm(time.Now())
+		g.Expect(tested.watchWait()).To(BeNumerically(">=", leastWait))
+		tested.SetConfirms(true)
+		g.Expect(tested.watchWait()).To(Equal(newsAge))
+		time.Sleep(newsAge / 2)
+		g.Expect(tested.watchWait()).To(Equal(newsAge / 2))
+		time.Sleep(newsAge)
+		g.Expect(tested.watchWait()).To(Equal(leastWatchWait))
+	})
+}
--- a/pkg/directory/turn.go
+++ b/pkg/directory/turn.go
@@ -97,5 +97,8 @@
 	case Asker:
 		return leastWatchWait
 	}
+	if f.confirms.Load() {
+		return max(leastWatchWait, f.allowedNewsAge()-time.Since(f.KnownAt()))
+	}
 	return leastWait + rand.N(greatestWait-leastWait)
 }
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -84,6 +84,9 @@
 	ReasonQuarantined Reason = "quarantined"
 	// ReasonUnauthenticated refuses a request without a key that a tenant holds.
 	ReasonUnauthenticated Reason = "unauthenticated"
+	// ReasonKeysUnconfirmed refuses a request whose key the node cannot confirm, since its news
+	// of the configuration is old.
+	ReasonKeysUnconfirmed Reason = "keys_unconfirmed"
 	// ReasonOverLimit refuses a request beyond its tenant's limit.
 	ReasonOverLimit Reason = "over_limit"
 	ReasonInternal  Reason = "internal"
