Logs and log explain tell why a caller's key was refused

Cause: a 401 named neither its cause nor the key that was sent, so an operator could not tell a wrong key from a version that was not in force yet. Ruled out: the key itself or a long hash in the log, from which it could be found. Conclusion: from the id of a refused request to the version in force in one command.

--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -113,6 +113,9 @@
 	if record.Tenant != "" {
 		list = append(list, "tenant", record.Tenant)
 	}
+	if record.KeyHash != "" {
+		list = append(list, "key_hash", record.KeyHash)
+	}
 	if record.RetryAfter > 0 {
 		list = append(list, "retry_after_ms", record.RetryAfter.Milliseconds())
 	}
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
 )
 
 // Cause is why a request was not served whole and in time.
@@ -18,6 +19,10 @@
 	CauseOverloaded    Cause = "the node served as many requests as it may"
 	CauseNotOffered    Cause = "overload: no server had room for it in time, so it was not run"
 	CauseNoRoom        Cause = "overload: servers had no room for it"
+	CauseUnknownKey    Cause = "no tenant of the configuration in force holds the caller's key"
+	CauseNoKey         Cause = "the caller sent no key, or several, on a route that wants one"
+	CauseOldKeys       Cause = "the node's news of the configuration was too old to confirm the caller's key"
+	CauseOverLimit     Cause = "its tenant was beyond its limit over all nodes"
 	CauseNoRoute       Cause = "no route of the configuration in force fits"
 	CauseBadRequest    Cause = "the request itself: its body could not be taken"
 	CauseClientLeft    Cause = "the client left before the answer"
@@ -61,6 +66,14 @@
 		return CauseOverloaded
 	case line.Reason == string(fanout.StopQuarantined):
 		return CauseQuarantined
+	case line.Reason == string(outcome.ReasonUnauthenticated) && line.KeyHash == "":
+		return CauseNoKey
+	case line.Reason == string(outcome.ReasonUnauthenticated):
+		return CauseUnknownKey
+	case line.Reason == string(outcome.ReasonKeysUnconfirmed):
+		return CauseOldKeys
+	case line.Reason == string(outcome.ReasonOverLimit):
+		return CauseOverLimit
 	case line.Reason == "cancelled":
 		return CauseClientLeft
 	case line.Reason == "invalid_request" && line.Status == http.StatusNotFound:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -173,3 +173,33 @@
 	g.Expect(text.String()).To(ContainSubstring("before: request suspect (servers ended: s1, s2, s3)"))
 	g.Expect(text.String()).NotTo(ContainSubstring("s9"))
 }
+
+// TestFromACallerThatIsRefusedToItsKey is walk 7: whether a key was sent, whose it is, and
+// which configuration did not know it.
+func TestFromACallerThatIsRefusedToItsKey(t *testing.T) {
+	g := NewWithT(t)
+	lines := linesOf(t, "testdata/keys.log")
+	for id, expected := range map[string]struct {
+		cause explain.Cause
+		says  []string
+	}{
+		"unknown": {explain.CauseUnknownKey, []string{
+			"request unknown with a key of hash 5e884898 on route \"r\", configuration 4", "before: configuration in force (version 4)",
+			"an older configuration: b had version 5 in force 700 ms before",
+		}},
+		"none": {explain.CauseNoKey, []string{"answered 401, unauthenticated"}},
+		"old": {explain.CauseOldKeys, []string{
+			"before: keys lapsed", "of hash 5e884898", "the client was told to retry after 200 ms",
+		}},
+		"limit": {explain.CauseOverLimit, []string{"request limit of tenant \"desk\" on route", "answered 429, over_limit"}},
+	} {
+		story, err := explain.Explain(lines, id)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(story.Tries[0].Cause).To(Equal(expected.cause))
+		var text bytes.Buffer
+		story.Write(&text)
+		for _, part := range expected.says {
+			g.Expect(text.String()).To(ContainSubstring(part))
+		}
+	}
+}
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -24,6 +24,8 @@
 	messageLost          = "dependency lost"
 	messageRegained      = "dependency regained"
 	messageOverload      = "overload"
+	messageKeysLapsed    = "keys lapsed"
+	messageKeysConfirmed = "keys confirmed"
 )
 
 // maxLineBytes bounds one line.
@@ -40,6 +42,7 @@
 
 	Request    string                 `json:"request"`
 	Route      string                 `json:"route"`
+	Tenant     string                 `json:"tenant"`
 	Path       string                 `json:"path"`
 	Version    uint64                 `json:"version"`
 	Status     int                    `json:"status"`
@@ -61,6 +64,8 @@
 	Owner      string                 `json:"owner"`
 	Owners     []fanout.OwnerRecord   `json:"owners"`
 	Error      string                 `json:"error"`
+	// KeyHash is the short hash of a key that was refused.
+	KeyHash string `json:"key_hash"`
 	// Fingerprint is the same for all tries of a request; ServersEnded ended while they had it.
 	Fingerprint  string   `json:"fingerprint"`
 	ServersEnded []string `json:"servers_ended"`
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -104,7 +104,7 @@
 
 func concerns(line, request Line) bool {
 	switch line.Message {
-	case messageOverload:
+	case messageOverload, messageKeysLapsed, messageKeysConfirmed:
 		return true
 	case messageConfiguration, messageLost, messageRegained, messageOwnerLost, messageOwnerRegained, "started", "stopping", "configuration refused":
 		return true
@@ -118,8 +118,8 @@
 // Write prints a story for a person.
 func (s Story) Write(output io.Writer) {
 	for _, try := range s.Tries {
-		fmt.Fprintf(output, "%s  %s  request %s on route %q, configuration %d\n",
-			clock(try.At), try.Node, s.ID, try.Route, try.Version)
+		fmt.Fprintf(output, "%s  %s  request %s%s on route %q, configuration %d\n",
+			clock(try.At), try.Node, s.ID, caller(try.Line), try.Route, try.Version)
 		for _, line := range try.Before {
 			fmt.Fprintf(output, "  %s  before: %s%s\n", clock(line.At), line.Message, subject(line))
 		}
@@ -145,6 +145,17 @@
 	}
 }
 
+// caller tells who sent a request, as far as its node knew.
+func caller(line Line) string {
+	switch {
+	case line.Tenant != "":
+		return fmt.Sprintf(" of tenant %q", line.Tenant)
+	case line.KeyHash != "":
+		return fmt.Sprintf(" with a key of hash %s", line.KeyHash)
+	}
+	return ""
+}
+
 // writeAttempts prints sub-requests; their times count from when their node got the
 // request.
 func writeAttempts(output io.Writer, indent string, attempts []fanout.AttemptRecord) {
--- a/internal/front/record.go
+++ b/internal/front/record.go
@@ -15,7 +15,9 @@
 	Path  string
 	Route string
 	// Tenant is the name of the caller; empty where callers have no keys.
-	Tenant  string
+	Tenant string
+	// KeyHash is the short hash of a key that was refused; empty for none.
+	KeyHash string
 	Version uint64
 	Policy  Policy
 	Status  int
@@ -63,7 +65,7 @@
 	}
 	c.handler.events.Record(Record{
 		ID: c.id, Host: c.received.Host, Path: c.received.RequestURI, Route: name, Tenant: c.tenantName(), Version: c.version,
-		Status: status, Took: time.Since(c.began), Reason: string(reason), Refused: true, Cause: c.cause,
+		Status: status, Took: time.Since(c.began), Reason: string(reason), Refused: true, Cause: c.cause, KeyHash: c.keyHashIf(reason),
 		RetryAfter: c.toldWait, Fingerprint: c.fingerprintIf(reason == outcome.ReasonQuarantined),
 	})
 }
--- a/internal/front/tenant.go
+++ b/internal/front/tenant.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"net/http"
 	"time"
 
@@ -123,3 +125,18 @@
 	}
 	return c.tenant.Name
 }
+
+// keyHashLength is the number of bytes of a key's hash in logs: an operator who holds the key
+// can find it, nobody finds the key by it.
+const keyHashLength = 4
+
+// keyHashIf returns the short hash of a key that is refused for that reason; empty for other
+// reasons, and where the client did not send one key.
+func (c *conversation) keyHashIf(reason outcome.Reason) string {
+	isKeyRefused := reason == outcome.ReasonUnauthenticated || reason == outcome.ReasonKeysUnconfirmed
+	if !isKeyRefused || len(c.keys) != 1 || c.keys[0] == "" {
+		return ""
+	}
+	sum := sha256.Sum256([]byte(c.keys[0]))
+	return hex.EncodeToString(sum[:keyHashLength])
+}
