Soak: tenants with keys that come and go with each version

Cause: nothing with real processes checked who servers are told a caller is, nor that removed keys are refused in time. Change: every request has a key and a forged name; the keys of one tenant live for two versions. Checked at any time: no key at a server, the right name alone, a standing key never refused with 401, no life of a node behind a version whose key it served. With time bounds: removed keys refused, new ones not; under strict revocation (the shape with owners) whatever is broken. Versions are written in order.

--- a/test/soak/deadly_test.go
+++ b/test/soak/deadly_test.go
@@ -48,7 +48,7 @@
 	for number := 0; number < deadlyCount && ctx.Err() == nil; number++ {
 		chosen := d.running[random.IntN(len(d.running))]
 		tries.Go(func() {
-			client := platformtest.NewClient(chosen.clients)
+			client := newClient(chosen.clients, standingKey(standingTenant(0)))
 			defer client.HTTP.CloseIdleConnections()
 			// Its answer does not matter: what reaches servers is counted.
 			_, _ = client.Do(ctx, "GET", host, path, fmt.Sprintf("d%sx%d", path[len(deadlyPrefix):], number), "", callerDeadline)
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -55,6 +55,8 @@
 	// drainBound and configBound are within which time news of servers and of the
 	// configuration must be in force; the nodes' settings name them.
 	drainBound, configBound time.Duration
+	// revokeBound is after which time a removed key is refused by any node; zero for none.
+	revokeBound time.Duration
 }
 
 // The shapes.
@@ -66,7 +68,9 @@
 	sharedShape = shape{nodes: 6, drainBound: 5 * time.Second, configBound: 5 * time.Second}
 	// ownersShape has more nodes than a server can keep a connection for, so that
 	// nodes ask each other for shards.
-	ownersShape = shape{nodes: 6, connections: 10, drainBound: 5 * time.Second, configBound: 5 * time.Second}
+	ownersShape = shape{
+		nodes: 6, connections: 10, drainBound: 5 * time.Second, configBound: 5 * time.Second, revokeBound: 5 * time.Second,
+	}
 )
 
 // deployment is the platform's stand-in with everything that runs on it.
@@ -79,6 +83,8 @@
 	running []*node
 	// listing orders what is written of servers that leave and of such as start again.
 	listing sync.Mutex
+	// configuring is held while a version is written, so that the store takes them in order.
+	configuring sync.Mutex
 
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
@@ -182,6 +188,8 @@
 // configure writes the next version: the gathered route over the shards, the
 // routes of single services, and one more route that tells the version.
 func (d *deployment) configure(shards []string) {
+	d.configuring.Lock()
+	defer d.configuring.Unlock()
 	d.mutex.Lock()
 	d.version++
 	number := d.version
@@ -197,6 +205,7 @@
 	}
 	// Noted before, so that no answer is judged by what is not noted yet.
 	d.history.configured(number, shards)
+	d.store.SetTenants(tenantsOf(number)...)
 	d.store.Configure(number, routes...)
 }
 
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -31,6 +31,9 @@
 	run func(i *injector, random *rand.Rand) (what string, mend func())
 }
 
+// storeSilent is the fault under which the store's watches hear nothing.
+const storeSilent = "store silent"
+
 // faults is the catalogue. A node uses neither the time of day nor storage for
 // any decision, so none of them is a clock's or a disk's.
 var faults = []fault{
@@ -57,7 +60,7 @@
 	{"store limits", storeFault(platformtest.StoreFaults{Status: 429})},
 	{"store slow", storeFault(platformtest.StoreFaults{Delay: 400 * time.Millisecond})},
 	{"store loses answers", storeFault(platformtest.StoreFaults{LoseAnswers: true})},
-	{"store silent", storeFault(platformtest.StoreFaults{DeafWatches: true})},
+	{storeSilent, storeFault(platformtest.StoreFaults{DeafWatches: true})},
 	{"store forgets", forgetHistory},
 	{"list lost", loseList},
 	{"server sheds", serverFault(platformtest.Behaviour{Shed: true})},
--- a/test/soak/history_test.go
+++ b/test/soak/history_test.go
@@ -11,6 +11,8 @@
 type interval struct {
 	Begin time.Time
 	End   time.Time
+	// What was broken; may be empty.
+	What string
 }
 
 // overlaps reports whether the interval and a span have a moment in common.
@@ -42,6 +44,8 @@
 	// evacuations are the spans in which evacuatedZone was to get nothing.
 	evacuations []*interval
 	replies     []reply
+	// keyed are the replies to requests with keys that come and go.
+	keyed []keyed
 }
 
 // version is one configuration.
@@ -67,6 +71,8 @@
 	HasWait bool
 	// IsKept says that the caller keeps its connections.
 	IsKept bool
+	// Tenant is whose key the caller sent.
+	Tenant string
 }
 
 func newHistory() *history {
@@ -94,14 +100,14 @@
 	defer h.mutex.Unlock()
 	now := time.Now()
 	h.events = append(h.events, event{now, "begin " + what})
-	running := &interval{Begin: now}
+	running := &interval{Begin: now, What: what}
 	key := fmt.Sprintf("%s#%d", what, len(h.events))
 	h.faults[key] = running
 	return func() {
 		h.mutex.Lock()
 		defer h.mutex.Unlock()
 		delete(h.faults, key)
-		h.past = append(h.past, interval{running.Begin, time.Now()})
+		h.past = append(h.past, interval{running.Begin, time.Now(), what})
 		h.events = append(h.events, event{time.Now(), "end " + what})
 	}
 }
@@ -118,6 +124,19 @@
 	return !slices.ContainsFunc(h.past, func(each interval) bool { return each.overlaps(begin, end) })
 }
 
+// was reports whether a fault was under way in a span of time.
+func (h *history) was(what string, begin, end time.Time) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	isSuch := func(each interval) bool { return each.What == what && each.overlaps(begin, end) }
+	for _, running := range h.faults {
+		if isSuch(*running) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(h.past, isSuch)
+}
+
 func (h *history) configured(number int, shards []string) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/test/soak/promises_test.go
+++ b/test/soak/promises_test.go
@@ -87,13 +87,15 @@
 	Server  string
 	Service string
 	At      time.Time
+	// Tenants are the names under which the server knew the caller.
+	Tenants []string
 }
 
 func arrivalsOf(servers []*server) []arrival {
 	var all []arrival
 	for _, each := range servers {
 		for _, got := range each.Received() {
-			all = append(all, arrival{got.ID, each.ID, each.Service, got.At})
+			all = append(all, arrival{got.ID, each.ID, each.Service, got.At, got.Tenants})
 		}
 	}
 	slices.SortFunc(all, func(a, b arrival) int { return a.At.Compare(b.At) })
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -73,12 +73,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	requests := deployed.traffic(ctx, seed)
 	pestered := deployed.pester(ctx, seed)
+	roving := deployed.rove(ctx, seed)
 	deployed.run(sources{
 		faults: rand.New(rand.NewPCG(seed, 1)), series: rand.New(rand.NewPCG(seed, 2)), servers: rand.New(rand.NewPCG(seed, 3)),
 	}, *spanFlag, *timedFlag)
 	cancel()
 	requests.Wait()
 	pestered.Wait()
+	roving.Wait()
 	deployed.judgeAll(*timedFlag)
 	deployed.report(t, folder)
 }
@@ -164,6 +166,7 @@
 	for _, broken := range append(checkOnce(replies, arrivals), checkNeverBack(replies)...) {
 		d.history.violated("%s", broken)
 	}
+	d.judgeTenants(arrivals, timed)
 	if timed {
 		d.judgeTimes(replies, arrivals)
 	}
@@ -173,6 +176,9 @@
 			requests[service] = append(requests[service], got.Sent)
 		}
 	}
+	for _, got := range d.history.keyed {
+		requests[lookupName] = append(requests[lookupName], got.Sent)
+	}
 	for service, sent := range requests {
 		for _, broken := range checkExtra(service, sent, arrivals) {
 			d.history.violated("%s", broken)
--- a/test/soak/traffic_test.go
+++ b/test/soak/traffic_test.go
@@ -28,7 +28,7 @@
 	running := &sync.WaitGroup{}
 	for number := range callers {
 		random := rand.New(rand.NewPCG(seed, uint64(number)))
-		own := &caller{}
+		own := &caller{tenant: standingTenant(number)}
 		if number%2 == 1 {
 			own.kept = make(map[*node]*platformtest.Client)
 		}
@@ -48,13 +48,15 @@
 type caller struct {
 	// kept are the clients with kept connections; nil for none.
 	kept map[*node]*platformtest.Client
+	// tenant is whose key it has.
+	tenant string
 }
 
 func (c *caller) client(to *node) *platformtest.Client {
 	if known := c.kept[to]; known != nil {
 		return known
 	}
-	created := platformtest.NewClient(to.clients)
+	created := newClient(to.clients, standingKey(c.tenant))
 	created.HTTP.Transport = &http.Transport{DisableCompression: true, DisableKeepAlives: c.kept == nil}
 	if c.kept != nil {
 		c.kept[to] = created
@@ -79,7 +81,7 @@
 		limited, cancel = context.WithTimeout(limited, time.Duration(random.IntN(10))*time.Millisecond)
 		defer cancel()
 	}
-	got.IsKept = from.kept != nil
+	got.IsKept, got.Tenant = from.kept != nil, from.tenant
 	answer, err := from.client(chosen).Do(limited, method, host, path, id, "", callerDeadline)
 	got.Ended, got.Status, got.HasWait = time.Now(), answer.Status, answer.Header.Get("Retry-After") != ""
 	if err != nil {
