Quarantine: one count, no field that nobody reads, and bounds that queries share

Cause: record.beganAt was written and never read, two functions were one counting loop, and pkg/query repeated the bounds of pkg/quarantine as figures of its own. Ruled out: a package of bounds for both; quarantine decides them. Conclusion: behaviour is the same.

--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -26,13 +26,13 @@
 
 // Bounds and times of suspicion.
 const (
-	// suspectAfter is how many servers end under a request before it is suspect. Two end
+	// SuspectAfter is how many servers end under a request before it is suspect. Two end
 	// under an ordinary request that meets two crashes in a row; the third makes it worth
 	// the time of a trial.
-	suspectAfter = 3
-	// promptTrials is how many trials all nodes together make at once: one that fails may
+	SuspectAfter = 3
+	// PromptTrials is how many trials all nodes together make at once: one that fails may
 	// have met the crash of another request's server, two in a row hardly do.
-	promptTrials = 2
+	PromptTrials = 2
 	// laterTrial is when a further trial is made after those, and each later one twice as
 	// long after the one before: an ordinary request that lost its trials too is cleared,
 	// and a deadly one ends three servers more in ten minutes.
@@ -195,7 +195,7 @@
 	before := g.standing(fingerprint, now)
 	known := g.record(fingerprint, now)
 	known.add(server, hasEnded, now).address = address
-	if len(known.ends) >= suspectAfter {
+	if len(known.ends) >= SuspectAfter {
 		g.probeAll(known)
 	}
 	g.changed(fingerprint, before, now)
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -18,8 +18,7 @@
 	// nextTrialAt is when a further trial is made after the prompt ones.
 	nextTrialAt time.Time
 	// alone counts the trials that this node made without the ledger.
-	alone   int
-	beganAt time.Time
+	alone int
 	// expiresAt is put off by every server that ends.
 	expiresAt time.Time
 }
@@ -34,8 +33,13 @@
 	isWritten   bool
 }
 
+func (e *end) hasEnded() bool { return e.isConfirmed }
+
+// isKept reports whether the store holds it.
+func (e *end) isKept() bool { return e.isWritten }
+
 func newRecord(now time.Time) *record {
-	return &record{ends: make(map[fleet.Incarnation]*end), trials: make(map[int]bool), beganAt: now, expiresAt: now.Add(lifetime)}
+	return &record{ends: make(map[fleet.Incarnation]*end), trials: make(map[int]bool), expiresAt: now.Add(lifetime)}
 }
 
 func (r *record) add(server fleet.Incarnation, isConfirmed bool, now time.Time) *end {
@@ -81,13 +85,13 @@
 }
 
 func (r *record) standing(now time.Time) Standing {
-	confirmed := r.confirmed()
+	confirmed := r.count((*end).hasEnded)
 	switch {
-	case confirmed >= suspectAfter && r.mayTry(now):
+	case confirmed >= SuspectAfter && r.mayTry(now):
 		return Suspect
-	case confirmed >= suspectAfter:
+	case confirmed >= SuspectAfter:
 		return Quarantined
-	case len(r.ends) >= suspectAfter:
+	case len(r.ends) >= SuspectAfter:
 		return Doubtful
 	}
 	return Clear
@@ -95,7 +99,7 @@
 
 // mayTry reports whether a trial may be made now: two at once, then one now and then.
 func (r *record) mayTry(now time.Time) bool {
-	return len(r.trials)+r.alone < promptTrials || !now.Before(r.nextTrialAt)
+	return len(r.trials)+r.alone < PromptTrials || !now.Before(r.nextTrialAt)
 }
 
 // noteTrial takes that a trial was made.
@@ -104,13 +108,14 @@
 		return
 	}
 	r.trials[number] = true
-	r.nextTrialAt = now.Add(laterTrial << max(0, len(r.trials)-promptTrials))
+	r.nextTrialAt = now.Add(laterTrial << max(0, len(r.trials)-PromptTrials))
 }
 
-func (r *record) confirmed() int {
+// count returns for how many servers something holds.
+func (r *record) count(holds func(*end) bool) int {
 	count := 0
 	for _, each := range r.ends {
-		if each.isConfirmed {
+		if holds(each) {
 			count++
 		}
 	}
@@ -135,7 +140,7 @@
 func (r *record) unwritten(fingerprint exchange.Fingerprint) []Note {
 	var notes []Note
 	for _, name := range r.servers() {
-		if r.countWritten()+len(notes) >= suspectAfter {
+		if r.count((*end).isKept)+len(notes) >= SuspectAfter {
 			break
 		}
 		if !r.ends[name].isWritten {
@@ -147,16 +152,6 @@
 
 func (r *record) hasUnwritten() bool { return len(r.unwritten(exchange.Fingerprint{})) > 0 }
 
-func (r *record) countWritten() int {
-	count := 0
-	for _, each := range r.ends {
-		if each.isWritten {
-			count++
-		}
-	}
-	return count
-}
-
 // written returns the notes that the store holds.
 func (r *record) written(fingerprint exchange.Fingerprint) []Note {
 	var notes []Note
--- a/pkg/quarantine/trial.go
+++ b/pkg/quarantine/trial.go
@@ -14,7 +14,7 @@
 }
 
 // ClaimTrial returns leave to try a suspect request, or nil if none is left, or if the ledger
-// could not be asked. All nodes together get promptTrials, and then one now and then.
+// could not be asked. All nodes together get PromptTrials, and then one now and then.
 func (g *Guard) ClaimTrial(ctx context.Context, fingerprint exchange.Fingerprint) *Trial {
 	for {
 		note, ok := g.nextTrial(fingerprint)
--- a/pkg/query/kept_back.go
+++ b/pkg/query/kept_back.go
@@ -4,16 +4,17 @@
 	"time"
 
 	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/quarantine"
 )
 
 // Bounds of requests that may end the servers that run them.
 const (
 	// suspectAfter is how many sub-requests lose their connections, with no answer to any,
-	// until the request is suspect: as many as package quarantine takes.
-	suspectAfter = 3
+	// until the request is suspect.
+	suspectAfter = quarantine.SuspectAfter
 	// greatestTrials is how many further sub-requests a suspect request gets, one after the
 	// other, to show that it is not what ends servers.
-	greatestTrials = 2
+	greatestTrials = quarantine.PromptTrials
 	// keptBackRecheck is when a retry that was kept back is looked at again.
 	keptBackRecheck = 10 * time.Millisecond
 )
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -243,15 +243,7 @@
 	d.startServer(leaving.Service)
 	d.listing.Lock()
 	defer d.listing.Unlock()
-	d.mutex.Lock()
-	kept := d.byService[leaving.Service][:0:0]
-	for _, each := range d.byService[leaving.Service] {
-		if each != leaving {
-			kept = append(kept, each)
-		}
-	}
-	d.byService[leaving.Service] = kept
-	d.mutex.Unlock()
+	d.forgetServer(leaving.Server)
 	leaving.List("draining")
 	d.history.leaves(leaving.ID)
 	time.AfterFunc(d.drainBound+2*time.Second, func() { d.store.Remove("servers/" + leaving.ID) })
