Comments, names of specs and log fields say retry, unknown and lost instead of come back and in doubt

Cause: a newcomer reads other words than those of the field. Ruled out: names of test functions, which docs/INVARIANTS.md refers to, and packages that others change now. Change: comments, spec names, one error text (framing lost), the log field list_settles (was list_in_doubt) and the demo's output. Conclusion: no check changed.

--- a/internal/ctl/changes_test.go
+++ b/internal/ctl/changes_test.go
@@ -90,7 +90,7 @@
 		Expect(settled.output).To(ContainSubstring("not accepted"))
 	})
 
-	It("reports a store that is away, and when to come back", func() {
+	It("reports a store that is away, and when to retry", func() {
 		cluster.Store.SetUnavailable(true)
 		published := publish()
 		Expect(published.code).To(Equal(ctl.ExitUnavailable))
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -252,7 +252,7 @@
 	}
 }
 
-// TestRequestsComeBackLaterWhileTheStoreStaysAway: a client that may come back
+// TestRequestsComeBackLaterWhileTheStoreStaysAway: a client that may retry
 // once would otherwise be refused again.
 func TestRequestsComeBackLaterWhileTheStoreStaysAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/edge/registration.go
+++ b/internal/edge/registration.go
@@ -28,7 +28,7 @@
 	renewInterval        = 30 * time.Second
 	registerTimeout      = 3 * time.Second
 	// leastRegisterRetry and greatestRegisterRetry bound the wait after a failure, which
-	// doubles each time and differs between nodes: a store that comes back is not met by
+	// doubles each time and differs between nodes: a store that answers again is not met by
 	// all of them at once, and each call in vain is one too many.
 	leastRegisterRetry    = 2 * time.Second
 	greatestRegisterRetry = 8 * time.Second
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -258,7 +258,7 @@
 	now := time.Now()
 	doubtedUntil := s.doubtedUntil(now)
 	if entry.ServerID != "" && s.fleet.Remove(entry.ServerID, doubtedUntil, now) {
-		s.logger.Info("server gone", "list_in_doubt", doubtedUntil.After(now), "server", entry.ServerID, "revision", entry.Revision)
+		s.logger.Info("server gone", "list_settles", doubtedUntil.After(now), "server", entry.ServerID, "revision", entry.Revision)
 		return
 	}
 	s.mutex.Lock()
--- a/internal/front/overload_test.go
+++ b/internal/front/overload_test.go
@@ -219,7 +219,7 @@
 // TestOverloadServesTheSameRequestsEverywhere: with twice the load that the
 // shards can bear, the same requests go first at every shard, so that nearly all
 // of what the shards can do ends in whole answers in time; the others are refused
-// early, with when to come back, or wait for their last parts. The share differs by
+// early, with when to retry, or wait for their last parts. The share differs by
 // the order in which goroutines run at one moment of the bubble's time: 0.95 to 0.99
 // in 100 runs on one to eight processors. (own days with bursts of two, four and six
 // times; valgsok-grown fresh-bfe4)
@@ -257,7 +257,7 @@
 	})
 }
 
-// expectTrueRefusal checks that a refusal came early, tells when to come back and
+// expectTrueRefusal checks that a refusal came early, tells when to retry and
 // why in the log, and that no server has run the request.
 func (s *simulation) expectTrueRefusal(g *WithT, answer simAnswer) {
 	g.Expect(answer.wait).NotTo(BeEmpty())
@@ -321,7 +321,7 @@
 	})
 }
 
-// TestRefusedClientsComeBackLaterInALongOverload: a client that may come back
+// TestRefusedClientsComeBackLaterInALongOverload: a client that may retry
 // once would otherwise be refused again. (valgsok-grown fresh-fa94: 681 requests
 // refused twice)
 func TestRefusedClientsComeBackLaterInALongOverload(t *testing.T) {
@@ -359,7 +359,7 @@
 }
 
 // TestARefusalAtTheNodesBoundIsTrue: a request beyond those that the node may
-// serve at once is refused at once, with when to come back; nothing of it is sent.
+// serve at once is refused at once, with when to retry; nothing of it is sent.
 func TestARefusalAtTheNodesBoundIsTrue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/internal/front/policy.go
+++ b/internal/front/policy.go
@@ -39,7 +39,7 @@
 	// a second.
 	overloadedWait = time.Second
 	// unservableWait is told at least where no server may be asked for a request: a server
-	// that comes back is listed within one to two heartbeats of 1.2 s, and an evacuation or a
+	// that returns is listed within one to two heartbeats of 1.2 s, and an evacuation or a
 	// bound to regions lasts longer than that.
 	unservableWait = time.Second
 	// leastRefusal and greatestWait bound what clients are told: one that comes
--- a/internal/lab/demo/print.go
+++ b/internal/lab/demo/print.go
@@ -70,7 +70,7 @@
 		text += ", coverage " + coverageText(*problem.Coverage)
 	}
 	if problem.RetryAfterMS > 0 {
-		text += fmt.Sprintf(", come back in %d ms", problem.RetryAfterMS)
+		text += fmt.Sprintf(", retry after %d ms", problem.RetryAfterMS)
 	}
 	if problem.Step != "" {
 		text += ", at " + problem.Step
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -138,7 +138,7 @@
 			ShouldNot(Equal(firstID))
 	})
 
-	It("says not run, and when to come back, while the store is away", func() {
+	It("says not run, and when to retry, while the store is away", func() {
 		cluster.Store.SetUnavailable(true)
 		_, err := publish(0, firstID)
 		Expect(outcome.Of(err)).To(Equal(outcome.NotRun))
--- a/pkg/admission/overload_test.go
+++ b/pkg/admission/overload_test.go
@@ -86,7 +86,7 @@
 }
 
 // TestRetryAfterIsTruthful offers a burst that the gate cannot serve in time.
-// Nearly every caller that comes back when it was told to is then served, and
+// Nearly every caller that retries when it was told to is then served, and
 // the burst is worked off about as fast as the back ends can.
 func TestRetryAfterIsTruthful(t *testing.T) {
 	g := NewWithT(t)
--- a/pkg/admission/simulation_test.go
+++ b/pkg/admission/simulation_test.go
@@ -49,7 +49,7 @@
 	streams       []stream
 	spec          policy.Spec
 	// burst is a number of queries that all come at the start of the measured
-	// time; returning callers come back once after the time that they were told.
+	// time; returning callers retry once after the time that they were told.
 	burst     int
 	returning bool
 }
--- a/pkg/backend/httpbackend/client_test.go
+++ b/pkg/backend/httpbackend/client_test.go
@@ -176,7 +176,7 @@
 			_, err := client.Do(ctx, requestTo(server.id(), 1))
 			expectFailure(err, outcome.Unknown, reason)
 			Expect(server.executions("request/1")).To(Equal(1))
-			Eventually(server.closedCount).Should(Equal(1), "the connection is in doubt")
+			Eventually(server.closedCount).Should(Equal(1), "the connection cannot be used again")
 		},
 		Entry("reset after the request", reply(func(conn *net.TCPConn, _ *http.Request) bool {
 			reset(conn)
@@ -280,7 +280,7 @@
 		Entry("unknown marker", "something", outcome.ReasonShed, nil, time.Duration(0)),
 	)
 
-	It("uses another connection after an answer in doubt", func() {
+	It("uses another connection after an answer of unknown outcome", func() {
 		wrong := true
 		server := start(func(conn *net.TCPConn, request *http.Request) bool {
 			response := goodAnswer(request)
--- a/pkg/claim/claim_test.go
+++ b/pkg/claim/claim_test.go
@@ -126,7 +126,7 @@
 		wantError(t, err, outcome.NotRun, configstore.ErrUnavailable)
 		var typed *outcome.Error
 		if !errors.As(err, &typed) || typed.Reason != outcome.ReasonStoreAway || typed.RetryAfter == 0 {
-			t.Errorf("got %v, want store_unavailable with a time to come back", err)
+			t.Errorf("got %v, want store_unavailable with a time to retry", err)
 		}
 		store.SetUnavailable(false)
 		claim := mustAcquire(t, one)
--- a/pkg/claim/pending.go
+++ b/pkg/claim/pending.go
@@ -14,7 +14,7 @@
 	maxPending = 4096
 	// pendingPeriod is the time between two rounds of waiting writes while the
 	// store answers. After each failure it doubles, up to pendingPeriodMax, so
-	// that a store that comes back is not overrun by all nodes.
+	// that a store that answers again is not overrun by all nodes.
 	pendingPeriod    = time.Second
 	pendingPeriodMax = 32 * time.Second
 	// removalRounds is the number of rounds in which a removal looks for its
--- a/pkg/peer/codec.go
+++ b/pkg/peer/codec.go
@@ -16,7 +16,7 @@
 
 // errFraming means that what was read cannot be a frame, so nothing that
 // follows on the connection can be trusted.
-var errFraming = errors.New("framing in doubt")
+var errFraming = errors.New("framing lost")
 
 // generatedMessage is implemented by the messages with generated codecs.
 type generatedMessage interface {
--- a/pkg/peer/tcp_test.go
+++ b/pkg/peer/tcp_test.go
@@ -124,7 +124,7 @@
 		<-done
 	})
 
-	It("keeps a handler's outcome, reason and time to come back", func() {
+	It("keeps a handler's outcome, reason and time to retry", func() {
 		server := startTCP("server", nil)
 		server.Handle(echoKind, func(context.Context, target.NodeID, []byte) (proto.Message, error) {
 			return nil, &outcome.Error{Step: "x", Outcome: outcome.NotRun, Reason: outcome.ReasonShed, RetryAfter: 70 * time.Millisecond}
@@ -157,7 +157,7 @@
 		Expect(reply.Kind).To(Equal("next"))
 	})
 
-	It("closes a connection whose framing is in doubt", func() {
+	It("closes a connection whose framing is lost", func() {
 		server := startTCP("server", nil)
 		reply, err := (&peerpb.Frame{Id: 1, Reply: true}).MarshalVT()
 		Expect(err).NotTo(HaveOccurred())
--- a/pkg/policy/policies_test.go
+++ b/pkg/policy/policies_test.go
@@ -213,7 +213,7 @@
 			spec := policy.AdmissionSpec{Policy: name, MaxQueued: 5}
 			decision := built(policy.Spec{Admission: spec}).Admission.Decide(state)
 			Expect(decision.Verdict).To(Equal(want))
-			Expect(decision.RetryAfter > 0).To(Equal(want == policy.Refuse), "when to come back")
+			Expect(decision.RetryAfter > 0).To(Equal(want == policy.Refuse), "when to retry")
 		},
 		Entry("unlimited", "unlimited", func(s *policy.AdmissionState) { s.Remaining = 0 }, policy.Admit),
 		Entry("bounded, place in the queue", "bounded_queue", func(s *policy.AdmissionState) { s.Remaining = 0 }, policy.Queue),
--- a/pkg/query/execute_test.go
+++ b/pkg/query/execute_test.go
@@ -252,7 +252,7 @@
 		Expect(answer.StopReason).To(Equal(policy.StopDeadline))
 	}))
 
-	It("says at once that a request was refused everywhere, and when to come back", inVirtualTime(func() {
+	It("says at once that a request was refused everywhere, and when to retry", inVirtualTime(func() {
 		b := newBench().halves(1)
 		b.world.perServer = 0
 		answer, err := b.execute(nil)
--- a/test/integration/exchanges_test.go
+++ b/test/integration/exchanges_test.go
@@ -117,7 +117,7 @@
 }
 
 // expectRefusedAtOnce checks that a request was not run, long before its
-// deadline, with a time to come back.
+// deadline, with a time to retry.
 func expectRefusedAtOnce(exchange *load.Exchange, within time.Duration) {
 	GinkgoHelper()
 	Expect(exchange.Err).NotTo(HaveOccurred())
--- a/test/integration/overload_test.go
+++ b/test/integration/overload_test.go
@@ -27,7 +27,7 @@
 )
 
 var _ = Describe("an overload", Label("integration"), func() {
-	It("is refused at once with when to come back, also while back ends reset connections", func() {
+	It("is refused at once with when to retry, also while back ends reset connections", func() {
 		i := newInstallation(GinkgoT().Context(), topology.PresetColourArchive)
 		slow := labapi.Faults{SlowFactor: overloadSlowdown, ResetShare: 0.01}
 		Expect(i.admin.SetFaults(i.ctx, labapi.Selector{Service: colourLookup}, slow)).To(Succeed())
--- a/test/soak/history_test.go
+++ b/test/soak/history_test.go
@@ -67,7 +67,7 @@
 	Status   int
 	Failure  string
 	Repeated bool
-	// HasWait tells whether the answer named a time to come back.
+	// HasWait tells whether the answer named a time to retry.
 	HasWait bool
 	// IsKept says that the caller keeps its connections.
 	IsKept bool
--- a/test/soak/traffic_test.go
+++ b/test/soak/traffic_test.go
@@ -125,7 +125,7 @@
 	case got.Failure != "":
 		return nil
 	case isRefusal(got.Status) && !got.HasWait:
-		return fmt.Errorf("refused with %d and no time to come back", got.Status)
+		return fmt.Errorf("refused with %d and no time to retry", got.Status)
 	case got.Status == 200 && strings.HasPrefix(got.Path, "/tally/"):
 		return checkGathered(got.ID, answer, d.known(), d.history.shardSets())
 	case got.Status == 200:
