Each error that is dropped says why

Ruled out: logging them; they tell nothing that the next call does not. Change: comments. Conclusion: behaviour is the same.

--- a/cmd/bramblemast-lab/experiment.go
+++ b/cmd/bramblemast-lab/experiment.go
@@ -152,6 +152,7 @@
 		return errors.Wrap(err, "make output file")
 	}
 	if err := output.Write(file); err != nil {
+		// The error of the write is the one to tell.
 		_ = file.Close()
 		return err
 	}
--- a/cmd/bramblemast-lab/proxy.go
+++ b/cmd/bramblemast-lab/proxy.go
@@ -110,6 +110,7 @@
 	server := &http.Server{Handler: proxy.Handler(), ReadHeaderTimeout: controlHeaderTimeout}
 	ctx, cancel := context.WithCancel(context.Background())
 	var group oklogrun.Group
+	// A listener that fails to close ends with the process.
 	group.Add(func() error { return server.Serve(listener) }, func(error) { _ = server.Close() })
 	group.Add(func() error { return playThenWait(ctx, proxy, file.Schedule) }, func(error) { cancel() })
 	group.Add(oklogrun.SignalHandler(context.Background(), syscall.SIGINT, syscall.SIGTERM))
--- a/internal/callerapi/decode.go
+++ b/internal/callerapi/decode.go
@@ -77,6 +77,7 @@
 	body := http.MaxBytesReader(context.Response().Writer, context.Request().Body, s.options.MaxBodyBytes)
 	text, err := io.ReadAll(body)
 	if err == nil {
+		// It fails only on a connection that has ended, which the next read or write finds.
 		_ = controller.SetReadDeadline(time.Time{})
 		return text, nil
 	}
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -92,5 +92,6 @@
 	if errors.As(err, &known) {
 		failed.status = known.Code
 	}
+	// It fails if the other side has gone: there is nobody left to tell.
 	_ = writeProblem(context, problemOf(failed, context.Request().Header.Get(api.HeaderRequestID)))
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -237,6 +237,7 @@
 		group.Add(func() error { return execute(inner) }, func(error) { cancel() })
 	}
 	group.Add(n.listener.Serve, func(error) { n.listener.Close() })
+	// What the servers of readiness and figures say of their end tells nothing more.
 	group.Add(func() error { return n.ready.Serve(n.readyListener) }, func(error) { _ = n.ready.Close() })
 	if n.metrics != nil {
 		group.Add(func() error { return n.metrics.Serve(n.metricsListener) }, func(error) { _ = n.metrics.Close() })
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -131,6 +131,7 @@
 	l.mutex.Lock()
 	l.drains = true
 	l.mutex.Unlock()
+	// It ends anyhow: an error tells nothing more.
 	_ = l.listener.Close()
 }
 
@@ -167,6 +168,7 @@
 		close(l.ended)
 	}
 	l.mutex.Unlock()
+	// It ends anyhow: an error tells nothing more.
 	_ = l.server.Close()
 }
 
@@ -178,6 +180,7 @@
 	defer l.mutex.Unlock()
 	for each, state := range l.states {
 		if state.isOver(l.idle, l.drains, now) {
+			// It fails only on a connection that has ended, which the next read or write finds.
 			_ = each.SetReadDeadline(longAgo)
 		}
 	}
@@ -208,6 +211,7 @@
 		}
 	}
 	if longest != nil {
+		// It fails only on a connection that has ended, which the next read or write finds.
 		_ = longest.SetReadDeadline(longAgo)
 	}
 }
--- a/internal/lab/faultproxy/connection.go
+++ b/internal/lab/faultproxy/connection.go
@@ -80,6 +80,7 @@
 		c.cancel()
 		return
 	}
+	// It ends anyhow: an error tells nothing more.
 	_ = c.client.Close()
 	_ = server.Close()
 }
@@ -89,8 +90,10 @@
 // reset closes a connection so that the other side sees a reset.
 func reset(side net.Conn) {
 	if tcp, ok := side.(*net.TCPConn); ok {
+		// Without it the end is an ordinary one.
 		_ = tcp.SetLinger(0)
 	}
+	// It ends anyhow: an error tells nothing more.
 	_ = side.Close()
 }
 
--- a/internal/lab/faultproxy/link.go
+++ b/internal/lab/faultproxy/link.go
@@ -80,6 +80,7 @@
 		l.mutex.Lock()
 		if l.shutDown {
 			l.mutex.Unlock()
+			// It ends anyhow: an error tells nothing more.
 			_ = client.Close()
 			continue
 		}
@@ -99,6 +100,7 @@
 	l.rules = rules
 	refuse := refusesAll(rules)
 	if refuse && l.listener != nil {
+		// It ends anyhow: an error tells nothing more.
 		_ = l.listener.Close()
 		l.listener = nil
 	}
@@ -123,6 +125,7 @@
 	l.mutex.Lock()
 	l.shutDown = true
 	if l.listener != nil {
+		// It ends anyhow: an error tells nothing more.
 		_ = l.listener.Close()
 		l.listener = nil
 	}
--- a/internal/lab/faultproxy/pump.go
+++ b/internal/lab/faultproxy/pump.go
@@ -187,6 +187,7 @@
 
 func closeWrite(side net.Conn) {
 	if tcp, ok := side.(*net.TCPConn); ok {
+		// It ends anyhow: an error tells nothing more.
 		_ = tcp.CloseWrite()
 	}
 }
--- a/internal/lab/load/tally.go
+++ b/internal/lab/load/tally.go
@@ -24,6 +24,7 @@
 func recordLatency(histogram *hdrhistogram.Histogram, latency time.Duration) {
 	// A value beyond the range counts as the greatest one.
 	micros := min(max(latency.Microseconds(), 1), maxLatency)
+	// The value is within the range.
 	_ = histogram.RecordValue(micros)
 }
 
@@ -95,6 +96,7 @@
 func (t *tally) addAnswer(answer *api.Answer) {
 	share := answer.Coverage.Share
 	units := min(max(int64(share*coverageUnits), 1), coverageUnits)
+	// The value is within the range.
 	_ = t.coverage.RecordValue(units)
 	t.coverageSum += share
 	t.minCoverage = min(t.minCoverage, share)
--- a/internal/lab/standin/backend/listener.go
+++ b/internal/lab/standin/backend/listener.go
@@ -30,6 +30,7 @@
 		if l.open.Add(1) > l.limit {
 			l.open.Add(-1)
 			l.refused.Add(1)
+			// It ends anyhow: an error tells nothing more.
 			_ = connection.Close()
 			continue
 		}
--- a/internal/lab/standin/backend/respond.go
+++ b/internal/lab/standin/backend/respond.go
@@ -142,8 +142,10 @@
 		announced = len(content)
 	}
 	writer.Header().Set("Content-Length", strconv.Itoa(announced))
+	// It fails if the other side has gone: there is nobody left to tell.
 	_, _ = writer.Write(content)
 	if announced > len(content) {
+		// It fails if the other side has gone: there is nobody left to tell.
 		_ = http.NewResponseController(writer).Flush()
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/lab/standin/backend/server.go
+++ b/internal/lab/standin/backend/server.go
@@ -152,6 +152,7 @@
 
 func (s *Server) serve(current *run) {
 	defer close(current.served)
+	// It returns when the stand-in is stopped.
 	_ = current.http.Serve(current.listener)
 }
 
@@ -166,6 +167,7 @@
 		return
 	}
 	current.cancel()
+	// It ends anyhow: an error tells nothing more.
 	_ = current.http.Close()
 	<-current.served
 	for s.active.Load() > 0 {
@@ -196,6 +198,7 @@
 	}
 	deadline, cancel := context.WithTimeout(current.context, drainStopTimeout)
 	defer cancel()
+	// What is not done by the deadline is cut off.
 	_ = current.http.Shutdown(deadline)
 	s.mutex.Lock()
 	same := s.run == current
--- a/internal/lab/standin/backend/status.go
+++ b/internal/lab/standin/backend/status.go
@@ -24,6 +24,7 @@
 		return
 	}
 	writer.Header().Set("Content-Type", "application/json")
+	// It fails if the other side has gone: there is nobody left to tell.
 	_, _ = writer.Write(content)
 }
 
--- a/internal/lab/standin/listen.go
+++ b/internal/lab/standin/listen.go
@@ -48,6 +48,7 @@
 	}
 	go func() {
 		defer close(started.served)
+		// It returns when the stand-in is closed.
 		_ = started.server.Serve(listener)
 	}()
 	return started, nil
@@ -56,6 +57,7 @@
 // stop cuts every connection and ends what waits in handlers.
 func (l *httpListener) stop() {
 	l.cancel()
+	// It ends anyhow: an error tells nothing more.
 	_ = l.server.Close()
 	<-l.served
 }
--- a/internal/lab/standin/machinelist/machinelist.go
+++ b/internal/lab/standin/machinelist/machinelist.go
@@ -106,6 +106,7 @@
 	}
 	moment := time.Now().Add(-time.Duration(faults.LagMS) * time.Millisecond)
 	writer.Header().Set("Content-Type", "application/json")
+	// It fails if the other side has gone: there is nobody left to tell.
 	_ = json.NewEncoder(writer).Encode(publish(l.states.At(moment)))
 }
 
--- a/internal/lab/standin/store/read.go
+++ b/internal/lab/standin/store/read.go
@@ -131,6 +131,7 @@
 	case parameters.Has("keys"):
 		writeJSON(writer, keyNames(found.pairs, prefix, parameters.Get("separator")))
 	case parameters.Has("raw"):
+		// It fails if the other side has gone: there is nobody left to tell.
 		_, _ = writer.Write(found.pairs[0].Value)
 	default:
 		writeJSON(writer, found.pairs)
--- a/internal/lab/standin/store/store.go
+++ b/internal/lab/standin/store/store.go
@@ -204,5 +204,6 @@
 
 func writeJSON(writer http.ResponseWriter, value any) {
 	writer.Header().Set("Content-Type", "application/json")
+	// It fails if the other side has gone: there is nobody left to tell.
 	_ = json.NewEncoder(writer).Encode(value)
 }
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -247,6 +247,7 @@
 			return connection, nil
 		}
 	}
+	// It accepts nothing more either way.
 	_ = l.Close()
 	return nil, net.ErrClosed
 }
@@ -256,6 +257,7 @@
 func (l *boundedListener) setDeadline(moment time.Time) {
 	bounded, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
 	if !ok || bounded.SetDeadline(moment) != nil {
+		// It accepts nothing more either way.
 		_ = l.Close()
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -131,6 +131,7 @@
 		n.operators.close()
 	}
 	if n.transport != nil {
+		// It ends anyhow: an error tells nothing more.
 		_ = n.transport.Close()
 	}
 }
--- a/pkg/backend/httpbackend/exchange.go
+++ b/pkg/backend/httpbackend/exchange.go
@@ -40,6 +40,7 @@
 		// What is left on the connection is unreliable.
 		tracked.abandon()
 	}
+	// It has been read, or is given up: its end tells nothing.
 	_ = answer.Body.Close()
 	return response, false, err
 }
--- a/pkg/backend/httpbackend/probe.go
+++ b/pkg/backend/httpbackend/probe.go
@@ -36,6 +36,7 @@
 	if err != nil {
 		return nil, probeFailed(ctx, server, outcome.ReasonUnreachable, err)
 	}
+	// It has been read, or is given up: its end tells nothing.
 	defer func() { _ = answer.Body.Close() }()
 	return c.readStatus(ctx, server, answer)
 }
--- a/pkg/exchange/attempt.go
+++ b/pkg/exchange/attempt.go
@@ -69,6 +69,7 @@
 	defer a.mutex.Unlock()
 	a.end = end
 	if a.current != nil {
+		// It fails only on a connection that has ended, which the next read or write finds.
 		_ = a.current.SetDeadline(end)
 	}
 	if a.cancelDial != nil && !end.After(time.Now()) {
@@ -88,12 +89,14 @@
 		return nil, a.failure("connect", outcome.NotRun, outcome.ReasonUnreachable, err)
 	}
 	if !a.own(used) {
+		// The connection is given up: its end tells nothing.
 		_ = used.Close()
 		return nil, a.failure("send", outcome.NotRun, outcome.ReasonCancelled, context.Canceled)
 	}
 	if a.MaySend != nil && !a.MaySend() {
 		a.Withdrawn = true
 		a.disown()
+		// The connection is given up: its end tells nothing.
 		_ = used.Close()
 		return nil, a.failure("send", outcome.NotRun, outcome.ReasonCancelled, errWithdrawn)
 	}
@@ -101,8 +104,10 @@
 	answer, keep, err := a.converse(used)
 	a.disown()
 	if err != nil || keep <= 0 {
+		// The connection is given up: its end tells nothing.
 		_ = used.Close()
 	} else {
+		// It fails only on a connection that has ended, which the next read or write finds.
 		_ = used.SetDeadline(time.Time{})
 		a.Pool.put(used, keep, time.Now())
 	}
@@ -162,6 +167,7 @@
 		return opened, nil
 	}
 	if err := opened.confirm(a.ConnectTime); err != nil {
+		// The connection is given up: its end tells nothing.
 		_ = opened.Close()
 		return nil, err
 	}
@@ -181,6 +187,7 @@
 		return false
 	}
 	a.current = used
+	// It fails only on a connection that has ended, which the next read or write finds.
 	_ = used.SetDeadline(end)
 	return true
 }
--- a/pkg/exchange/exchangetest/network.go
+++ b/pkg/exchange/exchangetest/network.go
@@ -140,6 +140,7 @@
 }
 
 func (s *Server) serve(connection net.Conn) {
+	// The connection is given up: its end tells nothing.
 	defer func() { _ = connection.Close() }()
 	reader := bufio.NewReader(connection)
 	for {
@@ -161,6 +162,7 @@
 // write sends an answer and reports whether the connection stays open.
 func write(connection net.Conn, request Request, answer Answer) bool {
 	if answer.Hang {
+		// It ends when the other side does.
 		_, _ = io.Copy(io.Discard, connection)
 		return false
 	}
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -149,6 +149,7 @@
 			candidate.reused = true
 			return candidate
 		}
+		// The connection is given up: its end tells nothing.
 		_ = candidate.Close()
 	}
 }
@@ -176,6 +177,7 @@
 	}
 	used.idleSince, used.idleUntil = now, now.Add(min(announced, bound))
 	if p.closed || p.bound.Most > 0 && len(p.idle) >= p.bound.Most {
+		// The connection is given up: its end tells nothing.
 		_ = used.Close()
 		return
 	}
@@ -222,6 +224,7 @@
 
 func closeAll(connections []*connection) {
 	for _, each := range connections {
+		// The connection is given up: its end tells nothing.
 		_ = each.Close()
 	}
 }
--- a/pkg/exchange/response.go
+++ b/pkg/exchange/response.go
@@ -73,6 +73,7 @@
 }
 
 func readBody(used *connection, head *http.Response) (*Response, time.Duration, error) {
+	// It has been read, or is given up: its end tells nothing.
 	defer func() { _ = head.Body.Close() }()
 	body, err := readWhole(head)
 	if err != nil {
--- a/pkg/machinelist/client.go
+++ b/pkg/machinelist/client.go
@@ -111,6 +111,7 @@
 	if err != nil {
 		return nil, "", err
 	}
+	// It has been read, or is given up: its end tells nothing.
 	defer func() { _ = answer.Body.Close() }()
 	if answer.StatusCode == http.StatusNotModified && known != "" {
 		return nil, known, nil
--- a/pkg/template/arm.go
+++ b/pkg/template/arm.go
@@ -30,7 +30,7 @@
 	digest := xxhash.New()
 	for _, part := range []string{t.Tenant, t.Name, t.Experiment.Name, requestID} {
 		_, _ = digest.WriteString(part) // never fails
-		_, _ = digest.Write([]byte{0})
+		_, _ = digest.Write([]byte{0})  // nor does this
 	}
 	return float64(digest.Sum64()>>(64-mantissaBits)) / (1 << mantissaBits)
 }
