--- /dev/null
+++ b/pkg/quota/account.go
@@ -0,0 +1,247 @@
+package quota
+
+import (
+	"math"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// Constants of a coordinator's decisions.
+const (
+	// askedSpan is the span of the estimate of what is asked: short, since a tenant that
+	// begins to ask many times its limit spends its burst within a few tenths of a second.
+	askedSpan = 300 * time.Millisecond
+	// horizon is the time in which the level of the bucket is to be used up or made up for.
+	// It is several times the age of what is known of far nodes, so that the share settles.
+	horizon = 500 * time.Millisecond
+	// aimedRoom is the part of the room beyond the limit that is aimed at: what is refused
+	// below the limit is lost for callers, and lots scatter. The rest of the room is for what
+	// is admitted before a lower share is known.
+	aimedRoom = 0.3
+	// leastShare keeps a few requests coming, by which the share is found again.
+	leastShare = 0.01
+	// entrySpan is for how long a node is remembered that has reported nothing.
+	entrySpan = 10 * time.Second
+	// standInSpan is for how long a report shows a stand-in that the node has no better
+	// coordinator.
+	standInSpan = 1500 * time.Millisecond
+	// aloneRoom is the part of the room beyond the limit that nodes out of touch may use with
+	// the one request that each of them admits at first; what goes beyond it is kept from the
+	// others.
+	aloneRoom = 0.3
+	// spareInterval is how often the unused part of the limit is summed up anew.
+	spareInterval = 500 * time.Millisecond
+)
+
+// Touch is what a coordinator knows of the nodes at a moment.
+type Touch struct {
+	// IsFirst says that the coordinator is the tenant's first: it holds the limit of the
+	// whole deployment less the entitlements of nodes out of touch. A stand-in holds only
+	// the entitlements of the nodes that report to it.
+	IsFirst bool
+	// Nodes is the number of nodes of the deployment, Silent those that did not answer.
+	Nodes  int
+	Silent map[string]bool
+}
+
+// Account is a coordinator's view of one tenant over all nodes that report to it.
+type Account struct {
+	limit  route.RateLimit
+	bounds Bounds
+	bucket bucket
+	asked  movingRate
+	nodes  map[string]*reported
+	spare  float64
+	// spareAt is when spare was summed up.
+	spareAt time.Time
+	isFirst bool
+	// usedAt is when something was last reported.
+	usedAt time.Time
+	// cautious is the share by which nodes acted before this account was opened; it bounds
+	// the share until cautiousUntil, since what is asked is not known yet.
+	cautious      float64
+	cautiousUntil time.Time
+	// reserved is what was taken from the bucket for the first requests of silent nodes, last
+	// at reservedAt.
+	reserved   float64
+	reservedAt time.Time
+}
+
+// cautiousSpan is how long a new account keeps to the share that nodes had: the time until
+// all nodes with traffic have reported.
+const cautiousSpan = 3 * askedSpan
+
+// reported is what a coordinator last heard from a node.
+type reported struct {
+	use Use
+	at  time.Time
+}
+
+// NewAccount returns an account that has no burst to give yet: what was spent before is
+// unknown, while the rate serves every tenant within its limit.
+func NewAccount(limit route.RateLimit, bounds Bounds, now time.Time) *Account {
+	return &Account{
+		limit: limit, bounds: bounds, bucket: bucket{at: now}, asked: movingRate{span: askedSpan},
+		nodes: make(map[string]*reported), usedAt: now, cautious: 1, cautiousUntil: now.Add(cautiousSpan),
+	}
+}
+
+// Take counts a report of a node. Told twice, it counts once.
+func (a *Account) Take(node string, use Use, touch Touch, now time.Time) {
+	a.usedAt = now
+	a.settle(touch, now)
+	asked, admitted := use.NewAsked, use.NewAdmitted
+	before := a.nodes[node]
+	if before != nil && before.use.Start == use.Start {
+		if use.Asked < before.use.Asked {
+			return
+		}
+		// The answer to a report may have been lost.
+		asked = min(asked, use.Asked-before.use.Asked)
+		admitted = min(admitted, use.Admitted-before.use.Admitted)
+		a.spendBurst(float64(use.Admitted - before.use.Admitted - admitted))
+	}
+	a.nodes[node] = &reported{use: use, at: now}
+	a.asked.add(float64(asked), now)
+	a.bucket.level = max(a.bucket.level-float64(admitted), -a.debt())
+	if now.Before(a.cautiousUntil) && use.Share > 0 {
+		a.cautious = min(a.cautious, use.Share)
+	}
+}
+
+// spendBurst takes what was admitted while the node was out of touch: by another coordinator
+// or by its entitlement. It was within the limit, but the burst is spent.
+func (a *Account) spendBurst(count float64) {
+	if a.bucket.level > 0 {
+		a.bucket.level = max(0, a.bucket.level-max(0, count))
+	}
+}
+
+// debt returns how far the bucket may fall below zero: what goes beyond the limit in a window
+// must be made up for in it, but not for longer.
+func (a *Account) debt() float64 { return a.bounds.room(a.limit) + a.limit.Burst }
+
+// SetLimit puts a limit into force.
+func (a *Account) SetLimit(limit route.RateLimit) { a.limit = limit }
+
+// Doubt takes it that requests may have been admitted that nobody reported, as after the
+// coordinator stood still: the burst may be spent.
+func (a *Account) Doubt() { a.bucket.level = min(a.bucket.level, 0) }
+
+// settle brings the bucket up to a moment.
+func (a *Account) settle(touch Touch, now time.Time) {
+	a.isFirst = touch.IsFirst
+	if a.spareAt.IsZero() || now.Sub(a.spareAt) >= spareInterval {
+		a.sumUp(touch, now)
+	}
+	rate := a.pooled(touch, now)
+	part := 0.0
+	if a.limit.PerSecond > 0 {
+		part = rate / a.limit.PerSecond
+	}
+	a.bucket.rate = rate + part*aimedRoom*a.bounds.room(a.limit)/a.bounds.Window.Seconds()
+	a.bucket.cap = a.limit.Burst * part
+	a.bucket.settle(now)
+}
+
+// sumUp forgets nodes that are silent for long and sums up what nobody used lately.
+func (a *Account) sumUp(touch Touch, now time.Time) {
+	a.spareAt = now
+	used := 0.0
+	for name, node := range a.nodes {
+		age := now.Sub(node.at)
+		if age > entrySpan && !touch.Silent[name] {
+			delete(a.nodes, name)
+			continue
+		}
+		used += node.use.Recent * math.Exp(-age.Seconds()/recentSpan.Seconds())
+	}
+	a.spare = max(0, a.limit.PerSecond-used) / float64(max(1, touch.Nodes))
+}
+
+// pooled returns the rate that the nodes in touch with this coordinator have together.
+func (a *Account) pooled(touch Touch, now time.Time) float64 {
+	if !touch.IsFirst {
+		entitled := 0.0
+		for _, node := range a.nodes {
+			if now.Sub(node.at) <= standInSpan {
+				entitled += node.use.Entitled
+			}
+		}
+		return min(entitled, a.limit.PerSecond)
+	}
+	reserved := 0.0
+	for name := range touch.Silent {
+		if node := a.nodes[name]; node != nil {
+			reserved += node.use.Entitled
+		} else {
+			reserved += a.spare
+		}
+	}
+	return max(0, a.limit.PerSecond-reserved)
+}
+
+// Verdict returns what nodes are to do at a moment.
+func (a *Account) Verdict(touch Touch, now time.Time) Verdict {
+	a.settle(touch, now)
+	if a.share(now) < 1 {
+		a.reserve(touch, now)
+	}
+	verdict := Verdict{Share: a.share(now), Spare: a.spare, IsFirst: touch.IsFirst}
+	if a.bucket.rate > 0 {
+		wait := max(1, 1-a.bucket.level) / a.bucket.rate
+		verdict.Wait = time.Duration(min(wait, a.bounds.Window.Seconds()) * float64(time.Second))
+	}
+	return verdict
+}
+
+// reserve keeps back what silent nodes may admit at first beside their entitlements. A tenant
+// within its limit is not held back for it, and when the nodes are back for longer than those
+// requests count, neither are the others.
+func (a *Account) reserve(touch Touch, now time.Time) {
+	needed := 0.0
+	if touch.IsFirst {
+		needed = max(0, float64(len(touch.Silent))-aloneRoom*a.bounds.room(a.limit))
+	}
+	switch {
+	case needed > a.reserved:
+		a.bucket.level = max(a.bucket.level-(needed-a.reserved), -a.debt())
+		a.reservedAt = now
+	case a.bucket.level < 0 && now.Sub(a.reservedAt) > a.bounds.Window:
+		a.bucket.level = min(0, a.bucket.level+a.reserved-needed)
+	default:
+		return
+	}
+	a.reserved = needed
+}
+
+// share returns the part of the requests by which the bucket is used up, or made up for,
+// within the horizon.
+func (a *Account) share(now time.Time) float64 {
+	granted := a.bucket.rate + a.bucket.level/horizon.Seconds()
+	asked := a.asked.read(now)
+	share := 1.0
+	if asked > granted {
+		share = max(leastShare, granted/asked)
+	}
+	if now.Before(a.cautiousUntil) {
+		share = min(share, a.cautious)
+	}
+	return share
+}
+
+// Figures of an account, for logs and metrics.
+type Figures struct {
+	Limit route.RateLimit
+	// Asked is the rate of requests over all nodes, Level the tokens that are left.
+	Asked float64
+	Level float64
+	// Nodes is the number of nodes that reported lately.
+	Nodes int
+}
+
+// Figures returns the state of the account.
+func (a *Account) Figures(now time.Time) Figures {
+	return Figures{Limit: a.limit, Asked: a.asked.read(now), Level: a.bucket.level, Nodes: len(a.nodes)}
+}
--- /dev/null
+++ b/pkg/quota/calm_test.go
@@ -0,0 +1,51 @@
+package quota_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// tenants are the limits of the tests: few large callers and many small ones.
+func tenants() map[string]route.RateLimit {
+	return map[string]route.RateLimit{
+		"large": {PerSecond: 63, Burst: 63}, "medium": {PerSecond: 17, Burst: 17}, "small": {PerSecond: 5, Burst: 5},
+	}
+}
+
+// TestTenantAtEightTimesItsLimitGetsItAndNoMore, whether its requests come to all nodes alike or
+// mostly to one.
+func TestTenantAtEightTimesItsLimitGetsItAndNoMore(t *testing.T) {
+	for _, tenant := range []string{"large", "medium", "small"} {
+		for _, spread := range []string{"even", "skewed"} {
+			t.Run(tenant+" "+spread, func(t *testing.T) {
+				t.Parallel()
+				most, least, calm, limit := 0, 0, 0, tenants()[tenant]
+				simulate(t, 67, tenants(), func(d *deployment) {
+					make := d.even
+					if spread == "skewed" {
+						make = d.skewed
+					}
+					d.run(5*time.Second, make(tenant, limit.PerSecond/1.6))
+					calm = d.refused[tenant]
+					before := d.sent()
+					begun := d.moment()
+					d.run(20*time.Second, make(tenant, 8*limit.PerSecond))
+					after := d.sent()
+					most = d.mostInWindow(tenant)
+					least = d.leastInWindow(tenant, begun, begun+20*time.Second)
+					t.Logf("refused in calm %d; in 5 s at most %d of %.0f allowed, at least %d of %.0f granted; reports %.0f/s, verdicts %.0f/s over all nodes",
+						calm, most, limitOf(limit), least, limit.PerSecond*5,
+						float64(after.Reports-before.Reports)/20, float64(after.Verdicts-before.Verdicts)/20)
+				})
+				g := NewWithT(t)
+				g.Expect(calm).To(BeZero())
+				g.Expect(float64(most)).To(BeNumerically("<=", limitOf(limit)))
+				g.Expect(float64(least)).To(BeNumerically(">=", 0.95*limit.PerSecond*bounds.Window.Seconds()))
+			})
+		}
+	}
+}
--- /dev/null
+++ b/pkg/quota/failure_test.go
@@ -0,0 +1,204 @@
+package quota_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/peer"
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// failure is one thing that goes wrong while a tenant asks many times its usual.
+type failure struct {
+	name string
+	// strike brings it about and returns what ends it.
+	strike func(d *deployment) func()
+}
+
+// silence cuts some nodes off from the others without a word.
+func silence(from, to int) func(d *deployment) func() {
+	return func(d *deployment) func() {
+		rest := append(d.addresses(0, from), d.addresses(to, len(d.nodes))...)
+		d.network.Cut(d.addresses(from, to), rest)
+		return d.network.Heal
+	}
+}
+
+// alone cuts some nodes off from all others and from each other.
+func alone(from, to int) func(d *deployment) func() {
+	return func(d *deployment) func() {
+		for _, node := range d.addresses(from, to) {
+			d.network.Cut([]peer.Address{node}, d.addresses(0, len(d.nodes)))
+		}
+		return d.network.Heal
+	}
+}
+
+// coordinatorOf returns the index of the node to which others report a tenant.
+func (d *deployment) coordinatorOf(tenant string) int {
+	name := d.nodes[0].limiter.Coordinator(tenant)
+	for index, node := range d.nodes {
+		if node.name == name {
+			return index
+		}
+	}
+	return -1
+}
+
+func failures(tenant string) []failure {
+	return []failure{
+		{"a zone is cut off", silence(0, 11)},
+		{"a third of the nodes, each alone", alone(0, 22)},
+		{"a third of the nodes, together", silence(30, 52)},
+		{"half from half", silence(0, 33)},
+		{"the coordinator is cut off", func(d *deployment) func() {
+			index := d.coordinatorOf(tenant)
+			return silence(index, index+1)(d)
+		}},
+		{"the coordinator stands still", func(d *deployment) func() {
+			address := peer.Address(d.nodes[d.coordinatorOf(tenant)].name)
+			d.network.Freeze(address)
+			return func() { d.network.Thaw(address) }
+		}},
+		{"the coordinator is lost", func(d *deployment) func() {
+			index := d.coordinatorOf(tenant)
+			d.kill(index)
+			return func() { d.start(index); d.setNodes() }
+		}},
+		{"all start again", func(d *deployment) func() {
+			for index := range d.nodes {
+				d.kill(index)
+				d.start(index)
+			}
+			d.setNodes()
+			return func() {}
+		}},
+	}
+}
+
+// kill ends a node.
+func (d *deployment) kill(index int) {
+	d.nodes[index].stop()
+	d.network.Transport(peer.Address(d.nodes[index].name)).Close()
+}
+
+// TestTheSumHoldsWhateverFails while a tenant asks twelve times its usual, from before the
+// failure, from its moment or from a second into it.
+func TestTheSumHoldsWhateverFails(t *testing.T) {
+	for tenant, limit := range tenants() {
+		for _, failing := range failures(tenant) {
+			for _, ahead := range []time.Duration{3 * time.Second, 0, -time.Second} {
+				t.Run(tenant+", "+failing.name+", "+ahead.String()+" ahead", func(t *testing.T) {
+					t.Parallel()
+					most := 0
+					simulate(t, 67, tenants(), func(d *deployment) {
+						usual := limit.PerSecond / 1.6
+						d.run(6*time.Second, d.skewed(tenant, usual))
+						hot := d.skewed(tenant, 12*usual)
+						if ahead > 0 {
+							d.run(ahead, hot)
+						}
+						end := failing.strike(d)
+						if ahead < 0 {
+							d.run(-ahead, d.skewed(tenant, usual))
+						}
+						begun := d.moment()
+						d.run(12*time.Second, hot)
+						end()
+						during := d.between(tenant, begun+2*time.Second, begun+12*time.Second)
+						d.run(6*time.Second, hot)
+						most = d.mostInWindow(tenant)
+						t.Logf("at most %d in 5 s, allowed %.0f; %.2f of the limit during the failure, %.2f in the 5 s after",
+							most, limitOf(limit), float64(during)/(10*limit.PerSecond),
+							float64(d.between(tenant, begun+13*time.Second, begun+18*time.Second))/(5*limit.PerSecond))
+					})
+					NewWithT(t).Expect(float64(most)).To(BeNumerically("<=", limitOf(limit)))
+				})
+			}
+		}
+	}
+}
+
+// TestNodesThatAreAllAloneAddOneRequestEach: nobody sees any other, and each takes the first
+// request for one of a tenant within its limit. Beyond that their entitlements are the limit.
+func TestNodesThatAreAllAloneAddOneRequestEach(t *testing.T) {
+	for tenant, limit := range tenants() {
+		most := 0
+		simulate(t, 67, tenants(), func(d *deployment) {
+			d.run(6*time.Second, d.skewed(tenant, limit.PerSecond/1.6))
+			alone(0, 67)(d)
+			d.run(12*time.Second, d.skewed(tenant, 7.5*limit.PerSecond))
+			most = d.mostInWindow(tenant)
+		})
+		t.Logf("%s: at most %d in 5 s, allowed %.0f", tenant, most, limitOf(limit))
+		NewWithT(t).Expect(float64(most)).To(BeNumerically("<=", limit.PerSecond*bounds.Window.Seconds()+limit.Burst+67))
+	}
+}
+
+// TestALoweredLimitTakesHoldWithinAWindow, far below what is sent.
+func TestALoweredLimitTakesHoldWithinAWindow(t *testing.T) {
+	lowered := route.RateLimit{PerSecond: 4, Burst: 4}
+	most, got := 0, 0
+	simulate(t, 67, tenants(), func(d *deployment) {
+		hot := d.even("large", 300)
+		d.run(5*time.Second, hot)
+		d.mutex.Lock()
+		d.limits["large"] = lowered
+		d.mutex.Unlock()
+		begun := d.moment()
+		d.run(15*time.Second, hot)
+		for at := begun + bounds.Window; at < begun+10*time.Second; at += 100 * time.Millisecond {
+			most = max(most, d.between("large", at, at+bounds.Window))
+		}
+		got = d.between("large", begun+5*time.Second, begun+15*time.Second)
+	})
+	g := NewWithT(t)
+	g.Expect(float64(most)).To(BeNumerically("<=", limitOf(lowered)))
+	g.Expect(got).To(BeNumerically(">=", 36))
+}
+
+// TestCallersWaitForNobody: a coordinator that is silent costs a request no time.
+func TestCallersWaitForNobody(t *testing.T) {
+	var took time.Duration
+	simulate(t, 12, tenants(), func(d *deployment) {
+		d.network.Cut(d.addresses(0, 1), d.addresses(1, 12))
+		before := time.Now()
+		for range 50 {
+			d.ask(0, "large", time.Now().String())
+		}
+		took = time.Since(before)
+	})
+	NewWithT(t).Expect(took).To(BeZero())
+}
+
+// TestOneTenantAtItsLimitCostsOthersNothing.
+func TestOneTenantAtItsLimitCostsOthersNothing(t *testing.T) {
+	var refused map[string]int
+	simulate(t, 67, tenants(), func(d *deployment) {
+		d.run(15*time.Second, d.skewed("large", 500), d.even("medium", 10), d.even("small", 2))
+		refused = d.refused
+	})
+	g := NewWithT(t)
+	g.Expect(refused["medium"] + refused["small"]).To(BeZero())
+	g.Expect(refused["large"]).NotTo(BeZero())
+}
+
+// TestPlannedStopsOfAllNodesInTurn refuse nothing below the limit.
+func TestPlannedStopsOfAllNodesInTurn(t *testing.T) {
+	asked, refused := 0, 0
+	simulate(t, 20, tenants(), func(d *deployment) {
+		usual := d.even("large", 30)
+		for index := range d.nodes {
+			d.kill(index)
+			d.start(index)
+			d.nodes[index].limiter.SetNodes(d.list())
+			d.run(time.Second, usual)
+			asked += 30
+		}
+		refused = d.refused["large"]
+	})
+	t.Logf("refused %d of about %d below the limit", refused, asked)
+	NewWithT(t).Expect(float64(refused)).To(BeNumerically("<=", 0.02*float64(asked)))
+}
--- /dev/null
+++ b/pkg/quota/limiter.go
@@ -0,0 +1,364 @@
+package quota
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/peer"
+	"github.com/bramblemast/bramblemast/pkg/rendezvous"
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// Times of a Limiter.
+const (
+	// reportDelay is how long counts wait for others, so that one message carries them: a
+	// tenant at many times its limit must be seen before its burst is spent.
+	reportDelay = 25 * time.Millisecond
+	// callTimeout is after how long a coordinator counts as silent, and until when a node
+	// has taken a verdict: several times the way to a far region and back.
+	callTimeout = 200 * time.Millisecond
+	// tick is how often verdicts are looked at, and what else is due.
+	tick = 100 * time.Millisecond
+	// repeatInterval is how often a share below 1 is told again.
+	repeatInterval = 300 * time.Millisecond
+	// silentInterval is how often nodes that took no verdict are told one.
+	silentInterval = time.Second
+	// sweepInterval is how often what is unused is forgotten; idleSpan is when it is.
+	sweepInterval = 5 * time.Second
+	idleSpan      = time.Minute
+	// standstill is the time between two ticks beyond which a coordinator has missed what
+	// its deputies granted.
+	standstill = time.Second
+)
+
+// Coordinators of a deployment.
+const (
+	// leastSeats is the least number of nodes that coordinate limits.
+	leastSeats = 4
+	// ranks is the number of coordinators that a node turns to for one tenant.
+	ranks = 3
+	// seatsKey is what the seats are drawn by.
+	seatsKey = "quota"
+	// assumedNodes stands for the number of nodes until they are known.
+	assumedNodes = 100
+)
+
+// Node is one node of the deployment.
+type Node struct {
+	Name    string
+	Address peer.Address
+}
+
+// Events takes what an operator wants to know. Its methods do not block.
+type Events interface {
+	// AtLimit tells that a tenant that this node coordinates has come to its limit.
+	AtLimit(tenant string, verdict Verdict, figures Figures)
+	// BelowLimit tells that it is within its limit again, after a span.
+	BelowLimit(tenant string, figures Figures, span time.Duration)
+	// CoordinatorLost and CoordinatorRegained tell of nodes that this one reports to.
+	CoordinatorLost(name string, cause error)
+	CoordinatorRegained(name string)
+}
+
+// Options of a Limiter.
+type Options struct {
+	// Local is the name of this node.
+	Local     string
+	Bounds    Bounds
+	Transport peer.Transport
+	// LimitOf returns the limit of a tenant by the configuration in force; false if it has
+	// none.
+	LimitOf func(tenant string) (route.RateLimit, bool)
+	Events  Events
+	// IsNeeded reports whether the configuration in force has tenants.
+	IsNeeded func() bool
+	// Start names this run of the process, differently each time.
+	Start uint64
+}
+
+// Limiter holds the tenants of one node to their limits, and coordinates those for which the
+// node has the seat.
+type Limiter struct {
+	options Options
+	// wake tells Run that there is something to report, urgent that a share has fallen.
+	wake   chan struct{}
+	urgent chan struct{}
+	// context ends with Run; the calls that answers of others lead to belong to it.
+	context context.Context
+	cancel  context.CancelFunc
+	// group counts the calls under way.
+	group sync.WaitGroup
+
+	mutex sync.Mutex
+	// The fields below are guarded by mutex.
+	addresses map[string]peer.Address
+	seats     *rendezvous.Set[string]
+	links     map[string]*link
+	meters    map[string]*metered
+	accounts  map[string]*coordinated
+	// silent holds the nodes that did not take the last verdicts.
+	silent map[string]bool
+	// spreading and probing say that verdicts are on their way to nodes in touch and to
+	// silent ones.
+	spreading bool
+	probing   bool
+	spreadAt  time.Time
+	probeAt   time.Time
+	sweptAt   time.Time
+	tickAt    time.Time
+	sent      Sent
+}
+
+// Sent counts the messages of a Limiter.
+type Sent struct {
+	Reports, Verdicts uint64
+}
+
+// metered is a tenant at this node.
+type metered struct {
+	meter *Meter
+	// ranked are its coordinators, best first.
+	ranked []string
+	usedAt time.Time
+	// standIn is what a coordinator said to which this node does not turn yet.
+	standIn hint
+}
+
+// hint is a verdict of a coordinator that stands in for a better one.
+type hint struct {
+	from    string
+	verdict Verdict
+	at      time.Time
+}
+
+// coordinated is a tenant whose account this node keeps.
+type coordinated struct {
+	account *Account
+	isFirst bool
+	// told is the share that was last told to all nodes.
+	told float64
+	// limitedAt is when the tenant came to its limit, fullAt when its share was 1 again;
+	// zero if it is not.
+	limitedAt time.Time
+	fullAt    time.Time
+}
+
+// New returns a Limiter that knows no other node yet.
+func New(options Options) *Limiter {
+	ctx, cancel := context.WithCancel(context.Background())
+	limiter := &Limiter{
+		context: ctx, cancel: cancel,
+		options: options, wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1), addresses: make(map[string]peer.Address),
+		seats: rendezvous.NewSet[string](nil), links: make(map[string]*link),
+		meters: make(map[string]*metered), accounts: make(map[string]*coordinated), silent: make(map[string]bool),
+	}
+	options.Transport.Handle(kindReport, limiter.takeReport)
+	options.Transport.Handle(kindVerdicts, limiter.takeVerdicts)
+	return limiter
+}
+
+// SetNodes takes the nodes of the deployment, this one included.
+func (l *Limiter) SetNodes(nodes []Node) {
+	now := time.Now()
+	names := make([]string, 0, len(nodes))
+	addresses := make(map[string]peer.Address, len(nodes))
+	for _, node := range nodes {
+		if node.Address != "" {
+			names = append(names, node.Name)
+			addresses[node.Name] = node.Address
+		}
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.addresses = addresses
+	l.seats = rendezvous.NewSet(rendezvous.Top(seatsKey, names, seatCount(len(names))))
+	for name := range l.silent {
+		if addresses[name] == "" {
+			delete(l.silent, name)
+		}
+	}
+	l.openLinks(now)
+	for tenant, held := range l.meters {
+		held.meter.SetNodes(l.nodeCount())
+		held.ranked = l.seats.Top(tenant, ranks)
+		held.meter.SetStanding(l.standing(held.ranked), now)
+	}
+	l.stir()
+}
+
+// seatCount returns how many of some nodes coordinate limits. It grows with the root of their
+// number: the connections of each node to coordinators, and those of coordinators, stay few.
+func seatCount(nodes int) int {
+	seats := leastSeats
+	for seats*seats < nodes {
+		seats++
+	}
+	return min(nodes, seats)
+}
+
+// nodeCount returns the number of nodes. The caller holds the mutex.
+func (l *Limiter) nodeCount() int {
+	if len(l.addresses) == 0 {
+		return assumedNodes
+	}
+	return len(l.addresses)
+}
+
+// Admit decides about one request of a tenant, at once.
+func (l *Limiter) Admit(tenant string, limit route.RateLimit, requestID string, now time.Time) Decision {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	held := l.metered(tenant, limit, now)
+	held.usedAt = now
+	decision := held.meter.Admit(requestID, now)
+	l.stir()
+	return decision
+}
+
+// Refund gives back a request that was admitted and did not run.
+func (l *Limiter) Refund(tenant string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if held := l.meters[tenant]; held != nil {
+		held.meter.Refund()
+		l.stir()
+	}
+}
+
+// Coordinator returns the node to which this one reports a tenant; empty if none answers.
+func (l *Limiter) Coordinator(tenant string) string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.coordinator(l.seats.Top(tenant, ranks))
+}
+
+// AtLimit returns the number of tenants at their limit that this node coordinates.
+func (l *Limiter) AtLimit() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	count := 0
+	for _, kept := range l.accounts {
+		if !kept.limitedAt.IsZero() {
+			count++
+		}
+	}
+	return count
+}
+
+// metered returns a tenant's meter with its limit in force. The caller holds the mutex.
+func (l *Limiter) metered(tenant string, limit route.RateLimit, now time.Time) *metered {
+	held := l.meters[tenant]
+	if held == nil {
+		held = &metered{meter: NewMeter(tenant, limit, l.options.Bounds, l.nodeCount(), now), ranked: l.seats.Top(tenant, ranks)}
+		held.meter.SetStanding(l.standing(held.ranked), now)
+		l.meters[tenant] = held
+	}
+	held.meter.SetLimit(limit)
+	return held
+}
+
+// stir makes Run report.
+func (l *Limiter) stir() { signal(l.wake) }
+
+// signal wakes the reader of a channel that holds one signal.
+func signal(channel chan struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+		// It has a signal already.
+	}
+}
+
+// Run reports and tells until ctx ends.
+func (l *Limiter) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	defer l.group.Wait()
+	defer l.cancel()
+	delay := time.NewTimer(0)
+	defer delay.Stop()
+	isWaiting := true
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-l.wake:
+			if !isWaiting {
+				isWaiting = true
+				delay.Reset(reportDelay)
+			}
+		case <-delay.C:
+			isWaiting = false
+			l.report(ctx, time.Now())
+		case <-l.urgent:
+			l.spread(ctx, time.Now())
+		case <-ticker.C:
+			l.onTick(ctx, time.Now())
+		}
+	}
+}
+
+// onTick does what is due by time.
+func (l *Limiter) onTick(ctx context.Context, now time.Time) {
+	l.mutex.Lock()
+	if !l.tickAt.IsZero() && now.Sub(l.tickAt) > standstill {
+		l.doubt()
+	}
+	l.tickAt = now
+	if now.Sub(l.sweptAt) >= sweepInterval {
+		l.sweep(now)
+	}
+	l.mutex.Unlock()
+	if l.options.IsNeeded() {
+		l.probeLinks(ctx, now)
+	}
+	l.spread(ctx, now)
+}
+
+// Resumed makes up for a suspension of the machine: what others told is old, and what they
+// granted meanwhile is unknown.
+func (l *Limiter) Resumed() {
+	now := time.Now()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.doubt()
+	for _, held := range l.meters {
+		held.meter.Forget(now)
+	}
+	for _, found := range l.links {
+		found.lose(now)
+		found.nextProbe = now
+	}
+	l.setStandings(now)
+	l.stir()
+}
+
+// doubt lets the accounts begin without a burst. The caller holds the mutex.
+func (l *Limiter) doubt() {
+	for _, kept := range l.accounts {
+		kept.account.Doubt()
+	}
+}
+
+// sweep forgets what was not used for long. The caller holds the mutex.
+func (l *Limiter) sweep(now time.Time) {
+	l.sweptAt = now
+	for tenant, held := range l.meters {
+		if _, isNew := held.meter.Report(l.options.Start, now); !isNew && now.Sub(held.usedAt) > idleSpan {
+			delete(l.meters, tenant)
+		}
+	}
+	for tenant, kept := range l.accounts {
+		if kept.limitedAt.IsZero() && now.Sub(kept.account.usedAt) > idleSpan {
+			delete(l.accounts, tenant)
+		}
+	}
+}
+
+// Sent returns how many messages were sent so far.
+func (l *Limiter) Sent() Sent {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.sent
+}
--- /dev/null
+++ b/pkg/quota/links.go
@@ -0,0 +1,145 @@
+package quota
+
+import (
+	"context"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/quota/quotapb"
+)
+
+// Waits between the questions whether a silent coordinator answers again.
+const (
+	firstProbeWait    = 500 * time.Millisecond
+	greatestProbeWait = 2 * time.Second
+)
+
+// link is what a node knows of a coordinator.
+type link struct {
+	isLocal bool
+	// answers says that the last call was answered.
+	answers bool
+	// calling says that a call is under way.
+	calling   bool
+	wait      time.Duration
+	nextProbe time.Time
+	// doubtedAt is when it was last asked because another one stands in for it.
+	doubtedAt time.Time
+	// lost says that it was told to be lost.
+	lost bool
+}
+
+// lose notes that the coordinator did not answer.
+func (k *link) lose(now time.Time) {
+	if k.isLocal {
+		return
+	}
+	k.answers = false
+	k.wait = min(max(2*k.wait, firstProbeWait), greatestProbeWait)
+	k.nextProbe = now.Add(k.wait)
+}
+
+// regain notes that the coordinator answered.
+func (k *link) regain() { k.answers, k.wait = true, 0 }
+
+// openLinks keeps a link to each seat. The caller holds the mutex.
+func (l *Limiter) openLinks(now time.Time) {
+	links := make(map[string]*link, l.seats.Len())
+	for _, name := range l.seats.Top(seatsKey, l.seats.Len()) {
+		links[name] = l.links[name]
+		if links[name] == nil {
+			isLocal := name == l.options.Local
+			links[name] = &link{isLocal: isLocal, answers: isLocal, nextProbe: now}
+		}
+	}
+	l.links = links
+}
+
+// standing returns how the node stands to some coordinators. The caller holds the mutex.
+func (l *Limiter) standing(ranked []string) Standing {
+	for index, name := range ranked {
+		if found := l.links[name]; found != nil && found.answers {
+			if index == 0 {
+				return WithFirst
+			}
+			return WithStandIn
+		}
+	}
+	return Alone
+}
+
+// coordinator returns the best coordinator that answers; empty if none does. The caller holds
+// the mutex.
+func (l *Limiter) coordinator(ranked []string) string {
+	for _, name := range ranked {
+		if found := l.links[name]; found != nil && found.answers {
+			return name
+		}
+	}
+	return ""
+}
+
+// setStandings tells the meters which coordinators answer. The caller holds the mutex.
+func (l *Limiter) setStandings(now time.Time) {
+	for _, held := range l.meters {
+		standing := l.standing(held.ranked)
+		held.meter.SetStanding(standing, now)
+		hinted := held.standIn
+		if standing == WithStandIn && l.coordinator(held.ranked) == hinted.from && now.Sub(hinted.at) < shareAge {
+			held.meter.Tell(hinted.verdict, now)
+		}
+	}
+}
+
+// doubtInterval is how often a coordinator that seems to answer is asked because another one
+// stands in for it.
+const doubtInterval = time.Second
+
+// suspect asks the coordinator to which this node turns whether it answers, since another one
+// stands in for it at other nodes: a node with few requests would not notice until its next.
+// The caller holds the mutex.
+func (l *Limiter) suspect(ctx context.Context, name string, now time.Time) {
+	found := l.links[name]
+	if found == nil || found.isLocal || found.calling || now.Sub(found.doubtedAt) < doubtInterval {
+		return
+	}
+	found.doubtedAt = now
+	l.call(ctx, name, &quotapb.Report{Start: l.options.Start}, nil)
+}
+
+// probeLinks asks coordinators that did not answer whether they do.
+func (l *Limiter) probeLinks(ctx context.Context, now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for name, found := range l.links {
+		if !found.answers && !found.calling && !now.Before(found.nextProbe) {
+			l.call(ctx, name, &quotapb.Report{Start: l.options.Start}, nil)
+		}
+	}
+}
+
+// noteAnswer notes whether a coordinator answered a call. The caller holds the mutex.
+func (l *Limiter) noteAnswer(name string, err error, now time.Time) {
+	found := l.links[name]
+	if found == nil {
+		return
+	}
+	found.calling = false
+	did := found.answers
+	if err != nil {
+		found.lose(now)
+	} else {
+		found.regain()
+	}
+	if did != found.answers {
+		l.setStandings(now)
+		l.stir()
+	}
+	if did && err != nil {
+		found.lost = true
+		l.options.Events.CoordinatorLost(name, err)
+	}
+	if found.lost && err == nil {
+		found.lost = false
+		l.options.Events.CoordinatorRegained(name)
+	}
+}
--- /dev/null
+++ b/pkg/quota/meter.go
@@ -0,0 +1,246 @@
+package quota
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// Constants of a node's decisions.
+const (
+	// recentSpan is the span of the estimate of what a node admitted lately. Clients keep
+	// their connections, so that it holds for a while when the node is cut off.
+	recentSpan = 5 * time.Second
+	// shareAge is how old a share below 1 may be: coordinators repeat it several times in it.
+	shareAge = 1500 * time.Millisecond
+	// unacknowledgedPart of a tenant's burst and of a second's rate may be admitted by one
+	// node before its coordinator has acknowledged it, a tenth of a second later as a rule:
+	// so much is lost to the sum when the node is cut off.
+	unacknowledgedPart = 0.2
+	// refusedKept is the number of refused requests that are remembered, so that those that
+	// are repeated at once count once.
+	refusedKept = 32
+	// greatestAloneWait bounds the wait that is told by a node out of touch, which lasts for
+	// seconds mostly, while other nodes are in touch.
+	greatestAloneWait = 2 * time.Second
+)
+
+// Standing is how a node stands to a tenant's coordinators.
+type Standing int
+
+// Standings, from a node's start on.
+const (
+	// Alone: no coordinator answers, or none was reached yet.
+	Alone Standing = iota
+	// WithStandIn: the first coordinator does not answer, another one does.
+	WithStandIn
+	// WithFirst: the first coordinator answers.
+	WithFirst
+)
+
+// String returns the word for logs.
+func (s Standing) String() string {
+	return [...]string{Alone: "alone", WithStandIn: "stand-in", WithFirst: "first"}[s]
+}
+
+// Decision is what a node decided about a request.
+type Decision struct {
+	IsAdmitted bool
+	// RetryAfter is when the tenant's next request is expected to be within its limit.
+	RetryAfter time.Duration
+	// Share is the admitted share by which it was decided, and Age the time since it was
+	// told; zero if it was never told.
+	Share    float64
+	Age      time.Duration
+	Standing Standing
+}
+
+// Meter is a node's view of one tenant.
+type Meter struct {
+	tenant string
+	limit  route.RateLimit
+	bounds Bounds
+	// nodes is the number of nodes of the deployment.
+	nodes    int
+	standing Standing
+
+	asked    uint64
+	admitted int64
+	// acknowledgedAsked and acknowledgedAdmitted are what a coordinator has counted.
+	acknowledgedAsked    uint64
+	acknowledgedAdmitted int64
+	// owned is the part of what is not acknowledged that the node admitted by its entitlement.
+	owned int64
+	// recent is the rate that coordinators acknowledged: what was admitted in the moment of a
+	// failure entitles to nothing.
+	recent movingRate
+
+	share  float64
+	toldAt time.Time
+	wait   time.Duration
+	spare  float64
+	// hasSpare says that the first coordinator has told spare.
+	hasSpare bool
+	// entitled is the rate while out of touch with the first coordinator.
+	entitled float64
+	// alone is the bucket while there is no coordinator or its word is too old.
+	alone bucket
+	// refused are the lots of the last refused requests, a ring; it is made at the first.
+	refused     []uint64
+	nextRefused int
+}
+
+// NewMeter returns the view of a node that has heard nothing of a tenant.
+func NewMeter(tenant string, limit route.RateLimit, bounds Bounds, nodes int, now time.Time) *Meter {
+	meter := &Meter{tenant: tenant, limit: limit, bounds: bounds, nodes: nodes, recent: movingRate{span: recentSpan}, share: 1}
+	meter.goAlone(now)
+	return meter
+}
+
+// SetLimit puts a limit into force.
+func (m *Meter) SetLimit(limit route.RateLimit) { m.limit = limit }
+
+// SetNodes takes the number of nodes of the deployment.
+func (m *Meter) SetNodes(nodes int) { m.nodes = nodes }
+
+// SetStanding takes which coordinator answers from now on.
+func (m *Meter) SetStanding(standing Standing, now time.Time) {
+	if standing == m.standing {
+		return
+	}
+	if m.standing == WithFirst {
+		m.entitled = m.entitlement(now)
+	}
+	m.standing = standing
+	if standing == Alone {
+		m.goAlone(now)
+	}
+}
+
+// goAlone begins to decide without a coordinator.
+func (m *Meter) goAlone(now time.Time) {
+	rate := m.entitlement(now)
+	m.alone = bucket{rate: rate, cap: max(1, rate), at: now}
+	switch {
+	case m.toldAt.IsZero():
+		// All nodes may have started together, after one burst was spent already.
+		m.alone.level = min(1, (m.limit.Burst+m.bounds.room(m.limit)/2)/float64(max(1, m.nodes)))
+	case m.share >= 1:
+		m.alone.level = 1
+	}
+	// What no coordinator has counted counts here.
+	unacknowledged := m.admitted - m.acknowledgedAdmitted - m.owned
+	m.owned += unacknowledged
+	m.alone.level = max(m.alone.level-float64(unacknowledged), -rate*m.bounds.Window.Seconds())
+}
+
+// entitlement returns the rate that the node may admit without the first coordinator.
+func (m *Meter) entitlement(now time.Time) float64 {
+	if !m.hasSpare {
+		return m.limit.PerSecond / float64(max(1, m.nodes))
+	}
+	if m.standing != WithFirst {
+		return min(m.entitled, m.limit.PerSecond)
+	}
+	return min(m.recent.read(now)+m.spare, m.limit.PerSecond)
+}
+
+// Admit decides about one request.
+func (m *Meter) Admit(requestID string, now time.Time) Decision {
+	drawn := drawLot(m.tenant, requestID, now)
+	decision := Decision{Share: m.share, Standing: m.standing}
+	if !m.toldAt.IsZero() {
+		decision.Age = now.Sub(m.toldAt)
+	}
+	isAlone := m.standing == Alone || m.share < 1 && decision.Age > shareAge
+	switch {
+	case isAlone:
+		decision.IsAdmitted, decision.RetryAfter = m.admitAlone(now)
+	case !drawn.isWithin(m.share):
+		decision.RetryAfter = max(drawn.ends, m.wait)
+	case float64(m.admitted-m.acknowledgedAdmitted) >= 1+unacknowledgedPart*(m.limit.Burst+m.limit.PerSecond):
+		decision.RetryAfter = max(reportDelay, m.wait)
+	default:
+		decision.IsAdmitted = true
+	}
+	if decision.IsAdmitted {
+		m.asked++
+		m.admitted++
+		if isAlone {
+			m.owned++
+		}
+	} else if m.isNewRefusal(drawn.hash) {
+		m.asked++
+	}
+	return decision
+}
+
+// admitAlone takes a token of the node's own bucket.
+func (m *Meter) admitAlone(now time.Time) (bool, time.Duration) {
+	if m.standing != Alone {
+		m.alone.rate = m.entitlement(now)
+	}
+	m.alone.settle(now)
+	if m.alone.level >= 1 {
+		m.alone.level--
+		return true, 0
+	}
+	wait := greatestAloneWait
+	if m.alone.rate > 0 {
+		wait = min(wait, time.Duration((1-m.alone.level)/m.alone.rate*float64(time.Second)))
+	}
+	return false, wait
+}
+
+// isNewRefusal reports whether a request was not refused a moment ago, and notes it: one that
+// is repeated at once is no further demand, and must not lower the share of others.
+func (m *Meter) isNewRefusal(hash uint64) bool {
+	if slices.Contains(m.refused, hash) {
+		return false
+	}
+	if len(m.refused) < refusedKept {
+		m.refused = append(m.refused, hash)
+		return true
+	}
+	m.refused[m.nextRefused] = hash
+	m.nextRefused = (m.nextRefused + 1) % refusedKept
+	return true
+}
+
+// Refund takes back a request that was admitted and did not run.
+func (m *Meter) Refund() { m.admitted-- }
+
+// Report returns what is to be told to a coordinator, and whether there is anything new.
+func (m *Meter) Report(start uint64, now time.Time) (Use, bool) {
+	use := Use{
+		Start: start, Asked: m.asked, Admitted: m.admitted,
+		NewAsked: m.asked - m.acknowledgedAsked, NewAdmitted: m.admitted - m.acknowledgedAdmitted - m.owned,
+		Recent: m.recent.read(now), Entitled: m.entitlement(now), Share: m.share,
+	}
+	return use, use.NewAsked != 0 || m.admitted != m.acknowledgedAdmitted
+}
+
+// Acknowledge takes the answer to a report.
+func (m *Meter) Acknowledge(use Use, verdict Verdict, now time.Time) {
+	if use.Asked >= m.acknowledgedAsked {
+		m.recent.add(float64(max(0, use.Admitted-m.acknowledgedAdmitted)), now)
+		m.owned -= min(m.owned, use.Admitted-m.acknowledgedAdmitted-use.NewAdmitted)
+		m.acknowledgedAsked, m.acknowledgedAdmitted = use.Asked, use.Admitted
+	}
+	m.Tell(verdict, now)
+}
+
+// Tell takes what the coordinator says.
+func (m *Meter) Tell(verdict Verdict, now time.Time) {
+	m.share, m.wait, m.toldAt = verdict.Share, verdict.Wait, now
+	if verdict.IsFirst {
+		m.spare, m.hasSpare = verdict.Spare, true
+	}
+}
+
+// Forget takes it that what was told is old, as after a suspension of the machine.
+func (m *Meter) Forget(now time.Time) {
+	m.SetStanding(Alone, now)
+	m.alone.level = min(m.alone.level, 0)
+}
--- /dev/null
+++ b/pkg/quota/meter_test.go
@@ -0,0 +1,138 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/quota"
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// inTouch returns a meter whose first coordinator told a share.
+func inTouch(limit route.RateLimit, share, spare float64) *quota.Meter {
+	meter := quota.NewMeter("caller", limit, bounds, 67, start)
+	meter.SetStanding(quota.WithFirst, start)
+	meter.Tell(quota.Verdict{Share: share, Spare: spare, IsFirst: true, Wait: 20 * time.Millisecond}, start)
+	return meter
+}
+
+// TestARequestThatIsRepeatedAtOnceGetsNoFurther, while one that comes back when it was told to
+// has a new chance.
+func TestARequestThatIsRepeatedAtOnceGetsNoFurther(t *testing.T) {
+	g := NewWithT(t)
+	meter := inTouch(route.RateLimit{PerSecond: 50, Burst: 50}, 0.2, 0)
+	id, wait := "", time.Duration(0)
+	for number := 0; id == ""; number++ {
+		if decision := meter.Admit(fmt.Sprint(number), start); !decision.IsAdmitted {
+			id, wait = fmt.Sprint(number), decision.RetryAfter
+		}
+	}
+	before, _ := meter.Report(1, start)
+	for repeated := time.Duration(0); repeated < wait; repeated += 10 * time.Millisecond {
+		g.Expect(meter.Admit(id, start.Add(repeated)).IsAdmitted).To(BeFalse())
+	}
+	after, _ := meter.Report(1, start)
+	g.Expect(after.Asked).To(Equal(before.Asked), "repeated requests are no further demand")
+	chances := 0
+	for number := range 2000 {
+		other := fmt.Sprint("other", number)
+		if decision := meter.Admit(other, start); !decision.IsAdmitted && meter.Admit(other, start.Add(decision.RetryAfter)).IsAdmitted {
+			chances++
+		}
+	}
+	g.Expect(chances).To(BeNumerically(">", 0))
+}
+
+// TestAllNodesDrawAlike: asking another node does not help.
+func TestAllNodesDrawAlike(t *testing.T) {
+	g := NewWithT(t)
+	limit := route.RateLimit{PerSecond: 5000, Burst: 5000}
+	one, other := inTouch(limit, 0.4, 0), inTouch(limit, 0.4, 0)
+	admitted := 0
+	for number := range 5000 {
+		at := start.Add(time.Duration(number) * 100 * time.Microsecond)
+		decision := one.Admit(fmt.Sprint(number), at)
+		g.Expect(other.Admit(fmt.Sprint(number), at).IsAdmitted).To(Equal(decision.IsAdmitted))
+		if decision.IsAdmitted {
+			admitted++
+		}
+	}
+	g.Expect(admitted).To(BeNumerically("~", 2000, 120))
+}
+
+// TestANodeCutOffGoesOnWithWhatItHadLately: in five seconds it admits what it admitted before
+// and its part of what nobody used.
+func TestANodeCutOffGoesOnWithWhatItHadLately(t *testing.T) {
+	g := NewWithT(t)
+	meter := inTouch(route.RateLimit{PerSecond: 63, Burst: 63}, 1, 0.3)
+	now := start
+	ask := func(span time.Duration, perSecond int) (admitted int) {
+		for end := now.Add(span); now.Before(end); now = now.Add(time.Second / time.Duration(perSecond)) {
+			if meter.Admit(fmt.Sprint(now.UnixNano()), now).IsAdmitted {
+				admitted++
+			}
+			if use, _ := meter.Report(1, now); use.Entitled > 0 {
+				meter.Acknowledge(use, quota.Verdict{Share: 1, Spare: 0.3, IsFirst: true}, now)
+			}
+		}
+		return admitted
+	}
+	g.Expect(ask(20*time.Second, 2)).To(Equal(40))
+	meter.SetStanding(quota.Alone, now)
+	alone := 0
+	for end := now.Add(5 * time.Second); now.Before(end); now = now.Add(50 * time.Millisecond) {
+		if meter.Admit(fmt.Sprint(now.UnixNano()), now).IsAdmitted {
+			alone++
+		}
+	}
+	g.Expect(alone).To(BeNumerically("~", 5*2.3+1, 2))
+}
+
+// TestNodesThatStartTogetherAdmitTogetherNoMoreThanTheLimit: nobody has told them anything.
+func TestNodesThatStartTogetherAdmitTogetherNoMoreThanTheLimit(t *testing.T) {
+	g := NewWithT(t)
+	for _, limit := range tenants() {
+		admitted := 0
+		for range 67 {
+			meter := quota.NewMeter("caller", limit, bounds, 67, start)
+			for step := range 500 {
+				if meter.Admit(fmt.Sprint(step), start.Add(time.Duration(step)*10*time.Millisecond)).IsAdmitted {
+					admitted++
+				}
+			}
+		}
+		g.Expect(float64(admitted)).To(BeNumerically("<=", limitOf(limit)))
+	}
+}
+
+// TestAShareThatIsTooOldIsNotGoneBy: the coordinator repeats it, so that it has been lost.
+func TestAShareThatIsTooOldIsNotGoneBy(t *testing.T) {
+	g := NewWithT(t)
+	meter := inTouch(route.RateLimit{PerSecond: 63, Burst: 63}, 0.9, 0.2)
+	later, admitted := start.Add(2*time.Second), 0
+	for number := range 100 {
+		if meter.Admit(fmt.Sprint(number), later).IsAdmitted {
+			admitted++
+		}
+	}
+	g.Expect(admitted).To(BeNumerically("<=", 1))
+}
+
+// TestWhatIsNotAcknowledgedIsBound: a node that asks much while its coordinator has just fallen
+// silent admits a burst.
+func TestWhatIsNotAcknowledgedIsBound(t *testing.T) {
+	g := NewWithT(t)
+	meter := inTouch(route.RateLimit{PerSecond: 10, Burst: 10}, 1, 0)
+	admitted := 0
+	for number := range 1000 {
+		if meter.Admit(fmt.Sprint(number), start.Add(time.Duration(number)*100*time.Microsecond)).IsAdmitted {
+			admitted++
+		}
+	}
+	g.Expect(admitted).To(BeNumerically("<=", 13))
+}
--- /dev/null
+++ b/pkg/quota/quota.go
@@ -0,0 +1,66 @@
+// Package quota holds tenants to limits of rate and burst that all nodes keep together.
+//
+// No request waits for a message. A node admits at once and reports afterwards to the tenant's
+// coordinator, a node chosen by rendezvous hashing. The coordinator sees the sum over all
+// nodes, and tells which share of the tenant's requests to admit: all of them while the sum
+// is within the limit. Each node draws lots by that share, so that no part of the limit lies
+// unused at a node that is not asked. A node without a coordinator admits by itself at its
+// entitlement, the rate that it admitted lately and an equal part of what nobody used; the
+// entitlements of all nodes together are the limit.
+//
+// Meter (a node's view of one tenant) and Account (a coordinator's) decide as pure functions
+// of their state and a moment; they are not safe for concurrent use. Limiter carries what they
+// say between nodes and is safe for concurrent use.
+package quota
+
+import (
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// Bounds is how far the requests of a tenant, over all nodes, may go beyond its limit: in any
+// Window they are at most (rate x Window + burst) x (1 + Overshoot) + Slack.
+type Bounds struct {
+	Window    time.Duration
+	Overshoot float64
+	Slack     float64
+}
+
+// room returns the number of requests by which a window may exceed a limit.
+func (b Bounds) room(limit route.RateLimit) float64 {
+	return (limit.PerSecond*b.Window.Seconds()+limit.Burst)*b.Overshoot + b.Slack
+}
+
+// Use is what a node has had of one tenant since its process started.
+type Use struct {
+	// Start names this run of the node's process.
+	Start uint64
+	// Asked and Admitted count since then.
+	Asked    uint64
+	Admitted int64
+	// NewAsked and NewAdmitted are the part of them that no coordinator has acknowledged and
+	// that the node did not admit by its own entitlement.
+	NewAsked    uint64
+	NewAdmitted int64
+	// Recent is the rate that the node admitted lately, Entitled the one that it may admit
+	// while it is out of touch; in requests a second.
+	Recent   float64
+	Entitled float64
+	// Share is the admitted share by which the node acts.
+	Share float64
+}
+
+// Verdict is how much of a tenant's requests every node may admit.
+type Verdict struct {
+	// Share is the part of the requests that are admitted, 0 to 1.
+	Share float64
+	// Spare is the rate that each node may admit beside its recent one if it loses touch;
+	// it counts only if IsFirst is set.
+	Spare float64
+	// IsFirst says that the verdict is of the tenant's first coordinator, which sees the
+	// nodes of the whole deployment.
+	IsFirst bool
+	// Wait is when the tenant's next request is expected to be within its limit.
+	Wait time.Duration
+}
--- /dev/null
+++ b/pkg/quota/rate.go
@@ -0,0 +1,46 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// movingRate estimates events a second, with weights that fall exponentially with age. The
+// zero value with a span is a rate of zero.
+type movingRate struct {
+	// span is the age at which an event counts for 1/e.
+	span  time.Duration
+	value float64
+	at    time.Time
+}
+
+// add counts events at a moment.
+func (r *movingRate) add(count float64, now time.Time) {
+	r.value = r.read(now) + count/r.span.Seconds()
+	r.at = now
+}
+
+// read returns the rate at a moment.
+func (r *movingRate) read(now time.Time) float64 {
+	if r.value == 0 {
+		return 0
+	}
+	return r.value * math.Exp(-max(0, now.Sub(r.at)).Seconds()/r.span.Seconds())
+}
+
+// bucket is a token bucket. Its level may be negative: what was spent beyond it is made up for.
+type bucket struct {
+	rate  float64
+	cap   float64
+	level float64
+	at    time.Time
+}
+
+// settle brings the level up to a moment.
+func (b *bucket) settle(now time.Time) {
+	if passed := now.Sub(b.at).Seconds(); passed > 0 {
+		b.level = min(b.cap, b.level+passed*b.rate)
+		b.at = now
+	}
+	b.level = min(b.cap, b.level)
+}
--- /dev/null
+++ b/pkg/quota/reports.go
@@ -0,0 +1,174 @@
+package quota
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramblemast/bramblemast/pkg/peer"
+	"github.com/bramblemast/bramblemast/pkg/quota/quotapb"
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+// kindReport is the message by which a node reports to a coordinator.
+const kindReport peer.Kind = "quota.report"
+
+// report tells each coordinator what is new for it.
+func (l *Limiter) report(ctx context.Context, now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	uses := make(map[string]map[string]Use)
+	for tenant, held := range l.meters {
+		name := l.coordinator(held.ranked)
+		if name == "" || l.links[name].calling {
+			// What is not told now is told by the next report: at the end of the call, or
+			// when a coordinator answers.
+			continue
+		}
+		use, isNew := held.meter.Report(l.options.Start, now)
+		if !isNew {
+			continue
+		}
+		if uses[name] == nil {
+			uses[name] = make(map[string]Use)
+		}
+		uses[name][tenant] = use
+	}
+	for name, told := range uses {
+		if name == l.options.Local {
+			l.acknowledge(told, l.take(name, told, now), now)
+			continue
+		}
+		l.call(ctx, name, encodeReport(l.options.Start, told), told)
+	}
+}
+
+// call sends a report to a coordinator and takes the answer. The caller holds the mutex.
+func (l *Limiter) call(ctx context.Context, name string, message *quotapb.Report, told map[string]Use) {
+	address := l.addresses[name]
+	l.links[name].calling = true
+	l.sent.Reports++
+	l.group.Go(func() {
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		answer := &quotapb.Verdicts{}
+		err := l.options.Transport.Call(limited, address, kindReport, message, answer)
+		if ctx.Err() != nil {
+			// The node stops; its coordinator is not to blame.
+			return
+		}
+		now := time.Now()
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
+		l.noteAnswer(name, err, now)
+		if err == nil {
+			l.acknowledge(told, decodeVerdicts(answer), now)
+		}
+		if len(told) > 0 {
+			// Requests may have come while the call was under way.
+			l.stir()
+		}
+	})
+}
+
+// acknowledge takes the answer to a report. The caller holds the mutex.
+func (l *Limiter) acknowledge(told map[string]Use, verdicts map[string]Verdict, now time.Time) {
+	for tenant, use := range told {
+		held := l.meters[tenant]
+		verdict, isAnswered := verdicts[tenant]
+		if held != nil && isAnswered {
+			held.meter.Acknowledge(use, verdict, now)
+		}
+	}
+}
+
+// takeReport answers the report of another node.
+func (l *Limiter) takeReport(_ context.Context, from target.NodeID, body []byte) (proto.Message, error) {
+	message := &quotapb.Report{}
+	if err := message.UnmarshalVT(body); err != nil {
+		return nil, errors.Wrap(err, "decode report")
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	delete(l.silent, string(from))
+	return encodeVerdicts(l.take(string(from), decodeUses(message), time.Now())), nil
+}
+
+// take counts the report of a node and returns the verdicts on its tenants. The caller holds
+// the mutex.
+func (l *Limiter) take(from string, uses map[string]Use, now time.Time) map[string]Verdict {
+	verdicts := make(map[string]Verdict, len(uses))
+	for tenant, use := range uses {
+		limit, isKnown := l.options.LimitOf(tenant)
+		if !isKnown || !limit.IsBound() {
+			// The node's configuration is another one; it has its own limit to hold to.
+			verdicts[tenant] = Verdict{Share: 1}
+			continue
+		}
+		kept := l.accounts[tenant]
+		if kept == nil {
+			kept = &coordinated{account: NewAccount(limit, l.options.Bounds, now), told: 1}
+			l.accounts[tenant] = kept
+		}
+		kept.isFirst = l.isFirst(tenant)
+		touch := l.touch(kept)
+		kept.account.SetLimit(limit)
+		kept.account.Take(from, use, touch, now)
+		verdicts[tenant] = kept.account.Verdict(touch, now)
+		l.note(tenant, kept, verdicts[tenant], now)
+		if verdicts[tenant].Share < fallingShare*kept.told {
+			signal(l.urgent)
+		}
+	}
+	return verdicts
+}
+
+// isFirst reports whether this node has the first seat for a tenant. The caller holds the
+// mutex.
+func (l *Limiter) isFirst(tenant string) bool {
+	return l.seats.InTop(tenant, l.options.Local, 1) && l.links[l.options.Local] != nil
+}
+
+// touch returns what this node knows of the others. The caller holds the mutex.
+func (l *Limiter) touch(kept *coordinated) Touch {
+	return Touch{IsFirst: kept.isFirst, Nodes: l.nodeCount(), Silent: l.silent}
+}
+
+// note follows whether a tenant is at its limit. The caller holds the mutex.
+func (l *Limiter) note(tenant string, kept *coordinated, verdict Verdict, now time.Time) {
+	if verdict.Share < 1 {
+		kept.fullAt = time.Time{}
+		if kept.limitedAt.IsZero() {
+			kept.limitedAt = now
+			l.options.Events.AtLimit(tenant, verdict, kept.account.Figures(now))
+		}
+		return
+	}
+	if !kept.limitedAt.IsZero() && kept.fullAt.IsZero() {
+		kept.fullAt = now
+	}
+}
+
+func encodeReport(start uint64, uses map[string]Use) *quotapb.Report {
+	message := &quotapb.Report{Start: start, Uses: make([]*quotapb.Use, 0, len(uses))}
+	for tenant, use := range uses {
+		message.Uses = append(message.Uses, &quotapb.Use{
+			Tenant: tenant, Asked: use.Asked, Admitted: use.Admitted, NewAsked: use.NewAsked, NewAdmitted: use.NewAdmitted,
+			Recent: use.Recent, Entitled: use.Entitled, Share: use.Share,
+		})
+	}
+	return message
+}
+
+func decodeUses(message *quotapb.Report) map[string]Use {
+	uses := make(map[string]Use, len(message.Uses))
+	for _, use := range message.Uses {
+		uses[use.Tenant] = Use{
+			Start: message.Start, Asked: use.Asked, Admitted: use.Admitted, NewAsked: use.NewAsked, NewAdmitted: use.NewAdmitted,
+			Recent: use.Recent, Entitled: use.Entitled, Share: use.Share,
+		}
+	}
+	return uses
+}
--- /dev/null
+++ b/pkg/quota/simulation_test.go
@@ -0,0 +1,237 @@
+package quota_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/peer"
+	"github.com/bramblemast/bramblemast/pkg/quota"
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+var bounds = quota.Bounds{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
+
+// limitOf is the bound on the requests in a window.
+func limitOf(limit route.RateLimit) float64 {
+	return (limit.PerSecond*bounds.Window.Seconds()+limit.Burst)*(1+bounds.Overshoot) + bounds.Slack
+}
+
+// deployment is a number of limiters on a network under virtual time, and clients.
+type deployment struct {
+	network *peer.Network
+	nodes   []*simulated
+	random  *rand.Rand
+	limits  map[string]route.RateLimit
+	began   time.Time
+
+	mutex sync.Mutex
+	// admitted holds when requests of each tenant were admitted, guarded by mutex.
+	admitted map[string][]time.Duration
+	refused  map[string]int
+	waits    []time.Duration
+}
+
+// simulated is one node.
+type simulated struct {
+	name    string
+	limiter *quota.Limiter
+	stop    context.CancelFunc
+	ended   chan struct{}
+}
+
+// quiet takes no note of events.
+type quiet struct{}
+
+func (quiet) AtLimit(string, quota.Verdict, quota.Figures)    {}
+func (quiet) BelowLimit(string, quota.Figures, time.Duration) {}
+func (quiet) CoordinatorLost(string, error)                   {}
+func (quiet) CoordinatorRegained(string)                      {}
+
+// simulate runs body with a deployment whose nodes lie 12 ms from each other.
+func simulate(t *testing.T, count int, limits map[string]route.RateLimit, body func(d *deployment)) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &deployment{
+			network: peer.NewNetwork(1), random: rand.New(rand.NewPCG(7, 7)), limits: limits, began: time.Now(),
+			admitted: make(map[string][]time.Duration), refused: make(map[string]int),
+		}
+		d.network.SetLatency(func(_, _ peer.Address) time.Duration { return 12 * time.Millisecond })
+		for index := range count {
+			d.nodes = append(d.nodes, &simulated{name: fmt.Sprintf("node-%d", index)})
+			d.start(index)
+		}
+		d.setNodes()
+		time.Sleep(2 * time.Second)
+		body(d)
+		for _, node := range d.nodes {
+			node.stop()
+		}
+		d.network.Close()
+		for _, node := range d.nodes {
+			<-node.ended
+		}
+	})
+}
+
+// start starts a node, or starts it again.
+func (d *deployment) start(index int) {
+	node := d.nodes[index]
+	ctx, cancel := context.WithCancel(context.Background())
+	node.limiter = quota.New(quota.Options{
+		Local: node.name, Bounds: bounds, Transport: d.network.Transport(peer.Address(node.name)), Events: quiet{},
+		LimitOf: func(tenant string) (route.RateLimit, bool) {
+			d.mutex.Lock()
+			defer d.mutex.Unlock()
+			found, isKnown := d.limits[tenant]
+			return found, isKnown
+		},
+		IsNeeded: func() bool { return true },
+		Start:    d.random.Uint64(),
+	})
+	node.stop, node.ended = cancel, make(chan struct{})
+	limiter, ended := node.limiter, node.ended
+	go func() {
+		defer close(ended)
+		// Run ends without an error when its context does.
+		_ = limiter.Run(ctx)
+	}()
+}
+
+// setNodes tells every node of all.
+func (d *deployment) setNodes() {
+	for _, node := range d.nodes {
+		node.limiter.SetNodes(d.list())
+	}
+}
+
+func (d *deployment) list() []quota.Node {
+	var list []quota.Node
+	for _, node := range d.nodes {
+		list = append(list, quota.Node{Name: node.name, Address: peer.Address(node.name)})
+	}
+	return list
+}
+
+// load is the traffic of one tenant, spread over nodes by weights that add up to 1.
+type load struct {
+	tenant    string
+	perSecond float64
+	weights   []float64
+}
+
+// even spreads a tenant's requests over all nodes alike.
+func (d *deployment) even(tenant string, perSecond float64) load {
+	weights := make([]float64, len(d.nodes))
+	for index := range weights {
+		weights[index] = 1 / float64(len(weights))
+	}
+	return load{tenant, perSecond, weights}
+}
+
+// skewed spreads them as few connections do: three in ten lie at one node.
+func (d *deployment) skewed(tenant string, perSecond float64) load {
+	spread := d.even(tenant, perSecond)
+	for index := range spread.weights {
+		spread.weights[index] *= 0.7
+	}
+	spread.weights[d.random.IntN(len(spread.weights))] += 0.3
+	return spread
+}
+
+// run plays loads for a span: Poisson arrivals, in steps of a millisecond.
+func (d *deployment) run(span time.Duration, loads ...load) {
+	cumulated := make([][]float64, len(loads))
+	for index, played := range loads {
+		sum := 0.0
+		for _, weight := range played.weights {
+			sum += weight
+			cumulated[index] = append(cumulated[index], sum)
+		}
+	}
+	next := make([]float64, len(loads))
+	for index := range next {
+		next[index] = d.random.ExpFloat64() / loads[index].perSecond
+	}
+	for begun := time.Now(); time.Since(begun) < span; time.Sleep(time.Millisecond) {
+		for index, played := range loads {
+			for ; next[index] <= time.Since(begun).Seconds(); next[index] += d.random.ExpFloat64() / played.perSecond {
+				node := sort.SearchFloat64s(cumulated[index], d.random.Float64()*cumulated[index][len(cumulated[index])-1])
+				d.ask(min(node, len(d.nodes)-1), played.tenant, fmt.Sprint(d.random.Uint64()))
+			}
+		}
+	}
+}
+
+// ask sends one request to a node, and reports whether it was admitted.
+func (d *deployment) ask(node int, tenant, id string) bool {
+	d.mutex.Lock()
+	limit := d.limits[tenant]
+	d.mutex.Unlock()
+	decision := d.nodes[node].limiter.Admit(tenant, limit, id, time.Now())
+	if !decision.IsAdmitted {
+		d.refused[tenant]++
+		d.waits = append(d.waits, decision.RetryAfter)
+		return false
+	}
+	d.admitted[tenant] = append(d.admitted[tenant], time.Since(d.began))
+	return true
+}
+
+// moment returns the time since the deployment began.
+func (d *deployment) moment() time.Duration { return time.Since(d.began) }
+
+// mostInWindow returns the greatest number of admitted requests in any window.
+func (d *deployment) mostInWindow(tenant string) int {
+	admitted, most, first := d.admitted[tenant], 0, 0
+	for index, at := range admitted {
+		for admitted[first] <= at-bounds.Window {
+			first++
+		}
+		most = max(most, index-first+1)
+	}
+	return most
+}
+
+// leastInWindow returns the least number in the windows that begin and end between two moments.
+func (d *deployment) leastInWindow(tenant string, from, to time.Duration) int {
+	least := -1
+	for begin := from; begin+bounds.Window <= to; begin += 50 * time.Millisecond {
+		count := d.between(tenant, begin, begin+bounds.Window)
+		if least < 0 || count < least {
+			least = count
+		}
+	}
+	return least
+}
+
+// between returns the number of admitted requests between two moments.
+func (d *deployment) between(tenant string, from, to time.Duration) int {
+	admitted := d.admitted[tenant]
+	return sort.Search(len(admitted), func(i int) bool { return admitted[i] >= to }) -
+		sort.Search(len(admitted), func(i int) bool { return admitted[i] >= from })
+}
+
+// addresses returns those of some nodes.
+func (d *deployment) addresses(from, to int) []peer.Address {
+	var found []peer.Address
+	for _, node := range d.nodes[from:to] {
+		found = append(found, peer.Address(node.name))
+	}
+	return found
+}
+
+// sent returns the messages that all nodes sent.
+func (d *deployment) sent() quota.Sent {
+	var sum quota.Sent
+	for _, node := range d.nodes {
+		sent := node.limiter.Sent()
+		sum.Reports += sent.Reports
+		sum.Verdicts += sent.Verdicts
+	}
+	return sum
+}
--- /dev/null
+++ b/pkg/quota/verdicts.go
@@ -0,0 +1,183 @@
+package quota
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramblemast/bramblemast/pkg/peer"
+	"github.com/bramblemast/bramblemast/pkg/quota/quotapb"
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+// kindVerdicts is the message by which a coordinator tells all nodes a share.
+const kindVerdicts peer.Kind = "quota.verdicts"
+
+const (
+	// fallingShare of what was told is when a lower share is told at once, not with the next
+	// repetition.
+	fallingShare = 0.8
+	// urgentInterval is the least time between two tellings.
+	urgentInterval = 50 * time.Millisecond
+	// releaseSpan is for how long a share of 1 is still told: within it every node that is
+	// in touch hears that the tenant is within its limit again.
+	releaseSpan = 3 * repeatInterval
+)
+
+// spread tells all nodes the shares of the tenants at their limits, if that is due.
+func (l *Limiter) spread(ctx context.Context, now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	verdicts, isUrgent := l.limited(now)
+	if len(verdicts) == 0 {
+		return
+	}
+	if !l.spreading && (isUrgent && now.Sub(l.spreadAt) >= urgentInterval || now.Sub(l.spreadAt) >= repeatInterval) {
+		l.spreading, l.spreadAt = true, now
+		for tenant, verdict := range verdicts {
+			l.accounts[tenant].told = verdict.Share
+		}
+		l.tell(ctx, l.others(false), verdicts, &l.spreading)
+	}
+	if silent := l.others(true); len(silent) > 0 && !l.probing && now.Sub(l.probeAt) >= silentInterval {
+		l.probing, l.probeAt = true, now
+		l.tell(ctx, silent, verdicts, &l.probing)
+	}
+}
+
+// limited returns the verdicts that are to be told, and whether one is much lower than what
+// was told. The caller holds the mutex.
+func (l *Limiter) limited(now time.Time) (map[string]Verdict, bool) {
+	verdicts, isUrgent := make(map[string]Verdict), false
+	for tenant, kept := range l.accounts {
+		if kept.limitedAt.IsZero() {
+			continue
+		}
+		limit, isKnown := l.options.LimitOf(tenant)
+		if !isKnown || !limit.IsBound() {
+			delete(l.accounts, tenant)
+			continue
+		}
+		kept.isFirst = l.isFirst(tenant)
+		kept.account.SetLimit(limit)
+		verdict := kept.account.Verdict(l.touch(kept), now)
+		l.note(tenant, kept, verdict, now)
+		verdicts[tenant] = verdict
+		isUrgent = isUrgent || verdict.Share < fallingShare*kept.told
+		if !kept.fullAt.IsZero() && now.Sub(kept.fullAt) > releaseSpan {
+			l.options.Events.BelowLimit(tenant, kept.account.Figures(now), now.Sub(kept.limitedAt))
+			kept.limitedAt, kept.fullAt, kept.told = time.Time{}, time.Time{}, 1
+		}
+	}
+	return verdicts, isUrgent
+}
+
+// others returns the other nodes that are silent, or those that are not. The caller holds the
+// mutex.
+func (l *Limiter) others(isSilent bool) map[peer.Address]string {
+	found := make(map[peer.Address]string)
+	for name, address := range l.addresses {
+		if name != l.options.Local && l.silent[name] == isSilent {
+			found[address] = name
+		}
+	}
+	return found
+}
+
+// tell sends verdicts to some nodes and notes which of them took it; underWay is set until
+// then. The caller holds the mutex.
+func (l *Limiter) tell(ctx context.Context, nodes map[peer.Address]string, verdicts map[string]Verdict, underWay *bool) {
+	l.hear(ctx, l.options.Local, verdicts, time.Now())
+	l.sent.Verdicts += uint64(len(nodes))
+	message := encodeVerdicts(verdicts)
+	addresses := make([]peer.Address, 0, len(nodes))
+	for address := range nodes {
+		addresses = append(addresses, address)
+	}
+	l.group.Go(func() {
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		taken := peer.Spread(limited, l.options.Transport, addresses, kindVerdicts, message, func() proto.Message { return &quotapb.Taken{} })
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
+		*underWay = false
+		if ctx.Err() != nil {
+			return
+		}
+		for _, address := range taken {
+			delete(l.silent, nodes[address])
+			delete(nodes, address)
+		}
+		for _, name := range nodes {
+			if l.addresses[name] != "" {
+				l.silent[name] = true
+			}
+		}
+	})
+}
+
+// hear takes verdicts of a coordinator; only those of the one to which this node turns count.
+// The caller holds the mutex.
+func (l *Limiter) hear(ctx context.Context, from string, verdicts map[string]Verdict, now time.Time) {
+	for tenant, verdict := range verdicts {
+		held := l.meters[tenant]
+		if held == nil {
+			limit, isKnown := l.options.LimitOf(tenant)
+			if !isKnown {
+				continue
+			}
+			held = l.metered(tenant, limit, now)
+			held.usedAt = now
+		}
+		if current := l.coordinator(held.ranked); current == from {
+			held.meter.Tell(verdict, now)
+		} else if slices.Contains(held.ranked, from) {
+			held.standIn = hint{from: from, verdict: verdict, at: now}
+			l.suspect(ctx, current, now)
+		}
+	}
+}
+
+// takeVerdicts takes what another node tells about the tenants that it coordinates.
+func (l *Limiter) takeVerdicts(_ context.Context, from target.NodeID, body []byte) (proto.Message, error) {
+	message := &quotapb.Verdicts{}
+	if err := message.UnmarshalVT(body); err != nil {
+		return nil, errors.Wrap(err, "decode verdicts")
+	}
+	now := time.Now()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if found := l.links[string(from)]; found != nil && !found.answers {
+		// It is worth asking again at once.
+		found.nextProbe = now
+	}
+	l.hear(l.context, string(from), decodeVerdicts(message), now)
+	return &quotapb.Taken{}, nil
+}
+
+func encodeVerdicts(verdicts map[string]Verdict) *quotapb.Verdicts {
+	message := &quotapb.Verdicts{Verdicts: make([]*quotapb.Verdict, 0, len(verdicts))}
+	for tenant, verdict := range verdicts {
+		encoded := &quotapb.Verdict{Tenant: tenant, Share: verdict.Share, WaitMs: uint64(verdict.Wait.Milliseconds())}
+		if verdict.IsFirst {
+			encoded.Spare = proto.Float64(verdict.Spare)
+		}
+		message.Verdicts = append(message.Verdicts, encoded)
+	}
+	return message
+}
+
+func decodeVerdicts(message *quotapb.Verdicts) map[string]Verdict {
+	verdicts := make(map[string]Verdict, len(message.Verdicts))
+	for _, verdict := range message.Verdicts {
+		decoded := Verdict{Share: verdict.Share, Wait: time.Duration(verdict.WaitMs) * time.Millisecond}
+		if verdict.Spare != nil {
+			decoded.Spare, decoded.IsFirst = *verdict.Spare, true
+		}
+		verdicts[verdict.Tenant] = decoded
+	}
+	return verdicts
+}
