Nodes hold tenants to their limits

Cause: front.Limits admitted everything. Change: settings bounds.quota_window_s, quota_overshoot and quota_slack switch limits on; internal/edge/quota.go wires pkg/quota. front.Limits returns an Admission, so that the line of a refused request tells the share, its age and who decided. Metrics name the ten largest tenants, the others share one name.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -33,6 +33,8 @@
 	// group of its shards: 15 for 220 shards, and those of two sets while the shards
 	// are being cut anew.
 	maxPeerConnections = 48
+	// quotaPeerConnections more are for telling all nodes that a tenant is at its limit.
+	quotaPeerConnections = 208
 	// maxPeerInbound bounds the connections of other nodes: all nodes of a region ask
 	// an owner, 680 at the size to design for.
 	maxPeerInbound = 1024
@@ -102,6 +104,8 @@
 	transport *peer.TCP
 	peers     *directory.Peers
 	owners    *owner.Client
+	// limits is nil if limits of tenants are not held.
+	limits *limits
 }
 
 // New opens the node's listeners.
@@ -173,6 +177,9 @@
 	if n.owners != nil {
 		options.Owners = n.owners
 	}
+	if n.limits != nil {
+		options.Limits = n.limits
+	}
 	handler := front.NewHandler(options)
 	if n.transport != nil {
 		n.serveOwned(handler, rules, recorder)
@@ -209,7 +216,7 @@
 	n.transport = peer.NewTCP(peer.TCPOptions{
 		Node: target.NodeID(settings.Node.Name), Listener: opened, DialTimeout: connectTimeout,
 		Advertise:     peer.Address(settings.Listen.PeersAdvertised),
-		MaxFrameBytes: maxPeerFrame, MaxInbound: maxPeerInbound, MaxConnections: maxPeerConnections,
+		MaxFrameBytes: maxPeerFrame, MaxInbound: maxPeerInbound, MaxConnections: peerConnections(settings),
 		MaxHandlers: maxPeerHandlers,
 	})
 	local.PeerAddress = string(n.transport.Address())
@@ -223,9 +230,21 @@
 	})
 	n.state.roster = owner.NewRoster(*local, settings.Zones, n.state.fleet)
 	n.owners = owner.NewClient(n.state.roster, n.transport, ownerEvents{node: n})
+	if settings.Bounds.QuotaWindowSeconds > 0 {
+		n.limits = newLimits(n, settings, n.transport)
+		n.state.limits = n.limits
+	}
 	return nil
 }
 
+// peerConnections returns the bound on the connections to other nodes.
+func peerConnections(settings *Settings) int {
+	if settings.Bounds.QuotaWindowSeconds > 0 {
+		return maxPeerConnections + quotaPeerConnections
+	}
+	return maxPeerConnections
+}
+
 // Run serves until ctx ends, and then stops as planned: no request in flight
 // is cut off within the grace time.
 func (n *Node) Run(ctx context.Context) error {
@@ -250,6 +269,9 @@
 		add(n.peers.Run)
 		add(n.owners.Run)
 	}
+	if n.limits != nil {
+		add(n.limits.limiter.Run)
+	}
 	add(n.listener.Sweep)
 	add(n.sweepServers)
 	add(n.watchSettings)
@@ -284,4 +306,7 @@
 	n.logger.Warn("machine was suspended", "span_ms", span.Milliseconds())
 	n.state.fleet.DropIdle()
 	n.follower.Resumed()
+	if n.limits != nil {
+		n.limits.limiter.Resumed()
+	}
 }
--- a/internal/edge/figures.go
+++ b/internal/edge/figures.go
@@ -38,6 +38,7 @@
 	broken      *prometheus.CounterVec
 	standings   *prometheus.CounterVec
 	keysLapsed  prometheus.Gauge
+	limited     *prometheus.CounterVec
 }
 
 func newFigures() *figures {
@@ -68,10 +69,12 @@
 		keysLapsed: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "keys_lapsed", Help: "1 while requests with keys are refused because the keys cannot be confirmed.",
 		}),
+		limited: counters("quota_requests_total", "Requests of tenants with a limit, by what was decided; most tenants share the name other.",
+			"tenant", "decision"),
 		ownersLost: counters("owners_lost_total", "Times that an owner did not answer and was left out for a while."),
 	}
 	f.registry.MustRegister(f.requests, f.latency, f.missing, f.subRequests, f.denied, f.dependency, f.refused, f.overloads, f.logLines,
-		f.owned, f.ownersLost, f.storeCalls, f.evacuated, f.broken, f.standings, f.keysLapsed)
+		f.owned, f.ownersLost, f.storeCalls, f.evacuated, f.broken, f.standings, f.keysLapsed, f.limited)
 	return f
 }
 
@@ -88,6 +91,13 @@
 	}, read))
 }
 
+// count64 registers a counter that is read when it is asked for.
+func (f *figures) count64(name, help string, read func() uint64) {
+	f.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: namespace, Name: name, Help: help,
+	}, func() float64 { return float64(read()) }))
+}
+
 // handler serves the figures as text.
 func (f *figures) handler() http.Handler {
 	mux := http.NewServeMux()
--- /dev/null
+++ b/internal/edge/quota.go
@@ -0,0 +1,151 @@
+package edge
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/bramblemast/bramblemast/internal/front"
+	"github.com/bramblemast/bramblemast/pkg/directory"
+	"github.com/bramblemast/bramblemast/pkg/peer"
+	"github.com/bramblemast/bramblemast/pkg/quota"
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// Bounds of what is told of tenants.
+const (
+	// namedTenants is the number of tenants with metrics of their own, those with the
+	// greatest limits; the others share otherTenants.
+	namedTenants = 10
+	otherTenants = "other"
+	// limitedSpan is for how long one line tells that a tenant is at its limit.
+	limitedSpan = 5 * time.Second
+)
+
+// limits holds tenants to their limits. It implements front.Limits and quota.Events, and is
+// safe for concurrent use.
+type limits struct {
+	node    *Node
+	limiter *quota.Limiter
+
+	mutex sync.Mutex
+	// told holds when each tenant was last told to be at its limit, guarded by mutex.
+	told map[string]time.Time
+	// named are the tenants with metrics of their own in the configuration version, guarded
+	// by mutex.
+	named   map[string]bool
+	version uint64
+}
+
+func newLimits(node *Node, settings *Settings, transport peer.Transport) *limits {
+	held := &limits{node: node, told: make(map[string]time.Time)}
+	held.limiter = quota.New(quota.Options{
+		Local: settings.Node.Name, Bounds: settings.quotaBounds(), Transport: transport, Events: held,
+		LimitOf: node.state.limitOf, Start: rand.Uint64(),
+		IsNeeded: func() bool { table := node.state.Table(); return table != nil && table.HasTenants() },
+	})
+	node.figures.gauge("quota_tenants_at_limit", "Tenants at their limit that this node coordinates.", func() float64 {
+		return float64(held.limiter.AtLimit())
+	})
+	node.figures.count64("quota_reports_total", "Reports to coordinators of limits.", func() uint64 { return held.limiter.Sent().Reports })
+	node.figures.count64("quota_verdicts_total", "Admitted shares told to other nodes.", func() uint64 { return held.limiter.Sent().Verdicts })
+	return held
+}
+
+// limitOf returns the limit of a tenant by the configuration in force.
+func (s *state) limitOf(name string) (route.RateLimit, bool) {
+	table := s.table.Load()
+	if table == nil {
+		return route.RateLimit{}, false
+	}
+	tenant := table.Tenant(name)
+	if tenant == nil {
+		return route.RateLimit{}, false
+	}
+	return tenant.Limit, true
+}
+
+// Admit implements front.Limits.
+func (l *limits) Admit(tenant *route.Tenant, requestID string, now time.Time) front.Admission {
+	decision := l.limiter.Admit(tenant.Name, tenant.Limit, requestID, now)
+	name := l.metricName(tenant.Name)
+	if decision.IsAdmitted {
+		l.node.figures.limited.WithLabelValues(name, "admitted").Inc()
+		return front.Admission{IsAdmitted: true}
+	}
+	l.node.figures.limited.WithLabelValues(name, "refused").Inc()
+	decidedBy := decision.Standing.String()
+	if coordinator := l.limiter.Coordinator(tenant.Name); coordinator != "" {
+		decidedBy += " " + coordinator
+	}
+	return front.Admission{RetryAfter: decision.RetryAfter, Share: decision.Share, Age: decision.Age, DecidedBy: decidedBy}
+}
+
+// Refund implements front.Limits.
+func (l *limits) Refund(tenant *route.Tenant, _ time.Time) { l.limiter.Refund(tenant.Name) }
+
+// setNodes takes the nodes that are known.
+func (l *limits) setNodes(known []directory.Node) {
+	nodes := make([]quota.Node, 0, len(known))
+	for _, node := range known {
+		nodes = append(nodes, quota.Node{Name: node.Name, Address: peer.Address(node.PeerAddress)})
+	}
+	l.limiter.SetNodes(nodes)
+}
+
+// metricName returns the name under which a tenant is counted.
+func (l *limits) metricName(tenant string) string {
+	table := l.node.state.Table()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if table != nil && (l.named == nil || table.Version != l.version) {
+		l.version, l.named = table.Version, make(map[string]bool, namedTenants)
+		for _, largest := range table.LargestTenants(namedTenants) {
+			l.named[largest.Name] = true
+		}
+	}
+	if l.named[tenant] {
+		return tenant
+	}
+	return otherTenants
+}
+
+// AtLimit implements quota.Events.
+func (l *limits) AtLimit(tenant string, verdict quota.Verdict, figures quota.Figures) {
+	now := time.Now()
+	l.mutex.Lock()
+	isTold := now.Sub(l.told[tenant]) < limitedSpan
+	if !isTold {
+		l.told[tenant] = now
+	}
+	l.mutex.Unlock()
+	if isTold {
+		l.node.figures.logLines.WithLabelValues("rate").Inc()
+		return
+	}
+	l.node.logger.Info("tenant at its limit", "tenant", tenant, "share", verdict.Share, "asked_per_s", figures.Asked,
+		"limit_per_s", figures.Limit.PerSecond, "burst", figures.Limit.Burst, "level", figures.Level,
+		"nodes_reporting", figures.Nodes, "first_coordinator", verdict.IsFirst)
+}
+
+// BelowLimit implements quota.Events.
+func (l *limits) BelowLimit(tenant string, figures quota.Figures, span time.Duration) {
+	l.mutex.Lock()
+	wasTold := !l.told[tenant].IsZero()
+	delete(l.told, tenant)
+	l.mutex.Unlock()
+	if wasTold {
+		l.node.logger.Info("tenant within its limit again", "tenant", tenant, "span_ms", span.Milliseconds(),
+			"asked_per_s", figures.Asked, "limit_per_s", figures.Limit.PerSecond)
+	}
+}
+
+// CoordinatorLost implements quota.Events.
+func (l *limits) CoordinatorLost(name string, cause error) {
+	l.node.logger.Warn("coordinator of limits lost", "coordinator", name, "error", cause.Error())
+}
+
+// CoordinatorRegained implements quota.Events.
+func (l *limits) CoordinatorRegained(name string) {
+	l.node.logger.Info("coordinator of limits regained", "coordinator", name)
+}
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -15,6 +15,7 @@
 
 	"github.com/bramblemast/bramblemast/pkg/directory"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/quota"
 )
 
 // Settings of a node. Times are given in the unit that the name ends with.
@@ -93,6 +94,12 @@
 	// keys that they know.
 	StrictRevoke bool `json:"strict_revoke"`
 	RevokeMillis int  `json:"revoke_ms"`
+	// QuotaWindowSeconds is the span in which a tenant's requests over all nodes are counted;
+	// zero if limits of tenants are not held. In each span there may be QuotaOvershoot times
+	// more requests than the tenant's limit grants, and QuotaSlack beside.
+	QuotaWindowSeconds float64 `json:"quota_window_s"`
+	QuotaOvershoot     float64 `json:"quota_overshoot"`
+	QuotaSlack         float64 `json:"quota_slack"`
 }
 
 // LoadSettings reads and checks a settings file.
@@ -164,6 +171,12 @@
 	if s.Bounds.StrictRevoke && s.Bounds.RevokeMillis == 0 {
 		problems = append(problems, "bounds.strict_revoke wants bounds.revoke_ms")
 	}
+	negative("bounds.quota_window_s", s.Bounds.QuotaWindowSeconds)
+	negative("bounds.quota_overshoot", s.Bounds.QuotaOvershoot)
+	negative("bounds.quota_slack", s.Bounds.QuotaSlack)
+	if s.Bounds.QuotaWindowSeconds > 0 && s.Listen.Peers == "" {
+		problems = append(problems, "bounds.quota_window_s needs listen.peers")
+	}
 	if s.Bounds.GraceSeconds <= 0 {
 		problems = append(problems, "bounds.grace_s must be above 0")
 	}
@@ -236,6 +249,14 @@
 	return fleet.WarmUpBounds{Factor: s.Bounds.ColdFactor, Extra: s.Bounds.ColdExtra}
 }
 
+// quotaBounds returns how far the requests of a tenant may go beyond its limit.
+func (s *Settings) quotaBounds() quota.Bounds {
+	return quota.Bounds{
+		Window:    time.Duration(s.Bounds.QuotaWindowSeconds * float64(time.Second)),
+		Overshoot: s.Bounds.QuotaOvershoot, Slack: s.Bounds.QuotaSlack,
+	}
+}
+
 // lapsedReturn is within which time after the store's return the entries are
 // back that lapsed while it was away, as the platform promises; one that is still
 // missing then belongs to a server that is gone. A node hears of it a newsAge
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -42,6 +42,8 @@
 
 	// roster divides shards among the nodes; nil if the node has no peers.
 	roster *owner.Roster
+	// limits is told which nodes there are; nil if limits of tenants are not held.
+	limits *limits
 	// member is told of the nodes' entries.
 	member *registration
 
@@ -291,6 +293,9 @@
 	if s.roster != nil {
 		s.roster.SetNodes(s.knownNodes())
 	}
+	if s.limits != nil {
+		s.limits.setNodes(s.knownNodes())
+	}
 	s.fleet.SetCallers(callers)
 	s.budgets.setNodes(callers.Total)
 }
--- a/internal/front/conversation.go
+++ b/internal/front/conversation.go
@@ -31,8 +31,10 @@
 	request *exchange.Request
 	// toldWait is when the client was told to retry.
 	toldWait time.Duration
-	id       string
-	cause    error
+	// admission is why the request was refused as beyond its tenant's limit, or nil.
+	admission *Admission
+	id        string
+	cause     error
 }
 
 // serve asks servers and answers.
--- a/internal/front/record.go
+++ b/internal/front/record.go
@@ -38,6 +38,8 @@
 	// unless a server broke its connection while it had the request, or it was kept from
 	// servers for that.
 	Fingerprint *exchange.Fingerprint
+	// Admission is why the request was refused as beyond its tenant's limit; nil otherwise.
+	Admission *Admission
 }
 
 // Recorder takes the story of each request. It does not block.
@@ -66,7 +68,7 @@
 	c.handler.events.Record(Record{
 		ID: c.id, Host: c.received.Host, Path: c.received.RequestURI, Route: name, Tenant: c.tenantName(), Version: c.version,
 		Status: status, Took: time.Since(c.began), Reason: string(reason), Refused: true, Cause: c.cause, KeyHash: c.keyHashIf(reason),
-		RetryAfter: c.toldWait, Fingerprint: c.fingerprintIf(reason == outcome.ReasonQuarantined),
+		RetryAfter: c.toldWait, Fingerprint: c.fingerprintIf(reason == outcome.ReasonQuarantined), Admission: c.admission,
 	})
 }
 
--- a/pkg/route/tenant.go
+++ b/pkg/route/tenant.go
@@ -1,6 +1,10 @@
 package route
 
-import "strings"
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
 
 // Tenant is a caller with keys of its own, a limit over all nodes, and bounds on where its
 // requests may be served.
@@ -41,6 +45,21 @@
 // Tenants returns the number of tenants.
 func (t *Table) Tenants() int { return len(t.tenants) }
 
+// LargestTenants returns some tenants with the greatest limits, the greatest first. A tenant
+// without a limit is none of them.
+func (t *Table) LargestTenants(count int) []*Tenant {
+	var bound []*Tenant
+	for _, tenant := range t.tenants {
+		if tenant.Limit.IsBound() {
+			bound = append(bound, tenant)
+		}
+	}
+	slices.SortFunc(bound, func(a, b *Tenant) int {
+		return cmp.Or(cmp.Compare(b.Limit.PerSecond, a.Limit.PerSecond), cmp.Compare(a.Name, b.Name))
+	})
+	return bound[:min(count, len(bound))]
+}
+
 // PriorityOf returns the rank of a tenant's requests on a route; tenant may be nil.
 func PriorityOf(found *Route, tenant *Tenant) int {
 	if tenant != nil && tenant.HasPriority {
