Limits hold and are reached while nodes are cut off

A node outside the seats whose hash beat theirs took itself for the first coordinator (found by the test of a zone that is cut off). Change: a zone has coordinators of its own as the last to turn to; accounts begin at the moment since when the seat is held; tokens are kept back only for tenants that steadily ask more than their limit; coordinators ask each other whether they answer, so that one that is cut off knows it.

--- a/internal/edge/figures.go
+++ b/internal/edge/figures.go
@@ -39,6 +39,8 @@
 	standings   *prometheus.CounterVec
 	keysLapsed  prometheus.Gauge
 	limited     *prometheus.CounterVec
+	// coordinatorsLost counts coordinators of limits that fell silent.
+	coordinatorsLost *prometheus.CounterVec
 }
 
 func newFigures() *figures {
@@ -71,10 +73,11 @@
 		}),
 		limited: counters("quota_requests_total", "Requests of tenants with a limit, by what was decided; most tenants share the name other.",
 			"tenant", "decision"),
-		ownersLost: counters("owners_lost_total", "Times that an owner did not answer and was left out for a while."),
+		coordinatorsLost: counters("quota_coordinators_lost_total", "Times that a coordinator of limits did not answer."),
+		ownersLost:       counters("owners_lost_total", "Times that an owner did not answer and was left out for a while."),
 	}
 	f.registry.MustRegister(f.requests, f.latency, f.missing, f.subRequests, f.denied, f.dependency, f.refused, f.overloads, f.logLines,
-		f.owned, f.ownersLost, f.storeCalls, f.evacuated, f.broken, f.standings, f.keysLapsed, f.limited)
+		f.owned, f.ownersLost, f.storeCalls, f.evacuated, f.broken, f.standings, f.keysLapsed, f.limited, f.coordinatorsLost)
 	return f
 }
 
--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -31,6 +31,8 @@
 	mutex sync.Mutex
 	// told holds when each tenant was last told to be at its limit, guarded by mutex.
 	told map[string]time.Time
+	// lostAt is when the loss of a coordinator was last told, guarded by mutex.
+	lostAt time.Time
 	// named are the tenants with metrics of their own in the configuration version, guarded
 	// by mutex.
 	named   map[string]bool
@@ -40,7 +42,7 @@
 func newLimits(node *Node, settings *Settings, transport peer.Transport) *limits {
 	held := &limits{node: node, told: make(map[string]time.Time)}
 	held.limiter = quota.New(quota.Options{
-		Local: settings.Node.Name, Bounds: settings.quotaBounds(), Transport: transport, Events: held,
+		Local: settings.Node.Name, Zone: settings.Node.Zone, Bounds: settings.quotaBounds(), Transport: transport, Events: held,
 		LimitOf: node.state.limitOf, Start: rand.Uint64(),
 		IsNeeded: func() bool { table := node.state.Table(); return table != nil && table.HasTenants() },
 	})
@@ -88,7 +90,7 @@
 func (l *limits) setNodes(known []directory.Node) {
 	nodes := make([]quota.Node, 0, len(known))
 	for _, node := range known {
-		nodes = append(nodes, quota.Node{Name: node.Name, Address: peer.Address(node.PeerAddress)})
+		nodes = append(nodes, quota.Node{Name: node.Name, Zone: node.Zone, Address: peer.Address(node.PeerAddress)})
 	}
 	l.limiter.SetNodes(nodes)
 }
@@ -142,10 +144,21 @@
 
 // CoordinatorLost implements quota.Events.
 func (l *limits) CoordinatorLost(name string, cause error) {
-	l.node.logger.Warn("coordinator of limits lost", "coordinator", name, "error", cause.Error())
+	l.node.figures.coordinatorsLost.WithLabelValues().Inc()
+	now := time.Now()
+	l.mutex.Lock()
+	isTold := now.Sub(l.lostAt) < limitedSpan
+	if !isTold {
+		l.lostAt = now
+	}
+	l.mutex.Unlock()
+	if !isTold {
+		// A cut of links loses several within a moment: the first tells of it.
+		l.node.logger.Warn("coordinator of limits lost", "coordinator", name, "error", cause.Error())
+	}
 }
 
 // CoordinatorRegained implements quota.Events.
 func (l *limits) CoordinatorRegained(name string) {
-	l.node.logger.Info("coordinator of limits regained", "coordinator", name)
+	l.node.logger.Debug("coordinator of limits regained", "coordinator", name)
 }
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -30,6 +30,14 @@
 	// the one request that each of them admits at first; what goes beyond it is kept from the
 	// others.
 	aloneRoom = 0.3
+	// partialRoom is the part of that room which a coordinator of a part of the nodes may have
+	// at least, as its burst and again over a window: small tenants send two or three requests
+	// together, and few of their nodes have reported lately. There are two such coordinators
+	// as a rule.
+	partialRoom = 0.12
+	// steadySpan is the span of the estimate by which a tenant counts as beyond its limit
+	// rather than as one that sent some requests together.
+	steadySpan = 2 * time.Second
 	// spareInterval is how often the unused part of the limit is summed up anew.
 	spareInterval = 500 * time.Millisecond
 )
@@ -51,11 +59,13 @@
 	bounds Bounds
 	bucket bucket
 	asked  movingRate
+	steady movingRate
 	nodes  map[string]*reported
 	spare  float64
 	// spareAt is when spare was summed up.
 	spareAt time.Time
-	isFirst bool
+	// isNew says that the account was never settled.
+	isNew bool
 	// usedAt is when something was last reported.
 	usedAt time.Time
 	// cautious is the share by which nodes acted before this account was opened; it bounds
@@ -78,11 +88,13 @@
 	at  time.Time
 }
 
-// NewAccount returns an account that has no burst to give yet: what was spent before is
-// unknown, while the rate serves every tenant within its limit.
-func NewAccount(limit route.RateLimit, bounds Bounds, now time.Time) *Account {
+// NewAccount returns an account of a tenant of which nothing was reported since a moment. What
+// was spent before is unknown, so that there is no burst to give at that moment, while the
+// rate serves every tenant within its limit.
+func NewAccount(limit route.RateLimit, bounds Bounds, since, now time.Time) *Account {
 	return &Account{
-		limit: limit, bounds: bounds, bucket: bucket{at: now}, asked: movingRate{span: askedSpan},
+		limit: limit, bounds: bounds, bucket: bucket{at: since}, asked: movingRate{span: askedSpan},
+		steady: movingRate{span: steadySpan}, isNew: true,
 		nodes: make(map[string]*reported), usedAt: now, cautious: 1, cautiousUntil: now.Add(cautiousSpan),
 	}
 }
@@ -104,6 +116,7 @@
 	}
 	a.nodes[node] = &reported{use: use, at: now}
 	a.asked.add(float64(asked), now)
+	a.steady.add(float64(asked), now)
 	a.bucket.level = max(a.bucket.level-float64(admitted), -a.debt())
 	if now.Before(a.cautiousUntil) && use.Share > 0 {
 		a.cautious = min(a.cautious, use.Share)
@@ -131,17 +144,27 @@
 
 // settle brings the bucket up to a moment.
 func (a *Account) settle(touch Touch, now time.Time) {
-	a.isFirst = touch.IsFirst
 	if a.spareAt.IsZero() || now.Sub(a.spareAt) >= spareInterval {
 		a.sumUp(touch, now)
 	}
 	rate := a.pooled(touch, now)
+	room := a.bounds.room(a.limit)
 	part := 0.0
 	if a.limit.PerSecond > 0 {
 		part = rate / a.limit.PerSecond
 	}
-	a.bucket.rate = rate + part*aimedRoom*a.bounds.room(a.limit)/a.bounds.Window.Seconds()
+	a.bucket.rate = rate + part*aimedRoom*room/a.bounds.Window.Seconds()
 	a.bucket.cap = a.limit.Burst * part
+	if part < 1 {
+		a.bucket.rate = max(a.bucket.rate, partialRoom*room/a.bounds.Window.Seconds())
+		a.bucket.cap = min(a.limit.Burst, max(a.bucket.cap, partialRoom*room))
+	}
+	if a.isNew {
+		a.isNew = false
+		if !touch.IsFirst {
+			a.bucket.level = a.bucket.cap
+		}
+	}
 	a.bucket.settle(now)
 }
 
@@ -185,7 +208,7 @@
 // Verdict returns what nodes are to do at a moment.
 func (a *Account) Verdict(touch Touch, now time.Time) Verdict {
 	a.settle(touch, now)
-	if a.share(now) < 1 {
+	if a.steady.read(now) > a.limit.PerSecond {
 		a.reserve(touch, now)
 	}
 	verdict := Verdict{Share: a.share(now), Spare: a.spare, IsFirst: touch.IsFirst}
@@ -201,7 +224,8 @@
 // requests count, neither are the others.
 func (a *Account) reserve(touch Touch, now time.Time) {
 	needed := 0.0
-	if touch.IsFirst {
+	isCutOff := 2*len(touch.Silent) > touch.Nodes
+	if touch.IsFirst && !isCutOff {
 		needed = max(0, float64(len(touch.Silent))-aloneRoom*a.bounds.room(a.limit))
 	}
 	switch {
--- a/pkg/quota/account_test.go
+++ b/pkg/quota/account_test.go
@@ -24,7 +24,7 @@
 // TestAReportThatComesTwiceCountsOnce, and so does one whose answer was lost.
 func TestAReportThatComesTwiceCountsOnce(t *testing.T) {
 	g := NewWithT(t)
-	once, twice := quota.NewAccount(largeLimit, bounds, start), quota.NewAccount(largeLimit, bounds, start)
+	once, twice := quota.NewAccount(largeLimit, bounds, start, start), quota.NewAccount(largeLimit, bounds, start, start)
 	now := start.Add(2 * time.Second)
 	once.Take("a", report(30, 30), first, now)
 	once.Take("a", report(50, 50), first, now)
@@ -40,7 +40,7 @@
 // TestAProcessThatStartsAgainCountsAnew.
 func TestAProcessThatStartsAgainCountsAnew(t *testing.T) {
 	g := NewWithT(t)
-	account := quota.NewAccount(largeLimit, bounds, start)
+	account := quota.NewAccount(largeLimit, bounds, start, start)
 	now := start.Add(2 * time.Second)
 	account.Take("a", report(30, 30), first, now)
 	again := report(5, 5)
@@ -53,7 +53,7 @@
 // known, and a tenant within its limit is served all the same.
 func TestANewAccountGivesTheRateButNoBurst(t *testing.T) {
 	g := NewWithT(t)
-	calm, hot := quota.NewAccount(largeLimit, bounds, start), quota.NewAccount(largeLimit, bounds, start)
+	calm, hot := quota.NewAccount(largeLimit, bounds, start, start), quota.NewAccount(largeLimit, bounds, start, start)
 	asked := 0
 	for step := 1; step <= 20; step++ {
 		now := start.Add(time.Duration(step) * 50 * time.Millisecond)
@@ -68,7 +68,7 @@
 // TestANewCoordinatorKeepsToTheShareThatNodesHad until it has heard of all requests.
 func TestANewCoordinatorKeepsToTheShareThatNodesHad(t *testing.T) {
 	g := NewWithT(t)
-	account := quota.NewAccount(largeLimit, bounds, start)
+	account := quota.NewAccount(largeLimit, bounds, start, start)
 	told := report(1, 0)
 	told.Share = 0.125
 	account.Take("a", told, first, start.Add(10*time.Millisecond))
@@ -79,7 +79,7 @@
 // others have the rest.
 func TestNodesOutOfTouchKeepTheirEntitlements(t *testing.T) {
 	g := NewWithT(t)
-	account := quota.NewAccount(largeLimit, bounds, start)
+	account := quota.NewAccount(largeLimit, bounds, start, start)
 	now := start.Add(10 * time.Millisecond)
 	for index := range 4 {
 		use := report(1, 1)
@@ -97,8 +97,9 @@
 func TestAStandInHasOnlyWhatItsNodesBring(t *testing.T) {
 	g := NewWithT(t)
 	standIn := quota.Touch{Nodes: 67}
-	account := quota.NewAccount(largeLimit, bounds, start)
-	use := report(1, 1)
+	account := quota.NewAccount(largeLimit, bounds, start, start)
+	// More than its first burst is spent, so that the bucket does not run over.
+	use := report(20, 20)
 	use.Entitled = 4
 	account.Take("a", use, standIn, start)
 	account.Take("b", use, standIn, start)
@@ -110,7 +111,7 @@
 // TestALimitLoweredFarBelowWhatIsSentTakesHoldAtOnce: what was saved up counts no more.
 func TestALimitLoweredFarBelowWhatIsSentTakesHoldAtOnce(t *testing.T) {
 	g := NewWithT(t)
-	account := quota.NewAccount(largeLimit, bounds, start)
+	account := quota.NewAccount(largeLimit, bounds, start, start)
 	now := start.Add(5 * time.Second)
 	account.Take("a", report(40, 40), first, now)
 	account.SetLimit(route.RateLimit{PerSecond: 4, Burst: 4})
@@ -123,7 +124,7 @@
 // TestACoordinatorThatStoodStillGivesNoBurst: a stand-in may have spent it.
 func TestACoordinatorThatStoodStillGivesNoBurst(t *testing.T) {
 	g := NewWithT(t)
-	account := quota.NewAccount(largeLimit, bounds, start)
+	account := quota.NewAccount(largeLimit, bounds, start, start)
 	now := start.Add(5 * time.Second)
 	account.Verdict(first, now)
 	g.Expect(account.Figures(now).Level).To(BeEquivalentTo(60))
--- a/pkg/quota/failure_test.go
+++ b/pkg/quota/failure_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -137,6 +138,46 @@
 	}
 }
 
+// TestTenantsWithinTheirLimitsLoseLittleInACut, many of them small, whether a zone is cut off
+// or a third of the nodes, each alone.
+func TestTenantsWithinTheirLimitsLoseLittleInACut(t *testing.T) {
+	for _, failing := range []struct {
+		failure
+		// lost is the greatest share of all requests that is refused.
+		lost float64
+	}{
+		{failure{"a zone is cut off", silence(0, 11)}, 0.02},
+		{failure{"a third of the nodes, each alone", alone(0, 22)}, 0.06},
+	} {
+		t.Run(failing.name, func(t *testing.T) {
+			limits := tenants()
+			for number := range 71 {
+				limits[fmt.Sprint("small-", number)] = route.RateLimit{PerSecond: 5, Burst: 5}
+			}
+			asked, refused := 0, 0
+			simulate(t, 67, limits, func(d *deployment) {
+				loads := []load{d.skewed("large", 39), d.skewed("medium", 10)}
+				for number := range 71 {
+					loads = append(loads, d.even(fmt.Sprint("small-", number), 0.8))
+				}
+				d.run(8*time.Second, loads...)
+				calm := len(d.waits)
+				end := failing.strike(d)
+				d.run(12*time.Second, loads...)
+				end()
+				d.run(5*time.Second, loads...)
+				refused = len(d.waits)
+				for _, admitted := range d.admitted {
+					asked += len(admitted)
+				}
+				asked += refused
+				t.Logf("refused %d of %d, %d before the cut", refused, asked, calm)
+			})
+			NewWithT(t).Expect(float64(refused)).To(BeNumerically("<=", failing.lost*float64(asked)))
+		})
+	}
+}
+
 // TestALoweredLimitTakesHoldWithinAWindow, far below what is sent.
 func TestALoweredLimitTakesHoldWithinAWindow(t *testing.T) {
 	lowered := route.RateLimit{PerSecond: 4, Burst: 4}
--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,8 +37,12 @@
 const (
 	// leastSeats is the least number of nodes that coordinate limits.
 	leastSeats = 4
-	// ranks is the number of coordinators that a node turns to for one tenant.
-	ranks = 3
+	// ranks is the number of coordinators of the whole deployment that a node turns to for
+	// one tenant. The next is one of its own zone, so that a zone that is cut off holds its
+	// part of the limit together.
+	ranks = 2
+	// zoneSeats is the number of nodes of a zone that coordinate limits within it.
+	zoneSeats = 4
 	// seatsKey is what the seats are drawn by.
 	seatsKey = "quota"
 	// assumedNodes stands for the number of nodes until they are known.
@@ -47,6 +52,7 @@
 // Node is one node of the deployment.
 type Node struct {
 	Name    string
+	Zone    string
 	Address peer.Address
 }
 
@@ -63,8 +69,9 @@
 
 // Options of a Limiter.
 type Options struct {
-	// Local is the name of this node.
+	// Local is the name of this node, Zone where it is.
 	Local     string
+	Zone      string
 	Bounds    Bounds
 	Transport peer.Transport
 	// LimitOf returns the limit of a tenant by the configuration in force; false if it has
@@ -94,20 +101,28 @@
 	// The fields below are guarded by mutex.
 	addresses map[string]peer.Address
 	seats     *rendezvous.Set[string]
-	links     map[string]*link
-	meters    map[string]*metered
-	accounts  map[string]*coordinated
+	seated    map[string]bool
+	// zoneSeats are those of this node's zone.
+	zoneSeats *rendezvous.Set[string]
+	// seatedAt is since when the seats are as they are: until then other nodes may have had
+	// the accounts.
+	seatedAt time.Time
+	links    map[string]*link
+	meters   map[string]*metered
+	accounts map[string]*coordinated
 	// silent holds the nodes that did not take the last verdicts.
 	silent map[string]bool
 	// spreading and probing say that verdicts are on their way to nodes in touch and to
 	// silent ones.
 	spreading bool
 	probing   bool
-	spreadAt  time.Time
-	probeAt   time.Time
-	sweptAt   time.Time
-	tickAt    time.Time
-	sent      Sent
+	// wasInTouch says that a coordinator has answered since the start.
+	wasInTouch bool
+	spreadAt   time.Time
+	probeAt    time.Time
+	sweptAt    time.Time
+	tickAt     time.Time
+	sent       Sent
 }
 
 // Sent counts the messages of a Limiter.
@@ -150,7 +165,7 @@
 	limiter := &Limiter{
 		context: ctx, cancel: cancel,
 		options: options, wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1), addresses: make(map[string]peer.Address),
-		seats: rendezvous.NewSet[string](nil), links: make(map[string]*link),
+		seats: rendezvous.NewSet[string](nil), zoneSeats: rendezvous.NewSet[string](nil), links: make(map[string]*link),
 		meters: make(map[string]*metered), accounts: make(map[string]*coordinated), silent: make(map[string]bool),
 	}
 	options.Transport.Handle(kindReport, limiter.takeReport)
@@ -161,18 +176,29 @@
 // SetNodes takes the nodes of the deployment, this one included.
 func (l *Limiter) SetNodes(nodes []Node) {
 	now := time.Now()
-	names := make([]string, 0, len(nodes))
+	names, near := make([]string, 0, len(nodes)), make([]string, 0, len(nodes))
 	addresses := make(map[string]peer.Address, len(nodes))
 	for _, node := range nodes {
 		if node.Address != "" {
 			names = append(names, node.Name)
 			addresses[node.Name] = node.Address
+			if node.Zone == l.options.Zone {
+				near = append(near, node.Name)
+			}
 		}
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.addresses = addresses
-	l.seats = rendezvous.NewSet(rendezvous.Top(seatsKey, names, seatCount(len(names))))
+	before := l.seats.Top(seatsKey, l.seats.Len())
+	seats := rendezvous.Top(seatsKey, names, seatCount(len(names)))
+	if !slices.Equal(before, seats) {
+		l.seats, l.seatedAt, l.seated = rendezvous.NewSet(seats), now, make(map[string]bool, len(seats))
+		for _, name := range seats {
+			l.seated[name] = true
+		}
+	}
+	l.zoneSeats = rendezvous.NewSet(rendezvous.Top(seatsKey, near, zoneSeats))
 	for name := range l.silent {
 		if addresses[name] == "" {
 			delete(l.silent, name)
@@ -181,7 +207,7 @@
 	l.openLinks(now)
 	for tenant, held := range l.meters {
 		held.meter.SetNodes(l.nodeCount())
-		held.ranked = l.seats.Top(tenant, ranks)
+		held.ranked = l.ranked(tenant)
 		held.meter.SetStanding(l.standing(held.ranked), now)
 	}
 	l.stir()
@@ -197,6 +223,18 @@
 	return min(nodes, seats)
 }
 
+// ranked returns the coordinators of a tenant for this node, best first. The caller holds the
+// mutex.
+func (l *Limiter) ranked(tenant string) []string {
+	found := l.seats.Top(tenant, ranks)
+	for _, name := range l.zoneSeats.Top(tenant, 1) {
+		if !slices.Contains(found, name) {
+			found = append(found, name)
+		}
+	}
+	return found
+}
+
 // nodeCount returns the number of nodes. The caller holds the mutex.
 func (l *Limiter) nodeCount() int {
 	if len(l.addresses) == 0 {
@@ -230,7 +268,7 @@
 func (l *Limiter) Coordinator(tenant string) string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.coordinator(l.seats.Top(tenant, ranks))
+	return l.coordinator(l.ranked(tenant))
 }
 
 // AtLimit returns the number of tenants at their limit that this node coordinates.
@@ -250,7 +288,7 @@
 func (l *Limiter) metered(tenant string, limit route.RateLimit, now time.Time) *metered {
 	held := l.meters[tenant]
 	if held == nil {
-		held = &metered{meter: NewMeter(tenant, limit, l.options.Bounds, l.nodeCount(), now), ranked: l.seats.Top(tenant, ranks)}
+		held = &metered{meter: NewMeter(tenant, limit, l.options.Bounds, l.nodeCount(), l.wasInTouch, now), ranked: l.ranked(tenant)}
 		held.meter.SetStanding(l.standing(held.ranked), now)
 		l.meters[tenant] = held
 	}
@@ -323,6 +361,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.doubt()
+	l.wasInTouch = false
 	for _, held := range l.meters {
 		held.meter.Forget(now)
 	}
@@ -336,6 +375,7 @@
 
 // doubt lets the accounts begin without a burst. The caller holds the mutex.
 func (l *Limiter) doubt() {
+	l.seatedAt = time.Now()
 	for _, kept := range l.accounts {
 		kept.account.Doubt()
 	}
--- a/pkg/quota/links.go
+++ b/pkg/quota/links.go
@@ -7,6 +7,10 @@
 	"github.com/bramblemast/bramblemast/pkg/quota/quotapb"
 )
 
+// seatInterval is how often coordinators ask each other whether they answer: one that is cut
+// off must know of it also while no tenant is at its limit, since others stand in for it.
+const seatInterval = 500 * time.Millisecond
+
 // Waits between the questions whether a silent coordinator answers again.
 const (
 	firstProbeWait    = 500 * time.Millisecond
@@ -22,6 +26,8 @@
 	calling   bool
 	wait      time.Duration
 	nextProbe time.Time
+	// calledAt is when the last call began.
+	calledAt time.Time
 	// doubtedAt is when it was last asked because another one stands in for it.
 	doubtedAt time.Time
 	// lost says that it was told to be lost.
@@ -44,7 +50,11 @@
 // openLinks keeps a link to each seat. The caller holds the mutex.
 func (l *Limiter) openLinks(now time.Time) {
 	links := make(map[string]*link, l.seats.Len())
-	for _, name := range l.seats.Top(seatsKey, l.seats.Len()) {
+	names := append(l.seats.Top(seatsKey, l.seats.Len()), l.zoneSeats.Top(seatsKey, l.zoneSeats.Len())...)
+	for _, name := range names {
+		if links[name] != nil {
+			continue
+		}
 		links[name] = l.links[name]
 		if links[name] == nil {
 			isLocal := name == l.options.Local
@@ -111,12 +121,36 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for name, found := range l.links {
-		if !found.answers && !found.calling && !now.Before(found.nextProbe) {
+		isDue := !found.answers && !now.Before(found.nextProbe)
+		if !isDue && found.answers && !found.isLocal && l.isSeat(l.options.Local) && l.isSeat(name) {
+			isDue = now.Sub(found.calledAt) >= seatInterval
+		}
+		if isDue && !found.calling {
 			l.call(ctx, name, &quotapb.Report{Start: l.options.Start}, nil)
 		}
 	}
 }
 
+// isSeat reports whether a node coordinates limits for the whole deployment. The caller holds
+// the mutex.
+func (l *Limiter) isSeat(name string) bool {
+	return l.seated[name]
+}
+
+// isDoubtful reports whether this node coordinates limits and another coordinator does not
+// answer, so that nodes may be out of touch. The caller holds the mutex.
+func (l *Limiter) isDoubtful() bool {
+	if !l.isSeat(l.options.Local) {
+		return false
+	}
+	for name, found := range l.links {
+		if !found.answers && l.isSeat(name) {
+			return true
+		}
+	}
+	return false
+}
+
 // noteAnswer notes whether a coordinator answered a call. The caller holds the mutex.
 func (l *Limiter) noteAnswer(name string, err error, now time.Time) {
 	found := l.links[name]
@@ -129,6 +163,7 @@
 		found.lose(now)
 	} else {
 		found.regain()
+		l.wasInTouch = true
 	}
 	if did != found.answers {
 		l.setStandings(now)
--- a/pkg/quota/meter.go
+++ b/pkg/quota/meter.go
@@ -21,6 +21,9 @@
 	// refusedKept is the number of refused requests that are remembered, so that those that
 	// are repeated at once count once.
 	refusedKept = 32
+	// aloneSpan is the span of its entitlement that a node alone may save up, since requests
+	// come unevenly.
+	aloneSpan = 1500 * time.Millisecond
 	// greatestAloneWait bounds the wait that is told by a node out of touch, which lasts for
 	// seconds mostly, while other nodes are in touch.
 	greatestAloneWait = 2 * time.Second
@@ -84,6 +87,9 @@
 	hasSpare bool
 	// entitled is the rate while out of touch with the first coordinator.
 	entitled float64
+	// wasInTouch says that the node has been in touch with coordinators since its start, so
+	// that other nodes cannot all have begun with it.
+	wasInTouch bool
 	// alone is the bucket while there is no coordinator or its word is too old.
 	alone bucket
 	// refused are the lots of the last refused requests, a ring; it is made at the first.
@@ -91,9 +97,13 @@
 	nextRefused int
 }
 
-// NewMeter returns the view of a node that has heard nothing of a tenant.
-func NewMeter(tenant string, limit route.RateLimit, bounds Bounds, nodes int, now time.Time) *Meter {
-	meter := &Meter{tenant: tenant, limit: limit, bounds: bounds, nodes: nodes, recent: movingRate{span: recentSpan}, share: 1}
+// NewMeter returns the view of a node that has heard nothing of a tenant; wasInTouch says that
+// it has heard of others since its start.
+func NewMeter(tenant string, limit route.RateLimit, bounds Bounds, nodes int, wasInTouch bool, now time.Time) *Meter {
+	meter := &Meter{
+		tenant: tenant, limit: limit, bounds: bounds, nodes: nodes, wasInTouch: wasInTouch,
+		recent: movingRate{span: recentSpan}, share: 1,
+	}
 	meter.goAlone(now)
 	return meter
 }
@@ -121,9 +131,9 @@
 // goAlone begins to decide without a coordinator.
 func (m *Meter) goAlone(now time.Time) {
 	rate := m.entitlement(now)
-	m.alone = bucket{rate: rate, cap: max(1, rate), at: now}
+	m.alone = bucket{rate: rate, cap: max(1, rate*aloneSpan.Seconds()), at: now}
 	switch {
-	case m.toldAt.IsZero():
+	case m.toldAt.IsZero() && !m.wasInTouch:
 		// All nodes may have started together, after one burst was spent already.
 		m.alone.level = min(1, (m.limit.Burst+m.bounds.room(m.limit)/2)/float64(max(1, m.nodes)))
 	case m.share >= 1:
--- a/pkg/quota/meter_test.go
+++ b/pkg/quota/meter_test.go
@@ -15,7 +15,7 @@
 
 // inTouch returns a meter whose first coordinator told a share.
 func inTouch(limit route.RateLimit, share, spare float64) *quota.Meter {
-	meter := quota.NewMeter("caller", limit, bounds, 67, start)
+	meter := quota.NewMeter("caller", limit, bounds, 67, false, start)
 	meter.SetStanding(quota.WithFirst, start)
 	meter.Tell(quota.Verdict{Share: share, Spare: spare, IsFirst: true, Wait: 20 * time.Millisecond}, start)
 	return meter
@@ -99,7 +99,7 @@
 	for _, limit := range tenants() {
 		admitted := 0
 		for range 67 {
-			meter := quota.NewMeter("caller", limit, bounds, 67, start)
+			meter := quota.NewMeter("caller", limit, bounds, 67, false, start)
 			for step := range 500 {
 				if meter.Admit(fmt.Sprint(step), start.Add(time.Duration(step)*10*time.Millisecond)).IsAdmitted {
 					admitted++
--- a/pkg/quota/reports.go
+++ b/pkg/quota/reports.go
@@ -48,7 +48,7 @@
 // call sends a report to a coordinator and takes the answer. The caller holds the mutex.
 func (l *Limiter) call(ctx context.Context, name string, message *quotapb.Report, told map[string]Use) {
 	address := l.addresses[name]
-	l.links[name].calling = true
+	l.links[name].calling, l.links[name].calledAt = true, time.Now()
 	l.sent.Reports++
 	l.group.Go(func() {
 		limited, cancel := context.WithTimeout(ctx, callTimeout)
@@ -108,11 +108,16 @@
 			continue
 		}
 		kept := l.accounts[tenant]
+		isFirst := l.isFirst(tenant)
 		if kept == nil {
-			kept = &coordinated{account: NewAccount(limit, l.options.Bounds, now), told: 1}
+			since := now
+			if isFirst {
+				since = l.seatedAt
+			}
+			kept = &coordinated{account: NewAccount(limit, l.options.Bounds, since, now), told: 1}
 			l.accounts[tenant] = kept
 		}
-		kept.isFirst = l.isFirst(tenant)
+		kept.isFirst = isFirst
 		touch := l.touch(kept)
 		kept.account.SetLimit(limit)
 		kept.account.Take(from, use, touch, now)
@@ -128,7 +133,8 @@
 // isFirst reports whether this node has the first seat for a tenant. The caller holds the
 // mutex.
 func (l *Limiter) isFirst(tenant string) bool {
-	return l.seats.InTop(tenant, l.options.Local, 1) && l.links[l.options.Local] != nil
+	top := l.seats.Top(tenant, 1)
+	return len(top) > 0 && top[0] == l.options.Local
 }
 
 // touch returns what this node knows of the others. The caller holds the mutex.
--- a/pkg/quota/simulation_test.go
+++ b/pkg/quota/simulation_test.go
@@ -83,7 +83,7 @@
 	node := d.nodes[index]
 	ctx, cancel := context.WithCancel(context.Background())
 	node.limiter = quota.New(quota.Options{
-		Local: node.name, Bounds: bounds, Transport: d.network.Transport(peer.Address(node.name)), Events: quiet{},
+		Local: node.name, Zone: zoneOf(index), Bounds: bounds, Transport: d.network.Transport(peer.Address(node.name)), Events: quiet{},
 		LimitOf: func(tenant string) (route.RateLimit, bool) {
 			d.mutex.Lock()
 			defer d.mutex.Unlock()
@@ -109,10 +109,13 @@
 	}
 }
 
+// zoneOf returns the zone of a node: eleven stand in each.
+func zoneOf(index int) string { return fmt.Sprint("zone-", index/11) }
+
 func (d *deployment) list() []quota.Node {
 	var list []quota.Node
-	for _, node := range d.nodes {
-		list = append(list, quota.Node{Name: node.name, Address: peer.Address(node.name)})
+	for index, node := range d.nodes {
+		list = append(list, quota.Node{Name: node.name, Zone: zoneOf(index), Address: peer.Address(node.name)})
 	}
 	return list
 }
--- a/pkg/quota/verdicts.go
+++ b/pkg/quota/verdicts.go
@@ -27,15 +27,21 @@
 	releaseSpan = 3 * repeatInterval
 )
 
-// spread tells all nodes the shares of the tenants at their limits, if that is due.
+// spread tells all nodes the shares of the tenants at their limits, if that is due. While
+// another coordinator does not answer it tells them also if there are none, to learn which
+// nodes are in touch.
 func (l *Limiter) spread(ctx context.Context, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	verdicts, isUrgent := l.limited(now)
+	interval := repeatInterval
 	if len(verdicts) == 0 {
-		return
+		if !l.isDoubtful() {
+			return
+		}
+		interval = silentInterval
 	}
-	if !l.spreading && (isUrgent && now.Sub(l.spreadAt) >= urgentInterval || now.Sub(l.spreadAt) >= repeatInterval) {
+	if !l.spreading && (isUrgent && now.Sub(l.spreadAt) >= urgentInterval || now.Sub(l.spreadAt) >= interval) {
 		l.spreading, l.spreadAt = true, now
 		for tenant, verdict := range verdicts {
 			l.accounts[tenant].told = verdict.Share
