Owners tell what their servers can take, and nodes refuse the rest at once

Cause: a node of a small deployment sees two requests a second and learned a share from five outcomes at their deadline (pkg/fleet/demand.go), after the overload. Owners, who see all load of a shard in their region, told nothing: requests that lacked another part in the end took most of the room, and nothing was refused.

Change: pkg/loadshed measures at the owner what is asked, by priority and tenant, and what servers do; divides it by urgency, with a quarter of the common share kept by each, and max-min among tenants of a rank; and lets requests in alike at all nodes. Shares go with reports and, when they change, to the nodes of the region. A request that needs r of n shards leaves the scarce ones alone. Waits go by priority before lots. Refusals tell times that spread.

Services without owners keep the share that each node learns.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,6 +17,7 @@
 	"github.com/bramblemast/bramblemast/internal/version"
 	"github.com/bramblemast/bramblemast/pkg/directory"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/loadshed"
 	"github.com/bramblemast/bramblemast/pkg/owner"
 	"github.com/bramblemast/bramblemast/pkg/peer"
 	"github.com/bramblemast/bramblemast/pkg/quarantine"
@@ -99,6 +100,10 @@
 	transport *peer.TCP
 	peers     *directory.Peers
 	owners    *owner.Client
+	// board is what this node was told of the room at services, room what it measures and
+	// tells of it.
+	board *loadshed.Board
+	room  *owner.Room
 }
 
 // New opens the node's listeners.
@@ -167,7 +172,7 @@
 		Quarantine: n.quarantine,
 	}
 	if n.owners != nil {
-		options.Owners = n.owners
+		options.Owners, options.Room = n.owners, n.room.Known()
 	}
 	handler := front.NewHandler(options)
 	if n.transport != nil {
@@ -218,7 +223,7 @@
 		},
 	})
 	n.state.roster = owner.NewRoster(*local, settings.Zones, n.state.fleet)
-	n.owners = owner.NewClient(n.state.roster, n.transport, ownerEvents{node: n})
+	n.openRoom()
 	return nil
 }
 
@@ -244,6 +249,7 @@
 		add(n.transport.Run)
 		add(n.peers.Run)
 		add(n.owners.Run)
+		add(n.room.Run)
 	}
 	add(n.listener.Sweep)
 	add(n.sweepServers)
@@ -268,6 +274,7 @@
 			}
 			n.state.fleet.Sweep(now)
 			n.quarantine.Sweep(now)
+			n.room.Sweep(now)
 		}
 	}
 }
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -134,6 +134,7 @@
 	if len(result.Owners) > 0 {
 		list = append(list, "owners", result.Owners)
 	}
+	list = appendAdmission(list, result)
 	if record.Policy.Template != "" {
 		list = append(list, "template", record.Policy.Template, "template_revision", record.Policy.Revision,
 			"arm", record.Policy.Arm)
--- a/internal/edge/owners.go
+++ b/internal/edge/owners.go
@@ -19,6 +19,7 @@
 			return found.Hedge, found.ExtraShare
 		},
 		Regions:  n.state.regionsNow,
+		Room:     n.room,
 		Recorder: recorder.RecordOwned,
 	})
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -173,3 +173,19 @@
 	g.Expect(text.String()).To(ContainSubstring("before: request suspect (servers ended: s1, s2, s3)"))
 	g.Expect(text.String()).NotTo(ContainSubstring("s9"))
 }
+
+// TestARefusedRequestNamesTheShardThatWasShortOfRoom, what it let in, and of whom.
+func TestARefusedRequestNamesTheShardThatWasShortOfRoom(t *testing.T) {
+	g := NewWithT(t)
+	lines, _, err := explain.Read(strings.NewReader(`{"@timestamp":"2026-03-13T13:02:12.1Z","@message":"request","node":"a",` +
+		`"request":"r","status":503,"reason":"not_offered","parts":0,"required":35,"total":36,"shed":36,"tenant":"acme",` +
+		`"short_service":"shard7","share":0.125,"share_age_ms":88,"priority":2,"retry_after_ms":640}
+`))
+	g.Expect(err).NotTo(HaveOccurred())
+	story, err := explain.Explain(lines, "r")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(story.Tries[0].Cause).To(Equal(explain.CauseNotOffered))
+	var text bytes.Buffer
+	story.Write(&text)
+	g.Expect(text.String()).To(ContainSubstring("short of room: shard7 let in 12.5 in 100 requests of priority 2 of acme, known for 88 ms"))
+}
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -38,29 +38,36 @@
 	// Text is the JSON of the line.
 	Text string
 
-	Request    string                 `json:"request"`
-	Route      string                 `json:"route"`
-	Path       string                 `json:"path"`
-	Version    uint64                 `json:"version"`
-	Status     int                    `json:"status"`
-	Reason     string                 `json:"reason"`
-	Outcome    string                 `json:"outcome"`
-	TookMillis float64                `json:"took_ms"`
-	StoreAge   int64                  `json:"store_age_ms"`
-	Parts      int                    `json:"parts"`
-	Required   int                    `json:"required"`
-	Total      int                    `json:"total"`
-	Hedges     int                    `json:"hedges"`
-	Denied     int                    `json:"budget_denied"`
-	Shed       int                    `json:"shed"`
-	RetryAfter int64                  `json:"retry_after_ms"`
-	Waiting    int                    `json:"waiting"`
-	Missing    []string               `json:"missing"`
-	Attempts   []fanout.AttemptRecord `json:"attempts"`
-	AskedBy    string                 `json:"asked_by"`
-	Owner      string                 `json:"owner"`
-	Owners     []fanout.OwnerRecord   `json:"owners"`
-	Error      string                 `json:"error"`
+	Request    string  `json:"request"`
+	Route      string  `json:"route"`
+	Path       string  `json:"path"`
+	Version    uint64  `json:"version"`
+	Status     int     `json:"status"`
+	Reason     string  `json:"reason"`
+	Outcome    string  `json:"outcome"`
+	TookMillis float64 `json:"took_ms"`
+	StoreAge   int64   `json:"store_age_ms"`
+	Parts      int     `json:"parts"`
+	Required   int     `json:"required"`
+	Total      int     `json:"total"`
+	Hedges     int     `json:"hedges"`
+	Denied     int     `json:"budget_denied"`
+	Shed       int     `json:"shed"`
+	RetryAfter int64   `json:"retry_after_ms"`
+	Waiting    int     `json:"waiting"`
+	// ShortService is the service that decided whether the request was let in, Share the part
+	// of the requests of its priority that was, and ShareAge how old that news was.
+	ShortService string                 `json:"short_service"`
+	Share        float64                `json:"share"`
+	ShareAge     int64                  `json:"share_age_ms"`
+	Priority     int                    `json:"priority"`
+	Tenant       string                 `json:"tenant"`
+	Missing      []string               `json:"missing"`
+	Attempts     []fanout.AttemptRecord `json:"attempts"`
+	AskedBy      string                 `json:"asked_by"`
+	Owner        string                 `json:"owner"`
+	Owners       []fanout.OwnerRecord   `json:"owners"`
+	Error        string                 `json:"error"`
 	// Fingerprint is the same for all tries of a request; ServersEnded ended while they had it.
 	Fingerprint  string   `json:"fingerprint"`
 	ServersEnded []string `json:"servers_ended"`
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -133,6 +133,7 @@
 		}
 		fmt.Fprintf(output, "  +%4.0f ms  answered %d, %s; %d of %d parts, %d wanted\n",
 			try.TookMillis, try.Status, try.Reason, try.Parts, try.Total, try.Required)
+		writeRoom(output, try.Line)
 		if try.RetryAfter > 0 {
 			fmt.Fprintf(output, "  the client was told to retry after %d ms\n", try.RetryAfter)
 		}
@@ -145,6 +146,19 @@
 	}
 }
 
+// writeRoom prints by what a request was let in or refused.
+func writeRoom(output io.Writer, line Line) {
+	if line.ShortService == "" {
+		return
+	}
+	caller := ""
+	if line.Tenant != "" {
+		caller = " of " + line.Tenant
+	}
+	fmt.Fprintf(output, "  short of room: %s let in %.1f in 100 requests of priority %d%s, known for %d ms\n",
+		line.ShortService, 100*line.Share, line.Priority, caller, line.ShareAge)
+}
+
 // writeAttempts prints sub-requests; their times count from when their node got the
 // request.
 func writeAttempts(output io.Writer, indent string, attempts []fanout.AttemptRecord) {
--- a/internal/front/conversation.go
+++ b/internal/front/conversation.go
@@ -168,6 +168,8 @@
 			wait = max(unservableWait, c.refusedFor(plan))
 		case result.Reason == fanout.StopQuarantined:
 			wait = c.quarantineWait()
+		case result.Admission.Share < 1:
+			wait = spreadWait(max(c.refusedFor(plan), leastRoomWait), result.Admission.Behind)
 		case result.Shed > 0:
 			wait = max(wait, c.refusedFor(plan))
 		}
@@ -180,6 +182,12 @@
 	c.record(status, plan, result)
 }
 
+// spreadWait spreads the return of refused requests over the time around one moment, those
+// first that were closest to being let in.
+func spreadWait(wait time.Duration, behind float64) time.Duration {
+	return min(time.Duration((0.5+behind)*float64(wait)), greatestWait)
+}
+
 // refusedFor returns for how long requests like this one have been refused, as far as that
 // matters to a client that retries.
 func (c *conversation) refusedFor(plan fanout.Plan) time.Duration {
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -63,7 +63,9 @@
 	Budget  fanout.Budget
 	// Owners are the nodes to ask for the shards of gathered requests; nil if this
 	// node asks all servers itself.
-	Owners   fanout.Owners
+	Owners fanout.Owners
+	// Room is what nodes tell each other of the room at services that have owners.
+	Room     *fanout.Room
 	Policies Policies
 	// Limits holds tenants to their limits; nil for none.
 	Limits Limits
@@ -96,7 +98,7 @@
 	}
 	gatherer, forwarder := runner, runner
 	gatherer.Sound, forwarder.Sound = isPart, isWholeAnswer
-	gatherer.Owners = options.Owners
+	gatherer.Owners, gatherer.Room = options.Owners, options.Room
 	handler.gatherer, handler.forwarder = &gatherer, &forwarder
 	return handler
 }
--- /dev/null
+++ b/pkg/fanout/admission_test.go
@@ -0,0 +1,108 @@
+package fanout_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange/exchangetest"
+	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/loadshed"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// selfOwner makes this node the owner of all services.
+type selfOwner struct{}
+
+func (selfOwner) Divide(services []string, _ route.Regions) []fanout.Group {
+	group := fanout.Group{}
+	for index := range services {
+		group.Indexes = append(group.Indexes, index)
+	}
+	return []fanout.Group{group}
+}
+
+func (selfOwner) Ask(fanout.Question, func(fanout.Report)) fanout.Pending {
+	panic("this node owns everything")
+}
+
+// inRoom gives the world's node the board of what it was told.
+func (w *world) inRoom() *fanout.Room {
+	board := loadshed.NewBoard()
+	w.runner.Owners = selfOwner{}
+	w.runner.Room = &fanout.Room{
+		Board: board, Meters: loadshed.NewMeters(w.fleet, board, func([]loadshed.Measured) {}), Lots: &loadshed.Lots{},
+	}
+	return w.runner.Room
+}
+
+func share(part float64) loadshed.Shares {
+	return loadshed.Shares{Ranks: []loadshed.RankShare{{Share: part}}}
+}
+
+// TestWhatIsNotLetInIsRefusedAtOnce, truly not run, with what decided it.
+func TestWhatIsNotLetInIsRefusedAtOnce(t *testing.T) {
+	in(t, func(g *WithT, w *world) {
+		w.add("a", "a1", quick("a"))
+		w.add("b", "b1", quick("b"))
+		room := w.inRoom()
+		room.Board.Take("a", share(0), time.Now())
+		asked := plan("a", "b")
+		asked.Required = 2
+		result, took := w.run(asked)
+		g.Expect(took).To(BeZero())
+		g.Expect(result.Reason).To(Equal(fanout.StopNotOffered))
+		g.Expect(result.Outcome).To(Equal(outcome.NotRun))
+		g.Expect(result.Admission.Scarcest).To(Equal("a"))
+		g.Expect(w.arrivals("a1", "b1")).To(BeZero())
+	})
+}
+
+// TestAScarceShardIsLeftToOthers by a request that has enough without it, and asked after all
+// once another shard fails.
+func TestAScarceShardIsLeftToOthers(t *testing.T) {
+	in(t, func(g *WithT, w *world) {
+		w.add("a", "a1", quick("a"))
+		w.add("b", "b1", quick("b"))
+		w.add("c", "c1", quick("c"))
+		room := w.inRoom()
+		room.Board.Take("a", share(0), time.Now())
+		asked := plan("a", "b", "c")
+		result, _ := w.run(asked)
+		g.Expect(result.Got).To(Equal(2))
+		g.Expect(w.arrivals("a1")).To(BeZero())
+		g.Expect(w.arrivals("b1", "c1")).To(Equal(2))
+	})
+}
+
+func TestASparedShardIsAskedOnceAnotherFails(t *testing.T) {
+	in(t, func(g *WithT, w *world) {
+		w.add("a", "a1", quick("a"))
+		w.add("b", "b1", exchangetest.Answer{Status: 500, Cut: -1})
+		w.add("c", "c1", quick("c"))
+		room := w.inRoom()
+		room.Board.Take("a", share(0), time.Now())
+		asked := plan("a", "b", "c")
+		asked.MaxAttempts = 1
+		result, _ := w.run(asked)
+		g.Expect(result.Got).To(Equal(2))
+		g.Expect(w.arrivals("a1")).To(Equal(1))
+	})
+}
+
+// TestNobodyIsRefusedWithoutOverload, and nothing is told.
+func TestNobodyIsRefusedWithoutOverload(t *testing.T) {
+	in(t, func(g *WithT, w *world) {
+		w.add("a", "a1", quick("a"))
+		room := w.inRoom()
+		for range 50 {
+			result, _ := w.run(plan("a"))
+			g.Expect(result.Got).To(Equal(1))
+		}
+		g.Expect(room.Board.IsIdle()).To(BeTrue())
+		shares, _ := room.Meters.Of("a", time.Now())
+		g.Expect(shares.Of(loadshed.Class{})).To(Equal(1.0))
+	})
+}
--- a/pkg/fanout/decide.go
+++ b/pkg/fanout/decide.go
@@ -72,14 +72,14 @@
 // retry.
 func (r *run) isRefused(now time.Time) bool {
 	isLate := !r.plan.Target.IsZero() && !now.Before(r.plan.Target)
-	return isLate && r.nothingRuns() && r.runner.Fleet.IsOverloaded(r.demand(), now)
+	return isLate && r.nothingRuns() && (r.admission.Share < 1 || r.runner.Fleet.IsOverloaded(r.demand(), now))
 }
 
 // noteDemand tells the fleet, at the end, whether the servers had room for the request
 // in the time that it had. One that failed for other reasons shows no load, and what
 // owners ask for is known to them.
 func (r *run) noteDemand(reason StopReason) {
-	if r.plan.Collect != nil || reason == StopCancelled {
+	if r.plan.Collect != nil || reason == StopCancelled || r.hasOwners() {
 		return
 	}
 	waiting := 0
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -11,6 +11,7 @@
 
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/loadshed"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/policy"
 	"github.com/bramblemast/bramblemast/pkg/quarantine"
@@ -74,6 +75,11 @@
 	Report func(answers map[int]*exchange.Response, wanted []int) error
 	// Granted brings positions of which one further server may be asked.
 	Granted <-chan []int
+	// Lot is the request's lot at the other node; zero to draw one from its id.
+	Lot uint64
+	// AdmittedShares are, for each service, the part of the requests like this one that the
+	// other node took it to have room for; nil for all.
+	AdmittedShares []float64
 	// Within is the time after which a report is due; before it the answers are kept
 	// back, so that most runs send one message.
 	Within time.Duration
@@ -147,6 +153,8 @@
 	// EndedServers are those that ended while they had the request, if it is kept from
 	// others.
 	EndedServers []string
+	// Admission is by what the request was let in or not.
+	Admission loadshed.Decision
 	// NoRoom says of each part whether a server refused it for want of room, or none
 	// was free.
 	NoRoom []bool
@@ -183,17 +191,31 @@
 	Owners Owners
 	// Quarantine keeps requests from servers that end when they run them; nil for none.
 	Quarantine *quarantine.Guard
+	// Room is what nodes tell each other of the room at services that have owners; nil for
+	// nothing.
+	Room *Room
+}
+
+// Room is what is known of services that have owners.
+type Room struct {
+	// Board holds what this node was told, Meters what it measures as an owner, and Lots
+	// draws the lots of its clients' requests.
+	Board  *loadshed.Board
+	Meters *loadshed.Meters
+	Lots   *loadshed.Lots
 }
 
 // Run asks the services of a plan. It returns as soon as the answer is final.
 func (r *Runner) Run(ctx context.Context, plan Plan, request *exchange.Request) Result {
 	run := newRun(r, plan, request)
+	run.divide()
 	if reason := run.refusedBecause(); reason != "" {
 		return run.refusal(reason)
 	}
+	run.spareOthers()
 	run.askOwners(time.Now())
 	for index := range plan.Services {
-		if run.parts[index].question == nil {
+		if part := &run.parts[index]; part.question == nil && !part.spared {
 			run.launchFirst(index, time.Now())
 		}
 	}
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -17,6 +17,7 @@
 // launchFirst asks the first server of a part.
 func (r *run) launchFirst(index int, now time.Time) {
 	r.runner.Budget.Earn(r.parts[index].service, now)
+	r.noteOffered(index, now)
 	r.launchNext(index, now)
 }
 
@@ -165,7 +166,7 @@
 // rank orders the sub-requests of a part among those of other requests.
 func (r *run) rank(part *part) fleet.Rank {
 	return fleet.Rank{
-		Needed: r.isNeeded(part), Target: r.plan.Target, Lot: r.lot, Deadline: r.plan.Deadline,
+		Needed: r.isNeeded(part), Target: r.plan.Target, Priority: r.plan.Priority, Lot: r.lot, Deadline: r.plan.Deadline,
 	}
 }
 
--- a/pkg/fanout/owners.go
+++ b/pkg/fanout/owners.go
@@ -36,6 +36,11 @@
 	Plan     *Plan
 	Required int
 	Request  *exchange.Request
+	// Lot orders the request among others.
+	Lot uint64
+	// AdmittedShares are, for each service, the part of the requests like this one that it has
+	// room for; nil for all.
+	AdmittedShares []float64
 	// ReportWithin is the time after which the owner reports what it has.
 	ReportWithin time.Duration
 }
@@ -127,16 +132,19 @@
 // askOwners asks the owners of the plan's services.
 func (r *run) askOwners(now time.Time) {
 	if r.plan.Collect != nil {
+		if r.plan.Collect.Lot != 0 {
+			r.lot = r.plan.Collect.Lot
+		}
 		r.fresh, r.reportAt = make(map[int]*exchange.Response), now.Add(r.plan.Collect.Within)
 		for index := range r.parts {
 			r.parts[index].owned = true
 		}
 		return
 	}
-	if r.runner.Owners == nil || !r.plan.Repeatable || r.isKeptBack() {
+	if r.isKeptBack() {
 		return
 	}
-	for _, group := range r.runner.Owners.Divide(r.plan.Services, r.regions()) {
+	for _, group := range r.groups {
 		if group.Owner != "" {
 			r.ask(group, now)
 			continue
@@ -147,12 +155,23 @@
 	}
 }
 
-// ask sends a question to an owner.
+// divide finds the owners of the plan's services.
+func (r *run) divide() {
+	if r.plan.Collect == nil && r.runner.Owners != nil && r.plan.Repeatable {
+		r.groups = r.runner.Owners.Divide(r.plan.Services, r.regions())
+	}
+}
+
+// ask sends a question to an owner, but for the parts that are left to others.
 func (r *run) ask(group Group, now time.Time) {
-	asked := &question{owner: group.Owner, indexes: group.Indexes, within: r.reportWithin(now), told: make(map[int]bool)}
+	indexes := r.withoutSpared(group.Indexes)
+	if len(indexes) == 0 {
+		return
+	}
+	asked := &question{owner: group.Owner, indexes: indexes, within: r.reportWithin(now), told: make(map[int]bool)}
 	asked.silentAt = now.Add(asked.patience())
-	services := make([]string, len(group.Indexes))
-	for position, index := range group.Indexes {
+	services := make([]string, len(indexes))
+	for position, index := range indexes {
 		part := &r.parts[index]
 		part.question = asked
 		part.arrivals, part.executions = 1, 1
@@ -162,7 +181,7 @@
 	required := (r.plan.Required*len(services) + len(r.parts) - 1) / len(r.parts)
 	asked.pending = r.runner.Owners.Ask(Question{
 		Owner: group.Owner, Services: services, Plan: &r.plan, Required: required, Request: r.request,
-		ReportWithin: asked.within,
+		ReportWithin: asked.within, Lot: r.lot, AdmittedShares: r.admittedShares(services, now),
 	}, func(report Report) { r.inbox.put(asked, report) })
 }
 
--- a/pkg/fanout/part.go
+++ b/pkg/fanout/part.go
@@ -49,6 +49,11 @@
 	question *question
 	// owned says that this node asks the service's servers for others too.
 	owned bool
+	// spared says that the service is left to others, since the request can be answered
+	// without it.
+	spared bool
+	// isOffered says that the part counts among the load of its service.
+	isOffered bool
 	// granted counts the further servers that may be asked in a run for another
 	// node; wanted says that one was asked for.
 	granted int
--- a/pkg/fanout/result.go
+++ b/pkg/fanout/result.go
@@ -100,8 +100,8 @@
 		Refusals: make([]*exchange.Response, len(r.parts)),
 		Got:      r.got, Reason: reason, Hedges: r.hedges, Retries: r.retries, Sent: r.sent, Denied: r.denied, Broken: r.broken,
 		Attempts: r.records(time.Now()), Asked: len(r.questions), Owners: r.ownerRecords(),
-		EndedServers: r.endedServers(),
-		MayRun:       make([]bool, len(r.parts)), NoRoom: make([]bool, len(r.parts)),
+		EndedServers: r.endedServers(), Admission: r.admission,
+		MayRun: make([]bool, len(r.parts)), NoRoom: make([]bool, len(r.parts)),
 	}
 	ran, mayRun := false, false
 	for index := range r.parts {
@@ -139,7 +139,7 @@
 	if !r.isServable() {
 		return StopUnservable
 	}
-	if !r.runner.Fleet.Admits(r.demand(), r.lot, r.began) {
+	if !r.isLetIn() {
 		return StopNotOffered
 	}
 	return ""
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/loadshed"
 	"github.com/bramblemast/bramblemast/pkg/quarantine"
 	"github.com/bramblemast/bramblemast/pkg/route"
 )
@@ -66,6 +67,11 @@
 	// the rule is to be asked again; zero for never.
 	coveredAt time.Time
 	recheckAt time.Time
+	// groups are the services with an owner, and admission by what the request was let in.
+	groups    []Group
+	admission loadshed.Decision
+	// work is what one part takes of a server.
+	work time.Duration
 	// questions are those to owners, and inbox what they have reported.
 	questions []*question
 	inbox     *inbox
@@ -87,7 +93,7 @@
 	isRefusedTrial bool
 	// fingerprinted is the request's fingerprint once it was made.
 	fingerprinted *exchange.Fingerprint
-	// lot is drawn from the request's id, alike on all nodes.
+	// lot orders the request among others, alike on all nodes.
 	lot     uint64
 	got     int
 	open    int
@@ -106,7 +112,7 @@
 	return &run{
 		runner: runner, plan: plan, request: request, parts: parts, began: time.Now(), lot: xxhash.Sum64String(request.ID),
 		results: make(chan finished, len(parts)), wakes: make(chan int, len(parts)), ended: make(chan struct{}), open: len(parts),
-		inbox: newInbox(), claims: make(chan *quarantine.Trial),
+		inbox: newInbox(), claims: make(chan *quarantine.Trial), admission: loadshed.Decision{IsAdmitted: true, Share: 1},
 	}
 }
 
@@ -231,6 +237,7 @@
 	part.answer = answer
 	part.ran = true
 	part.hedgeAt = time.Time{}
+	r.noteServedPart(part)
 	r.got++
 	if !part.closed {
 		r.open--
@@ -321,6 +328,7 @@
 	part.closed = true
 	part.hedgeAt = time.Time{}
 	r.open--
+	r.takeBackSpared()
 }
 
 func without(list []*attempt, removed *attempt) []*attempt {
--- a/pkg/fleet/waiting.go
+++ b/pkg/fleet/waiting.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/loadshed"
+)
 
 // Rank orders sub-requests for which no server is free.
 type Rank struct {
@@ -9,6 +13,8 @@
 	Needed bool
 	// Target is until when an answer is of full value; zero if always.
 	Target time.Time
+	// Priority orders requests that are in time; zero is the most urgent.
+	Priority int
 	// Lot orders requests that are alike; it is the same for all sub-requests of
 	// a request.
 	Lot uint64
@@ -17,7 +23,7 @@
 }
 
 // goesBefore orders by what an answer can still earn. Those without which no
-// answer can be given go first; among them those that are in time, by lot, so
+// answer can be given go first; among them those that are in time, by urgency and lot, so
 // that under overload the same requests go first at every service: in the order
 // of arrival all would be late together. Late ones follow, the one that ends
 // soonest first.
@@ -29,6 +35,8 @@
 	switch {
 	case isInTime != isOtherInTime:
 		return isInTime
+	case isInTime && r.Priority != other.Priority:
+		return r.Priority < other.Priority
 	case isInTime:
 		return r.Lot > other.Lot
 	}
@@ -71,6 +79,24 @@
 	return count
 }
 
+// Backlog implements loadshed.Queues: it counts the sub-requests that are needed and in time.
+func (f *Fleet) Backlog(service string, now time.Time) loadshed.Backlog {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var backlog loadshed.Backlog
+	var targets time.Duration
+	for _, each := range f.waiters[service] {
+		if each.Choice.Rank.Needed && each.Choice.Target > 0 && each.Choice.Rank.isInTime(now) {
+			backlog.Waiting++
+			targets += each.Choice.Target
+		}
+	}
+	if backlog.Waiting > 0 {
+		backlog.Target = targets / time.Duration(backlog.Waiting)
+	}
+	return backlog
+}
+
 // removeWaiter takes a waiter from its list. The mutex is held.
 func (f *Fleet) removeWaiter(waiter *Waiter) {
 	service := waiter.Choice.Service
--- /dev/null
+++ b/pkg/loadshed/board.go
@@ -0,0 +1,183 @@
+package loadshed
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// shareLife is how long shares that are not told again are kept: three of the repetitions
+// while they matter. A node that hears nothing falls back to what it sees itself.
+const shareLife = 1500 * time.Millisecond
+
+// Board holds what this node was told of the room at services.
+type Board struct {
+	// limited counts the services with shares, so that nothing is locked without overload.
+	limited atomic.Int64
+
+	mutex sync.RWMutex
+	// told is guarded by mutex.
+	told map[string]told
+}
+
+// told are the shares of one service.
+type told struct {
+	shares Shares
+	// measuredAt is when they were judged.
+	measuredAt time.Time
+}
+
+// NewBoard returns an empty board.
+func NewBoard() *Board { return &Board{told: make(map[string]told)} }
+
+// IsIdle reports whether every service is known to have room for all requests.
+func (b *Board) IsIdle() bool { return b.limited.Load() == 0 }
+
+// Limited returns how many services are short of room.
+func (b *Board) Limited() int { return int(b.limited.Load()) }
+
+// Take notes the shares of a service as they were judged at a moment; older ones than those
+// known are passed over.
+func (b *Board) Take(service string, shares Shares, measuredAt time.Time) {
+	if shares.IsFull() && b.IsIdle() {
+		return
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	known, isKnown := b.told[service]
+	if isKnown && measuredAt.Before(known.measuredAt) {
+		return
+	}
+	if shares.IsFull() {
+		delete(b.told, service)
+	} else {
+		b.told[service] = told{shares: shares, measuredAt: measuredAt}
+	}
+	b.limited.Store(int64(len(b.told)))
+}
+
+// ShareOf returns the part of the requests of a class that a service has room for.
+func (b *Board) ShareOf(service string, class Class, now time.Time) float64 {
+	if b.IsIdle() {
+		return 1
+	}
+	b.mutex.RLock()
+	defer b.mutex.RUnlock()
+	share, _ := b.shareOf(service, class, now)
+	return share
+}
+
+// Decision is whether a request is let in.
+type Decision struct {
+	IsAdmitted bool
+	// Class is what it was judged by.
+	Class Class
+	// Share is the part of the requests like this one that is let in.
+	Share float64
+	// Behind is how far the request's lot is from those that are let in, 0 to 1.
+	Behind float64
+	// Spared are the positions of services that are left to others, since the request can be
+	// answered without them; nil for none.
+	Spared []int
+	// Scarcest is the service that decided Share, and Age how old its shares are.
+	Scarcest string
+	Age      time.Duration
+}
+
+// Admit decides about a request that needs some of the services. The requests with the
+// greatest lots are let in, so that all services and nodes let in the same ones.
+func (b *Board) Admit(services []string, required int, class Class, lot uint64, now time.Time) Decision {
+	if b.IsIdle() {
+		return Decision{IsAdmitted: true, Class: class, Share: 1}
+	}
+	b.mutex.RLock()
+	defer b.mutex.RUnlock()
+	var room [maxSpareable + 1]scarce
+	spareable := min(max(0, len(services)-max(1, required)), maxSpareable)
+	least := room[:0]
+	for index, service := range services {
+		share, age := b.shareOf(service, class, now)
+		if share < 1 {
+			least = insert(least, scarce{index: index, share: share, age: age}, spareable+1)
+		}
+	}
+	decision := decide(services, least, spareable, lot)
+	decision.Class = class
+	return decision
+}
+
+// maxSpareable bounds the services that a request leaves to others.
+const maxSpareable = 63
+
+// scarce is a service of which only a part of the requests is let in.
+type scarce struct {
+	index int
+	share float64
+	age   time.Duration
+}
+
+// insert keeps the scarcest services, the scarcest first, at most so many.
+func insert(least []scarce, added scarce, most int) []scarce {
+	position := len(least)
+	for position > 0 && least[position-1].share > added.share {
+		position--
+	}
+	if position >= most {
+		return least
+	}
+	if len(least) < most {
+		least = append(least, scarce{})
+	}
+	copy(least[position+1:], least[position:])
+	least[position] = added
+	return least
+}
+
+// decide lets a request in if enough services have room for it. Those that have none for it
+// are left to others.
+func decide(services []string, least []scarce, spareable int, lot uint64) Decision {
+	position := 1 - float64(lot)/math.MaxUint64
+	decision := Decision{IsAdmitted: true, Share: 1}
+	if len(least) > spareable {
+		deciding := least[spareable]
+		decision.Share, decision.Scarcest, decision.Age = deciding.share, services[deciding.index], deciding.age
+		decision.IsAdmitted = position <= deciding.share
+	}
+	if !decision.IsAdmitted {
+		decision.Behind = (position - decision.Share) / (1 - decision.Share)
+		return decision
+	}
+	for _, each := range least {
+		if position > each.share && len(decision.Spared) < spareable {
+			decision.Spared = append(decision.Spared, each.index)
+		}
+	}
+	return decision
+}
+
+// shareOf returns the share of a class at a service, 1 if nothing recent is known. The mutex
+// is held.
+func (b *Board) shareOf(service string, class Class, now time.Time) (float64, time.Duration) {
+	known, isKnown := b.told[service]
+	if !isKnown {
+		return 1, 0
+	}
+	age := now.Sub(known.measuredAt)
+	if age > shareLife {
+		return 1, 0
+	}
+	return known.shares.Of(class), age
+}
+
+// Sweep forgets shares that are old. It is called every second or so.
+func (b *Board) Sweep(now time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for service, known := range b.told {
+		if now.Sub(known.measuredAt) > shareLife {
+			delete(b.told, service)
+		}
+	}
+	b.limited.Store(int64(len(b.told)))
+}
--- a/pkg/owner/client.go
+++ b/pkg/owner/client.go
@@ -11,6 +11,7 @@
 	"github.com/bramblemast/bramblemast/pkg/directory"
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/loadshed"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/owner/ownerpb"
 	"github.com/bramblemast/bramblemast/pkg/peer"
@@ -36,6 +37,8 @@
 	roster    *Roster
 	transport peer.Streamer
 	events    Events
+	// board takes what owners tell of the room at their services.
+	board *loadshed.Board
 }
 
 // Events takes what a Client finds out of other nodes. It does not block.
@@ -48,9 +51,10 @@
 
 var _ fanout.Owners = (*Client)(nil)
 
-// NewClient returns a client that asks the nodes of a roster.
-func NewClient(roster *Roster, transport peer.Streamer, events Events) *Client {
-	return &Client{roster: roster, transport: transport, events: events}
+// NewClient returns a client that asks the nodes of a roster. The board takes what they tell
+// of the room at services.
+func NewClient(roster *Roster, transport peer.Streamer, board *loadshed.Board, events Events) *Client {
+	return &Client{roster: roster, transport: transport, events: events, board: board}
 }
 
 // Divide implements fanout.Owners.
@@ -100,14 +104,14 @@
 		return unsent{}
 	}
 	now := time.Now()
-	receive := func(body []byte, err error) { c.receive(node, body, err, report) }
+	receive := func(body []byte, err error) { c.receive(node, question.Services, body, err, report) }
 	stream := c.transport.Open(
 		peer.Address(node.PeerAddress), kindQuestion, encodeQuestion(question, now), question.Plan.Deadline.Sub(now), receive)
 	return &pending{Stream: stream, client: c, node: node}
 }
 
-// receive hands on one message of an owner, or the end of its answer.
-func (c *Client) receive(node directory.Node, body []byte, err error, report func(fanout.Report)) {
+// receive hands on one message of an owner about some services, or the end of its answer.
+func (c *Client) receive(node directory.Node, services []string, body []byte, err error, report func(fanout.Report)) {
 	switch {
 	case errors.Is(err, io.EOF):
 		return
@@ -116,7 +120,7 @@
 		report(fanout.Report{Err: err})
 		return
 	}
-	decoded, err := decodeReport(body)
+	decoded, room, err := decodeReport(body)
 	if err != nil {
 		err = &outcome.Error{Step: "decode report", Peer: node.Name, Reason: outcome.ReasonCorruptResponse, Cause: err}
 		c.lose(node, err)
@@ -124,6 +128,7 @@
 	}
 	if decoded.Err == nil {
 		c.regain(node)
+		takeReportedRoom(c.board, services, room, time.Now())
 	}
 	report(decoded)
 }
@@ -175,7 +180,7 @@
 		HasBody: request.HasBody, Kind: plan.Kind, Services: question.Services, Required: uint32(question.Required),
 		MaxAttempts: uint32(plan.MaxAttempts), TopRecords: uint32(plan.TopRecords),
 		DeadlineUs: microseconds(plan.Deadline.Sub(now)), AssumedUs: microseconds(plan.Assumed),
-		ReportUs: microseconds(question.ReportWithin), Version: plan.Version, Tenant: plan.Tenant, Priority: int32(plan.Priority),
+		ReportUs: microseconds(question.ReportWithin), Version: plan.Version, Tenant: plan.Tenant, Priority: int32(plan.Priority), Lot: question.Lot, AdmittedShares: question.AdmittedShares,
 	}
 	if plan.Regions != nil {
 		encoded.Regions = plan.Regions().Names()
@@ -195,10 +200,10 @@
 
 // decodeReport reads a report. The records of all its parts stand in the answer of
 // one of them, since they are merged.
-func decodeReport(body []byte) (fanout.Report, error) {
+func decodeReport(body []byte) (fanout.Report, []*ownerpb.Room, error) {
 	encoded := &ownerpb.Report{}
 	if err := encoded.UnmarshalVT(body); err != nil {
-		return fanout.Report{}, err
+		return fanout.Report{}, nil, err
 	}
 	report := fanout.Report{
 		Answers: make(map[int]*exchange.Response, len(encoded.Parts)), Ended: encoded.Ended,
@@ -221,5 +226,5 @@
 			Cause: errors.New(failure.Cause), Shed: failure.Shed, NotRun: failure.NotRun,
 		}
 	}
-	return report, nil
+	return report, encoded.Room, nil
 }
--- a/pkg/owner/owner_test.go
+++ b/pkg/owner/owner_test.go
@@ -21,6 +21,7 @@
 	"github.com/bramblemast/bramblemast/pkg/fanout"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/gather"
+	"github.com/bramblemast/bramblemast/pkg/loadshed"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/owner"
 	"github.com/bramblemast/bramblemast/pkg/owner/ownerpb"
@@ -220,7 +221,7 @@
 	}
 	created.fleet.SetConnections(connections)
 	created.roster = owner.NewRoster(created.Node, map[string]string{"z": "r", "y": "q"}, created.fleet)
-	created.client = owner.NewClient(created.roster, created.transport, created)
+	created.client = owner.NewClient(created.roster, created.transport, loadshed.NewBoard(), created)
 	runner := fanout.Runner{
 		Fleet: created.fleet, Budget: created.budget, Dialect: &exchangetest.Dialect, Linger: 350 * time.Millisecond,
 		Sound: func(answer *exchange.Response) bool { return answer.Status == http.StatusOK && answer.Evidence != "" },
--- /dev/null
+++ b/pkg/owner/room.go
@@ -0,0 +1,198 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramblemast/bramblemast/pkg/directory"
+	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/loadshed"
+	"github.com/bramblemast/bramblemast/pkg/owner/ownerpb"
+	"github.com/bramblemast/bramblemast/pkg/peer"
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+// kindRoom tells of the room at services.
+const kindRoom peer.Kind = "owner.room"
+
+// Constants of what is told to all nodes of a region.
+const (
+	// tellTimeout bounds one message: what comes later is repeated by then.
+	tellTimeout = 400 * time.Millisecond
+	// mostTold bounds the nodes that are told at once, so that the connections to them stay
+	// open. In a larger region the others learn from the reports to their own questions.
+	mostTold = 40
+)
+
+// Room measures, as an owner, what the servers of services can take, and tells the nodes of
+// the region. It is safe for concurrent use.
+type Room struct {
+	board     *loadshed.Board
+	meters    *loadshed.Meters
+	roster    *Roster
+	transport peer.Transport
+	told      func([]loadshed.Measured)
+	// waiting has the message that is to be told next.
+	waiting chan []loadshed.Measured
+}
+
+// RoomOptions are the parts of a Room.
+type RoomOptions struct {
+	Queues loadshed.Queues
+	// Board takes what this node and others tell.
+	Board *loadshed.Board
+	// Roster has the nodes that are told.
+	Roster    *Roster
+	Transport peer.Transport
+	// Told takes what the nodes are told; it does not block.
+	Told func([]loadshed.Measured)
+}
+
+// NewRoom registers the handler of what other owners tell.
+func NewRoom(options RoomOptions) *Room {
+	created := &Room{
+		board: options.Board, roster: options.Roster, transport: options.Transport, told: options.Told,
+		waiting: make(chan []loadshed.Measured, 1),
+	}
+	created.meters = loadshed.NewMeters(options.Queues, options.Board, created.put)
+	options.Transport.Handle(kindRoom, created.take)
+	return created
+}
+
+// Known returns the board and the meters for the runs of this node.
+func (r *Room) Known() *fanout.Room {
+	return &fanout.Room{Board: r.board, Meters: r.meters, Lots: &loadshed.Lots{}}
+}
+
+// put keeps a message until Run tells it; one that still waits gives way to it.
+func (r *Room) put(message []loadshed.Measured) {
+	select {
+	case <-r.waiting:
+	default:
+	}
+	select {
+	case r.waiting <- message:
+	default:
+	}
+}
+
+// Run tells what has changed, until ctx ends.
+func (r *Room) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case message := <-r.waiting:
+			r.spread(ctx, message)
+		}
+	}
+}
+
+func (r *Room) spread(ctx context.Context, message []loadshed.Measured) {
+	r.told(message)
+	now := time.Now()
+	rooms := &ownerpb.Rooms{}
+	for _, each := range message {
+		rooms.Rooms = append(rooms.Rooms, encodeRoom(each.Service, each.Shares, now.Sub(each.At)))
+	}
+	limited, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	peer.Spread(limited, r.transport, r.roster.neighbours(), kindRoom, rooms, func() proto.Message { return &ownerpb.Ping{} })
+}
+
+// take notes what another owner tells.
+func (r *Room) take(_ context.Context, _ target.NodeID, body []byte) (proto.Message, error) {
+	rooms := &ownerpb.Rooms{}
+	if err := rooms.UnmarshalVT(body); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	for _, each := range rooms.Rooms {
+		takeRoom(r.board, each, now)
+	}
+	return &ownerpb.Ping{}, nil
+}
+
+// Sweep forgets what is old. It is called every second or so.
+func (r *Room) Sweep(now time.Time) {
+	if r == nil {
+		return
+	}
+	r.board.Sweep(now)
+	r.meters.Sweep(now)
+}
+
+// of returns what is told with a report about some services.
+func (r *Room) of(services []string, now time.Time) []*ownerpb.Room {
+	if r == nil {
+		return nil
+	}
+	var rooms []*ownerpb.Room
+	for _, service := range services {
+		if shares, at := r.meters.Of(service, now); !shares.IsFull() {
+			rooms = append(rooms, encodeRoom(service, shares, now.Sub(at)))
+		}
+	}
+	return rooms
+}
+
+func encodeRoom(service string, shares loadshed.Shares, age time.Duration) *ownerpb.Room {
+	encoded := &ownerpb.Room{Service: service, AgeMs: uint32(max(0, age.Milliseconds()))}
+	for _, rank := range shares.Ranks {
+		encoded.Ranks = append(encoded.Ranks, &ownerpb.RankShare{Priority: int32(rank.Priority), Share: rank.Share})
+	}
+	for _, heavy := range shares.Tenants {
+		encoded.Tenants = append(encoded.Tenants, &ownerpb.TenantShare{
+			Priority: int32(heavy.Priority), Tenant: heavy.Tenant, Share: heavy.Share,
+		})
+	}
+	return encoded
+}
+
+// takeRoom notes one service's shares on a board.
+func takeRoom(board *loadshed.Board, told *ownerpb.Room, now time.Time) {
+	var shares loadshed.Shares
+	for _, rank := range told.Ranks {
+		shares.Ranks = append(shares.Ranks, loadshed.RankShare{Priority: int(rank.Priority), Share: rank.Share})
+	}
+	for _, heavy := range told.Tenants {
+		shares.Tenants = append(shares.Tenants, loadshed.TenantShare{
+			Class: loadshed.Class{Priority: int(heavy.Priority), Tenant: heavy.Tenant}, Share: heavy.Share,
+		})
+	}
+	board.Take(told.Service, shares, now.Add(-time.Duration(told.AgeMs)*time.Millisecond))
+}
+
+// takeReportedRoom notes what a report tells of the services of its question: those that it
+// does not name have room for all.
+func takeReportedRoom(board *loadshed.Board, services []string, told []*ownerpb.Room, now time.Time) {
+	if len(told) == 0 && board.IsIdle() {
+		return
+	}
+	named := make(map[string]bool, len(told))
+	for _, each := range told {
+		named[each.Service] = true
+		takeRoom(board, each, now)
+	}
+	for _, service := range services {
+		if !named[service] {
+			board.Take(service, loadshed.Shares{}, now)
+		}
+	}
+}
+
+// neighbours returns the other nodes of the region that are told of changes.
+func (r *Roster) neighbours() []peer.Address {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var addresses []peer.Address
+	for _, node := range r.byName {
+		isOther := node.Name != r.local.Name
+		if isOther && directory.SameRegion(r.regions, node.Zone, r.local.Zone) && len(addresses) < mostTold {
+			addresses = append(addresses, peer.Address(node.PeerAddress))
+		}
+	}
+	return addresses
+}
--- /dev/null
+++ b/pkg/owner/room_test.go
@@ -0,0 +1,128 @@
+package owner_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/directory"
+	"github.com/bramblemast/bramblemast/pkg/loadshed"
+	"github.com/bramblemast/bramblemast/pkg/owner"
+	"github.com/bramblemast/bramblemast/pkg/peer"
+)
+
+// crowdedQueues has more waiting than can be served while it is set.
+type crowdedQueues struct{ waiting int }
+
+func (q *crowdedQueues) Backlog(string, time.Time) loadshed.Backlog {
+	return loadshed.Backlog{Waiting: q.waiting, Target: 200 * time.Millisecond}
+}
+
+// roomNode is a node that measures and is told.
+type roomNode struct {
+	board  *loadshed.Board
+	room   *owner.Room
+	queues *crowdedQueues
+	told   int
+}
+
+// inRegion runs a test with three nodes, two of them in one region.
+func inRegion(t *testing.T, test func(g *WithT, network *peer.Network, nodes map[string]*roomNode)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		network := peer.NewNetwork(1)
+		network.SetLatency(func(_, _ peer.Address) time.Duration { return time.Millisecond })
+		known := []directory.Node{
+			{Name: "owner", Zone: "z", PeerAddress: "owner"}, {Name: "near", Zone: "y", PeerAddress: "near"},
+			{Name: "far", Zone: "x", PeerAddress: "far"},
+		}
+		nodes := make(map[string]*roomNode)
+		done := make(chan struct{}, len(known))
+		for _, each := range known {
+			created := &roomNode{board: loadshed.NewBoard(), queues: &crowdedQueues{}}
+			roster := owner.NewRoster(each, map[string]string{"z": "r", "y": "r", "x": "q"}, noServers{})
+			roster.SetNodes(known)
+			created.room = owner.NewRoom(owner.RoomOptions{
+				Queues: created.queues, Board: created.board, Roster: roster,
+				Transport: network.Transport(peer.Address(each.Name)), Told: func([]loadshed.Measured) { created.told++ },
+			})
+			go func() { _ = created.room.Run(ctx); done <- struct{}{} }()
+			nodes[each.Name] = created
+		}
+		test(NewWithT(t), network, nodes)
+		cancel()
+		for range known {
+			<-done
+		}
+		time.Sleep(time.Minute)
+		network.Close()
+	})
+}
+
+type noServers struct{}
+
+func (noServers) Generation() uint64     { return 0 }
+func (noServers) Places(string) []string { return nil }
+func (noServers) IsCrowded(string) bool  { return true }
+func (noServers) Knows([]string) bool    { return true }
+
+// load offers requests of a service to a node for a while.
+func (n *roomNode) load(span time.Duration) {
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		n.room.Known().Meters.Offer("s", loadshed.Class{}, 20*time.Millisecond, 1, time.Now())
+	}
+}
+
+// TestNodesOfTheRegionLearnWithinTenthsOfASecond that a service is short of room, and within a
+// second that it is not any more; messages do not grow with the load.
+func TestNodesOfTheRegionLearnWithinTenthsOfASecond(t *testing.T) {
+	inRegion(t, func(g *WithT, _ *peer.Network, nodes map[string]*roomNode) {
+		owning, near := nodes["owner"], nodes["near"]
+		owning.load(time.Second)
+		g.Expect(owning.told).To(BeZero(), "nothing is told without overload")
+		owning.queues.waiting = 50
+		owning.load(500 * time.Millisecond)
+		g.Expect(near.board.ShareOf("s", loadshed.Class{}, time.Now())).To(BeNumerically("<", 0.5))
+		g.Expect(nodes["far"].board.IsIdle()).To(BeTrue(), "other regions have owners of their own")
+		owning.load(2 * time.Second)
+		g.Expect(owning.told).To(BeNumerically("<=", 2500/200+1))
+		owning.queues.waiting = 0
+		for range 100 {
+			owning.room.Known().Meters.Offer("s", loadshed.Class{}, 20*time.Millisecond, 1, time.Now())
+			owning.room.Known().Meters.Serve("s", 20*time.Millisecond)
+			time.Sleep(15 * time.Millisecond)
+		}
+		g.Expect(near.board.ShareOf("s", loadshed.Class{}, time.Now())).To(Equal(1.0))
+	})
+}
+
+// TestANodeThatIsCutOffForgets what it was told while nothing comes.
+func TestANodeThatIsCutOffForgets(t *testing.T) {
+	inRegion(t, func(g *WithT, network *peer.Network, nodes map[string]*roomNode) {
+		owning, near := nodes["owner"], nodes["near"]
+		owning.queues.waiting = 50
+		owning.load(time.Second)
+		g.Expect(near.board.IsIdle()).To(BeFalse())
+		network.Cut([]peer.Address{"near"}, []peer.Address{"owner", "far"})
+		owning.load(2 * time.Second)
+		g.Expect(near.board.ShareOf("s", loadshed.Class{}, time.Now())).To(Equal(1.0))
+		near.room.Sweep(time.Now())
+		g.Expect(near.board.IsIdle()).To(BeTrue())
+	})
+}
+
+// TestALostOwnerIsForgotten: its shares end with it, and the next owner measures anew.
+func TestALostOwnerIsForgotten(t *testing.T) {
+	inRegion(t, func(g *WithT, _ *peer.Network, nodes map[string]*roomNode) {
+		owning, near := nodes["owner"], nodes["near"]
+		owning.queues.waiting = 50
+		owning.load(time.Second)
+		g.Expect(near.board.ShareOf("s", loadshed.Class{}, time.Now())).To(BeNumerically("<", 1))
+		near.load(2 * time.Second)
+		g.Expect(near.board.ShareOf("s", loadshed.Class{}, time.Now())).To(Equal(1.0))
+	})
+}
--- a/pkg/owner/server.go
+++ b/pkg/owner/server.go
@@ -33,6 +33,8 @@
 	// Regions returns where a request may be served now, by this node's configuration or by
 	// what the asking node told, whichever is newer.
 	Regions func(asked Asked) route.Regions
+	// Room is what this node measures of the services that it is asked for.
+	Room *Room
 	// Recorder takes the story of each question; it does not block.
 	Recorder func(Record)
 }
@@ -99,6 +101,7 @@
 		for _, index := range wanted {
 			report.Wanted = append(report.Wanted, uint32(index))
 		}
+		report.Room = s.options.Room.of(question.Services, time.Now())
 		return open.Send(report)
 	}
 	plan.Collect.Granted = listenForGrants(open, len(question.Services))
@@ -110,7 +113,9 @@
 	if result.Reason == fanout.StopCancelled {
 		return ctx.Err()
 	}
-	return open.Send(lastReport(result, told, int(question.TopRecords)))
+	report := lastReport(result, told, int(question.TopRecords))
+	report.Room = s.options.Room.of(question.Services, time.Now())
+	return open.Send(report)
 }
 
 // listenForGrants returns what the asking node grants. It grants each service of
@@ -148,12 +153,15 @@
 	plan := fanout.Plan{
 		Kind: question.Kind, Tenant: question.Tenant, Priority: int(question.Priority), Services: question.Services, Required: int(question.Required), Repeatable: true,
 		MaxAttempts: int(question.MaxAttempts), Deadline: began.Add(left), Assumed: span(question.AssumedUs),
-		Patience: left, Hedge: hedge, ExtraShare: share, Collect: &fanout.Collect{Within: span(question.ReportUs)},
+		Patience: left, Hedge: hedge, ExtraShare: share, Collect: &fanout.Collect{Within: span(question.ReportUs), Lot: question.Lot},
 	}
 	asked := Asked{
 		Host: question.Host, Target: question.Target, Version: question.Version, Tenant: question.Tenant, Regions: route.OnlyRegions(question.Regions),
 	}
 	plan.Regions = func() route.Regions { return s.options.Regions(asked) }
+	if len(question.AdmittedShares) == len(question.Services) {
+		plan.Collect.AdmittedShares = question.AdmittedShares
+	}
 	if question.TargetUs > 0 {
 		plan.Target = began.Add(span(question.TargetUs))
 	}
