One decision who is let in: gathered and single requests, owners and nodes

Cause: services without owners kept the share that each node learned from its own outcomes (pkg/fleet/demand.go), beside the shares that owners tell.

Change: the meter runs wherever servers are asked; only owners tell. demand.go goes, but for how long a service has had no server (absence.go). The meter starts sooner (a queue that grows while servers work, at two looks), grows only without a queue, and no longer stops for what other services hold back.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,8 +16,8 @@
 	"github.com/bramblemast/bramblemast/internal/suspension"
 	"github.com/bramblemast/bramblemast/internal/version"
 	"github.com/bramblemast/bramblemast/pkg/directory"
+	"github.com/bramblemast/bramblemast/pkg/fanout"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
-	"github.com/bramblemast/bramblemast/pkg/loadshed"
 	"github.com/bramblemast/bramblemast/pkg/owner"
 	"github.com/bramblemast/bramblemast/pkg/peer"
 	"github.com/bramblemast/bramblemast/pkg/quarantine"
@@ -100,9 +100,9 @@
 	transport *peer.TCP
 	peers     *directory.Peers
 	owners    *owner.Client
-	// board is what this node was told of the room at services, room what it measures and
-	// tells of it.
-	board *loadshed.Board
+	// known is what this node knows of the room at services; room tells others of it and is
+	// nil if the node has no address for its peers.
+	known *fanout.Room
 	room  *owner.Room
 }
 
@@ -132,6 +132,7 @@
 	})
 	node.state.quarantine = node.quarantine
 	local := directory.Node{Name: settings.Node.Name, Zone: settings.Node.Zone}
+	node.known = fanout.NewRoom(node.state.fleet)
 	if err := node.openPeers(settings, &local); err != nil {
 		return nil, err
 	}
@@ -169,10 +170,10 @@
 	options := front.Options{
 		Dialect: n.options.Dialect, State: n.state, Fleet: n.state.fleet, Budget: n.state.budgets, Policies: rules,
 		Events: recorder, Random: newRandom(), MaxInFlight: maxInFlight,
-		Quarantine: n.quarantine,
+		Quarantine: n.quarantine, Room: n.known,
 	}
 	if n.owners != nil {
-		options.Owners, options.Room = n.owners, n.room.Known()
+		options.Owners = n.owners
 	}
 	handler := front.NewHandler(options)
 	if n.transport != nil {
@@ -223,6 +224,7 @@
 		},
 	})
 	n.state.roster = owner.NewRoster(*local, settings.Zones, n.state.fleet)
+	n.owners = owner.NewClient(n.state.roster, n.transport, n.known.Board, ownerEvents{node: n})
 	n.openRoom()
 	return nil
 }
@@ -274,7 +276,7 @@
 			}
 			n.state.fleet.Sweep(now)
 			n.quarantine.Sweep(now)
-			n.room.Sweep(now)
+			n.known.Sweep(now)
 		}
 	}
 }
--- a/internal/edge/room.go
+++ b/internal/edge/room.go
@@ -6,16 +6,13 @@
 	"github.com/bramblemast/bramblemast/pkg/owner"
 )
 
-// openRoom lets this node ask owners and be one: what both tell of the room at services comes
-// together on one board.
+// openRoom lets this node tell others of the room at services that it asks on their behalf.
 func (n *Node) openRoom() {
-	n.board = loadshed.NewBoard()
-	n.owners = owner.NewClient(n.state.roster, n.transport, n.board, ownerEvents{node: n})
 	n.room = owner.NewRoom(owner.RoomOptions{
-		Queues: n.state.fleet, Board: n.board, Roster: n.state.roster, Transport: n.transport, Told: n.logRoom,
+		Known: n.known, Roster: n.state.roster, Transport: n.transport, Told: n.logRoom,
 	})
 	n.figures.gauge("services_short_of_room", "Services of which this node lets in only a part of the requests.", func() float64 {
-		return float64(n.board.Limited())
+		return float64(n.known.Board.Limited())
 	})
 }
 
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -64,7 +64,8 @@
 	// Owners are the nodes to ask for the shards of gathered requests; nil if this
 	// node asks all servers itself.
 	Owners fanout.Owners
-	// Room is what nodes tell each other of the room at services that have owners.
+	// Room is what nodes tell each other of the room at services; nil for one that this node
+	// keeps for itself.
 	Room     *fanout.Room
 	Policies Policies
 	// Limits holds tenants to their limits; nil for none.
@@ -94,11 +95,14 @@
 	}
 	runner := fanout.Runner{
 		Fleet: options.Fleet, Budget: options.Budget, Dialect: &handler.dialect.Dialect, Linger: lingerAfterAnswer,
-		Quarantine: options.Quarantine,
+		Quarantine: options.Quarantine, Room: options.Room,
+	}
+	if runner.Room == nil {
+		runner.Room = fanout.NewRoom(options.Fleet)
 	}
 	gatherer, forwarder := runner, runner
 	gatherer.Sound, forwarder.Sound = isPart, isWholeAnswer
-	gatherer.Owners, gatherer.Room = options.Owners, options.Room
+	gatherer.Owners = options.Owners
 	handler.gatherer, handler.forwarder = &gatherer, &forwarder
 	return handler
 }
--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -8,9 +8,6 @@
 	"github.com/bramblemast/bramblemast/pkg/loadshed"
 )
 
-// hasOwners reports whether what is known of the room at the services comes from their owners.
-func (r *run) hasOwners() bool { return r.runner.Room != nil && len(r.groups) > 0 }
-
 // class is what the request is judged by.
 func (r *run) class() loadshed.Class {
 	return loadshed.Class{Priority: r.plan.Priority, Tenant: r.plan.Tenant}
@@ -29,17 +26,26 @@
 	return hash.Sum64()
 }
 
-// isLetIn decides whether the request is begun: by what the owners of its services tell, or
-// by what this node's own requests have shown where there are none.
+// isLetIn decides whether the request is begun, by what is known of the room at its services.
 func (r *run) isLetIn() bool {
-	if !r.hasOwners() {
-		return r.runner.Fleet.Admits(r.demand(), r.lot, r.began)
+	room := r.runner.Room
+	if room == nil {
+		return true
 	}
-	r.lot = r.runner.Room.Lots.Draw(r.askedHash(), r.lot, r.began)
-	r.admission = r.runner.Room.Board.Admit(r.plan.Services, r.plan.Required, r.class(), r.lot, r.began)
+	r.lot = room.Lots.Draw(r.askedHash(), r.lot, r.began)
+	r.admission = r.admit(r.began)
 	return r.admission.IsAdmitted
 }
 
+// isShort reports whether only a part of the requests like this one is let in.
+func (r *run) isShort(now time.Time) bool {
+	return r.runner.Room != nil && (r.admission.Share < 1 || r.admit(now).Share < 1)
+}
+
+func (r *run) admit(now time.Time) loadshed.Decision {
+	return r.runner.Room.Board.Admit(r.plan.Services, r.regions().Key(), r.plan.Required, r.class(), r.lot, now)
+}
+
 // spareOthers leaves the services to others that have no room for the request and without
 // which it can be answered.
 func (r *run) spareOthers() {
@@ -79,17 +85,18 @@
 	}
 }
 
-// noteOffered counts a part that this node asks for on behalf of others among the load of its
-// service.
+// noteOffered counts a part whose servers this node asks among the load of its service. Those
+// that it asks in the place of an owner are a small part of the load, and tell nothing.
 func (r *run) noteOffered(index int, now time.Time) {
 	part := &r.parts[index]
-	if r.runner.Room == nil || !part.owned {
+	isForOwner := len(r.groups) > 0 && !part.owned
+	if r.runner.Room == nil || isForOwner {
 		return
 	}
 	share := 1.0
 	switch collect := r.plan.Collect; {
 	case collect == nil:
-		share = r.runner.Room.Board.ShareOf(part.service, r.class(), now)
+		share = r.runner.Room.Board.ShareOf(r.load(part.service), r.class(), now)
 	case collect.AdmittedShares != nil:
 		share = collect.AdmittedShares[index]
 	}
@@ -97,7 +104,9 @@
 		r.work = r.runner.Fleet.Profile(r.plan.Kind, r.plan.Assumed).Mean
 	}
 	part.isOffered = true
-	r.runner.Room.Meters.Offer(part.service, r.class(), r.work, share, now)
+	r.runner.Room.Meters.Offer(r.load(part.service), loadshed.Offered{
+		Class: r.class(), Work: r.work, Share: share, ForOthers: part.owned,
+	}, now)
 }
 
 // admittedShares returns the part of the requests like this one that each service has room
@@ -108,7 +117,7 @@
 	}
 	shares := make([]float64, len(services))
 	for position, service := range services {
-		shares[position] = r.runner.Room.Board.ShareOf(service, r.class(), now)
+		shares[position] = r.runner.Room.Board.ShareOf(r.load(service), r.class(), now)
 	}
 	return shares
 }
@@ -116,6 +125,6 @@
 // noteServedPart counts a part that was noted as offered and is answered.
 func (r *run) noteServedPart(part *part) {
 	if part.isOffered {
-		r.runner.Room.Meters.Serve(part.service, r.work)
+		r.runner.Room.Meters.Serve(r.load(part.service), r.work)
 	}
 }
--- a/pkg/fanout/decide.go
+++ b/pkg/fanout/decide.go
@@ -9,7 +9,7 @@
 // decide reports whether the answer is final.
 func (r *run) decide(now time.Time) (StopReason, bool) {
 	switch {
-	case r.got == len(r.parts):
+	case r.got == len(r.parts)-len(r.admission.Spared):
 		return StopComplete, true
 	case r.open == 0:
 		return StopExhausted, true
@@ -72,26 +72,7 @@
 // retry.
 func (r *run) isRefused(now time.Time) bool {
 	isLate := !r.plan.Target.IsZero() && !now.Before(r.plan.Target)
-	return isLate && r.nothingRuns() && (r.admission.Share < 1 || r.runner.Fleet.IsOverloaded(r.demand(), now))
-}
-
-// noteDemand tells the fleet, at the end, whether the servers had room for the request
-// in the time that it had. One that failed for other reasons shows no load, and what
-// owners ask for is known to them.
-func (r *run) noteDemand(reason StopReason) {
-	if r.plan.Collect != nil || reason == StopCancelled || r.hasOwners() {
-		return
-	}
-	waiting := 0
-	for index := range r.parts {
-		if each := &r.parts[index]; each.answer == nil && each.waiter != nil {
-			waiting++
-		}
-	}
-	served := r.got >= r.plan.Required
-	if served || r.got+waiting >= r.plan.Required {
-		r.runner.Fleet.NoteDemand(r.demand(), r.began, served, time.Now())
-	}
+	return isLate && r.nothingRuns() && r.isShort(now)
 }
 
 // nothingRuns reports whether no server runs or has run any part.
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -191,20 +191,33 @@
 	Owners Owners
 	// Quarantine keeps requests from servers that end when they run them; nil for none.
 	Quarantine *quarantine.Guard
-	// Room is what nodes tell each other of the room at services that have owners; nil for
-	// nothing.
+	// Room is what is known of the room at services; nil to let everything in.
 	Room *Room
 }
 
-// Room is what is known of services that have owners.
+// Room is what a node knows of the room at services.
 type Room struct {
-	// Board holds what this node was told, Meters what it measures as an owner, and Lots
-	// draws the lots of its clients' requests.
+	// Board holds what this node was told and has measured, Meters measures the services whose
+	// servers it asks, and Lots draws the lots of its clients' requests.
 	Board  *loadshed.Board
 	Meters *loadshed.Meters
 	Lots   *loadshed.Lots
 }
 
+// NewRoom returns what a node knows that is told nothing by others.
+func NewRoom(queues loadshed.Queues) *Room {
+	board := loadshed.NewBoard()
+	return &Room{
+		Board: board, Meters: loadshed.NewMeters(queues, board), Lots: &loadshed.Lots{},
+	}
+}
+
+// Sweep forgets what is old. It is called every second or so.
+func (r *Room) Sweep(now time.Time) {
+	r.Board.Sweep(now)
+	r.Meters.Sweep(now)
+}
+
 // Run asks the services of a plan. It returns as soon as the answer is final.
 func (r *Runner) Run(ctx context.Context, plan Plan, request *exchange.Request) Result {
 	run := newRun(r, plan, request)
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -8,6 +8,7 @@
 
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/loadshed"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/policy"
 )
@@ -166,7 +167,7 @@
 // rank orders the sub-requests of a part among those of other requests.
 func (r *run) rank(part *part) fleet.Rank {
 	return fleet.Rank{
-		Needed: r.isNeeded(part), Target: r.plan.Target, Priority: r.plan.Priority, Lot: r.lot, Deadline: r.plan.Deadline,
+		Needed: r.isNeeded(part), Target: r.plan.Target, Lot: loadshed.WaitOrder(r.lot, r.plan.Priority), Deadline: r.plan.Deadline,
 	}
 }
 
@@ -264,7 +265,6 @@
 	if reason != StopCancelled || r.plan.Collect != nil {
 		end = end.Add(r.runner.Linger)
 	}
-	r.noteDemand(reason)
 	r.trial.GiveBack()
 	r.inbox.close()
 	for _, asked := range r.questions {
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -124,9 +124,9 @@
 	return r.plan.Regions()
 }
 
-// demand names the load that the request is counted in.
-func (r *run) demand() fleet.DemandKey {
-	return fleet.DemandKey{Service: r.plan.Services[0], Regions: r.regions().Key()}
+// load names the load on a service that the request is counted in.
+func (r *run) load(service string) loadshed.Key {
+	return loadshed.Key{Service: service, Regions: r.regions().Key()}
 }
 
 // loop handles events until the answer is final.
@@ -321,7 +321,7 @@
 // expected before it ends: an outage lasts about as long again as it has. A gathered
 // request keeps what it has got.
 func (r *run) isHopeless(part *part, now time.Time) bool {
-	return len(r.parts) == 1 && part.absent && r.runner.Fleet.AbsentFor(r.demand(), now) >= r.plan.Deadline.Sub(now)
+	return len(r.parts) == 1 && part.absent && r.runner.Fleet.AbsentFor(r.load(part.service), now) >= r.plan.Deadline.Sub(now)
 }
 
 func (r *run) closePart(part *part) {
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -75,7 +75,7 @@
 	best, _, availability := f.cheapest(choice, profile, now)
 	if best == nil {
 		if availability == Absent {
-			f.demandOf(choice.demand(), now).noteAbsent(now)
+			f.noteAbsent(choice.load(), now)
 		}
 		return nil, availability
 	}
@@ -83,7 +83,7 @@
 		return nil, Busy
 	}
 	lease := &Lease{
-		Server: best.Server, Pool: best.pool, member: best, profile: profile, demand: choice.demand(), began: now,
+		Server: best.Server, Pool: best.pool, member: best, profile: profile, load: choice.load(), began: now,
 		Expected: best.zone.roundTrip + profile.typical() + 2*profile.deviation,
 	}
 	best.active = append(best.active, lease)
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/loadshed"
 )
 
 // Place is where a node runs.
@@ -57,9 +58,8 @@
 	evacuations map[string]evacuation
 	// waiters are the sub-requests for which no server was free, by service.
 	waiters map[string][]*Waiter
-	// demands are what is known of the load of each service, apart for requests that are
-	// bound to regions.
-	demands map[DemandKey]*demand
+	// absences are the loads that have found no server lately.
+	absences map[loadshed.Key]absence
 	// generation changes with the servers that are listed and their zones.
 	generation uint64
 }
@@ -76,7 +76,7 @@
 		connections: make(map[string]int),
 		waiters:     make(map[string][]*Waiter),
 		evacuations: make(map[string]evacuation),
-		demands:     make(map[DemandKey]*demand),
+		absences:    make(map[loadshed.Key]absence),
 	}
 }
 
@@ -166,7 +166,7 @@
 		f.services[name] = kept
 		if len(kept) == 0 {
 			delete(f.services, name)
-			f.forgetDemands(name)
+			f.forgetAbsences(name)
 		}
 	}
 	f.mutex.Unlock()
--- a/pkg/fleet/lease.go
+++ b/pkg/fleet/lease.go
@@ -6,6 +6,7 @@
 
 	"github.com/bramblemast/bramblemast/internal/pause"
 	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/loadshed"
 	"github.com/bramblemast/bramblemast/pkg/route"
 )
 
@@ -20,9 +21,9 @@
 
 	member  *member
 	profile *Profile
-	// demand is the load that the request is counted in.
-	demand DemandKey
-	began  time.Time
+	// load is that which the request is counted in.
+	load  loadshed.Key
+	began time.Time
 	// target is that of the Choice.
 	target time.Duration
 }
@@ -86,9 +87,7 @@
 		used.failures, used.turnedAway = 0, 0
 		used.noteOutcome(false, now)
 		used.answeredAt = now
-		if known := f.demands[lease.demand]; known != nil {
-			known.absentAt = time.Time{}
-		}
+		delete(f.absences, lease.load)
 		used.avoidUntil = time.Time{}
 		f.observeTime(lease, elapsed, now)
 		f.adapt(lease, elapsed, now)
--- a/pkg/fleet/waiting.go
+++ b/pkg/fleet/waiting.go
@@ -13,8 +13,6 @@
 	Needed bool
 	// Target is until when an answer is of full value; zero if always.
 	Target time.Time
-	// Priority orders requests that are in time; zero is the most urgent.
-	Priority int
 	// Lot orders requests that are alike; it is the same for all sub-requests of
 	// a request.
 	Lot uint64
@@ -23,7 +21,7 @@
 }
 
 // goesBefore orders by what an answer can still earn. Those without which no
-// answer can be given go first; among them those that are in time, by urgency and lot, so
+// answer can be given go first; among them those that are in time, by lot, so
 // that under overload the same requests go first at every service: in the order
 // of arrival all would be late together. Late ones follow, the one that ends
 // soonest first.
@@ -35,8 +33,6 @@
 	switch {
 	case isInTime != isOtherInTime:
 		return isInTime
-	case isInTime && r.Priority != other.Priority:
-		return r.Priority < other.Priority
 	case isInTime:
 		return r.Lot > other.Lot
 	}
@@ -80,13 +76,13 @@
 }
 
 // Backlog implements loadshed.Queues: it counts the sub-requests that are needed and in time.
-func (f *Fleet) Backlog(service string, now time.Time) loadshed.Backlog {
+func (f *Fleet) Backlog(key loadshed.Key, now time.Time) loadshed.Backlog {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	var backlog loadshed.Backlog
 	var targets time.Duration
-	for _, each := range f.waiters[service] {
-		if each.Choice.Rank.Needed && each.Choice.Target > 0 && each.Choice.Rank.isInTime(now) {
+	for _, each := range f.waiters[key.Service] {
+		if each.countsIn(key.Regions) && each.Choice.Rank.isInTime(now) {
 			backlog.Waiting++
 			targets += each.Choice.Target
 		}
@@ -97,6 +93,12 @@
 	return backlog
 }
 
+// countsIn reports whether a waiter counts in the load of the requests that are bound to
+// regions with a key.
+func (w *Waiter) countsIn(regions string) bool {
+	return w.Choice.Rank.Needed && w.Choice.Target > 0 && w.Choice.Regions.Key() == regions
+}
+
 // removeWaiter takes a waiter from its list. The mutex is held.
 func (f *Fleet) removeWaiter(waiter *Waiter) {
 	service := waiter.Choice.Service
--- a/pkg/loadshed/board.go
+++ b/pkg/loadshed/board.go
@@ -18,7 +18,7 @@
 
 	mutex sync.RWMutex
 	// told is guarded by mutex.
-	told map[string]told
+	told map[Key]told
 }
 
 // told are the shares of one service.
@@ -29,7 +29,7 @@
 }
 
 // NewBoard returns an empty board.
-func NewBoard() *Board { return &Board{told: make(map[string]told)} }
+func NewBoard() *Board { return &Board{told: make(map[Key]told)} }
 
 // IsIdle reports whether every service is known to have room for all requests.
 func (b *Board) IsIdle() bool { return b.limited.Load() == 0 }
@@ -39,32 +39,32 @@
 
 // Take notes the shares of a service as they were judged at a moment; older ones than those
 // known are passed over.
-func (b *Board) Take(service string, shares Shares, measuredAt time.Time) {
+func (b *Board) Take(key Key, shares Shares, measuredAt time.Time) {
 	if shares.IsFull() && b.IsIdle() {
 		return
 	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	known, isKnown := b.told[service]
+	known, isKnown := b.told[key]
 	if isKnown && measuredAt.Before(known.measuredAt) {
 		return
 	}
 	if shares.IsFull() {
-		delete(b.told, service)
+		delete(b.told, key)
 	} else {
-		b.told[service] = told{shares: shares, measuredAt: measuredAt}
+		b.told[key] = told{shares: shares, measuredAt: measuredAt}
 	}
 	b.limited.Store(int64(len(b.told)))
 }
 
 // ShareOf returns the part of the requests of a class that a service has room for.
-func (b *Board) ShareOf(service string, class Class, now time.Time) float64 {
+func (b *Board) ShareOf(key Key, class Class, now time.Time) float64 {
 	if b.IsIdle() {
 		return 1
 	}
 	b.mutex.RLock()
 	defer b.mutex.RUnlock()
-	share, _ := b.shareOf(service, class, now)
+	share, _ := b.shareOf(key, class, now)
 	return share
 }
 
@@ -85,9 +85,9 @@
 	Age      time.Duration
 }
 
-// Admit decides about a request that needs some of the services. The requests with the
+// Admit decides about a request that needs some of the services, in regions with a key. The requests with the
 // greatest lots are let in, so that all services and nodes let in the same ones.
-func (b *Board) Admit(services []string, required int, class Class, lot uint64, now time.Time) Decision {
+func (b *Board) Admit(services []string, regions string, required int, class Class, lot uint64, now time.Time) Decision {
 	if b.IsIdle() {
 		return Decision{IsAdmitted: true, Class: class, Share: 1}
 	}
@@ -97,7 +97,7 @@
 	spareable := min(max(0, len(services)-max(1, required)), maxSpareable)
 	least := room[:0]
 	for index, service := range services {
-		share, age := b.shareOf(service, class, now)
+		share, age := b.shareOf(Key{Service: service, Regions: regions}, class, now)
 		if share < 1 {
 			least = insert(least, scarce{index: index, share: share, age: age}, spareable+1)
 		}
@@ -158,8 +158,8 @@
 
 // shareOf returns the share of a class at a service, 1 if nothing recent is known. The mutex
 // is held.
-func (b *Board) shareOf(service string, class Class, now time.Time) (float64, time.Duration) {
-	known, isKnown := b.told[service]
+func (b *Board) shareOf(key Key, class Class, now time.Time) (float64, time.Duration) {
+	known, isKnown := b.told[key]
 	if !isKnown {
 		return 1, 0
 	}
@@ -174,9 +174,9 @@
 func (b *Board) Sweep(now time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	for service, known := range b.told {
+	for key, known := range b.told {
 		if now.Sub(known.measuredAt) > shareLife {
-			delete(b.told, service)
+			delete(b.told, key)
 		}
 	}
 	b.limited.Store(int64(len(b.told)))
--- a/pkg/loadshed/loadshed.go
+++ b/pkg/loadshed/loadshed.go
@@ -22,6 +22,13 @@
 	Tenant string
 }
 
+// Key names the load on the servers of a service that some requests may use.
+type Key struct {
+	Service string
+	// Regions is the key of the regions to which the requests are bound; empty for none.
+	Regions string
+}
+
 // Shares tells which part of the requests a service can take, by class. The zero value lets
 // everything in.
 type Shares struct {
--- a/pkg/loadshed/lots.go
+++ b/pkg/loadshed/lots.go
@@ -1,6 +1,7 @@
 package loadshed
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -51,3 +52,20 @@
 	hash *= 0xc4ceb9fe1a85ec53
 	return hash ^ hash>>33
 }
+
+// Constants of the order of waits.
+const (
+	// urgencyShift is how many bits of its place in the order a priority costs: the first
+	// quarter of the less urgent requests waits among the more urgent ones, so that they keep a
+	// quarter of the rate.
+	urgencyShift = 2
+	// leastUrgent is the priority from which on all are alike.
+	leastUrgent = 8
+)
+
+// WaitOrder returns the order in which a request waits for a server, the greatest first: by its
+// lot and its urgency.
+func WaitOrder(lot uint64, priority int) uint64 {
+	place := math.MaxUint64 - lot
+	return math.MaxUint64 - place>>(urgencyShift*(leastUrgent-min(max(priority, 0), leastUrgent)))
+}
--- a/pkg/loadshed/meter.go
+++ b/pkg/loadshed/meter.go
@@ -13,40 +13,54 @@
 	// rateSpan is the time over which rates are averaged: some twenty requests of a region
 	// at the rates at which a service of three servers is full.
 	rateSpan = 500 * time.Millisecond
+	// admittedSpan is the time over which what is let in is averaged: long enough for some
+	// requests at a time, and short against the growth of the shares.
+	admittedSpan = 200 * time.Millisecond
+	// forgottenRate is the work a second below which a class is forgotten, 1 ms.
+	forgottenRate = 0.001
+	// maxClasses bounds the classes that are measured apart.
+	maxClasses = 512
+)
+
+// Constants that find a shortage of room.
+const (
 	// tolerableWait is the part of the time to a request's target that it may wait for a
 	// server: the rest is for the server's work and for a second try.
 	tolerableWait = 0.25
-	// leastBehind is how many judgements in a row have to find too long a wait, so that one
-	// server that stands still for a moment refuses nobody.
-	leastBehind = 3
+	// noticeableWait is the part of it from which on no more is let in: the servers are full.
+	noticeableWait = 0.05
+	// leastOutgrown is how many judgements in a row have to find too long a queue that grows
+	// although servers work, and leastBehind how many too long a queue whatever servers do:
+	// one that stands still for some tenths of a second refuses nobody.
+	leastOutgrown = 2
+	leastBehind   = 5
+)
+
+// Constants of how the capacity is found out while there is a shortage.
+const (
 	// behindPart of what the servers do is let in while the queue is too long, so that it is
 	// served.
 	behindPart = 0.85
-	// greatestFall bounds how fast the estimated capacity falls: answers that a lost server
-	// still owes come from the others a little later.
+	// greatestFall bounds how fast the estimated capacity falls in one judgement: answers that
+	// a lost server still owes come from the others a little later.
 	greatestFall = 0.9
-	// probeGrowth is by how much more is let in with each of the first probeTicks judgements
-	// without a queue, which finds the capacity out. After that room has come back, and
-	// growthStep is added to the growth each time: in nine judgements it is fourfold.
-	// admittedSpan is the time over which what is let in is averaged: long enough for some
-	// requests at a time, and short against the growth.
-	admittedSpan = 200 * time.Millisecond
-	// usedPart of the estimated capacity is let in before more is let in: otherwise other
-	// services hold the requests back, and nothing is found out.
-	usedPart       = 0.6
+	// usedPart of the estimated capacity is let in before it grows: otherwise other services
+	// hold the requests back, and nothing is found out.
+	usedPart = 0.6
+	// probeGrowth is by how much it grows with each of the first probeTicks judgements without
+	// a queue. After that room has most likely come back: growthStep is added to the growth
+	// each time, up to greatestGrowth, which is fivefold in nine judgements.
 	probeGrowth    = 0.03
 	probeTicks     = 3
-	growthStep     = 0.1
+	growthStep     = 0.15
 	greatestGrowth = 0.5
-	// starvedPart of what is asked is let in before more is added carefully: servers that take
-	// less than that without a queue have mostly come back from an outage.
+	// starvedPart of what is asked is let in before the capacity grows slowly: servers that
+	// take less than that without a queue have mostly come back from an outage.
 	starvedPart = 0.25
-	// leastShare is let in at least, so that returned room is noticed.
-	leastShare = 0.05
-	// forgottenRate is the work a second below which a class is forgotten, 1 ms.
-	forgottenRate = 0.001
-	// maxClasses bounds the classes that are measured apart.
-	maxClasses = 512
+	// leastShare is let in at least, so that returned room is noticed, and leastCounted is the
+	// least share by which a request of a less urgent kind is counted.
+	leastShare   = 0.05
+	leastCounted = leastShare * leastPart
 )
 
 // Backlog is the requests that wait for a server of a service and could still be answered in
@@ -65,19 +79,24 @@
 	// is the work of those that were let in.
 	offered             int
 	workOffered, served float64
+	// servedLast is the work done before the last judgement, and queued the work in the queue then.
+	servedLast, queued float64
 	// servedRate and admittedRate are averages a second.
 	servedRate, admittedRate float64
 	// meanWork is the work of a request, averaged.
 	meanWork float64
 	judgedAt time.Time
-	// behind counts judgements in a row that found too long a queue, calm those that did not.
-	behind, calm int
+	// behind counts judgements in a row that found too long a queue, outgrown those of them
+	// that found it growing although servers work, calm those that did not find one.
+	behind, outgrown, calm int
 	// isLimited says that only a part is let in; capacity is what the servers are taken to
 	// bear then, and asked what is asked of them, in work a second.
 	isLimited       bool
 	capacity, asked float64
 	shares          Shares
 	demands         []Demand
+	// isForOthers says that this node asks on behalf of others.
+	isForOthers bool
 }
 
 // rate is work a second, and the work since it was averaged last.
@@ -88,20 +107,31 @@
 	return &Meter{classes: make(map[Class]*rate), judgedAt: now}
 }
 
-// Offer notes a request that was let in with a share, and the work of a server that it takes.
-func (m *Meter) Offer(class Class, work time.Duration, share float64) {
+// Offered is a request that was let in.
+type Offered struct {
+	Class
+	// Work is what it takes of a server, and Share the part of the requests like it for which
+	// its node took the service to have room.
+	Work  time.Duration
+	Share float64
+	// ForOthers says that this node asks the servers on behalf of others, so that they are to
+	// know what it measures.
+	ForOthers bool
+}
+
+// Offer notes a request that was let in.
+func (m *Meter) Offer(offered Offered) {
+	class, work, share := offered.Class, offered.Work, offered.Share
+	m.isForOthers = m.isForOthers || offered.ForOthers
+	if m.classes[class] == nil && len(m.classes) >= maxClasses {
+		class.Tenant = ""
+	}
 	found := m.classes[class]
 	if found == nil {
-		if len(m.classes) >= maxClasses {
-			class.Tenant = ""
-			found = m.classes[class]
-		}
-		if found == nil {
-			found = &rate{}
-			m.classes[class] = found
-		}
+		found = &rate{}
+		m.classes[class] = found
 	}
-	found.pending += work.Seconds() / max(leastShare/2, min(share, 1))
+	found.pending += work.Seconds() / max(leastCounted, min(share, 1))
 	m.offered++
 	m.workOffered += work.Seconds()
 }
@@ -124,13 +154,20 @@
 	m.average(elapsed)
 	m.judgedAt = now
 	queued := float64(backlog.Waiting) * m.meanWork
+	isWorking, isGrowing := m.servedLast > 0, queued > m.queued
+	m.queued = queued
 	switch {
-	case m.isBehind(queued, backlog.Target):
+	case m.waitsFor(queued, tolerableWait*backlog.Target.Seconds()):
 		m.behind, m.calm = m.behind+1, 0
+		if isWorking && isGrowing {
+			m.outgrown++
+		}
+	case m.waitsFor(queued, noticeableWait*backlog.Target.Seconds()):
+		m.behind, m.outgrown, m.calm = 0, 0, 0
 	case m.isUsed():
-		m.behind, m.calm = 0, m.calm+1
+		m.behind, m.outgrown, m.calm = 0, 0, m.calm+1
 	default:
-		m.behind, m.calm = 0, min(m.calm, probeTicks)
+		m.behind, m.outgrown = 0, 0
 	}
 	m.limit(elapsed)
 }
@@ -150,12 +187,13 @@
 	if m.offered > 0 {
 		m.meanWork += gain * (m.workOffered/float64(m.offered) - m.meanWork)
 	}
+	m.servedLast = m.served
 	m.offered, m.workOffered, m.served = 0, 0, 0
 }
 
-// isBehind reports whether the last of the queue waits for longer than is tolerable.
-func (m *Meter) isBehind(queued float64, target time.Duration) bool {
-	return queued > 0 && target > 0 && queued > m.servedRate*tolerableWait*target.Seconds()
+// waitsFor reports whether the last of the queue waits for longer than some seconds.
+func (m *Meter) waitsFor(queued, seconds float64) bool {
+	return queued > 0 && queued > m.servedRate*seconds
 }
 
 // isUsed reports whether the estimated capacity is in use or is nearly what is asked for.
@@ -175,14 +213,15 @@
 func (m *Meter) limit(elapsed float64) {
 	allowed := m.capacity
 	switch {
-	case m.behind >= leastBehind || m.isLimited && m.behind > 0:
+	case m.outgrown >= leastOutgrown || m.behind >= leastBehind || m.isLimited && m.behind > 0:
 		if m.isLimited {
 			m.capacity = max(m.servedRate, greatestFall*m.capacity)
 		} else {
-			m.isLimited, m.capacity = true, m.servedRate
+			// The average is behind a load that has just begun.
+			m.isLimited, m.capacity = true, max(m.servedRate, m.servedLast/elapsed)
 		}
 		allowed = behindPart * m.capacity
-	case m.isLimited && m.isUsed():
+	case m.isLimited && m.calm > 0 && m.isUsed():
 		m.capacity = max(m.capacity, leastShare*m.asked) * (1 + m.growth()*elapsed/tickSpan.Seconds())
 		allowed = m.capacity
 	}
--- a/pkg/loadshed/meters.go
+++ b/pkg/loadshed/meters.go
@@ -18,77 +18,86 @@
 
 // Queues tells which requests wait for servers; *fleet.Fleet implements it.
 type Queues interface {
-	// Backlog returns those that wait for a service at a moment.
-	Backlog(service string, now time.Time) Backlog
+	// Backlog returns those of a load that wait for a service at a moment.
+	Backlog(key Key, now time.Time) Backlog
 }
 
-// Measured are the shares of one service.
+// Measured are the shares of one load.
 type Measured struct {
-	Service string
-	Shares  Shares
-	At      time.Time
+	Key
+	Shares Shares
+	At     time.Time
 }
 
-// Meters are the meters of the services whose servers this node asks on behalf of others. The
-// requests that come drive them: without requests nothing changes.
+// Meters are the meters of the services whose servers this node asks, for itself or on behalf
+// of others. The requests that come drive them: without requests nothing changes.
 type Meters struct {
 	queues Queues
 	board  *Board
-	// tell takes what all nodes are to be told; it does not block.
-	tell func([]Measured)
 
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
-	meters map[string]*Meter
+	// tell takes what all nodes are to be told; nil where there are none.
+	tell   func([]Measured)
+	meters map[Key]*Meter
 	// lastTold are the shares that all nodes were told last and toldAt is when.
-	lastTold map[string]Shares
+	lastTold map[Key]Shares
 	toldAt   time.Time
 }
 
 // NewMeters returns meters that note what they find on this node's own board too.
-func NewMeters(queues Queues, board *Board, tell func([]Measured)) *Meters {
-	return &Meters{queues: queues, board: board, tell: tell, meters: make(map[string]*Meter), lastTold: make(map[string]Shares)}
+func NewMeters(queues Queues, board *Board) *Meters {
+	return &Meters{queues: queues, board: board, meters: make(map[Key]*Meter), lastTold: make(map[Key]Shares)}
 }
 
-// Offer notes a request for a service that was let in with a share.
-func (m *Meters) Offer(service string, class Class, work time.Duration, share float64, now time.Time) {
+// Tell sets what takes what all nodes are to be told. It does not block.
+func (m *Meters) Tell(tell func([]Measured)) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	found := m.meters[service]
+	m.tell = tell
+}
+
+// Offer notes a request that was let in.
+func (m *Meters) Offer(key Key, offered Offered, now time.Time) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	found := m.meters[key]
 	if found == nil {
 		found = NewMeter(now)
-		m.meters[service] = found
+		m.meters[key] = found
 	}
-	found.Offer(class, work, share)
+	found.Offer(offered)
 	if !found.IsDue(now) {
 		return
 	}
-	found.Judge(m.queues.Backlog(service, now), now)
+	found.Judge(m.queues.Backlog(key, now), now)
 	shares, _ := found.Shares()
-	m.board.Take(service, shares, now)
-	m.tellIfChanged(now)
+	m.board.Take(key, shares, now)
+	if found.isForOthers && m.tell != nil {
+		m.tellIfChanged(now)
+	}
 }
 
 // Serve notes that a server of a service has answered.
-func (m *Meters) Serve(service string, work time.Duration) {
+func (m *Meters) Serve(key Key, work time.Duration) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if found := m.meters[service]; found != nil {
+	if found := m.meters[key]; found != nil {
 		found.Serve(work)
 	}
 }
 
 // Of returns the shares of a service and when they were judged; full ones if it is not
 // measured here or was not asked for lately.
-func (m *Meters) Of(service string, now time.Time) (Shares, time.Time) {
+func (m *Meters) Of(key Key, now time.Time) (Shares, time.Time) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.of(service, now)
+	return m.of(key, now)
 }
 
 // of is Of. The mutex is held.
-func (m *Meters) of(service string, now time.Time) (Shares, time.Time) {
-	found := m.meters[service]
+func (m *Meters) of(key Key, now time.Time) (Shares, time.Time) {
+	found := m.meters[key]
 	if found == nil || now.Sub(found.judgedAt) > shareLife {
 		return Shares{}, now
 	}
@@ -103,22 +112,25 @@
 		return
 	}
 	isChanged, matters := false, false
-	for service := range m.meters {
-		shares, _ := m.of(service, now)
-		isChanged = isChanged || shares.differsFrom(m.lastTold[service], toldChange)
+	for key, each := range m.meters {
+		if !each.isForOthers {
+			continue
+		}
+		shares, _ := m.of(key, now)
+		isChanged = isChanged || shares.differsFrom(m.lastTold[key], toldChange)
 		matters = matters || !shares.IsFull()
 	}
 	if !isChanged && (!matters || pause < repeatSpan) {
 		return
 	}
 	var message []Measured
-	for service := range m.meters {
-		shares, at := m.of(service, now)
-		if shares.IsFull() && m.lastTold[service].IsFull() {
+	for key, each := range m.meters {
+		shares, at := m.of(key, now)
+		if !each.isForOthers || shares.IsFull() && m.lastTold[key].IsFull() {
 			continue
 		}
-		message = append(message, Measured{Service: service, Shares: shares, At: at})
-		m.lastTold[service] = shares
+		message = append(message, Measured{Key: key, Shares: shares, At: at})
+		m.lastTold[key] = shares
 	}
 	m.toldAt = now
 	m.tell(message)
@@ -128,10 +140,10 @@
 func (m *Meters) Sweep(now time.Time) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	for service, each := range m.meters {
+	for key, each := range m.meters {
 		if now.Sub(each.judgedAt) > 2*shareLife {
-			delete(m.meters, service)
-			delete(m.lastTold, service)
+			delete(m.meters, key)
+			delete(m.lastTold, key)
 		}
 	}
 }
--- /dev/null
+++ b/pkg/loadshed/model_test.go
@@ -0,0 +1,202 @@
+package loadshed_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/loadshed"
+)
+
+// The deployment of these tests: 67 nodes of two requests a second, twelve shards with an owner
+// each, whose servers do four seconds of work a second.
+const (
+	modelNodes    = 67
+	modelShards   = 12
+	modelCapacity = 4.0
+	modelRate     = 134.0
+	modelStep     = 2 * time.Millisecond
+	modelSpan     = 5 * time.Second
+	// modelNews is how long a node's knowledge is behind what an owner tells.
+	modelNews = 50 * time.Millisecond
+)
+
+// kind is a kind of request of the model.
+type kind struct {
+	name     string
+	priority int
+	// part is its part of the requests, needed how many shards it needs.
+	part     float64
+	needed   int
+	work     time.Duration
+	target   time.Duration
+	deadline time.Duration
+}
+
+var modelKinds = []kind{
+	{"search", 1, 0.75, 11, 28 * time.Millisecond, 400 * time.Millisecond, 1500 * time.Millisecond},
+	{"check", 2, 0.25, 10, 9 * time.Millisecond, 150 * time.Millisecond, 800 * time.Millisecond},
+}
+
+// asked is one request under way.
+type asked struct {
+	kind
+	tenant string
+	lot    uint64
+	node   int
+	came   time.Time
+	got    int
+	// shares are what its node took each shard to have room for.
+	shares [modelShards]float64
+	ended  bool
+}
+
+func (a *asked) class() loadshed.Class {
+	return loadshed.Class{Priority: a.priority, Tenant: a.tenant}
+}
+
+// way decides which requests are let in.
+type way interface {
+	// admit returns the shards that are asked; nil refuses.
+	admit(request *asked, now time.Time) []int
+	// offered, served and ended tell of the parts and the ends of requests.
+	offered(shard int, request *asked, now time.Time)
+	served(shard int, request *asked)
+	ended(request *asked, inTime bool, now time.Time)
+	// judge takes the queues, each 100 ms.
+	judge(model *model, now time.Time)
+}
+
+// model is the shards' queues, and what has become of the requests of a time.
+type model struct {
+	random   *rand.Rand
+	now      time.Time
+	way      way
+	kinds    []kind
+	capacity [modelShards]float64
+	done     [modelShards]float64
+	queues   [modelShards][]*asked
+	live     []*asked
+	counts   map[string]*tally
+}
+
+// tally counts requests of a kind or a tenant.
+type tally struct{ asked, inTime, late, refused, failed int }
+
+func newModel(tested way) *model {
+	created := &model{random: rand.New(rand.NewPCG(1, 2)), now: time.Unix(100, 0), way: tested, kinds: modelKinds}
+	for shard := range created.capacity {
+		created.capacity[shard] = modelCapacity
+	}
+	return created
+}
+
+// run offers requests at a rate for a time; tenantOf draws the tenant of a request.
+func (m *model) run(rate float64, span time.Duration, tenantOf func(*rand.Rand) string) {
+	m.counts = make(map[string]*tally)
+	for end := m.now.Add(span); m.now.Before(end); m.now = m.now.Add(modelStep) {
+		for left := rate * modelStep.Seconds(); left > 0; left-- {
+			if m.random.Float64() < left {
+				m.offer(tenantOf(m.random))
+			}
+		}
+		for shard := range m.queues {
+			m.serve(shard)
+		}
+		m.giveUp()
+		if m.now.UnixMilli()%100 == 0 {
+			m.way.judge(m, m.now)
+		}
+	}
+}
+
+// count applies a change to the tallies of a request.
+func (m *model) count(request *asked, change func(*tally)) {
+	for _, name := range []string{"all", request.name, request.tenant} {
+		if m.counts[name] == nil {
+			m.counts[name] = &tally{}
+		}
+		change(m.counts[name])
+	}
+}
+
+func (m *model) offer(tenant string) {
+	request := &asked{tenant: tenant, lot: m.random.Uint64(), node: m.random.IntN(modelNodes), came: m.now}
+	request.kind = m.kinds[len(m.kinds)-1]
+	for position, drawn := 0, m.random.Float64(); position < len(m.kinds); position++ {
+		if drawn -= m.kinds[position].part; drawn < 0 {
+			request.kind = m.kinds[position]
+			break
+		}
+	}
+	m.count(request, func(t *tally) { t.asked++ })
+	shards := m.way.admit(request, m.now)
+	if shards == nil {
+		m.count(request, func(t *tally) { t.refused++ })
+		return
+	}
+	m.live = append(m.live, request)
+	for _, shard := range shards {
+		m.way.offered(shard, request, m.now)
+		m.queues[shard] = append(m.queues[shard], request)
+	}
+}
+
+// serve lets a shard work for one step: on those in time first, by urgency and lot.
+func (m *model) serve(shard int) {
+	m.done[shard] += m.capacity[shard] * modelStep.Seconds()
+	for len(m.queues[shard]) > 0 {
+		best := 0
+		for index, other := range m.queues[shard] {
+			if m.goesBefore(other, m.queues[shard][best]) {
+				best = index
+			}
+		}
+		next := m.queues[shard][best]
+		if next.ended || next.got >= next.needed {
+			m.queues[shard] = append(m.queues[shard][:best], m.queues[shard][best+1:]...)
+			continue
+		}
+		if m.done[shard] < next.work.Seconds() {
+			return
+		}
+		m.done[shard] -= next.work.Seconds()
+		m.queues[shard] = append(m.queues[shard][:best], m.queues[shard][best+1:]...)
+		m.way.served(shard, next)
+		next.got++
+	}
+	m.done[shard] = min(m.done[shard], 0.05)
+}
+
+func (m *model) goesBefore(one, other *asked) bool {
+	isInTime, isOtherInTime := m.now.Sub(one.came) < one.target, m.now.Sub(other.came) < other.target
+	if isInTime != isOtherInTime {
+		return isInTime
+	}
+	return loadshed.WaitOrder(one.lot, one.priority) > loadshed.WaitOrder(other.lot, other.priority)
+}
+
+// giveUp ends the requests that are answered or at their deadline.
+func (m *model) giveUp() {
+	kept := m.live[:0]
+	for _, request := range m.live {
+		age := m.now.Sub(request.came)
+		isServed := request.got >= request.needed
+		if !isServed && age < request.deadline {
+			kept = append(kept, request)
+			continue
+		}
+		request.ended = true
+		m.way.ended(request, isServed && age <= request.target, m.now)
+		m.count(request, func(t *tally) {
+			switch {
+			case isServed && age <= request.target:
+				t.inTime++
+			case isServed:
+				t.late++
+			default:
+				t.failed++
+			}
+		})
+	}
+	m.live = kept
+}
--- a/pkg/owner/client.go
+++ b/pkg/owner/client.go
@@ -104,14 +104,29 @@
 		return unsent{}
 	}
 	now := time.Now()
-	receive := func(body []byte, err error) { c.receive(node, question.Services, body, err, report) }
+	asked := loadOf(question)
+	receive := func(body []byte, err error) { c.receive(node, asked, body, err, report) }
 	stream := c.transport.Open(
 		peer.Address(node.PeerAddress), kindQuestion, encodeQuestion(question, now), question.Plan.Deadline.Sub(now), receive)
 	return &pending{Stream: stream, client: c, node: node}
 }
 
-// receive hands on one message of an owner about some services, or the end of its answer.
-func (c *Client) receive(node directory.Node, services []string, body []byte, err error, report func(fanout.Report)) {
+// load is some services, and the key of the regions to which a request is bound.
+type load struct {
+	services []string
+	regions  string
+}
+
+func loadOf(question fanout.Question) load {
+	asked := load{services: question.Services}
+	if question.Plan.Regions != nil {
+		asked.regions = question.Plan.Regions().Key()
+	}
+	return asked
+}
+
+// receive hands on one message of an owner about a load, or the end of its answer.
+func (c *Client) receive(node directory.Node, asked load, body []byte, err error, report func(fanout.Report)) {
 	switch {
 	case errors.Is(err, io.EOF):
 		return
@@ -128,7 +143,7 @@
 	}
 	if decoded.Err == nil {
 		c.regain(node)
-		takeReportedRoom(c.board, services, room, time.Now())
+		takeReportedRoom(c.board, asked.services, asked.regions, room, time.Now())
 	}
 	report(decoded)
 }
--- a/pkg/owner/room.go
+++ b/pkg/owner/room.go
@@ -29,8 +29,7 @@
 // Room measures, as an owner, what the servers of services can take, and tells the nodes of
 // the region. It is safe for concurrent use.
 type Room struct {
-	board     *loadshed.Board
-	meters    *loadshed.Meters
+	known     *fanout.Room
 	roster    *Roster
 	transport peer.Transport
 	told      func([]loadshed.Measured)
@@ -40,9 +39,8 @@
 
 // RoomOptions are the parts of a Room.
 type RoomOptions struct {
-	Queues loadshed.Queues
-	// Board takes what this node and others tell.
-	Board *loadshed.Board
+	// Known is what this node measures, and takes what others tell.
+	Known *fanout.Room
 	// Roster has the nodes that are told.
 	Roster    *Roster
 	Transport peer.Transport
@@ -53,19 +51,14 @@
 // NewRoom registers the handler of what other owners tell.
 func NewRoom(options RoomOptions) *Room {
 	created := &Room{
-		board: options.Board, roster: options.Roster, transport: options.Transport, told: options.Told,
+		known: options.Known, roster: options.Roster, transport: options.Transport, told: options.Told,
 		waiting: make(chan []loadshed.Measured, 1),
 	}
-	created.meters = loadshed.NewMeters(options.Queues, options.Board, created.put)
+	options.Known.Meters.Tell(created.put)
 	options.Transport.Handle(kindRoom, created.take)
 	return created
 }
 
-// Known returns the board and the meters for the runs of this node.
-func (r *Room) Known() *fanout.Room {
-	return &fanout.Room{Board: r.board, Meters: r.meters, Lots: &loadshed.Lots{}}
-}
-
 // put keeps a message until Run tells it; one that still waits gives way to it.
 func (r *Room) put(message []loadshed.Measured) {
 	select {
@@ -95,7 +88,7 @@
 	now := time.Now()
 	rooms := &ownerpb.Rooms{}
 	for _, each := range message {
-		rooms.Rooms = append(rooms.Rooms, encodeRoom(each.Service, each.Shares, now.Sub(each.At)))
+		rooms.Rooms = append(rooms.Rooms, encodeRoom(each.Key, each.Shares, now.Sub(each.At)))
 	}
 	limited, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
@@ -110,36 +103,28 @@
 	}
 	now := time.Now()
 	for _, each := range rooms.Rooms {
-		takeRoom(r.board, each, now)
+		takeRoom(r.known.Board, each, now)
 	}
 	return &ownerpb.Ping{}, nil
 }
 
-// Sweep forgets what is old. It is called every second or so.
-func (r *Room) Sweep(now time.Time) {
-	if r == nil {
-		return
-	}
-	r.board.Sweep(now)
-	r.meters.Sweep(now)
-}
-
 // of returns what is told with a report about some services.
-func (r *Room) of(services []string, now time.Time) []*ownerpb.Room {
+func (r *Room) of(services []string, regions string, now time.Time) []*ownerpb.Room {
 	if r == nil {
 		return nil
 	}
 	var rooms []*ownerpb.Room
 	for _, service := range services {
-		if shares, at := r.meters.Of(service, now); !shares.IsFull() {
-			rooms = append(rooms, encodeRoom(service, shares, now.Sub(at)))
+		key := loadshed.Key{Service: service, Regions: regions}
+		if shares, at := r.known.Meters.Of(key, now); !shares.IsFull() {
+			rooms = append(rooms, encodeRoom(key, shares, now.Sub(at)))
 		}
 	}
 	return rooms
 }
 
-func encodeRoom(service string, shares loadshed.Shares, age time.Duration) *ownerpb.Room {
-	encoded := &ownerpb.Room{Service: service, AgeMs: uint32(max(0, age.Milliseconds()))}
+func encodeRoom(key loadshed.Key, shares loadshed.Shares, age time.Duration) *ownerpb.Room {
+	encoded := &ownerpb.Room{Service: key.Service, Regions: key.Regions, AgeMs: uint32(max(0, age.Milliseconds()))}
 	for _, rank := range shares.Ranks {
 		encoded.Ranks = append(encoded.Ranks, &ownerpb.RankShare{Priority: int32(rank.Priority), Share: rank.Share})
 	}
@@ -162,12 +147,12 @@
 			Class: loadshed.Class{Priority: int(heavy.Priority), Tenant: heavy.Tenant}, Share: heavy.Share,
 		})
 	}
-	board.Take(told.Service, shares, now.Add(-time.Duration(told.AgeMs)*time.Millisecond))
+	board.Take(loadshed.Key{Service: told.Service, Regions: told.Regions}, shares, now.Add(-time.Duration(told.AgeMs)*time.Millisecond))
 }
 
 // takeReportedRoom notes what a report tells of the services of its question: those that it
 // does not name have room for all.
-func takeReportedRoom(board *loadshed.Board, services []string, told []*ownerpb.Room, now time.Time) {
+func takeReportedRoom(board *loadshed.Board, services []string, regions string, told []*ownerpb.Room, now time.Time) {
 	if len(told) == 0 && board.IsIdle() {
 		return
 	}
@@ -178,7 +163,7 @@
 	}
 	for _, service := range services {
 		if !named[service] {
-			board.Take(service, loadshed.Shares{}, now)
+			board.Take(loadshed.Key{Service: service, Regions: regions}, loadshed.Shares{}, now)
 		}
 	}
 }
--- a/pkg/owner/server.go
+++ b/pkg/owner/server.go
@@ -101,7 +101,7 @@
 		for _, index := range wanted {
 			report.Wanted = append(report.Wanted, uint32(index))
 		}
-		report.Room = s.options.Room.of(question.Services, time.Now())
+		report.Room = s.options.Room.of(question.Services, plan.Regions().Key(), time.Now())
 		return open.Send(report)
 	}
 	plan.Collect.Granted = listenForGrants(open, len(question.Services))
@@ -114,7 +114,7 @@
 		return ctx.Err()
 	}
 	report := lastReport(result, told, int(question.TopRecords))
-	report.Room = s.options.Room.of(question.Services, time.Now())
+	report.Room = s.options.Room.of(question.Services, plan.Regions().Key(), time.Now())
 	return open.Send(report)
 }
 
