--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,6 +16,7 @@
 	"github.com/bramblemast/bramblemast/internal/suspension"
 	"github.com/bramblemast/bramblemast/internal/version"
 	"github.com/bramblemast/bramblemast/pkg/directory"
+	"github.com/bramblemast/bramblemast/pkg/fanout"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/owner"
 	"github.com/bramblemast/bramblemast/pkg/peer"
@@ -106,6 +107,10 @@
 	owners    *owner.Client
 	// limits is nil if limits of tenants are not held.
 	limits *limits
+	// known is what this node knows of the room at services; room tells others of it and is
+	// nil if the node has no address for its peers.
+	known *fanout.Room
+	room  *owner.Room
 }
 
 // New opens the node's listeners.
@@ -135,6 +140,7 @@
 	})
 	node.state.quarantine = node.quarantine
 	local := directory.Node{Name: settings.Node.Name, Zone: settings.Node.Zone}
+	node.known = fanout.NewRoom(node.state.fleet)
 	if err := node.openPeers(settings, &local); err != nil {
 		return nil, err
 	}
@@ -172,7 +178,7 @@
 	options := front.Options{
 		Dialect: n.options.Dialect, State: n.state, Fleet: n.state.fleet, Budget: n.state.budgets, Policies: rules,
 		Events: recorder, Random: newRandom(), MaxInFlight: maxInFlight,
-		Quarantine: n.quarantine, KeyNews: n.keyNews,
+		Quarantine: n.quarantine, KeyNews: n.keyNews, Room: n.known,
 	}
 	if n.owners != nil {
 		options.Owners = n.owners
@@ -229,7 +235,8 @@
 		},
 	})
 	n.state.roster = owner.NewRoster(*local, settings.Zones, n.state.fleet)
-	n.owners = owner.NewClient(n.state.roster, n.transport, ownerEvents{node: n})
+	n.owners = owner.NewClient(n.state.roster, n.transport, n.known.Board, ownerEvents{node: n})
+	n.openRoom()
 	if settings.Bounds.QuotaWindowSeconds > 0 {
 		n.limits = newLimits(n, settings, n.transport)
 		n.state.limits = n.limits
@@ -268,6 +275,7 @@
 		add(n.transport.Run)
 		add(n.peers.Run)
 		add(n.owners.Run)
+		add(n.room.Run)
 	}
 	if n.limits != nil {
 		add(n.limits.limiter.Run)
@@ -296,6 +304,7 @@
 			n.state.fleet.Sweep(now)
 			n.quarantine.Sweep(now)
 			n.watchKeys()
+			n.known.Sweep(now)
 		}
 	}
 }
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -64,7 +64,10 @@
 	Budget  fanout.Budget
 	// Owners are the nodes to ask for the shards of gathered requests; nil if this
 	// node asks all servers itself.
-	Owners   fanout.Owners
+	Owners fanout.Owners
+	// Room is what nodes tell each other of the room at services; nil for one that this node
+	// keeps for itself.
+	Room     *fanout.Room
 	Policies Policies
 	// Limits holds tenants to their limits; nil for none.
 	Limits Limits
@@ -99,7 +102,10 @@
 	}
 	runner := fanout.Runner{
 		Fleet: options.Fleet, Budget: options.Budget, Dialect: &handler.dialect.Dialect, Linger: lingerAfterAnswer,
-		Quarantine: options.Quarantine,
+		Quarantine: options.Quarantine, Room: options.Room,
+	}
+	if runner.Room == nil {
+		runner.Room = fanout.NewRoom(options.Fleet)
 	}
 	gatherer, forwarder := runner, runner
 	gatherer.Sound, forwarder.Sound = isPart, isWholeAnswer
--- /dev/null
+++ b/pkg/fanout/admission.go
@@ -0,0 +1,130 @@
+package fanout
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramblemast/bramblemast/pkg/loadshed"
+)
+
+// class is what the request is judged by.
+func (r *run) class() loadshed.Class {
+	return loadshed.Class{Priority: r.plan.Priority, Tenant: r.plan.Tenant}
+}
+
+// askedHash is the same for all tries of a client that ask the same.
+func (r *run) askedHash() uint64 {
+	var hash xxhash.Digest
+	hash.Reset()
+	for _, text := range []string{r.plan.Tenant, r.request.Method, r.request.Host, r.request.Target} {
+		// A Digest takes everything.
+		_, _ = hash.WriteString(text)
+		_, _ = hash.Write([]byte{0})
+	}
+	_, _ = hash.Write(r.request.Body)
+	return hash.Sum64()
+}
+
+// isLetIn decides whether the request is begun, by what is known of the room at its services.
+func (r *run) isLetIn() bool {
+	room := r.runner.Room
+	if room == nil {
+		return true
+	}
+	r.lot = room.Lots.Draw(r.askedHash(), r.lot, r.began)
+	r.admission = r.admit(r.began)
+	return r.admission.IsAdmitted
+}
+
+// isShort reports whether only a part of the requests like this one is let in.
+func (r *run) isShort(now time.Time) bool {
+	return r.runner.Room != nil && (r.admission.Share < 1 || r.admit(now).Share < 1)
+}
+
+func (r *run) admit(now time.Time) loadshed.Decision {
+	return r.runner.Room.Board.Admit(r.plan.Services, r.regions().Key(), r.plan.Required, r.class(), r.lot, now)
+}
+
+// spareOthers leaves the services to others that have no room for the request and without
+// which it can be answered.
+func (r *run) spareOthers() {
+	for _, index := range r.admission.Spared {
+		r.parts[index].spared, r.parts[index].closed = true, true
+		r.open--
+	}
+}
+
+// withoutSpared returns the positions that are not left to others.
+func (r *run) withoutSpared(indexes []int) []int {
+	if len(r.admission.Spared) == 0 {
+		return indexes
+	}
+	kept := make([]int, 0, len(indexes))
+	for _, index := range indexes {
+		if !r.parts[index].spared {
+			kept = append(kept, index)
+		}
+	}
+	return kept
+}
+
+// takeBackSpared asks the services that were left to others once the request cannot be
+// answered without them any more.
+func (r *run) takeBackSpared() {
+	if r.got+r.open >= r.plan.Required || len(r.admission.Spared) == 0 {
+		return
+	}
+	spared := r.admission.Spared
+	r.admission.Spared = nil
+	now := time.Now()
+	for _, index := range spared {
+		r.parts[index].spared, r.parts[index].closed = false, false
+		r.open++
+		r.launchFirst(index, now)
+	}
+}
+
+// noteOffered counts a part whose servers this node asks among the load of its service. Those
+// that it asks in the place of an owner are a small part of the load, and tell nothing.
+func (r *run) noteOffered(index int, now time.Time) {
+	part := &r.parts[index]
+	isForOwner := len(r.groups) > 0 && !part.owned
+	if r.runner.Room == nil || isForOwner {
+		return
+	}
+	share := 1.0
+	switch collect := r.plan.Collect; {
+	case collect == nil:
+		share = r.runner.Room.Board.ShareOf(r.load(part.service), r.class(), now)
+	case collect.AdmittedShares != nil:
+		share = collect.AdmittedShares[index]
+	}
+	if r.work == 0 {
+		r.work = r.runner.Fleet.Profile(r.plan.Kind, r.plan.Assumed).Mean
+	}
+	part.isOffered = true
+	r.runner.Room.Meters.Offer(r.load(part.service), loadshed.Offered{
+		Class: r.class(), Work: r.work, Share: share, ForOthers: part.owned,
+	}, now)
+}
+
+// admittedShares returns the part of the requests like this one that each service has room
+// for; nil if none is short of it.
+func (r *run) admittedShares(services []string, now time.Time) []float64 {
+	if r.runner.Room == nil || r.runner.Room.Board.IsIdle() {
+		return nil
+	}
+	shares := make([]float64, len(services))
+	for position, service := range services {
+		shares[position] = r.runner.Room.Board.ShareOf(r.load(service), r.class(), now)
+	}
+	return shares
+}
+
+// noteServedPart counts a part that was noted as offered and is answered.
+func (r *run) noteServedPart(part *part) {
+	if part.isOffered {
+		r.runner.Room.Meters.Serve(r.load(part.service), r.work)
+	}
+}
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -11,6 +11,7 @@
 
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/loadshed"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/policy"
 	"github.com/bramblemast/bramblemast/pkg/quarantine"
@@ -74,6 +75,11 @@
 	Report func(answers map[int]*exchange.Response, wanted []int) error
 	// Granted brings positions of which one further server may be asked.
 	Granted <-chan []int
+	// Lot is the request's lot at the other node; zero to draw one from its id.
+	Lot uint64
+	// AdmittedShares are, for each service, the part of the requests like this one that the
+	// other node took it to have room for; nil for all.
+	AdmittedShares []float64
 	// Within is the time after which a report is due; before it the answers are kept
 	// back, so that most runs send one message.
 	Within time.Duration
@@ -147,6 +153,8 @@
 	// EndedServers are those that ended while they had the request, if it is kept from
 	// others.
 	EndedServers []fleet.Incarnation
+	// Admission is by what the request was let in or not.
+	Admission loadshed.Decision
 	// NoRoom says of each part whether a server refused it for want of room, or none
 	// was free.
 	NoRoom []bool
@@ -183,17 +191,44 @@
 	Owners Owners
 	// Quarantine keeps requests from servers that end when they run them; nil for none.
 	Quarantine *quarantine.Guard
+	// Room is what is known of the room at services; nil to let everything in.
+	Room *Room
+}
+
+// Room is what a node knows of the room at services.
+type Room struct {
+	// Board holds what this node was told and has measured, Meters measures the services whose
+	// servers it asks, and Lots draws the lots of its clients' requests.
+	Board  *loadshed.Board
+	Meters *loadshed.Meters
+	Lots   *loadshed.Lots
+}
+
+// NewRoom returns what a node knows that is told nothing by others.
+func NewRoom(queues loadshed.Queues) *Room {
+	board := loadshed.NewBoard()
+	return &Room{
+		Board: board, Meters: loadshed.NewMeters(queues, board), Lots: &loadshed.Lots{},
+	}
+}
+
+// Sweep forgets what is old. It is called every second or so.
+func (r *Room) Sweep(now time.Time) {
+	r.Board.Sweep(now)
+	r.Meters.Sweep(now)
 }
 
 // Run asks the services of a plan. It returns as soon as the answer is final.
 func (r *Runner) Run(ctx context.Context, plan Plan, request *exchange.Request) Result {
 	run := newRun(r, plan, request)
+	run.divide()
 	if reason := run.refusedBecause(); reason != "" {
 		return run.refusal(reason)
 	}
+	run.spareOthers()
 	run.askOwners(time.Now())
 	for index := range plan.Services {
-		if run.parts[index].question == nil {
+		if part := &run.parts[index]; part.question == nil && !part.spared {
 			run.launchFirst(index, time.Now())
 		}
 	}
--- a/pkg/fleet/waiting.go
+++ b/pkg/fleet/waiting.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/loadshed"
+)
 
 // Rank orders sub-requests for which no server is free.
 type Rank struct {
@@ -71,6 +75,30 @@
 	return count
 }
 
+// Backlog implements loadshed.Queues: it counts the sub-requests that are needed and in time.
+func (f *Fleet) Backlog(key loadshed.Key, now time.Time) loadshed.Backlog {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var backlog loadshed.Backlog
+	var targets time.Duration
+	for _, each := range f.waiters[key.Service] {
+		if each.countsIn(key.Regions) && each.Choice.Rank.isInTime(now) {
+			backlog.Waiting++
+			targets += each.Choice.Target
+		}
+	}
+	if backlog.Waiting > 0 {
+		backlog.Target = targets / time.Duration(backlog.Waiting)
+	}
+	return backlog
+}
+
+// countsIn reports whether a waiter counts in the load of the requests that are bound to
+// regions with a key.
+func (w *Waiter) countsIn(regions string) bool {
+	return w.Choice.Rank.Needed && w.Choice.Target > 0 && w.Choice.Regions.Key() == regions
+}
+
 // removeWaiter takes a waiter from its list. The mutex is held.
 func (f *Fleet) removeWaiter(waiter *Waiter) {
 	service := waiter.Choice.Service
--- /dev/null
+++ b/pkg/loadshed/meter.go
@@ -0,0 +1,240 @@
+package loadshed
+
+import (
+	"math"
+	"time"
+)
+
+// Constants of the measurement.
+const (
+	// tickSpan is how often shares are judged anew: a few round trips between nodes, and a
+	// tenth of the second within which returned room is to be used.
+	tickSpan = 100 * time.Millisecond
+	// rateSpan is the time over which rates are averaged: some twenty requests of a region
+	// at the rates at which a service of three servers is full.
+	rateSpan = 500 * time.Millisecond
+	// admittedSpan is the time over which what is let in is averaged: long enough for some
+	// requests at a time, and short against the growth of the shares.
+	admittedSpan = 200 * time.Millisecond
+	// forgottenRate is the work a second below which a class is forgotten, 1 ms.
+	forgottenRate = 0.001
+	// maxClasses bounds the classes that are measured apart.
+	maxClasses = 512
+)
+
+// Constants that find a shortage of room.
+const (
+	// tolerableWait is the part of the time to a request's target that it may wait for a
+	// server: the rest is for the server's work and for a second try.
+	tolerableWait = 0.25
+	// noticeableWait is the part of it from which on no more is let in: the servers are full.
+	noticeableWait = 0.05
+	// leastOutgrown is how many judgements in a row have to find too long a queue that grows
+	// although servers work, and leastBehind how many too long a queue whatever servers do:
+	// one that stands still for some tenths of a second refuses nobody.
+	leastOutgrown = 2
+	leastBehind   = 5
+)
+
+// Constants of how the capacity is found out while there is a shortage.
+const (
+	// behindPart of what the servers do is let in while the queue is too long, so that it is
+	// served.
+	behindPart = 0.85
+	// greatestFall bounds how fast the estimated capacity falls in one judgement: answers that
+	// a lost server still owes come from the others a little later.
+	greatestFall = 0.9
+	// usedPart of the estimated capacity is let in before it grows: otherwise other services
+	// hold the requests back, and nothing is found out.
+	usedPart = 0.6
+	// probeGrowth is by how much it grows with each of the first probeTicks judgements without
+	// a queue. After that room has most likely come back: growthStep is added to the growth
+	// each time, up to greatestGrowth, which is fivefold in nine judgements.
+	probeGrowth    = 0.03
+	probeTicks     = 3
+	growthStep     = 0.15
+	greatestGrowth = 0.5
+	// starvedPart of what is asked is let in before the capacity grows slowly: servers that
+	// take less than that without a queue have mostly come back from an outage.
+	starvedPart = 0.25
+	// leastShare is let in at least, so that returned room is noticed, and leastCounted is the
+	// least share by which a request of a less urgent kind is counted.
+	leastShare   = 0.05
+	leastCounted = leastShare * leastPart
+)
+
+// Backlog is the requests that wait for a server of a service and could still be answered in
+// time by it.
+type Backlog struct {
+	Waiting int
+	// Target is the mean time within which their answers are of full value; zero for none.
+	Target time.Duration
+}
+
+// Meter measures the load of one service and what its servers do.
+type Meter struct {
+	// classes are the rates at which work is asked for, as it would be without shares.
+	classes map[Class]*rate
+	// offered and served are the requests and the work since the last judgement; workOffered
+	// is the work of those that were let in.
+	offered             int
+	workOffered, served float64
+	// servedLast is the work done before the last judgement, and queued the work in the queue then.
+	servedLast, queued float64
+	// servedRate and admittedRate are averages a second.
+	servedRate, admittedRate float64
+	// meanWork is the work of a request, averaged.
+	meanWork float64
+	judgedAt time.Time
+	// behind counts judgements in a row that found too long a queue, outgrown those of them
+	// that found it growing although servers work, calm those that did not find one.
+	behind, outgrown, calm int
+	// isLimited says that only a part is let in; capacity is what the servers are taken to
+	// bear then, and asked what is asked of them, in work a second.
+	isLimited       bool
+	capacity, asked float64
+	shares          Shares
+	demands         []Demand
+	// isForOthers says that this node asks on behalf of others.
+	isForOthers bool
+}
+
+// rate is work a second, and the work since it was averaged last.
+type rate struct{ value, pending float64 }
+
+// NewMeter returns a meter that lets everything in.
+func NewMeter(now time.Time) *Meter {
+	return &Meter{classes: make(map[Class]*rate), judgedAt: now}
+}
+
+// Offered is a request that was let in.
+type Offered struct {
+	Class
+	// Work is what it takes of a server, and Share the part of the requests like it for which
+	// its node took the service to have room.
+	Work  time.Duration
+	Share float64
+	// ForOthers says that this node asks the servers on behalf of others, so that they are to
+	// know what it measures.
+	ForOthers bool
+}
+
+// Offer notes a request that was let in.
+func (m *Meter) Offer(offered Offered) {
+	class, work, share := offered.Class, offered.Work, offered.Share
+	m.isForOthers = m.isForOthers || offered.ForOthers
+	if m.classes[class] == nil && len(m.classes) >= maxClasses {
+		class.Tenant = ""
+	}
+	found := m.classes[class]
+	if found == nil {
+		found = &rate{}
+		m.classes[class] = found
+	}
+	found.pending += work.Seconds() / max(leastCounted, min(share, 1))
+	m.offered++
+	m.workOffered += work.Seconds()
+}
+
+// Serve notes that a server has answered a request that took so much work.
+func (m *Meter) Serve(work time.Duration) { m.served += work.Seconds() }
+
+// IsDue reports whether the shares are to be judged anew.
+func (m *Meter) IsDue(now time.Time) bool { return now.Sub(m.judgedAt) >= tickSpan }
+
+// Shares returns what is let in by the last judgement, and when that was.
+func (m *Meter) Shares() (Shares, time.Time) { return m.shares, m.judgedAt }
+
+// Judge takes the queue of a moment and judges the shares anew.
+func (m *Meter) Judge(backlog Backlog, now time.Time) {
+	elapsed := now.Sub(m.judgedAt).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	m.average(elapsed)
+	m.judgedAt = now
+	queued := float64(backlog.Waiting) * m.meanWork
+	isWorking, isGrowing := m.servedLast > 0, queued > m.queued
+	m.queued = queued
+	switch {
+	case m.waitsFor(queued, tolerableWait*backlog.Target.Seconds()):
+		m.behind, m.calm = m.behind+1, 0
+		if isWorking && isGrowing {
+			m.outgrown++
+		}
+	case m.waitsFor(queued, noticeableWait*backlog.Target.Seconds()):
+		m.behind, m.outgrown, m.calm = 0, 0, 0
+	case m.isUsed():
+		m.behind, m.outgrown, m.calm = 0, 0, m.calm+1
+	default:
+		m.behind, m.outgrown = 0, 0
+	}
+	m.limit(elapsed)
+}
+
+// average moves what was noted since the last judgement into the rates.
+func (m *Meter) average(elapsed float64) {
+	gain := 1 - math.Exp(-elapsed/rateSpan.Seconds())
+	for class, each := range m.classes {
+		each.value += gain * (each.pending/elapsed - each.value)
+		each.pending = 0
+		if each.value < forgottenRate {
+			delete(m.classes, class)
+		}
+	}
+	m.servedRate += gain * (m.served/elapsed - m.servedRate)
+	m.admittedRate += (1 - math.Exp(-elapsed/admittedSpan.Seconds())) * (m.workOffered/elapsed - m.admittedRate)
+	if m.offered > 0 {
+		m.meanWork += gain * (m.workOffered/float64(m.offered) - m.meanWork)
+	}
+	m.servedLast = m.served
+	m.offered, m.workOffered, m.served = 0, 0, 0
+}
+
+// waitsFor reports whether the last of the queue waits for longer than some seconds.
+func (m *Meter) waitsFor(queued, seconds float64) bool {
+	return queued > 0 && queued > m.servedRate*seconds
+}
+
+// isUsed reports whether the estimated capacity is in use or is nearly what is asked for.
+func (m *Meter) isUsed() bool {
+	return m.admittedRate >= usedPart*m.capacity || m.capacity >= usedPart*m.asked
+}
+
+// growth returns by how much more is let in after a judgement without a queue.
+func (m *Meter) growth() float64 {
+	if m.calm > 1 && m.capacity < starvedPart*m.asked {
+		return greatestGrowth
+	}
+	return min(greatestGrowth, max(probeGrowth, growthStep*float64(m.calm-probeTicks)))
+}
+
+// limit sets the shares by the queue.
+func (m *Meter) limit(elapsed float64) {
+	allowed := m.capacity
+	switch {
+	case m.outgrown >= leastOutgrown || m.behind >= leastBehind || m.isLimited && m.behind > 0:
+		if m.isLimited {
+			m.capacity = max(m.servedRate, greatestFall*m.capacity)
+		} else {
+			// The average is behind a load that has just begun.
+			m.isLimited, m.capacity = true, max(m.servedRate, m.servedLast/elapsed)
+		}
+		allowed = behindPart * m.capacity
+	case m.isLimited && m.calm > 0 && m.isUsed():
+		m.capacity = max(m.capacity, leastShare*m.asked) * (1 + m.growth()*elapsed/tickSpan.Seconds())
+		allowed = m.capacity
+	}
+	if !m.isLimited {
+		return
+	}
+	m.demands = m.demands[:0]
+	for class, each := range m.classes {
+		m.demands = append(m.demands, Demand{Class: class, Rate: each.value})
+	}
+	m.asked = sum(m.demands)
+	m.shares = Divide(max(allowed, leastShare*m.asked), m.demands)
+	if m.shares.IsFull() {
+		m.isLimited = false
+	}
+}
--- /dev/null
+++ b/pkg/loadshed/meters.go
@@ -0,0 +1,149 @@
+package loadshed
+
+import (
+	"sync"
+	"time"
+)
+
+// Constants of what is told.
+const (
+	// toldChange is the part by which a share has to change to be told before its time: less
+	// than that is within what a service can bear for a moment.
+	toldChange = 0.2
+	// leastPause is the least time between two messages to all nodes, so that they do not
+	// grow with the load; repeatSpan is how often shares are told again while they matter.
+	leastPause = 200 * time.Millisecond
+	repeatSpan = 500 * time.Millisecond
+)
+
+// Queues tells which requests wait for servers; *fleet.Fleet implements it.
+type Queues interface {
+	// Backlog returns those of a load that wait for a service at a moment.
+	Backlog(key Key, now time.Time) Backlog
+}
+
+// Measured are the shares of one load.
+type Measured struct {
+	Key
+	Shares Shares
+	At     time.Time
+}
+
+// Meters are the meters of the services whose servers this node asks, for itself or on behalf
+// of others. The requests that come drive them: without requests nothing changes.
+type Meters struct {
+	queues Queues
+	board  *Board
+
+	mutex sync.Mutex
+	// The fields below are guarded by mutex.
+	// tell takes what all nodes are to be told; nil where there are none.
+	tell   func([]Measured)
+	meters map[Key]*Meter
+	// lastTold are the shares that all nodes were told last and toldAt is when.
+	lastTold map[Key]Shares
+	toldAt   time.Time
+}
+
+// NewMeters returns meters that note what they find on this node's own board too.
+func NewMeters(queues Queues, board *Board) *Meters {
+	return &Meters{queues: queues, board: board, meters: make(map[Key]*Meter), lastTold: make(map[Key]Shares)}
+}
+
+// Tell sets what takes what all nodes are to be told. It does not block.
+func (m *Meters) Tell(tell func([]Measured)) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.tell = tell
+}
+
+// Offer notes a request that was let in.
+func (m *Meters) Offer(key Key, offered Offered, now time.Time) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	found := m.meters[key]
+	if found == nil {
+		found = NewMeter(now)
+		m.meters[key] = found
+	}
+	found.Offer(offered)
+	if !found.IsDue(now) {
+		return
+	}
+	found.Judge(m.queues.Backlog(key, now), now)
+	shares, _ := found.Shares()
+	m.board.Take(key, shares, now)
+	if found.isForOthers && m.tell != nil {
+		m.tellIfChanged(now)
+	}
+}
+
+// Serve notes that a server of a service has answered.
+func (m *Meters) Serve(key Key, work time.Duration) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if found := m.meters[key]; found != nil {
+		found.Serve(work)
+	}
+}
+
+// Of returns the shares of a service and when they were judged; full ones if it is not
+// measured here or was not asked for lately.
+func (m *Meters) Of(key Key, now time.Time) (Shares, time.Time) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.of(key, now)
+}
+
+// of is Of. The mutex is held.
+func (m *Meters) of(key Key, now time.Time) (Shares, time.Time) {
+	found := m.meters[key]
+	if found == nil || now.Sub(found.judgedAt) > shareLife {
+		return Shares{}, now
+	}
+	return found.Shares()
+}
+
+// tellIfChanged tells all nodes the shares if they have changed or matter still. The mutex is
+// held.
+func (m *Meters) tellIfChanged(now time.Time) {
+	pause := now.Sub(m.toldAt)
+	if pause < leastPause {
+		return
+	}
+	isChanged, matters := false, false
+	for key, each := range m.meters {
+		if !each.isForOthers {
+			continue
+		}
+		shares, _ := m.of(key, now)
+		isChanged = isChanged || shares.differsFrom(m.lastTold[key], toldChange)
+		matters = matters || !shares.IsFull()
+	}
+	if !isChanged && (!matters || pause < repeatSpan) {
+		return
+	}
+	var message []Measured
+	for key, each := range m.meters {
+		shares, at := m.of(key, now)
+		if !each.isForOthers || shares.IsFull() && m.lastTold[key].IsFull() {
+			continue
+		}
+		message = append(message, Measured{Key: key, Shares: shares, At: at})
+		m.lastTold[key] = shares
+	}
+	m.toldAt = now
+	m.tell(message)
+}
+
+// Sweep forgets services that are not asked for any more. It is called every second or so.
+func (m *Meters) Sweep(now time.Time) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for key, each := range m.meters {
+		if now.Sub(each.judgedAt) > 2*shareLife {
+			delete(m.meters, key)
+			delete(m.lastTold, key)
+		}
+	}
+}
--- a/pkg/owner/fuzz_test.go
+++ b/pkg/owner/fuzz_test.go
@@ -46,7 +46,7 @@
 	}}
 	f.Fuzz(func(t *testing.T, body []byte) {
 		before := allocated()
-		if decoded, err := decodeReport(body); err == nil && len(decoded.EndedServers) > len(body) {
+		if decoded, _, err := decodeReport(body); err == nil && len(decoded.EndedServers) > len(body) {
 			t.Fatalf("%d servers from %d bytes", len(decoded.EndedServers), len(body))
 		}
 		asked := &ownerpb.Question{}
