Shards that a request can do without are asked where nobody else waits

At low rates two requests that wait for a lost server passed for an overload. And a node that asks a shard's servers itself for requests to that service alone put its own, full share in the place of the owner's.

Change: such shards are asked with the last rank, the answer does not wait for them, and they are needed after all once the request cannot be answered otherwise. Four requests make a queue. What a node measures by its own requests yields to what owners tell.

The test that such a shard is not asked is replaced: it is asked and takes no place of one that needs it, nor holds back the answer (TestAScarceShardIsLeftToOthers).

--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -46,43 +46,74 @@
 	return r.runner.Room.Board.Admit(r.plan.Services, r.regions().Key(), r.plan.Required, r.class(), r.lot, now)
 }
 
-// spareOthers leaves the services to others that have no room for the request and without
-// which it can be answered.
+// spareOthers leaves the services to those that need them that have no room for the request and
+// without which it can be answered.
 func (r *run) spareOthers() {
-	for _, index := range r.admission.Spared {
-		r.parts[index].spared, r.parts[index].closed = true, true
-		r.open--
+	spared := r.admission.Spared
+	if r.plan.Collect != nil {
+		spared = r.plan.Collect.Spared
+	}
+	for _, index := range spared {
+		if index >= 0 && index < len(r.parts) {
+			r.parts[index].spared = true
+			r.spared++
+		}
+	}
+}
+
+// sparedOf returns which of the positions in a group are left to those that need them.
+func (r *run) sparedOf(group []int) []int {
+	var spared []int
+	for position, index := range group {
+		if r.parts[index].spared {
+			spared = append(spared, position)
+		}
 	}
+	return spared
 }
 
-// withoutSpared returns the positions that are not left to others.
-func (r *run) withoutSpared(indexes []int) []int {
-	if len(r.admission.Spared) == 0 {
-		return indexes
+// hasAllButSpared reports whether all parts are answered that the request does not leave to
+// others.
+func (r *run) hasAllButSpared() bool {
+	if r.spared == 0 || r.got < len(r.parts)-r.spared {
+		return false
 	}
-	kept := make([]int, 0, len(indexes))
-	for _, index := range indexes {
-		if !r.parts[index].spared {
-			kept = append(kept, index)
+	for index := range r.parts {
+		if each := &r.parts[index]; each.answer == nil && !each.spared {
+			return false
 		}
 	}
-	return kept
+	return true
 }
 
-// takeBackSpared asks the services that were left to others once the request cannot be
+// takeBackSpared needs the services that were left to others once the request cannot be
 // answered without them any more.
 func (r *run) takeBackSpared() {
-	if r.got+r.open >= r.plan.Required || len(r.admission.Spared) == 0 {
+	if r.spared == 0 || r.plan.Collect != nil || r.got+r.open-r.missingSpared() >= r.plan.Required {
 		return
 	}
-	spared := r.admission.Spared
-	r.admission.Spared = nil
+	r.spared = 0
 	now := time.Now()
-	for _, index := range spared {
-		r.parts[index].spared, r.parts[index].closed = false, false
-		r.open++
-		r.launchFirst(index, now)
+	for index := range r.parts {
+		part := &r.parts[index]
+		wasSpared := part.spared
+		part.spared = false
+		if wasSpared && part.answer == nil && !part.closed && len(part.live) == 0 {
+			part.question = nil
+			r.retry(index, now)
+		}
+	}
+}
+
+// missingSpared counts the open parts without an answer that are left to others.
+func (r *run) missingSpared() int {
+	count := 0
+	for index := range r.parts {
+		if each := &r.parts[index]; each.spared && each.answer == nil && !each.closed {
+			count++
+		}
 	}
+	return count
 }
 
 // noteOffered counts a part whose servers this node asks among the load of its service. Those
@@ -90,7 +121,7 @@
 func (r *run) noteOffered(index int, now time.Time) {
 	part := &r.parts[index]
 	isForOwner := len(r.groups) > 0 && !part.owned
-	if r.runner.Room == nil || isForOwner {
+	if r.runner.Room == nil || isForOwner || part.spared {
 		return
 	}
 	share := 1.0
--- a/pkg/fanout/admission_test.go
+++ b/pkg/fanout/admission_test.go
@@ -1,6 +1,7 @@
 package fanout_test
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -57,20 +58,32 @@
 	})
 }
 
-// TestAScarceShardIsLeftToOthers by a request that has enough without it, and asked after all
-// once another shard fails.
+// TestAScarceShardIsLeftToOthers by a request that has enough without it: it neither waits for
+// its servers nor for its answer, while one that needs the shard waits.
 func TestAScarceShardIsLeftToOthers(t *testing.T) {
 	in(t, func(g *WithT, w *world) {
-		w.add("a", "a1", quick("a"))
+		slow := quick("a")
+		slow.Delay = 100 * time.Millisecond
+		w.add("a", "a1", slow)
 		w.add("b", "b1", quick("b"))
 		w.add("c", "c1", quick("c"))
+		w.fleet.SetConnections(map[string]int{"a": 2})
+		var runs sync.WaitGroup
+		for range 2 {
+			runs.Go(func() {
+				result, _ := w.run(plan("a"))
+				g.Expect(result.Got).To(Equal(1))
+			})
+			time.Sleep(time.Millisecond)
+		}
 		room := w.inRoom()
 		room.Board.Take(loadshed.Key{Service: "a"}, share(0), time.Now())
-		asked := plan("a", "b", "c")
-		result, _ := w.run(asked)
+		result, took := w.run(plan("a", "b", "c"))
+		g.Expect(result.Reason).To(Equal(fanout.StopComplete))
 		g.Expect(result.Got).To(Equal(2))
-		g.Expect(w.arrivals("a1")).To(BeZero())
-		g.Expect(w.arrivals("b1", "c1")).To(Equal(2))
+		g.Expect(took).To(BeNumerically("<", 20*time.Millisecond))
+		runs.Wait()
+		g.Expect(w.arrivals("a1")).To(Equal(2))
 	})
 }
 
--- a/pkg/fanout/decide.go
+++ b/pkg/fanout/decide.go
@@ -9,7 +9,9 @@
 // decide reports whether the answer is final.
 func (r *run) decide(now time.Time) (StopReason, bool) {
 	switch {
-	case r.got == len(r.parts)-len(r.admission.Spared):
+	case r.plan.Collect == nil && r.hasAllButSpared():
+		return StopComplete, true
+	case r.got == len(r.parts):
 		return StopComplete, true
 	case r.open == 0:
 		return StopExhausted, true
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -77,6 +77,8 @@
 	Granted <-chan []int
 	// Lot is the request's lot at the other node; zero to draw one from its id.
 	Lot uint64
+	// Spared are the positions of services that are left to those that need them.
+	Spared []int
 	// AdmittedShares are, for each service, the part of the requests like this one that the
 	// other node took it to have room for; nil for all.
 	AdmittedShares []float64
@@ -228,7 +230,7 @@
 	run.spareOthers()
 	run.askOwners(time.Now())
 	for index := range plan.Services {
-		if part := &run.parts[index]; part.question == nil && !part.spared {
+		if run.parts[index].question == nil {
 			run.launchFirst(index, time.Now())
 		}
 	}
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -176,12 +176,12 @@
 // than required. A request that has enough without a shard whose servers are
 // scarce leaves them to others.
 func (r *run) isNeeded(part *part) bool {
-	if len(part.live) > 0 {
+	if len(part.live) > 0 || part.spared {
 		return false
 	}
 	covered := r.got
 	for index := range r.parts {
-		if each := &r.parts[index]; each.answer == nil && (len(each.live) > 0 || each.question != nil) {
+		if each := &r.parts[index]; each.answer == nil && !each.spared && (len(each.live) > 0 || each.question != nil) {
 			covered++
 		}
 	}
--- a/pkg/fanout/owners.go
+++ b/pkg/fanout/owners.go
@@ -39,6 +39,8 @@
 	Request  *exchange.Request
 	// Lot orders the request among others.
 	Lot uint64
+	// Spared are the positions of services that are left to those that need them.
+	Spared []int
 	// AdmittedShares are, for each service, the part of the requests like this one that it has
 	// room for; nil for all.
 	AdmittedShares []float64
@@ -163,16 +165,12 @@
 	}
 }
 
-// ask sends a question to an owner, but for the parts that are left to others.
+// ask sends a question to an owner.
 func (r *run) ask(group Group, now time.Time) {
-	indexes := r.withoutSpared(group.Indexes)
-	if len(indexes) == 0 {
-		return
-	}
-	asked := &question{owner: group.Owner, indexes: indexes, within: r.reportWithin(now), told: make(map[int]bool)}
+	asked := &question{owner: group.Owner, indexes: group.Indexes, within: r.reportWithin(now), told: make(map[int]bool)}
 	asked.silentAt = now.Add(asked.patience())
-	services := make([]string, len(indexes))
-	for position, index := range indexes {
+	services := make([]string, len(group.Indexes))
+	for position, index := range group.Indexes {
 		part := &r.parts[index]
 		part.question = asked
 		part.arrivals, part.executions = 1, 1
@@ -182,7 +180,7 @@
 	required := (r.plan.Required*len(services) + len(r.parts) - 1) / len(r.parts)
 	asked.pending = r.runner.Owners.Ask(Question{
 		Owner: group.Owner, Services: services, Plan: &r.plan, Required: required, Request: r.request,
-		ReportWithin: asked.within, Lot: r.lot, AdmittedShares: r.admittedShares(services, now),
+		ReportWithin: asked.within, Lot: r.lot, Spared: r.sparedOf(group.Indexes), AdmittedShares: r.admittedShares(services, now),
 	}, func(report Report) { r.inbox.put(asked, report) })
 }
 
@@ -359,7 +357,7 @@
 	if collect == nil {
 		return nil
 	}
-	isDue := !now.Before(r.reportAt) || len(r.wants) > 0 || r.told && len(r.fresh) > 0
+	isDue := !now.Before(r.reportAt) || len(r.fresh) > 0 && r.hasAllButSpared() || len(r.wants) > 0 || r.told && len(r.fresh) > 0
 	if !isDue {
 		return nil
 	}
--- a/pkg/fanout/part.go
+++ b/pkg/fanout/part.go
@@ -49,8 +49,8 @@
 	question *question
 	// owned says that this node asks the service's servers for others too.
 	owned bool
-	// spared says that the service is left to others, since the request can be answered
-	// without it.
+	// spared says that the service is left to those that need it, since it is short of room and
+	// the request can be answered without it: it is asked where nobody else waits.
 	spared bool
 	// isOffered says that the part counts among the load of its service.
 	isOffered bool
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -70,6 +70,8 @@
 	// groups are the services with an owner, and admission by what the request was let in.
 	groups    []Group
 	admission loadshed.Decision
+	// spared counts the parts that are left to others.
+	spared int
 	// work is what one part takes of a server.
 	work time.Duration
 	// questions are those to owners, and inbox what they have reported.
--- a/pkg/loadshed/board.go
+++ b/pkg/loadshed/board.go
@@ -26,6 +26,8 @@
 	shares Shares
 	// measuredAt is when they were judged.
 	measuredAt time.Time
+	// isPartial says that this node has measured them by its own requests alone.
+	isPartial bool
 }
 
 // NewBoard returns an empty board.
@@ -37,9 +39,20 @@
 // Limited returns how many services are short of room.
 func (b *Board) Limited() int { return int(b.limited.Load()) }
 
-// Take notes the shares of a service as they were judged at a moment; older ones than those
-// known are passed over.
+// Take notes the shares of a service as its owner judged them at a moment; older ones than
+// those known are passed over.
 func (b *Board) Take(key Key, shares Shares, measuredAt time.Time) {
+	b.take(key, told{shares: shares, measuredAt: measuredAt})
+}
+
+// TakePartial notes shares that this node has judged by its own requests alone. Recent ones of
+// an owner, who sees all, count before them.
+func (b *Board) TakePartial(key Key, shares Shares, measuredAt time.Time) {
+	b.take(key, told{shares: shares, measuredAt: measuredAt, isPartial: true})
+}
+
+func (b *Board) take(key Key, taken told) {
+	shares, measuredAt := taken.shares, taken.measuredAt
 	if shares.IsFull() && b.IsIdle() {
 		return
 	}
@@ -49,10 +62,13 @@
 	if isKnown && measuredAt.Before(known.measuredAt) {
 		return
 	}
+	if isKnown && taken.isPartial && !known.isPartial && measuredAt.Sub(known.measuredAt) <= shareLife {
+		return
+	}
 	if shares.IsFull() {
 		delete(b.told, key)
 	} else {
-		b.told[key] = told{shares: shares, measuredAt: measuredAt}
+		b.told[key] = taken
 	}
 	b.limited.Store(int64(len(b.told)))
 }
--- a/pkg/loadshed/board_test.go
+++ b/pkg/loadshed/board_test.go
@@ -119,6 +119,20 @@
 	g.Expect(board.ShareOf(loadshed.Key{Service: "shard0"}, urgent, now)).To(Equal(1.0))
 }
 
+// TestWhatANodeSeesAloneYieldsToTheOwner, as long as the owner tells something.
+func TestWhatANodeSeesAloneYieldsToTheOwner(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(100, 0)
+	board, key := loadshed.NewBoard(), loadshed.Key{Service: "shard0"}
+	board.Take(key, only(0.4), now)
+	board.TakePartial(key, loadshed.Shares{}, now.Add(time.Second))
+	g.Expect(board.ShareOf(key, urgent, now.Add(time.Second))).To(Equal(0.4))
+	board.TakePartial(key, only(0.7), now.Add(2*time.Second))
+	g.Expect(board.ShareOf(key, urgent, now.Add(2*time.Second))).To(Equal(0.7))
+	board.Take(key, only(0.5), now.Add(3*time.Second))
+	g.Expect(board.ShareOf(key, urgent, now.Add(3*time.Second))).To(Equal(0.5))
+}
+
 // TestRepeatingAtOnceGainsNothing: tries of a client draw the same lot at all nodes, while the
 // many that ask the same in a flash crowd draw each for itself.
 func TestRepeatingAtOnceGainsNothing(t *testing.T) {
--- a/pkg/loadshed/meter.go
+++ b/pkg/loadshed/meter.go
@@ -29,6 +29,9 @@
 	tolerableWait = 0.25
 	// noticeableWait is the part of it from which on no more is let in: the servers are full.
 	noticeableWait = 0.05
+	// leastWaiting is how many requests make a queue: at low rates as many wait while one of a
+	// service's servers stands still or is found to be lost.
+	leastWaiting = 4
 	// leastOutgrown is how many judgements in a row have to find too long a queue that grows
 	// although servers work, and leastBehind how many too long a queue whatever servers do:
 	// one that stands still for some tenths of a second refuses nobody.
@@ -157,7 +160,7 @@
 	isWorking, isGrowing := m.servedLast > 0, queued > m.queued
 	m.queued = queued
 	switch {
-	case m.waitsFor(queued, tolerableWait*backlog.Target.Seconds()):
+	case backlog.Waiting >= leastWaiting && m.waitsFor(queued, tolerableWait*backlog.Target.Seconds()):
 		m.behind, m.calm = m.behind+1, 0
 		if isWorking && isGrowing {
 			m.outgrown++
--- a/pkg/loadshed/meters.go
+++ b/pkg/loadshed/meters.go
@@ -72,7 +72,11 @@
 	}
 	found.Judge(m.queues.Backlog(key, now), now)
 	shares, _ := found.Shares()
-	m.board.Take(key, shares, now)
+	if found.isForOthers {
+		m.board.Take(key, shares, now)
+	} else {
+		m.board.TakePartial(key, shares, now)
+	}
 	if found.isForOthers && m.tell != nil {
 		m.tellIfChanged(now)
 	}
--- a/pkg/owner/client.go
+++ b/pkg/owner/client.go
@@ -198,6 +198,9 @@
 		DeadlineUs: microseconds(plan.Deadline.Sub(now)), AssumedUs: microseconds(plan.Assumed),
 		ReportUs: microseconds(question.ReportWithin), Version: plan.Version, Tenant: plan.Tenant, Priority: int32(plan.Priority), Lot: question.Lot, AdmittedShares: question.AdmittedShares,
 	}
+	for _, position := range question.Spared {
+		encoded.Spared = append(encoded.Spared, uint32(position))
+	}
 	if plan.Regions != nil {
 		encoded.Regions = plan.Regions().Names()
 	}
--- a/pkg/owner/server.go
+++ b/pkg/owner/server.go
@@ -159,6 +159,9 @@
 		Host: question.Host, Target: question.Target, Version: question.Version, Tenant: question.Tenant, Regions: route.OnlyRegions(question.Regions),
 	}
 	plan.Regions = func() route.Regions { return s.options.Regions(asked) }
+	for _, position := range question.Spared {
+		plan.Collect.Spared = append(plan.Collect.Spared, int(position))
+	}
 	if len(question.AdmittedShares) == len(question.Services) {
 		plan.Collect.AdmittedShares = question.AdmittedShares
 	}
