--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -107,10 +107,10 @@
 	owners    *owner.Client
 	// limits is nil if limits of tenants are not held.
 	limits *limits
-	// known is what this node knows of the room at services; room tells others of it and is
-	// nil if the node has no address for its peers.
-	known *fanout.Room
-	room  *owner.Room
+	// known is what this node knows of the room at services; announcer tells others of it and
+	// is nil if the node has no address for its peers.
+	known     *fanout.Room
+	announcer *owner.Announcer
 }
 
 // New opens the node's listeners.
@@ -236,7 +236,7 @@
 	})
 	n.state.roster = owner.NewRoster(*local, settings.Zones, n.state.fleet)
 	n.owners = owner.NewClient(n.state.roster, n.transport, n.known.Board, ownerEvents{node: n})
-	n.openRoom()
+	n.openAnnouncer()
 	if settings.Bounds.QuotaWindowSeconds > 0 {
 		n.limits = newLimits(n, settings, n.transport)
 		n.state.limits = n.limits
@@ -275,7 +275,7 @@
 		add(n.transport.Run)
 		add(n.peers.Run)
 		add(n.owners.Run)
-		add(n.room.Run)
+		add(n.announcer.Run)
 	}
 	if n.limits != nil {
 		add(n.limits.limiter.Run)
--- a/internal/edge/owners.go
+++ b/internal/edge/owners.go
@@ -18,9 +18,9 @@
 			found := rules.forKind(kind, true, requestID)
 			return found.Hedge, found.ExtraShare
 		},
-		Regions:  n.state.regionsNow,
-		Room:     n.room,
-		Recorder: recorder.RecordOwned,
+		Regions:   n.state.regionsNow,
+		Announcer: n.announcer,
+		Recorder:  recorder.RecordOwned,
 	})
 }
 
--- a/internal/edge/room.go
+++ b/internal/edge/room.go
@@ -1,30 +1,53 @@
 package edge
 
 import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/bramblemast/bramblemast/pkg/fanout"
 	"github.com/bramblemast/bramblemast/pkg/loadshed"
 	"github.com/bramblemast/bramblemast/pkg/owner"
 )
 
-// openRoom lets this node tell others of the room at services that it asks on their behalf.
-func (n *Node) openRoom() {
-	n.room = owner.NewRoom(owner.RoomOptions{
-		Known: n.known, Roster: n.state.roster, Transport: n.transport, Told: n.logRoom,
+// openAnnouncer lets this node tell others of the room at services that it asks on their behalf.
+func (n *Node) openAnnouncer() {
+	n.announcer = owner.NewAnnouncer(owner.AnnouncerOptions{
+		Known: n.known, Roster: n.state.roster, Transport: n.transport, Told: newRoomLog(n.logger).write,
 	})
 	n.figures.gauge("services_short_of_room", "Services of which this node lets in only a part of the requests.", func() float64 {
 		return float64(n.known.Board.Limited())
 	})
 }
 
-// logRoom tells in the log what this node tells others as an owner of services that are short
-// of room, or have room again.
-func (n *Node) logRoom(message []loadshed.Measured) {
+// roomLogSpan is how often a service that stays short of room is told in the log: its shares
+// change several times a second.
+const roomLogSpan = time.Second
+
+// roomLog tells in the log what this node tells others, as an owner of services that are short
+// of room or have room again. Only one goroutine uses it.
+type roomLog struct {
+	logger hclog.Logger
+	// toldAt is when each load was told to be short of room last.
+	toldAt map[loadshed.Key]time.Time
+}
+
+func newRoomLog(logger hclog.Logger) *roomLog {
+	return &roomLog{logger: logger, toldAt: make(map[loadshed.Key]time.Time)}
+}
+
+func (l *roomLog) write(message []loadshed.Measured) {
 	for _, each := range message {
 		if each.Shares.IsFull() {
-			n.logger.Info("room again", "service", each.Service)
+			delete(l.toldAt, each.Key)
+			l.logger.Info("room again", "service", each.Service)
+			continue
+		}
+		if each.At.Sub(l.toldAt[each.Key]) < roomLogSpan {
 			continue
 		}
-		n.logger.Warn("short of room", "service", each.Service, "shares", each.Shares.Ranks, "tenants", each.Shares.Tenants)
+		l.toldAt[each.Key] = each.At
+		l.logger.Warn("short of room", "service", each.Service, "shares", each.Shares.Ranks, "tenants", each.Shares.Tenants)
 	}
 }
 
--- a/pkg/loadshed/loadshed.go
+++ b/pkg/loadshed/loadshed.go
@@ -41,8 +41,8 @@
 
 // RankShare is the part of the requests of a priority that is let in.
 type RankShare struct {
-	Priority int
-	Share    float64
+	Priority int     `json:"priority"`
+	Share    float64 `json:"share"`
 }
 
 // TenantShare is the part of one tenant's requests of a priority that is let in.
--- a/pkg/loadshed/meter_test.go
+++ b/pkg/loadshed/meter_test.go
@@ -175,3 +175,18 @@
 	tested.run(75, 5*time.Second)
 	g.Expect(tested.refused).To(BeZero())
 }
+
+// noQueues has nothing that waits.
+type noQueues struct{}
+
+func (noQueues) Backlog(loadshed.Key, time.Time) loadshed.Backlog { return loadshed.Backlog{} }
+
+// BenchmarkMetersOffer counts the judgements too, one in ten requests at a hundred a second.
+func BenchmarkMetersOffer(b *testing.B) {
+	meters, now := loadshed.NewMeters(noQueues{}, loadshed.NewBoard()), time.Unix(100, 0)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(10 * time.Millisecond)
+		meters.Offer(loadshed.Key{Service: "shard0"}, loadshed.Offered{Class: urgent, Work: queueWork, Share: 1}, now)
+	}
+}
--- a/pkg/owner/room.go
+++ b/pkg/owner/announcer.go
@@ -26,9 +26,9 @@
 	mostTold = 40
 )
 
-// Room measures, as an owner, what the servers of services can take, and tells the nodes of
-// the region. It is safe for concurrent use.
-type Room struct {
+// Announcer tells the nodes of the region what this node measures, as an owner, of the room at
+// services, and takes what other owners tell. It is safe for concurrent use.
+type Announcer struct {
 	known     *fanout.Room
 	roster    *Roster
 	transport peer.Transport
@@ -37,8 +37,8 @@
 	waiting chan []loadshed.Measured
 }
 
-// RoomOptions are the parts of a Room.
-type RoomOptions struct {
+// AnnouncerOptions are the parts of an Announcer.
+type AnnouncerOptions struct {
 	// Known is what this node measures, and takes what others tell.
 	Known *fanout.Room
 	// Roster has the nodes that are told.
@@ -48,9 +48,9 @@
 	Told func([]loadshed.Measured)
 }
 
-// NewRoom registers the handler of what other owners tell.
-func NewRoom(options RoomOptions) *Room {
-	created := &Room{
+// NewAnnouncer registers the handler of what other owners tell.
+func NewAnnouncer(options AnnouncerOptions) *Announcer {
+	created := &Announcer{
 		known: options.Known, roster: options.Roster, transport: options.Transport, told: options.Told,
 		waiting: make(chan []loadshed.Measured, 1),
 	}
@@ -60,31 +60,31 @@
 }
 
 // put keeps a message until Run tells it; one that still waits gives way to it.
-func (r *Room) put(message []loadshed.Measured) {
+func (a *Announcer) put(message []loadshed.Measured) {
 	select {
-	case <-r.waiting:
+	case <-a.waiting:
 	default:
 	}
 	select {
-	case r.waiting <- message:
+	case a.waiting <- message:
 	default:
 	}
 }
 
 // Run tells what has changed, until ctx ends.
-func (r *Room) Run(ctx context.Context) error {
+func (a *Announcer) Run(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case message := <-r.waiting:
-			r.spread(ctx, message)
+		case message := <-a.waiting:
+			a.spread(ctx, message)
 		}
 	}
 }
 
-func (r *Room) spread(ctx context.Context, message []loadshed.Measured) {
-	r.told(message)
+func (a *Announcer) spread(ctx context.Context, message []loadshed.Measured) {
+	a.told(message)
 	now := time.Now()
 	rooms := &ownerpb.Rooms{}
 	for _, each := range message {
@@ -92,31 +92,31 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	peer.Spread(limited, r.transport, r.roster.neighbours(), kindRoom, rooms, func() proto.Message { return &ownerpb.Ping{} })
+	peer.Spread(limited, a.transport, a.roster.neighbours(), kindRoom, rooms, func() proto.Message { return &ownerpb.Ping{} })
 }
 
 // take notes what another owner tells.
-func (r *Room) take(_ context.Context, _ target.NodeID, body []byte) (proto.Message, error) {
+func (a *Announcer) take(_ context.Context, _ target.NodeID, body []byte) (proto.Message, error) {
 	rooms := &ownerpb.Rooms{}
 	if err := rooms.UnmarshalVT(body); err != nil {
 		return nil, err
 	}
 	now := time.Now()
 	for _, each := range rooms.Rooms {
-		takeRoom(r.known.Board, each, now)
+		takeRoom(a.known.Board, each, now)
 	}
 	return &ownerpb.Ping{}, nil
 }
 
 // of returns what is told with a report about some services.
-func (r *Room) of(services []string, regions string, now time.Time) []*ownerpb.Room {
-	if r == nil {
+func (a *Announcer) of(services []string, regions string, now time.Time) []*ownerpb.Room {
+	if a == nil {
 		return nil
 	}
 	var rooms []*ownerpb.Room
 	for _, service := range services {
 		key := loadshed.Key{Service: service, Regions: regions}
-		if shares, at := r.known.Meters.Of(key, now); !shares.IsFull() {
+		if shares, at := a.known.Meters.Of(key, now); !shares.IsFull() {
 			rooms = append(rooms, encodeRoom(key, shares, now.Sub(at)))
 		}
 	}
--- a/pkg/owner/room_test.go
+++ b/pkg/owner/announcer_test.go
@@ -49,11 +49,11 @@
 			created.board = created.known.Board
 			roster := owner.NewRoster(each, map[string]string{"z": "r", "y": "r", "x": "q"}, noServers{})
 			roster.SetNodes(known)
-			room := owner.NewRoom(owner.RoomOptions{
+			announcer := owner.NewAnnouncer(owner.AnnouncerOptions{
 				Known: created.known, Roster: roster,
 				Transport: network.Transport(peer.Address(each.Name)), Told: func([]loadshed.Measured) { created.told++ },
 			})
-			go func() { _ = room.Run(ctx); done <- struct{}{} }()
+			go func() { _ = announcer.Run(ctx); done <- struct{}{} }()
 			nodes[each.Name] = created
 		}
 		test(NewWithT(t), network, nodes)
--- a/pkg/owner/server.go
+++ b/pkg/owner/server.go
@@ -33,8 +33,9 @@
 	// Regions returns where a request may be served now, by this node's configuration or by
 	// what the asking node told, whichever is newer.
 	Regions func(asked Asked) route.Regions
-	// Room is what this node measures of the services that it is asked for.
-	Room *Room
+	// Announcer adds to reports what this node measures of the room at services; nil for
+	// nothing.
+	Announcer *Announcer
 	// Recorder takes the story of each question; it does not block.
 	Recorder func(Record)
 }
@@ -101,7 +102,7 @@
 		for _, index := range wanted {
 			report.Wanted = append(report.Wanted, uint32(index))
 		}
-		report.Room = s.options.Room.of(question.Services, plan.Regions().Key(), time.Now())
+		report.Room = s.options.Announcer.of(question.Services, plan.Regions().Key(), time.Now())
 		return open.Send(report)
 	}
 	plan.Collect.Granted = listenForGrants(open, len(question.Services))
@@ -114,7 +115,7 @@
 		return ctx.Err()
 	}
 	report := lastReport(result, told, int(question.TopRecords))
-	report.Room = s.options.Room.of(question.Services, plan.Regions().Key(), time.Now())
+	report.Room = s.options.Announcer.of(question.Services, plan.Regions().Key(), time.Now())
 	return open.Send(report)
 }
 
