Limits: verdicts reach many nodes in time; the ways weighed are measured

Cause: one peer.Spread has 32 calls under way; with 300 nodes its last ones began after its time was over, and half of the nodes counted as silent. Found by measuring larger deployments. Change: as many spreads together as the nodes need. BenchmarkWays measures the package against fixed parts and leases at 67, 300 and 5,400 nodes.

--- a/pkg/quota/simulation_test.go
+++ b/pkg/quota/simulation_test.go
@@ -54,8 +54,8 @@
 func (quiet) CoordinatorRegained(string)                      {}
 
 // simulate runs body with a deployment whose nodes lie 12 ms from each other.
-func simulate(t *testing.T, count int, limits map[string]route.RateLimit, body func(d *deployment)) {
-	synctest.Test(t, func(t *testing.T) {
+func simulate(t testing.TB, count int, limits map[string]route.RateLimit, body func(d *deployment)) {
+	play(t, func() {
 		d := &deployment{
 			network: peer.NewNetwork(1), random: rand.New(rand.NewPCG(7, 7)), limits: limits, began: time.Now(),
 			admitted: make(map[string][]time.Duration), refused: make(map[string]int),
@@ -78,6 +78,17 @@
 	})
 }
 
+// play runs body under virtual time. A benchmark has none of its own: it runs in that of a test.
+func play(t testing.TB, body func()) {
+	if test, isTest := t.(*testing.T); isTest {
+		synctest.Test(test, func(*testing.T) { body() })
+		return
+	}
+	testing.RunTests(func(_, _ string) (bool, error) { return true, nil }, []testing.InternalTest{{Name: "played", F: func(t *testing.T) {
+		synctest.Test(t, func(*testing.T) { body() })
+	}}})
+}
+
 // start starts a node, or starts it again.
 func (d *deployment) start(index int) {
 	node := d.nodes[index]
--- a/pkg/quota/verdicts.go
+++ b/pkg/quota/verdicts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,6 +23,8 @@
 	fallingShare = 0.8
 	// urgentInterval is the least time between two tellings.
 	urgentInterval = 50 * time.Millisecond
+	// spreadPart is the number of nodes that one Spread tells: as many as it calls at once.
+	spreadPart = 32
 	// releaseSpan is for how long a share of 1 is still told: within it every node that is
 	// in touch hears that the tenant is within its limit again.
 	releaseSpan = 3 * repeatInterval
@@ -104,9 +107,7 @@
 		addresses = append(addresses, address)
 	}
 	l.group.Go(func() {
-		limited, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		taken := peer.Spread(limited, l.options.Transport, addresses, kindVerdicts, message, func() proto.Message { return &quotapb.Taken{} })
+		taken := l.sendAll(ctx, addresses, message)
 		l.mutex.Lock()
 		defer l.mutex.Unlock()
 		*underWay = false
@@ -125,6 +126,29 @@
 	})
 }
 
+// sendAll sends verdicts to some addresses together and returns those that took them in time. A
+// Spread has several of them at once under way; one Spread for many nodes would end too late
+// for the last.
+func (l *Limiter) sendAll(ctx context.Context, addresses []peer.Address, message *quotapb.Verdicts) []peer.Address {
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var (
+		mutex sync.Mutex
+		taken []peer.Address
+		group sync.WaitGroup
+	)
+	for part := range slices.Chunk(addresses, spreadPart) {
+		group.Go(func() {
+			found := peer.Spread(limited, l.options.Transport, part, kindVerdicts, message, func() proto.Message { return &quotapb.Taken{} })
+			mutex.Lock()
+			defer mutex.Unlock()
+			taken = append(taken, found...)
+		})
+	}
+	group.Wait()
+	return taken
+}
+
 // hear takes verdicts of a coordinator; only those of the one to which this node turns count.
 // The caller holds the mutex.
 func (l *Limiter) hear(ctx context.Context, from string, verdicts map[string]Verdict, now time.Time) {
--- /dev/null
+++ b/pkg/quota/weigh_test.go
@@ -0,0 +1,85 @@
+package quota_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// BenchmarkWays gives the figures of docs/design/quota.md: a tenant at eight times its limit at
+// deployments of several sizes, by the ways that were weighed.
+func BenchmarkWays(b *testing.B) {
+	for _, count := range []int{67, 300, 5400} {
+		for _, tenant := range []string{"large", "small"} {
+			name := fmt.Sprintf("%d nodes, %s, ", count, tenant)
+			limit := tenants()[tenant]
+			b.Run(name+"share of lots", func(b *testing.B) {
+				for range b.N {
+					measureShare(b, count, tenant)
+				}
+			})
+			b.Run(name+"fixed part", func(b *testing.B) {
+				// Each node has an equal part of rate and burst, at least as a fraction of a token.
+				fixed := func(int, []int, float64) float64 { return 1 / float64(count) }
+				b.ReportMetric(reachOf(count, limit.PerSecond, limit.Burst, fixed), "reached")
+			})
+			b.Run(name+"leases", func(b *testing.B) {
+				// A tenth is dealt equally, the rest by what each node was asked a second ago.
+				leased := func(node int, asked []int, sum float64) float64 {
+					return 0.1/float64(count) + 0.9*float64(asked[node])/max(1, sum)
+				}
+				b.ReportMetric(reachOf(count, limit.PerSecond, limit.Burst, leased), "reached")
+			})
+		}
+	}
+}
+
+// measureShare plays the package itself.
+func measureShare(b *testing.B, count int, tenant string) {
+	simulate(b, count, tenants(), func(d *deployment) {
+		limit := d.limits[tenant]
+		d.run(2*time.Second, d.even(tenant, limit.PerSecond/1.6))
+		before, begun := d.sent(), d.moment()
+		const span = 8 * time.Second
+		d.run(span, d.even(tenant, 8*limit.PerSecond))
+		after := d.sent()
+		b.ReportMetric(float64(d.leastInWindow(tenant, begun, begun+span))/(limit.PerSecond*bounds.Window.Seconds()), "reached")
+		b.ReportMetric(float64(d.mostInWindow(tenant))/limitOf(limit), "of-allowed")
+		b.ReportMetric(float64(after.Reports-before.Reports)/span.Seconds()/float64(count), "reports/s/node")
+		b.ReportMetric(float64(after.Verdicts-before.Verdicts)/span.Seconds()/float64(count), "verdicts/s/node")
+	})
+}
+
+// reachOf returns the part of a rate that nodes reach with parts of it in buckets of their own,
+// dealt anew each second by what was asked in the one before.
+func reachOf(count int, perSecond, burst float64, part func(node int, asked []int, sum float64) float64) float64 {
+	random := rand.New(rand.NewPCG(3, 3))
+	levels, asked := make([]float64, count), make([]int, count)
+	served, total := 0, 0.0
+	const seconds = 60
+	for second := range seconds {
+		now := make([]int, count)
+		for arrived := 0.0; ; {
+			arrived += random.ExpFloat64() / (8 * perSecond)
+			if arrived >= 1 {
+				break
+			}
+			now[random.IntN(count)]++
+		}
+		for node := range count {
+			own := part(node, asked, total)
+			levels[node] = min(levels[node]+own*perSecond, max(1, own*burst))
+			taken := min(now[node], int(levels[node]))
+			levels[node] -= float64(taken)
+			if second >= seconds/2 {
+				served += taken
+			}
+		}
+		asked, total = now, 0
+		for _, count := range now {
+			total += float64(count)
+		}
+	}
+	return float64(served) / (perSecond * seconds / 2)
+}
