Nodes that leave the list keep their part of limits for a while

Cause: the store's list loses a node some seconds after it is cut off; the coordinator then granted its entitlement to the others while the node went on with it. Found by the new case of TestTheSumHoldsWhateverFails, before the change: 522 of 436, 158 of 132 and 62 of 53 allowed with a third of the nodes alone and gone from the list. Ruled out: telling such nodes from ended ones; a list says the same of both. Change: a node that left counts as silent for 20 s unless it is heard of. One that a coordinator has never heard of counts with an equal part. Cost: where nodes have ended rather than been cut off, a tenant at its limit lacks their part for as long, unless they start again.

--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -199,7 +199,8 @@
 		if node := a.nodes[name]; node != nil {
 			reserved += node.use.Entitled
 		} else {
-			reserved += a.spare
+			// A coordinator that is new has not heard of it: an equal part is the mean.
+			reserved += a.limit.PerSecond / float64(max(1, touch.Nodes))
 		}
 	}
 	return max(0, a.limit.PerSecond-reserved)
--- a/pkg/quota/failure_test.go
+++ b/pkg/quota/failure_test.go
@@ -53,6 +53,13 @@
 		{"a zone is cut off", silence(0, 11)},
 		{"a third of the nodes, each alone", alone(0, 22)},
 		{"a third of the nodes, together", silence(30, 52)},
+		{"a third of the nodes, alone and gone from the list", func(d *deployment) func() {
+			end := alone(0, 22)(d)
+			for _, node := range d.nodes[22:] {
+				node.limiter.SetNodes(d.list()[22:])
+			}
+			return func() { end(); d.setNodes() }
+		}},
 		{"half from half", silence(0, 33)},
 		{"the coordinator is cut off", func(d *deployment) func() {
 			index := d.coordinatorOf(tenant)
--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -28,6 +28,9 @@
 	// sweepInterval is how often what is unused is forgotten; idleSpan is when it is.
 	sweepInterval = 5 * time.Second
 	idleSpan      = time.Minute
+	// goneSpan is for how long a node that has left the list may be cut off rather than ended:
+	// lists lose a node some seconds after it is cut off, and cuts last for ten or more.
+	goneSpan = 20 * time.Second
 	// standstill is the time between two ticks beyond which a coordinator has missed what
 	// its deputies granted.
 	standstill = time.Second
@@ -112,6 +115,8 @@
 	accounts map[string]*coordinated
 	// silent holds the nodes that did not take the last verdicts.
 	silent map[string]bool
+	// gone holds until when nodes that have left the list count as silent.
+	gone map[string]time.Time
 	// spreading and probing say that verdicts are on their way to nodes in touch and to
 	// silent ones.
 	spreading bool
@@ -166,7 +171,7 @@
 		context: ctx, cancel: cancel,
 		options: options, wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1), addresses: make(map[string]peer.Address),
 		seats: rendezvous.NewSet[string](nil), zoneSeats: rendezvous.NewSet[string](nil), links: make(map[string]*link),
-		meters: make(map[string]*metered), accounts: make(map[string]*coordinated), silent: make(map[string]bool),
+		meters: make(map[string]*metered), accounts: make(map[string]*coordinated), silent: make(map[string]bool), gone: make(map[string]time.Time),
 	}
 	options.Transport.Handle(kindReport, limiter.takeReport)
 	options.Transport.Handle(kindVerdicts, limiter.takeVerdicts)
@@ -189,21 +194,18 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	before := l.addresses
 	l.addresses = addresses
-	before := l.seats.Top(seatsKey, l.seats.Len())
+	seated := l.seats.Top(seatsKey, l.seats.Len())
 	seats := rendezvous.Top(seatsKey, names, seatCount(len(names)))
-	if !slices.Equal(before, seats) {
+	if !slices.Equal(seated, seats) {
 		l.seats, l.seatedAt, l.seated = rendezvous.NewSet(seats), now, make(map[string]bool, len(seats))
 		for _, name := range seats {
 			l.seated[name] = true
 		}
 	}
 	l.zoneSeats = rendezvous.NewSet(rendezvous.Top(seatsKey, near, zoneSeats))
-	for name := range l.silent {
-		if addresses[name] == "" {
-			delete(l.silent, name)
-		}
-	}
+	l.noteGone(before, addresses, now)
 	l.openLinks(now)
 	for tenant, held := range l.meters {
 		held.meter.SetNodes(l.nodeCount())
@@ -213,6 +215,31 @@
 	l.stir()
 }
 
+// noteGone takes which nodes have left the list and which are back. One that left may be cut off
+// and go on with its entitlement, so that it counts as silent for a while; one that is back does
+// until it has answered. The caller holds the mutex.
+func (l *Limiter) noteGone(before, now map[string]peer.Address, at time.Time) {
+	for name := range before {
+		if now[name] == "" && name != l.options.Local {
+			l.silent[name] = true
+			l.gone[name] = at.Add(goneSpan)
+		}
+	}
+	for name := range now {
+		delete(l.gone, name)
+	}
+}
+
+// forgetGone forgets nodes that have left the list for long. The caller holds the mutex.
+func (l *Limiter) forgetGone(now time.Time) {
+	for name, until := range l.gone {
+		if now.After(until) {
+			delete(l.gone, name)
+			delete(l.silent, name)
+		}
+	}
+}
+
 // seatCount returns how many of some nodes coordinate limits. It grows with the root of their
 // number: the connections of each node to coordinators, and those of coordinators, stay few.
 func seatCount(nodes int) int {
@@ -344,6 +371,7 @@
 		l.doubt()
 	}
 	l.tickAt = now
+	l.forgetGone(now)
 	if now.Sub(l.sweptAt) >= sweepInterval {
 		l.sweep(now)
 	}
--- a/pkg/quota/reports.go
+++ b/pkg/quota/reports.go
@@ -92,10 +92,16 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	delete(l.silent, string(from))
+	l.noteContact(string(from))
 	return encodeVerdicts(l.take(string(from), decodeUses(message), time.Now())), nil
 }
 
+// noteContact takes it that a node is in touch. The caller holds the mutex.
+func (l *Limiter) noteContact(name string) {
+	delete(l.silent, name)
+	delete(l.gone, name)
+}
+
 // take counts the report of a node and returns the verdicts on its tenants. The caller holds
 // the mutex.
 func (l *Limiter) take(from string, uses map[string]Use, now time.Time) map[string]Verdict {
@@ -139,7 +145,7 @@
 
 // touch returns what this node knows of the others. The caller holds the mutex.
 func (l *Limiter) touch(kept *coordinated) Touch {
-	return Touch{IsFirst: kept.isFirst, Nodes: l.nodeCount(), Silent: l.silent}
+	return Touch{IsFirst: kept.isFirst, Nodes: l.nodeCount() + len(l.gone), Silent: l.silent}
 }
 
 // note follows whether a tenant is at its limit. The caller holds the mutex.
--- a/pkg/quota/verdicts.go
+++ b/pkg/quota/verdicts.go
@@ -115,7 +115,7 @@
 			return
 		}
 		for _, address := range taken {
-			delete(l.silent, nodes[address])
+			l.noteContact(nodes[address])
 			delete(nodes, address)
 		}
 		for _, name := range nodes {
