Times to come back spread evenly over the second half of the expected overload

The upper half of them was cut off at the greatest wait: everybody whose lot was in the worse half was told the same 2 s in an overload of two seconds or more.

--- a/internal/front/conversation.go
+++ b/internal/front/conversation.go
@@ -185,10 +185,10 @@
 	c.record(status, plan, result)
 }
 
-// spreadWait spreads the return of refused requests over the time around one moment, those
-// first that were closest to being let in.
+// spreadWait spreads the return of refused requests over the second half of a time, those
+// first that were closest to being let in: all at once would meet a full service again.
 func spreadWait(wait time.Duration, behind float64) time.Duration {
-	return min(time.Duration((0.5+behind)*float64(wait)), greatestWait)
+	return time.Duration((1 + behind) / 2 * float64(wait))
 }
 
 // refusedFor returns for how long requests like this one have been refused, as far as that
--- a/internal/front/policy.go
+++ b/internal/front/policy.go
@@ -47,9 +47,9 @@
 	// requests is 2 s.
 	leastRefusal = 50 * time.Millisecond
 	greatestWait = 2 * time.Second
-	// leastRoomWait is told on the average where a part of the requests is let in: shares that
-	// have room grow by a half or more within half a second.
-	leastRoomWait = 500 * time.Millisecond
+	// leastRoomWait is told at most at the beginning of an overload: a service that has room again
+	// lets everybody in within a second.
+	leastRoomWait = time.Second
 	// deadlineReserve is left for the final answer at the end of the time: the way
 	// to the client and a wake-up of a node with a fifth of a core.
 	deadlineReserve = 15 * time.Millisecond
