--- a/pkg/fanout/admission_test.go
+++ b/pkg/fanout/admission_test.go
@@ -68,6 +68,7 @@
 		w.add("b", "b1", quick("b"))
 		w.add("c", "c1", quick("c"))
 		w.fleet.SetConnections(map[string]int{"a": 2})
+		room := w.inRoom()
 		var runs sync.WaitGroup
 		for range 2 {
 			runs.Go(func() {
@@ -76,7 +77,6 @@
 			})
 			time.Sleep(time.Millisecond)
 		}
-		room := w.inRoom()
 		room.Board.Take(loadshed.Key{Service: "a"}, share(0), time.Now())
 		result, took := w.run(plan("a", "b", "c"))
 		g.Expect(result.Reason).To(Equal(fanout.StopComplete))
--- a/pkg/owner/announcer_test.go
+++ b/pkg/owner/announcer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,7 +28,7 @@
 	board  *loadshed.Board
 	known  *fanout.Room
 	queues *crowdedQueues
-	told   int
+	told   atomic.Int64
 }
 
 // inRegion runs a test with three nodes, two of them in one region.
@@ -51,7 +52,7 @@
 			roster.SetNodes(known)
 			announcer := owner.NewAnnouncer(owner.AnnouncerOptions{
 				Known: created.known, Roster: roster,
-				Transport: network.Transport(peer.Address(each.Name)), Told: func([]loadshed.Measured) { created.told++ },
+				Transport: network.Transport(peer.Address(each.Name)), Told: func([]loadshed.Measured) { created.told.Add(1) },
 			})
 			go func() { _ = announcer.Run(ctx); done <- struct{}{} }()
 			nodes[each.Name] = created
@@ -86,13 +87,13 @@
 	inRegion(t, func(g *WithT, _ *peer.Network, nodes map[string]*roomNode) {
 		owning, near := nodes["owner"], nodes["near"]
 		owning.load(time.Second)
-		g.Expect(owning.told).To(BeZero(), "nothing is told without overload")
+		g.Expect(owning.told.Load()).To(BeZero(), "nothing is told without overload")
 		owning.queues.waiting = 50
 		owning.load(500 * time.Millisecond)
 		g.Expect(near.board.ShareOf(loadshed.Key{Service: "s"}, loadshed.Class{}, time.Now())).To(BeNumerically("<", 0.5))
 		g.Expect(nodes["far"].board.IsIdle()).To(BeTrue(), "other regions have owners of their own")
 		owning.load(2 * time.Second)
-		g.Expect(owning.told).To(BeNumerically("<=", 2500/200+1))
+		g.Expect(owning.told.Load()).To(BeNumerically("<=", 2500/200+1))
 		owning.queues.waiting = 0
 		for range 100 {
 			owning.known.Meters.Offer(loadshed.Key{Service: "s"}, loadshed.Offered{Work: 20 * time.Millisecond, Share: 1, ForOthers: true}, time.Now())
