log explain leads from a 429 to the tenant's share

Cause: a refusal beyond a limit was explained as a service without a server. Change: two causes, the share with its age and who decided, and what the tenant's coordinator saw.

--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -49,6 +49,9 @@
 	node.figures.gauge("quota_tenants_at_limit", "Tenants at their limit that this node coordinates.", func() float64 {
 		return float64(held.limiter.AtLimit())
 	})
+	node.figures.gauge("quota_tenants", "Tenants with a limit that this node was asked for lately.", func() float64 {
+		return float64(held.limiter.Tenants())
+	})
 	node.figures.count64("quota_reports_total", "Reports to coordinators of limits.", func() uint64 { return held.limiter.Sent().Reports })
 	node.figures.count64("quota_verdicts_total", "Admitted shares told to other nodes.", func() uint64 { return held.limiter.Sent().Verdicts })
 	return held
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -32,6 +32,7 @@
 	CauseUnreachable   Cause = "servers could not be reached"
 	CauseQuarantined   Cause = "servers ended while they had it, so it was kept from others"
 	CauseSilent        Cause = "servers did not answer in time"
+	CauseLimitAlone    Cause = "the node reached no coordinator of limits, and its part of the tenant's limit was used up"
 	CauseSilentBudget  Cause = "servers did not answer in time, and the extra-load budget was used up"
 	CauseServerFailed  Cause = "servers ran it and failed"
 	CauseBroken        Cause = "connections broke after it was sent"
@@ -72,6 +73,8 @@
 		return CauseUnknownKey
 	case line.Reason == string(outcome.ReasonKeysUnconfirmed):
 		return CauseOldKeys
+	case line.Reason == string(outcome.ReasonOverLimit) && line.QuotaDecidedBy == "alone":
+		return CauseLimitAlone
 	case line.Reason == string(outcome.ReasonOverLimit):
 		return CauseOverLimit
 	case line.Reason == "cancelled":
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -19,6 +19,9 @@
 	messageRequest       = "request"
 	messageOwned         = "owned parts"
 	messageOwnerLost     = "owner lost"
+	messageAtLimit       = "tenant at its limit"
+	messageBelowLimit    = "tenant within its limit again"
+	messageLimitsLost    = "coordinator of limits lost"
 	messageOwnerRegained = "owner regained"
 	messageConfiguration = "configuration in force"
 	messageLost          = "dependency lost"
@@ -75,11 +78,18 @@
 	// Fingerprint is the same for all tries of a request; ServersEnded ended while they had it.
 	Fingerprint  string   `json:"fingerprint"`
 	ServersEnded []string `json:"servers_ended"`
-	Dependency   string   `json:"dependency"`
-	Server       string   `json:"server"`
-	Service      string   `json:"service"`
-	Template     string   `json:"template"`
-	Arm          string   `json:"arm"`
+	// These say by what it was decided that a tenant is beyond its limit.
+	QuotaShare     float64 `json:"quota_share"`
+	QuotaShareAge  int64   `json:"quota_share_age_ms"`
+	QuotaDecidedBy string  `json:"quota_decided_by"`
+	AskedPerSecond float64 `json:"asked_per_s"`
+	LimitPerSecond float64 `json:"limit_per_s"`
+	Coordinator    string  `json:"coordinator"`
+	Dependency     string  `json:"dependency"`
+	Server         string  `json:"server"`
+	Service        string  `json:"service"`
+	Template       string  `json:"template"`
+	Arm            string  `json:"arm"`
 }
 
 // header are the fields that the logger itself writes.
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
 )
 
 // contextSpan is how long before a request what its node believed is looked at.
@@ -72,11 +73,13 @@
 	return found
 }
 
-// before returns what the node learned before a request and had to do with it.
+// before returns what the node learned before a request and had to do with it, and what the
+// coordinator of its tenant's limit saw.
 func before(lines []Line, request Line) []Line {
 	var found []Line
 	for _, line := range lines {
-		if line.Node != request.Node || line.At.After(request.At) || request.At.Sub(line.At) > contextSpan {
+		isElsewhere := line.Node != request.Node && line.Message != messageAtLimit && line.Message != messageBelowLimit
+		if isElsewhere || line.At.After(request.At) || request.At.Sub(line.At) > contextSpan {
 			continue
 		}
 		if concerns(line, request) {
@@ -109,6 +112,12 @@
 	case messageConfiguration, messageLost, messageRegained, messageOwnerLost, messageOwnerRegained, "started", "stopping", "configuration refused":
 		return true
 	}
+	switch line.Message {
+	case messageAtLimit, messageBelowLimit:
+		return line.Tenant == request.Tenant && request.Reason == string(outcome.ReasonOverLimit)
+	case messageLimitsLost:
+		return request.Reason == string(outcome.ReasonOverLimit)
+	}
 	if len(line.ServersEnded) > 0 {
 		return line.Fingerprint == request.Fingerprint
 	}
@@ -134,6 +143,10 @@
 		fmt.Fprintf(output, "  +%4.0f ms  answered %d, %s; %d of %d parts, %d wanted\n",
 			try.TookMillis, try.Status, try.Reason, try.Parts, try.Total, try.Required)
 		writeRoom(output, try.Line)
+		if try.QuotaDecidedBy != "" {
+			fmt.Fprintf(output, "  tenant %s: %.2f of its requests admitted, told %d ms before; decided by %s\n",
+				try.Tenant, try.QuotaShare, try.QuotaShareAge, try.QuotaDecidedBy)
+		}
 		if try.RetryAfter > 0 {
 			fmt.Fprintf(output, "  the client was told to retry after %d ms\n", try.RetryAfter)
 		}
@@ -187,6 +200,10 @@
 		return fmt.Sprintf(" (%s of %s)", line.Server, line.Service)
 	case line.Dependency != "":
 		return fmt.Sprintf(" (%s) %s", line.Dependency, line.Error)
+	case line.Message == messageAtLimit:
+		return fmt.Sprintf(" (%s at %s: asked %.0f a second, limit %.0f)", line.Tenant, line.Node, line.AskedPerSecond, line.LimitPerSecond)
+	case line.Message == messageLimitsLost:
+		return fmt.Sprintf(" (%s) %s", line.Coordinator, line.Error)
 	case line.Version != 0:
 		return fmt.Sprintf(" (version %d)", line.Version)
 	}
--- /dev/null
+++ b/pkg/quota/resume_test.go
@@ -0,0 +1,67 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/quota"
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// TestAMachineThatWasSuspendedIsOutOfTouch until a coordinator has answered: what it was told is
+// as old as the suspension was long, which its steady clock does not show.
+func TestAMachineThatWasSuspendedIsOutOfTouch(t *testing.T) {
+	atOnce, later := 0, 0
+	simulate(t, 12, tenants(), func(d *deployment) {
+		d.run(2*time.Second, d.even("large", 10))
+		ask := func() (admitted int) {
+			for range 60 {
+				if d.ask(0, "large", fmt.Sprint(d.random.Uint64())) {
+					admitted++
+				}
+			}
+			return admitted
+		}
+		d.nodes[0].limiter.Resumed()
+		atOnce = ask()
+		time.Sleep(2 * time.Second)
+		later = ask()
+	})
+	g := NewWithT(t)
+	g.Expect(atOnce).To(BeNumerically("<=", 1))
+	g.Expect(later).To(BeNumerically(">=", 20))
+}
+
+// TestIdleTenantsAreForgotten: memory holds those that were asked for lately.
+func TestIdleTenantsAreForgotten(t *testing.T) {
+	before, after := 0, 0
+	limits := make(map[string]route.RateLimit)
+	for number := range 500 {
+		limits[fmt.Sprint("tenant-", number)] = route.RateLimit{PerSecond: 5, Burst: 5}
+	}
+	simulate(t, 4, limits, func(d *deployment) {
+		for tenant := range limits {
+			d.ask(0, tenant, "request")
+		}
+		time.Sleep(time.Second)
+		before = d.nodes[0].limiter.Tenants()
+		time.Sleep(2 * time.Minute)
+		after = d.nodes[0].limiter.Tenants()
+	})
+	g := NewWithT(t)
+	g.Expect(before).To(Equal(500))
+	g.Expect(after).To(BeZero())
+}
+
+// BenchmarkAdmit is what a request with a limit costs.
+func BenchmarkAdmit(b *testing.B) {
+	meter := quota.NewMeter("caller", route.RateLimit{PerSecond: 1e9, Burst: 1e9}, bounds, 67, true, start)
+	meter.SetStanding(quota.WithFirst, start)
+	b.ReportAllocs()
+	for b.Loop() {
+		meter.Admit("0123456789abcdef", start)
+	}
+}
