Names in pkg/quota: Contact, coordinators, DropBurst

Cause: Touch, seats, Doubt, suspect and stir are words of this package alone, and one thing (the nodes that coordinate) had two names, seat and coordinator. "Suspect" is also a request that ends servers (pkg/quarantine).

Ruled out: "touch" in sentences (in touch, out of touch) stays, it is plain English.

Change: Touch is Contact, seats are coordinators (seats.go is coordinators.go), Doubt is DropBurst, suspect is checkCoordinator, isDoubtful is missesCoordinator, stir is requestReport.

Conclusion: one name for each thing; behaviour is the same.

--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -42,8 +42,8 @@
 	spareInterval = 500 * time.Millisecond
 )
 
-// Touch is what a coordinator knows of the nodes at a moment.
-type Touch struct {
+// Contact is what a coordinator knows of the nodes at a moment.
+type Contact struct {
 	// IsFirst says that the coordinator is the tenant's first: it holds the limit of the
 	// whole deployment less the entitlements of nodes out of touch. A stand-in holds only
 	// the entitlements of the nodes that report to it.
@@ -100,9 +100,9 @@
 }
 
 // Take counts a report of a node. Told twice, it counts once.
-func (a *Account) Take(node string, use Use, touch Touch, now time.Time) {
+func (a *Account) Take(node string, use Use, contact Contact, now time.Time) {
 	a.usedAt = now
-	a.settle(touch, now)
+	a.settle(contact, now)
 	asked, admitted := use.NewAsked, use.NewAdmitted
 	before := a.nodes[node]
 	if before != nil && before.use.Start == use.Start {
@@ -138,16 +138,16 @@
 // SetLimit puts a limit into force.
 func (a *Account) SetLimit(limit route.RateLimit) { a.limit = limit }
 
-// Doubt takes it that requests may have been admitted that nobody reported, as after the
+// DropBurst takes it that requests may have been admitted that nobody reported, as after the
 // coordinator stood still: the burst may be spent.
-func (a *Account) Doubt() { a.bucket.level = min(a.bucket.level, 0) }
+func (a *Account) DropBurst() { a.bucket.level = min(a.bucket.level, 0) }
 
 // settle brings the bucket up to a moment.
-func (a *Account) settle(touch Touch, now time.Time) {
+func (a *Account) settle(contact Contact, now time.Time) {
 	if a.spareAt.IsZero() || now.Sub(a.spareAt) >= spareInterval {
-		a.sumUp(touch, now)
+		a.sumUp(contact, now)
 	}
-	rate := a.pooled(touch, now)
+	rate := a.pooled(contact, now)
 	room := a.bounds.room(a.limit)
 	part := 0.0
 	if a.limit.PerSecond > 0 {
@@ -161,7 +161,7 @@
 	}
 	if a.isNew {
 		a.isNew = false
-		if !touch.IsFirst {
+		if !contact.IsFirst {
 			a.bucket.level = a.bucket.cap
 		}
 	}
@@ -169,23 +169,23 @@
 }
 
 // sumUp forgets nodes that are silent for long and sums up what nobody used lately.
-func (a *Account) sumUp(touch Touch, now time.Time) {
+func (a *Account) sumUp(contact Contact, now time.Time) {
 	a.spareAt = now
 	used := 0.0
 	for name, node := range a.nodes {
 		age := now.Sub(node.at)
-		if age > entrySpan && !touch.Silent[name] {
+		if age > entrySpan && !contact.Silent[name] {
 			delete(a.nodes, name)
 			continue
 		}
 		used += node.use.Recent * math.Exp(-age.Seconds()/recentSpan.Seconds())
 	}
-	a.spare = max(0, a.limit.PerSecond-used) / float64(max(1, touch.Nodes))
+	a.spare = max(0, a.limit.PerSecond-used) / float64(max(1, contact.Nodes))
 }
 
 // pooled returns the rate that the nodes in touch with this coordinator have together.
-func (a *Account) pooled(touch Touch, now time.Time) float64 {
-	if !touch.IsFirst {
+func (a *Account) pooled(contact Contact, now time.Time) float64 {
+	if !contact.IsFirst {
 		entitled := 0.0
 		for _, node := range a.nodes {
 			if now.Sub(node.at) <= standInSpan {
@@ -195,24 +195,24 @@
 		return min(entitled, a.limit.PerSecond)
 	}
 	reserved := 0.0
-	for name := range touch.Silent {
+	for name := range contact.Silent {
 		if node := a.nodes[name]; node != nil {
 			reserved += node.use.Entitled
 		} else {
 			// A coordinator that is new has not heard of it: an equal part is the mean.
-			reserved += a.limit.PerSecond / float64(max(1, touch.Nodes))
+			reserved += a.limit.PerSecond / float64(max(1, contact.Nodes))
 		}
 	}
 	return max(0, a.limit.PerSecond-reserved)
 }
 
 // Verdict returns what nodes are to do at a moment.
-func (a *Account) Verdict(touch Touch, now time.Time) Verdict {
-	a.settle(touch, now)
+func (a *Account) Verdict(contact Contact, now time.Time) Verdict {
+	a.settle(contact, now)
 	if a.steady.read(now) > a.limit.PerSecond {
-		a.reserve(touch, now)
+		a.reserve(contact, now)
 	}
-	verdict := Verdict{Share: a.share(now), Spare: a.spare, IsFirst: touch.IsFirst}
+	verdict := Verdict{Share: a.share(now), Spare: a.spare, IsFirst: contact.IsFirst}
 	if a.bucket.rate > 0 {
 		wait := max(1, 1-a.bucket.level) / a.bucket.rate
 		verdict.Wait = time.Duration(min(wait, a.bounds.Window.Seconds()) * float64(time.Second))
@@ -223,11 +223,11 @@
 // reserve keeps back what silent nodes may admit at first beside their entitlements. A tenant
 // within its limit is not held back for it, and when the nodes are back for longer than those
 // requests count, neither are the others.
-func (a *Account) reserve(touch Touch, now time.Time) {
+func (a *Account) reserve(contact Contact, now time.Time) {
 	needed := 0.0
-	isCutOff := 2*len(touch.Silent) > touch.Nodes
-	if touch.IsFirst && !isCutOff {
-		needed = max(0, float64(len(touch.Silent))-aloneRoom*a.bounds.room(a.limit))
+	isCutOff := 2*len(contact.Silent) > contact.Nodes
+	if contact.IsFirst && !isCutOff {
+		needed = max(0, float64(len(contact.Silent))-aloneRoom*a.bounds.room(a.limit))
 	}
 	switch {
 	case needed > a.reserved:
--- a/pkg/quota/account_test.go
+++ b/pkg/quota/account_test.go
@@ -12,7 +12,7 @@
 )
 
 // first is the view of a first coordinator of 67 nodes that all answer.
-var first = quota.Touch{IsFirst: true, Nodes: 67}
+var first = quota.Contact{IsFirst: true, Nodes: 67}
 
 var largeLimit = route.RateLimit{PerSecond: 60, Burst: 60}
 
@@ -86,7 +86,7 @@
 		use.Entitled, use.Recent = 15, 15
 		account.Take(fmt.Sprint("node-", index), use, first, now)
 	}
-	cut := quota.Touch{IsFirst: true, Nodes: 4, Silent: map[string]bool{"node-0": true, "node-1": true}}
+	cut := quota.Contact{IsFirst: true, Nodes: 4, Silent: map[string]bool{"node-0": true, "node-1": true}}
 	before := account.Figures(now).Level
 	account.Verdict(cut, now.Add(time.Second))
 	account.Verdict(cut, now.Add(time.Second))
@@ -96,7 +96,7 @@
 // TestAStandInHasOnlyWhatItsNodesBring: two coordinators of one tenant grant no more than one.
 func TestAStandInHasOnlyWhatItsNodesBring(t *testing.T) {
 	g := NewWithT(t)
-	standIn := quota.Touch{Nodes: 67}
+	standIn := quota.Contact{Nodes: 67}
 	account := quota.NewAccount(largeLimit, bounds, start, start)
 	// More than its first burst is spent, so that the bucket does not run over.
 	use := report(20, 20)
@@ -128,6 +128,6 @@
 	now := start.Add(5 * time.Second)
 	account.Verdict(first, now)
 	g.Expect(account.Figures(now).Level).To(BeEquivalentTo(60))
-	account.Doubt()
+	account.DropBurst()
 	g.Expect(account.Figures(now).Level).To(BeEquivalentTo(0))
 }
--- a/pkg/quota/seats.go
+++ b/pkg/quota/coordinators.go
@@ -10,16 +10,16 @@
 
 // Coordinators of a deployment.
 const (
-	// leastSeats is the least number of nodes that coordinate limits.
-	leastSeats = 4
-	// ranks is the number of coordinators of the whole deployment that a node turns to for
-	// one tenant. The next is one of its own zone, so that a zone that is cut off holds its
-	// part of the limit together.
-	ranks = 2
-	// zoneSeats is the number of nodes of a zone that coordinate limits within it.
-	zoneSeats = 4
-	// seatsKey is what the seats are drawn by.
-	seatsKey = "quota"
+	// leastCoordinators is the least number of nodes that coordinate limits.
+	leastCoordinators = 4
+	// rankedCoordinators is the number of coordinators of the whole deployment that a node
+	// turns to for one tenant. The next is one of its own zone, so that a zone that is cut off
+	// holds its part of the limit together.
+	rankedCoordinators = 2
+	// zoneCoordinatorCount is the number of nodes of a zone that coordinate limits within it.
+	zoneCoordinatorCount = 4
+	// coordinatorsKey is what the coordinators are ranked by.
+	coordinatorsKey = "quota"
 	// assumedNodes stands for the number of nodes until they are known.
 	assumedNodes = 100
 	// goneSpan is for how long a node that has left the list may be cut off rather than ended:
@@ -52,15 +52,15 @@
 	defer l.mutex.Unlock()
 	before := l.addresses
 	l.addresses = addresses
-	seated := l.seats.Top(seatsKey, l.seats.Len())
-	seats := rendezvous.Top(seatsKey, names, seatCount(len(names)))
-	if !slices.Equal(seated, seats) {
-		l.seats, l.seatedAt, l.seated = rendezvous.NewSet(seats), now, make(map[string]bool, len(seats))
-		for _, name := range seats {
-			l.seated[name] = true
+	known := l.coordinators.Top(coordinatorsKey, l.coordinators.Len())
+	found := rendezvous.Top(coordinatorsKey, names, coordinatorCount(len(names)))
+	if !slices.Equal(known, found) {
+		l.coordinators, l.coordinatorsSince, l.isCoordinator = rendezvous.NewSet(found), now, make(map[string]bool, len(found))
+		for _, name := range found {
+			l.isCoordinator[name] = true
 		}
 	}
-	l.zoneSeats = rendezvous.NewSet(rendezvous.Top(seatsKey, near, zoneSeats))
+	l.zoneCoordinators = rendezvous.NewSet(rendezvous.Top(coordinatorsKey, near, zoneCoordinatorCount))
 	l.noteGone(before, addresses, now)
 	l.openLinks(now)
 	for tenant, held := range l.meters {
@@ -68,7 +68,7 @@
 		held.ranked = l.ranked(tenant)
 		held.meter.SetStanding(l.standing(held.ranked), now)
 	}
-	l.stir()
+	l.requestReport()
 }
 
 // noteGone takes which nodes have left the list and which are back. One that left may be cut off
@@ -96,21 +96,22 @@
 	}
 }
 
-// seatCount returns how many of some nodes coordinate limits. It grows with the root of their
-// number: the connections of each node to coordinators, and those of coordinators, stay few.
-func seatCount(nodes int) int {
-	seats := leastSeats
-	for seats*seats < nodes {
-		seats++
+// coordinatorCount returns how many of some nodes coordinate limits. It grows with the root of
+// their number: the connections of each node to coordinators, and those of coordinators, stay
+// few.
+func coordinatorCount(nodes int) int {
+	count := leastCoordinators
+	for count*count < nodes {
+		count++
 	}
-	return min(nodes, seats)
+	return min(nodes, count)
 }
 
 // ranked returns the coordinators of a tenant for this node, best first. The caller holds the
 // mutex.
 func (l *Limiter) ranked(tenant string) []string {
-	found := l.seats.Top(tenant, ranks)
-	for _, name := range l.zoneSeats.Top(tenant, 1) {
+	found := l.coordinators.Top(tenant, rankedCoordinators)
+	for _, name := range l.zoneCoordinators.Top(tenant, 1) {
 		if !slices.Contains(found, name) {
 			found = append(found, name)
 		}
--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -61,7 +61,7 @@
 }
 
 // Limiter holds the tenants of one node to their limits, and coordinates those for which the
-// node has the seat.
+// node is a coordinator.
 type Limiter struct {
 	options Options
 	// wake tells Run that there is something to report, urgent that a share has fallen.
@@ -75,17 +75,17 @@
 
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
-	addresses map[string]peer.Address
-	seats     *rendezvous.Set[string]
-	seated    map[string]bool
-	// zoneSeats are those of this node's zone.
-	zoneSeats *rendezvous.Set[string]
-	// seatedAt is since when the seats are as they are: until then other nodes may have had
-	// the accounts.
-	seatedAt time.Time
-	links    map[string]*link
-	meters   map[string]*metered
-	accounts map[string]*coordinated
+	addresses     map[string]peer.Address
+	coordinators  *rendezvous.Set[string]
+	isCoordinator map[string]bool
+	// zoneCoordinators are those of this node's zone.
+	zoneCoordinators *rendezvous.Set[string]
+	// coordinatorsSince is since when the coordinators are the same: before it other nodes may
+	// have kept the accounts.
+	coordinatorsSince time.Time
+	links             map[string]*link
+	meters            map[string]*metered
+	accounts          map[string]*coordinated
 	// silent holds the nodes that did not take the last verdicts.
 	silent map[string]bool
 	// gone holds until when nodes that have left the list count as silent.
@@ -143,7 +143,7 @@
 	limiter := &Limiter{
 		context: ctx, cancel: cancel,
 		options: options, wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1), addresses: make(map[string]peer.Address),
-		seats: rendezvous.NewSet[string](nil), zoneSeats: rendezvous.NewSet[string](nil), links: make(map[string]*link),
+		coordinators: rendezvous.NewSet[string](nil), zoneCoordinators: rendezvous.NewSet[string](nil), links: make(map[string]*link),
 		meters: make(map[string]*metered), accounts: make(map[string]*coordinated), silent: make(map[string]bool), gone: make(map[string]time.Time),
 	}
 	options.Transport.Handle(kindReport, limiter.takeReport)
@@ -158,7 +158,7 @@
 	held := l.metered(tenant, limit, now)
 	held.usedAt = now
 	decision := held.meter.Admit(requestID, now)
-	l.stir()
+	l.requestReport()
 	return decision
 }
 
@@ -168,7 +168,7 @@
 	defer l.mutex.Unlock()
 	if held := l.meters[tenant]; held != nil {
 		held.meter.Refund()
-		l.stir()
+		l.requestReport()
 	}
 }
 
@@ -204,8 +204,8 @@
 	return held
 }
 
-// stir makes Run report.
-func (l *Limiter) stir() { signal(l.wake) }
+// requestReport makes Run report after reportDelay.
+func (l *Limiter) requestReport() { signal(l.wake) }
 
 // signal wakes the reader of a channel that holds one signal.
 func signal(channel chan struct{}) {
@@ -249,7 +249,7 @@
 func (l *Limiter) onTick(ctx context.Context, now time.Time) {
 	l.mutex.Lock()
 	if !l.tickAt.IsZero() && now.Sub(l.tickAt) > standstill {
-		l.doubt()
+		l.dropBursts()
 	}
 	l.tickAt = now
 	l.forgetGone(now)
@@ -269,7 +269,7 @@
 	now := time.Now()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.doubt()
+	l.dropBursts()
 	l.wasInTouch = false
 	for _, held := range l.meters {
 		held.meter.Forget(now)
@@ -279,14 +279,14 @@
 		found.nextProbe = now
 	}
 	l.setStandings(now)
-	l.stir()
+	l.requestReport()
 }
 
-// doubt lets the accounts begin without a burst. The caller holds the mutex.
-func (l *Limiter) doubt() {
-	l.seatedAt = time.Now()
+// dropBursts lets the accounts begin without a burst. The caller holds the mutex.
+func (l *Limiter) dropBursts() {
+	l.coordinatorsSince = time.Now()
 	for _, kept := range l.accounts {
-		kept.account.Doubt()
+		kept.account.DropBurst()
 	}
 }
 
--- a/pkg/quota/links.go
+++ b/pkg/quota/links.go
@@ -7,9 +7,9 @@
 	"github.com/bramblemast/bramblemast/pkg/quota/quotapb"
 )
 
-// seatInterval is how often coordinators ask each other whether they answer: one that is cut
-// off must know of it also while no tenant is at its limit, since others stand in for it.
-const seatInterval = 500 * time.Millisecond
+// coordinatorInterval is how often coordinators ask each other whether they answer: one that is
+// cut off must know of it also while no tenant is at its limit, since others stand in for it.
+const coordinatorInterval = 500 * time.Millisecond
 
 // Waits between the questions whether a silent coordinator answers again.
 const (
@@ -28,8 +28,8 @@
 	nextProbe time.Time
 	// calledAt is when the last call began.
 	calledAt time.Time
-	// doubtedAt is when it was last asked because another one stands in for it.
-	doubtedAt time.Time
+	// checkedAt is when it was last asked because another one stands in for it.
+	checkedAt time.Time
 	// lost says that it was told to be lost.
 	lost bool
 }
@@ -47,10 +47,10 @@
 // regain notes that the coordinator answered.
 func (k *link) regain() { k.answers, k.wait = true, 0 }
 
-// openLinks keeps a link to each seat. The caller holds the mutex.
+// openLinks keeps a link to each coordinator. The caller holds the mutex.
 func (l *Limiter) openLinks(now time.Time) {
-	links := make(map[string]*link, l.seats.Len())
-	names := append(l.seats.Top(seatsKey, l.seats.Len()), l.zoneSeats.Top(seatsKey, l.zoneSeats.Len())...)
+	links := make(map[string]*link, l.coordinators.Len())
+	names := append(l.coordinators.Top(coordinatorsKey, l.coordinators.Len()), l.zoneCoordinators.Top(coordinatorsKey, l.zoneCoordinators.Len())...)
 	for _, name := range names {
 		if links[name] != nil {
 			continue
@@ -100,19 +100,20 @@
 	}
 }
 
-// doubtInterval is how often a coordinator that seems to answer is asked because another one
+// checkInterval is how often a coordinator that seems to answer is asked because another one
 // stands in for it.
-const doubtInterval = time.Second
+const checkInterval = time.Second
 
-// suspect asks the coordinator to which this node turns whether it answers, since another one
-// stands in for it at other nodes: a node with few requests would not notice until its next.
+// checkCoordinator asks the coordinator to which this node turns whether it answers, since
+// another one stands in for it at other nodes: a node with few requests would not notice until
+// its next.
 // The caller holds the mutex.
-func (l *Limiter) suspect(ctx context.Context, name string, now time.Time) {
+func (l *Limiter) checkCoordinator(ctx context.Context, name string, now time.Time) {
 	found := l.links[name]
-	if found == nil || found.isLocal || found.calling || now.Sub(found.doubtedAt) < doubtInterval {
+	if found == nil || found.isLocal || found.calling || now.Sub(found.checkedAt) < checkInterval {
 		return
 	}
-	found.doubtedAt = now
+	found.checkedAt = now
 	l.call(ctx, name, &quotapb.Report{Start: l.options.Start}, nil)
 }
 
@@ -122,8 +123,8 @@
 	defer l.mutex.Unlock()
 	for name, found := range l.links {
 		isDue := !found.answers && !now.Before(found.nextProbe)
-		if !isDue && found.answers && !found.isLocal && l.isSeat(l.options.Local) && l.isSeat(name) {
-			isDue = now.Sub(found.calledAt) >= seatInterval
+		if !isDue && found.answers && !found.isLocal && l.coordinates(l.options.Local) && l.coordinates(name) {
+			isDue = now.Sub(found.calledAt) >= coordinatorInterval
 		}
 		if isDue && !found.calling {
 			l.call(ctx, name, &quotapb.Report{Start: l.options.Start}, nil)
@@ -131,20 +132,20 @@
 	}
 }
 
-// isSeat reports whether a node coordinates limits for the whole deployment. The caller holds
+// coordinates reports whether a node coordinates limits for the whole deployment. The caller holds
 // the mutex.
-func (l *Limiter) isSeat(name string) bool {
-	return l.seated[name]
+func (l *Limiter) coordinates(name string) bool {
+	return l.isCoordinator[name]
 }
 
-// isDoubtful reports whether this node coordinates limits and another coordinator does not
+// missesCoordinator reports whether this node coordinates limits and another coordinator does not
 // answer, so that nodes may be out of touch. The caller holds the mutex.
-func (l *Limiter) isDoubtful() bool {
-	if !l.isSeat(l.options.Local) {
+func (l *Limiter) missesCoordinator() bool {
+	if !l.coordinates(l.options.Local) {
 		return false
 	}
 	for name, found := range l.links {
-		if !found.answers && l.isSeat(name) {
+		if !found.answers && l.coordinates(name) {
 			return true
 		}
 	}
@@ -167,7 +168,7 @@
 	}
 	if did != found.answers {
 		l.setStandings(now)
-		l.stir()
+		l.requestReport()
 	}
 	if did && err != nil {
 		found.lost = true
--- a/pkg/quota/reports.go
+++ b/pkg/quota/reports.go
@@ -68,7 +68,7 @@
 		}
 		if len(told) > 0 {
 			// Requests may have come while the call was under way.
-			l.stir()
+			l.requestReport()
 		}
 	})
 }
@@ -118,16 +118,16 @@
 		if kept == nil {
 			since := now
 			if isFirst {
-				since = l.seatedAt
+				since = l.coordinatorsSince
 			}
 			kept = &coordinated{account: NewAccount(limit, l.options.Bounds, since, now), told: 1}
 			l.accounts[tenant] = kept
 		}
 		kept.isFirst = isFirst
-		touch := l.touch(kept)
+		contact := l.contact(kept)
 		kept.account.SetLimit(limit)
-		kept.account.Take(from, use, touch, now)
-		verdicts[tenant] = kept.account.Verdict(touch, now)
+		kept.account.Take(from, use, contact, now)
+		verdicts[tenant] = kept.account.Verdict(contact, now)
 		l.note(tenant, kept, verdicts[tenant], now)
 		if verdicts[tenant].Share < fallingShare*kept.told {
 			signal(l.urgent)
@@ -136,16 +136,16 @@
 	return verdicts
 }
 
-// isFirst reports whether this node has the first seat for a tenant. The caller holds the
+// isFirst reports whether this node is the first coordinator of a tenant. The caller holds the
 // mutex.
 func (l *Limiter) isFirst(tenant string) bool {
-	top := l.seats.Top(tenant, 1)
+	top := l.coordinators.Top(tenant, 1)
 	return len(top) > 0 && top[0] == l.options.Local
 }
 
-// touch returns what this node knows of the others. The caller holds the mutex.
-func (l *Limiter) touch(kept *coordinated) Touch {
-	return Touch{IsFirst: kept.isFirst, Nodes: l.nodeCount() + len(l.gone), Silent: l.silent}
+// contact returns what this node knows of the others. The caller holds the mutex.
+func (l *Limiter) contact(kept *coordinated) Contact {
+	return Contact{IsFirst: kept.isFirst, Nodes: l.nodeCount() + len(l.gone), Silent: l.silent}
 }
 
 // note follows whether a tenant is at its limit. The caller holds the mutex.
--- a/pkg/quota/verdicts.go
+++ b/pkg/quota/verdicts.go
@@ -39,7 +39,7 @@
 	verdicts, isUrgent := l.limited(now)
 	interval := repeatInterval
 	if len(verdicts) == 0 {
-		if !l.isDoubtful() {
+		if !l.missesCoordinator() {
 			return
 		}
 		interval = silentInterval
@@ -72,7 +72,7 @@
 		}
 		kept.isFirst = l.isFirst(tenant)
 		kept.account.SetLimit(limit)
-		verdict := kept.account.Verdict(l.touch(kept), now)
+		verdict := kept.account.Verdict(l.contact(kept), now)
 		l.note(tenant, kept, verdict, now)
 		verdicts[tenant] = verdict
 		isUrgent = isUrgent || verdict.Share < fallingShare*kept.told
@@ -166,7 +166,7 @@
 			held.meter.Tell(verdict, now)
 		} else if slices.Contains(held.ranked, from) {
 			held.standIn = hint{from: from, verdict: verdict, at: now}
-			l.suspect(ctx, current, now)
+			l.checkCoordinator(ctx, current, now)
 		}
 	}
 }
