--- a/internal/edge/policies.go
+++ b/internal/edge/policies.go
@@ -22,10 +22,9 @@
 
 // Factors of the typical time of a sub-request after which a second server is asked.
 const (
-	// gatheredHedgeFactor is for requests that wait for the slowest of many shards: with 36 of
-	// them, one in two has a shard whose server is slowed down by its neighbours or pauses, and
-	// the wait for it is most of what its caller waits. It costs a second server for one shard
-	// in twelve, within the bound on extra load.
+	// gatheredHedgeFactor is for requests that wait for the slowest of many shards: most of them
+	// have a shard whose server is slowed down by its neighbours or pauses, and the wait for it
+	// is most of what their callers wait (docs/design/uneven.md has the figures).
 	gatheredHedgeFactor = 1.7
 	// singleHedgeFactor is for requests to one server, few of which meet such a moment: asking
 	// sooner doubles the work of many that are only a little longer than others.
--- a/pkg/loadshed/meter.go
+++ b/pkg/loadshed/meter.go
@@ -10,13 +10,14 @@
 	// tickSpan is how often shares are judged anew: a few round trips between nodes, and a
 	// tenth of the second within which returned room is to be used.
 	tickSpan = 100 * time.Millisecond
-	// rateSpan is the time over which rates are averaged: some twenty requests of a region
-	// at the rates at which a service of three servers is full.
+	// rateSpan is the time over which rates are averaged: it has tens of requests also of a
+	// service with few servers, and is short against an overload.
 	rateSpan = 500 * time.Millisecond
 	// admittedSpan is the time over which what is let in is averaged: long enough for some
 	// requests at a time, and short against the growth of the shares.
 	admittedSpan = 200 * time.Millisecond
-	// forgottenRate is the work a second below which a class is forgotten, 1 ms.
+	// forgottenRate is the work a second, in seconds of a server, below which a class is
+	// forgotten.
 	forgottenRate = 0.001
 	// maxClasses bounds the classes that are measured apart.
 	maxClasses = 512
@@ -175,7 +176,7 @@
 	m.limit(elapsed)
 }
 
-// average moves what was noted since the last judgement into the rates.
+// average takes what was noted since the last judgement into the rates.
 func (m *Meter) average(elapsed float64) {
 	gain := 1 - math.Exp(-elapsed/rateSpan.Seconds())
 	for class, each := range m.classes {
@@ -212,7 +213,7 @@
 	return min(greatestGrowth, max(probeGrowth, growthStep*float64(m.calm-probeTicks)))
 }
 
-// limit sets the shares by the queue.
+// limit estimates the capacity from the queue, and sets the shares by it.
 func (m *Meter) limit(elapsed float64) {
 	allowed := m.capacity
 	switch {
--- a/pkg/quota/coordinators.go
+++ b/pkg/quota/coordinators.go
@@ -20,10 +20,12 @@
 	zoneCoordinatorCount = 4
 	// coordinatorsKey is what the coordinators are ranked by.
 	coordinatorsKey = "quota"
-	// assumedNodes stands for the number of nodes until they are known.
+	// assumedNodes stands for the number of nodes until they are known. A node's equal part of a
+	// limit is small then.
 	assumedNodes = 100
-	// goneSpan is for how long a node that has left the list may be cut off rather than ended:
-	// lists lose a node some seconds after it is cut off, and cuts last for ten or more.
+	// goneSpan is for how long a node that has left the list counts as cut off rather than
+	// ended. Lists lose a node that is cut off some seconds later, and it may go on at its
+	// entitlement; for a node that has ended, that part of limits lies unused as long.
 	goneSpan = 20 * time.Second
 )
 
@@ -71,7 +73,7 @@
 	l.requestReport()
 }
 
-// noteGone takes which nodes have left the list and which are back. One that left may be cut off
+// noteGone notes which nodes have left the list and which are back. One that left may be cut off
 // and go on with its entitlement, so that it counts as silent for a while; one that is back does
 // until it has answered. The caller holds the mutex.
 func (l *Limiter) noteGone(before, now map[string]peer.Address, at time.Time) {
