Comments and names of quota, loadshed and announcements that told too little

Cause: hear, limited, note and of said nothing of what they do, several functions had no comment, and some comments had lost their subject ("how often what is unused is forgotten; idleSpan is when it is").

Ruled out: renaming the states of loadshed.Meter (behind, outgrown, calm): they stand in several conditions, and other words need their author.

Change: takeTold, dueVerdicts, noteLimit and roomOf; a comment for each function that had none; sentences with a subject; one line that was too long is wrapped. Nothing else.

Conclusion: behaviour is the same; tests of the touched packages pass as they were.

--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -39,6 +39,7 @@
 	version uint64
 }
 
+// newLimits returns the limits of a node and registers their metrics.
 func newLimits(node *Node, settings *Settings, transport peer.Transport) *limits {
 	held := &limits{node: node, told: make(map[string]time.Time)}
 	held.limiter = quota.New(quota.Options{
--- a/internal/edge/room.go
+++ b/internal/edge/room.go
@@ -32,10 +32,12 @@
 	toldAt map[loadshed.Key]time.Time
 }
 
+// newRoomLog returns a log that has told nothing yet.
 func newRoomLog(logger hclog.Logger) *roomLog {
 	return &roomLog{logger: logger, toldAt: make(map[loadshed.Key]time.Time)}
 }
 
+// write logs what was told of each service that is due.
 func (l *roomLog) write(message []loadshed.Measured) {
 	for _, each := range message {
 		if each.Shares.IsFull() {
--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -42,6 +42,7 @@
 	return r.runner.Room != nil && (r.admission.Share < 1 || r.admit(now).Share < 1)
 }
 
+// admit decides about the request by what is known of its services at a moment.
 func (r *run) admit(now time.Time) loadshed.Decision {
 	return r.runner.Room.Board.Admit(r.plan.Services, r.regions().Key(), r.plan.Required, r.class(), r.lot, now)
 }
--- a/pkg/loadshed/board.go
+++ b/pkg/loadshed/board.go
@@ -51,6 +51,8 @@
 	b.take(key, told{shares: shares, measuredAt: measuredAt, isPartial: true})
 }
 
+// take notes shares, unless what is known of the service is newer or, for partial ones, a recent
+// word of an owner. Full shares are noted as none.
 func (b *Board) take(key Key, taken told) {
 	shares, measuredAt := taken.shares, taken.measuredAt
 	if shares.IsFull() && b.IsIdle() {
@@ -101,8 +103,9 @@
 	Age      time.Duration
 }
 
-// Admit decides about a request that needs some of the services, in regions with a key. The requests with the
-// greatest lots are let in, so that all services and nodes let in the same ones.
+// Admit decides about a request that needs some of the services, and is bound to the regions with
+// a key. The requests with the greatest lots are let in, so that all services and nodes let in
+// the same ones.
 func (b *Board) Admit(services []string, regions string, required int, class Class, lot uint64, now time.Time) Decision {
 	if b.IsIdle() {
 		return Decision{IsAdmitted: true, Class: class, Share: 1}
--- a/pkg/loadshed/divide.go
+++ b/pkg/loadshed/divide.go
@@ -89,6 +89,7 @@
 	return low
 }
 
+// sum returns the work a second of all demands.
 func sum(demands []Demand) float64 {
 	total := 0.0
 	for _, each := range demands {
--- a/pkg/loadshed/loadshed.go
+++ b/pkg/loadshed/loadshed.go
@@ -92,4 +92,5 @@
 	return false
 }
 
+// isBeyond reports whether two shares differ by more than a part of the greater one.
 func isBeyond(one, other, part float64) bool { return math.Abs(one-other) > part*max(one, other) }
--- a/pkg/owner/announcer.go
+++ b/pkg/owner/announcer.go
@@ -59,7 +59,7 @@
 	return created
 }
 
-// put keeps a message until Run tells it; one that still waits gives way to it.
+// put keeps a message until Run tells it, in the place of one that still waits.
 func (a *Announcer) put(message []loadshed.Measured) {
 	select {
 	case <-a.waiting:
@@ -83,6 +83,7 @@
 	}
 }
 
+// spread tells the nodes of the region, and waits until they have answered or tellTimeout is over.
 func (a *Announcer) spread(ctx context.Context, message []loadshed.Measured) {
 	a.told(message)
 	now := time.Now()
@@ -108,8 +109,8 @@
 	return &ownerpb.Ping{}, nil
 }
 
-// of returns what is told with a report about some services.
-func (a *Announcer) of(services []string, regions string, now time.Time) []*ownerpb.Room {
+// roomOf returns what is told with a report about some services.
+func (a *Announcer) roomOf(services []string, regions string, now time.Time) []*ownerpb.Room {
 	if a == nil {
 		return nil
 	}
@@ -123,6 +124,7 @@
 	return rooms
 }
 
+// encodeRoom returns the message for one service's shares, judged an age ago.
 func encodeRoom(key loadshed.Key, shares loadshed.Shares, age time.Duration) *ownerpb.Room {
 	encoded := &ownerpb.Room{Service: key.Service, Regions: key.Regions, AgeMs: uint32(max(0, age.Milliseconds()))}
 	for _, rank := range shares.Ranks {
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -138,8 +138,8 @@
 // SetLimit puts a limit into force.
 func (a *Account) SetLimit(limit route.RateLimit) { a.limit = limit }
 
-// DropBurst takes it that requests may have been admitted that nobody reported, as after the
-// coordinator stood still: the burst may be spent.
+// DropBurst gives up the tokens that were saved, since requests that nobody reported may have
+// spent them, as after the coordinator stood still.
 func (a *Account) DropBurst() { a.bucket.level = min(a.bucket.level, 0) }
 
 // settle brings the bucket up to a moment.
--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -18,17 +18,18 @@
 	// callTimeout is after how long a coordinator counts as silent, and until when a node
 	// has taken a verdict: several times the way to a far region and back.
 	callTimeout = 200 * time.Millisecond
-	// tick is how often verdicts are looked at, and what else is due.
+	// tick is how often it is looked which verdicts, probes and sweeps are due.
 	tick = 100 * time.Millisecond
 	// repeatInterval is how often a share below 1 is told again.
 	repeatInterval = 300 * time.Millisecond
 	// silentInterval is how often nodes that took no verdict are told one.
 	silentInterval = time.Second
-	// sweepInterval is how often what is unused is forgotten; idleSpan is when it is.
+	// sweepInterval is how often unused meters and accounts are looked for, and idleSpan the
+	// time without use after which they are forgotten.
 	sweepInterval = 5 * time.Second
 	idleSpan      = time.Minute
-	// standstill is the time between two ticks beyond which a coordinator has missed what
-	// its deputies granted.
+	// standstill is the time between two ticks beyond which others may have stood in for this
+	// node as coordinator, so that it has missed what they granted.
 	standstill = time.Second
 )
 
@@ -290,7 +291,7 @@
 	}
 }
 
-// sweep forgets what was not used for long. The caller holds the mutex.
+// sweep forgets meters and accounts that were not used for idleSpan. The caller holds the mutex.
 func (l *Limiter) sweep(now time.Time) {
 	l.sweptAt = now
 	for tenant, held := range l.meters {
--- a/pkg/quota/meter.go
+++ b/pkg/quota/meter.go
@@ -249,7 +249,8 @@
 	}
 }
 
-// Forget takes it that what was told is old, as after a suspension of the machine.
+// Forget treats what coordinators told as out of date, as after a suspension of the machine: the
+// node is alone until one answers, and has no saved tokens.
 func (m *Meter) Forget(now time.Time) {
 	m.SetStanding(Alone, now)
 	m.alone.level = min(m.alone.level, 0)
--- a/pkg/quota/reports.go
+++ b/pkg/quota/reports.go
@@ -96,7 +96,7 @@
 	return encodeVerdicts(l.take(string(from), decodeUses(message), time.Now())), nil
 }
 
-// noteContact takes it that a node is in touch. The caller holds the mutex.
+// noteContact notes that a node is in touch. The caller holds the mutex.
 func (l *Limiter) noteContact(name string) {
 	delete(l.silent, name)
 	delete(l.gone, name)
@@ -128,7 +128,7 @@
 		kept.account.SetLimit(limit)
 		kept.account.Take(from, use, contact, now)
 		verdicts[tenant] = kept.account.Verdict(contact, now)
-		l.note(tenant, kept, verdicts[tenant], now)
+		l.noteLimit(tenant, kept, verdicts[tenant], now)
 		if verdicts[tenant].Share < fallingShare*kept.told {
 			signal(l.urgent)
 		}
@@ -148,8 +148,8 @@
 	return Contact{IsFirst: kept.isFirst, Nodes: l.nodeCount() + len(l.gone), Silent: l.silent}
 }
 
-// note follows whether a tenant is at its limit. The caller holds the mutex.
-func (l *Limiter) note(tenant string, kept *coordinated, verdict Verdict, now time.Time) {
+// noteLimit follows whether a tenant is at its limit, and tells when it has come to it. The caller holds the mutex.
+func (l *Limiter) noteLimit(tenant string, kept *coordinated, verdict Verdict, now time.Time) {
 	if verdict.Share < 1 {
 		kept.fullAt = time.Time{}
 		if kept.limitedAt.IsZero() {
@@ -163,6 +163,7 @@
 	}
 }
 
+// encodeReport returns the message for what a node had of its tenants.
 func encodeReport(start uint64, uses map[string]Use) *quotapb.Report {
 	message := &quotapb.Report{Start: start, Uses: make([]*quotapb.Use, 0, len(uses))}
 	for tenant, use := range uses {
@@ -174,6 +175,7 @@
 	return message
 }
 
+// decodeUses reverses encodeReport.
 func decodeUses(message *quotapb.Report) map[string]Use {
 	uses := make(map[string]Use, len(message.Uses))
 	for _, use := range message.Uses {
--- a/pkg/quota/verdicts.go
+++ b/pkg/quota/verdicts.go
@@ -36,7 +36,7 @@
 func (l *Limiter) spread(ctx context.Context, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	verdicts, isUrgent := l.limited(now)
+	verdicts, isUrgent := l.dueVerdicts(now)
 	interval := repeatInterval
 	if len(verdicts) == 0 {
 		if !l.missesCoordinator() {
@@ -57,9 +57,9 @@
 	}
 }
 
-// limited returns the verdicts that are to be told, and whether one is much lower than what
+// dueVerdicts returns the verdicts on tenants at their limits, and whether one is much lower than what
 // was told. The caller holds the mutex.
-func (l *Limiter) limited(now time.Time) (map[string]Verdict, bool) {
+func (l *Limiter) dueVerdicts(now time.Time) (map[string]Verdict, bool) {
 	verdicts, isUrgent := make(map[string]Verdict), false
 	for tenant, kept := range l.accounts {
 		if kept.limitedAt.IsZero() {
@@ -73,7 +73,7 @@
 		kept.isFirst = l.isFirst(tenant)
 		kept.account.SetLimit(limit)
 		verdict := kept.account.Verdict(l.contact(kept), now)
-		l.note(tenant, kept, verdict, now)
+		l.noteLimit(tenant, kept, verdict, now)
 		verdicts[tenant] = verdict
 		isUrgent = isUrgent || verdict.Share < fallingShare*kept.told
 		if !kept.fullAt.IsZero() && now.Sub(kept.fullAt) > releaseSpan {
@@ -99,7 +99,7 @@
 // tell sends verdicts to some nodes and notes which of them took it; underWay is set until
 // then. The caller holds the mutex.
 func (l *Limiter) tell(ctx context.Context, nodes map[peer.Address]string, verdicts map[string]Verdict, underWay *bool) {
-	l.hear(ctx, l.options.Local, verdicts, time.Now())
+	l.takeTold(ctx, l.options.Local, verdicts, time.Now())
 	l.sent.Verdicts += uint64(len(nodes))
 	message := encodeVerdicts(verdicts)
 	addresses := make([]peer.Address, 0, len(nodes))
@@ -149,9 +149,9 @@
 	return taken
 }
 
-// hear takes verdicts of a coordinator; only those of the one to which this node turns count.
+// takeTold takes verdicts that a coordinator told unasked; only those of the one to which this node turns count.
 // The caller holds the mutex.
-func (l *Limiter) hear(ctx context.Context, from string, verdicts map[string]Verdict, now time.Time) {
+func (l *Limiter) takeTold(ctx context.Context, from string, verdicts map[string]Verdict, now time.Time) {
 	for tenant, verdict := range verdicts {
 		held := l.meters[tenant]
 		if held == nil {
@@ -184,10 +184,12 @@
 		// It is worth asking again at once.
 		found.nextProbe = now
 	}
-	l.hear(l.context, string(from), decodeVerdicts(message), now)
+	l.takeTold(l.context, string(from), decodeVerdicts(message), now)
 	return &quotapb.Taken{}, nil
 }
 
+// encodeVerdicts returns the message for verdicts; only those of first coordinators carry a spare
+// rate.
 func encodeVerdicts(verdicts map[string]Verdict) *quotapb.Verdicts {
 	message := &quotapb.Verdicts{Verdicts: make([]*quotapb.Verdict, 0, len(verdicts))}
 	for tenant, verdict := range verdicts {
@@ -200,6 +202,7 @@
 	return message
 }
 
+// decodeVerdicts reverses encodeVerdicts.
 func decodeVerdicts(message *quotapb.Verdicts) map[string]Verdict {
 	verdicts := make(map[string]Verdict, len(message.Verdicts))
 	for _, verdict := range message.Verdicts {
