Comments on starts of servers, spared shards and times to come back

Cause: some comments said the reverse at first reading ("least ... is told at most", "needs the services that were left to others") or had no subject ("takes that"). NewAccount said that there is no burst at first, though a stand-in begins with its part.

Ruled out: changing what they describe.

Change: comments only, in pkg/fleet, pkg/fanout, pkg/owner, pkg/quarantine, pkg/quota and internal/front.

Conclusion: no code changed.

--- a/internal/front/policy.go
+++ b/internal/front/policy.go
@@ -47,8 +47,9 @@
 	// requests is 2 s.
 	leastRefusal = 50 * time.Millisecond
 	greatestWait = 2 * time.Second
-	// leastRoomWait is told at most at the beginning of an overload: a service that has room again
-	// lets everybody in within a second.
+	// leastRoomWait is the least time for which an overload is taken to last: times to come back
+	// are spread over the second half of it. A service that has room again lets everybody in
+	// within a second.
 	leastRoomWait = time.Second
 	// deadlineReserve is left for the final answer at the end of the time: the way
 	// to the client and a wake-up of a node with a fifth of a core.
--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -8,12 +8,12 @@
 	"github.com/bramblemast/bramblemast/pkg/loadshed"
 )
 
-// class is what the request is judged by.
+// class returns the class by which the request is let in or not.
 func (r *run) class() loadshed.Class {
 	return loadshed.Class{Priority: r.plan.Priority, Tenant: r.plan.Tenant}
 }
 
-// askedHash is the same for all tries of a client that ask the same.
+// askedHash returns a hash that is the same for all tries of a client that ask the same.
 func (r *run) askedHash() uint64 {
 	var hash xxhash.Digest
 	hash.Reset()
@@ -47,8 +47,8 @@
 	return r.runner.Room.Board.Admit(r.plan.Services, r.regions().Key(), r.plan.Required, r.class(), r.lot, now)
 }
 
-// spareOthers leaves the services to those that need them that have no room for the request and
-// without which it can be answered.
+// spareOthers marks the services that have no room for the request and without which it can be
+// answered: they are left to requests that need them.
 func (r *run) spareOthers() {
 	spared := r.admission.Spared
 	if r.plan.Collect != nil {
@@ -87,8 +87,8 @@
 	return true
 }
 
-// takeBackSpared needs the services that were left to others once the request cannot be
-// answered without them any more.
+// takeBackSpared asks the services that were left to others after all, once the request cannot
+// be answered without them any more.
 func (r *run) takeBackSpared() {
 	if r.spared == 0 || r.plan.Collect != nil || r.got+r.open-r.missingSpared() >= r.plan.Required {
 		return
@@ -117,8 +117,9 @@
 	return count
 }
 
-// noteOffered counts a part whose servers this node asks among the load of its service. Those
-// that it asks in the place of an owner are a small part of the load, and tell nothing.
+// noteOffered counts a part whose servers this node asks in the load of its service. Parts that
+// it asks in the place of an owner are not counted: they are a small part of the load, by which
+// the rest cannot be judged.
 func (r *run) noteOffered(index int, now time.Time) {
 	part := &r.parts[index]
 	isForOwner := len(r.groups) > 0 && !part.owned
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -54,8 +54,8 @@
 	// them and with callers.
 	warmUps           map[string]WarmUp
 	callersGeneration uint64
-	// toldStarts are the ids whose entry is not that of a server, but whose server had told its
-	// start before.
+	// toldStarts are the ids whose last entry was refused after their server had told its start:
+	// an entry without a start is not taken for theirs, also once the server is forgotten.
 	toldStarts map[string]bool
 	// evacuations are the zones to whose servers nothing is to be sent.
 	evacuations map[string]evacuation
--- a/pkg/fleet/incarnation.go
+++ b/pkg/fleet/incarnation.go
@@ -42,11 +42,11 @@
 	// Restarted means that another process of the server has taken the place of the known one.
 	Restarted ChangeKind = "started again"
 	// Mistaken means that the entry lacks the start that the server has told before, so that
-	// it is not the server's own. The server is left as if it had gone from the list.
+	// another writer made it. The server is left as if it had gone from the list.
 	Mistaken ChangeKind = "mistaken"
 )
 
-// Change is what an entry of the platform's list changed.
+// Change tells of one entry of the platform's list what it changed.
 type Change struct {
 	Kind ChangeKind
 	// Replaced is the process that has ended, if the server has started again.
@@ -67,9 +67,9 @@
 	return Change{Kind: Restarted, Replaced: known.Incarnation()}
 }
 
-// Refuse takes that the entry of an id names no server, though it is there: it can not be read, or
-// is not the server's own. It reports whether a server was listed under the id. That one is left
-// as if it had gone from the list, until it is listed again.
+// Refuse notes that the entry of an id is there but names no server: it cannot be read, or is not
+// the server's own. The server that was listed under the id is left as if it had gone from the
+// list, until it is listed again. Refuse reports whether there was one.
 func (f *Fleet) Refuse(id string, now time.Time) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/pkg/owner/announcer.go
+++ b/pkg/owner/announcer.go
@@ -19,7 +19,7 @@
 
 // Constants of what is told to all nodes of a region.
 const (
-	// tellTimeout bounds one message: what comes later is repeated by then.
+	// tellTimeout bounds one message: what matters after it is told again by then.
 	tellTimeout = 400 * time.Millisecond
 	// mostTold bounds the nodes that are told at once, so that the connections to them stay
 	// open. In a larger region the others learn from the reports to their own questions.
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -275,8 +275,8 @@
 	}
 }
 
-// NoteReplaced takes that another process of a server has taken the place of an incarnation, which
-// has ended therefore. A connection would not show that: the later process takes it.
+// NoteReplaced notes that an incarnation has ended, since another process of its server has taken
+// its place. A connection would not show that: the later process accepts it.
 func (g *Guard) NoteReplaced(server fleet.Incarnation, now time.Time) { g.settle(server, true, now) }
 
 // Learn takes a note of the store, or that it is gone. One on a request that was answered
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -89,8 +89,8 @@
 }
 
 // NewAccount returns an account of a tenant of which nothing was reported since a moment. What
-// was spent before is unknown, so that there is no burst to give at that moment, while the
-// rate serves every tenant within its limit.
+// was spent before is unknown, so that a first coordinator has no burst to give at that moment,
+// while the rate serves every tenant within its limit. A stand-in begins with its part.
 func NewAccount(limit route.RateLimit, bounds Bounds, since, now time.Time) *Account {
 	return &Account{
 		limit: limit, bounds: bounds, bucket: bucket{at: since}, asked: movingRate{span: askedSpan},
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -27,7 +27,7 @@
 	Slack     float64
 }
 
-// room returns the number of requests by which a window may exceed a limit.
+// room returns the number of requests by which a window may exceed rate x Window + burst.
 func (b Bounds) room(limit route.RateLimit) float64 {
 	return (limit.PerSecond*b.Window.Seconds()+limit.Burst)*b.Overshoot + b.Slack
 }
@@ -47,7 +47,7 @@
 	// while it is out of touch; in requests a second.
 	Recent   float64
 	Entitled float64
-	// Share is the admitted share by which the node acts.
+	// Share is the share that the node was told last, by which it admits now.
 	Share float64
 }
 
