Standing of a node follows from its coordinator

Cause: Limiter.standing and Limiter.coordinator each walked the ranked coordinators for the first that answers; a change of one could have left them at odds.

Ruled out: returning both from one function: most callers want one of them.

Change: standing asks coordinator. Ranked names are distinct (Limiter.ranked), so the first name stands for the first place.

Conclusion: same results; tests of pkg/quota and internal/edge pass as they were.

--- a/pkg/quota/links.go
+++ b/pkg/quota/links.go
@@ -66,15 +66,13 @@
 
 // standing returns how the node stands to some coordinators. The caller holds the mutex.
 func (l *Limiter) standing(ranked []string) Standing {
-	for index, name := range ranked {
-		if found := l.links[name]; found != nil && found.answers {
-			if index == 0 {
-				return WithFirst
-			}
-			return WithStandIn
-		}
+	switch l.coordinator(ranked) {
+	case "":
+		return Alone
+	case ranked[0]:
+		return WithFirst
 	}
-	return Alone
+	return WithStandIn
 }
 
 // coordinator returns the best coordinator that answers; empty if none does. The caller holds
