--- a/pkg/owner/client.go
+++ b/pkg/owner/client.go
@@ -196,7 +196,8 @@
 		HasBody: request.HasBody, Kind: plan.Kind, Services: question.Services, Required: uint32(question.Required),
 		MaxAttempts: uint32(plan.MaxAttempts), TopRecords: uint32(plan.TopRecords),
 		DeadlineUs: microseconds(plan.Deadline.Sub(now)), AssumedUs: microseconds(plan.Assumed),
-		ReportUs: microseconds(question.ReportWithin), Version: plan.Version, Tenant: plan.Tenant, Priority: int32(plan.Priority), Lot: question.Lot, AdmittedShares: question.AdmittedShares,
+		ReportUs: microseconds(question.ReportWithin), Version: plan.Version,
+		Tenant: plan.Tenant, Priority: int32(plan.Priority), Lot: question.Lot, AdmittedShares: question.AdmittedShares,
 	}
 	for _, position := range question.Spared {
 		encoded.Spared = append(encoded.Spared, uint32(position))
--- a/pkg/owner/server.go
+++ b/pkg/owner/server.go
@@ -152,7 +152,8 @@
 	hedge, share := s.options.Policies(question.Kind, question.RequestId)
 	left := span(question.DeadlineUs)
 	plan := fanout.Plan{
-		Kind: question.Kind, Tenant: question.Tenant, Priority: int(question.Priority), Services: question.Services, Required: int(question.Required), Repeatable: true,
+		Kind: question.Kind, Tenant: question.Tenant, Priority: int(question.Priority),
+		Services: question.Services, Required: int(question.Required), Repeatable: true,
 		MaxAttempts: int(question.MaxAttempts), Deadline: began.Add(left), Assumed: span(question.AssumedUs),
 		Patience: left, Hedge: hedge, ExtraShare: share, Collect: &fanout.Collect{Within: span(question.ReportUs), Lot: question.Lot},
 	}
--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -142,10 +142,12 @@
 func New(options Options) *Limiter {
 	ctx, cancel := context.WithCancel(context.Background())
 	limiter := &Limiter{
-		context: ctx, cancel: cancel,
-		options: options, wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1), addresses: make(map[string]peer.Address),
-		coordinators: rendezvous.NewSet[string](nil), zoneCoordinators: rendezvous.NewSet[string](nil), links: make(map[string]*link),
-		meters: make(map[string]*metered), accounts: make(map[string]*coordinated), silent: make(map[string]bool), gone: make(map[string]time.Time),
+		context: ctx, cancel: cancel, options: options,
+		wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
+		addresses:    make(map[string]peer.Address),
+		coordinators: rendezvous.NewSet[string](nil), zoneCoordinators: rendezvous.NewSet[string](nil),
+		links: make(map[string]*link), meters: make(map[string]*metered), accounts: make(map[string]*coordinated),
+		silent: make(map[string]bool), gone: make(map[string]time.Time),
 	}
 	options.Transport.Handle(kindReport, limiter.takeReport)
 	options.Transport.Handle(kindVerdicts, limiter.takeVerdicts)
