Limits: no timer that is due when it is made

Each Limiter began with a timer of 0 ns, and a test starts 67 of them at one moment. Conclusion: no decision changes.

--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -225,7 +225,7 @@
 	defer ticker.Stop()
 	defer l.group.Wait()
 	defer l.cancel()
-	delay := time.NewTimer(0)
+	delay := time.NewTimer(reportDelay)
 	defer delay.Stop()
 	isWaiting := true
 	for {
