Limits: timers that signal channels instead of channel timers

In a bubble of testing/synctest a goroutine that comes to a select with the channel of a due timer runs that timer itself (maybeRunChan in runtime/time.go of Go 1.26), with the one race context that all timers of the bubble share. Run selects on two channel timers and on requests and reports, and all nodes of a test have their ticks and reports due at the same moments. Change: both timers are functions that signal channels; those are run by the bubble alone. Conclusion: the way that the runtime's source shows is closed; that it was the cause of that crash is not shown by a run. No decision changes.

--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -220,12 +220,17 @@
 }
 
 // Run reports and tells until ctx ends.
+//
+// Its timers call functions that signal channels. In a bubble of testing/synctest a goroutine
+// that selects on the channel of a due timer runs that timer itself, at the same time as
+// others do theirs, and the race detector of Go 1.26 does not survive that.
 func (l *Limiter) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
 	defer l.group.Wait()
 	defer l.cancel()
-	delay := time.NewTimer(reportDelay)
+	ticks, due := make(chan struct{}, 1), make(chan struct{}, 1)
+	ticker := time.AfterFunc(tick, func() { signal(ticks) })
+	defer ticker.Stop()
+	delay := time.AfterFunc(reportDelay, func() { signal(due) })
 	defer delay.Stop()
 	isWaiting := true
 	for {
@@ -237,12 +242,13 @@
 				isWaiting = true
 				delay.Reset(reportDelay)
 			}
-		case <-delay.C:
+		case <-due:
 			isWaiting = false
 			l.report(ctx, time.Now())
 		case <-l.urgent:
 			l.spread(ctx, time.Now())
-		case <-ticker.C:
+		case <-ticks:
+			ticker.Reset(tick)
 			l.onTick(ctx, time.Now())
 		}
 	}
