A question whose own time ends loses no owner

Cause: the frame of a question carries the time left in whole milliseconds, so that an owner's context ended up to a millisecond before the question's deadline. The owner then answered with an error ("context deadline exceeded"), and the asker took that for the loss of the owner and left it out for up to a second; it also sent what the owner had not got to servers itself in the request's last moment. So did a connection that was not open by the deadline of a request with a few milliseconds left.

Change: an owner's work ends with the question's own deadline, or when the asker or its connection ends it. An error that says the question's deadline was over is no loss.

--- a/pkg/owner/client.go
+++ b/pkg/owner/client.go
@@ -132,7 +132,10 @@
 	case errors.Is(err, io.EOF):
 		return
 	case err != nil:
-		c.lose(node, err)
+		// A question whose time was over tells nothing of its owner.
+		if outcome.ReasonOf(err) != outcome.ReasonDeadline {
+			c.lose(node, err)
+		}
 		report(fanout.Report{Err: err})
 		return
 	}
--- a/pkg/owner/client_test.go
+++ b/pkg/owner/client_test.go
@@ -37,10 +37,13 @@
 	return s.pending
 }
 
-// returns keeps for how long owners were lost that are asked again.
-type returns struct{ lost []time.Duration }
+// returns keeps which owners were lost, and for how long those were that are asked again.
+type returns struct {
+	gone []string
+	lost []time.Duration
+}
 
-func (r *returns) OwnerLost(string, error) {}
+func (r *returns) OwnerLost(name string, _ error) { r.gone = append(r.gone, name) }
 
 func (r *returns) OwnerRegained(_ string, lost time.Duration) { r.lost = append(r.lost, lost) }
 
--- a/pkg/owner/server.go
+++ b/pkg/owner/server.go
@@ -106,19 +106,37 @@
 		return open.Send(report)
 	}
 	plan.Collect.Granted = listenForGrants(open, len(question.Services))
-	result := s.options.Runner.Run(ctx, plan, requestOf(question))
+	awaited, done := untilCancelled(ctx)
+	defer done()
+	result := s.options.Runner.Run(awaited, plan, requestOf(question))
 	s.options.Recorder(Record{
 		RequestID: question.RequestId, Kind: question.Kind, AskedBy: string(from), Services: question.Services,
 		Took: time.Since(began), Result: result,
 	})
 	if result.Reason == fanout.StopCancelled {
-		return ctx.Err()
+		return context.Canceled
 	}
 	report := lastReport(result, told, int(question.TopRecords))
 	report.Room = s.options.Announcer.roomOf(question.Services, plan.Regions().Key(), time.Now())
 	return open.Send(report)
 }
 
+// untilCancelled returns a context that ends when the asking node ends its question, or the
+// connection to it, and not at the deadline of ctx: that is in whole milliseconds, so that it is
+// over a little before the question's own, at which the run ends by itself.
+func untilCancelled(ctx context.Context) (context.Context, func()) {
+	awaited, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() {
+		if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			cancel()
+		}
+	})
+	return awaited, func() {
+		stop()
+		cancel()
+	}
+}
+
 // listenForGrants returns what the asking node grants. It grants each service of
 // the question once for each time that a further server is wanted, so a bounded
 // number of messages come; what is beyond is dropped.
