An owner that was late returns by a trial that is answered in time

Cause: a silent owner was left out and returned with its own late report a few milliseconds after, or with a ping that took up to half a second. An owner that stays slower than requests need (a slow link, a starved process) was so lost and regained without end, and one request of each node paid for each return.

Ruled out: losing fewer owners by waiting longer for reports (the target leaves no more time); a copy of a question as trial (it runs the sub-requests twice); word of it between nodes (at 0.3 to 0.4 requests a second and node each has to prove it anew, since what is slow may be the way between two nodes).

Change: pkg/owner/absence.go decides, without a network, who is left out and when it returns. A lost owner is tried with a ping after 0.1 s, then up to a second apart, beside the requests that the next in rank answers. One that was silent returns when the ping is back within what a question leaves for the way and for the delays of both processes (half the time to the report); its late reports prove nothing. One that refused, or could not be reached, returns with any answer or report, now after 0.1 s instead of up to a second. The first question after a silence goes alone. Who is lost again within ten times its rest rests twice as long, 30 s at most.

--- a/pkg/fanout/owners.go
+++ b/pkg/fanout/owners.go
@@ -48,6 +48,12 @@
 	ReportWithin time.Duration
 }
 
+// Leeway is how much later than ReportWithin a report may come before its owner is taken for
+// silent: the time for the ways there and back, and for the delays of two processes.
+func (q *Question) Leeway() time.Duration {
+	return time.Duration((silenceFactor - 1) * float64(q.ReportWithin))
+}
+
 // Pending is a question under way.
 type Pending interface {
 	// Cancel ends it.
--- /dev/null
+++ b/pkg/owner/absence.go
@@ -0,0 +1,170 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/directory"
+)
+
+// Times of the return of owners.
+const (
+	// firstRest is after which time a lost owner is tried: a process that stood still for a moment
+	// goes on by then, and a trial is one small message beside the requests.
+	firstRest = 100 * time.Millisecond
+	// greatestPause bounds the time between two trials: how much later than it could an owner
+	// that is well again returns.
+	greatestPause = time.Second
+	// greatestRest bounds how long an owner is not tried that answers its trials in time and
+	// questions too late, again and again: each return may cost one request its silence.
+	greatestRest = 30 * time.Second
+	// memoryFactor times its last rest without a loss forgets an owner's earlier ones.
+	memoryFactor = 10
+	// provingPause is how long the first question after a return goes alone, unless it is
+	// answered earlier: longer than any owner is waited for without a report.
+	provingPause = 500 * time.Millisecond
+)
+
+// absence is what is known of a node that was left out of the owners.
+type absence struct {
+	node directory.Node
+	// isOut says that it is left out now; since is when it was, or when it returned.
+	isOut bool
+	since time.Time
+	// leeway is in which time a trial must be answered so that questions would be in time; zero
+	// if any answer shows that the node can be asked.
+	leeway time.Duration
+	// rest is the time from its loss to its first trial, and pause that from the last trial to
+	// the next.
+	rest, pause time.Duration
+	// trialAt is when it is tried next; zero while a trial is under way.
+	trialAt time.Time
+	// isProving says that it has not yet answered a question in time since its return; until
+	// alone the other requests go to the next in rank.
+	isProving bool
+	alone     time.Time
+}
+
+// absences decides which nodes are left out of the owners, and when they return: by a trial that
+// is answered within the time that questions leave for it. One that is lost soon after its return
+// rests twice as long as before. It is guarded by its user.
+type absences map[string]*absence
+
+// leave takes that a node is lost, and reports whether that is new. leeway is in which time a
+// trial must be answered; zero for any time.
+func (a absences) leave(node directory.Node, leeway time.Duration, now time.Time) bool {
+	known := a[node.Name]
+	if known != nil && known.isOut {
+		known.leeway = shorter(known.leeway, leeway)
+		return false
+	}
+	lost := &absence{node: node, isOut: true, since: now, leeway: leeway, rest: firstRest}
+	if known != nil && known.node == node && !known.isForgotten(now) {
+		lost.leeway = shorter(known.leeway, leeway)
+		lost.rest = min(2*known.rest, lost.greatestRest())
+	}
+	lost.pause, lost.trialAt = lost.rest, now.Add(lost.rest)
+	a[node.Name] = lost
+	return true
+}
+
+// greatestRest is how long the node rests at most: one that was never late can be tried often.
+func (l *absence) greatestRest() time.Duration {
+	if l.leeway == 0 {
+		return greatestPause
+	}
+	return greatestRest
+}
+
+// isForgotten reports whether the node has returned so long ago that its losses do not count.
+func (l *absence) isForgotten(now time.Time) bool {
+	return !l.isOut && now.Sub(l.since) >= memoryFactor*l.rest
+}
+
+// shorter returns the lesser of two times of which zero means none.
+func shorter(one, other time.Duration) time.Duration {
+	if one == 0 || other == 0 {
+		return max(one, other)
+	}
+	return min(one, other)
+}
+
+// takes reports whether a request may ask a node, and counts it if it does.
+func (a absences) takes(name string, now time.Time) bool {
+	known := a[name]
+	switch {
+	case known == nil:
+		return true
+	case known.isOut:
+		return false
+	case !known.isProving:
+		return true
+	case now.Before(known.alone):
+		return false
+	}
+	known.alone = now.Add(provingPause)
+	return true
+}
+
+// trial is a node to try, and the time in which it must answer; zero for any.
+type trial struct {
+	node   directory.Node
+	leeway time.Duration
+}
+
+// due returns the nodes to try now, and when the next one is due; zero for none. It forgets what
+// does not count any more, and the nodes that are not known as they were.
+func (a absences) due(known map[string]directory.Node, now time.Time) ([]trial, time.Time) {
+	var trials []trial
+	var next time.Time
+	for name, each := range a {
+		switch {
+		case known[name] != each.node || each.isForgotten(now):
+			delete(a, name)
+		case !each.isOut || each.trialAt.IsZero():
+		case !now.Before(each.trialAt):
+			each.trialAt = time.Time{}
+			trials = append(trials, trial{node: each.node, leeway: each.leeway})
+		case next.IsZero() || each.trialAt.Before(next):
+			next = each.trialAt
+		}
+	}
+	return trials, next
+}
+
+// tried takes whether a node answered its trial, and after which time. It returns for how long it
+// was left out; false if it was not, or still is.
+func (a absences) tried(node directory.Node, isAnswered bool, took time.Duration, now time.Time) (time.Duration, bool) {
+	known := a[node.Name]
+	if known == nil || !known.isOut || known.node != node {
+		return 0, false
+	}
+	if isAnswered && (known.leeway == 0 || took <= known.leeway) {
+		return known.comeBack(now), true
+	}
+	known.pause = min(2*known.pause, max(known.rest, greatestPause))
+	known.trialAt = now.Add(known.pause)
+	return 0, false
+}
+
+// reported takes that a node has reported in time, as tried does. One that was late returns by a
+// trial alone: what else it still reports was asked before.
+func (a absences) reported(name string, now time.Time) (time.Duration, bool) {
+	known := a[name]
+	if known == nil {
+		return 0, false
+	}
+	if known.isOut && known.leeway == 0 {
+		return known.comeBack(now), true
+	}
+	if !known.isOut {
+		known.isProving = false
+	}
+	return 0, false
+}
+
+// comeBack lets the node be asked again, and returns for how long it was not.
+func (l *absence) comeBack(now time.Time) time.Duration {
+	lost := now.Sub(l.since)
+	l.isOut, l.since, l.isProving = false, now, l.leeway > 0
+	return lost
+}
--- a/pkg/owner/client.go
+++ b/pkg/owner/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,13 +26,8 @@
 	kindPing     peer.Kind = "owner.ping"
 )
 
-// Times of the return of owners.
-const (
-	// pingInterval is how often an owner that did not answer is asked whether it
-	// does: requests go to the next in rank meanwhile, so that nobody waits for it.
-	pingInterval = time.Second
-	pingTimeout  = 500 * time.Millisecond
-)
+// trialTimeout bounds a trial: an owner that takes as long is of no use to any request.
+const trialTimeout = 500 * time.Millisecond
 
 // Client asks owners. It implements fanout.Owners.
 type Client struct {
@@ -40,6 +36,8 @@
 	events    Events
 	// board takes what owners tell of the room at their services.
 	board *loadshed.Board
+	// wake tells Run that a trial may be due at another time.
+	wake chan struct{}
 }
 
 // Events takes what a Client finds out of other nodes. It does not block.
@@ -55,7 +53,7 @@
 // NewClient returns a client that asks the nodes of a roster. The board takes what they tell
 // of the room at services.
 func NewClient(roster *Roster, transport peer.Streamer, board *loadshed.Board, events Events) *Client {
-	return &Client{roster: roster, transport: transport, events: events, board: board}
+	return &Client{roster: roster, transport: transport, events: events, board: board, wake: make(chan struct{}, 1)}
 }
 
 // Divide implements fanout.Owners.
@@ -68,6 +66,12 @@
 	peer.Stream
 	client *Client
 	node   directory.Node
+	asked  load
+	// leeway is in which time the way there and back, and the delays of both processes, must be
+	// over.
+	leeway time.Duration
+	// isLate says that the owner was silent for too long.
+	isLate atomic.Bool
 }
 
 // Grant implements fanout.Pending.
@@ -84,8 +88,9 @@
 
 // Silent implements fanout.Pending.
 func (p *pending) Silent() {
+	p.isLate.Store(true)
 	p.NoteSilence()
-	p.client.lose(p.node, errSilent)
+	p.client.lose(p.node, p.leeway, errSilent)
 }
 
 // unsent is a question whose owner is not known any more.
@@ -105,11 +110,11 @@
 		return unsent{}
 	}
 	now := time.Now()
-	asked := loadOf(question)
-	receive := func(body []byte, err error) { c.receive(node, asked, body, err, report) }
-	stream := c.transport.Open(
+	asked := &pending{client: c, node: node, asked: loadOf(question), leeway: question.Leeway()}
+	receive := func(body []byte, err error) { asked.receive(body, err, report) }
+	asked.Stream = c.transport.Open(
 		peer.Address(node.PeerAddress), kindQuestion, encodeQuestion(question, now), question.Plan.Deadline.Sub(now), receive)
-	return &pending{Stream: stream, client: c, node: node}
+	return asked
 }
 
 // load is some services, and the key of the regions to which a request is bound.
@@ -126,70 +131,99 @@
 	return asked
 }
 
-// receive hands on one message of an owner about a load, or the end of its answer.
-func (c *Client) receive(node directory.Node, asked load, body []byte, err error, report func(fanout.Report)) {
+// receive hands on one message of the owner, or the end of its answer.
+func (p *pending) receive(body []byte, err error, report func(fanout.Report)) {
 	switch {
 	case errors.Is(err, io.EOF):
 		return
 	case err != nil:
 		// A question whose time was over tells nothing of its owner.
 		if outcome.ReasonOf(err) != outcome.ReasonDeadline {
-			c.lose(node, err)
+			p.client.lose(p.node, 0, err)
 		}
 		report(fanout.Report{Err: err})
 		return
 	}
 	decoded, room, err := decodeReport(body)
 	if err != nil {
-		err = &outcome.Error{Step: "decode report", Peer: node.Name, Reason: outcome.ReasonCorruptResponse, Cause: err}
-		c.lose(node, err)
+		err = &outcome.Error{Step: "decode report", Peer: p.node.Name, Reason: outcome.ReasonCorruptResponse, Cause: err}
+		p.client.lose(p.node, 0, err)
 		decoded = fanout.Report{Err: err}
 	}
 	if decoded.Err == nil {
-		c.regain(node)
-		takeReportedRoom(c.board, asked.services, asked.regions, room, time.Now())
+		if !p.isLate.Load() {
+			p.client.noteReport(p.node.Name)
+		}
+		takeReportedRoom(p.client.board, p.asked.services, p.asked.regions, room, time.Now())
 	}
 	report(decoded)
 }
 
-// regain lets a node be an owner again that has shown that it answers.
-func (c *Client) regain(node directory.Node) {
-	if lost, ok := c.roster.restore(node.Name, time.Now()); ok {
-		c.events.OwnerRegained(node.Name, lost)
+// noteReport takes that a node has reported in time.
+func (c *Client) noteReport(name string) {
+	if lost, isBack := c.roster.reported(name, time.Now()); isBack {
+		c.events.OwnerRegained(name, lost)
 	}
 }
 
-func (c *Client) lose(node directory.Node, cause error) {
-	if c.roster.avoid(node, time.Now()) {
+// lose leaves a node out until a trial is answered within leeway; zero for any time.
+func (c *Client) lose(node directory.Node, leeway time.Duration, cause error) {
+	if c.roster.leave(node, leeway, time.Now()) {
 		c.events.OwnerLost(node.Name, cause)
+		c.wakeUp()
 	}
 }
 
-// Run asks the owners that are left out whether they answer again, until ctx ends.
+func (c *Client) wakeUp() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run tries the owners that are left out, until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
-	ticker := time.NewTicker(pingInterval)
-	defer ticker.Stop()
+	timer := time.AfterFunc(greatestRest, c.wakeUp)
+	defer timer.Stop()
 	for {
+		now := time.Now()
+		trials, next := c.roster.dueTrials(now)
+		for _, each := range trials {
+			go c.try(ctx, each)
+		}
+		if !next.IsZero() {
+			timer.Reset(next.Sub(now))
+		}
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
-		}
-		for _, node := range c.roster.avoidedNodes() {
-			go c.ping(ctx, node)
+		case <-c.wake:
 		}
 	}
 }
 
-func (c *Client) ping(ctx context.Context, node directory.Node) {
-	limited, cancel := context.WithTimeout(ctx, pingTimeout)
+// try asks a node whether it would answer questions, and measures how long its answer takes. The
+// first may have to wait for a connection, so that one that is too late is asked again.
+func (c *Client) try(ctx context.Context, each trial) {
+	isAnswered, took := c.ping(ctx, each.node)
+	if isAnswered && each.leeway > 0 && took > each.leeway {
+		isAnswered, took = c.ping(ctx, each.node)
+	}
+	lost, isBack := c.roster.tried(each.node, isAnswered, took, time.Now())
+	if isBack {
+		c.events.OwnerRegained(each.node.Name, lost)
+	}
+	c.wakeUp()
+}
+
+// ping reports whether a node answers, and after which time. One that does not stays left out,
+// which was told when it was lost.
+func (c *Client) ping(ctx context.Context, node directory.Node) (bool, time.Duration) {
+	limited, cancel := context.WithTimeout(ctx, trialTimeout)
 	defer cancel()
+	began := time.Now()
 	err := c.transport.Call(limited, peer.Address(node.PeerAddress), kindPing, &ownerpb.Ping{}, &ownerpb.Ping{})
-	if err != nil {
-		// It stays left out, which was told when it was lost.
-		return
-	}
-	c.regain(node)
+	return err == nil, time.Since(began)
 }
 
 func encodeQuestion(question fanout.Question, now time.Time) *ownerpb.Question {
--- a/pkg/owner/owner_test.go
+++ b/pkg/owner/owner_test.go
@@ -382,6 +382,35 @@
 	})
 }
 
+// TestASlowOwnerIsWaitedForOnce: what goes to an owner and comes from it is on its way for 50 ms,
+// which its pings stand and 20 requests a second do not.
+func TestASlowOwnerIsWaitedForOnce(t *testing.T) {
+	in(t, func(g *WithT, c *cluster) {
+		asker, owners := c.outsider()
+		slow := peer.Address(owners[0])
+		c.network.SetLatency(func(from, to peer.Address) time.Duration {
+			if from == slow || to == slow {
+				return 50 * time.Millisecond
+			}
+			return 200 * time.Microsecond
+		})
+		waited := 0
+		for range 200 {
+			result, took := c.ask(c.t.Context(), asker)
+			g.Expect(result.Reason).To(Equal(fanout.StopComplete))
+			if took > 20*time.Millisecond {
+				waited++
+			}
+			time.Sleep(50*time.Millisecond - took%(50*time.Millisecond))
+		}
+		g.Expect(waited).To(Equal(1))
+
+		c.network.SetLatency(func(_, _ peer.Address) time.Duration { return 200 * time.Microsecond })
+		time.Sleep(1100 * time.Millisecond)
+		g.Expect(asker.hasLost(owners[0])).To(BeFalse())
+	})
+}
+
 // TestLateMessagesRunNothingMoreOftenThanAllowed holds back what the owner gets or
 // says, while the servers that are asked first do not answer: the owner wants to ask
 // others, and so does the asking node.
--- a/pkg/owner/roster.go
+++ b/pkg/owner/roster.go
@@ -56,14 +56,8 @@
 	// layouts are kept until nodes or servers change, by the list of services.
 	layouts    map[serviceList]layout
 	generation uint64
-	// avoided are the nodes that do not answer, by name.
-	avoided map[string]avoidance
-}
-
-// avoidance is since when a node does not answer.
-type avoidance struct {
-	node  directory.Node
-	since time.Time
+	// absences are the nodes that do not answer in time, or did not a while ago.
+	absences absences
 }
 
 // serviceList identifies a list of services; the lists of a configuration do not
@@ -87,7 +81,7 @@
 func NewRoster(local directory.Node, regions map[string]string, servers Servers) *Roster {
 	created := &Roster{
 		local: local, regions: regions, servers: servers, layouts: make(map[serviceList]layout),
-		avoided: make(map[string]avoidance),
+		absences: make(absences),
 	}
 	created.SetNodes(nil)
 	return created
@@ -116,12 +110,13 @@
 	if len(services) == 0 || !r.servers.IsCrowded(services[0]) || !regions.Allow(r.regions[r.local.Zone]) {
 		return nil
 	}
+	now := time.Now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	var groups []fanout.Group
 	for _, group := range r.layout(services) {
 		for _, candidate := range group.candidates {
-			if _, isAvoided := r.avoided[candidate.Name]; isAvoided {
+			if !r.absences.takes(candidate.Name, now) {
 				continue
 			}
 			name := candidate.Name
@@ -211,40 +206,35 @@
 	return node, ok
 }
 
-// avoid leaves a node out of the owners until it is restored, and reports whether
-// that is new.
-func (r *Roster) avoid(node directory.Node, now time.Time) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if _, known := r.avoided[node.Name]; known || node.Name == r.local.Name {
+// leave leaves a node out of the owners until it has returned, and reports whether that is new.
+// leeway is in which time a trial must be answered; zero for any time.
+func (r *Roster) leave(node directory.Node, leeway time.Duration, now time.Time) bool {
+	if node.Name == r.local.Name {
 		return false
 	}
-	r.avoided[node.Name] = avoidance{node: node, since: now}
-	return true
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.absences.leave(node, leeway, now)
 }
 
-// restore lets a node be an owner again, and returns for how long it was none; false
-// if it was not left out.
-func (r *Roster) restore(name string, now time.Time) (time.Duration, bool) {
+// reported takes that a node has reported in time. It returns for how long it was left out, if it
+// was and is no longer.
+func (r *Roster) reported(name string, now time.Time) (time.Duration, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	left, ok := r.avoided[name]
-	delete(r.avoided, name)
-	return now.Sub(left.since), ok
+	return r.absences.reported(name, now)
 }
 
-// avoidedNodes returns the nodes that are left out, and forgets those that are no
-// longer known.
-func (r *Roster) avoidedNodes() []directory.Node {
+// tried takes how a trial went, as reported does.
+func (r *Roster) tried(node directory.Node, isAnswered bool, took time.Duration, now time.Time) (time.Duration, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	var nodes []directory.Node
-	for name, left := range r.avoided {
-		if r.byName[name] != left.node {
-			delete(r.avoided, name)
-			continue
-		}
-		nodes = append(nodes, left.node)
-	}
-	return nodes
+	return r.absences.tried(node, isAnswered, took, now)
+}
+
+// dueTrials returns the nodes to try now, and when the next one is due; zero for none.
+func (r *Roster) dueTrials(now time.Time) ([]trial, time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.absences.due(r.byName, now)
 }
