--- a/pkg/owner/client_test.go
+++ b/pkg/owner/client_test.go
@@ -37,10 +37,13 @@
 	return s.pending
 }
 
-// returns keeps for how long owners were lost that are asked again.
-type returns struct{ lost []time.Duration }
+// returns keeps which owners were lost, and for how long those were that are asked again.
+type returns struct {
+	gone []string
+	lost []time.Duration
+}
 
-func (r *returns) OwnerLost(string, error) {}
+func (r *returns) OwnerLost(name string, _ error) { r.gone = append(r.gone, name) }
 
 func (r *returns) OwnerRegained(_ string, lost time.Duration) { r.lost = append(r.lost, lost) }
 
@@ -60,12 +63,12 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error)
 		go func() { ended <- client.Run(ctx) }()
-		time.Sleep(1200 * time.Millisecond)
+		time.Sleep(300 * time.Millisecond)
 		report, err := (&ownerpb.Report{}).MarshalVT()
 		g.Expect(err).NotTo(HaveOccurred())
 		transport.opened[1](report, nil)
 		time.Sleep(time.Second)
-		g.Expect(told.lost).To(Equal([]time.Duration{1200 * time.Millisecond}))
+		g.Expect(told.lost).To(Equal([]time.Duration{300 * time.Millisecond}))
 		cancel()
 		g.Expect(<-ended).To(Succeed())
 	})
