A gathered request asks no second servers while its first ones end

Change: once one connection of a run broke and no server has answered, further sub-requests wait for what is under way, 0.3 s at most. An ordinary request is answered by another shard within milliseconds. Nothing is spent without a broken connection.

Tests: TestADeadlyRequestEndsOneServerOfEachShard is stricter (6 servers, not 8) and failed without the change; a part that lost its server waits for an answer of another one, and not longer than a moment (failed without the bound).

--- a/pkg/fanout/kept_back.go
+++ b/pkg/fanout/kept_back.go
@@ -28,8 +28,23 @@
 }
 
 // isKeptBack reports whether the request may be sent to no further server for now, since
-// servers have ended while they had it. A trial is leave for one.
-func (r *run) isKeptBack() bool { return r.trial == nil && r.standing() != quarantine.Clear }
+// servers have ended while they had it, or may have. A trial is leave for one.
+func (r *run) isKeptBack() bool {
+	return r.trial == nil && (r.standing() != quarantine.Clear || r.isDoubted())
+}
+
+// doubtSpan is for how long a request is doubted after its first broken connection: most are
+// answered by another shard within a few tenths of a second, and one whose other servers are all
+// silent is to have its hedges after that.
+const doubtSpan = 300 * time.Millisecond
+
+// isDoubted reports whether a server broke its connection a moment ago, none has answered the
+// request, and one still may. Its further sub-requests wait for that: an ordinary request is
+// answered by another shard within milliseconds, and a deadly one ends one server of each shard
+// rather than two. Without a broken connection it costs nothing.
+func (r *run) isDoubted() bool {
+	return r.broken > 0 && r.runner.Quarantine != nil && !r.served.Load() && r.isUnderWay() && time.Since(r.brokenAt) < doubtSpan
+}
 
 // isUnderWay reports whether the request is at a server or an owner whose answer could clear
 // it.
@@ -105,6 +120,14 @@
 	return true
 }
 
+// noteBrokenConnection counts a connection that broke while its server had the request.
+func (r *run) noteBrokenConnection(now time.Time) {
+	if r.broken == 0 {
+		r.brokenAt = now
+	}
+	r.broken++
+}
+
 // noteBroken tells the guard that a server broke its connection while it had the request,
 // unless another one has answered it. It is called from the attempt's goroutine.
 func (r *run) noteBroken(broken *attempt, now time.Time) {
--- a/pkg/fanout/kept_back_test.go
+++ b/pkg/fanout/kept_back_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -99,6 +100,59 @@
 
 var fourShards, threeCopies = []string{"a", "b", "c", "d"}, []string{"1", "2", "3"}
 
+// endFirst lets the first of some servers that is asked end under what it is asked; the others
+// answer.
+func (w *world) endFirst(names ...string) {
+	var hasEnded atomic.Bool
+	for _, name := range names {
+		w.servers[name].Respond = func(exchangetest.Request) exchangetest.Answer {
+			if hasEnded.CompareAndSwap(false, true) {
+				w.network.Remove(name)
+				return exchangetest.Answer{}
+			}
+			return quick("x")
+		}
+	}
+}
+
+// TestAPartThatLostItsServerWaitsForAnAnswerOfAnother: it is retried as soon as one shows that the
+// request ends no servers.
+func TestAPartThatLostItsServerWaitsForAnAnswerOfAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newDeadlyWorld(fourShards, threeCopies)
+		defer w.close()
+		w.endFirst("a1", "a2", "a3")
+		began := time.Now()
+		result := w.send(plan(fourShards...), "/ordinary")
+		g.Expect(result.Got).To(Equal(4))
+		g.Expect(result.Broken).To(Equal(1))
+		g.Expect(time.Since(began)).To(BeNumerically("~", 32*time.Millisecond, 10*time.Millisecond), "10 ms, a recheck, 10 ms")
+	})
+}
+
+// TestAPartThatLostItsServerWaitsNoLongerThanAMoment: where the other servers are all silent, the
+// request is sent on.
+func TestAPartThatLostItsServerWaitsNoLongerThanAMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newDeadlyWorld([]string{"a", "b"}, threeCopies)
+		defer w.close()
+		w.endFirst("a1", "a2", "a3")
+		for _, name := range []string{"b1", "b2", "b3"} {
+			w.servers[name].Respond = func(exchangetest.Request) exchangetest.Answer {
+				answer := quick("x")
+				answer.Delay = 10 * time.Second
+				return answer
+			}
+		}
+		began := time.Now()
+		result := w.send(plan("a", "b"), "/ordinary")
+		g.Expect(result.Got).To(Equal(1))
+		g.Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
+	})
+}
+
 // TestADeadlyRequestEndsOneServerOfEachShard and those of two trials, not all: the run ends
 // once nothing can clear the request any more, and the next one is refused with a promise.
 func TestADeadlyRequestEndsOneServerOfEachShard(t *testing.T) {
@@ -114,7 +168,7 @@
 		g.Expect(result.Outcome).To(Equal(outcome.Unknown))
 		g.Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond))
 		ended := w.arrivedFor(deadlyTarget)
-		g.Expect(ended).To(BeNumerically("<=", 8), "two ends are retried at once, and two trials")
+		g.Expect(ended).To(Equal(6), "one of each shard, and two trials")
 		result = w.send(plan(fourShards...), deadlyTarget)
 		g.Expect(result.Reason).To(Equal(fanout.StopQuarantined))
 		g.Expect(result.Outcome).To(Equal(outcome.NotRun))
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -103,7 +103,9 @@
 	retries int
 	sent    int
 	denied  int
-	broken  int
+	// broken counts the connections that broke, and brokenAt is when the first one did.
+	broken   int
+	brokenAt time.Time
 }
 
 func newRun(runner *Runner, plan Plan, request *exchange.Request) *run {
@@ -210,7 +212,7 @@
 	part.live = without(part.live, result.attempt)
 	result.attempt.endedAt, result.attempt.result = now, result.describe()
 	if result.attempt.Broken {
-		r.broken++
+		r.noteBrokenConnection(now)
 	}
 	if result.err == nil && result.answer.Evidence != "" && !r.served.Load() {
 		// Also a failure that a server has made shows that it lives.
