Nodes tell each other of suspect requests directly

Cause: what one node had found out of a request that ends its servers reached the others through the store alone, 0.3 s later at best, and not at all while it was away. Ruled out by the logs: many different requests (one fingerprint), requests that shared a server and were refused for it (none; 5 held suspect for at most 16 ms), servers that ended again after their return (one, under the second trial).

Change: a kind of message of its own with servers that ended, as many as make a request suspect, trials, and that a request was answered. Told at once for a suspect request, after 0.3 s for others, to all nodes, or to 24 drawn ones where there are more; who hears news tells four others. Bounded: 64 notes a message, 1024 that wait, 10 s of age. Who hears a note does not write it to the store, where trials are claimed as before. Without the store nodes know of each other's trials: two in all, not one each. An older node answers that it knows no such message; it learns from the store.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -111,6 +111,8 @@
 	// is nil if the node has no address for its peers.
 	known     *fanout.Room
 	announcer *owner.Announcer
+	// teller tells other nodes of suspect requests; nil if the node has no address for its peers.
+	teller *quarantine.Teller
 }
 
 // New opens the node's listeners.
@@ -237,6 +239,7 @@
 	n.state.roster = owner.NewRoster(*local, settings.Zones, n.state.fleet)
 	n.owners = owner.NewClient(n.state.roster, n.transport, n.known.Board, ownerEvents{node: n})
 	n.openAnnouncer()
+	n.openTeller()
 	if settings.Bounds.QuotaWindowSeconds > 0 {
 		n.limits = newLimits(n, settings, n.transport)
 		n.state.limits = n.limits
@@ -276,6 +279,7 @@
 		add(n.peers.Run)
 		add(n.owners.Run)
 		add(n.announcer.Run)
+		add(n.teller.Run)
 	}
 	if n.limits != nil {
 		add(n.limits.limiter.Run)
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -44,6 +44,8 @@
 	roster *owner.Roster
 	// limits is told which nodes there are; nil if limits of tenants are not held.
 	limits *limits
+	// teller tells the nodes of suspect requests; nil if the node has no peers.
+	teller *quarantine.Teller
 	// member is told of the nodes' entries.
 	member *registration
 
@@ -296,6 +298,9 @@
 	if s.limits != nil {
 		s.limits.setNodes(s.knownNodes())
 	}
+	if s.teller != nil {
+		s.teller.SetNodes(addressesOf(s.knownNodes()))
+	}
 	s.fleet.SetCallers(callers)
 	s.budgets.setNodes(callers.Total)
 }
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -1,8 +1,10 @@
 package edge
 
 import (
+	"github.com/bramblemast/bramblemast/pkg/directory"
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/peer"
 	"github.com/bramblemast/bramblemast/pkg/quarantine"
 )
 
@@ -39,3 +41,26 @@
 	}
 	e.node.logger.Warn("notes on suspect requests not kept", "call", call, "error", err.Error())
 }
+
+// openTeller lets nodes tell each other of suspect requests directly.
+func (n *Node) openTeller() {
+	n.teller = quarantine.NewTeller(n.quarantine, n.transport)
+	n.state.teller = n.teller
+	n.figures.count64("suspect_notes_told_total", "Notes on requests under which servers ended that were told to other nodes.", func() uint64 {
+		told, _ := n.teller.Counts()
+		return told
+	})
+	n.figures.count64("suspect_notes_heard_total", "Notes on requests under which servers ended that other nodes told first.", func() uint64 {
+		_, heard := n.teller.Counts()
+		return heard
+	})
+}
+
+// addressesOf returns where nodes are told something.
+func addressesOf(known []directory.Node) []peer.Address {
+	addresses := make([]peer.Address, 0, len(known))
+	for _, node := range known {
+		addresses = append(addresses, peer.Address(node.PeerAddress))
+	}
+	return addresses
+}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -7,8 +7,9 @@
 // refused at once. So a request that shared a server with a deadly one is served by its
 // trial, and the deadly one ends a few servers rather than all.
 //
-// Nodes tell each other through notes in the store: one for each server that ended and one
-// for each trial, so that notes of different nodes add up without a conflict.
+// Nodes keep notes in the store: one for each server that ended and one for each trial, so that
+// notes of different nodes add up without a conflict. They also tell each other directly, since
+// a request that comes again meanwhile ends as many servers once more; see Teller.
 package quarantine
 
 import (
@@ -107,6 +108,8 @@
 	known atomic.Int64
 	// work has an element while there is something to write.
 	work chan struct{}
+	// tell takes what other nodes are told directly; nil if there is no way to them.
+	tell func(News)
 
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
@@ -225,6 +228,14 @@
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	if known := g.records[fingerprint]; known != nil && known.count((*end).isKnownToOthers) > 0 {
+		g.tellOther(News{Note: Note{Fingerprint: fingerprint}, At: now})
+	}
+	g.clear(fingerprint, now)
+}
+
+// clear forgets a request that a server has answered, also in the store. The mutex is held.
+func (g *Guard) clear(fingerprint exchange.Fingerprint, now time.Time) {
 	known := g.records[fingerprint]
 	if known == nil {
 		return
@@ -371,9 +382,13 @@
 	if known.isEmpty() {
 		g.drop(fingerprint)
 	}
-	if after := known.standing(now); after != before && max(after, before) > Doubtful {
+	after := known.standing(now)
+	if after != before && max(after, before) > Doubtful {
 		g.options.Events.Standing(fingerprint, after, known.servers())
 	}
+	if after > Doubtful {
+		g.tellEnded(fingerprint, known)
+	}
 	if known.hasUnwritten() {
 		g.signal()
 	}
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -17,8 +17,8 @@
 	trials map[int]bool
 	// nextTrialAt is when a further trial is made after the prompt ones.
 	nextTrialAt time.Time
-	// alone counts the trials that this node made without the ledger.
-	alone int
+	// isAlone says that this node made a trial without the ledger.
+	isAlone bool
 	// expiresAt is put off by every server that ends.
 	expiresAt time.Time
 }
@@ -31,12 +31,19 @@
 	// isConfirmed says that the server itself ended, isWritten that the store holds it.
 	isConfirmed bool
 	isWritten   bool
+	// isTold says that other nodes were told directly, and isHeard that one of them told it,
+	// which writes it to the store too.
+	isTold  bool
+	isHeard bool
 }
 
 func (e *end) hasEnded() bool { return e.isConfirmed }
 
-// isKept reports whether the store holds it.
-func (e *end) isKept() bool { return e.isWritten }
+// isKept reports whether the store holds it, or another node sees to that.
+func (e *end) isKept() bool { return e.isWritten || e.isHeard }
+
+// isKnownToOthers reports whether other nodes were told of it directly.
+func (e *end) isKnownToOthers() bool { return e.isTold }
 
 func newRecord(now time.Time) *record {
 	return &record{ends: make(map[fleet.Incarnation]*end), trials: make(map[int]bool), expiresAt: now.Add(lifetime)}
@@ -99,7 +106,16 @@
 
 // mayTry reports whether a trial may be made now: two at once, then one now and then.
 func (r *record) mayTry(now time.Time) bool {
-	return len(r.trials)+r.alone < PromptTrials || !now.Before(r.nextTrialAt)
+	return len(r.trials) < PromptTrials || !now.Before(r.nextTrialAt)
+}
+
+// nextTrial returns the number of the next trial.
+func (r *record) nextTrial() int {
+	number := 1
+	for r.trials[number] {
+		number++
+	}
+	return number
 }
 
 // noteTrial takes that a trial was made.
@@ -143,7 +159,7 @@
 		if r.count((*end).isKept)+len(notes) >= SuspectAfter {
 			break
 		}
-		if !r.ends[name].isWritten {
+		if !r.ends[name].isKept() {
 			notes = append(notes, Note{Fingerprint: fingerprint, Server: name})
 		}
 	}
--- /dev/null
+++ b/pkg/quarantine/teller.go
@@ -0,0 +1,223 @@
+package quarantine
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramblemast/bramblemast/internal/pause"
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/peer"
+	"github.com/bramblemast/bramblemast/pkg/quarantine/quarantinepb"
+	"github.com/bramblemast/bramblemast/pkg/target"
+)
+
+// kindNews tells what a node has found out of requests under which servers ended.
+const kindNews peer.Kind = "quarantine.news"
+
+// Bounds and times of telling.
+const (
+	// mostTold bounds the nodes that one node tells, so that the connections to owners stay
+	// open. Where there are more, those that hear news tell toldOn others each, by which all but
+	// a few hear of it; the rest learns from the store.
+	mostTold = 24
+	toldOn   = 4
+	// maxNews bounds the notes of one message, and maxWaiting those that wait for one: a crash
+	// leaves as many as it had requests, and what finds no room is told by the store.
+	maxNews    = 64
+	maxWaiting = 1024
+	// newsPause is the least time between two messages to the same nodes: what is found within
+	// it goes in one.
+	newsPause = 10 * time.Millisecond
+	// newsTimeout bounds a message: several times the way to a far region and back. What is told
+	// no node by then it learns from the store.
+	newsTimeout = 400 * time.Millisecond
+	// maxTelling bounds the messages under way, so that a silent node does not hold up the next.
+	maxTelling = 8
+	// greatestTrial is the greatest number of a trial that is taken: far more are never made
+	// within the time for which a request is remembered.
+	greatestTrial = 64
+)
+
+// Teller tells other nodes what a Guard finds out, and hears what they tell. It is safe for
+// concurrent use.
+type Teller struct {
+	guard     *Guard
+	transport peer.Transport
+	// wake has an element while news waits; slots bounds the messages under way.
+	wake  chan struct{}
+	slots chan struct{}
+	// told and heard count notes.
+	told, heard atomic.Uint64
+
+	mutex sync.Mutex
+	// others are the addresses of the other nodes, guarded by mutex.
+	others []peer.Address
+	// found waits to be told by this node, passed is what others told it; guarded by mutex.
+	found, passed []News
+}
+
+// NewTeller registers the handler of what other nodes tell, and takes what the guard finds out.
+func NewTeller(guard *Guard, transport peer.Transport) *Teller {
+	created := &Teller{guard: guard, transport: transport, wake: make(chan struct{}, 1), slots: make(chan struct{}, maxTelling)}
+	guard.TellNews(created.put)
+	transport.Handle(kindNews, created.take)
+	return created
+}
+
+// SetNodes takes the addresses of all nodes.
+func (t *Teller) SetNodes(nodes []peer.Address) {
+	local := t.transport.Address()
+	others := slices.DeleteFunc(slices.Clone(nodes), func(each peer.Address) bool { return each == local || each == "" })
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.others = others
+}
+
+// Counts returns how many notes were told and heard.
+func (t *Teller) Counts() (told, heard uint64) { return t.told.Load(), t.heard.Load() }
+
+// put keeps what this node has found out until Run tells it.
+func (t *Teller) put(news News) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if len(t.found) < maxWaiting {
+		t.found = append(t.found, news)
+	}
+	t.signal()
+}
+
+// pass keeps what another node told until Run tells it on, where that node could not tell all.
+func (t *Teller) pass(news []News) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if len(t.others) <= mostTold || len(news) == 0 {
+		return
+	}
+	t.passed = append(t.passed, news[:min(len(news), maxWaiting-len(t.passed))]...)
+	t.signal()
+}
+
+func (t *Teller) signal() {
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run tells what is found out, until ctx ends.
+func (t *Teller) Run(ctx context.Context) error {
+	var telling sync.WaitGroup
+	defer telling.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.wake:
+		}
+		found, passed := t.next()
+		t.spread(ctx, &telling, found, mostTold)
+		t.spread(ctx, &telling, passed, toldOn)
+		pause.For(ctx, newsPause)
+	}
+}
+
+// next takes what is told with the next messages.
+func (t *Teller) next() (found, passed []News) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	found, t.found = split(t.found)
+	passed, t.passed = split(t.passed)
+	if len(t.found)+len(t.passed) > 0 {
+		t.signal()
+	}
+	return found, passed
+}
+
+// split cuts off as much as one message takes.
+func split(waiting []News) (taken, rest []News) {
+	count := min(len(waiting), maxNews)
+	return waiting[:count:count], waiting[count:]
+}
+
+// spread tells up to a number of the other nodes, drawn anew each time.
+func (t *Teller) spread(ctx context.Context, telling *sync.WaitGroup, news []News, most int) {
+	addresses := t.draw(most)
+	if len(news) == 0 || len(addresses) == 0 {
+		return
+	}
+	select {
+	case t.slots <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	t.told.Add(uint64(len(news)))
+	message := encodeNews(news, time.Now())
+	telling.Go(func() {
+		defer func() { <-t.slots }()
+		limited, cancel := context.WithTimeout(ctx, newsTimeout)
+		defer cancel()
+		peer.Spread(limited, t.transport, addresses, kindNews, message, func() proto.Message { return &quarantinepb.Taken{} })
+	})
+}
+
+// draw returns some of the other nodes.
+func (t *Teller) draw(most int) []peer.Address {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	drawn := make([]peer.Address, 0, min(most, len(t.others)))
+	for _, index := range rand.Perm(len(t.others))[:cap(drawn)] {
+		drawn = append(drawn, t.others[index])
+	}
+	return drawn
+}
+
+// take hears what another node tells, and tells on what is new here.
+func (t *Teller) take(_ context.Context, _ target.NodeID, body []byte) (proto.Message, error) {
+	message := &quarantinepb.News{}
+	if err := message.UnmarshalVT(body); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	var fresh []News
+	for _, each := range message.Notes[:min(len(message.Notes), maxNews)] {
+		news, isWhole := decodeNews(each, now)
+		if isWhole && t.guard.Hear(news, now) {
+			fresh = append(fresh, news)
+		}
+	}
+	t.heard.Add(uint64(len(fresh)))
+	t.pass(fresh)
+	return &quarantinepb.Taken{}, nil
+}
+
+func encodeNews(news []News, now time.Time) *quarantinepb.News {
+	message := &quarantinepb.News{}
+	for _, each := range news {
+		note := each.Note
+		message.Notes = append(message.Notes, &quarantinepb.Note{
+			Fingerprint: note.Fingerprint[:], Server: note.Server.ID, Start: int64(note.Server.Start), Trial: uint32(note.Trial),
+			IsGone: each.IsGone, AgeMs: uint32(max(0, now.Sub(each.At).Milliseconds())),
+		})
+	}
+	return message
+}
+
+// decodeNews reads one note; false if it makes no sense.
+func decodeNews(told *quarantinepb.Note, now time.Time) (News, bool) {
+	news := News{
+		Note:   Note{Server: fleet.Incarnation{ID: told.Server, Start: fleet.Start(told.Start)}, Trial: int(told.Trial)},
+		IsGone: told.IsGone, At: now.Add(-time.Duration(told.AgeMs) * time.Millisecond),
+	}
+	if len(told.Fingerprint) != len(exchange.Fingerprint{}) || told.Trial > greatestTrial {
+		return News{}, false
+	}
+	copy(news.Note.Fingerprint[:], told.Fingerprint)
+	return news, true
+}
--- a/pkg/quarantine/trial.go
+++ b/pkg/quarantine/trial.go
@@ -26,7 +26,7 @@
 			g.options.Events.LedgerFailed("claim trial", err)
 			return g.claimAlone(fingerprint)
 		}
-		g.noteTrial(note)
+		g.noteTrial(note, isClaimed)
 		if isClaimed {
 			return &Trial{guard: g, note: note}
 		}
@@ -41,11 +41,7 @@
 	if known == nil || !known.mayTry(time.Now()) {
 		return Note{}, false
 	}
-	number := 1
-	for known.trials[number] {
-		number++
-	}
-	return Note{Fingerprint: fingerprint, Trial: number}, true
+	return Note{Fingerprint: fingerprint, Trial: known.nextTrial()}, true
 }
 
 // claimAlone returns leave for the one trial that a node makes by itself while the ledger is
@@ -57,17 +53,21 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	known := g.records[fingerprint]
-	if known == nil || known.alone > 0 {
+	now := time.Now()
+	if known == nil || known.isAlone || !known.mayTry(now) {
 		return nil
 	}
-	now := time.Now()
 	before := known.standing(now)
-	known.alone++
+	note := Note{Fingerprint: fingerprint, Trial: known.nextTrial()}
+	known.isAlone = true
+	known.noteTrial(note.Trial, now)
+	g.tellOther(News{Note: note, At: now})
 	g.changed(fingerprint, before, now)
 	return &Trial{guard: g}
 }
 
-func (g *Guard) noteTrial(note Note) {
+// noteTrial takes that a trial was made, by this node if it was claimed here.
+func (g *Guard) noteTrial(note Note, isClaimed bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	known := g.records[note.Fingerprint]
@@ -80,6 +80,9 @@
 	now := time.Now()
 	before := known.standing(now)
 	known.noteTrial(note.Trial, now)
+	if isClaimed {
+		g.tellOther(News{Note: note, At: now})
+	}
 	g.changed(note.Fingerprint, before, now)
 }
 
@@ -96,6 +99,7 @@
 		now := time.Now()
 		before := known.standing(now)
 		delete(known.trials, t.note.Trial)
+		g.tellOther(News{Note: t.note, IsGone: true, At: now})
 		g.changed(t.note.Fingerprint, before, now)
 	}
 	g.removals = append(g.removals, t.note)
--- a/pkg/quarantine/write.go
+++ b/pkg/quarantine/write.go
@@ -39,6 +39,7 @@
 			pause.For(ctx, noteDelay)
 		}
 		g.probeUnsettled()
+		g.tellSettled()
 		if g.options.LedgerLost() {
 			pause.For(ctx, lostRetry)
 			g.signal()
