Pauses of servers that recur are foreseen

Cause: servers of one program pause by a clock, each at a time of its own. A gathered request over 36 shards meets one most of the time and then waits for the second server.

Change: pkg/rhythm learns pauses, periods and phases from the times of answers, without network, clock or allocation. pkg/fleet adds what is left of a foreseen pause to the time in which a server would answer. A period is forgotten when an answer comes amid a foreseen pause, when none was seen for six periods, and with the process. Gauge servers_pausing.

Tests: pkg/rhythm plays servers with and without pauses, with random ones, clocks that drift, slow servers, a period that changes, a node that asks twice a second. TestAServerIsPassedOverWhileItIsForeseenToPause was seen to fail without the added time.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -8,6 +8,7 @@
 
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/loadshed"
+	"github.com/bramblemast/bramblemast/pkg/rhythm"
 )
 
 // Place is where a node runs.
@@ -46,6 +47,8 @@
 	services     map[string][]*member
 	zones        map[string]*zoneTimes
 	profiles     map[string]*Profile
+	// periods are those in which servers pause.
+	periods rhythm.Periods
 	// callers are the nodes that share the servers' connections.
 	callers Callers
 	// connections is the greatest number of connections of a server, by service.
@@ -255,6 +258,19 @@
 	return count
 }
 
+// Pausing returns the number of listed servers whose next pause is foreseen.
+func (f *Fleet) Pausing(now time.Time) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	count := 0
+	for _, each := range f.members {
+		if each.listed && each.rhythm.Foresees(now, &f.periods) {
+			count++
+		}
+	}
+	return count
+}
+
 // zone returns the times of a zone. The mutex is held.
 func (f *Fleet) zone(name string) *zoneTimes {
 	times := f.zones[name]
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/bramblemast/bramblemast/internal/pause"
 	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/rhythm"
 )
 
 // Server is one incarnation of a server as the platform lists it.
@@ -111,6 +112,8 @@
 	failureRateAt time.Time
 	// turnedAway counts connections turned away since the last answer.
 	turnedAway int
+	// rhythm foresees its pauses.
+	rhythm rhythm.Server
 	// unreachable says that the last request could not open a connection.
 	unreachable bool
 	avoidUntil  time.Time
--- /dev/null
+++ b/pkg/rhythm/periods.go
@@ -0,0 +1,90 @@
+package rhythm
+
+import "time"
+
+// Constants of what servers have in common.
+const (
+	// intervalCount is how many intervals between pauses are kept to compare others with.
+	intervalCount = 16
+	// greatestTimes is how many periods an interval may have: some pauses meet no request.
+	greatestTimes = 2
+	// periodMemory is for how many periods one is used for further servers after it was
+	// last seen.
+	periodMemory = 10
+)
+
+// Periods is what the servers that a node asks have in common: servers of one program
+// have one period, each with a phase of its own. The zero value knows nothing.
+type Periods struct {
+	intervals [intervalCount]interval
+	next      int
+	// servers counts those that have shown an interval.
+	servers int
+	// period is the one that was confirmed last, at confirmedAt; zero if none was.
+	period      time.Duration
+	confirmedAt time.Time
+	// length is how long pauses last.
+	length time.Duration
+}
+
+// interval is the time between two pauses of a server.
+type interval struct {
+	server int
+	length time.Duration
+	seenAt time.Time
+}
+
+// note keeps an interval.
+func (p *Periods) note(server *Server, length time.Duration, now time.Time) {
+	if server.number == 0 {
+		p.servers++
+		server.number = p.servers
+	}
+	p.intervals[p.next] = interval{server: server.number, length: length, seenAt: now}
+	p.next = (p.next + 1) % intervalCount
+}
+
+// like returns the period that an interval has in common with one of another server.
+func (p *Periods) like(server *Server, length time.Duration, now time.Time) (time.Duration, bool) {
+	for _, each := range p.intervals {
+		if each.server == 0 || each.server == server.number || now.Sub(each.seenAt) > periodMemory*each.length {
+			continue
+		}
+		if period, ok := common(length, each.length); ok {
+			return period, true
+		}
+	}
+	return 0, false
+}
+
+// confirm takes a period that two intervals or a pause that came in time have shown.
+func (p *Periods) confirm(period time.Duration, now time.Time) {
+	p.period, p.confirmedAt = period, now
+}
+
+// current returns the period in common; zero if there is none.
+func (p *Periods) current(now time.Time) time.Duration {
+	if p.period == 0 || now.Sub(p.confirmedAt) > periodMemory*p.period {
+		return 0
+	}
+	return p.period
+}
+
+// common returns the period that two intervals share, if the longer is a small multiple of
+// the shorter.
+func common(one, other time.Duration) (time.Duration, bool) {
+	shorter, longer := min(one, other), max(one, other)
+	if shorter < leastPeriod {
+		return 0, false
+	}
+	times, rest, ok := multiple(longer, shorter)
+	return shorter + rest/time.Duration(2*max(times, 1)), ok && times <= greatestTimes
+}
+
+// multiple returns how many periods an interval has and what is over, which may be below
+// zero. It is none if the rest is more than the looseness.
+func multiple(elapsed, period time.Duration) (int, time.Duration, bool) {
+	times := int((elapsed + period/2) / period)
+	rest := elapsed - time.Duration(times)*period
+	return times, rest, times >= 1 && rest.Abs() <= looseness
+}
