Each entry without a start is told

Cause: fleet.Apply reported an entry that lacks the start its server has told only when a server was left out by it. A second such entry, or one after the server had been forgotten, was neither counted nor logged, against docs/design/server-starts.md.

Ruled out: reporting it as Mistaken again, which says that a server was left out.

Change: fleet.StillMistaken; internal/edge counts and logs it with server_left_out false.

Tests: TestEntriesThatNameNoServerAreToldInBoundedLines was seen to fail with the second entry. TestAnEntryThatNamesNoServer wanted an empty change for an entry after the server was forgotten, which was the fault; it now wants StillMistaken.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -369,6 +369,9 @@
 	tested.Changed(directory.Entry{Key: "servers/i", Server: &fleet.Server{ID: "i", Start: 1, Service: "s", Address: "a"}})
 	tested.Changed(directory.Entry{Key: "servers/i", Revision: 2, ServerID: "i", Server: &fleet.Server{ID: "i", Service: "s", Address: "a"}})
 	g.Expect(lines.String()).To(And(ContainSubstring("lacks the start"), ContainSubstring(`"server_left_out":true`)))
+	lines.Reset()
+	tested.Changed(directory.Entry{Key: "servers/i", Revision: 3, ServerID: "i", Server: &fleet.Server{ID: "i", Service: "s", Address: "a"}})
+	g.Expect(lines.String()).To(And(ContainSubstring("lacks the start"), ContainSubstring(`"server_left_out":false`)), "also the second one")
 	for number := range 1000 {
 		tested.Changed(directory.Entry{Key: "servers/i", Revision: uint64(number), ServerID: "i", Problem: io.ErrUnexpectedEOF})
 	}
@@ -377,7 +380,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	for _, family := range families {
 		if family.GetName() == namespace+"_state_refused_total" {
-			g.Expect(family.GetMetric()[0].GetCounter().GetValue()).To(Equal(1001.0))
+			g.Expect(family.GetMetric()[0].GetCounter().GetValue()).To(Equal(1002.0))
 			return
 		}
 	}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -138,9 +138,9 @@
 	switch change.Kind {
 	case fleet.Unchanged:
 		return
-	case fleet.Mistaken:
+	case fleet.Mistaken, fleet.StillMistaken:
 		entry.Problem = errNoStart
-		s.tellRefused(entry, true)
+		s.tellRefused(entry, change.Kind == fleet.Mistaken)
 		return
 	case fleet.Restarted:
 		s.quarantine.NoteReplaced(change.Replaced, now)
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -96,7 +96,7 @@
 	known := f.members[server.ID]
 	switch {
 	case known == nil && server.Start == 0 && f.toldStarts[server.ID]:
-		return Change{}
+		return Change{Kind: StillMistaken}
 	case known == nil:
 		f.add(server, now)
 		return Change{Kind: Added}
--- a/pkg/fleet/incarnation.go
+++ b/pkg/fleet/incarnation.go
@@ -44,6 +44,8 @@
 	// Mistaken means that the entry lacks the start that the server has told before, so that
 	// another writer made it. The server is left as if it had gone from the list.
 	Mistaken ChangeKind = "mistaken"
+	// StillMistaken is the same of an entry whose server was left already.
+	StillMistaken ChangeKind = "still mistaken"
 )
 
 // Change tells of one entry of the platform's list what it changed.
@@ -83,7 +85,7 @@
 		f.toldStarts[known.ID] = true
 	}
 	if !f.unlist(known, now, now) {
-		return Change{}
+		return Change{Kind: StillMistaken}
 	}
 	return Change{Kind: Mistaken}
 }
--- a/pkg/fleet/incarnation_test.go
+++ b/pkg/fleet/incarnation_test.go
@@ -169,7 +169,7 @@
 			refuse(tested, now)
 			now = now.Add(leaveWithin + time.Second)
 			tested.Sweep(now)
-			g.Expect(tested.Apply(mistaken, now)).To(Equal(fleet.Change{}))
+			g.Expect(tested.Apply(mistaken, now)).To(Equal(fleet.Change{Kind: fleet.StillMistaken}))
 			g.Expect(tested.Len()).To(Equal(1))
 			g.Expect(tested.Apply(started("near", 1000), now).Kind).To(Equal(fleet.Added))
 			tested.Remove("near", time.Time{}, now)
@@ -178,3 +178,17 @@
 		})
 	}
 }
+
+// TestEachEntryWithoutAStartIsTold, as a mistake, for as long as its server's own is missing.
+func TestEachEntryWithoutAStartIsTold(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	tested := newRestarting(now)
+	g.Expect(tested.Apply(started("near", 0), now).Kind).To(Equal(fleet.Mistaken))
+	g.Expect(tested.Apply(started("near", 0), now).Kind).To(Equal(fleet.StillMistaken), "its server is left already")
+	now = now.Add(leaveWithin + time.Second)
+	tested.Sweep(now)
+	g.Expect(tested.Apply(started("near", 0), now).Kind).To(Equal(fleet.StillMistaken), "its server is forgotten")
+	g.Expect(tested.Apply(started("near", 1000), now).Kind).To(Equal(fleet.Added))
+	g.Expect(tested.Apply(started("near", 0), now).Kind).To(Equal(fleet.Mistaken))
+}
