Settings that would refuse all keys are rejected

Cause: of bounds.revoke_ms 500 ms are kept in reserve. With bounds.strict_revoke and a bound of 500 or less no news of keys is new enough, and each request with a key was refused; the check of the settings took it.

Change: internal/edge/settings.go names the fault and the least value. BoundSettings.StrictRevoke, a word of the platform, is RefuseUnconfirmedKeys; the name in settings files stays, so that deployments are served as before.

Tests: TestRevocationIsStrictOnlyWhereAsked was seen to fail.

--- a/internal/edge/keys.go
+++ b/internal/edge/keys.go
@@ -10,7 +10,7 @@
 func (n *Node) keyNews() front.KeyNews {
 	settings := n.settings.Load()
 	switch {
-	case settings.Bounds.StrictRevoke && !n.follower.IsKnownWithin(settings.revocationAge()):
+	case settings.Bounds.RefuseUnconfirmedKeys && !n.follower.IsKnownWithin(settings.revocationAge()):
 		return front.KeysLapsed
 	case !n.follower.HasNews():
 		return front.KeysOld
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -89,11 +89,11 @@
 	// reach it; zero if unknown.
 	ColdFactor float64 `json:"cold_factor"`
 	ColdExtra  float64 `json:"cold_extra"`
-	// StrictRevoke asks to refuse requests that need a key while it cannot be confirmed that
-	// what is known of keys is at most RevokeMillis old. Without it nodes serve on with the
-	// keys that they know.
-	StrictRevoke bool `json:"strict_revoke"`
-	RevokeMillis int  `json:"revoke_ms"`
+	// RefuseUnconfirmedKeys asks to refuse requests that need a key while it cannot be
+	// confirmed that what is known of keys is at most RevokeMillis old. Without it nodes
+	// serve on with the keys that they know.
+	RefuseUnconfirmedKeys bool `json:"strict_revoke"`
+	RevokeMillis          int  `json:"revoke_ms"`
 	// QuotaWindowSeconds is the span in which a tenant's requests over all nodes are counted;
 	// zero if limits of tenants are not held. In each span there may be QuotaOvershoot times
 	// more requests than the tenant's limit grants, and QuotaSlack beside.
@@ -168,8 +168,8 @@
 	negative("bounds.extra", s.Bounds.Extra)
 	negative("bounds.extra_window_s", s.Bounds.ExtraWindowSeconds)
 	negative("bounds.revoke_ms", float64(s.Bounds.RevokeMillis))
-	if s.Bounds.StrictRevoke && s.Bounds.RevokeMillis == 0 {
-		problems = append(problems, "bounds.strict_revoke wants bounds.revoke_ms")
+	if problem := s.revocationProblem(); problem != "" {
+		problems = append(problems, problem)
 	}
 	negative("bounds.quota_window_s", s.Bounds.QuotaWindowSeconds)
 	negative("bounds.quota_overshoot", s.Bounds.QuotaOvershoot)
@@ -212,7 +212,7 @@
 	if s.Bounds.EvacuateMillis > 0 {
 		least = min(least, s.Bounds.EvacuateMillis)
 	}
-	if s.Bounds.StrictRevoke {
+	if s.Bounds.RefuseUnconfirmedKeys {
 		least = min(least, s.Bounds.RevokeMillis)
 	}
 	// Notes on requests that end servers are to be known at all nodes within it.
@@ -244,6 +244,22 @@
 	return time.Duration(s.Bounds.RevokeMillis)*time.Millisecond - revocationReserve
 }
 
+// revocationProblem returns what is wrong with the bound on the age of keys where it has an
+// effect; empty if nothing is. Within the reserve that is kept of it no news is new enough, so
+// that each request that needs a key would be refused.
+func (s *Settings) revocationProblem() string {
+	switch {
+	case !s.Bounds.RefuseUnconfirmedKeys || s.Bounds.RevokeMillis < 0:
+		return ""
+	case s.Bounds.RevokeMillis == 0:
+		return "bounds.strict_revoke wants bounds.revoke_ms"
+	case s.revocationAge() <= 0:
+		return fmt.Sprintf("bounds.revoke_ms must be above %d with bounds.strict_revoke: %d would refuse each request that needs a key, "+
+			"since news of keys is never that new", revocationReserve.Milliseconds(), s.Bounds.RevokeMillis)
+	}
+	return ""
+}
+
 // warmUpBounds returns how far the requests to a cold server may go beyond what it bears.
 func (s *Settings) warmUpBounds() fleet.WarmUpBounds {
 	return fleet.WarmUpBounds{Factor: s.Bounds.ColdFactor, Extra: s.Bounds.ColdExtra}
