--- a/pkg/rhythm/rhythm_test.go
+++ b/pkg/rhythm/rhythm_test.go
@@ -190,8 +190,9 @@
 func TestNothingIsForeseenWithoutPauses(t *testing.T) {
 	g := NewWithT(t)
 	for _, rate := range []float64{2, 30, 300} {
-		sum := played(func(seed uint64) *model { return newModel(seed, rate) }, 0, 2*time.Minute)
-		g.Expect(sum.spared+sum.lost).To(BeZero(), "at %g a second", rate)
+		long := time.Duration(9000 / rate * float64(time.Second))
+		sum := played(func(seed uint64) *model { return newModel(seed, rate) }, 0, long)
+		g.Expect(sum.spared+sum.lost).To(BeZero(), "at %g a second for %s", rate, long)
 	}
 }
 
@@ -304,6 +305,31 @@
 	g.Expect(third.Wait(origin.Add(13900*time.Millisecond), usual, periods)).To(BeZero(), "it pauses at its own time")
 }
 
+// TestServersOfTwoProgramsHavePeriodsOfTheirOwn: the period of one is soon found wrong for the
+// other.
+func TestServersOfTwoProgramsHavePeriodsOfTheirOwn(t *testing.T) {
+	g := NewWithT(t)
+	var spared, met, asked, lost int
+	for seed := range uint64(seeds) {
+		one, other := newModel(seed, 30), newModel(seed+100, 30)
+		other.shared = one.shared
+		one.pauses, other.pauses = every(time.Second, 5*time.Second, 3*time.Minute), every(2*time.Second, 8*time.Second, 3*time.Minute)
+		for second := range 180 {
+			one.play(time.Second)
+			other.play(time.Second)
+			if second == 60 {
+				one.reset()
+				other.reset()
+			}
+		}
+		spared, met = spared+one.spared+other.spared, met+one.met+other.met
+		asked, lost = asked+one.asked+other.asked, lost+one.lost+other.lost
+	}
+	t.Logf("asked %d, met %d, spared %d, lost %d", asked, met, spared, lost)
+	g.Expect(spared).To(BeNumerically(">", 2*met))
+	g.Expect(lost).To(BeNumerically("<", asked/100))
+}
+
 // TestAServerIsNeverPassedOverForLong, whatever its answers have shown.
 func TestAServerIsNeverPassedOverForLong(t *testing.T) {
 	g := NewWithT(t)
