A trial of a suspect request spares the last server of a shard

Change: once six servers have ended under a gathered request without an answer, a trial is made only with a shard that has a further server in reach, or never had one. Nodes tell each other of all servers that ended under a suspect request, 64 at most, so that each knows which are left.

Tests: TestATrialSparesTheLastServerOfAShard (failed without the change), TestServersInReachAreCounted.

--- a/pkg/fanout/kept_back.go
+++ b/pkg/fanout/kept_back.go
@@ -60,14 +60,54 @@
 // isStuck reports whether the request is kept back and nothing that could still clear it is
 // under way.
 func (r *run) isStuck() bool {
-	return r.standing() > quarantine.Doubtful && r.isKeptBack() && !r.isClaiming && !r.isUnderWay()
+	if r.standing() <= quarantine.Doubtful || r.isClaiming || r.isUnderWay() {
+		return false
+	}
+	return r.trial == nil || !r.hasTrialPart()
 }
 
 // isQuarantined reports whether the request is kept back for good: it is stuck, and no trial
-// is left. A run for another node leaves trials to that one.
+// may be made. A run for another node leaves trials to that one.
 func (r *run) isQuarantined() bool {
-	hasTrial := r.standing() == quarantine.Suspect && !r.isRefusedTrial && r.plan.Collect == nil
-	return r.isStuck() && !hasTrial
+	return r.isStuck() && !r.mayClaim()
+}
+
+// mayClaim reports whether leave for a trial is to be asked for.
+func (r *run) mayClaim() bool {
+	return r.standing() == quarantine.Suspect && r.trial == nil && !r.isRefusedTrial && r.plan.Collect == nil && r.hasTrialPart()
+}
+
+// hasTrialPart reports whether a trial may be made with an open part.
+func (r *run) hasTrialPart() bool {
+	ended, now := r.runner.Quarantine.Servers(r.fingerprint()), time.Now()
+	for index := range r.parts {
+		if each := &r.parts[index]; each.answer == nil && !each.closed && r.outlivesTrial(each, ended, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// spareAfter is how many servers have ended under a gathered request, with no answer, when its
+// trials spare the last server of a shard. One that shared servers with another one has hardly
+// lost so many, and is to be answered at once.
+const spareAfter = 2 * quarantine.SuspectAfter
+
+// outlivesTrial reports whether the service of a part has a further server in reach beside the
+// one that a trial may end, or never had one: without it all requests would miss the part until
+// the servers that ended are back. A request of one service has no other choice.
+func (r *run) outlivesTrial(part *part, ended []fleet.Incarnation, now time.Time) bool {
+	if len(r.parts) == 1 || len(ended) < spareAfter {
+		return true
+	}
+	inReach, all := r.runner.Fleet.CountInReach(part.service, r.regions(), ended, now)
+	return inReach >= 2 || inReach == all
+}
+
+// isTrialElsewhere reports whether there is leave for a trial that is not to be made with a part.
+func (r *run) isTrialElsewhere(part *part, now time.Time) bool {
+	return r.trial != nil && r.standing() != quarantine.Clear &&
+		!r.outlivesTrial(part, r.runner.Quarantine.Servers(r.fingerprint()), now)
 }
 
 // claimTimeout bounds the claim of a trial: two round trips between regions, and a store that
@@ -76,7 +116,7 @@
 
 // claimTrial asks for leave to send the request to one server if it is stuck; see takeTrial.
 func (r *run) claimTrial() {
-	if !r.isStuck() {
+	if !r.isStuck() || !r.mayClaim() {
 		return
 	}
 	r.isClaiming = true
@@ -112,7 +152,7 @@
 
 // keepBack puts off what is to be done for a part while the request is kept back.
 func (r *run) keepBack(part *part, now time.Time) bool {
-	if !r.isKeptBack() {
+	if !r.isKeptBack() && !r.isTrialElsewhere(part, now) {
 		return false
 	}
 	r.withdraw(part)
--- a/pkg/fanout/kept_back_test.go
+++ b/pkg/fanout/kept_back_test.go
@@ -38,22 +38,26 @@
 	w.runner.Quarantine = guard
 	for _, service := range services {
 		for _, copied := range copies {
-			name := service + copied
-			w.add(service, name, exchangetest.Answer{})
-			w.servers[name].Respond = func(request exchangetest.Request) exchangetest.Answer {
-				answer := exchangetest.Whole("x")
-				answer.Delay = 10 * time.Millisecond
-				if request.RequestURI == deadlyTarget {
-					w.network.Remove(name)
-					answer.Cut = 0
-				}
-				return answer
-			}
+			w.addDeadly(service, service+copied)
 		}
 	}
 	return w
 }
 
+// addDeadly adds a server that ends when it runs a deadly request.
+func (w *world) addDeadly(service, name string) {
+	w.add(service, name, exchangetest.Answer{})
+	w.servers[name].Respond = func(request exchangetest.Request) exchangetest.Answer {
+		answer := exchangetest.Whole("x")
+		answer.Delay = 10 * time.Millisecond
+		if request.RequestURI == deadlyTarget {
+			w.network.Remove(name)
+			answer.Cut = 0
+		}
+		return answer
+	}
+}
+
 // send runs a request to a target.
 func (w *world) send(plan fanout.Plan, target string) fanout.Result {
 	return w.runner.Run(context.Background(), plan, &exchange.Request{Method: "GET", Target: target, ID: "r"})
@@ -215,6 +219,36 @@
 	})
 }
 
+// TestATrialSparesTheLastServerOfAShard: with two servers of each shard the first sub-requests of
+// a deadly request leave one, and two trials would leave two shards without any. The trials are
+// made once servers are back, with shards that have two.
+func TestATrialSparesTheLastServerOfAShard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		shards := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+		w := newDeadlyWorld(shards, []string{"1", "2"})
+		defer w.close()
+		began := time.Now()
+		result := w.send(plan(shards...), deadlyTarget)
+		g.Expect(result.Reason).To(Equal(fanout.StopQuarantined))
+		g.Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond), "nobody waits for what is not tried")
+		g.Expect(w.arrivedFor(deadlyTarget)).To(Equal(len(shards)))
+		g.Expect(w.standing(deadlyTarget)).To(Equal(quarantine.Suspect))
+		needed := plan(shards...)
+		needed.Required = len(shards)
+		g.Expect(w.send(needed, "/ordinary").Got).To(Equal(len(shards)), "each shard has a server")
+		result = w.send(plan(shards...), deadlyTarget)
+		g.Expect(result.Outcome).To(Equal(outcome.NotRun))
+
+		w.addDeadly("b", "b3")
+		w.send(plan(shards...), deadlyTarget)
+		g.Expect(w.arrivedFor(deadlyTarget)).To(Equal(len(shards)+1), "tried once, with shard b")
+		needed = plan(shards...)
+		needed.Required = len(shards)
+		g.Expect(w.send(needed, "/other").Got).To(Equal(len(shards)))
+	})
+}
+
 // TestARequestThatLostAllItsServersIsTriedAgainWithinItsTime: one that was at the same servers
 // as a deadly one, with all its parts, is answered by others in the same run.
 func TestARequestThatLostAllItsServersIsTriedAgainWithinItsTime(t *testing.T) {
--- a/pkg/fleet/places.go
+++ b/pkg/fleet/places.go
@@ -78,6 +78,24 @@
 	return !isKnown
 }
 
+// CountInReach returns how many servers of a service may be asked in the regions, and how many of
+// them seem to be in reach: without some that have ended, and those whose last connection could
+// not be opened.
+func (f *Fleet) CountInReach(service string, regions route.Regions, ended []Incarnation, now time.Time) (inReach, all int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, each := range f.services[service] {
+		if each.hasEnded(now) || f.isOut(each, now) || !f.isAllowed(regions, each) {
+			continue
+		}
+		all++
+		if !each.unreachable && !slices.Contains(ended, each.Incarnation()) {
+			inReach++
+		}
+	}
+	return inReach, all
+}
+
 // IsCrowded reports whether there are more nodes than a server of a service can
 // keep a connection for: each node alone then opens connections again and again,
 // and sees too little of a server to know how it fares.
--- a/pkg/fleet/regions_test.go
+++ b/pkg/fleet/regions_test.go
@@ -93,3 +93,26 @@
 	g.Expect(tested.Backlog(there, now).Waiting).To(Equal(20))
 	g.Expect(tested.Backlog(loadshed.Key{Service: "s"}, now).Waiting).To(BeZero())
 }
+
+// TestServersInReachAreCounted: without those that ended, that refused the last connection, that
+// left the list, or that stand in another region.
+func TestServersInReachAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	tested := newFleet(now)
+	count := func(regions route.Regions, ended ...fleet.Incarnation) [2]int {
+		inReach, all := tested.CountInReach("s", regions, ended, now)
+		return [2]int{inReach, all}
+	}
+	_, all := tested.CountInReach("s", route.Regions{}, nil, now)
+	g.Expect(count(route.Regions{})).To(Equal([2]int{all, all}))
+	g.Expect(count(route.Regions{}, fleet.Incarnation{ID: "far"})).To(Equal([2]int{all - 1, all}))
+	g.Expect(count(route.OnlyRegions([]string{"there"}))).To(Equal([2]int{1, 1}))
+	lease, _ := tested.Acquire(bound("there"), now)
+	tested.Finish(lease, fleet.Unreachable, 0, now)
+	g.Expect(count(route.OnlyRegions([]string{"there"}))).To(Equal([2]int{0, 1}))
+	tested.Remove("far", time.Time{}, now)
+	now = now.Add(2 * leaveWithin)
+	g.Expect(count(route.OnlyRegions([]string{"there"}))).To(Equal([2]int{0, 0}))
+	g.Expect(count(route.Regions{})).To(Equal([2]int{all - 1, all - 1}))
+}
--- a/pkg/quarantine/news.go
+++ b/pkg/quarantine/news.go
@@ -58,14 +58,17 @@
 	return isNew
 }
 
-// tellEnded tells the other nodes of servers that ended under a request, as many as they need to
-// know. The mutex is held.
+// mostEndsTold bounds the servers of one request that nodes tell each other of: where a trial may be made
+// depends on which have ended, and a request of many shards ends one of each.
+const mostEndsTold = 64
+
+// tellEnded tells the other nodes of servers that ended under a request. The mutex is held.
 func (g *Guard) tellEnded(fingerprint exchange.Fingerprint, known *record) {
 	if g.tell == nil {
 		return
 	}
 	for _, name := range known.servers() {
-		if known.count((*end).isKnownToOthers) >= SuspectAfter {
+		if known.count((*end).isKnownToOthers) >= mostEndsTold {
 			return
 		}
 		if each := known.ends[name]; !each.isTold {
