--- a/pkg/rhythm/rhythm_test.go
+++ b/pkg/rhythm/rhythm_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"math/rand/v2"
-	"sort"
+	"slices"
 	"testing"
 	"time"
 
@@ -137,7 +137,7 @@
 
 // deliver gives the answers that have come.
 func (m *model) deliver() {
-	sort.Slice(m.pending, func(a, b int) bool { return m.pending[a].answered.Before(m.pending[b].answered) })
+	slices.SortFunc(m.pending, func(a, b request) int { return a.answered.Compare(b.answered) })
 	for len(m.pending) > 0 && !m.pending[0].answered.After(m.now) {
 		each := m.pending[0]
 		m.pending = m.pending[1:]
