Limits: a node back in touch refuses nothing for what it admitted alone; a stopped one calls nobody

Cause: the bound on what a coordinator has not acknowledged also counted what the node had admitted by its own entitlement while it was alone, so that its first requests in touch were refused until the first answer (TestANodeThatIsBackInTouchRefusesNothingWithinTheLimit: refused after 60 admitted alone).

Change: the bound leaves out what was admitted alone; the limiter notes that it has stopped, under its mutex, before it waits.

--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -100,6 +100,8 @@
 	// heardAt is when another node last reported, and isHeard says that it was a moment ago.
 	heardAt time.Time
 	isHeard bool
+	// isStopped says that Run has ended, so that nothing waits for further calls.
+	isStopped bool
 	// answeredAt is when a coordinator answered last, and isInDoubt says that one has not
 	// since.
 	answeredAt time.Time
@@ -236,8 +238,7 @@
 func (l *Limiter) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
-	defer l.group.Wait()
-	defer l.cancel()
+	defer l.stop()
 	delay := time.NewTimer(reportDelay)
 	defer delay.Stop()
 	isWaiting := true
@@ -261,6 +262,15 @@
 	}
 }
 
+// stop ends the calls under way and waits for them; none begins any more.
+func (l *Limiter) stop() {
+	l.mutex.Lock()
+	l.isStopped = true
+	l.mutex.Unlock()
+	l.cancel()
+	l.group.Wait()
+}
+
 // onTick does what is due by time.
 func (l *Limiter) onTick(ctx context.Context, now time.Time) {
 	l.mutex.Lock()
--- a/pkg/quota/meter.go
+++ b/pkg/quota/meter.go
@@ -227,7 +227,7 @@
 		decision.IsAdmitted, decision.RetryAfter = m.admitAlone(now)
 	case !drawn.isWithin(m.share):
 		decision.RetryAfter = max(drawn.ends, m.wait)
-	case float64(m.admitted-m.acknowledgedAdmitted) >= greatestUnacknowledged(m.limit):
+	case float64(m.admitted-m.acknowledgedAdmitted-m.owned) >= greatestUnacknowledged(m.limit):
 		decision.RetryAfter = max(reportDelay, m.wait)
 	case m.isInDoubt && !m.hasRoomAlone(m.entitlement(now), now):
 		decision.RetryAfter = max(reportDelay, m.wait)
--- a/pkg/quota/meter_test.go
+++ b/pkg/quota/meter_test.go
@@ -177,3 +177,20 @@
 	g.Expect(ask(false)).To(Equal(8))
 	g.Expect(ask(true)).To(BeNumerically("<=", 1))
 }
+
+// TestANodeThatIsBackInTouchRefusesNothingWithinTheLimit: what it admitted alone was within its
+// own part, and does not count as unacknowledged.
+func TestANodeThatIsBackInTouchRefusesNothingWithinTheLimit(t *testing.T) {
+	g := NewWithT(t)
+	meter := quota.NewMeter("caller", route.RateLimit{PerSecond: 10, Burst: 10}, bounds, 2, true, start)
+	now, admitted := start, 0
+	for step := range 60 {
+		now = now.Add(time.Second)
+		if meter.Admit(fmt.Sprint(step), now).IsAdmitted {
+			admitted++
+		}
+	}
+	g.Expect(admitted).To(Equal(60))
+	meter.SetStanding(quota.WithFirst, now)
+	g.Expect(meter.Admit("back", now).IsAdmitted).To(BeTrue())
+}
--- a/pkg/quota/reports.go
+++ b/pkg/quota/reports.go
@@ -50,6 +50,9 @@
 
 // call sends a report to a coordinator and takes the answer. The caller holds the mutex.
 func (l *Limiter) call(ctx context.Context, name string, message *quotapb.Report, told map[string]Use) {
+	if l.isStopped {
+		return
+	}
 	address := l.addresses[name]
 	l.links[name].calling, l.links[name].calledAt = true, time.Now()
 	l.sent.Reports++
--- a/pkg/quota/verdicts.go
+++ b/pkg/quota/verdicts.go
@@ -100,6 +100,9 @@
 // then. The caller holds the mutex.
 func (l *Limiter) tell(ctx context.Context, nodes map[peer.Address]string, verdicts map[string]Verdict, underWay *bool) {
 	l.takeTold(ctx, l.options.Local, verdicts, time.Now())
+	if l.isStopped {
+		return
+	}
 	l.sent.Verdicts += uint64(len(nodes))
 	message := encodeVerdicts(verdicts)
 	addresses := make([]peer.Address, 0, len(nodes))
