Limits: a process that has just started begins alone with one request

Cause: a node alone may use at once what its window has left, by what it remembers of it. A process that started a moment ago remembers nothing of its run before, so that nodes that stop and start in series, while coordinators are away, would each begin with all of it (36 requests of a tenant of 63 a second with 6 nodes).

Change: it begins with one, and with more the longer it has counted, up to a window.

TestAProcessThatHasJustStartedBeginsAloneWithOneRequest was seen to fail without it.

--- a/pkg/quota/meter.go
+++ b/pkg/quota/meter.go
@@ -159,7 +159,9 @@
 		// All nodes may have started together, after one burst was spent already.
 		m.alone.level = min(1, (m.limit.Burst+m.bounds.room(m.limit)/2)/float64(max(1, m.nodes)))
 	case m.share >= 1:
-		m.alone.level = m.alone.cap
+		// What an earlier run of the process admitted is not known.
+		age := now.Sub(m.begunAt).Seconds() / m.bounds.Window.Seconds()
+		m.alone.level = min(m.alone.cap, 1+m.alone.cap*age)
 	}
 	// What no coordinator has counted counts here.
 	unacknowledged := m.admitted - m.acknowledgedAdmitted - m.owned
--- a/pkg/quota/meter_test.go
+++ b/pkg/quota/meter_test.go
@@ -194,3 +194,24 @@
 	meter.SetStanding(quota.WithFirst, now)
 	g.Expect(meter.Admit("back", now).IsAdmitted).To(BeTrue())
 }
+
+// TestAProcessThatHasJustStartedBeginsAloneWithOneRequest: what it admitted in its run before, a moment
+// ago, is not known. One that has been there for a window may use what the window has left.
+func TestAProcessThatHasJustStartedBeginsAloneWithOneRequest(t *testing.T) {
+	g := NewWithT(t)
+	admittedAlone := func(age time.Duration) (admitted int) {
+		meter := quota.NewMeter("caller", route.RateLimit{PerSecond: 63, Burst: 63}, bounds, 6, true, start)
+		meter.SetStanding(quota.WithFirst, start)
+		meter.Tell(quota.Verdict{Share: 1, Spare: 5, IsFirst: true}, start)
+		now := start.Add(age)
+		meter.SetStanding(quota.Alone, now)
+		for number := range 100 {
+			if meter.Admit(fmt.Sprint(number), now).IsAdmitted {
+				admitted++
+			}
+		}
+		return admitted
+	}
+	g.Expect(admittedAlone(10 * time.Millisecond)).To(Equal(1))
+	g.Expect(admittedAlone(bounds.Window)).To(BeNumerically(">", 25))
+}
