--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -79,6 +79,8 @@
 	addresses     map[string]peer.Address
 	coordinators  *rendezvous.Set[string]
 	isCoordinator map[string]bool
+	// rank is the number of this node among the sorted names of all.
+	rank int
 	// zoneCoordinators are those of this node's zone.
 	zoneCoordinators *rendezvous.Set[string]
 	// coordinatorsSince is since when the coordinators are the same: before it other nodes may
@@ -95,6 +97,17 @@
 	// silent ones.
 	spreading bool
 	probing   bool
+	// heardAt is when another node last reported, and isHeard says that it was a moment ago.
+	heardAt time.Time
+	isHeard bool
+	// isStopped says that Run has ended, so that nothing waits for further calls.
+	isStopped bool
+	// answeredAt is when a coordinator answered last, and isInDoubt says that one has not
+	// since.
+	answeredAt time.Time
+	isInDoubt  bool
+	// asked is the number of the coordinator that was asked last whether it answers.
+	asked int
 	// wasInTouch says that a coordinator has answered since the start.
 	wasInTouch bool
 	spreadAt   time.Time
@@ -160,6 +173,7 @@
 	defer l.mutex.Unlock()
 	held := l.metered(tenant, limit, now)
 	held.usedAt = now
+	held.meter.SetDoubt(l.isInDoubt)
 	decision := held.meter.Admit(requestID, now)
 	l.requestReport()
 	return decision
@@ -170,7 +184,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if held := l.meters[tenant]; held != nil {
-		held.meter.Refund()
+		held.meter.Refund(time.Now())
 		l.requestReport()
 	}
 }
@@ -200,6 +214,7 @@
 	held := l.meters[tenant]
 	if held == nil {
 		held = &metered{meter: NewMeter(tenant, limit, l.options.Bounds, l.nodeCount(), l.wasInTouch, now), ranked: l.ranked(tenant)}
+		held.meter.SetPlace(l.place(tenant))
 		held.meter.SetStanding(l.standing(held.ranked), now)
 		l.meters[tenant] = held
 	}
@@ -225,8 +240,7 @@
 // that selects on the channel of a due timer runs that timer itself, at the same time as
 // others do theirs, and the race detector of Go 1.26 does not survive that.
 func (l *Limiter) Run(ctx context.Context) error {
-	defer l.group.Wait()
-	defer l.cancel()
+	defer l.stop()
 	ticks, due := make(chan struct{}, 1), make(chan struct{}, 1)
 	ticker := time.AfterFunc(tick, func() { signal(ticks) })
 	defer ticker.Stop()
@@ -254,6 +268,15 @@
 	}
 }
 
+// stop ends the calls under way and waits for them; none begins any more.
+func (l *Limiter) stop() {
+	l.mutex.Lock()
+	l.isStopped = true
+	l.mutex.Unlock()
+	l.cancel()
+	l.group.Wait()
+}
+
 // onTick does what is due by time.
 func (l *Limiter) onTick(ctx context.Context, now time.Time) {
 	l.mutex.Lock()
@@ -262,6 +285,7 @@
 	}
 	l.tickAt = now
 	l.forgetGone(now)
+	l.noteHeard(now)
 	if now.Sub(l.sweptAt) >= sweepInterval {
 		l.sweep(now)
 	}
