Limits: a coordinator that nobody reaches knows it

The first coordinator of a tenant reached the others, while no connection to it could be opened: the others turned to a stand-in, which granted their entitlements, and the coordinator granted the whole limit to its own requests, since everybody took its verdicts. Ruled out: a field in the answer to verdicts (an error does the same, and a node that knows no such field cannot ignore it); a coordinator that counts who reports to it (nodes without requests report nothing). Change: a node whose last call to a coordinator failed answers its verdicts with an error, so that it counts as out of touch there.

--- a/pkg/quota/links.go
+++ b/pkg/quota/links.go
@@ -55,6 +55,9 @@
 	k.nextProbe = now.Add(k.wait)
 }
 
+// hasFailed reports whether the coordinator did not answer when it was last called.
+func (k *link) hasFailed() bool { return k.wait > 0 }
+
 // regain notes that the coordinator answered.
 func (k *link) regain() { k.answers, k.wait = true, 0 }
 
--- /dev/null
+++ b/pkg/quota/one_way_test.go
@@ -0,0 +1,76 @@
+package quota_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramblemast/bramblemast/pkg/peer"
+)
+
+var errRefused = errors.New("connection refused")
+
+// refusable is the transport of a node that cannot open connections to some addresses.
+type refusable struct {
+	peer.Transport
+	deployment *deployment
+}
+
+// Call implements peer.Transport.
+func (r refusable) Call(ctx context.Context, address peer.Address, kind peer.Kind, request, reply proto.Message) error {
+	r.deployment.mutex.Lock()
+	isRefused := r.deployment.refusing[address]
+	r.deployment.mutex.Unlock()
+	if isRefused {
+		return errRefused
+	}
+	return r.Transport.Call(ctx, address, kind, request, reply)
+}
+
+// setRefusing lets a node refuse all connections while those that it opens itself work, as one
+// whose queue of new connections is full, or lets it take them again.
+func (d *deployment) setRefusing(node int, isRefusing bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.refusing[peer.Address(d.nodes[node].name)] = isRefusing
+}
+
+// TestTheSumHoldsWhileACoordinatorReachesOthersAndNobodyReachesIt: half of the requests of a tenant
+// at twelve times its usual come to that node, which would have the whole limit for them, and the
+// others turn to a stand-in.
+func TestTheSumHoldsWhileACoordinatorReachesOthersAndNobodyReachesIt(t *testing.T) {
+	for tenant, limit := range tenants() {
+		for _, ahead := range []time.Duration{3 * time.Second, 0} {
+			t.Run(tenant+", "+ahead.String()+" ahead", func(t *testing.T) {
+				t.Parallel()
+				most, after := 0, 0
+				simulate(t, 67, tenants(), func(d *deployment) {
+					coordinator := d.coordinatorOf(tenant)
+					spread := func(perSecond float64) load {
+						spread := d.even(tenant, perSecond)
+						spread.weights[coordinator] = 1
+						return spread
+					}
+					usual := limit.PerSecond / 1.6
+					d.run(6*time.Second, spread(usual))
+					d.run(ahead, spread(12*usual))
+					d.setRefusing(coordinator, true)
+					d.run(12*time.Second, spread(12*usual))
+					d.setRefusing(coordinator, false)
+					healed := d.moment()
+					d.run(8*time.Second, spread(12*usual))
+					most = d.mostInWindow(tenant)
+					after = d.between(tenant, healed+3*time.Second, healed+8*time.Second)
+				})
+				t.Logf("at most %d in 5 s, allowed %.0f; %.2f of the limit in the last 5 s", most, limitOf(limit), float64(after)/(5*limit.PerSecond))
+				g := NewWithT(t)
+				g.Expect(float64(most)).To(BeNumerically("<=", limitOf(limit)))
+				g.Expect(float64(after)).To(BeNumerically(">=", 0.9*5*limit.PerSecond))
+			})
+		}
+	}
+}
--- a/pkg/quota/simulation_test.go
+++ b/pkg/quota/simulation_test.go
@@ -34,6 +34,8 @@
 	// admitted holds when requests of each tenant were admitted, guarded by mutex.
 	admitted map[string][]time.Duration
 	refused  map[string]int
+	// refusing holds the nodes to which no connection can be opened, guarded by mutex.
+	refusing map[peer.Address]bool
 	waits    []time.Duration
 }
 
@@ -59,6 +61,7 @@
 		d := &deployment{
 			network: peer.NewNetwork(1), random: rand.New(rand.NewPCG(7, 7)), limits: limits, began: time.Now(),
 			admitted: make(map[string][]time.Duration), refused: make(map[string]int),
+			refusing: make(map[peer.Address]bool),
 		}
 		d.network.SetLatency(func(_, _ peer.Address) time.Duration { return 12 * time.Millisecond })
 		for index := range count {
@@ -94,7 +97,7 @@
 	node := d.nodes[index]
 	ctx, cancel := context.WithCancel(context.Background())
 	node.limiter = quota.New(quota.Options{
-		Local: node.name, Zone: zoneOf(index), Bounds: bounds, Transport: d.network.Transport(peer.Address(node.name)), Events: quiet{},
+		Local: node.name, Zone: zoneOf(index), Bounds: bounds, Transport: refusable{d.network.Transport(peer.Address(node.name)), d}, Events: quiet{},
 		LimitOf: func(tenant string) (route.RateLimit, bool) {
 			d.mutex.Lock()
 			defer d.mutex.Unlock()
--- a/pkg/quota/verdicts.go
+++ b/pkg/quota/verdicts.go
@@ -183,14 +183,24 @@
 	now := time.Now()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if found := l.links[string(from)]; found != nil && !found.answers {
-		// It is worth asking again at once.
-		found.nextProbe = now
-	}
 	l.takeTold(l.context, string(from), decodeVerdicts(message), now)
-	return &quotapb.Taken{}, nil
+	found := l.links[string(from)]
+	if found == nil || found.answers {
+		return &quotapb.Taken{}, nil
+	}
+	// It is worth asking again at once.
+	found.nextProbe = now
+	if !found.hasFailed() {
+		// The first call to it is still under way, as after a start.
+		return &quotapb.Taken{}, nil
+	}
+	return nil, errTurnedElsewhere
 }
 
+// errTurnedElsewhere answers a coordinator that reaches this node while this node does not reach
+// it, and so reports to a stand-in or decides alone: for the coordinator the node is out of touch.
+var errTurnedElsewhere = errors.New("reports do not reach the coordinator, another one stands in for it")
+
 // encodeVerdicts returns the message for verdicts; only those of first coordinators carry a spare
 // rate.
 func encodeVerdicts(verdicts map[string]Verdict) *quotapb.Verdicts {
