Soak: tenants with limits

Cause: the soak had no tenant with a limit.

Change: one tenant asks four times its limit of 10 a second (burst 10) at all nodes for the whole run, another a fifth of its own. What callers began and servers received bounds when each request was sent: no 5 s may hold more than the users' bound (86), whatever is broken. With -soak.timed, over all windows in calms: the first gets at least 0.9 of its rate on average (nodes aim at more; lots scatter by some requests in a single window), and of the second at most one request and 0.02 are refused with 429. checkExtra counts the new requests as asked.

The timed check as it is now was not run over a whole soak.

--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -157,7 +157,7 @@
 		added.records = append(added.records, []byte(fmt.Sprintf("%-12.12s%04d", service, index)))
 	}
 	added.heal()
-	address, err := d.proxy.AddLink(faultproxy.LinkConfig{Name: id, Listen: "127.0.0.1:0", Upstream: added.Address()})
+	address, err := d.proxy.AddLink(faultproxy.LinkConfig{Name: id, Listen: freePort(d.t), Upstream: added.Address()})
 	if err != nil {
 		d.t.Fatal(err)
 	}
--- a/test/soak/history_test.go
+++ b/test/soak/history_test.go
@@ -46,6 +46,8 @@
 	replies     []reply
 	// keyed are the replies to requests with keys that come and go.
 	keyed []keyed
+	// limited are the replies to requests of tenants with limits.
+	limited []reply
 }
 
 // version is one configuration.
--- a/test/soak/node_test.go
+++ b/test/soak/node_test.go
@@ -52,7 +52,7 @@
 	for index := range d.nodes {
 		peers = append(peers, freePort(d.t))
 		link := peerLink(fmt.Sprintf("node%d", index))
-		address, err := d.proxy.AddLink(faultproxy.LinkConfig{Name: link, Listen: "127.0.0.1:0", Upstream: peers[index]})
+		address, err := d.proxy.AddLink(faultproxy.LinkConfig{Name: link, Listen: freePort(d.t), Upstream: peers[index]})
 		if err != nil {
 			d.t.Fatal(err)
 		}
@@ -92,6 +92,7 @@
 			DrainMillis: int(shaped.drainBound.Milliseconds()), ApplyMillis: int(shaped.configBound.Milliseconds()), ContactMillis: int(contactBound.Milliseconds()),
 			EvacuateMillis: int(shaped.drainBound.Milliseconds()),
 			StrictRevoke:   shaped.revokeBound > 0, RevokeMillis: int(shaped.revokeBound.Milliseconds()),
+			QuotaWindowSeconds: limitWindow.Seconds(), QuotaOvershoot: limitOvershoot, QuotaSlack: limitSlack,
 			GraceSeconds: graceBound.Seconds(), ExtraRatio: extraRatio, Extra: extraBound, ExtraWindowSeconds: extraWindow.Seconds(),
 		},
 		Peers: peers,
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -74,6 +74,7 @@
 	requests := deployed.traffic(ctx, seed)
 	pestered := deployed.pester(ctx, seed)
 	roving := deployed.rove(ctx, seed)
+	asking := deployed.askLimited(ctx, seed)
 	deployed.run(sources{
 		faults: rand.New(rand.NewPCG(seed, 1)), series: rand.New(rand.NewPCG(seed, 2)), servers: rand.New(rand.NewPCG(seed, 3)),
 	}, *spanFlag, *timedFlag)
@@ -81,6 +82,7 @@
 	requests.Wait()
 	pestered.Wait()
 	roving.Wait()
+	asking.Wait()
 	deployed.judgeAll(*timedFlag)
 	deployed.report(t, folder)
 }
@@ -167,6 +169,7 @@
 		d.history.violated("%s", broken)
 	}
 	d.judgeTenants(arrivals, timed)
+	d.judgeLimits(arrivals, timed)
 	if timed {
 		d.judgeTimes(replies, arrivals)
 	}
@@ -176,6 +179,9 @@
 			requests[service] = append(requests[service], got.Sent)
 		}
 	}
+	for _, got := range d.history.limited {
+		requests[lookupName] = append(requests[lookupName], got.Sent)
+	}
 	for _, got := range d.history.keyed {
 		requests[lookupName] = append(requests[lookupName], got.Sent)
 	}
@@ -257,7 +263,7 @@
 	for _, each := range d.history.events {
 		_ = encoder.Encode(each)
 	}
-	for _, got := range d.history.replies {
+	for _, got := range append(d.history.replies, d.history.limited...) {
 		_ = encoder.Encode(got)
 	}
 }
--- a/test/soak/tenants_test.go
+++ b/test/soak/tenants_test.go
@@ -49,7 +49,7 @@
 	for each := version - rovingLives + 1; each <= version; each++ {
 		keys = append(keys, rovingKey(each))
 	}
-	return append(tenants, platformtest.NewTenant(rovingTenant, keys...))
+	return append(append(tenants, platformtest.NewTenant(rovingTenant, keys...)), limitedTenants()...)
 }
 
 // newClient returns a client with a key, which names itself falsely.
@@ -118,7 +118,7 @@
 			d.history.violated("%d requests reached %s with a key", seen, each.ID)
 		}
 	}
-	broken := append(checkNamed(arrivals, d.history.replies), checkStanding(d.history.replies)...)
+	broken := append(checkNamed(arrivals, append(d.history.limited, d.history.replies...)), checkStanding(d.history.replies)...)
 	broken = append(broken, checkRoving(d.history.keyed)...)
 	if timed {
 		broken = append(broken, d.checkRovingTimes()...)
