An owner returns with a sign of life, and by a trial once it was late again

What was silent again to a question that was asked since, before it has answered one in time or within fifty times its rest, returns by a ping in time alone, its first question goes alone, and it rests twice as long each time, up to 30 s. Questions asked before the return count with the loss before it, so that one stall is one loss.

--- a/pkg/owner/absence.go
+++ b/pkg/owner/absence.go
@@ -8,17 +8,18 @@
 
 // Times of the return of owners.
 const (
-	// firstRest is after which time a lost owner is tried: a process that stood still for a moment
-	// goes on by then, and a trial is one small message beside the requests.
-	firstRest = 100 * time.Millisecond
+	// firstRest is after which time a lost owner is tried. A trial is one small message beside the
+	// requests, and where a message was lost on the way it is answered as soon as that has come.
+	firstRest = 20 * time.Millisecond
 	// greatestPause bounds the time between two trials: how much later than it could an owner
 	// that is well again returns.
 	greatestPause = time.Second
 	// greatestRest bounds how long an owner is not tried that answers its trials in time and
 	// questions too late, again and again: each return may cost one request its silence.
 	greatestRest = 30 * time.Second
-	// memoryFactor times its last rest without a loss forgets an owner's earlier ones.
-	memoryFactor = 10
+	// memoryFactor times its last rest without a loss forgets an owner's earlier ones, once it has
+	// answered a question in time.
+	memoryFactor = 50
 	// provingPause is how long the first question after a return goes alone, unless it is
 	// answered earlier: longer than any owner is waited for without a report.
 	provingPause = 500 * time.Millisecond
@@ -31,27 +32,31 @@
 	isOut bool
 	since time.Time
 	// leeway is in which time a trial must be answered so that questions would be in time; zero
-	// if any answer shows that the node can be asked.
+	// if the node was never late.
 	leeway time.Duration
+	// isLateAgain says that it was late again after a return. Then only a trial in time lets it
+	// return; else any sign of life does, since it may have been late for a lost message.
+	isLateAgain bool
 	// rest is the time from its loss to its first trial, and pause that from the last trial to
 	// the next.
 	rest, pause time.Duration
 	// trialAt is when it is tried next; zero while a trial is under way.
 	trialAt time.Time
-	// isProving says that it has not yet answered a question in time since its return; until
-	// alone the other requests go to the next in rank.
+	// isProving says that it has not yet answered a question in time since its return. If it was
+	// late again, the other requests go to the next in rank until alone.
 	isProving bool
 	alone     time.Time
 }
 
-// absences decides which nodes are left out of the owners, and when they return: by a trial that
-// is answered within the time that questions leave for it. One that is lost soon after its return
-// rests twice as long as before. It is guarded by its user.
+// absences decides which nodes are left out of the owners, and when they return: with the first
+// sign of life, or, once they were late again, by a trial that is answered within the time that
+// questions leave for it. One that is lost soon after its return rests twice as long as before. It
+// is guarded by its user.
 type absences map[string]*absence
 
-// leave takes that a node is lost, and reports whether that is new. leeway is in which time a
-// trial must be answered; zero for any time.
-func (a absences) leave(node directory.Node, leeway time.Duration, now time.Time) bool {
+// leave takes that a node is lost to a question that was asked then, and reports whether that is
+// new. leeway is in which time a trial must be answered; zero if the node was not late.
+func (a absences) leave(node directory.Node, leeway time.Duration, asked, now time.Time) bool {
 	known := a[node.Name]
 	if known != nil && known.isOut {
 		known.leeway = shorter(known.leeway, leeway)
@@ -59,8 +64,12 @@
 	}
 	lost := &absence{node: node, isOut: true, since: now, leeway: leeway, rest: firstRest}
 	if known != nil && known.node == node && !known.isForgotten(now) {
-		lost.leeway = shorter(known.leeway, leeway)
-		lost.rest = min(2*known.rest, lost.greatestRest())
+		lost.leeway, lost.rest, lost.isLateAgain = shorter(known.leeway, leeway), known.rest, known.isLateAgain
+		// What was asked before the return was lost to the same cause.
+		if asked.After(known.since) {
+			lost.isLateAgain = lost.leeway > 0
+			lost.rest = min(2*known.rest, lost.greatestRest())
+		}
 	}
 	lost.pause, lost.trialAt = lost.rest, now.Add(lost.rest)
 	a[node.Name] = lost
@@ -77,7 +86,7 @@
 
 // isForgotten reports whether the node has returned so long ago that its losses do not count.
 func (l *absence) isForgotten(now time.Time) bool {
-	return !l.isOut && now.Sub(l.since) >= memoryFactor*l.rest
+	return !l.isOut && !l.isProving && now.Sub(l.since) >= memoryFactor*l.rest
 }
 
 // shorter returns the lesser of two times of which zero means none.
@@ -96,7 +105,7 @@
 		return true
 	case known.isOut:
 		return false
-	case !known.isProving:
+	case !known.isProving || !known.isLateAgain:
 		return true
 	case now.Before(known.alone):
 		return false
@@ -123,7 +132,7 @@
 		case !each.isOut || each.trialAt.IsZero():
 		case !now.Before(each.trialAt):
 			each.trialAt = time.Time{}
-			trials = append(trials, trial{node: each.node, leeway: each.leeway})
+			trials = append(trials, trial{node: each.node, leeway: each.strictLeeway()})
 		case next.IsZero() || each.trialAt.Before(next):
 			next = each.trialAt
 		}
@@ -138,7 +147,7 @@
 	if known == nil || !known.isOut || known.node != node {
 		return 0, false
 	}
-	if isAnswered && (known.leeway == 0 || took <= known.leeway) {
+	if leeway := known.strictLeeway(); isAnswered && (leeway == 0 || took <= leeway) {
 		return known.comeBack(now), true
 	}
 	known.pause = min(2*known.pause, max(known.rest, greatestPause))
@@ -146,17 +155,23 @@
 	return 0, false
 }
 
-// reported takes that a node has reported in time, as tried does. One that was late returns by a
-// trial alone: what else it still reports was asked before.
-func (a absences) reported(name string, now time.Time) (time.Duration, bool) {
-	known := a[name]
-	if known == nil {
-		return 0, false
+// strictLeeway is in which time its trial must be answered; zero if any answer is enough.
+func (l *absence) strictLeeway() time.Duration {
+	if !l.isLateAgain {
+		return 0
 	}
-	if known.isOut && known.leeway == 0 {
+	return l.leeway
+}
+
+// reported takes that a node has reported, late or not, as tried does. One that was late again
+// returns by a trial alone: what else it still reports was asked before.
+func (a absences) reported(name string, isLate bool, now time.Time) (time.Duration, bool) {
+	known := a[name]
+	switch {
+	case known == nil:
+	case known.isOut && !known.isLateAgain:
 		return known.comeBack(now), true
-	}
-	if !known.isOut {
+	case !known.isOut && !isLate:
 		known.isProving = false
 	}
 	return 0, false
@@ -165,6 +180,6 @@
 // comeBack lets the node be asked again, and returns for how long it was not.
 func (l *absence) comeBack(now time.Time) time.Duration {
 	lost := now.Sub(l.since)
-	l.isOut, l.since, l.isProving = false, now, l.leeway > 0
+	l.isOut, l.since, l.isProving = false, now, true
 	return lost
 }
--- a/pkg/owner/client.go
+++ b/pkg/owner/client.go
@@ -67,6 +67,8 @@
 	client *Client
 	node   directory.Node
 	asked  load
+	// askedAt is when the question was asked.
+	askedAt time.Time
 	// leeway is in which time the way there and back, and the delays of both processes, must be
 	// over.
 	leeway time.Duration
@@ -90,7 +92,7 @@
 func (p *pending) Silent() {
 	p.isLate.Store(true)
 	p.NoteSilence()
-	p.client.lose(p.node, p.leeway, errSilent)
+	p.lose(p.leeway, errSilent)
 }
 
 // unsent is a question whose owner is not known any more.
@@ -110,7 +112,7 @@
 		return unsent{}
 	}
 	now := time.Now()
-	asked := &pending{client: c, node: node, asked: loadOf(question), leeway: question.Leeway()}
+	asked := &pending{client: c, node: node, asked: loadOf(question), askedAt: now, leeway: question.Leeway()}
 	receive := func(body []byte, err error) { asked.receive(body, err, report) }
 	asked.Stream = c.transport.Open(
 		peer.Address(node.PeerAddress), kindQuestion, encodeQuestion(question, now), question.Plan.Deadline.Sub(now), receive)
@@ -139,7 +141,7 @@
 	case err != nil:
 		// A question whose time was over tells nothing of its owner.
 		if outcome.ReasonOf(err) != outcome.ReasonDeadline {
-			p.client.lose(p.node, 0, err)
+			p.lose(0, err)
 		}
 		report(fanout.Report{Err: err})
 		return
@@ -147,30 +149,29 @@
 	decoded, room, err := decodeReport(body)
 	if err != nil {
 		err = &outcome.Error{Step: "decode report", Peer: p.node.Name, Reason: outcome.ReasonCorruptResponse, Cause: err}
-		p.client.lose(p.node, 0, err)
+		p.lose(0, err)
 		decoded = fanout.Report{Err: err}
 	}
 	if decoded.Err == nil {
-		if !p.isLate.Load() {
-			p.client.noteReport(p.node.Name)
-		}
+		p.client.noteReport(p.node.Name, p.isLate.Load())
 		takeReportedRoom(p.client.board, p.asked.services, p.asked.regions, room, time.Now())
 	}
 	report(decoded)
 }
 
-// noteReport takes that a node has reported in time.
-func (c *Client) noteReport(name string) {
-	if lost, isBack := c.roster.reported(name, time.Now()); isBack {
+// noteReport takes that a node has reported, late or not.
+func (c *Client) noteReport(name string, isLate bool) {
+	if lost, isBack := c.roster.reported(name, isLate, time.Now()); isBack {
 		c.events.OwnerRegained(name, lost)
 	}
 }
 
-// lose leaves a node out until a trial is answered within leeway; zero for any time.
-func (c *Client) lose(node directory.Node, leeway time.Duration, cause error) {
-	if c.roster.leave(node, leeway, time.Now()) {
-		c.events.OwnerLost(node.Name, cause)
-		c.wakeUp()
+// lose leaves the owner out until it has returned. leeway is in which time a trial must be
+// answered; zero if it was not late.
+func (p *pending) lose(leeway time.Duration, cause error) {
+	if p.client.roster.leave(p.node, leeway, p.askedAt, time.Now()) {
+		p.client.events.OwnerLost(p.node.Name, cause)
+		p.client.wakeUp()
 	}
 }
 
--- a/pkg/owner/roster.go
+++ b/pkg/owner/roster.go
@@ -207,22 +207,23 @@
 }
 
 // leave leaves a node out of the owners until it has returned, and reports whether that is new.
-// leeway is in which time a trial must be answered; zero for any time.
-func (r *Roster) leave(node directory.Node, leeway time.Duration, now time.Time) bool {
+// leeway is in which time a trial must be answered; zero if the node was not late. asked is when
+// the question was asked to which it was lost.
+func (r *Roster) leave(node directory.Node, leeway time.Duration, asked, now time.Time) bool {
 	if node.Name == r.local.Name {
 		return false
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.absences.leave(node, leeway, now)
+	return r.absences.leave(node, leeway, asked, now)
 }
 
-// reported takes that a node has reported in time. It returns for how long it was left out, if it
+// reported takes that a node has reported, late or not. It returns for how long it was left out, if it
 // was and is no longer.
-func (r *Roster) reported(name string, now time.Time) (time.Duration, bool) {
+func (r *Roster) reported(name string, isLate bool, now time.Time) (time.Duration, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.absences.reported(name, now)
+	return r.absences.reported(name, isLate, now)
 }
 
 // tried takes how a trial went, as reported does.
