--- a/pkg/quarantine/news.go
+++ b/pkg/quarantine/news.go
@@ -25,8 +25,8 @@
 // stood still in a suspended process meanwhile is known from the store.
 const maxNewsAge = 10 * time.Second
 
-// TellNews lets a function take what this node finds out. It does not block and does not call
-// the Guard. It is set before the Guard is used.
+// TellNews sets the function that takes what this node finds out. The function must neither block
+// nor call the Guard, whose mutex is held. TellNews is called before the Guard is used.
 func (g *Guard) TellNews(tell func(News)) { g.tell = tell }
 
 // Hear takes what another node has found out, and reports whether it was new here. What was
@@ -36,8 +36,7 @@
 		return false
 	}
 	fingerprint := news.Note.Fingerprint
-	isServed := g.served.has(fingerprint, now)
-	if isServed {
+	if g.served.has(fingerprint, now) {
 		return false
 	}
 	if news.isAnswer() {
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -37,6 +37,7 @@
 	isHeard bool
 }
 
+// hasEnded reports whether the server itself ended, rather than its connection alone.
 func (e *end) hasEnded() bool { return e.isConfirmed }
 
 // isKept reports whether the store holds it, or another node sees to that.
--- a/pkg/quarantine/teller_test.go
+++ b/pkg/quarantine/teller_test.go
@@ -21,12 +21,13 @@
 // links carry messages between the nodes of a test. They are safe for concurrent use.
 type links struct {
 	mutex sync.Mutex
-	// handlers, calls, largest and bend are guarded by mutex.
+	// handlers, calls, largest and delivery are guarded by mutex.
 	handlers map[peer.Address]peer.Handler
-	calls    int
-	largest  int
-	// bend returns how often a message to a node arrives, and how late; nil for once, at once.
-	bend func(to peer.Address) (times int, delay time.Duration)
+	// calls counts the messages; largest is the greatest number of notes in one.
+	calls   int
+	largest int
+	// delivery returns how often a message to a node arrives, and how late; nil for once, at once.
+	delivery func(to peer.Address) (times int, delay time.Duration)
 }
 
 // link is one node's end of them. It implements peer.Transport.
@@ -53,8 +54,8 @@
 	all := l.links
 	all.mutex.Lock()
 	handler, times, delay := all.handlers[address], 1, time.Duration(0)
-	if all.bend != nil {
-		times, delay = all.bend(address)
+	if all.delivery != nil {
+		times, delay = all.delivery(address)
 	}
 	all.calls++
 	all.largest = max(all.largest, len(request.(*quarantinepb.News).Notes))
@@ -77,10 +78,10 @@
 	return l.calls
 }
 
-func (l *links) setBend(bend func(peer.Address) (int, time.Duration)) {
+func (l *links) setDelivery(delivery func(peer.Address) (int, time.Duration)) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.bend = bend
+	l.delivery = delivery
 }
 
 func address(number int) peer.Address { return peer.Address(fmt.Sprint("n", number)) }
@@ -192,7 +193,7 @@
 // twice counts once, and one that hears it after an answer is not misled.
 func TestNewsMayBeLostDoubledAndLate(t *testing.T) {
 	inTouch(t, 4, func(g *WithT, w *world, between *links) {
-		between.setBend(func(to peer.Address) (int, time.Duration) {
+		between.setDelivery(func(to peer.Address) (int, time.Duration) {
 			switch to {
 			case address(1):
 				return 0, 0
@@ -259,7 +260,7 @@
 	inTouch(t, count, func(g *WithT, w *world, between *links) {
 		w.ledger.setBroken(true)
 		w.lost.Store(true)
-		between.setBend(func(peer.Address) (int, time.Duration) { return 1, 15 * time.Millisecond })
+		between.setDelivery(func(peer.Address) (int, time.Duration) { return 1, 15 * time.Millisecond })
 		w.end(w.guards[0], deadly, "a", "b", "c")
 		time.Sleep(200 * time.Millisecond)
 		knowing := 0
@@ -277,7 +278,7 @@
 // TestASilentNodeHoldsUpNoOther.
 func TestASilentNodeHoldsUpNoOther(t *testing.T) {
 	inTouch(t, 3, func(g *WithT, w *world, between *links) {
-		between.setBend(func(to peer.Address) (int, time.Duration) {
+		between.setDelivery(func(to peer.Address) (int, time.Duration) {
 			if to == address(1) {
 				return 0, 400 * time.Millisecond
 			}
