Rhythm: names say what they hold

Cause: last.last, longer(), like() and looseness had to be looked up; three comments on constants were no whole sentences and did not say what the number divides or multiplies. Ruled out: renaming see, take and judge: they stand beside their comments and nothing else is called so. Change: firstAnswered and lastAnswered for the two ends of a silence, adjustedLength, sharedWith, tolerance, leastUsualTimes; comments. No behaviour and no expectation of a test changes. Conclusion: none beyond the names.

--- a/pkg/rhythm/periods.go
+++ b/pkg/rhythm/periods.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Constants of what servers have in common.
+// Bounds of what servers have in common.
 const (
 	// intervalCount is how many intervals between pauses are kept to compare others with.
 	intervalCount = 16
@@ -18,7 +18,7 @@
 type Periods struct {
 	intervals [intervalCount]interval
 	next      int
-	// servers counts those that have shown an interval.
+	// servers counts those that have shown an interval; a server's number is its place among them.
 	servers int
 	// period is the one that was confirmed last, at confirmedAt; zero if none was.
 	period      time.Duration
@@ -44,8 +44,8 @@
 	p.next = (p.next + 1) % intervalCount
 }
 
-// like returns the period that an interval has in common with one of another server.
-func (p *Periods) like(server *Server, length time.Duration, now time.Time) (time.Duration, bool) {
+// sharedWith returns the period that an interval has in common with one of another server.
+func (p *Periods) sharedWith(server *Server, length time.Duration, now time.Time) (time.Duration, bool) {
 	for _, each := range p.intervals {
 		if each.server == 0 || each.server == server.number || now.Sub(each.seenAt) > periodMemory*each.length {
 			continue
@@ -82,9 +82,9 @@
 }
 
 // multiple returns how many periods an interval has and what is over, which may be below
-// zero. It is none if the rest is more than the looseness.
+// zero. It is none if the rest is more than the tolerance.
 func multiple(elapsed, period time.Duration) (int, time.Duration, bool) {
 	times := int((elapsed + period/2) / period)
 	rest := elapsed - time.Duration(times)*period
-	return times, rest, times >= 1 && rest.Abs() <= looseness
+	return times, rest, times >= 1 && rest.Abs() <= tolerance
 }
--- a/pkg/rhythm/rhythm_test.go
+++ b/pkg/rhythm/rhythm_test.go
@@ -288,6 +288,7 @@
 	g := NewWithT(t)
 	periods := &Periods{}
 	first, second, third := &Server{}, &Server{}, &Server{}
+	// Two requests that were sent 40 ms apart are answered together.
 	pause := func(server *Server, until time.Duration) {
 		end := origin.Add(until)
 		server.Answered(end.Add(-290*time.Millisecond), end, usual, periods)
--- a/pkg/rhythm/server.go
+++ b/pkg/rhythm/server.go
@@ -11,35 +11,35 @@
 
 import "time"
 
-// Constants of what counts as a pause and for how long it is trusted.
+// What counts as a pause and for how long it is trusted.
 const (
 	// leastPause is the shortest silence that counts: what is shorter, a second server
 	// bridges within the time that callers have.
 	leastPause = 100 * time.Millisecond
-	// usualTimes of a usual answer is the shortest silence where answers take long.
-	usualTimes = 2
+	// leastUsualTimes is how many times a usual answer the shortest silence lasts, where answers
+	// take so long that this is more than leastPause.
+	leastUsualTimes = 2
 	// greatestLength bounds for how long a server is passed over for one pause.
 	greatestLength = time.Second
 	// leastPeriod and greatestPeriod bound the periods that are learned: a server that
 	// pauses more often is slow, and one that pauses more seldom touches few requests.
 	leastPeriod    = time.Second
 	greatestPeriod = 30 * time.Second
-	// looseness is how far a pause may be from the foreseen moment: the first answer
+	// tolerance is how far a pause may be from the foreseen moment: the first answer
 	// after it comes when its work has ended.
-	looseness = 75 * time.Millisecond
-	// greatestUnseen is for how many periods a pause is foreseen without one that was
-	// seen: the error of the period adds up.
+	tolerance = 75 * time.Millisecond
+	// greatestUnseen is for how many periods after the last pause that was seen further ones
+	// are foreseen: the error of the period adds up.
 	greatestUnseen = 6
-	// lengthRise and lengthFall are by which parts of the difference the expected length of
-	// pauses follows longer and shorter ones.
+	// lengthRise and lengthFall divide the difference between the expected length of pauses and
+	// that of a longer or a shorter one: by so much the expected length follows it.
 	lengthRise = 2
 	lengthFall = 16
-	// lookEvery is in which of the foreseen pauses since the last one seen a request is
-	// sent all the same, to see whether the server still pauses.
+	// lookEvery tells in which of the foreseen pauses since the last one that was seen a request
+	// is sent all the same, to see whether the server still pauses: in every second one.
 	lookEvery = 2
-	// lookAfter and answersAfter are the parts of a foreseen pause after which that
-	// request is sent, and from which on an answer, until as long before the end, shows
-	// that there is no pause.
+	// That request is sent once one lookAfter-th of the foreseen pause is over. An answer shows
+	// that there is no pause if it comes neither in the first nor in the last answersAfter-th.
 	lookAfter    = 4
 	answersAfter = 4
 )
@@ -72,8 +72,8 @@
 type silence struct {
 	// notBefore is the last answer before it; from is when an answer was due first.
 	notBefore, from time.Time
-	// until and last are when its first and its last request were answered.
-	until, last time.Time
+	// firstAnswered and lastAnswered are when its first and its last request were answered.
+	firstAnswered, lastAnswered time.Time
 	// firstSent and lastSent are when its requests were sent.
 	firstSent, lastSent time.Time
 	// isCounted says that it was taken for a pause.
@@ -97,7 +97,7 @@
 	}
 	foreseen, end := s.foreseenAround(now, shared)
 	if now.Sub(from) >= s.leastSilence(usual, foreseen) {
-		s.silence = silence{notBefore: previous, from: from, until: now, last: now, firstSent: sent, lastSent: sent}
+		s.silence = silence{notBefore: previous, from: from, firstAnswered: now, lastAnswered: now, firstSent: sent, lastSent: sent}
 		if foreseen {
 			s.silence.isCounted = true
 			s.see(now, now.Sub(from), shared)
@@ -112,7 +112,7 @@
 // leastSilence returns the shortest silence that counts. One at a foreseen moment is met
 // by the one request that was sent to see it, which is sent when it has begun.
 func (s *Server) leastSilence(usual time.Duration, foreseen bool) time.Duration {
-	least := max(leastPause, usualTimes*usual)
+	least := max(leastPause, leastUsualTimes*usual)
 	if foreseen {
 		return least / 2
 	}
@@ -123,13 +123,14 @@
 // right after its end.
 func (s *Server) joins(sent, now, due time.Time, usual time.Duration) bool {
 	last := &s.silence
-	return !last.until.IsZero() && due.Before(last.until) && now.Sub(last.until) <= usual && sent.After(last.notBefore.Add(-usual))
+	return !last.firstAnswered.IsZero() && due.Before(last.firstAnswered) &&
+		now.Sub(last.firstAnswered) <= usual && sent.After(last.notBefore.Add(-usual))
 }
 
 // widen takes a further request of the last silence.
 func (s *Server) widen(sent, now, due time.Time) {
 	last := &s.silence
-	last.last = now
+	last.lastAnswered = now
 	if sent.Before(last.firstSent) {
 		last.firstSent = sent
 	}
@@ -145,18 +146,18 @@
 // server answers in the order and at the pace in which it was asked.
 func (s *Server) judge(shared *Periods) {
 	last := &s.silence
-	if last.isCounted || last.lastSent.Sub(last.firstSent) <= 2*last.last.Sub(last.until) {
+	if last.isCounted || last.lastSent.Sub(last.firstSent) <= 2*last.lastAnswered.Sub(last.firstAnswered) {
 		return
 	}
 	last.isCounted = true
-	s.see(last.until, last.until.Sub(last.from), shared)
+	s.see(last.firstAnswered, last.firstAnswered.Sub(last.from), shared)
 }
 
 // see takes a pause that was seen.
 func (s *Server) see(until time.Time, length time.Duration, shared *Periods) {
 	previous, period := s.pausedUntil, s.currentPeriod(until, shared)
 	elapsed := until.Sub(previous)
-	if !previous.IsZero() && period > 0 && elapsed <= greatestUnseen*period+looseness {
+	if !previous.IsZero() && period > 0 && elapsed <= greatestUnseen*period+tolerance {
 		s.compare(elapsed, period, until, length, shared)
 		return
 	}
@@ -191,14 +192,14 @@
 // take keeps when the last pause ended and how long it was.
 func (s *Server) take(until time.Time, length time.Duration, shared *Periods) {
 	s.pausedUntil = until
-	s.length = longer(s.length, length)
-	shared.length = longer(shared.length, length)
+	s.length = adjustedLength(s.length, length)
+	shared.length = adjustedLength(shared.length, length)
 }
 
-// longer returns the length that is expected of pauses after one that lasted for some time at
-// least: a pause is seen from when its first request should have been answered, so that
+// adjustedLength returns the length that is expected of pauses after one that lasted for some
+// time at least: a pause is seen from when its first request should have been answered, so that
 // longer ones tell more.
-func longer(known, seen time.Duration) time.Duration {
+func adjustedLength(known, seen time.Duration) time.Duration {
 	seen = min(seen, greatestLength)
 	if known == 0 {
 		return seen
@@ -219,7 +220,7 @@
 	s.interval = elapsed
 	if period, ok := common(elapsed, before); ok {
 		s.period = period
-	} else if period, ok := shared.like(s, elapsed, now); ok {
+	} else if period, ok := shared.sharedWith(s, elapsed, now); ok {
 		s.period = period
 	}
 	shared.note(s, elapsed, now)
@@ -293,7 +294,7 @@
 // expectedLength is how long the next pause lasts: the first ones that are seen of a server
 // tell little, while others with the same period have shown more.
 func (s *Server) expectedLength(now time.Time, shared *Periods) time.Duration {
-	if period := shared.current(now); period == 0 || (s.currentPeriod(now, shared)-period).Abs() > looseness {
+	if period := shared.current(now); period == 0 || (s.currentPeriod(now, shared)-period).Abs() > tolerance {
 		return s.length
 	}
 	return max(s.length, shared.length)
@@ -314,11 +315,11 @@
 	if unseen == 0 {
 		return false, time.Time{}
 	}
-	sinceLast := looseness + 1
+	sinceLast := tolerance + 1
 	if unseen > 1 {
 		sinceLast = now.Sub(end.Add(-s.currentPeriod(now, shared)))
 	}
-	return end.Sub(now) <= looseness || sinceLast <= looseness, end
+	return end.Sub(now) <= tolerance || sinceLast <= tolerance, end
 }
 
 // isAmid reports whether a moment is well within a foreseen pause.
