Fleet: names for entries that lack a start

Cause: toldStarts names neither what the map holds nor what follows from it, and mistake is no verb for what it does. Ruled out: renaming the kinds Mistaken and StillMistaken, which name what logs tell. Change: startExpected and leaveMistaken; the comment says when an id is in the map. No behaviour and no expectation of a test changes.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -57,9 +57,9 @@
 	// them and with callers.
 	warmUps           map[string]WarmUp
 	callersGeneration uint64
-	// toldStarts are the ids whose last entry was refused after their server had told its start:
-	// an entry without a start is not taken for theirs, also once the server is forgotten.
-	toldStarts map[string]bool
+	// startExpected has the ids whose server had told its start when an entry of theirs was refused:
+	// an entry without a start is not taken for the server's, also once the server is forgotten.
+	startExpected map[string]bool
 	// evacuations are the zones to whose servers nothing is to be sent.
 	evacuations map[string]evacuation
 	// waiters are the sub-requests for which no server was free, by service.
@@ -75,15 +75,15 @@
 	return &Fleet{
 		settings:    settings,
 		leaveWithin: settings.LeaveWithin, warmUpBounds: settings.WarmUpBounds,
-		members:     make(map[string]*member),
-		services:    make(map[string][]*member),
-		zones:       make(map[string]*zoneTimes),
-		profiles:    make(map[string]*Profile),
-		connections: make(map[string]int),
-		waiters:     make(map[string][]*Waiter),
-		evacuations: make(map[string]evacuation),
-		toldStarts:  make(map[string]bool),
-		absences:    make(map[loadshed.Key]absence),
+		members:       make(map[string]*member),
+		services:      make(map[string][]*member),
+		zones:         make(map[string]*zoneTimes),
+		profiles:      make(map[string]*Profile),
+		connections:   make(map[string]int),
+		waiters:       make(map[string][]*Waiter),
+		evacuations:   make(map[string]evacuation),
+		startExpected: make(map[string]bool),
+		absences:      make(map[loadshed.Key]absence),
 	}
 }
 
@@ -95,13 +95,13 @@
 	defer f.mutex.Unlock()
 	known := f.members[server.ID]
 	switch {
-	case known == nil && server.Start == 0 && f.toldStarts[server.ID]:
+	case known == nil && server.Start == 0 && f.startExpected[server.ID]:
 		return Change{Kind: StillMistaken}
 	case known == nil:
 		f.add(server, now)
 		return Change{Kind: Added}
 	case server.Start == 0 && known.Start != 0:
-		return f.mistake(known, now)
+		return f.leaveMistaken(known, now)
 	case known.Address != server.Address || known.Service != server.Service || known.Start != server.Start:
 		return f.replace(known, server, now)
 	}
@@ -149,7 +149,7 @@
 func (f *Fleet) Remove(id string, doubtedUntil, now time.Time) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	delete(f.toldStarts, id)
+	delete(f.startExpected, id)
 	known := f.members[id]
 	return known != nil && f.unlist(known, doubtedUntil, now)
 }
--- a/pkg/fleet/incarnation.go
+++ b/pkg/fleet/incarnation.go
@@ -76,13 +76,13 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	known := f.members[id]
-	return known != nil && f.mistake(known, now).Kind == Mistaken
+	return known != nil && f.leaveMistaken(known, now).Kind == Mistaken
 }
 
-// mistake is Refuse for a known server. The mutex is held.
-func (f *Fleet) mistake(known *member, now time.Time) Change {
+// leaveMistaken is Refuse for a known server. The mutex is held.
+func (f *Fleet) leaveMistaken(known *member, now time.Time) Change {
 	if known.Start != 0 {
-		f.toldStarts[known.ID] = true
+		f.startExpected[known.ID] = true
 	}
 	if !f.unlist(known, now, now) {
 		return Change{Kind: StillMistaken}
