Fan-out: when a report is due and what is admitted are functions

Cause: one line of tell() held four reasons for a report without saying them; noteOffered() found the admitted share and counted the part; askedHash did not say of what it is a hash. Ruled out: putting admittedShare into pkg/loadshed, which knows no questions between nodes. Change: isReportDue, admittedShare and contentHash. No behaviour and no expectation of a test changes.

--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -13,8 +13,9 @@
 	return loadshed.Class{Priority: r.plan.Priority, Tenant: r.plan.Tenant}
 }
 
-// askedHash returns a hash that is the same for all tries of a client that ask the same.
-func (r *run) askedHash() uint64 {
+// contentHash returns a hash of what the request asks, on whose behalf. It is the same for all
+// tries of a client.
+func (r *run) contentHash() uint64 {
 	var hash xxhash.Digest
 	hash.Reset()
 	for _, text := range []string{r.plan.Tenant, r.request.Method, r.request.Host, r.request.Target} {
@@ -32,7 +33,7 @@
 	if room == nil {
 		return true
 	}
-	r.lot = room.Lots.Draw(r.askedHash(), r.lot, r.began)
+	r.lot = room.Lots.Draw(r.contentHash(), r.lot, r.began)
 	r.admission = r.admit(r.began)
 	return r.admission.IsAdmitted
 }
@@ -126,22 +127,27 @@
 	if r.runner.Room == nil || isForOwner || part.spared {
 		return
 	}
-	share := 1.0
-	switch collect := r.plan.Collect; {
-	case collect == nil:
-		share = r.runner.Room.Board.ShareOf(r.load(part.service), r.class(), now)
-	case collect.AdmittedShares != nil:
-		share = collect.AdmittedShares[index]
-	}
 	if r.work == 0 {
 		r.work = r.runner.Fleet.Profile(r.plan.Kind, r.plan.Assumed).Mean
 	}
 	part.isOffered = true
 	r.runner.Room.Meters.Offer(r.load(part.service), loadshed.Offered{
-		Class: r.class(), Work: r.work, Share: share, ForOthers: part.owned,
+		Class: r.class(), Work: r.work, Share: r.admittedShare(index, now), ForOthers: part.owned,
 	}, now)
 }
 
+// admittedShare returns the part of the requests like this one that a part's service was taken to
+// have room for: by this node, or by the one whose question it answers.
+func (r *run) admittedShare(index int, now time.Time) float64 {
+	switch collect := r.plan.Collect; {
+	case collect == nil:
+		return r.runner.Room.Board.ShareOf(r.load(r.parts[index].service), r.class(), now)
+	case collect.AdmittedShares != nil:
+		return collect.AdmittedShares[index]
+	}
+	return 1
+}
+
 // admittedShares returns the part of the requests like this one that each service has room
 // for; nil if none is short of it.
 func (r *run) admittedShares(services []string, now time.Time) []float64 {
--- a/pkg/fanout/owners.go
+++ b/pkg/fanout/owners.go
@@ -363,8 +363,7 @@
 	if collect == nil {
 		return nil
 	}
-	isDue := !now.Before(r.reportAt) || len(r.fresh) > 0 && r.hasAllButSpared() || len(r.wants) > 0 || r.told && len(r.fresh) > 0
-	if !isDue {
+	if !r.isReportDue(now) {
 		return nil
 	}
 	fresh, wants := r.fresh, r.wants
@@ -372,6 +371,15 @@
 	return collect.Report(fresh, wants)
 }
 
+// isReportDue reports whether the other node is to be told now: at the time that it has set, of
+// what is wanted at once, and of answers at once when it was told before or no more are to come.
+func (r *run) isReportDue(now time.Time) bool {
+	if !now.Before(r.reportAt) || len(r.wants) > 0 {
+		return true
+	}
+	return len(r.fresh) > 0 && (r.told || r.hasAllButSpared())
+}
+
 // ownerRecords tells of the questions that were not answered whole.
 func (r *run) ownerRecords() []OwnerRecord {
 	var records []OwnerRecord
