Explain: the word of a node without a coordinator stands once

Cause: cause.go compared with a literal of its own in place of quota.Alone, so that a change of the word would have hidden a cause; the cause stood apart from the other one of limits; concerns() switched twice over the same value and had no comment; messageLimitsLost is the loss of a coordinator, not of limits. Ruled out: moving the words of all log messages to the packages that write them: a larger change. Change: quota.Alone.String(), one switch, messageCoordinatorLost, the two causes together. No behaviour and no expectation of a test changes.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -7,6 +7,7 @@
 
 	"github.com/bramblemast/bramblemast/pkg/fanout"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/quota"
 )
 
 // Cause is why a request was not served whole and in time.
@@ -23,6 +24,7 @@
 	CauseNoKey         Cause = "the caller sent no key, or several, on a route that wants one"
 	CauseOldKeys       Cause = "the node's news of the configuration was too old to confirm the caller's key"
 	CauseOverLimit     Cause = "its tenant was beyond its limit over all nodes"
+	CauseLimitAlone    Cause = "the node reached no coordinator of limits, and its part of the tenant's limit was used up"
 	CauseNoRoute       Cause = "no route of the configuration in force fits"
 	CauseBadRequest    Cause = "the request itself: its body could not be taken"
 	CauseClientLeft    Cause = "the client left before the answer"
@@ -32,7 +34,6 @@
 	CauseUnreachable   Cause = "servers could not be reached"
 	CauseQuarantined   Cause = "servers ended while they had it, so it was kept from others"
 	CauseSilent        Cause = "servers did not answer in time"
-	CauseLimitAlone    Cause = "the node reached no coordinator of limits, and its part of the tenant's limit was used up"
 	CauseSilentBudget  Cause = "servers did not answer in time, and the extra-load budget was used up"
 	CauseServerFailed  Cause = "servers ran it and failed"
 	CauseBroken        Cause = "connections broke after it was sent"
@@ -73,7 +74,7 @@
 		return CauseUnknownKey
 	case line.Reason == string(outcome.ReasonKeysUnconfirmed):
 		return CauseOldKeys
-	case line.Reason == string(outcome.ReasonOverLimit) && line.QuotaDecidedBy == "alone":
+	case line.Reason == string(outcome.ReasonOverLimit) && line.QuotaDecidedBy == quota.Alone.String():
 		return CauseLimitAlone
 	case line.Reason == string(outcome.ReasonOverLimit):
 		return CauseOverLimit
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -16,19 +16,19 @@
 
 // Messages of the nodes' lines that are looked at.
 const (
-	messageRequest       = "request"
-	messageOwned         = "owned parts"
-	messageOwnerLost     = "owner lost"
-	messageAtLimit       = "tenant at its limit"
-	messageBelowLimit    = "tenant within its limit again"
-	messageLimitsLost    = "coordinator of limits lost"
-	messageOwnerRegained = "owner regained"
-	messageConfiguration = "configuration in force"
-	messageLost          = "dependency lost"
-	messageRegained      = "dependency regained"
-	messageOverload      = "overload"
-	messageKeysLapsed    = "keys lapsed"
-	messageKeysConfirmed = "keys confirmed"
+	messageRequest         = "request"
+	messageOwned           = "owned parts"
+	messageOwnerLost       = "owner lost"
+	messageAtLimit         = "tenant at its limit"
+	messageBelowLimit      = "tenant within its limit again"
+	messageCoordinatorLost = "coordinator of limits lost"
+	messageOwnerRegained   = "owner regained"
+	messageConfiguration   = "configuration in force"
+	messageLost            = "dependency lost"
+	messageRegained        = "dependency regained"
+	messageOverload        = "overload"
+	messageKeysLapsed      = "keys lapsed"
+	messageKeysConfirmed   = "keys confirmed"
 )
 
 // maxLineBytes bounds one line.
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -105,17 +105,16 @@
 	return first
 }
 
+// concerns reports whether what a line tells may have had to do with a request.
 func concerns(line, request Line) bool {
 	switch line.Message {
 	case messageOverload, messageKeysLapsed, messageKeysConfirmed:
 		return true
 	case messageConfiguration, messageLost, messageRegained, messageOwnerLost, messageOwnerRegained, "started", "stopping", "configuration refused":
 		return true
-	}
-	switch line.Message {
 	case messageAtLimit, messageBelowLimit:
 		return line.Tenant == request.Tenant && request.Reason == string(outcome.ReasonOverLimit)
-	case messageLimitsLost:
+	case messageCoordinatorLost:
 		return request.Reason == string(outcome.ReasonOverLimit)
 	}
 	if len(line.ServersEnded) > 0 {
@@ -202,7 +201,7 @@
 		return fmt.Sprintf(" (%s) %s", line.Dependency, line.Error)
 	case line.Message == messageAtLimit:
 		return fmt.Sprintf(" (%s at %s: asked %.0f a second, limit %.0f)", line.Tenant, line.Node, line.AskedPerSecond, line.LimitPerSecond)
-	case line.Message == messageLimitsLost:
+	case line.Message == messageCoordinatorLost:
 		return fmt.Sprintf(" (%s) %s", line.Coordinator, line.Error)
 	case line.Version != 0:
 		return fmt.Sprintf(" (version %d)", line.Version)
