--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -34,7 +34,8 @@
 	// group of its shards: 15 for 220 shards, and those of two sets while the shards
 	// are being cut anew.
 	maxPeerConnections = 48
-	// quotaPeerConnections more are for telling all nodes that a tenant is at its limit.
+	// quotaPeerConnections is how many more there may be where limits of tenants are held: their
+	// coordinators tell all nodes that a tenant is at its limit.
 	quotaPeerConnections = 208
 	// maxPeerInbound bounds the connections of other nodes: all nodes of a region ask
 	// an owner, 680 at the size to design for.
@@ -266,7 +267,7 @@
 		group.Add(func() error { return execute(inner) }, func(error) { cancel() })
 	}
 	group.Add(n.listener.Serve, func(error) { n.listener.Close() })
-	// What the servers of readiness and figures say of their end tells nothing more.
+	// Close fails only on listeners that are closed already, so that its errors are dropped here.
 	group.Add(func() error { return n.ready.Serve(n.readyListener) }, func(error) { _ = n.ready.Close() })
 	if n.metrics != nil {
 		group.Add(func() error { return n.metrics.Serve(n.metricsListener) }, func(error) { _ = n.metrics.Close() })
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -150,12 +150,17 @@
 	if !s.restored.Load() {
 		return
 	}
+	s.logger.Info("server "+string(change.Kind), serverFields(entry)...)
+}
+
+// serverFields returns what a line of the log tells of a server's entry.
+func serverFields(entry directory.Entry) []any {
 	list := []any{"server", entry.Server.ID, "service", entry.Server.Service, "address", entry.Server.Address,
 		"zone", entry.Server.Zone, "revision", entry.Revision}
 	if entry.Server.Start != 0 {
 		list = append(list, "start", int64(entry.Server.Start))
 	}
-	s.logger.Info("server "+string(change.Kind), list...)
+	return list
 }
 
 // errNoStart is why an entry is not taken for that of a server which has told its start.
