--- a/pkg/fanout/kept_back_test.go
+++ b/pkg/fanout/kept_back_test.go
@@ -29,7 +29,6 @@
 const deadlyTarget = "/deadly"
 
 // newDeadlyWorld has shards with some servers each, which end when they run a deadly request.
-// broken is called when a server ends.
 func newDeadlyWorld(services []string, copies []string) *world {
 	w := newWorld()
 	guard := quarantine.New(quarantine.Options{
