Announcer: what waits to be told is kept

Cause: the message that waited while the one before was on its way was replaced by the next one, although the meters count its services as told. A "room again" could be lost, and neighbours then refused for up to loadshed.shareLife more. Ruled out: a longer queue of messages, which would tell old shares first. Change: the later message takes with it what the waiting one tells of services that it does not name. Figures: TestWhatWaitsToBeToldIsKept fails on the code before (0.5 where 1 is expected) and passes now.

--- a/pkg/owner/announcer.go
+++ b/pkg/owner/announcer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -59,10 +60,12 @@
 	return created
 }
 
-// put keeps a message until Run tells it, in the place of one that still waits.
+// put keeps a message until Run tells it, with what one that still waits tells of other services:
+// their change counts as told. Meters calls it for one message at a time.
 func (a *Announcer) put(message []loadshed.Measured) {
 	select {
-	case <-a.waiting:
+	case earlier := <-a.waiting:
+		message = merge(earlier, message)
 	default:
 	}
 	select {
@@ -71,6 +74,18 @@
 	}
 }
 
+// merge returns a message with what an earlier one tells of services that it does not name.
+func merge(earlier, message []loadshed.Measured) []loadshed.Measured {
+	merged := slices.Clone(message)
+	for _, each := range earlier {
+		isNamed := slices.ContainsFunc(message, func(later loadshed.Measured) bool { return later.Key == each.Key })
+		if !isNamed {
+			merged = append(merged, each)
+		}
+	}
+	return merged
+}
+
 // Run tells what has changed, until ctx ends.
 func (a *Announcer) Run(ctx context.Context) error {
 	for {
--- a/pkg/owner/announcer_test.go
+++ b/pkg/owner/announcer_test.go
@@ -25,10 +25,11 @@
 
 // roomNode is a node that measures and is told.
 type roomNode struct {
-	board  *loadshed.Board
-	known  *fanout.Room
-	queues *crowdedQueues
-	told   atomic.Int64
+	announcer *owner.Announcer
+	board     *loadshed.Board
+	known     *fanout.Room
+	queues    *crowdedQueues
+	told      atomic.Int64
 }
 
 // inRegion runs a test with three nodes, two of them in one region.
@@ -54,6 +55,7 @@
 				Known: created.known, Roster: roster,
 				Transport: network.Transport(peer.Address(each.Name)), Told: func([]loadshed.Measured) { created.told.Add(1) },
 			})
+			created.announcer = announcer
 			go func() { _ = announcer.Run(ctx); done <- struct{}{} }()
 			nodes[each.Name] = created
 		}
@@ -130,3 +132,29 @@
 		g.Expect(near.board.ShareOf(loadshed.Key{Service: "s"}, loadshed.Class{}, time.Now())).To(Equal(1.0))
 	})
 }
+
+// TestWhatWaitsToBeToldIsKept while the message before is on its way: that one service has room
+// again is told although another's shares change meanwhile.
+func TestWhatWaitsToBeToldIsKept(t *testing.T) {
+	inRegion(t, func(g *WithT, _ *peer.Network, nodes map[string]*roomNode) {
+		owning, near := nodes["owner"], nodes["near"]
+		first, second := loadshed.Key{Service: "first"}, loadshed.Key{Service: "second"}
+		now := time.Now()
+		for _, each := range [][]loadshed.Measured{
+			{{Key: first, Shares: roomShare(0.5), At: now}},
+			{{Key: first, At: now}},
+			{{Key: second, Shares: roomShare(0.5), At: now}},
+		} {
+			owning.announcer.Put(each)
+			// The first message is on its way when the others come.
+			synctest.Wait()
+		}
+		time.Sleep(100 * time.Millisecond)
+		g.Expect(near.board.ShareOf(second, loadshed.Class{}, time.Now())).To(Equal(0.5))
+		g.Expect(near.board.ShareOf(first, loadshed.Class{}, time.Now())).To(Equal(1.0))
+	})
+}
+
+func roomShare(part float64) loadshed.Shares {
+	return loadshed.Shares{Ranks: []loadshed.RankShare{{Share: part}}}
+}
