Board: full shares keep their moment

Cause: full shares were noted by forgetting the service, and with it when they were measured, so that older shares which came later, by another road, were taken and requests refused until these were 1.5 s old. Ruled out: a list of moments beside the shares, a second copy of the same thing. Figures: TestOlderSharesThatComeLaterArePassedOver fails on the code before and passes now. An owner's recent word that there is room now counts before what a node sees alone, as its other words did.

--- a/pkg/loadshed/board.go
+++ b/pkg/loadshed/board.go
@@ -52,7 +52,8 @@
 }
 
 // take notes shares, unless what is known of the service is newer or, for partial ones, a recent
-// word of an owner. Full shares are noted as none.
+// word of an owner. Full shares are noted too while any service is short of room, so that older
+// ones that come later are passed over.
 func (b *Board) take(key Key, taken told) {
 	shares, measuredAt := taken.shares, taken.measuredAt
 	if shares.IsFull() && b.IsIdle() {
@@ -67,12 +68,19 @@
 	if isKnown && taken.isPartial && !known.isPartial && measuredAt.Sub(known.measuredAt) <= shareLife {
 		return
 	}
-	if shares.IsFull() {
-		delete(b.told, key)
-	} else {
-		b.told[key] = taken
+	b.told[key] = taken
+	b.countLimited()
+}
+
+// countLimited counts the services with shares. The mutex is held.
+func (b *Board) countLimited() {
+	count := int64(0)
+	for _, known := range b.told {
+		if !known.shares.IsFull() {
+			count++
+		}
 	}
-	b.limited.Store(int64(len(b.told)))
+	b.limited.Store(count)
 }
 
 // ShareOf returns the part of the requests of a class that a service has room for.
@@ -198,5 +206,5 @@
 			delete(b.told, key)
 		}
 	}
-	b.limited.Store(int64(len(b.told)))
+	b.countLimited()
 }
--- a/pkg/loadshed/board_test.go
+++ b/pkg/loadshed/board_test.go
@@ -171,3 +171,19 @@
 	g.Expect(board.Admit(services, "there", 36, urgent, lotAt(0.5), now).IsAdmitted).To(BeFalse())
 	g.Expect(board.Admit(services, "", 36, urgent, lotAt(0.5), now).IsAdmitted).To(BeTrue())
 }
+
+// TestOlderSharesThatComeLaterArePassedOver also after a service has room for all again.
+func TestOlderSharesThatComeLaterArePassedOver(t *testing.T) {
+	g := NewWithT(t)
+	board, now, key := loadshed.NewBoard(), time.Unix(100, 0), loadshed.Key{Service: "a"}
+	short := loadshed.Shares{Ranks: []loadshed.RankShare{{Share: 0.5}}}
+	board.Take(key, short, now)
+	board.Take(key, loadshed.Shares{}, now.Add(200*time.Millisecond))
+	g.Expect(board.IsIdle()).To(BeTrue())
+	board.Take(key, short, now.Add(100*time.Millisecond))
+	g.Expect(board.ShareOf(key, loadshed.Class{}, now.Add(300*time.Millisecond))).To(Equal(1.0))
+	g.Expect(board.IsIdle()).To(BeTrue())
+	board.Take(key, short, now.Add(300*time.Millisecond))
+	g.Expect(board.ShareOf(key, loadshed.Class{}, now.Add(300*time.Millisecond))).To(Equal(0.5))
+	g.Expect(board.Limited()).To(Equal(1))
+}
