Lines about states that come and go are bounded

Cause: the bounds on "tenant at its limit" and "short of room" were cleared by the lines that told the opposite, so that both followed each change; the check "told within a span?" stood four times. Ruled out: counting both lines against the bound of lines about requests, which would let requests drown them. Change: one type, told, for all four. A state that ends is told only if its beginning was, and the next beginning waits for the span. Conclusion: mended; a state that begins within the span of the line before is told once that span is over, if it lasts.

--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -29,9 +29,8 @@
 	successes atomic.Uint64
 
 	mutex sync.Mutex
-	// overloads holds the last overload of each service that was told, guarded
-	// by mutex.
-	overloads map[string]time.Time
+	// overloads bounds the lines about overloads of services, guarded by mutex.
+	overloads *told[string]
 	// second, lines and left are guarded by mutex.
 	second time.Time
 	lines  int
@@ -39,7 +38,7 @@
 }
 
 func newEvents(logger hclog.Logger, figures *figures, storeAge func() time.Duration) *events {
-	return &events{logger: logger, figures: figures, storeAge: storeAge, overloads: make(map[string]time.Time)}
+	return &events{logger: logger, figures: figures, storeAge: storeAge, overloads: newTold[string](overloadSpan)}
 }
 
 // Record implements front.Recorder.
@@ -70,14 +69,10 @@
 // Overload implements front.Recorder.
 func (e *events) Overload(service string, waiting int) {
 	e.figures.overloads.WithLabelValues(service).Inc()
-	now := time.Now()
 	e.mutex.Lock()
-	told := now.Sub(e.overloads[service]) < overloadSpan
-	if !told {
-		e.overloads[service] = now
-	}
+	isDue := e.overloads.begins(service, time.Now())
 	e.mutex.Unlock()
-	if !told {
+	if isDue {
 		e.logger.Warn("overload", "service", service, "waiting", waiting)
 	}
 }
--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -29,10 +29,10 @@
 	limiter *quota.Limiter
 
 	mutex sync.Mutex
-	// told holds when each tenant was last told to be at its limit, guarded by mutex.
-	told map[string]time.Time
-	// lostAt is when the loss of a coordinator was last told, guarded by mutex.
-	lostAt time.Time
+	// told bounds the lines about tenants at their limits, lost those about coordinators;
+	// guarded by mutex.
+	told *told[string]
+	lost *told[struct{}]
 	// named are the tenants with metrics of their own in the configuration version, guarded
 	// by mutex.
 	named   map[string]bool
@@ -41,7 +41,7 @@
 
 // newLimits returns the limits of a node and registers their metrics.
 func newLimits(node *Node, settings *Settings, transport peer.Transport) *limits {
-	held := &limits{node: node, told: make(map[string]time.Time)}
+	held := &limits{node: node, told: newTold[string](limitedSpan), lost: newTold[struct{}](limitedSpan)}
 	held.limiter = quota.New(quota.Options{
 		Local: settings.Node.Name, Zone: settings.Node.Zone, Bounds: settings.quotaBounds(), Transport: transport, Events: held,
 		LimitOf: node.state.limitOf, Start: rand.Uint64(),
@@ -118,14 +118,10 @@
 
 // AtLimit implements quota.Events.
 func (l *limits) AtLimit(tenant string, verdict quota.Verdict, figures quota.Figures) {
-	now := time.Now()
 	l.mutex.Lock()
-	isTold := now.Sub(l.told[tenant]) < limitedSpan
-	if !isTold {
-		l.told[tenant] = now
-	}
+	isDue := l.told.begins(tenant, time.Now())
 	l.mutex.Unlock()
-	if isTold {
+	if !isDue {
 		l.node.figures.logLines.WithLabelValues("rate").Inc()
 		return
 	}
@@ -137,10 +133,9 @@
 // BelowLimit implements quota.Events.
 func (l *limits) BelowLimit(tenant string, figures quota.Figures, span time.Duration) {
 	l.mutex.Lock()
-	wasTold := !l.told[tenant].IsZero()
-	delete(l.told, tenant)
+	isDue := l.told.ends(tenant, time.Now())
 	l.mutex.Unlock()
-	if wasTold {
+	if isDue {
 		l.node.logger.Info("tenant within its limit again", "tenant", tenant, "span_ms", span.Milliseconds(),
 			"asked_per_s", figures.Asked, "limit_per_s", figures.Limit.PerSecond)
 	}
@@ -149,14 +144,10 @@
 // CoordinatorLost implements quota.Events.
 func (l *limits) CoordinatorLost(name string, cause error) {
 	l.node.figures.coordinatorsLost.WithLabelValues().Inc()
-	now := time.Now()
 	l.mutex.Lock()
-	isTold := now.Sub(l.lostAt) < limitedSpan
-	if !isTold {
-		l.lostAt = now
-	}
+	isDue := l.lost.begins(struct{}{}, time.Now())
 	l.mutex.Unlock()
-	if !isTold {
+	if isDue {
 		// A cut of links loses several within a moment: the first tells of it.
 		l.node.logger.Warn("coordinator of limits lost", "coordinator", name, "error", cause.Error())
 	}
--- a/internal/edge/room.go
+++ b/internal/edge/room.go
@@ -28,27 +28,26 @@
 // of room or have room again. Only one goroutine uses it.
 type roomLog struct {
 	logger hclog.Logger
-	// toldAt is when each load was told to be short of room last.
-	toldAt map[loadshed.Key]time.Time
+	told   *told[loadshed.Key]
 }
 
 // newRoomLog returns a log that has told nothing yet.
 func newRoomLog(logger hclog.Logger) *roomLog {
-	return &roomLog{logger: logger, toldAt: make(map[loadshed.Key]time.Time)}
+	return &roomLog{logger: logger, told: newTold[loadshed.Key](roomLogSpan)}
 }
 
 // write logs what was told of each service that is due.
 func (l *roomLog) write(message []loadshed.Measured) {
 	for _, each := range message {
 		if each.Shares.IsFull() {
-			delete(l.toldAt, each.Key)
-			l.logger.Info("room again", "service", each.Service)
+			if l.told.ends(each.Key, each.At) {
+				l.logger.Info("room again", "service", each.Service)
+			}
 			continue
 		}
-		if each.At.Sub(l.toldAt[each.Key]) < roomLogSpan {
+		if !l.told.begins(each.Key, each.At) {
 			continue
 		}
-		l.toldAt[each.Key] = each.At
 		l.logger.Warn("short of room", "service", each.Service, "shares", each.Shares.Ranks, "tenants", each.Shares.Tenants)
 	}
 }
--- /dev/null
+++ b/internal/edge/told_test.go
@@ -0,0 +1,34 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/loadshed"
+)
+
+// countingSink counts the lines of a logger.
+type countingSink struct{ lines int }
+
+func (s *countingSink) Accept(string, hclog.Level, string, ...any) { s.lines++ }
+
+// TestChangesBackAndForthAreToldOncePerSpan: twenty shortages that begin and end within two spans
+// give a line on the beginning and one on the end of at most three of them.
+func TestChangesBackAndForthAreToldOncePerSpan(t *testing.T) {
+	g := NewWithT(t)
+	sink := &countingSink{}
+	logger := hclog.NewInterceptLogger(&hclog.LoggerOptions{Level: hclog.Off})
+	logger.RegisterSink(sink)
+	log, began := newRoomLog(logger), time.Unix(100, 0)
+	short := loadshed.Shares{Ranks: []loadshed.RankShare{{Share: 0.5}}}
+	for step := range 20 {
+		at := began.Add(time.Duration(step) * roomLogSpan / 10)
+		key := loadshed.Key{Service: "a"}
+		log.write([]loadshed.Measured{{Key: key, Shares: short, At: at}})
+		log.write([]loadshed.Measured{{Key: key, At: at.Add(roomLogSpan / 20)}})
+	}
+	g.Expect(sink.lines).To(And(BeNumerically(">=", 2), BeNumerically("<=", 6)))
+}
