Hedges wait where a service is short of room

Cause: in TestOverloadServesTheSameRequestsEverywhere no slot of a server was idle from 0.6 s on, yet 0.91 to 0.94 of the capacity were useful: of some 1,216 sub-requests at each shard 52 to 78 were second ones for the same request. Whenever the shares let in a little less than servers can do, hedges filled the gap, and what was let in next waited behind them. Change: at a service that is short of room a further server is asked only after half of the time to the target. Conclusion: part of the cause. The other part is that the shares swing by a fifth around what servers can do.

--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -42,6 +42,18 @@
 	return r.runner.Room != nil && (r.admission.Share < 1 || r.admit(now).Share < 1)
 }
 
+// scarceHedgePart is the part of the time to its target for which a sub-request to a service that
+// is short of room is waited for before another server is asked: a working server that is full
+// takes up to that (pkg/fleet keeps less there), and what is asked twice takes the place of a
+// request that is refused.
+const scarceHedgePart = 0.5
+
+// isScarce reports whether the service of a part has room for only a part of the requests like
+// this one.
+func (r *run) isScarce(part *part, now time.Time) bool {
+	return r.runner.Room != nil && r.runner.Room.Board.ShareOf(r.load(part.service), r.class(), now) < 1
+}
+
 // admit decides about the request by what is known of its services at a moment.
 func (r *run) admit(now time.Time) loadshed.Decision {
 	return r.runner.Room.Board.Admit(r.plan.Services, r.regions().Key(), r.plan.Required, r.class(), r.lot, now)
--- a/pkg/fanout/admission_test.go
+++ b/pkg/fanout/admission_test.go
@@ -116,3 +116,28 @@
 		g.Expect(shares.Of(loadshed.Class{})).To(Equal(1.0))
 	})
 }
+
+// TestAScarceServiceIsNotHedgedSoon: where only a part of the requests is let in, a second server
+// is asked only after half of the time to the target, since it takes the place of another request.
+func TestAScarceServiceIsNotHedgedSoon(t *testing.T) {
+	hedgesAfter := func(g *WithT, w *world, service string, answeredAfter time.Duration) int {
+		slow := quick(service)
+		slow.Delay = answeredAfter
+		w.add(service, service+"1", slow)
+		w.add(service, service+"2", slow)
+		asked := plan(service)
+		asked.Target = time.Now().Add(400 * time.Millisecond)
+		result, _ := w.run(asked)
+		g.Expect(result.Got).To(Equal(1))
+		return result.Hedges
+	}
+	in(t, func(g *WithT, w *world) {
+		room := w.inRoom()
+		g.Expect(hedgesAfter(g, w, "wide", 190*time.Millisecond)).To(Equal(1))
+		for _, service := range []string{"short", "lost"} {
+			room.Board.Take(loadshed.Key{Service: service}, share(0.9999), time.Now())
+		}
+		g.Expect(hedgesAfter(g, w, "short", 190*time.Millisecond)).To(BeZero())
+		g.Expect(hedgesAfter(g, w, "lost", 300*time.Millisecond)).To(Equal(1))
+	})
+}
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -116,6 +116,9 @@
 	if !ok {
 		return time.Time{}
 	}
+	if r.isScarce(part, now) {
+		wait = max(wait, time.Duration(scarceHedgePart*float64(r.targetSpan())))
+	}
 	return now.Add(wait)
 }
 
