Meter: a node that asks for itself alone tells nothing

Cause: that a node had asked once on behalf of others counted for as long as its meter lived, so that shares of its own requests were told to its region as those of an owner. Ruled out: nothing else sets it. Change: it counts for shareLife after the last judgement that found such requests.

--- a/pkg/loadshed/meter.go
+++ b/pkg/loadshed/meter.go
@@ -99,8 +99,10 @@
 	capacity, asked float64
 	shares          Shares
 	demands         []Demand
-	// isForOthers says that this node asks on behalf of others.
-	isForOthers bool
+	// wasForOthers says that this node has asked on behalf of others since the last judgement,
+	// and forOthersAt is the last judgement that found so.
+	wasForOthers bool
+	forOthersAt  time.Time
 }
 
 // rate is work a second, and the work since it was averaged last.
@@ -126,7 +128,7 @@
 // Offer notes a request that was let in.
 func (m *Meter) Offer(offered Offered) {
 	class, work, share := offered.Class, offered.Work, offered.Share
-	m.isForOthers = m.isForOthers || offered.ForOthers
+	m.wasForOthers = m.wasForOthers || offered.ForOthers
 	if m.classes[class] == nil && len(m.classes) >= maxClasses {
 		class.Tenant = ""
 	}
@@ -143,6 +145,12 @@
 // Serve notes that a server has answered a request that took so much work.
 func (m *Meter) Serve(work time.Duration) { m.served += work.Seconds() }
 
+// isForOthers reports whether this node has asked on behalf of others lately, so that it sees more
+// than its own requests.
+func (m *Meter) isForOthers() bool {
+	return !m.forOthersAt.IsZero() && m.judgedAt.Sub(m.forOthersAt) <= shareLife
+}
+
 // IsDue reports whether the shares are to be judged anew.
 func (m *Meter) IsDue(now time.Time) bool { return now.Sub(m.judgedAt) >= tickSpan }
 
@@ -157,6 +165,9 @@
 	}
 	m.average(elapsed)
 	m.judgedAt = now
+	if m.wasForOthers {
+		m.forOthersAt, m.wasForOthers = now, false
+	}
 	queued := float64(backlog.Waiting) * m.meanWork
 	isWorking, isGrowing := m.servedLast > 0, queued > m.queued
 	m.queued = queued
--- a/pkg/loadshed/meter_test.go
+++ b/pkg/loadshed/meter_test.go
@@ -190,3 +190,23 @@
 		meters.Offer(loadshed.Key{Service: "shard0"}, loadshed.Offered{Class: urgent, Work: queueWork, Share: 1}, now)
 	}
 }
+
+// crowd has more waiting than can be served.
+type crowd struct{}
+
+func (crowd) Backlog(loadshed.Key, time.Time) loadshed.Backlog {
+	return loadshed.Backlog{Waiting: 50, Target: 200 * time.Millisecond}
+}
+
+// TestWhatANodeMeasuresOfItselfIsNotTold once it has not asked on behalf of others for a while.
+func TestWhatANodeMeasuresOfItselfIsNotTold(t *testing.T) {
+	g := NewWithT(t)
+	meters, now, told := loadshed.NewMeters(crowd{}, loadshed.NewBoard()), time.Unix(100, 0), time.Time{}
+	meters.Tell(func([]loadshed.Measured) { told = now })
+	began := now
+	for range 1000 {
+		meters.Offer(loadshed.Key{Service: "a"}, loadshed.Offered{Class: urgent, Work: queueWork, Share: 1, ForOthers: now.Sub(began) < time.Second}, now)
+		now = now.Add(10 * time.Millisecond)
+	}
+	g.Expect(told).To(BeTemporally("~", began.Add(2500*time.Millisecond), 300*time.Millisecond))
+}
--- a/pkg/loadshed/meters.go
+++ b/pkg/loadshed/meters.go
@@ -72,12 +72,12 @@
 	}
 	found.Judge(m.queues.Backlog(key, now), now)
 	shares, _ := found.Shares()
-	if found.isForOthers {
+	if found.isForOthers() {
 		m.board.Take(key, shares, now)
 	} else {
 		m.board.TakePartial(key, shares, now)
 	}
-	if found.isForOthers && m.tell != nil {
+	if found.isForOthers() && m.tell != nil {
 		m.tellIfChanged(now)
 	}
 }
@@ -117,7 +117,7 @@
 	}
 	isChanged, matters := false, false
 	for key, each := range m.meters {
-		if !each.isForOthers {
+		if !each.isForOthers() {
 			continue
 		}
 		shares, _ := m.of(key, now)
@@ -130,7 +130,7 @@
 	var message []Measured
 	for key, each := range m.meters {
 		shares, at := m.of(key, now)
-		if !each.isForOthers || shares.IsFull() && m.lastTold[key].IsFull() {
+		if !each.isForOthers() || shares.IsFull() && m.lastTold[key].IsFull() {
 			continue
 		}
 		message = append(message, Measured{Key: key, Shares: shares, At: at})
