Meter: what servers do is what they can do

Cause: at twice the capacity no slot was idle after the first second (20 of 20 sub-requests begin at each shard in each 100 ms), but the shares swung between 0.4 and 0.6 around the half that servers can do: while a queue was there that was not yet too long, the estimate that had grown beyond what servers do stayed, and after a fall without a queue it stayed below what they do. What was let in at a high share came late at a low one. Change: with a queue the estimate falls to what servers do, without one it is that at least, unless they are starved; 0.8 of it is let in while the queue is too long.

--- a/pkg/loadshed/meter.go
+++ b/pkg/loadshed/meter.go
@@ -44,7 +44,7 @@
 const (
 	// behindPart of what the servers do is let in while the queue is too long, so that it is
 	// served.
-	behindPart = 0.85
+	behindPart = 0.8
 	// greatestFall bounds how fast the estimated capacity falls in one judgement: answers that
 	// a lost server still owes come from the others a little later.
 	greatestFall = 0.9
@@ -218,12 +218,25 @@
 
 // growth returns by how much more is let in after a judgement without a queue.
 func (m *Meter) growth() float64 {
-	if m.calm > 1 && m.capacity < starvedPart*m.asked {
+	if m.calm > 1 && m.isStarved() {
 		return greatestGrowth
 	}
 	return min(greatestGrowth, max(probeGrowth, growthStep*float64(m.calm-probeTicks)))
 }
 
+// isStarved reports whether so little is let in that servers have mostly come back from an outage
+// if there is no queue.
+func (m *Meter) isStarved() bool { return m.capacity < starvedPart*m.asked }
+
+// leastCapacity is what servers without a queue can do at least: what they do. One that is
+// starved grows faster by itself.
+func (m *Meter) leastCapacity() float64 {
+	if m.isStarved() {
+		return leastShare * m.asked
+	}
+	return max(m.servedRate, leastShare*m.asked)
+}
+
 // limit estimates the capacity from the queue, and sets the shares by it.
 func (m *Meter) limit(elapsed float64) {
 	allowed := m.capacity
@@ -236,8 +249,12 @@
 			m.isLimited, m.capacity = true, max(m.servedRate, m.servedLast/elapsed)
 		}
 		allowed = behindPart * m.capacity
+	case m.isLimited && m.queued > 0 && m.calm == 0:
+		// With a queue the servers are busy, so what they do is all that they can do.
+		m.capacity = min(m.capacity, max(m.servedRate, greatestFall*m.capacity))
+		allowed = m.capacity
 	case m.isLimited && m.calm > 0 && m.isUsed():
-		m.capacity = max(m.capacity, leastShare*m.asked) * (1 + m.growth()*elapsed/tickSpan.Seconds())
+		m.capacity = max(m.capacity, m.leastCapacity()) * (1 + m.growth()*elapsed/tickSpan.Seconds())
 		allowed = m.capacity
 	}
 	if !m.isLimited {
