Limits: a node alone spends no burst that others may have spent

They took the tenant for being within its limit, since coordinators that had just taken over saw few requests and told a share of 1, while it had been at its limit in the same window. Change: a node takes its part of burst and room only if the tenant was not told to be at its limit for a window. Test: TestANodeAloneSpendsNoBurstThatOthersMayHaveSpent, seen to fail without the change. Conclusion: part of the cause; processes that start again still remember nothing of what their earlier run admitted.

--- a/pkg/quota/meter.go
+++ b/pkg/quota/meter.go
@@ -87,6 +87,8 @@
 
 	share  float64
 	toldAt time.Time
+	// limitedAt is when the tenant was last told to be at its limit.
+	limitedAt time.Time
 	wait   time.Duration
 	spare  float64
 	// isInDoubt says that a coordinator, of this tenant or of another one, has fallen silent and
@@ -153,12 +155,12 @@
 // goAlone begins to decide without a coordinator.
 func (m *Meter) goAlone(now time.Time) {
 	rate := m.entitlement(now)
-	m.alone = bucket{rate: rate, cap: m.savedAlone(rate), at: now}
+	m.alone = bucket{rate: rate, cap: m.savedAlone(rate, now), at: now}
 	switch {
 	case m.toldAt.IsZero() && !m.wasInTouch:
 		// All nodes may have started together, after one burst was spent already.
 		m.alone.level = min(1, (m.limit.Burst+m.bounds.room(m.limit)/2)/float64(max(1, m.nodes)))
-	case m.share >= 1:
+	case m.isWithinLimit(now):
 		// What an earlier run of the process admitted is not known.
 		age := now.Sub(m.begunAt).Seconds() / m.bounds.Window.Seconds()
 		m.alone.level = min(m.alone.cap, 1+m.alone.cap*age)
@@ -180,29 +182,36 @@
 
 // savedAlone returns how many requests the node may save up at a rate while it is out of touch. Within
 // the limit it is what a window allows: nobody has spent the burst.
-func (m *Meter) savedAlone(rate float64) float64 {
-	if m.share < 1 {
+func (m *Meter) savedAlone(rate float64, now time.Time) float64 {
+	if !m.isWithinLimit(now) {
 		return max(1, rate*aloneSpan.Seconds())
 	}
-	return max(1, m.windowAlone(rate))
+	return max(1, m.windowAlone(rate, now))
+}
+
+// isWithinLimit reports whether the tenant has been within its limit for a window: before that
+// nodes may have spent the burst and the room in the same window. A coordinator that has just
+// taken over may say so too early, since few nodes have reported to it.
+func (m *Meter) isWithinLimit(now time.Time) bool {
+	return m.share >= 1 && (m.limitedAt.IsZero() || now.Sub(m.limitedAt) > m.bounds.Window)
 }
 
 // windowAlone returns how many requests the node may admit in a window while it is out of touch. All
 // nodes together stay within the bound then, also if each of them is alone.
-func (m *Meter) windowAlone(rate float64) float64 {
+func (m *Meter) windowAlone(rate float64, now time.Time) float64 {
 	allowed := rate * m.bounds.Window.Seconds()
-	if m.share >= 1 {
+	if m.isWithinLimit(now) {
 		allowed += m.bounds.aloneExtra(m.limit, m.nodes)
 	}
 	return allowed
 }
 
 // mostAlone returns the whole requests of windowAlone, by the node's place.
-func (m *Meter) mostAlone(rate float64) int { return int(m.windowAlone(rate) + m.place) }
+func (m *Meter) mostAlone(rate float64, now time.Time) int { return int(m.windowAlone(rate, now) + m.place) }
 
 // hasRoomAlone reports whether one more request is within windowAlone.
 func (m *Meter) hasRoomAlone(rate float64, now time.Time) bool {
-	return m.lately.read(now)+1 <= float64(m.mostAlone(rate))
+	return m.lately.read(now)+1 <= float64(m.mostAlone(rate, now))
 }
 
 // entitlement returns the rate that the node may admit without the first coordinator.
@@ -256,11 +265,11 @@
 func (m *Meter) admitAlone(now time.Time) (bool, time.Duration) {
 	if m.standing != Alone {
 		m.alone.rate = m.entitlement(now)
-		m.alone.cap = m.savedAlone(m.alone.rate)
+		m.alone.cap = m.savedAlone(m.alone.rate, now)
 	}
 	m.alone.settle(now)
 	if !m.hasRoomAlone(m.alone.rate, now) {
-		return false, min(greatestAloneWait, m.lately.until(m.mostAlone(m.alone.rate), now))
+		return false, min(greatestAloneWait, m.lately.until(m.mostAlone(m.alone.rate, now), now))
 	}
 	if m.alone.level >= 1 {
 		m.alone.level--
@@ -318,6 +327,9 @@
 // Tell takes what the coordinator says.
 func (m *Meter) Tell(verdict Verdict, now time.Time) {
 	m.share, m.wait, m.toldAt = verdict.Share, verdict.Wait, now
+	if verdict.Share < 1 {
+		m.limitedAt = now
+	}
 	if verdict.IsFirst {
 		m.spare, m.hasSpare = verdict.Spare, true
 	}
--- a/pkg/quota/meter_test.go
+++ b/pkg/quota/meter_test.go
@@ -215,3 +215,29 @@
 	g.Expect(admittedAlone(10 * time.Millisecond)).To(Equal(1))
 	g.Expect(admittedAlone(bounds.Window)).To(BeNumerically(">", 25))
 }
+
+// TestANodeAloneSpendsNoBurstThatOthersMayHaveSpent: the tenant was at its limit a moment ago, and a
+// coordinator that has just taken over does not know of it.
+func TestANodeAloneSpendsNoBurstThatOthersMayHaveSpent(t *testing.T) {
+	g := NewWithT(t)
+	limit := route.RateLimit{PerSecond: 10, Burst: 10}
+	// admittedAlone returns what a node of six admits in a window, alone for a second after it was told that the
+	// tenant is within its limit again, which it had been for a span.
+	admittedAlone := func(span time.Duration) (admitted int) {
+		meter := quota.NewMeter("caller", limit, bounds, 6, true, start)
+		meter.SetStanding(quota.WithFirst, start)
+		meter.Tell(quota.Verdict{Share: 0.25, Spare: 0, IsFirst: true}, start.Add(time.Minute))
+		now := start.Add(time.Minute + span)
+		meter.Tell(quota.Verdict{Share: 1, Spare: limit.PerSecond / 6, IsFirst: true}, now)
+		meter.SetStanding(quota.Alone, now)
+		for range 250 {
+			if meter.Admit(now.String(), now).IsAdmitted {
+				admitted++
+			}
+			now = now.Add(20 * time.Millisecond)
+		}
+		return admitted
+	}
+	g.Expect(admittedAlone(time.Second)).To(BeNumerically("<=", 9), "its entitlement of a window")
+	g.Expect(admittedAlone(10 * time.Second)).To(BeNumerically(">", 9))
+}
