Quarantine: a trial without the ledger that reached no server is given back

Cause: a trial that a node makes by itself while the ledger is away was told to all nodes, but its holder did not know its number, so that giving it back did nothing. Two nodes whose trials reached no server left the request quarantined at all nodes for a minute. Ruled out: removing the ledger's note of that number; the node did not claim it, another one may have. Change: the trial keeps its note; giving it back tells the other nodes and lets this node make its one trial again. Figures: TestATrialWithoutTheStoreThatReachedNoServerIsMadeAgain fails before (quarantined in place of suspect) and passes after; go test and go test -race of pkg/quarantine, go test of pkg/fanout pass. Conclusion: only trials that asked a server count.

--- a/pkg/quarantine/teller_test.go
+++ b/pkg/quarantine/teller_test.go
@@ -142,6 +142,27 @@
 	})
 }
 
+// TestATrialWithoutTheStoreThatReachedNoServerIsMadeAgain, by the same node and by others: what
+// asked no server says nothing of the request.
+func TestATrialWithoutTheStoreThatReachedNoServerIsMadeAgain(t *testing.T) {
+	inTouch(t, 3, func(g *WithT, w *world, _ *links) {
+		w.ledger.setBroken(true)
+		w.lost.Store(true)
+		w.end(w.guards[0], deadly, "a", "b", "c")
+		time.Sleep(soon)
+		for _, number := range []int{0, 1, 0, 1} {
+			trial := w.guards[number].ClaimTrial(context.Background(), deadly)
+			g.Expect(trial).NotTo(BeNil())
+			time.Sleep(soon)
+			trial.GiveBack()
+			time.Sleep(soon)
+			for _, guard := range w.guards {
+				g.Expect(guard.Standing(deadly)).To(Equal(quarantine.Suspect))
+			}
+		}
+	})
+}
+
 // TestServersThatEndedAtSeveralNodesAddUp within tenths of a second, without the store.
 func TestServersThatEndedAtSeveralNodesAddUp(t *testing.T) {
 	inTouch(t, 3, func(g *WithT, w *world, _ *links) {
--- a/pkg/quarantine/trial.go
+++ b/pkg/quarantine/trial.go
@@ -11,6 +11,8 @@
 type Trial struct {
 	guard *Guard
 	note  Note
+	// isAlone says that it was made without the ledger, which does not hold its note.
+	isAlone bool
 }
 
 // ClaimTrial returns leave to try a suspect request, or nil if none is left, or if the ledger
@@ -63,7 +65,7 @@
 	known.noteTrial(note.Trial, now)
 	g.tellOther(News{Note: note, At: now})
 	g.changed(fingerprint, before, now)
-	return &Trial{guard: g}
+	return &Trial{guard: g, note: note, isAlone: true}
 }
 
 // noteTrial takes that a trial was made, by this node if it was claimed here.
@@ -89,7 +91,7 @@
 // GiveBack ends a trial in which nothing reached a server: it may be made again. It does
 // nothing for nil.
 func (t *Trial) GiveBack() {
-	if t == nil || t.note.Trial == 0 {
+	if t == nil {
 		return
 	}
 	g := t.guard
@@ -99,9 +101,14 @@
 		now := time.Now()
 		before := known.standing(now)
 		delete(known.trials, t.note.Trial)
+		known.isAlone = known.isAlone && !t.isAlone
 		g.tellOther(News{Note: t.note, IsGone: true, At: now})
 		g.changed(t.note.Fingerprint, before, now)
 	}
+	if t.isAlone {
+		// If the ledger holds a note of this number, another node may have claimed it there.
+		return
+	}
 	g.removals = append(g.removals, t.note)
 	g.signal()
 }
