Quarantine: what was heard is written if the node that told it does not

Cause: an end that another node told counted as kept in the store for good. Two nodes that found three ended servers each within the delay of writing counted on each other, and none wrote; the same followed when the node that told it ended before it wrote. Nodes that started later never learned of it. Ruled out: to write own ends whatever was heard; in the ordinary case each node that saw an end would call the store. Change: nodes that heard give the one that told 3 to 13 s, each another span; what the store does not show by then they write. While the store is out of reach, and after a call that failed, the time begins anew, so that a returning store is called by the node that told alone. Conclusion: the store gets what nodes know, with no more calls in the ordinary case.

--- a/pkg/quarantine/news.go
+++ b/pkg/quarantine/news.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/bramblemast/bramblemast/pkg/exchange"
@@ -29,8 +30,17 @@
 // nor call the Guard, whose mutex is held. TellNews is called before the Guard is used.
 func (g *Guard) TellNews(tell func(News)) { g.tell = tell }
 
+// Times after which a node writes what it has heard, if the store does not hold it by then. The node
+// that told it has ended, or counts on what it heard itself.
+const (
+	// heardDelay is several times what a note takes to the store and back.
+	heardDelay = 3 * time.Second
+	// heardSpread lets one node write it and most of the others learn that before their turn.
+	heardSpread = 10 * time.Second
+)
+
 // Hear takes what another node has found out, and reports whether it was new here. What was
-// heard is not written to the store: the node that told it does that.
+// heard is left to the node that told it to write to the store, for heardDelay and more.
 func (g *Guard) Hear(news News, now time.Time) bool {
 	if now.Sub(news.At) > maxNewsAge {
 		return false
@@ -52,11 +62,52 @@
 	if news.IsGone && g.records[fingerprint] == nil {
 		return false
 	}
-	isNew := g.record(fingerprint, now).hear(news, now)
+	known := g.record(fingerprint, now)
+	isNew := known.hear(news, now)
+	if isNew && news.Note.Trial == 0 {
+		g.wait(fingerprint, known)
+	}
 	g.changed(fingerprint, before, now)
 	return isNew
 }
 
+// wait gives the nodes that told of ends time to write them. The mutex is held.
+func (g *Guard) wait(fingerprint exchange.Fingerprint, known *record) {
+	if known.isWaiting {
+		return
+	}
+	known.isWaiting = true
+	time.AfterFunc(heardDelay+rand.N(heardSpread), func() { g.endWait(fingerprint, known) })
+}
+
+// endWait writes what was heard and is not in the store. While that is out of reach, other nodes
+// cannot write either, and are given the same time again.
+func (g *Guard) endWait(fingerprint exchange.Fingerprint, known *record) {
+	isLost := g.options.LedgerLost()
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.records[fingerprint] != known {
+		return
+	}
+	known.isWaiting = false
+	if isLost {
+		g.wait(fingerprint, known)
+	} else if known.hasUnwritten() {
+		g.signal()
+	}
+}
+
+// waitAgain does so after a call that did not reach the store. The mutex is not held.
+func (g *Guard) waitAgain(notes []Note) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for _, note := range notes {
+		if known := g.records[note.Fingerprint]; known != nil && known.ends[note.Server] != nil && known.ends[note.Server].isHeard {
+			g.wait(note.Fingerprint, known)
+		}
+	}
+}
+
 // mostEndsTold bounds the servers of one request that nodes tell each other of: where a trial may be made
 // depends on which have ended, and a request of many shards ends one of each.
 const mostEndsTold = 64
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -19,6 +19,8 @@
 	nextTrialAt time.Time
 	// isAlone says that this node made a trial without the ledger.
 	isAlone bool
+	// isWaiting says that the nodes that told of ends are given time to write them.
+	isWaiting bool
 	// expiresAt is put off by every server that ends.
 	expiresAt time.Time
 }
@@ -32,7 +34,7 @@
 	isConfirmed bool
 	isWritten   bool
 	// isTold says that other nodes were told directly, and isHeard that one of them told it,
-	// which writes it to the store too.
+	// which writes it to the store too, unless it has enough others.
 	isTold  bool
 	isHeard bool
 }
@@ -40,12 +42,12 @@
 // hasEnded reports whether the server itself ended, rather than its connection alone.
 func (e *end) hasEnded() bool { return e.isConfirmed }
 
-// isKept reports whether the store holds it, or another node sees to that.
-func (e *end) isKept() bool { return e.isWritten || e.isHeard }
-
 // isKnownToOthers reports whether other nodes were told of it directly.
 func (e *end) isKnownToOthers() bool { return e.isTold }
 
+// isKept reports whether the store holds an end, or another node is given time to see to that.
+func (r *record) isKept(e *end) bool { return e.isWritten || e.isHeard && r.isWaiting }
+
 func newRecord(now time.Time) *record {
 	return &record{ends: make(map[fleet.Incarnation]*end), trials: make(map[int]bool), expiresAt: now.Add(lifetime)}
 }
@@ -157,10 +159,10 @@
 func (r *record) unwritten(fingerprint exchange.Fingerprint) []Note {
 	var notes []Note
 	for _, name := range r.servers() {
-		if r.count((*end).isKept)+len(notes) >= SuspectAfter {
+		if r.count(r.isKept)+len(notes) >= SuspectAfter {
 			break
 		}
-		if !r.ends[name].isKept() {
+		if !r.isKept(r.ends[name]) {
 			notes = append(notes, Note{Fingerprint: fingerprint, Server: name})
 		}
 	}
--- a/pkg/quarantine/teller_test.go
+++ b/pkg/quarantine/teller_test.go
@@ -195,6 +195,53 @@
 	})
 }
 
+// TestWhatSeveralNodesFoundAtOnceIsWritten: each hears of the others' ends before it writes its own.
+func TestWhatSeveralNodesFoundAtOnceIsWritten(t *testing.T) {
+	inTouch(t, 12, func(g *WithT, w *world, _ *links) {
+		w.end(w.guards[0], deadly, "a")
+		w.end(w.guards[1], deadly, "d")
+		time.Sleep(10 * time.Millisecond)
+		w.end(w.guards[0], deadly, "b", "c")
+		w.end(w.guards[1], deadly, "e", "f")
+		time.Sleep(15 * time.Second)
+		g.Expect(len(w.ledger.held())).To(BeNumerically(">=", quarantine.SuspectAfter), "nodes that start later learn of it")
+		g.Expect(w.ledger.count()).To(BeNumerically("<=", 2), "one node writes it for all")
+	})
+}
+
+// TestWhatANodeToldThatEndsIsWrittenByAnother.
+func TestWhatANodeToldThatEndsIsWrittenByAnother(t *testing.T) {
+	inTouch(t, 4, func(g *WithT, w *world, between *links) {
+		sender := link{links: between, address: "ended"}
+		for _, server := range []string{"a", "b", "c"} {
+			message := &quarantinepb.News{Notes: []*quarantinepb.Note{{Fingerprint: deadly[:], Server: server}}}
+			for number := range w.guards {
+				g.Expect(sender.Call(context.Background(), address(number), "", message, nil)).To(Succeed())
+			}
+		}
+		time.Sleep(2 * time.Second)
+		g.Expect(w.ledger.count()).To(BeZero(), "the node that told it has time to write it")
+		time.Sleep(15 * time.Second)
+		g.Expect(w.ledger.held()).To(HaveLen(3))
+		g.Expect(w.ledger.count()).To(Equal(1))
+	})
+}
+
+// TestTheReturningStoreIsCalledByTheNodeThatTold alone, also after it was away for long.
+func TestTheReturningStoreIsCalledByTheNodeThatTold(t *testing.T) {
+	inTouch(t, 12, func(g *WithT, w *world, _ *links) {
+		w.ledger.setBroken(true)
+		w.lost.Store(true)
+		w.end(w.guards[0], deadly, "a", "b", "c")
+		time.Sleep(time.Minute)
+		w.ledger.setBroken(false)
+		w.lost.Store(false)
+		time.Sleep(news)
+		g.Expect(w.ledger.held()).To(HaveLen(3))
+		g.Expect(w.ledger.count()).To(BeNumerically("<=", 3))
+	})
+}
+
 // TestNothingIsToldWhileNothingEnds, nor of what is answered soon.
 func TestNothingIsToldWhileNothingEnds(t *testing.T) {
 	inTouch(t, 3, func(g *WithT, w *world, between *links) {
--- a/pkg/quarantine/world_test.go
+++ b/pkg/quarantine/world_test.go
@@ -84,6 +84,12 @@
 	return maps.Clone(l.notes)
 }
 
+func (l *ledger) count() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.calls
+}
+
 func (l *ledger) setBroken(broken bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/pkg/quarantine/write.go
+++ b/pkg/quarantine/write.go
@@ -87,6 +87,7 @@
 	}
 	if err := g.options.Ledger.AddNotes(limited, additions); err != nil {
 		g.options.Events.LedgerFailed("add notes", err)
+		g.waitAgain(additions)
 		return err
 	}
 	g.noteWritten(additions)
