Quarantine: an answer that is known from the store alone clears the request

Cause: the store holds three ends of a request, nodes know more of them directly. A node that lost the direct news of the answer forgot the three when their notes went, and stayed suspect with the rest for up to ten minutes; it could write them to the store again. Ruled out: to forget all with the first note that goes; notes go in several calls, and one that is still there would come as new. Change: with the last written end that goes, a record forgets the others too. Notes of ends go only when a request was answered, is too old or was removed by an operator. Conclusion: all nodes clear it within the age of the store's news.

--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -42,6 +42,9 @@
 // hasEnded reports whether the server itself ended, rather than its connection alone.
 func (e *end) hasEnded() bool { return e.isConfirmed }
 
+// isStored reports whether the store holds it.
+func (e *end) isStored() bool { return e.isWritten }
+
 // isKnownToOthers reports whether other nodes were told of it directly.
 func (e *end) isKnownToOthers() bool { return e.isTold }
 
@@ -84,13 +87,19 @@
 	r.add(note.Server, true, now).isWritten = true
 }
 
+// forget takes that a note is gone from the store. Its ends go when a request was answered or is too
+// old, which holds for those too that the store was not told: with the last one all are forgotten.
 func (r *record) forget(note Note) {
 	if note.Trial > 0 {
 		delete(r.trials, note.Trial)
 		return
 	}
-	if known := r.ends[note.Server]; known != nil && known.isWritten {
-		delete(r.ends, note.Server)
+	if known := r.ends[note.Server]; known == nil || !known.isWritten {
+		return
+	}
+	delete(r.ends, note.Server)
+	if r.count((*end).isStored) == 0 {
+		clear(r.ends)
 	}
 }
 
--- a/pkg/quarantine/teller_test.go
+++ b/pkg/quarantine/teller_test.go
@@ -242,6 +242,26 @@
 	})
 }
 
+// TestAnAnswerKnownFromTheStoreAloneClears what was told directly too, beyond what the store held.
+func TestAnAnswerKnownFromTheStoreAloneClears(t *testing.T) {
+	inTouch(t, 3, func(g *WithT, w *world, between *links) {
+		w.end(w.guards[0], deadly, "a", "b", "c", "d", "e", "f", "g", "h")
+		time.Sleep(news)
+		g.Expect(w.guards[2].Servers(deadly)).To(HaveLen(8))
+		between.setDelivery(func(to peer.Address) (int, time.Duration) {
+			if to == address(2) {
+				return 0, 0
+			}
+			return 1, 0
+		})
+		w.guards[1].NoteServed(deadly, time.Now())
+		time.Sleep(news)
+		g.Expect(w.guards[2].Standing(deadly)).To(Equal(quarantine.Clear))
+		time.Sleep(time.Minute)
+		g.Expect(w.ledger.held()).To(BeEmpty(), "nothing is written again")
+	})
+}
+
 // TestNothingIsToldWhileNothingEnds, nor of what is answered soon.
 func TestNothingIsToldWhileNothingEnds(t *testing.T) {
 	inTouch(t, 3, func(g *WithT, w *world, between *links) {
