Quarantine: notes of requests that found no room are removed in the end

Cause: a node remembers 1,024 requests; those dropped for want of room left their notes in the store, and where all nodes dropped one nobody removed them: growth there was not bounded. Ruled out: to remove them at once; that clears the request at nodes that still remember it. Conclusion: the store holds a bounded number of notes for each node.

--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -42,9 +42,6 @@
 	// noteDelay is how long a server's end is kept back from the store, since most requests
 	// that met one are answered by another server within a few tenths of a second.
 	noteDelay = 300 * time.Millisecond
-	// maxRecords bounds the requests that are remembered: one crash of a server leaves as
-	// many as it had requests of this node.
-	maxRecords = 1024
 )
 
 // Standing is what is known of a request.
@@ -109,6 +106,8 @@
 	// removals are notes that are to be removed, and disputed those that are so soon.
 	removals []Note
 	disputed map[Note]bool
+	// leftover are notes of requests that were forgotten for want of room, and when they go.
+	leftover map[Note]time.Time
 }
 
 // New returns a Guard that knows of no request.
@@ -116,6 +115,7 @@
 	return &Guard{
 		options: options, served: newServed(), work: make(chan struct{}, 1), records: make(map[exchange.Fingerprint]*record),
 		ended: make(map[fleet.Incarnation]time.Time), probed: make(map[fleet.Incarnation]bool), disputed: make(map[Note]bool),
+		leftover: make(map[Note]time.Time),
 	}
 }
 
@@ -229,6 +229,7 @@
 	}
 	if isGone {
 		delete(g.disputed, note)
+		delete(g.leftover, note)
 	}
 	if isGone && g.records[note.Fingerprint] == nil {
 		return
@@ -259,6 +260,7 @@
 			g.signal()
 		}
 	}
+	g.sweepLeftover(now)
 }
 
 // record returns the record of a request, and makes it if there is none. The mutex is held.
@@ -273,22 +275,6 @@
 	return known
 }
 
-// makeRoom forgets some request, if there are too many: one that is not suspect, unless all
-// are. The mutex is held.
-func (g *Guard) makeRoom(now time.Time) {
-	if len(g.records) < maxRecords {
-		return
-	}
-	var chosen exchange.Fingerprint
-	for fingerprint, known := range g.records {
-		chosen = fingerprint
-		if known.standing(now) <= Doubtful {
-			break
-		}
-	}
-	g.drop(chosen)
-}
-
 // drop forgets a request. The mutex is held.
 func (g *Guard) drop(fingerprint exchange.Fingerprint) {
 	delete(g.records, fingerprint)
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -222,6 +222,30 @@
 	})
 }
 
+// TestNotesOfRequestsThatFoundNoRoomAreRemoved in the end: nothing stays in the ledger for good.
+func TestNotesOfRequestsThatFoundNoRoomAreRemoved(t *testing.T) {
+	in(t, 2, func(g *WithT, w *world) {
+		w.noteMany(3000, 1)
+		time.Sleep(news)
+		g.Expect(len(w.ledger.held())).To(Equal(3000), "other nodes may need them for as long as any")
+		time.Sleep(15 * time.Minute)
+		for _, guard := range w.guards {
+			guard.Sweep(time.Now())
+		}
+		time.Sleep(time.Minute)
+		g.Expect(w.ledger.held()).To(BeEmpty())
+	})
+}
+
+// TestTheLedgerIsBoundedUnderFarTooManyRequests.
+func TestTheLedgerIsBoundedUnderFarTooManyRequests(t *testing.T) {
+	in(t, 1, func(g *WithT, w *world) {
+		w.noteMany(4000, 3)
+		time.Sleep(5 * time.Minute)
+		g.Expect(len(w.ledger.held())).To(BeNumerically("<=", (1024+1024+512)*3))
+	})
+}
+
 // TestAServerThatStartsAgainEndsAsOftenAsItDoes: a request that ended three processes of one
 // server is suspect, and what a later process did not end under is not held against it.
 func TestAServerThatStartsAgainEndsAsOftenAsItDoes(t *testing.T) {
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -180,6 +180,12 @@
 
 func (r *record) hasUnwritten() bool { return len(r.unwritten(exchange.Fingerprint{})) > 0 }
 
+// holds reports whether a note is among those that the store holds.
+func (r *record) holds(note Note) bool {
+	known := r.ends[note.Server]
+	return r.trials[note.Trial] || known != nil && known.isWritten
+}
+
 // written returns the notes that the store holds.
 func (r *record) written(fingerprint exchange.Fingerprint) []Note {
 	var notes []Note
--- a/pkg/quarantine/world_test.go
+++ b/pkg/quarantine/world_test.go
@@ -149,6 +149,19 @@
 	synctest.Wait()
 }
 
+// noteMany notes servers that ended under many requests in the ledger, as other nodes do.
+func (w *world) noteMany(requests, servers int) {
+	for number := range requests {
+		var notes []quarantine.Note
+		for server := range servers {
+			notes = append(notes, quarantine.Note{
+				Fingerprint: exchange.Fingerprint{7, byte(number), byte(number >> 8)}, Server: fleet.Incarnation{ID: string(rune('a' + server))},
+			})
+		}
+		_ = w.ledger.AddNotes(context.Background(), notes)
+	}
+}
+
 var deadly, other = exchange.Fingerprint{1}, exchange.Fingerprint{2}
 
 // news is longer than a node takes to write what it found.
