Quarantine: an answer at the moment of news clears the request

Cause: whether a request was answered lately was looked up before the mutex was taken, and NoteServed takes no mutex while no request is remembered. A request that was answered in between got a record nevertheless and was suspect for ten minutes. Change: what records something raises the count of records first and then looks whether the request was answered; an answer is noted first and then looks at the count. One of the two sees the other. NoteBroken, LearnEnded, Learn and Hear do it the same way. Conclusion: the order of an answer and of news does not matter.

--- a/pkg/quarantine/news.go
+++ b/pkg/quarantine/news.go
@@ -46,15 +46,13 @@
 		return false
 	}
 	fingerprint := news.Note.Fingerprint
-	if g.served.has(fingerprint, now) {
+	isServed := g.lock(fingerprint, now)
+	defer g.unlock()
+	if isServed {
 		return false
 	}
 	if news.isAnswer() {
 		g.served.add(fingerprint, now)
-	}
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	if news.isAnswer() {
 		g.clear(fingerprint, now)
 		return true
 	}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -89,7 +89,8 @@
 	options Options
 	// served are the requests that were answered lately.
 	served *served
-	// known is the number of records, so that nothing is spent while there are none.
+	// known is the number of records, and one more while one may be made, so that nothing is spent
+	// while there are none.
 	known atomic.Int64
 	// work has an element while there is something to write.
 	work chan struct{}
@@ -157,11 +158,11 @@
 // if the request would be suspect, else after noteDelay, when most have been answered. A
 // request that was answered lately is not what ends servers.
 func (g *Guard) NoteBroken(fingerprint exchange.Fingerprint, server fleet.Incarnation, address string, now time.Time) {
-	if g.served.has(fingerprint, now) {
+	isServed := g.lock(fingerprint, now)
+	defer g.unlock()
+	if isServed {
 		return
 	}
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
 	_, hasEnded := g.ended[server]
 	before := g.standing(fingerprint, now)
 	known := g.record(fingerprint, now)
@@ -175,11 +176,14 @@
 
 // LearnEnded takes the servers that another node has seen end under a request.
 func (g *Guard) LearnEnded(fingerprint exchange.Fingerprint, servers []fleet.Incarnation, now time.Time) {
-	if len(servers) == 0 || g.served.has(fingerprint, now) {
+	if len(servers) == 0 {
+		return
+	}
+	isServed := g.lock(fingerprint, now)
+	defer g.unlock()
+	if isServed {
 		return
 	}
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
 	before := g.standing(fingerprint, now)
 	known := g.record(fingerprint, now)
 	for _, server := range servers {
@@ -220,10 +224,9 @@
 // Learn takes a note of the store, or that it is gone. One on a request that was answered
 // here lately is removed: the node that wrote it had not seen that.
 func (g *Guard) Learn(note Note, isGone bool, now time.Time) {
-	isServed := !isGone && g.served.has(note.Fingerprint, now)
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	if isServed {
+	isServed := g.lock(note.Fingerprint, now)
+	defer g.unlock()
+	if isServed && !isGone {
 		g.dispute(note)
 		return
 	}
@@ -244,6 +247,21 @@
 	g.changed(note.Fingerprint, before, now)
 }
 
+// lock takes the mutex to record something of a request, and reports whether it was answered
+// lately. The guard is not idle from before that look on, so that NoteServed, which looks at both the
+// other way round, waits and clears what is recorded.
+func (g *Guard) lock(fingerprint exchange.Fingerprint, now time.Time) (isServed bool) {
+	g.mutex.Lock()
+	g.known.Add(1)
+	return g.served.has(fingerprint, now)
+}
+
+// unlock ends what lock began.
+func (g *Guard) unlock() {
+	g.known.Add(-1)
+	g.mutex.Unlock()
+}
+
 // Sweep forgets what is old.
 func (g *Guard) Sweep(now time.Time) {
 	g.mutex.Lock()
--- /dev/null
+++ b/pkg/quarantine/served_race_test.go
@@ -0,0 +1,52 @@
+package quarantine_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/exchange/exchangetest"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/quarantine"
+)
+
+// TestAnAnswerAtTheMomentOfNewsClears: whichever comes first, a request that was answered is not
+// suspect, though the guard was idle when the answer came.
+func TestAnAnswerAtTheMomentOfNewsClears(t *testing.T) {
+	const rounds = 20_000
+	servers := []fleet.Incarnation{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+	ways := map[string]func(*quarantine.Guard, exchange.Fingerprint, fleet.Incarnation){
+		"owner": func(guard *quarantine.Guard, request exchange.Fingerprint, server fleet.Incarnation) {
+			guard.LearnEnded(request, []fleet.Incarnation{server}, time.Now())
+		},
+		"store": func(guard *quarantine.Guard, request exchange.Fingerprint, server fleet.Incarnation) {
+			guard.Learn(quarantine.Note{Fingerprint: request, Server: server}, false, time.Now())
+		},
+		"node": func(guard *quarantine.Guard, request exchange.Fingerprint, server fleet.Incarnation) {
+			guard.Hear(quarantine.News{Note: quarantine.Note{Fingerprint: request, Server: server}, At: time.Now()}, time.Now())
+		},
+	}
+	for name, note := range ways {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			guard := quarantine.New(quarantine.Options{
+				Ledger: &ledger{}, LedgerLost: func() bool { return true }, Dialer: exchangetest.NewNetwork(), Events: &recorder{},
+			})
+			for round := range rounds {
+				request := exchange.Fingerprint{byte(round), byte(round >> 8), 1}
+				var both sync.WaitGroup
+				both.Go(func() {
+					for _, server := range servers {
+						note(guard, request, server)
+					}
+				})
+				both.Go(func() { guard.NoteServed(request, time.Now()) })
+				both.Wait()
+				g.Expect(guard.IsIdle()).To(BeTrue())
+			}
+		})
+	}
+}
