Quarantine: ended servers that find no room to be told are told later

Cause: news beyond 1,024 that wait was dropped without a count, and the end stayed marked as told: while the store is away the other nodes never learned of it. Ruled out: more room; a crash leaves as many as a node had requests. Trials and answers that find no room are known from the store, as before. Figures: TestEndsThatFindNoRoomAreToldLater fails before (clear in place of suspect) and passes after; TestThousandsOfSuspectRequestsAreToldInBoundedMessages holds as it was. go test and go test -race of pkg/quarantine, go test of pkg/fanout and internal/edge pass. Conclusion: a crowd of suspect requests is told whole, in bounded messages.

--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -54,6 +54,7 @@
 		_, heard := n.teller.Counts()
 		return heard
 	})
+	n.figures.count64("suspect_notes_refused_total", "Times that a note for other nodes found no room to wait: ends are told later, the rest by the store.", n.teller.Refused)
 }
 
 // addressesOf returns where nodes are told something.
--- a/pkg/quarantine/news.go
+++ b/pkg/quarantine/news.go
@@ -26,9 +26,9 @@
 // stood still in a suspended process meanwhile is known from the store.
 const maxNewsAge = 10 * time.Second
 
-// TellNews sets the function that takes what this node finds out. The function must neither block
-// nor call the Guard, whose mutex is held. TellNews is called before the Guard is used.
-func (g *Guard) TellNews(tell func(News)) { g.tell = tell }
+// TellNews sets the function that takes what this node finds out, and reports whether it had room for
+// it; a server that ended is told again otherwise. The function must neither block nor call the Guard, whose mutex is held. TellNews is called before the Guard is used.
+func (g *Guard) TellNews(tell func(News) bool) { g.tell = tell }
 
 // Times after which a node writes what it has heard, if the store does not hold it by then. The node
 // that told it has ended, or counts on what it heard itself.
@@ -119,9 +119,15 @@
 		if known.count((*end).isKnownToOthers) >= mostEndsTold {
 			return
 		}
-		if each := known.ends[name]; !each.isTold {
-			each.isTold = true
-			g.tell(News{Note: Note{Fingerprint: fingerprint, Server: name}, At: each.at})
+		each := known.ends[name]
+		if each.isTold {
+			continue
+		}
+		each.isTold = g.tell(News{Note: Note{Fingerprint: fingerprint, Server: name}, At: each.at})
+		if !each.isTold {
+			// Run tells it again, once some of what waits has gone.
+			g.signal()
+			return
 		}
 	}
 }
@@ -136,7 +142,8 @@
 	}
 }
 
-// tellOther tells of a trial or an answer. The mutex is held.
+// tellOther tells of a trial or an answer. What finds no room the others learn from the store. The
+// mutex is held.
 func (g *Guard) tellOther(news News) {
 	if g.tell != nil {
 		g.tell(news)
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -94,8 +94,9 @@
 	known atomic.Int64
 	// work has an element while there is something to write.
 	work chan struct{}
-	// tell takes what other nodes are told directly; nil if there is no way to them.
-	tell func(News)
+	// tell takes what other nodes are told directly, false if it has no room; nil if there is no way
+	// to them.
+	tell func(News) bool
 
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
--- a/pkg/quarantine/teller.go
+++ b/pkg/quarantine/teller.go
@@ -29,7 +29,7 @@
 	mostTold = 24
 	toldOn   = 4
 	// maxNews bounds the notes of one message, and maxWaiting those that wait for one: a crash
-	// leaves as many as it had requests, and what finds no room is told by the store.
+	// leaves as many as it had requests. Ends that find no room are told later, the rest by the store.
 	maxNews    = 64
 	maxWaiting = 1024
 	// newsPause is the least time between two messages to the same nodes: what is found within
@@ -53,8 +53,8 @@
 	// wake has an element while news waits; slots bounds the messages under way.
 	wake  chan struct{}
 	slots chan struct{}
-	// told and heard count notes.
-	told, heard atomic.Uint64
+	// told and heard count notes, and refused those that found no room to wait.
+	told, heard, refused atomic.Uint64
 
 	mutex sync.Mutex
 	// others are the addresses of the other nodes, guarded by mutex.
@@ -83,14 +83,20 @@
 // Counts returns how many notes were told and heard.
 func (t *Teller) Counts() (told, heard uint64) { return t.told.Load(), t.heard.Load() }
 
-// put keeps what this node has found out until Run tells it.
-func (t *Teller) put(news News) {
+// Refused returns how often a note found no room to wait until it is told.
+func (t *Teller) Refused() uint64 { return t.refused.Load() }
+
+// put keeps what this node has found out until Run tells it; false if too much waits.
+func (t *Teller) put(news News) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if len(t.found) < maxWaiting {
-		t.found = append(t.found, news)
-	}
 	t.signal()
+	if len(t.found) >= maxWaiting {
+		t.refused.Add(1)
+		return false
+	}
+	t.found = append(t.found, news)
+	return true
 }
 
 // pass keeps what another node told until Run tells it on, where that node could not tell all.
--- a/pkg/quarantine/teller_test.go
+++ b/pkg/quarantine/teller_test.go
@@ -342,6 +342,23 @@
 	})
 }
 
+// TestEndsThatFindNoRoomAreToldLater: a crash leaves more at once than may wait, and the store is away.
+func TestEndsThatFindNoRoomAreToldLater(t *testing.T) {
+	inTouch(t, 2, func(g *WithT, w *world, _ *links) {
+		w.ledger.setBroken(true)
+		w.lost.Store(true)
+		var requests []exchange.Fingerprint
+		for number := range 1000 {
+			requests = append(requests, exchange.Fingerprint{3, byte(number), byte(number >> 8)})
+			w.guards[0].LearnEnded(requests[number], []fleet.Incarnation{{ID: "a"}, {ID: "b"}, {ID: "c"}}, time.Now())
+		}
+		time.Sleep(3 * time.Second)
+		for _, request := range requests {
+			g.Expect(w.guards[1].Standing(request)).To(Equal(quarantine.Suspect))
+		}
+	})
+}
+
 // TestManyNodesTellEachOtherOn: one node tells few, and nearly all hear of it within a moment.
 func TestManyNodesTellEachOtherOn(t *testing.T) {
 	const count = 300
