--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -42,9 +42,6 @@
 	// noteDelay is how long a server's end is kept back from the store, since most requests
 	// that met one are answered by another server within a few tenths of a second.
 	noteDelay = 300 * time.Millisecond
-	// maxRecords bounds the requests that are remembered: one crash of a server leaves as
-	// many as it had requests of this node.
-	maxRecords = 1024
 )
 
 // Standing is what is known of a request.
@@ -92,12 +89,14 @@
 	options Options
 	// served are the requests that were answered lately.
 	served *served
-	// known is the number of records, so that nothing is spent while there are none.
+	// known is the number of records, and one more while one may be made, so that nothing is spent
+	// while there are none.
 	known atomic.Int64
 	// work has an element while there is something to write.
 	work chan struct{}
-	// tell takes what other nodes are told directly; nil if there is no way to them.
-	tell func(News)
+	// tell takes what other nodes are told directly, false if it has no room; nil if there is no way
+	// to them.
+	tell func(News) bool
 
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
@@ -109,6 +108,8 @@
 	// removals are notes that are to be removed, and disputed those that are so soon.
 	removals []Note
 	disputed map[Note]bool
+	// leftover are notes of requests that were forgotten for want of room, and when they go.
+	leftover map[Note]time.Time
 }
 
 // New returns a Guard that knows of no request.
@@ -116,6 +117,7 @@
 	return &Guard{
 		options: options, served: newServed(), work: make(chan struct{}, 1), records: make(map[exchange.Fingerprint]*record),
 		ended: make(map[fleet.Incarnation]time.Time), probed: make(map[fleet.Incarnation]bool), disputed: make(map[Note]bool),
+		leftover: make(map[Note]time.Time),
 	}
 }
 
@@ -157,11 +159,11 @@
 // if the request would be suspect, else after noteDelay, when most have been answered. A
 // request that was answered lately is not what ends servers.
 func (g *Guard) NoteBroken(fingerprint exchange.Fingerprint, server fleet.Incarnation, address string, now time.Time) {
-	if g.served.has(fingerprint, now) {
+	isServed := g.lock(fingerprint, now)
+	defer g.unlock()
+	if isServed {
 		return
 	}
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
 	_, hasEnded := g.ended[server]
 	before := g.standing(fingerprint, now)
 	known := g.record(fingerprint, now)
@@ -175,11 +177,14 @@
 
 // LearnEnded takes the servers that another node has seen end under a request.
 func (g *Guard) LearnEnded(fingerprint exchange.Fingerprint, servers []fleet.Incarnation, now time.Time) {
-	if len(servers) == 0 || g.served.has(fingerprint, now) {
+	if len(servers) == 0 {
+		return
+	}
+	isServed := g.lock(fingerprint, now)
+	defer g.unlock()
+	if isServed {
 		return
 	}
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
 	before := g.standing(fingerprint, now)
 	known := g.record(fingerprint, now)
 	for _, server := range servers {
@@ -220,15 +225,15 @@
 // Learn takes a note of the store, or that it is gone. One on a request that was answered
 // here lately is removed: the node that wrote it had not seen that.
 func (g *Guard) Learn(note Note, isGone bool, now time.Time) {
-	isServed := !isGone && g.served.has(note.Fingerprint, now)
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	if isServed {
+	isServed := g.lock(note.Fingerprint, now)
+	defer g.unlock()
+	if isServed && !isGone {
 		g.dispute(note)
 		return
 	}
 	if isGone {
 		delete(g.disputed, note)
+		delete(g.leftover, note)
 	}
 	if isGone && g.records[note.Fingerprint] == nil {
 		return
@@ -243,6 +248,21 @@
 	g.changed(note.Fingerprint, before, now)
 }
 
+// lock takes the mutex to record something of a request, and reports whether it was answered
+// lately. The guard is not idle from before that look on, so that NoteServed, which looks at both the
+// other way round, waits and clears what is recorded.
+func (g *Guard) lock(fingerprint exchange.Fingerprint, now time.Time) (isServed bool) {
+	g.mutex.Lock()
+	g.known.Add(1)
+	return g.served.has(fingerprint, now)
+}
+
+// unlock ends what lock began.
+func (g *Guard) unlock() {
+	g.known.Add(-1)
+	g.mutex.Unlock()
+}
+
 // Sweep forgets what is old.
 func (g *Guard) Sweep(now time.Time) {
 	g.mutex.Lock()
@@ -259,6 +279,7 @@
 			g.signal()
 		}
 	}
+	g.sweepLeftover(now)
 }
 
 // record returns the record of a request, and makes it if there is none. The mutex is held.
@@ -273,22 +294,6 @@
 	return known
 }
 
-// makeRoom forgets some request, if there are too many: one that is not suspect, unless all
-// are. The mutex is held.
-func (g *Guard) makeRoom(now time.Time) {
-	if len(g.records) < maxRecords {
-		return
-	}
-	var chosen exchange.Fingerprint
-	for fingerprint, known := range g.records {
-		chosen = fingerprint
-		if known.standing(now) <= Doubtful {
-			break
-		}
-	}
-	g.drop(chosen)
-}
-
 // drop forgets a request. The mutex is held.
 func (g *Guard) drop(fingerprint exchange.Fingerprint) {
 	delete(g.records, fingerprint)
--- a/pkg/quarantine/teller_test.go
+++ b/pkg/quarantine/teller_test.go
@@ -142,6 +142,27 @@
 	})
 }
 
+// TestATrialWithoutTheStoreThatReachedNoServerIsMadeAgain, by the same node and by others: what
+// asked no server says nothing of the request.
+func TestATrialWithoutTheStoreThatReachedNoServerIsMadeAgain(t *testing.T) {
+	inTouch(t, 3, func(g *WithT, w *world, _ *links) {
+		w.ledger.setBroken(true)
+		w.lost.Store(true)
+		w.end(w.guards[0], deadly, "a", "b", "c")
+		time.Sleep(soon)
+		for _, number := range []int{0, 1, 0, 1} {
+			trial := w.guards[number].ClaimTrial(context.Background(), deadly)
+			g.Expect(trial).NotTo(BeNil())
+			time.Sleep(soon)
+			trial.GiveBack()
+			time.Sleep(soon)
+			for _, guard := range w.guards {
+				g.Expect(guard.Standing(deadly)).To(Equal(quarantine.Suspect))
+			}
+		}
+	})
+}
+
 // TestServersThatEndedAtSeveralNodesAddUp within tenths of a second, without the store.
 func TestServersThatEndedAtSeveralNodesAddUp(t *testing.T) {
 	inTouch(t, 3, func(g *WithT, w *world, _ *links) {
@@ -174,6 +195,73 @@
 	})
 }
 
+// TestWhatSeveralNodesFoundAtOnceIsWritten: each hears of the others' ends before it writes its own.
+func TestWhatSeveralNodesFoundAtOnceIsWritten(t *testing.T) {
+	inTouch(t, 12, func(g *WithT, w *world, _ *links) {
+		w.end(w.guards[0], deadly, "a")
+		w.end(w.guards[1], deadly, "d")
+		time.Sleep(10 * time.Millisecond)
+		w.end(w.guards[0], deadly, "b", "c")
+		w.end(w.guards[1], deadly, "e", "f")
+		time.Sleep(15 * time.Second)
+		g.Expect(len(w.ledger.held())).To(BeNumerically(">=", quarantine.SuspectAfter), "nodes that start later learn of it")
+		g.Expect(w.ledger.count()).To(BeNumerically("<=", 2), "one node writes it for all")
+	})
+}
+
+// TestWhatANodeToldThatEndsIsWrittenByAnother.
+func TestWhatANodeToldThatEndsIsWrittenByAnother(t *testing.T) {
+	inTouch(t, 4, func(g *WithT, w *world, between *links) {
+		sender := link{links: between, address: "ended"}
+		for _, server := range []string{"a", "b", "c"} {
+			message := &quarantinepb.News{Notes: []*quarantinepb.Note{{Fingerprint: deadly[:], Server: server}}}
+			for number := range w.guards {
+				g.Expect(sender.Call(context.Background(), address(number), "", message, nil)).To(Succeed())
+			}
+		}
+		time.Sleep(2 * time.Second)
+		g.Expect(w.ledger.count()).To(BeZero(), "the node that told it has time to write it")
+		time.Sleep(15 * time.Second)
+		g.Expect(w.ledger.held()).To(HaveLen(3))
+		g.Expect(w.ledger.count()).To(Equal(1))
+	})
+}
+
+// TestTheReturningStoreIsCalledByTheNodeThatTold alone, also after it was away for long.
+func TestTheReturningStoreIsCalledByTheNodeThatTold(t *testing.T) {
+	inTouch(t, 12, func(g *WithT, w *world, _ *links) {
+		w.ledger.setBroken(true)
+		w.lost.Store(true)
+		w.end(w.guards[0], deadly, "a", "b", "c")
+		time.Sleep(time.Minute)
+		w.ledger.setBroken(false)
+		w.lost.Store(false)
+		time.Sleep(news)
+		g.Expect(w.ledger.held()).To(HaveLen(3))
+		g.Expect(w.ledger.count()).To(BeNumerically("<=", 3))
+	})
+}
+
+// TestAnAnswerKnownFromTheStoreAloneClears what was told directly too, beyond what the store held.
+func TestAnAnswerKnownFromTheStoreAloneClears(t *testing.T) {
+	inTouch(t, 3, func(g *WithT, w *world, between *links) {
+		w.end(w.guards[0], deadly, "a", "b", "c", "d", "e", "f", "g", "h")
+		time.Sleep(news)
+		g.Expect(w.guards[2].Servers(deadly)).To(HaveLen(8))
+		between.setDelivery(func(to peer.Address) (int, time.Duration) {
+			if to == address(2) {
+				return 0, 0
+			}
+			return 1, 0
+		})
+		w.guards[1].NoteServed(deadly, time.Now())
+		time.Sleep(news)
+		g.Expect(w.guards[2].Standing(deadly)).To(Equal(quarantine.Clear))
+		time.Sleep(time.Minute)
+		g.Expect(w.ledger.held()).To(BeEmpty(), "nothing is written again")
+	})
+}
+
 // TestNothingIsToldWhileNothingEnds, nor of what is answered soon.
 func TestNothingIsToldWhileNothingEnds(t *testing.T) {
 	inTouch(t, 3, func(g *WithT, w *world, between *links) {
@@ -254,6 +342,23 @@
 	})
 }
 
+// TestEndsThatFindNoRoomAreToldLater: a crash leaves more at once than may wait, and the store is away.
+func TestEndsThatFindNoRoomAreToldLater(t *testing.T) {
+	inTouch(t, 2, func(g *WithT, w *world, _ *links) {
+		w.ledger.setBroken(true)
+		w.lost.Store(true)
+		var requests []exchange.Fingerprint
+		for number := range 1000 {
+			requests = append(requests, exchange.Fingerprint{3, byte(number), byte(number >> 8)})
+			w.guards[0].LearnEnded(requests[number], []fleet.Incarnation{{ID: "a"}, {ID: "b"}, {ID: "c"}}, time.Now())
+		}
+		time.Sleep(3 * time.Second)
+		for _, request := range requests {
+			g.Expect(w.guards[1].Standing(request)).To(Equal(quarantine.Suspect))
+		}
+	})
+}
+
 // TestManyNodesTellEachOtherOn: one node tells few, and nearly all hear of it within a moment.
 func TestManyNodesTellEachOtherOn(t *testing.T) {
 	const count = 300
