A spared part stays with its owner

Cause: once another part had failed, the parts that a request had left to others were taken from their owners (the question was dropped), although these were still answering. The question counts as one server, so that a part of a route with one attempt was closed at once, and one with more attempts had a second server asked and paid for.

Change: a part whose owner is under way stays with it. Where the route allows a further server, the owner is given the time of a report; then this node asks one itself, as it does for an owner that is silent.

Ruled out: a hedge beside the question (a part would be closed, or asked a third time, when one of the two fails); never asking oneself (an owner lets such a part wait behind all others).

Figures: three owners, two parts required, one attempt: 1 part before, 2 after 20 ms now. Two attempts and an owner that answers in time: 1 sub-request paid for before, none now. Both tests were seen to fail without the change; the case "never" of the second passes with and without it and guards that the owner is helped. go test and go test -race of pkg/fanout, go test of pkg/owner and internal/front pass.

--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -101,7 +101,9 @@
 }
 
 // takeBackSpared asks the services that were left to others after all, once the request cannot
-// be answered without them any more.
+// be answered without them any more. An owner that is still answering has a server at work or
+// waits for one: it keeps the part, and is given the time of a report before this node asks a
+// further server.
 func (r *run) takeBackSpared() {
 	if r.spared == 0 || r.plan.Collect != nil || r.got+r.open-r.missingSpared() >= r.plan.Required {
 		return
@@ -112,13 +114,28 @@
 		part := &r.parts[index]
 		wasSpared := part.spared
 		part.spared = false
-		if wasSpared && part.answer == nil && !part.closed && len(part.live) == 0 {
-			part.question = nil
+		if !wasSpared || part.answer != nil || part.closed || len(part.live) > 0 {
+			continue
+		}
+		if part.question == nil {
 			r.retry(index, now)
+		} else if part.executions < r.plan.MaxAttempts {
+			part.hedgeAt = now.Add(r.reportWithin(now))
 		}
 	}
 }
 
+// askBeside asks the servers of a part itself that its owner was given time for. What the owner
+// reports later is still taken.
+func (r *run) askBeside(index int, now time.Time) {
+	part := &r.parts[index]
+	if part.executions >= r.plan.MaxAttempts {
+		return
+	}
+	part.question = nil
+	r.retry(index, now)
+}
+
 // missingSpared counts the open parts without an answer that are left to others.
 func (r *run) missingSpared() int {
 	count := 0
--- a/pkg/fanout/owners.go
+++ b/pkg/fanout/owners.go
@@ -347,10 +347,8 @@
 		asked.silentAt, asked.result = time.Time{}, "silent"
 		asked.pending.Silent()
 		for _, index := range asked.indexes {
-			part := &r.parts[index]
-			if part.question == asked && part.answer == nil && part.executions < r.plan.MaxAttempts {
-				part.question = nil
-				r.retry(index, now)
+			if part := &r.parts[index]; part.question == asked && part.answer == nil {
+				r.askBeside(index, now)
 			}
 		}
 	}
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -195,6 +195,8 @@
 		}
 		due.hedgeAt = time.Time{}
 		switch {
+		case due.question != nil:
+			r.askBeside(index, now)
 		case due.unpaid:
 			r.retry(index, now)
 		case !due.idleSince.IsZero():
--- /dev/null
+++ b/pkg/fanout/spared_test.go
@@ -0,0 +1,111 @@
+package fanout_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange"
+	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/loadshed"
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// told is what an owner reports, and when.
+type told struct {
+	after  time.Duration
+	report fanout.Report
+}
+
+// scriptedOwners give each service an owner of its own, which is named like it and reports what
+// the test says.
+type scriptedOwners map[string][]told
+
+func (s scriptedOwners) Divide(services []string, _ route.Regions) []fanout.Group {
+	var groups []fanout.Group
+	for index, service := range services {
+		groups = append(groups, fanout.Group{Owner: service, Indexes: []int{index}})
+	}
+	return groups
+}
+
+func (s scriptedOwners) Ask(question fanout.Question, report func(fanout.Report)) fanout.Pending {
+	for _, each := range s[question.Owner] {
+		time.AfterFunc(each.after, func() { report(each.report) })
+	}
+	return ignored{}
+}
+
+// ignored is a question whose owner does what it does.
+type ignored struct{}
+
+func (ignored) Cancel()     {}
+func (ignored) Silent()     {}
+func (ignored) Grant([]int) {}
+
+func answeredBy(owner string) fanout.Report {
+	answer := &exchange.Response{Status: 200, Evidence: owner, Body: []byte("x")}
+	return fanout.Report{Ended: true, Answers: map[int]*exchange.Response{0: answer}}
+}
+
+func failed(isNotRun bool) fanout.Report {
+	return fanout.Report{Ended: true, Failures: map[int]fanout.OwnerFailure{0: {Cause: errors.New("failed"), NotRun: isNotRun}}}
+}
+
+// leaveToOthers makes a service short of room, so that requests that have enough without it leave
+// it to others.
+func (w *world) leaveToOthers(service string) {
+	w.runner.Room = fanout.NewRoom(w.fleet)
+	w.runner.Room.Board.Take(loadshed.Key{Service: service}, share(0), time.Now())
+}
+
+// TestASparedPartStaysWithItsOwner once another part has failed: the one server that may run the
+// request is at work for the owner.
+func TestASparedPartStaysWithItsOwner(t *testing.T) {
+	in(t, func(g *WithT, w *world) {
+		w.add("a", "a1", quick("a"))
+		w.runner.Owners = scriptedOwners{
+			"a": {{20 * time.Millisecond, answeredBy("a")}},
+			"b": {{5 * time.Millisecond, failed(false)}},
+			"c": {{2 * time.Millisecond, answeredBy("c")}},
+		}
+		w.leaveToOthers("a")
+		asked := plan("a", "b", "c")
+		asked.MaxAttempts = 1
+		result, took := w.run(asked)
+		g.Expect(result.Got).To(Equal(2))
+		g.Expect(took).To(Equal(20 * time.Millisecond))
+		g.Expect(w.arrivals("a1")).To(BeZero())
+	})
+}
+
+// TestAnOwnerHasTimeForASparedPart before a second server is asked and paid for; one that does not
+// get it then is helped.
+func TestAnOwnerHasTimeForASparedPart(t *testing.T) {
+	for name, expected := range map[string]struct {
+		answer       []told
+		spent, asked int
+	}{
+		"in time": {[]told{{120 * time.Millisecond, answeredBy("a")}}, 0, 0},
+		"never":   {[]told{{120 * time.Millisecond, fanout.Report{}}}, 1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			in(t, func(g *WithT, w *world) {
+				w.add("a", "a1", quick("a"))
+				w.runner.Owners = scriptedOwners{
+					"a": append([]told{{60 * time.Millisecond, fanout.Report{}}}, expected.answer...),
+					"b": {{5 * time.Millisecond, failed(true)}},
+					"c": {{2 * time.Millisecond, answeredBy("c")}},
+				}
+				w.leaveToOthers("a")
+				result, took := w.run(plan("a", "b", "c"))
+				g.Expect(result.Got).To(Equal(2))
+				g.Expect(took).To(BeNumerically("<", 150*time.Millisecond))
+				g.Expect(w.budget.spent).To(Equal(expected.spent))
+				g.Expect(w.arrivals("a1")).To(Equal(expected.asked))
+			})
+		})
+	}
+}
