Refused requests take no turn of an owner

Cause: Run divided the services among their owners before it asked whether the request is refused or kept back. The division counts a question for an owner that has just returned after it was late again: it gets one within 500 ms until one is answered in time. Under overload most of these went to requests that were then refused and asked nobody.

Change: services are divided where the questions are sent. A request that is kept back looks for no owners; its parts are counted in no load, as before.

Figures: five refused requests divided five times before, never now; a suspect one once before, never now. Both tests were seen to fail without the change, and the second without the flag that keeps its parts out of the load. go test and -race of pkg/fanout, go test of pkg/owner and internal/front pass.

--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -152,7 +152,7 @@
 // the rest cannot be judged.
 func (r *run) noteOffered(index int, now time.Time) {
 	part := &r.parts[index]
-	isForOwner := len(r.groups) > 0 && !part.owned
+	isForOwner := (len(r.groups) > 0 || r.isKeptFromOwners) && !part.owned
 	if r.runner.Room == nil || isForOwner || part.spared {
 		return
 	}
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -223,7 +223,6 @@
 // Run asks the services of a plan. It returns as soon as the answer is final.
 func (r *Runner) Run(ctx context.Context, plan Plan, request *exchange.Request) Result {
 	run := newRun(r, plan, request)
-	run.divide()
 	if reason := run.refusedBecause(); reason != "" {
 		return run.refusal(reason)
 	}
--- a/pkg/fanout/owners.go
+++ b/pkg/fanout/owners.go
@@ -151,8 +151,10 @@
 		return
 	}
 	if r.isKeptBack() {
+		r.isKeptFromOwners = true
 		return
 	}
+	r.divide()
 	for _, group := range r.groups {
 		if group.Owner != "" {
 			r.ask(group, now)
@@ -164,7 +166,8 @@
 	}
 }
 
-// divide finds the owners of the plan's services.
+// divide finds the owners of the plan's services. Only a request that is sent on to them divides:
+// an owner that has just returned gets one at a time, and waits for what came of it.
 func (r *run) divide() {
 	if r.plan.Collect == nil && r.runner.Owners != nil && r.plan.Repeatable {
 		r.groups = r.runner.Owners.Divide(r.plan.Services, r.regions())
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -68,8 +68,10 @@
 	coveredAt time.Time
 	recheckAt time.Time
 	// groups are the services with an owner, and admission by what the request was let in.
-	groups    []Group
-	admission loadshed.Decision
+	// isKeptFromOwners says that none was looked for, since the request is kept back.
+	groups           []Group
+	isKeptFromOwners bool
+	admission        loadshed.Decision
 	// spared counts the parts that are left to others.
 	spared int
 	// work is what one part takes of a server.
