A replaced owner is asked at once

Cause: what is known of a lost owner was dropped only when a trial of an owner was due, which can be 30 s after the node was replaced by a process at another address. Requests look at the name alone.

Change: the roster drops it when it takes the list of nodes. An owner that is listed as it was stays left out. The look at the next trial stays, since a question to the node before may still end later.

Ruled out: a wake of Client.Run by the list, which would reach the roster later and through one more type.

Figures: the new test was seen to fail without the call. go test and -race of pkg/owner, go test of pkg/fanout and internal/front pass.

Conclusion: mended.

--- a/pkg/owner/absence.go
+++ b/pkg/owner/absence.go
@@ -120,6 +120,16 @@
 	leeway time.Duration
 }
 
+// forgetReplaced forgets the nodes that are not known as they were: another process under the same
+// name, at another address, has lost nothing yet.
+func (a absences) forgetReplaced(known map[string]directory.Node) {
+	for name, each := range a {
+		if known[name] != each.node {
+			delete(a, name)
+		}
+	}
+}
+
 // due returns the nodes to try now, and when the next one is due; zero for none. It forgets what
 // does not count any more, and the nodes that are not known as they were.
 func (a absences) due(known map[string]directory.Node, now time.Time) ([]trial, time.Time) {
--- a/pkg/owner/absence_test.go
+++ b/pkg/owner/absence_test.go
@@ -197,3 +197,20 @@
 	o.absences.due(map[string]directory.Node{"owner": {Name: "owner", PeerAddress: "another"}}, o.now)
 	g.Expect(o.absences.takes("owner", o.now)).To(BeTrue())
 }
+
+// TestAReplacedNodeIsAskedAtOnce, however long the one before it was to rest; one that is listed
+// again as it was stays left out.
+func TestAReplacedNodeIsAskedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	roster := NewRoster(directory.Node{Name: "local", Zone: "zone"}, nil, nil)
+	lost := directory.Node{Name: "owner", Zone: "zone", PeerAddress: "one"}
+	roster.SetNodes([]directory.Node{lost})
+	g.Expect(roster.leave(lost, leewayInTest, now, now)).To(BeTrue())
+	roster.SetNodes([]directory.Node{lost})
+	g.Expect(roster.absences.takes(lost.Name, now)).To(BeFalse())
+	replaced := lost
+	replaced.PeerAddress = "another"
+	roster.SetNodes([]directory.Node{replaced})
+	g.Expect(roster.absences.takes(lost.Name, now)).To(BeTrue())
+}
--- a/pkg/owner/roster.go
+++ b/pkg/owner/roster.go
@@ -100,6 +100,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.byName, r.byZone = byName, byZone
+	r.absences.forgetReplaced(byName)
 	clear(r.layouts)
 }
 
