Limits: a report that waited is made

Cause: a report to a coordinator is put off while a call to it is under way. Only the end of a call that carried counts asked for a report, not that of a question whether the coordinator answers.

Change: each call asks for a report when it ends. A report sends only what is new.

Ruled out: a note at the link that a report was put off; the look over the meters that it saves is made for each request anyway, and the link may be another one by then.

--- a/pkg/quota/reports.go
+++ b/pkg/quota/reports.go
@@ -74,10 +74,9 @@
 		} else if err == nil {
 			l.takeTold(ctx, name, decodeVerdicts(answer), now)
 		}
-		if len(told) > 0 {
-			// Requests may have come while the call was under way.
-			l.requestReport()
-		}
+		// Requests may have come while the call was under way, also while it only asked whether
+		// the coordinator answers.
+		l.requestReport()
 	})
 }
 
--- /dev/null
+++ b/pkg/quota/unreported_test.go
@@ -0,0 +1,35 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// TestTheLastRequestBeforeAPauseIsReported, also if its report fell into a question whether the
+// coordinator answers: meters whose counts were not told are not forgotten.
+func TestTheLastRequestBeforeAPauseIsReported(t *testing.T) {
+	const rounds = 30
+	limits := make(map[string]route.RateLimit)
+	for number := range rounds {
+		limits[fmt.Sprint("tenant-", number)] = route.RateLimit{PerSecond: 5, Burst: 5}
+	}
+	kept := 0
+	simulate(t, 4, limits, func(d *deployment) {
+		for round := range rounds {
+			for index := range d.nodes {
+				d.ask(index, fmt.Sprint("tenant-", round), fmt.Sprint("request ", round, index))
+				time.Sleep(7 * time.Millisecond)
+			}
+			time.Sleep(100*time.Second + time.Duration(round)*17*time.Millisecond)
+			for _, node := range d.nodes {
+				kept += node.limiter.Tenants()
+			}
+		}
+	})
+	NewWithT(t).Expect(kept).To(BeZero())
+}
