Limits: a tenant that loses its limit is told to be within it

Cause: the account of a tenant that was at its limit is deleted when the configuration has no limit of it any more, or no such tenant, without the event that ends what the log said.

Change: the event goes out first, with the figures of the limit that it had.

Conclusion: mended.

--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -37,7 +37,8 @@
 type Events interface {
 	// AtLimit tells that a tenant that this node coordinates has come to its limit.
 	AtLimit(tenant string, verdict Verdict, figures Figures)
-	// BelowLimit tells that it is within its limit again, after a span.
+	// BelowLimit tells that it is within its limit again, after a span; also if it has lost the
+	// limit that the figures name.
 	BelowLimit(tenant string, figures Figures, span time.Duration)
 	// CoordinatorLost and CoordinatorRegained tell of nodes that this one reports to.
 	CoordinatorLost(name string, cause error)
--- a/pkg/quota/verdicts.go
+++ b/pkg/quota/verdicts.go
@@ -67,6 +67,7 @@
 		}
 		limit, isKnown := l.options.LimitOf(tenant)
 		if !isKnown || !limit.IsBound() {
+			l.options.Events.BelowLimit(tenant, kept.account.Figures(now), now.Sub(kept.limitedAt))
 			delete(l.accounts, tenant)
 			continue
 		}
