Lots: as many counts as are needed

Cause: a node counts in 1,024 slots how often the same was asked in ten seconds, two tries each. From a few hundred different requests a second on most slots were full within seconds, so that a second try drew by its new id, and repeating at once gained.

Change: where more is counted, there are 8,192 or 65,536 counts (a byte each), eight for each counted request; the next span begins with as many as the last one needed. Requests that ask the same need one. A step forgets what was counted, so that of many that ask the same up to six have one lot in place of two.

Ruled out: keeping the counts in a step (each would stand in eight slots, and a third of all would be taken); a map, which costs several times the memory.

Two requests a second hold 1 KiB as before. That test and TestLotsHoldNoMoreThanTheyNeed were seen to fail before; TestManyThatAskTheSameDrawForThemselves guards the new steps and passes on the old code too. go test and -race of pkg/loadshed, go test of pkg/fanout pass.

--- a/pkg/loadshed/lots.go
+++ b/pkg/loadshed/lots.go
@@ -12,9 +12,18 @@
 	// one span mostly, and nobody is unlucky for as long as an overload lasts.
 	lotSpan = 10 * time.Second
 	// mostTries is how many requests that ask the same are taken for tries of one client
-	// within a lotSpan at one node; lotSlots bounds what is counted.
+	// within a lotSpan at one node.
 	mostTries = 2
-	lotSlots  = 1024
+	// leastLotSlots is how many counts a node holds: 1 KiB, since small nodes have few requests
+	// and little memory. mostLotSlots bounds them at 64 KiB.
+	leastLotSlots = 1 << 10
+	mostLotSlots  = 1 << 16
+	// lotSlotGrowth times as many are taken at once when they are too few: each step forgets
+	// the counts, so that there are to be few.
+	lotSlotGrowth = 8
+	// lotSlotsPerTry is how many there are for each counted request, so that few share a count
+	// with another one.
+	lotSlotsPerTry = 8
 )
 
 // Lots draws the lots of requests. Tries of one client that ask the same draw the same, so
@@ -22,9 +31,12 @@
 // otherwise all of them would be let in or none. It is safe for concurrent use.
 type Lots struct {
 	mutex sync.Mutex
-	// span numbers the current lotSpan, seen counts the requests in it; guarded by mutex.
-	span uint64
-	seen [lotSlots]uint8
+	// The fields below are guarded by mutex.
+	// span numbers the current lotSpan, seen counts the requests in it by what they ask, up to
+	// mostTries, and counted is how many were counted in it.
+	span    uint64
+	seen    []uint8
+	counted int
 }
 
 // Draw returns the lot of a request from hashes of what it asks and of its id.
@@ -32,17 +44,33 @@
 	span := uint64(now.UnixNano()) / uint64(lotSpan)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if span != l.span {
-		l.span, l.seen = span, [lotSlots]uint8{}
+	if span != l.span || l.seen == nil {
+		l.seen = make([]uint8, slotsFor(l.counted))
+		l.span, l.counted = span, 0
 	}
-	count := &l.seen[asked%lotSlots]
+	count := &l.seen[asked%uint64(len(l.seen))]
 	if *count >= mostTries {
 		return id
 	}
 	*count++
+	l.counted++
+	if needed := slotsFor(l.counted); needed > len(l.seen) {
+		// What was counted is forgotten: a client's next try draws the same lot all the more,
+		// and of many that ask the same mostTries more do.
+		l.seen = make([]uint8, needed)
+	}
 	return mix(asked, span)
 }
 
+// slotsFor returns how many counts are held for a number of counted requests in a span.
+func slotsFor(counted int) int {
+	slots := leastLotSlots
+	for slots < mostLotSlots && slots < lotSlotsPerTry*counted {
+		slots *= lotSlotGrowth
+	}
+	return slots
+}
+
 // mix spreads a hash and the number of a span over all lots (the finalizer of MurmurHash3).
 func mix(hash, span uint64) uint64 {
 	hash ^= span * 0x9e3779b97f4a7c15
