--- a/pkg/fanout/owners.go
+++ b/pkg/fanout/owners.go
@@ -151,8 +151,10 @@
 		return
 	}
 	if r.isKeptBack() {
+		r.isKeptFromOwners = true
 		return
 	}
+	r.divide()
 	for _, group := range r.groups {
 		if group.Owner != "" {
 			r.ask(group, now)
@@ -164,7 +166,8 @@
 	}
 }
 
-// divide finds the owners of the plan's services.
+// divide finds the owners of the plan's services. Only a request that is sent on to them divides:
+// an owner that has just returned gets one at a time, and waits for what came of it.
 func (r *run) divide() {
 	if r.plan.Collect == nil && r.runner.Owners != nil && r.plan.Repeatable {
 		r.groups = r.runner.Owners.Divide(r.plan.Services, r.regions())
@@ -347,10 +350,8 @@
 		asked.silentAt, asked.result = time.Time{}, "silent"
 		asked.pending.Silent()
 		for _, index := range asked.indexes {
-			part := &r.parts[index]
-			if part.question == asked && part.answer == nil && part.executions < r.plan.MaxAttempts {
-				part.question = nil
-				r.retry(index, now)
+			if part := &r.parts[index]; part.question == asked && part.answer == nil {
+				r.askBeside(index, now)
 			}
 		}
 	}
