--- a/pkg/quota/meter.go
+++ b/pkg/quota/meter.go
@@ -89,8 +89,8 @@
 	toldAt time.Time
 	// limitedAt is when the tenant was last told to be at its limit.
 	limitedAt time.Time
-	wait   time.Duration
-	spare  float64
+	wait      time.Duration
+	spare     float64
 	// isInDoubt says that a coordinator, of this tenant or of another one, has fallen silent and
 	// none has answered since.
 	isInDoubt bool
@@ -207,7 +207,9 @@
 }
 
 // mostAlone returns the whole requests of windowAlone, by the node's place.
-func (m *Meter) mostAlone(rate float64, now time.Time) int { return int(m.windowAlone(rate, now) + m.place) }
+func (m *Meter) mostAlone(rate float64, now time.Time) int {
+	return int(m.windowAlone(rate, now) + m.place)
+}
 
 // hasRoomAlone reports whether one more request is within windowAlone.
 func (m *Meter) hasRoomAlone(rate float64, now time.Time) bool {
