Limits: a coordinator without a configuration coordinates nothing

Ruled out: the part of nodes alone (they had a coordinator); an answer without that tenant (the node would go on reporting to a coordinator that cannot count for it). Change: a node without a configuration that has tenants answers reports with an error, so that the others turn to the next coordinator. Conclusion: deployments without tenants are not touched: nobody reports there.

--- a/pkg/quota/reports.go
+++ b/pkg/quota/reports.go
@@ -97,6 +97,9 @@
 	if err := message.UnmarshalVT(body); err != nil {
 		return nil, errors.Wrap(err, "decode report")
 	}
+	if !l.options.IsNeeded() {
+		return nil, errNoLimitsKnown
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.noteContact(string(from))
@@ -108,6 +111,10 @@
 	return encodeVerdicts(l.take(string(from), decodeUses(message), l.heardAt)), nil
 }
 
+// errNoLimitsKnown answers a node that takes this one for a coordinator: it has just started, or its
+// configuration has no tenants, so that it would tell a share of 1 whatever is asked.
+var errNoLimitsKnown = errors.New("no configuration with tenants is known here")
+
 // usedMuch returns the verdicts on some tenants that use much of their limits, for a node that asks
 // whether this one answers. The caller holds the mutex.
 func (l *Limiter) usedMuch(now time.Time) map[string]Verdict {
--- a/pkg/quota/simulation_test.go
+++ b/pkg/quota/simulation_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,6 +46,8 @@
 	limiter *quota.Limiter
 	stop    context.CancelFunc
 	ended   chan struct{}
+	// hasNoTable says that the node knows no configuration yet.
+	hasNoTable atomic.Bool
 }
 
 // quiet takes no note of events.
@@ -102,9 +105,9 @@
 			d.mutex.Lock()
 			defer d.mutex.Unlock()
 			found, isKnown := d.limits[tenant]
-			return found, isKnown
+			return found, isKnown && !node.hasNoTable.Load()
 		},
-		IsNeeded: func() bool { return true },
+		IsNeeded: func() bool { return !node.hasNoTable.Load() },
 		Start:    d.random.Uint64(),
 	})
 	node.stop, node.ended = cancel, make(chan struct{})
--- /dev/null
+++ b/pkg/quota/starting_test.go
@@ -0,0 +1,36 @@
+package quota_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// TestACoordinatorThatKnowsNoConfigurationLetsNothingIn: the first coordinator of a tenant at twelve
+// times its usual starts again and has no configuration for two seconds, while others report to it.
+func TestACoordinatorThatKnowsNoConfigurationLetsNothingIn(t *testing.T) {
+	for tenant, limit := range tenants() {
+		t.Run(tenant, func(t *testing.T) {
+			t.Parallel()
+			most := 0
+			simulate(t, 67, tenants(), func(d *deployment) {
+				usual := limit.PerSecond / 1.6
+				coordinator := d.coordinatorOf(tenant)
+				others := d.skewed(tenant, 12*usual)
+				others.weights[coordinator] = 0
+				d.run(6*time.Second, others)
+				d.nodes[coordinator].hasNoTable.Store(true)
+				d.kill(coordinator)
+				d.start(coordinator)
+				d.nodes[coordinator].limiter.SetNodes(d.list())
+				d.run(2*time.Second, others)
+				d.nodes[coordinator].hasNoTable.Store(false)
+				d.run(8*time.Second, others)
+				most = d.mostInWindow(tenant)
+			})
+			t.Logf("at most %d in 5 s, allowed %.0f", most, limitOf(limit))
+			NewWithT(t).Expect(float64(most)).To(BeNumerically("<=", limitOf(limit)))
+		})
+	}
+}
