Tests of limits: five simulations at once

Ruled out: a leak of the limiter: without the race detector the package takes a fraction of that. Change: at most five simulations run at once. No test and no expectation changes.

--- a/pkg/quota/simulation_test.go
+++ b/pkg/quota/simulation_test.go
@@ -84,8 +84,16 @@
 	})
 }
 
+// playedAtOnce bounds the simulations that run together: under the race detector one of 67 nodes takes
+// more than a gigabyte, and tests that run in parallel are as many as there are processors.
+const playedAtOnce = 5
+
+var playing = make(chan struct{}, playedAtOnce)
+
 // play runs body under virtual time. A benchmark has none of its own: it runs in that of a test.
 func play(t testing.TB, body func()) {
+	playing <- struct{}{}
+	defer func() { <-playing }()
 	if test, isTest := t.(*testing.T); isTest {
 		synctest.Test(test, func(*testing.T) { body() })
 		return
