Tests of queries: the truth is changed under its lock

Cause: the spec "starts anew on the newest version when the pinned one is retired" set a server's script from its own goroutine without world.mutex, 3 ms into the query, while a sub-request sent at that moment read the same map. Ruled out: a race of the product. Both sides of the report are the test's: execute_test.go (write) and world.Do (read), seen in three reports. Change: setScript and addGroup take the mutex. What the specs expect is as it was. Conclusion: the failure is the spec's and is mended.

--- a/pkg/query/execute_test.go
+++ b/pkg/query/execute_test.go
@@ -153,7 +153,7 @@
 			b.world.mutex.Unlock()
 			b.world.addGroup("quick", 1, []target.Version{2}, keyspace.Split(2)[0])
 			b.world.addGroup("slow", 1, []target.Version{2}, keyspace.Split(2)[1])
-			b.world.scripts["s001"] = after(20*time.Millisecond, b.world.respond)
+			b.world.setScript("s001", after(20*time.Millisecond, b.world.respond))
 			b.world.refresh()
 		}()
 		var versions []target.Version
--- a/pkg/query/world_test.go
+++ b/pkg/query/world_test.go
@@ -81,6 +81,8 @@
 
 // addGroup adds replicas that hold the ranges at the versions.
 func (w *world) addGroup(group string, replicas int, versions []target.Version, ranges ...keyspace.Range) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
 	for range replicas {
 		server := &catalog.Server{
 			ID: target.ServerID(fmt.Sprintf("s%03d", len(w.servers))), Service: service, Group: group, Weight: 1,
@@ -96,6 +98,13 @@
 	}
 }
 
+// setScript replaces the behaviour of a server while requests run.
+func (w *world) setScript(server target.ServerID, behaviour script) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.scripts[server] = behaviour
+}
+
 // refresh shows the truth in the catalog.
 func (w *world) refresh() {
 	w.mutex.Lock()
