--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -241,7 +241,7 @@
 	n.owners = owner.NewClient(n.state.roster, n.transport, n.known.Board, ownerEvents{node: n})
 	n.openAnnouncer()
 	n.openTeller()
-	if settings.Bounds.QuotaWindowSeconds > 0 {
+	if settings.Bounds.LimitWindowSeconds > 0 {
 		n.limits = newLimits(n, settings, n.transport)
 		n.state.limits = n.limits
 	}
@@ -250,7 +250,7 @@
 
 // peerConnections returns the bound on the connections to other nodes.
 func peerConnections(settings *Settings) int {
-	if settings.Bounds.QuotaWindowSeconds > 0 {
+	if settings.Bounds.LimitWindowSeconds > 0 {
 		return maxPeerConnections + quotaPeerConnections
 	}
 	return maxPeerConnections
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -94,12 +94,12 @@
 	// serve on with the keys that they know.
 	RefuseUnconfirmedKeys bool `json:"strict_revoke"`
 	RevokeMillis          int  `json:"revoke_ms"`
-	// QuotaWindowSeconds is the span in which a tenant's requests over all nodes are counted;
-	// zero if limits of tenants are not held. In each span there may be QuotaOvershoot times
-	// more requests than the tenant's limit grants, and QuotaSlack beside.
-	QuotaWindowSeconds float64 `json:"quota_window_s"`
-	QuotaOvershoot     float64 `json:"quota_overshoot"`
-	QuotaSlack         float64 `json:"quota_slack"`
+	// LimitWindowSeconds is the span in which a tenant's requests over all nodes are counted;
+	// zero if limits of tenants are not held. In each span there may be LimitOvershoot times
+	// more requests than the tenant's limit grants, and LimitSlack beside.
+	LimitWindowSeconds float64 `json:"quota_window_s"`
+	LimitOvershoot     float64 `json:"quota_overshoot"`
+	LimitSlack         float64 `json:"quota_slack"`
 }
 
 // LoadSettings reads and checks a settings file.
@@ -171,10 +171,10 @@
 	if problem := s.revocationProblem(); problem != "" {
 		problems = append(problems, problem)
 	}
-	negative("bounds.quota_window_s", s.Bounds.QuotaWindowSeconds)
-	negative("bounds.quota_overshoot", s.Bounds.QuotaOvershoot)
-	negative("bounds.quota_slack", s.Bounds.QuotaSlack)
-	if s.Bounds.QuotaWindowSeconds > 0 && s.Listen.Peers == "" {
+	negative("bounds.quota_window_s", s.Bounds.LimitWindowSeconds)
+	negative("bounds.quota_overshoot", s.Bounds.LimitOvershoot)
+	negative("bounds.quota_slack", s.Bounds.LimitSlack)
+	if s.Bounds.LimitWindowSeconds > 0 && s.Listen.Peers == "" {
 		problems = append(problems, "bounds.quota_window_s needs listen.peers")
 	}
 	if s.Bounds.GraceSeconds <= 0 {
@@ -268,8 +268,8 @@
 // quotaBounds returns how far the requests of a tenant may go beyond its limit.
 func (s *Settings) quotaBounds() quota.Bounds {
 	return quota.Bounds{
-		Window:    time.Duration(s.Bounds.QuotaWindowSeconds * float64(time.Second)),
-		Overshoot: s.Bounds.QuotaOvershoot, Slack: s.Bounds.QuotaSlack,
+		Window:    time.Duration(s.Bounds.LimitWindowSeconds * float64(time.Second)),
+		Overshoot: s.Bounds.LimitOvershoot, Slack: s.Bounds.LimitSlack,
 	}
 }
 
