Tests of limits: the nodes of all simulations that run together are bounded

Ruled out: the heap (9 MB beside 1.6 GB of the process with one simulation of 67 nodes at a time), the detector's history (GORACE=history_size=0: 2.4 GB as without), and the collector (GOGC=20: 2.7 GB, 2.6 GB without). Change: a weighted semaphore lets as many simulations run together as have 335 nodes, five of 67; one of 300 runs nearly alone.

--- a/pkg/quota/simulation_test.go
+++ b/pkg/quota/simulation_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"github.com/bramblemast/bramblemast/pkg/peer"
 	"github.com/bramblemast/bramblemast/pkg/quota"
 	"github.com/bramblemast/bramblemast/pkg/route"
@@ -60,7 +62,7 @@
 
 // simulate runs body with a deployment whose nodes lie 12 ms from each other.
 func simulate(t testing.TB, count int, limits map[string]route.RateLimit, body func(d *deployment)) {
-	play(t, func() {
+	play(t, count, func() {
 		d := &deployment{
 			network: peer.NewNetwork(1), random: rand.New(rand.NewPCG(7, 7)), limits: limits, began: time.Now(),
 			admitted: make(map[string][]time.Duration), refused: make(map[string]int),
@@ -84,16 +86,20 @@
 	})
 }
 
-// playedAtOnce bounds the simulations that run together: under the race detector one of 67 nodes takes
-// more than a gigabyte, and tests that run in parallel are as many as there are processors.
-const playedAtOnce = 5
+// nodesAtOnce bounds the nodes of the simulations that run together: under the race detector each
+// of them takes some 25 MB, and tests that run in parallel are as many as there are processors.
+const nodesAtOnce = 335
 
-var playing = make(chan struct{}, playedAtOnce)
+var playing = semaphore.NewWeighted(nodesAtOnce)
 
-// play runs body under virtual time. A benchmark has none of its own: it runs in that of a test.
-func play(t testing.TB, body func()) {
-	playing <- struct{}{}
-	defer func() { <-playing }()
+// play runs body, a simulation of a number of nodes, under virtual time. A benchmark has none of its
+// own: it runs in that of a test.
+func play(t testing.TB, nodes int, body func()) {
+	taken := int64(min(nodes, nodesAtOnce))
+	if err := playing.Acquire(context.Background(), taken); err != nil {
+		t.Fatal(err)
+	}
+	defer playing.Release(taken)
 	if test, isTest := t.(*testing.T); isTest {
 		synctest.Test(test, func(*testing.T) { body() })
 		return
