Limits of tenants: a read-only copy of what a node knows

Cause: an operator sees bounded metrics and log lines of limits, and no live state: neither the use over all nodes, nor where shares lie, nor why requests were refused.

Ruled out: counting refusals in the meter (it is forgotten a minute after its tenant became idle, which is when operators come to ask); settling accounts for the copy (it would change what they decide); computing what is kept back for silent nodes anew (it grows with nodes times tenants while requests wait for the mutex).

Decision tells the reason of a refusal; a tally for each tenant of the configuration counts decisions since the start. The account notes the rate of the nodes in touch when it is settled.

Conclusion: a copy is there to be served; nothing asks for it yet.

--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -74,6 +74,8 @@
 	// at reservedAt.
 	reserved   float64
 	reservedAt time.Time
+	// granted is the rate of the nodes in touch when the account was last settled.
+	granted float64
 }
 
 // cautiousSpan is how long a new account keeps to the share that nodes had: the time until
@@ -146,6 +148,7 @@
 		a.sumUp(contact, now)
 	}
 	rate := a.pooled(contact, now)
+	a.granted = rate
 	room := a.bounds.room(a.limit)
 	part := 0.0
 	if a.limit.PerSecond > 0 {
--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -116,6 +116,9 @@
 	sweptAt    time.Time
 	tickAt     time.Time
 	sent       Sent
+	// tallies hold what was decided for each tenant since startedAt.
+	tallies   map[string]*tally
+	startedAt time.Time
 }
 
 // Sent counts the messages of a Limiter.
@@ -129,6 +132,7 @@
 	// ranked are its coordinators, best first.
 	ranked []string
 	usedAt time.Time
+	tally  *tally
 	// standIn is what a coordinator said to which this node does not turn yet.
 	standIn hint
 }
@@ -162,6 +166,7 @@
 		coordinators: rendezvous.NewSet[string](nil), zoneCoordinators: rendezvous.NewSet[string](nil),
 		links: make(map[string]*link), meters: make(map[string]*metered), accounts: make(map[string]*coordinated),
 		silent: make(map[string]bool), gone: make(map[string]time.Time),
+		tallies: make(map[string]*tally), startedAt: time.Now(),
 	}
 	options.Transport.Handle(kindReport, limiter.takeReport)
 	options.Transport.Handle(kindVerdicts, limiter.takeVerdicts)
@@ -176,6 +181,7 @@
 	held.usedAt = now
 	held.meter.SetDoubt(l.isInDoubt)
 	decision := held.meter.Admit(requestID, now)
+	held.tally.count(decision)
 	l.requestReport()
 	return decision
 }
@@ -186,6 +192,7 @@
 	defer l.mutex.Unlock()
 	if held := l.meters[tenant]; held != nil {
 		held.meter.Refund(time.Now())
+		held.tally.admitted--
 		l.requestReport()
 	}
 }
@@ -217,9 +224,11 @@
 		held = &metered{meter: NewMeter(tenant, limit, l.options.Bounds, l.nodeCount(), l.wasInTouch, now), ranked: l.ranked(tenant)}
 		held.meter.SetPlace(l.place(tenant))
 		held.meter.SetStanding(l.standing(held.ranked), now)
+		held.tally = l.tallyOf(tenant)
 		l.meters[tenant] = held
 	}
 	held.meter.SetLimit(limit)
+	held.tally.perSecond = limit.PerSecond
 	return held
 }
 
@@ -332,6 +341,7 @@
 			delete(l.meters, tenant)
 		}
 	}
+	l.forgetTallies()
 	for tenant, kept := range l.accounts {
 		if kept.limitedAt.IsZero() && now.Sub(kept.account.usedAt) > idleSpan {
 			delete(l.accounts, tenant)
--- a/pkg/quota/meter.go
+++ b/pkg/quota/meter.go
@@ -51,6 +51,8 @@
 // Decision is what a node decided about a request.
 type Decision struct {
 	IsAdmitted bool
+	// Refusal is why the request was refused.
+	Refusal Refusal
 	// RetryAfter is when the tenant's next request is expected to be within its limit.
 	RetryAfter time.Duration
 	// Share is the admitted share by which it was decided, and Age the time since it was
@@ -238,12 +240,15 @@
 	switch {
 	case isAlone:
 		decision.IsAdmitted, decision.RetryAfter = m.admitAlone(now)
+		if !decision.IsAdmitted {
+			decision.Refusal = m.refusalAlone()
+		}
 	case !drawn.isWithin(m.share):
-		decision.RetryAfter = max(drawn.ends, m.wait)
+		decision.Refusal, decision.RetryAfter = BeyondShare, max(drawn.ends, m.wait)
 	case float64(m.admitted-m.acknowledgedAdmitted-m.owned) >= greatestUnacknowledged(m.limit):
-		decision.RetryAfter = max(reportDelay, m.wait)
+		decision.Refusal, decision.RetryAfter = Unacknowledged, max(reportDelay, m.wait)
 	case m.isInDoubt && !m.hasRoomAlone(m.entitlement(now), now):
-		decision.RetryAfter = max(reportDelay, m.wait)
+		decision.Refusal, decision.RetryAfter = InDoubt, max(reportDelay, m.wait)
 	default:
 		decision.IsAdmitted = true
 	}
@@ -263,6 +268,14 @@
 	return decision
 }
 
+// refusalAlone returns why admitAlone refuses.
+func (m *Meter) refusalAlone() Refusal {
+	if m.standing == Alone {
+		return BeyondOwnPart
+	}
+	return ShareTooOld
+}
+
 // admitAlone takes a token of the node's own bucket, if its window has room.
 func (m *Meter) admitAlone(now time.Time) (bool, time.Duration) {
 	if m.standing != Alone {
--- /dev/null
+++ b/pkg/quota/refusal.go
@@ -0,0 +1,57 @@
+package quota
+
+// Refusal is why a node refused a request.
+type Refusal int
+
+// Reasons of refusals.
+const (
+	// NotRefused: the request was admitted.
+	NotRefused Refusal = iota
+	// BeyondShare: the tenant is at its limit, and the request is not within the share that
+	// the coordinator told.
+	BeyondShare
+	// Unacknowledged: the node has admitted as much as it may before the coordinator has
+	// counted it.
+	Unacknowledged
+	// InDoubt: a coordinator has fallen silent and none has answered since, and the node has
+	// admitted as much as it may alone.
+	InDoubt
+	// BeyondOwnPart: no coordinator answers, and the node has admitted its part of the limit.
+	BeyondOwnPart
+	// ShareTooOld: a coordinator answered and then told nothing new while the tenant was at its limit,
+	// and the node has admitted its part.
+	ShareTooOld
+	// refusalCount is the number of the values above.
+	refusalCount
+)
+
+// String returns the word for logs and messages; empty for NotRefused.
+func (r Refusal) String() string {
+	return [...]string{
+		NotRefused: "", BeyondShare: "beyond_share", Unacknowledged: "unacknowledged", InDoubt: "in_doubt",
+		BeyondOwnPart: "alone", ShareTooOld: "share_too_old",
+	}[r]
+}
+
+// Refusals returns all reasons.
+func Refusals() []Refusal {
+	return []Refusal{BeyondShare, Unacknowledged, InDoubt, BeyondOwnPart, ShareTooOld}
+}
+
+// tally counts what a node decided about the requests of one tenant since its start. It outlives the
+// tenant's meter, so that an operator can ask for it after the tenant has become idle.
+type tally struct {
+	// perSecond is the rate of the limit when the tenant was last asked for.
+	perSecond float64
+	admitted  int64
+	refused   [refusalCount]uint64
+}
+
+// count takes one decision.
+func (t *tally) count(decision Decision) {
+	if decision.IsAdmitted {
+		t.admitted++
+		return
+	}
+	t.refused[decision.Refusal]++
+}
--- /dev/null
+++ b/pkg/quota/snapshot.go
@@ -0,0 +1,279 @@
+package quota
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// Bounds of a Snapshot.
+const (
+	// snapshotTenants is the greatest number of tenants in each list of a snapshot: a request
+	// waits for less than a millisecond while so many are copied.
+	snapshotTenants = 256
+	// snapshotNames is the greatest number of nodes that a snapshot names in one list, so that
+	// a deployment of thousands of nodes has answers of some kilobytes.
+	snapshotNames = 256
+)
+
+// Snapshot is a copy of the state of a Limiter at a moment.
+type Snapshot struct {
+	// Node and Zone are those of the Limiter.
+	Node string
+	Zone string
+	// At is when the copy was made, StartedAt since when requests are counted.
+	At        time.Time
+	StartedAt time.Time
+	// Window is the span over which admitted requests are held to a bound.
+	Window time.Duration
+	// Nodes is the number of nodes that this one knows, itself included; Silent are those that
+	// it takes for out of touch, by name, and SilentCount their number.
+	Nodes       int
+	Silent      []string
+	SilentCount int
+	// Coordinated are the tenants whose requests over all nodes this node sums up, the
+	// greatest limits first. CoordinatedLeftOut is the number of those beyond the bound.
+	Coordinated        []CoordinatedTenant
+	CoordinatedLeftOut int
+	// Served are the tenants of which this node has known requests or a share since its start, the
+	// greatest limits first. ServedLeftOut is the number of those beyond the bound.
+	Served        []ServedTenant
+	ServedLeftOut int
+}
+
+// CoordinatedTenant is what a coordinator knows of one tenant.
+type CoordinatedTenant struct {
+	Tenant string
+	Limit  route.RateLimit
+	// IsFirst says that the node is the tenant's first coordinator; otherwise it stands in for it.
+	IsFirst bool
+	// AskedPerSecond is the rate of requests over all nodes that report here, over about two
+	// seconds.
+	AskedPerSecond float64
+	// Share is the part of the requests that nodes may admit, Level the tokens that are left;
+	// below zero for requests beyond the limit that are being made up for.
+	Share float64
+	Level float64
+	// KeptBackPerSecond is the part of the limit that is left to nodes out of touch. It is zero
+	// at a stand-in.
+	KeptBackPerSecond float64
+	// Reporting is the number of nodes that reported in the last ten seconds, and of those out of
+	// touch that had reported before.
+	Reporting int
+	// Reporters names those that reported in the last ten seconds; only in the snapshot of one tenant.
+	Reporters []string
+	// AtLimitSince is when the tenant came to its limit; zero if it is within it.
+	AtLimitSince time.Time
+}
+
+// ServedTenant is what a node knows of a tenant whose requests come to it.
+type ServedTenant struct {
+	Tenant string
+	Limit  route.RateLimit
+	// IsIdle says that the tenant was not asked for lately, so that only the limit and the counts
+	// since the start are known.
+	IsIdle bool
+	// Standing is how the node stands to the tenant's coordinators, Coordinator the one to which
+	// it reports; empty if none answers.
+	Standing    Standing
+	Coordinator string
+	// Share is what was told last, ToldAt when; zero if nothing was told. IsShareOld says that
+	// the node does not go by it any more.
+	Share      float64
+	ToldAt     time.Time
+	IsShareOld bool
+	// EntitledPerSecond is the rate that the node may admit while it is out of touch.
+	EntitledPerSecond float64
+	// AdmittedInWindow is the number of requests admitted in the last Window.
+	AdmittedInWindow float64
+	// Admitted and Refused count requests since the start; those that were admitted and did not
+	// run are taken off. Refused has no entry for reasons that did not occur.
+	Admitted int64
+	Refused  map[Refusal]uint64
+}
+
+// Snapshot returns a copy of the limiter's state: of one tenant, or of all if the name is empty. It
+// changes nothing.
+func (l *Limiter) Snapshot(tenant string) Snapshot {
+	now := time.Now()
+	copied := Snapshot{Node: l.options.Local, Zone: l.options.Zone, At: now, Window: l.options.Bounds.Window}
+	l.mutex.Lock()
+	copied.StartedAt = l.startedAt
+	copied.Nodes, copied.SilentCount = l.nodeCount(), len(l.silent)
+	if len(l.addresses) == 0 {
+		copied.Nodes = 0
+	}
+	copied.Silent = slices.Collect(maps.Keys(l.silent))
+	l.copyCoordinated(&copied, tenant, now)
+	l.copyServed(&copied, tenant, now)
+	l.mutex.Unlock()
+	copied.Silent = firstNames(copied.Silent)
+	for index := range copied.Coordinated {
+		copied.Coordinated[index].Reporters = firstNames(copied.Coordinated[index].Reporters)
+	}
+	return copied
+}
+
+// firstNames sorts names and returns as many as a snapshot holds.
+func firstNames(names []string) []string {
+	slices.Sort(names)
+	return names[:min(len(names), snapshotNames)]
+}
+
+// copyCoordinated copies what the accounts hold. The caller holds the mutex.
+func (l *Limiter) copyCoordinated(copied *Snapshot, tenant string, now time.Time) {
+	chosen := newLargest(tenant)
+	for name, kept := range l.accounts {
+		chosen.offer(name, kept.account.limit.PerSecond)
+	}
+	copied.CoordinatedLeftOut = chosen.leftOut
+	copied.Coordinated = make([]CoordinatedTenant, 0, len(chosen.kept))
+	for _, one := range chosen.kept {
+		kept := l.accounts[one.tenant]
+		found := kept.account.view(l.isFirst(one.tenant), now)
+		found.Tenant, found.AtLimitSince = one.tenant, kept.limitedAt
+		if tenant != "" {
+			found.Reporters = kept.account.reporters(now)
+		}
+		copied.Coordinated = append(copied.Coordinated, found)
+	}
+}
+
+// copyServed copies what the meters hold. The caller holds the mutex.
+func (l *Limiter) copyServed(copied *Snapshot, tenant string, now time.Time) {
+	chosen := newLargest(tenant)
+	for name, counted := range l.tallies {
+		chosen.offer(name, counted.perSecond)
+	}
+	copied.ServedLeftOut = chosen.leftOut
+	copied.Served = make([]ServedTenant, 0, len(chosen.kept))
+	for _, one := range chosen.kept {
+		copied.Served = append(copied.Served, l.served(one.tenant, now))
+	}
+}
+
+// served returns what is known of one tenant at this node. The caller holds the mutex.
+func (l *Limiter) served(tenant string, now time.Time) ServedTenant {
+	counted, held := l.tallies[tenant], l.meters[tenant]
+	found := ServedTenant{Tenant: tenant, Admitted: counted.admitted, Refused: make(map[Refusal]uint64), IsIdle: held == nil}
+	for _, reason := range Refusals() {
+		if count := counted.refused[reason]; count > 0 {
+			found.Refused[reason] = count
+		}
+	}
+	found.Limit, _ = l.options.LimitOf(tenant)
+	if held != nil {
+		found.Standing, found.Coordinator = held.meter.standing, l.coordinator(held.ranked)
+		held.meter.view(&found, now)
+	}
+	return found
+}
+
+// view returns the state of an account as it is at a moment, without settling it. It takes no longer
+// for an account of many nodes.
+func (a *Account) view(isFirst bool, now time.Time) CoordinatedTenant {
+	copied := *a
+	copied.bucket.settle(now)
+	found := CoordinatedTenant{
+		Limit: a.limit, IsFirst: isFirst, AskedPerSecond: a.steady.read(now), Share: copied.share(now), Level: copied.bucket.level,
+	}
+	if isFirst {
+		found.KeptBackPerSecond = max(0, a.limit.PerSecond-a.granted)
+	}
+	if now.Sub(a.usedAt) <= entrySpan {
+		found.Reporting = len(a.nodes)
+	}
+	return found
+}
+
+// reporters returns the nodes that reported in the last entrySpan.
+func (a *Account) reporters(now time.Time) []string {
+	names := make([]string, 0, len(a.nodes))
+	for name, node := range a.nodes {
+		if now.Sub(node.at) <= entrySpan {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// view fills in the state of a meter as it is at a moment.
+func (m *Meter) view(found *ServedTenant, now time.Time) {
+	lately := m.lately
+	found.AdmittedInWindow = lately.read(now)
+	found.Share, found.ToldAt = m.share, m.toldAt
+	found.IsShareOld = m.share < 1 && now.Sub(m.toldAt) > shareAge
+	found.EntitledPerSecond = m.entitlement(now)
+}
+
+// tallyOf returns what is counted of a tenant. The caller holds the mutex.
+func (l *Limiter) tallyOf(tenant string) *tally {
+	counted := l.tallies[tenant]
+	if counted == nil {
+		counted = &tally{}
+		l.tallies[tenant] = counted
+	}
+	return counted
+}
+
+// forgetTallies forgets the counts of tenants that are in no configuration any more. The caller holds
+// the mutex.
+func (l *Limiter) forgetTallies() {
+	for tenant := range l.tallies {
+		if l.meters[tenant] != nil {
+			continue
+		}
+		if _, isKnown := l.options.LimitOf(tenant); !isKnown {
+			delete(l.tallies, tenant)
+		}
+	}
+}
+
+// largest keeps the tenants with the greatest limits, or the one that is wanted. All nodes
+// choose by the same order, so that what they say of a tenant can be added up.
+type largest struct {
+	wanted  string
+	kept    []sizedTenant
+	leftOut int
+}
+
+// sizedTenant is a tenant with the rate of its limit.
+type sizedTenant struct {
+	tenant    string
+	perSecond float64
+}
+
+// newLargest returns an empty choice; wanted is the only tenant to keep, or empty.
+func newLargest(wanted string) *largest { return &largest{wanted: wanted} }
+
+// offer keeps a tenant if it is among the largest.
+func (c *largest) offer(tenant string, perSecond float64) {
+	if c.wanted != "" && c.wanted != tenant {
+		return
+	}
+	offered := sizedTenant{tenant, perSecond}
+	position, _ := slices.BinarySearchFunc(c.kept, offered, compareSizes)
+	if position < snapshotTenants {
+		c.kept = slices.Insert(c.kept, position, offered)
+	} else {
+		c.leftOut++
+	}
+	if len(c.kept) > snapshotTenants {
+		c.kept = c.kept[:snapshotTenants]
+		c.leftOut++
+	}
+}
+
+// compareSizes orders the greater limit first, then by name.
+func compareSizes(one, other sizedTenant) int {
+	switch {
+	case one.perSecond > other.perSecond:
+		return -1
+	case one.perSecond < other.perSecond:
+		return 1
+	}
+	return strings.Compare(one.tenant, other.tenant)
+}
--- /dev/null
+++ b/pkg/quota/snapshot_test.go
@@ -0,0 +1,276 @@
+package quota_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/peer"
+	"github.com/bramblemast/bramblemast/pkg/quota"
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// snapshots returns what all nodes say of a tenant.
+func (d *deployment) snapshots(tenant string) []quota.Snapshot {
+	var all []quota.Snapshot
+	for _, node := range d.nodes {
+		all = append(all, node.limiter.Snapshot(tenant))
+	}
+	return all
+}
+
+// firstOf returns what the tenant's first coordinators say, with the snapshot of the last one.
+func firstOf(all []quota.Snapshot) ([]quota.CoordinatedTenant, quota.Snapshot) {
+	var found []quota.CoordinatedTenant
+	var from quota.Snapshot
+	for _, one := range all {
+		for _, coordinated := range one.Coordinated {
+			if coordinated.IsFirst {
+				found, from = append(found, coordinated), one
+			}
+		}
+	}
+	return found, from
+}
+
+// summed is what the nodes that serve a tenant add up to.
+type summed struct {
+	admitted int64
+	refused  map[quota.Refusal]uint64
+	window   float64
+	entitled float64
+	standing map[quota.Standing]int
+}
+
+func sumServed(all []quota.Snapshot) summed {
+	sum := summed{refused: make(map[quota.Refusal]uint64), standing: make(map[quota.Standing]int)}
+	for _, one := range all {
+		for _, served := range one.Served {
+			sum.admitted += served.Admitted
+			sum.window += served.AdmittedInWindow
+			sum.entitled += served.EntitledPerSecond
+			sum.standing[served.Standing]++
+			for reason, count := range served.Refused {
+				sum.refused[reason] += count
+			}
+		}
+	}
+	return sum
+}
+
+func (s summed) allRefused() uint64 {
+	sum := uint64(0)
+	for _, count := range s.refused {
+		sum += count
+	}
+	return sum
+}
+
+// TestSnapshotsAddUpToWhatWasDecided: the coordinator tells of the limit and of what is asked of all
+// nodes, and the counts of all nodes are all requests.
+func TestSnapshotsAddUpToWhatWasDecided(t *testing.T) {
+	const tenant, count = "medium", 12
+	var all, idle []quota.Snapshot
+	admitted, refused, lately, coordinator := 0, 0, 0, ""
+	simulate(t, count, tenants(), func(d *deployment) {
+		coordinator = d.nodes[0].limiter.Coordinator(tenant)
+		d.run(5*time.Second, d.even(tenant, 8))
+		d.run(10*time.Second, d.skewed(tenant, 80))
+		all = d.snapshots(tenant)
+		admitted, refused = len(d.admitted[tenant]), d.refused[tenant]
+		lately = d.between(tenant, d.moment()-bounds.Window, d.moment())
+		time.Sleep(2 * time.Minute)
+		idle = d.snapshots(tenant)
+	})
+	g := NewWithT(t)
+	first, from := firstOf(all)
+	g.Expect(first).To(HaveLen(1))
+	g.Expect(from.Node).To(Equal(coordinator))
+	g.Expect(from.Nodes).To(Equal(count))
+	g.Expect(from.Silent).To(BeEmpty())
+	told := first[0]
+	g.Expect(told.Tenant).To(Equal(tenant))
+	g.Expect(told.Limit).To(Equal(tenants()[tenant]))
+	g.Expect(told.AskedPerSecond).To(BeNumerically("~", 80, 25))
+	g.Expect(told.Share).To(BeNumerically("<", 0.6))
+	g.Expect(told.AtLimitSince).NotTo(BeZero())
+	g.Expect(told.Reporting).To(Equal(count))
+	g.Expect(told.Reporters).To(HaveLen(count))
+	g.Expect(told.KeptBackPerSecond).To(BeZero())
+	sum := sumServed(all)
+	g.Expect(sum.admitted).To(Equal(int64(admitted)))
+	g.Expect(sum.allRefused()).To(Equal(uint64(refused)))
+	g.Expect(sum.refused[quota.BeyondShare]).To(BeNumerically(">", refused/2))
+	g.Expect(sum.refused).NotTo(HaveKey(quota.BeyondOwnPart))
+	g.Expect(sum.standing).To(Equal(map[quota.Standing]int{quota.WithFirst: count}))
+	g.Expect(sum.window).To(BeNumerically("~", lately, 10))
+	g.Expect(sum.entitled).To(BeNumerically("<=", 1.3*told.Limit.PerSecond))
+	for _, one := range all {
+		g.Expect(one.Served[0].Coordinator).To(Equal(coordinator))
+		g.Expect(one.At.Sub(one.Served[0].ToldAt)).To(BeNumerically("<", time.Second))
+	}
+
+	after := sumServed(idle)
+	g.Expect(after.admitted).To(Equal(sum.admitted), "counts outlive the meters of idle tenants")
+	g.Expect(after.refused).To(Equal(sum.refused))
+	g.Expect(idle[0].Served[0].IsIdle).To(BeTrue())
+	gone, _ := firstOf(idle)
+	g.Expect(gone).To(BeEmpty())
+}
+
+// TestASnapshotTellsWhichNodesAreOutOfTouch: the coordinator names them and keeps back for them, and
+// they say that they decide alone.
+func TestASnapshotTellsWhichNodesAreOutOfTouch(t *testing.T) {
+	const tenant, count = "medium", 12
+	var all []quota.Snapshot
+	cut, name := 0, ""
+	simulate(t, count, tenants(), func(d *deployment) {
+		hot := d.even(tenant, 80)
+		d.run(6*time.Second, hot)
+		cut = count - 1
+		if d.coordinatorOf(tenant) == cut {
+			cut--
+		}
+		name = d.nodes[cut].name
+		alone(cut, cut+1)(d)
+		// For longer than a report counts.
+		d.run(12*time.Second, hot)
+		all = d.snapshots(tenant)
+	})
+	g := NewWithT(t)
+	first, from := firstOf(all)
+	g.Expect(first).To(HaveLen(1))
+	g.Expect(from.Silent).To(Equal([]string{name}))
+	g.Expect(from.SilentCount).To(Equal(1))
+	g.Expect(first[0].KeptBackPerSecond).To(And(BeNumerically(">", 0), BeNumerically("<", 6)))
+	g.Expect(first[0].Reporters).NotTo(ContainElement(name))
+	lost := all[cut].Served[0]
+	g.Expect(lost.Standing).To(Equal(quota.Alone))
+	g.Expect(lost.Coordinator).To(BeEmpty())
+	g.Expect(lost.IsShareOld).To(BeTrue())
+	g.Expect(lost.Refused[quota.BeyondOwnPart]).To(BeNumerically(">", 0))
+	g.Expect(lost.EntitledPerSecond).To(And(BeNumerically(">", 0), BeNumerically("<", 6)))
+}
+
+// manyTenants is more than a snapshot holds.
+const manyTenants = 300
+
+// limiterOfMany returns a limiter that was asked for many tenants; the limit of each is its number.
+func limiterOfMany() *quota.Limiter {
+	limits := make(map[string]route.RateLimit)
+	for number := 1; number <= manyTenants; number++ {
+		limits[fmt.Sprint("tenant-", number)] = route.RateLimit{PerSecond: float64(number), Burst: 1}
+	}
+	limiter := quota.New(quota.Options{
+		Local: "node-0", Zone: "zone", Bounds: bounds, Events: quiet{}, Start: 1,
+		Transport: &answering{handlers: make(map[peer.Kind]peer.Handler)},
+		LimitOf:   func(tenant string) (route.RateLimit, bool) { limit, isKnown := limits[tenant]; return limit, isKnown },
+		IsNeeded:  func() bool { return true },
+	})
+	limiter.SetNodes([]quota.Node{{Name: "node-0", Zone: "zone", Address: "node-0"}})
+	for tenant, limit := range limits {
+		limiter.Admit(tenant, limit, "request", time.Now())
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		// Run ends without an error when its context does.
+		_ = limiter.Run(ctx)
+	}()
+	// The node reports to itself.
+	time.Sleep(time.Second)
+	stop()
+	<-ended
+	return limiter
+}
+
+// TestASnapshotIsBound, holds the greatest limits and says how many it left out; a tenant that is
+// asked for by name is there whatever its limit.
+func TestASnapshotIsBound(t *testing.T) {
+	var all, one, none quota.Snapshot
+	play(t, func() {
+		limiter := limiterOfMany()
+		all, one, none = limiter.Snapshot(""), limiter.Snapshot("tenant-1"), limiter.Snapshot("tenant-0")
+	})
+	g := NewWithT(t)
+	g.Expect(all.Served).To(HaveLen(256))
+	g.Expect(all.ServedLeftOut).To(Equal(manyTenants - 256))
+	g.Expect(all.Coordinated).To(HaveLen(256))
+	g.Expect(all.CoordinatedLeftOut).To(Equal(manyTenants - 256))
+	for index, served := range all.Served {
+		g.Expect(served.Limit.PerSecond).To(Equal(float64(manyTenants - index)))
+		g.Expect(all.Coordinated[index].Tenant).To(Equal(served.Tenant))
+	}
+	g.Expect(one.Served).To(HaveLen(1))
+	g.Expect(one.Coordinated).To(HaveLen(1))
+	g.Expect(one.Served[0].Admitted).To(Equal(int64(1)))
+	g.Expect(one.ServedLeftOut).To(BeZero())
+	g.Expect(none.Served).To(BeEmpty())
+	g.Expect(none.Coordinated).To(BeEmpty())
+}
+
+// TestEachRefusalHasItsReason, which tells an operator whether the tenant, the coordinator or the network
+// is to be looked at.
+func TestEachRefusalHasItsReason(t *testing.T) {
+	limit := route.RateLimit{PerSecond: 5, Burst: 5}
+	for reason, meter := range map[quota.Refusal]*quota.Meter{
+		quota.BeyondShare:    inTouch(limit, 0.01, 0),
+		quota.Unacknowledged: inTouch(limit, 1, 0),
+		quota.InDoubt:        inTouch(route.RateLimit{PerSecond: 5, Burst: 100}, 1, 0),
+		quota.BeyondOwnPart:  quota.NewMeter("caller", limit, bounds, 67, false, start),
+		quota.ShareTooOld:    inTouch(limit, 0.01, 0),
+	} {
+		t.Run(reason.String(), func(t *testing.T) {
+			g := NewWithT(t)
+			now := start
+			if reason == quota.ShareTooOld {
+				now = now.Add(2 * time.Second)
+			}
+			meter.SetDoubt(reason == quota.InDoubt)
+			reasons := make(map[quota.Refusal]int)
+			for number := range 200 {
+				decision := meter.Admit(fmt.Sprint(number), now)
+				g.Expect(decision.IsAdmitted).To(Equal(decision.Refusal == quota.NotRefused))
+				if !decision.IsAdmitted {
+					reasons[decision.Refusal]++
+				}
+			}
+			g.Expect(reasons).To(And(HaveLen(1), HaveKey(reason)))
+		})
+	}
+	NewWithT(t).Expect(quota.Refusals()).To(HaveLen(5))
+}
+
+// TestARequestThatDidNotRunIsTakenOff the count of admitted ones.
+func TestARequestThatDidNotRunIsTakenOff(t *testing.T) {
+	var before, after quota.Snapshot
+	play(t, func() {
+		limiter := limiterOfMany()
+		before = limiter.Snapshot("tenant-300")
+		limiter.Refund("tenant-300")
+		after = limiter.Snapshot("tenant-300")
+	})
+	g := NewWithT(t)
+	g.Expect(before.Served[0].Admitted).To(Equal(int64(1)))
+	g.Expect(after.Served[0].Admitted).To(BeZero())
+}
+
+// BenchmarkSnapshot gives for how long requests wait at most while a snapshot is made.
+func BenchmarkSnapshot(b *testing.B) {
+	limiter := quota.New(quota.Options{
+		Local: "node-0", Zone: "zone", Bounds: bounds, Events: quiet{}, Start: 1,
+		Transport: &answering{handlers: make(map[peer.Kind]peer.Handler)},
+		LimitOf:   func(string) (route.RateLimit, bool) { return route.RateLimit{PerSecond: 5, Burst: 5}, true },
+		IsNeeded:  func() bool { return true },
+	})
+	for number := range 2000 {
+		limiter.Admit(fmt.Sprint("tenant-", number), route.RateLimit{PerSecond: float64(number), Burst: 5}, "request", time.Now())
+	}
+	for b.Loop() {
+		limiter.Snapshot("")
+	}
+}
