bramblemast-edge: limits of tenants beside the metrics

Cause: what a node knows of limits can be copied, and nothing serves it.

Ruled out: a listener or a setting of its own (the metrics' listener is where operators ask already); a list at any rate (requests wait while one is made); keys, which are part of no message.

Change: package api/limits holds the messages and a call; GET /limits on the metrics' address gives the tenants with the greatest limits, copied anew five times a second at most, and with ?tenant= one of them, also one that was not asked for yet. 404 where limits are not held.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -209,8 +209,8 @@
 // ReadyAddress returns where the platform asks for readiness.
 func (n *Node) ReadyAddress() string { return n.readyListener.Addr().String() }
 
-// Metrics serves the node's figures, for programs that embed it.
-func (n *Node) Metrics() http.Handler { return n.figures.handler() }
+// Metrics serves the node's figures and limits, for programs that embed it.
+func (n *Node) Metrics() http.Handler { return n.metricsHandler() }
 
 // openPeers opens the address for other nodes, if there is one, and notes it in
 // the node's entry.
--- a/internal/edge/figures.go
+++ b/internal/edge/figures.go
@@ -102,7 +102,7 @@
 }
 
 // handler serves the figures as text.
-func (f *figures) handler() http.Handler {
+func (f *figures) handler() *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+metricsPath, promhttp.HandlerFor(f.registry, promhttp.HandlerOpts{}))
 	return mux
--- /dev/null
+++ b/internal/edge/limits_page.go
@@ -0,0 +1,111 @@
+package edge
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	wire "github.com/bramblemast/bramblemast/api/limits"
+	"github.com/bramblemast/bramblemast/pkg/quota"
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// listInterval is the least time between two copies of all limits: requests wait while one is made,
+// so that callers of the page who come more often get the last one.
+const listInterval = 200 * time.Millisecond
+
+// lastList is the last copy of all limits. It is made when somebody asks, so that it costs nothing
+// while nobody does.
+type lastList struct {
+	mutex sync.Mutex
+	// message was made at madeAt; guarded by mutex.
+	message *wire.Node
+	madeAt  time.Time
+}
+
+// serveLimits tells what the node knows of the limits of tenants.
+func (n *Node) serveLimits(writer http.ResponseWriter, request *http.Request) {
+	if n.limits == nil {
+		http.Error(writer, "limits of tenants are not held by this node", http.StatusNotFound)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(writer).Encode(n.limits.message(request.URL.Query().Get(wire.ParameterTenant))); err != nil {
+		n.logger.Debug("limits not sent", "error", err.Error())
+	}
+}
+
+// message returns what is known of one tenant, or of all if the name is empty.
+func (l *limits) message(tenant string) *wire.Node {
+	if tenant != "" {
+		return l.encode(tenant)
+	}
+	l.list.mutex.Lock()
+	defer l.list.mutex.Unlock()
+	if l.list.message == nil || time.Since(l.list.madeAt) >= listInterval {
+		l.list.message, l.list.madeAt = l.encode(""), time.Now()
+	}
+	return l.list.message
+}
+
+// encode returns the message for a copy of the limits.
+func (l *limits) encode(tenant string) *wire.Node {
+	copied := l.limiter.Snapshot(tenant)
+	message := &wire.Node{
+		Node: copied.Node, Zone: copied.Zone, At: copied.At, CountedSince: copied.StartedAt,
+		Nodes: copied.Nodes, Silent: copied.Silent, SilentCount: copied.SilentCount,
+		Coordinated: make([]wire.Coordinated, 0, len(copied.Coordinated)), CoordinatedLeftOut: copied.CoordinatedLeftOut,
+		Served: make([]wire.Served, 0, len(copied.Served)), ServedLeftOut: copied.ServedLeftOut,
+	}
+	if table := l.node.state.Table(); table != nil {
+		message.ConfigurationVersion = table.Version
+	}
+	for _, one := range copied.Coordinated {
+		message.Coordinated = append(message.Coordinated, encodeCoordinated(one))
+	}
+	for _, one := range copied.Served {
+		message.Served = append(message.Served, encodeServed(one, copied))
+	}
+	return message
+}
+
+func encodeLimit(limit route.RateLimit) wire.Limit {
+	return wire.Limit{PerSecond: limit.PerSecond, Burst: limit.Burst}
+}
+
+func encodeCoordinated(tenant quota.CoordinatedTenant) wire.Coordinated {
+	encoded := wire.Coordinated{
+		Tenant: tenant.Tenant, Limit: encodeLimit(tenant.Limit), First: tenant.IsFirst,
+		AskedPerSecond: tenant.AskedPerSecond, Share: tenant.Share, Level: tenant.Level,
+		KeptBackPerSecond: tenant.KeptBackPerSecond, Reporting: tenant.Reporting, Reporters: tenant.Reporters,
+	}
+	if !tenant.AtLimitSince.IsZero() {
+		encoded.AtLimitSince = &tenant.AtLimitSince
+	}
+	return encoded
+}
+
+func encodeServed(tenant quota.ServedTenant, copied quota.Snapshot) wire.Served {
+	encoded := wire.Served{Tenant: tenant.Tenant, Limit: encodeLimit(tenant.Limit), Idle: tenant.IsIdle, Admitted: tenant.Admitted}
+	for reason, count := range tenant.Refused {
+		if encoded.Refused == nil {
+			encoded.Refused = make(map[string]uint64, len(tenant.Refused))
+		}
+		encoded.Refused[reason.String()] = count
+	}
+	if tenant.IsIdle {
+		return encoded
+	}
+	encoded.DecidedBy, encoded.Coordinator = tenant.Standing.String(), tenant.Coordinator
+	encoded.Share, encoded.ShareOld = tenant.Share, tenant.IsShareOld
+	encoded.EntitledPerSecond = tenant.EntitledPerSecond
+	if window := copied.Window.Seconds(); window > 0 {
+		encoded.AdmittedPerSecond = tenant.AdmittedInWindow / window
+	}
+	if !tenant.ToldAt.IsZero() {
+		age := copied.At.Sub(tenant.ToldAt).Milliseconds()
+		encoded.ShareAgeMS = &age
+	}
+	return encoded
+}
--- /dev/null
+++ b/internal/edge/limits_page_test.go
@@ -0,0 +1,156 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/gomega"
+
+	wire "github.com/bramblemast/bramblemast/api/limits"
+	"github.com/bramblemast/bramblemast/pkg/directory"
+	"github.com/bramblemast/bramblemast/pkg/peer"
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// pageOf asks a node for its limits.
+func pageOf(node *Node, path string) *httptest.ResponseRecorder {
+	recorder := httptest.NewRecorder()
+	node.Metrics().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, path, http.NoBody))
+	return recorder
+}
+
+// readPage reads the answer of pageOf.
+func readPage(g *WithT, answer *httptest.ResponseRecorder) wire.Node {
+	var message wire.Node
+	g.Expect(answer.Code).To(Equal(http.StatusOK))
+	g.Expect(json.Unmarshal(answer.Body.Bytes(), &message)).To(Succeed())
+	return message
+}
+
+// TestANodeWithoutLimitsHasNoPageOfThem, and its metrics are where they were.
+func TestANodeWithoutLimitsHasNoPageOfThem(t *testing.T) {
+	g := NewWithT(t)
+	node := &Node{figures: newFigures(), logger: hclog.NewNullLogger(), state: &state{}}
+	g.Expect(pageOf(node, wire.Path).Code).To(Equal(http.StatusNotFound))
+	g.Expect(pageOf(node, metricsPath).Code).To(Equal(http.StatusOK))
+}
+
+// limitedNodes returns some nodes on one network, as those of a deployment with a configuration.
+func limitedNodes(g *WithT, network *peer.Network, count int, tenants []route.Tenant) []*Node {
+	var nodes []*Node
+	var known []directory.Node
+	for number := range count {
+		name := fmt.Sprint("n-", number)
+		settings, err := ParseSettings([]byte(quotaSettings("127.0.0.1:0", 0.1)))
+		g.Expect(err).NotTo(HaveOccurred())
+		settings.Node.Name, settings.Node.Zone = name, fmt.Sprint("z-", number%2)
+		node := &Node{figures: newFigures(), logger: hclog.NewNullLogger(), state: &state{}}
+		node.state.table.Store(route.NewTable(&route.Configuration{Version: 7, Tenants: tenants}))
+		node.limits = newLimits(node, settings, network.Transport(peer.Address(name)))
+		nodes = append(nodes, node)
+		known = append(known, directory.Node{Name: name, Zone: settings.Node.Zone, PeerAddress: name})
+	}
+	for _, node := range nodes {
+		node.limits.setNodes(known)
+	}
+	return nodes
+}
+
+// TestARefusedTenantIsSeenAtItsCoordinator, and each node tells what it admitted and refused and why; no
+// key of a caller is told.
+func TestARefusedTenantIsSeenAtItsCoordinator(t *testing.T) {
+	const key, count = "key-of-a-caller", 5
+	tenants := []route.Tenant{
+		{Name: "busy", Keys: []string{key}, Limit: route.RateLimit{PerSecond: 10, Burst: 10}},
+		{Name: "quiet", Limit: route.RateLimit{PerSecond: 3, Burst: 3}},
+	}
+	var lists, shows []*httptest.ResponseRecorder
+	coordinator, admitted, refused := "", int64(0), uint64(0)
+	synctest.Test(t, func(t *testing.T) {
+		network := peer.NewNetwork(1)
+		nodes := limitedNodes(NewWithT(t), network, count, tenants)
+		ctx, stop := context.WithCancel(context.Background())
+		ended := make(chan error, count)
+		for _, node := range nodes {
+			go func() { ended <- node.limits.limiter.Run(ctx) }()
+		}
+		time.Sleep(2 * time.Second)
+		for number := range 500 {
+			if nodes[number%count].limits.Admit(&tenants[0], fmt.Sprint(number), time.Now()).IsAdmitted {
+				admitted++
+			} else {
+				refused++
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		coordinator = nodes[0].limits.limiter.Coordinator("busy")
+		for _, node := range nodes {
+			lists = append(lists, pageOf(node, wire.Path))
+			shows = append(shows, pageOf(node, wire.Path+"?tenant=busy"))
+		}
+		stop()
+		for range nodes {
+			NewWithT(t).Expect(<-ended).To(Succeed())
+		}
+		network.Close()
+	})
+	g := NewWithT(t)
+	for index, answers := range [][]*httptest.ResponseRecorder{lists, shows} {
+		sumAdmitted, sumRefused := int64(0), uint64(0)
+		var firsts []string
+		for _, answer := range answers {
+			g.Expect(answer.Body.String()).NotTo(ContainSubstring(key))
+			message := readPage(g, answer)
+			g.Expect(message.ConfigurationVersion).To(Equal(uint64(7)))
+			g.Expect(message.Nodes).To(Equal(count))
+			g.Expect(message.Served).To(HaveLen(1))
+			served := message.Served[0]
+			g.Expect(served.Limit).To(Equal(wire.Limit{PerSecond: 10, Burst: 10}))
+			g.Expect(served.DecidedBy).To(Equal("first"))
+			g.Expect(served.Coordinator).To(Equal(coordinator))
+			g.Expect(*served.ShareAgeMS).To(BeNumerically("<", 1000))
+			sumAdmitted += served.Admitted
+			for reason, number := range served.Refused {
+				g.Expect(reason).NotTo(Equal("alone"))
+				sumRefused += number
+			}
+			for _, coordinated := range message.Coordinated {
+				g.Expect(coordinated.First).To(BeTrue())
+				g.Expect(coordinated.AskedPerSecond).To(BeNumerically("~", 50, 15))
+				g.Expect(coordinated.Share).To(BeNumerically("<", 0.5))
+				g.Expect(coordinated.AtLimitSince).NotTo(BeNil())
+				g.Expect(coordinated.Reporting).To(Equal(count))
+				g.Expect(coordinated.Reporters).To(HaveLen(index*count), "named for one tenant only")
+				firsts = append(firsts, message.Node)
+			}
+		}
+		g.Expect(firsts).To(Equal([]string{coordinator}))
+		g.Expect(sumAdmitted).To(Equal(admitted))
+		g.Expect(sumRefused).To(Equal(refused))
+	}
+}
+
+// TestListsOfLimitsAreCopiedNowAndThenOnly, however often they are asked for.
+func TestListsOfLimitsAreCopiedNowAndThenOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		network := peer.NewNetwork(1)
+		defer network.Close()
+		node := limitedNodes(g, network, 1, []route.Tenant{{Name: "a", Limit: route.RateLimit{PerSecond: 1, Burst: 1}}})[0]
+		times := make(map[time.Time]int)
+		for range 10 {
+			times[readPage(g, pageOf(node, wire.Path)).At]++
+			time.Sleep(listInterval / 5)
+		}
+		g.Expect(times).To(HaveLen(2))
+		g.Expect(readPage(g, pageOf(node, wire.Path+"?tenant=a")).Served).To(HaveLen(1), "one that was not asked for yet")
+		g.Expect(readPage(g, pageOf(node, wire.Path+"?tenant=b")).Served).To(BeEmpty())
+	})
+}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	wire "github.com/bramblemast/bramblemast/api/limits"
 )
 
 // openMetrics opens the address of the figures, if there is one.
@@ -21,10 +23,17 @@
 		return errors.Wrap(err, "listen for metrics")
 	}
 	n.metricsListener = opened
-	n.metrics = &http.Server{Handler: n.figures.handler(), ReadHeaderTimeout: connectTimeout}
+	n.metrics = &http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: connectTimeout}
 	return nil
 }
 
+// metricsHandler serves the figures, and beside them the limits of tenants.
+func (n *Node) metricsHandler() http.Handler {
+	mux := n.figures.handler()
+	mux.HandleFunc("GET "+wire.Path, n.serveLimits)
+	return mux
+}
+
 // storeAge returns the time since the store last answered.
 func (n *Node) storeAge() time.Duration {
 	_, contactAt := n.follower.Revision()
--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -37,6 +37,9 @@
 	// by mutex.
 	named   map[string]bool
 	version uint64
+
+	// list is what operators were told last.
+	list lastList
 }
 
 // newLimits returns the limits of a node and registers their metrics.
--- a/pkg/quota/snapshot.go
+++ b/pkg/quota/snapshot.go
@@ -38,8 +38,8 @@
 	// greatest limits first. CoordinatedLeftOut is the number of those beyond the bound.
 	Coordinated        []CoordinatedTenant
 	CoordinatedLeftOut int
-	// Served are the tenants of which this node has known requests or a share since its start, the
-	// greatest limits first. ServedLeftOut is the number of those beyond the bound.
+	// Served are the tenants of which this node has had requests or a share since its start, the
+	// greatest limits first; a tenant that is asked for by name also if it had none. ServedLeftOut is the number of those beyond the bound.
 	Served        []ServedTenant
 	ServedLeftOut int
 }
@@ -125,9 +125,14 @@
 
 // copyCoordinated copies what the accounts hold. The caller holds the mutex.
 func (l *Limiter) copyCoordinated(copied *Snapshot, tenant string, now time.Time) {
-	chosen := newLargest(tenant)
-	for name, kept := range l.accounts {
-		chosen.offer(name, kept.account.limit.PerSecond)
+	var chosen largest
+	if kept := l.accounts[tenant]; kept != nil {
+		chosen.offer(tenant, kept.account.limit.PerSecond)
+	}
+	if tenant == "" {
+		for name, kept := range l.accounts {
+			chosen.offer(name, kept.account.limit.PerSecond)
+		}
 	}
 	copied.CoordinatedLeftOut = chosen.leftOut
 	copied.Coordinated = make([]CoordinatedTenant, 0, len(chosen.kept))
@@ -144,9 +149,14 @@
 
 // copyServed copies what the meters hold. The caller holds the mutex.
 func (l *Limiter) copyServed(copied *Snapshot, tenant string, now time.Time) {
-	chosen := newLargest(tenant)
-	for name, counted := range l.tallies {
-		chosen.offer(name, counted.perSecond)
+	var chosen largest
+	if limit, isKnown := l.options.LimitOf(tenant); tenant != "" && (isKnown || l.tallies[tenant] != nil) {
+		chosen.offer(tenant, limit.PerSecond)
+	}
+	if tenant == "" {
+		for name, counted := range l.tallies {
+			chosen.offer(name, counted.perSecond)
+		}
 	}
 	copied.ServedLeftOut = chosen.leftOut
 	copied.Served = make([]ServedTenant, 0, len(chosen.kept))
@@ -158,6 +168,9 @@
 // served returns what is known of one tenant at this node. The caller holds the mutex.
 func (l *Limiter) served(tenant string, now time.Time) ServedTenant {
 	counted, held := l.tallies[tenant], l.meters[tenant]
+	if counted == nil {
+		counted = &tally{}
+	}
 	found := ServedTenant{Tenant: tenant, Admitted: counted.admitted, Refused: make(map[Refusal]uint64), IsIdle: held == nil}
 	for _, reason := range Refusals() {
 		if count := counted.refused[reason]; count > 0 {
@@ -232,10 +245,9 @@
 	}
 }
 
-// largest keeps the tenants with the greatest limits, or the one that is wanted. All nodes
-// choose by the same order, so that what they say of a tenant can be added up.
+// largest keeps the tenants with the greatest limits. All nodes choose by the same order, so that
+// what they say of a tenant can be added up.
 type largest struct {
-	wanted  string
 	kept    []sizedTenant
 	leftOut int
 }
@@ -246,14 +258,8 @@
 	perSecond float64
 }
 
-// newLargest returns an empty choice; wanted is the only tenant to keep, or empty.
-func newLargest(wanted string) *largest { return &largest{wanted: wanted} }
-
 // offer keeps a tenant if it is among the largest.
 func (c *largest) offer(tenant string, perSecond float64) {
-	if c.wanted != "" && c.wanted != tenant {
-		return
-	}
 	offered := sizedTenant{tenant, perSecond}
 	position, _ := slices.BinarySearchFunc(c.kept, offered, compareSizes)
 	if position < snapshotTenants {
