bramblemastctl: limit list and limit show

Cause: each node tells its part of the limits, and an operator needs the sum.

Ruled out: one node that asks the others (each would need the metrics' addresses of all, and could not tell of itself what it does not reach); adding up the lists as they are (a node leaves out tenants beyond its bound, so that sums of those would be a part only and look whole); a default that passes one node's part for the whole (nodes tell how many there are).

Conclusion: an operator sees a tenant's limit live.

--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -25,6 +25,7 @@
 	addNoun(parser, "backend", "Show and drain back-end servers", backendCommands(env))
 	addNoun(parser, "claim", "Show and remove claims of not-repeatable requests", claimCommands(env))
 	addNoun(parser, "config", "Show where the configuration is in force", configCommands(env))
+	addNoun(parser, "limit", "Show the limits of tenants and their use", limitCommands(env))
 	addNoun(parser, "log", "Lead from a failed request to its cause", logCommands(env))
 	return parser
 }
@@ -161,6 +162,20 @@
 	}
 }
 
+func limitCommands(env *environment) []commandEntry {
+	return []commandEntry{
+		{"list", "List tenants with their limits and use over all nodes", `Asks the nodes of a routed deployment that --metrics names and adds up what they say, the greatest limits first. Exits with 6 while a node of the deployment was not asked or did not answer.
+
+Examples:
+bramblemastctl limit list --metrics 10.0.0.5:9464 --metrics 10.0.1.5:9464
+BRAMBLEMAST_METRICS=10.0.0.5:9464,10.0.1.5:9464 bramblemastctl limit list -o json`, &limitList{env: env}},
+		{"show", "Show one tenant's limit, shares and refusals by node", `Exits with 5 if no node knows the tenant, and with 6 while a node of the deployment was not asked or did not answer.
+
+Examples:
+bramblemastctl limit show desk --metrics 10.0.0.5:9464 --metrics 10.0.1.5:9464`, &limitShow{env: env}},
+	}
+}
+
 func logCommands(env *environment) []commandEntry {
 	return []commandEntry{
 		{"explain", "Tell one request's story over several nodes", `Reads log lines of nodes of a routed deployment from files or standard input.
