Limits of tenants: the moment of a copy is that of its lock

Cause: the copy noted its moment before it waited for the mutex, so that a share told meanwhile was younger than the copy. Ruled out: nothing. Change: the moment is taken under the mutex. Conclusion: ages in an answer are not below zero.

--- a/pkg/quota/snapshot.go
+++ b/pkg/quota/snapshot.go
@@ -98,10 +98,11 @@
 // Snapshot returns a copy of the limiter's state: of one tenant, or of all if the name is empty. It
 // changes nothing.
 func (l *Limiter) Snapshot(tenant string) Snapshot {
-	now := time.Now()
-	copied := Snapshot{Node: l.options.Local, Zone: l.options.Zone, At: now, Window: l.options.Bounds.Window}
+	copied := Snapshot{Node: l.options.Local, Zone: l.options.Zone, Window: l.options.Bounds.Window}
 	l.mutex.Lock()
-	copied.StartedAt = l.startedAt
+	// What is copied was told before this moment.
+	now := time.Now()
+	copied.At, copied.StartedAt = now, l.startedAt
 	copied.Nodes, copied.SilentCount = l.nodeCount(), len(l.silent)
 	if len(l.addresses) == 0 {
 		copied.Nodes = 0
