Limits of tenants: a copy goes by the limits in force

Cause: the list chose and ordered tenants by limits that the configuration no longer had: those with which a tenant was last asked for, and those of accounts, which take a new limit with the next report. The limits that it told were others, so that limit list could take a tenant that a node had left out for one that did not come to it, and mark a limit as different that all nodes know alike. A coordinator that had just stood in told the rate of the other nodes as kept back, for a moment.

Ruled out: renewing the limits of accounts and counts when a configuration comes (the decision path stays as it is).

Change: a copy takes each limit once, from the configuration in force, and chooses, orders and tells by it; the counts hold no limit. An account notes what it leaves to silent nodes when it is settled as the first coordinator; nothing is decided by it.

Conclusion: what is told, the order and what is left out come from one limit.

--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -74,8 +74,9 @@
 	// at reservedAt.
 	reserved   float64
 	reservedAt time.Time
-	// granted is the rate of the nodes in touch when the account was last settled.
-	granted float64
+	// keptBack is the part of the limit's rate that was left to silent nodes when the account was last
+	// settled; zero if that was as a stand-in. Nothing is decided by it.
+	keptBack float64
 }
 
 // cautiousSpan is how long a new account keeps to the share that nodes had: the time until
@@ -148,7 +149,10 @@
 		a.sumUp(contact, now)
 	}
 	rate := a.pooled(contact, now)
-	a.granted = rate
+	a.keptBack = 0
+	if contact.IsFirst {
+		a.keptBack = a.limit.PerSecond - rate
+	}
 	room := a.bounds.room(a.limit)
 	part := 0.0
 	if a.limit.PerSecond > 0 {
--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -228,7 +228,6 @@
 		l.meters[tenant] = held
 	}
 	held.meter.SetLimit(limit)
-	held.tally.perSecond = limit.PerSecond
 	return held
 }
 
--- a/pkg/quota/refusal.go
+++ b/pkg/quota/refusal.go
@@ -41,10 +41,8 @@
 // tally counts what a node decided about the requests of one tenant since its start. It outlives the
 // tenant's meter, so that an operator can ask for it after the tenant has become idle.
 type tally struct {
-	// perSecond is the rate of the limit when the tenant was last asked for.
-	perSecond float64
-	admitted  int64
-	refused   [refusalCount]uint64
+	admitted int64
+	refused  [refusalCount]uint64
 }
 
 // count takes one decision.
--- a/pkg/quota/snapshot.go
+++ b/pkg/quota/snapshot.go
@@ -127,14 +127,17 @@
 // copyCoordinated copies what the accounts hold. The caller holds the mutex.
 func (l *Limiter) copyCoordinated(copied *Snapshot, tenant string, now time.Time) {
 	var chosen largest
-	if kept := l.accounts[tenant]; kept != nil && kept.isInUse(now) {
-		chosen.offer(tenant, kept.account.limit.PerSecond)
+	offer := func(name string, kept *coordinated) {
+		if kept != nil && kept.isInUse(now) {
+			limit, _ := l.options.LimitOf(name)
+			chosen.offer(name, limit)
+		}
 	}
-	if tenant == "" {
+	if tenant != "" {
+		offer(tenant, l.accounts[tenant])
+	} else {
 		for name, kept := range l.accounts {
-			if kept.isInUse(now) {
-				chosen.offer(name, kept.account.limit.PerSecond)
-			}
+			offer(name, kept)
 		}
 	}
 	copied.CoordinatedLeftOut = chosen.leftOut
@@ -142,7 +145,8 @@
 	for _, one := range chosen.kept {
 		kept := l.accounts[one.tenant]
 		found := kept.account.view(l.isFirst(one.tenant), now)
-		found.Tenant, found.AtLimitSince = one.tenant, kept.limitedAt
+		// An account takes a new limit with the next report only.
+		found.Tenant, found.Limit, found.AtLimitSince = one.tenant, one.limit, kept.limitedAt
 		if tenant != "" {
 			found.Reporters = kept.account.reporters(now)
 		}
@@ -160,33 +164,35 @@
 func (l *Limiter) copyServed(copied *Snapshot, tenant string, now time.Time) {
 	var chosen largest
 	if limit, isKnown := l.options.LimitOf(tenant); tenant != "" && (isKnown || l.tallies[tenant] != nil) {
-		chosen.offer(tenant, limit.PerSecond)
+		chosen.offer(tenant, limit)
 	}
 	if tenant == "" {
-		for name, counted := range l.tallies {
-			chosen.offer(name, counted.perSecond)
+		for name := range l.tallies {
+			limit, _ := l.options.LimitOf(name)
+			chosen.offer(name, limit)
 		}
 	}
 	copied.ServedLeftOut = chosen.leftOut
 	copied.Served = make([]ServedTenant, 0, len(chosen.kept))
 	for _, one := range chosen.kept {
-		copied.Served = append(copied.Served, l.served(one.tenant, now))
+		copied.Served = append(copied.Served, l.served(one, now))
 	}
 }
 
 // served returns what is known of one tenant at this node. The caller holds the mutex.
-func (l *Limiter) served(tenant string, now time.Time) ServedTenant {
-	counted, held := l.tallies[tenant], l.meters[tenant]
+func (l *Limiter) served(one sizedTenant, now time.Time) ServedTenant {
+	counted, held := l.tallies[one.tenant], l.meters[one.tenant]
 	if counted == nil {
 		counted = &tally{}
 	}
-	found := ServedTenant{Tenant: tenant, Admitted: counted.admitted, Refused: make(map[Refusal]uint64), IsIdle: held == nil}
+	found := ServedTenant{
+		Tenant: one.tenant, Limit: one.limit, Admitted: counted.admitted, Refused: make(map[Refusal]uint64), IsIdle: held == nil,
+	}
 	for _, reason := range Refusals() {
 		if count := counted.refused[reason]; count > 0 {
 			found.Refused[reason] = count
 		}
 	}
-	found.Limit, _ = l.options.LimitOf(tenant)
 	if held != nil {
 		found.Standing, found.Coordinator = held.meter.standing, l.coordinator(held.ranked)
 		held.meter.view(&found, now)
@@ -200,10 +206,8 @@
 	copied := *a
 	copied.bucket.settle(now)
 	found := CoordinatedTenant{
-		Limit: a.limit, IsFirst: isFirst, AskedPerSecond: a.steady.read(now), Share: copied.share(now), Level: copied.bucket.level,
-	}
-	if isFirst {
-		found.KeptBackPerSecond = max(0, a.limit.PerSecond-a.granted)
+		IsFirst: isFirst, AskedPerSecond: a.steady.read(now), Share: copied.share(now), Level: copied.bucket.level,
+		KeptBackPerSecond: a.keptBack,
 	}
 	if now.Sub(a.usedAt) <= entrySpan {
 		found.Reporting = len(a.nodes)
@@ -254,22 +258,22 @@
 	}
 }
 
-// largest keeps the tenants with the greatest limits. All nodes choose by the same order, so that
-// what they say of a tenant can be added up.
+// largest keeps the tenants with the greatest limits of the configuration in force. Nodes with the same
+// configuration leave out the same tenants, so that what they say of the others can be added up.
 type largest struct {
 	kept    []sizedTenant
 	leftOut int
 }
 
-// sizedTenant is a tenant with the rate of its limit.
+// sizedTenant is a tenant with its limit.
 type sizedTenant struct {
-	tenant    string
-	perSecond float64
+	tenant string
+	limit  route.RateLimit
 }
 
 // offer keeps a tenant if it is among the largest.
-func (c *largest) offer(tenant string, perSecond float64) {
-	offered := sizedTenant{tenant, perSecond}
+func (c *largest) offer(tenant string, limit route.RateLimit) {
+	offered := sizedTenant{tenant, limit}
 	position, _ := slices.BinarySearchFunc(c.kept, offered, compareSizes)
 	if position < snapshotTenants {
 		c.kept = slices.Insert(c.kept, position, offered)
@@ -285,9 +289,9 @@
 // compareSizes orders the greater limit first, then by name.
 func compareSizes(one, other sizedTenant) int {
 	switch {
-	case one.perSecond > other.perSecond:
+	case one.limit.PerSecond > other.limit.PerSecond:
 		return -1
-	case one.perSecond < other.perSecond:
+	case one.limit.PerSecond < other.limit.PerSecond:
 		return 1
 	}
 	return strings.Compare(one.tenant, other.tenant)
--- a/pkg/quota/snapshot_test.go
+++ b/pkg/quota/snapshot_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -158,8 +159,9 @@
 // manyTenants is more than a snapshot holds.
 const manyTenants = 300
 
-// limiterOfMany returns a limiter that was asked for many tenants; the limit of each is its number.
-func limiterOfMany() *quota.Limiter {
+// limiterOfMany returns a limiter that was asked for many tenants; the limit of each is its number, until
+// those that are given come into force at the end.
+func limiterOfMany(changed map[string]route.RateLimit) *quota.Limiter {
 	limits := make(map[string]route.RateLimit)
 	for number := 1; number <= manyTenants; number++ {
 		limits[fmt.Sprint("tenant-", number)] = route.RateLimit{PerSecond: float64(number), Burst: 1}
@@ -185,6 +187,7 @@
 	time.Sleep(time.Second)
 	stop()
 	<-ended
+	maps.Copy(limits, changed)
 	return limiter
 }
 
@@ -193,7 +196,7 @@
 func TestASnapshotIsBound(t *testing.T) {
 	var all, one, none quota.Snapshot
 	play(t, func() {
-		limiter := limiterOfMany()
+		limiter := limiterOfMany(nil)
 		all, one, none = limiter.Snapshot(""), limiter.Snapshot("tenant-1"), limiter.Snapshot("tenant-0")
 	})
 	g := NewWithT(t)
@@ -249,7 +252,7 @@
 func TestARequestThatDidNotRunIsTakenOff(t *testing.T) {
 	var before, after quota.Snapshot
 	play(t, func() {
-		limiter := limiterOfMany()
+		limiter := limiterOfMany(nil)
 		before = limiter.Snapshot("tenant-300")
 		limiter.Refund("tenant-300")
 		after = limiter.Snapshot("tenant-300")
@@ -259,16 +262,43 @@
 	g.Expect(after.Served[0].Admitted).To(BeZero())
 }
 
+// TestASnapshotGoesByTheLimitsInForce, also for tenants that were not asked for since these were
+// changed: the list holds and orders all tenants by the limits that it tells.
+func TestASnapshotGoesByTheLimitsInForce(t *testing.T) {
+	const raised, lowered = "tenant-1", "tenant-300"
+	limits := map[string]route.RateLimit{raised: {PerSecond: 1000, Burst: 7}, lowered: {PerSecond: 0.5, Burst: 1}}
+	var all, one quota.Snapshot
+	play(t, func() {
+		limiter := limiterOfMany(limits)
+		all, one = limiter.Snapshot(""), limiter.Snapshot(lowered)
+	})
+	g := NewWithT(t)
+	g.Expect(all.Served[0].Tenant).To(Equal(raised))
+	g.Expect(all.Served[0].Limit).To(Equal(limits[raised]))
+	g.Expect(all.Coordinated[0].Tenant).To(Equal(raised))
+	g.Expect(all.Coordinated[0].Limit).To(Equal(limits[raised]))
+	for index, served := range all.Served {
+		g.Expect(served.Tenant).NotTo(Equal(lowered))
+		g.Expect(all.Coordinated[index].Tenant).To(Equal(served.Tenant))
+	}
+	g.Expect(one.Served[0].Limit).To(Equal(limits[lowered]))
+	g.Expect(one.Coordinated[0].Limit).To(Equal(limits[lowered]))
+}
+
 // BenchmarkSnapshot gives for how long requests wait at most while a snapshot is made.
 func BenchmarkSnapshot(b *testing.B) {
+	limits := make(map[string]route.RateLimit)
+	for number := range 2000 {
+		limits[fmt.Sprint("tenant-", number)] = route.RateLimit{PerSecond: float64(number), Burst: 5}
+	}
 	limiter := quota.New(quota.Options{
 		Local: "node-0", Zone: "zone", Bounds: bounds, Events: quiet{}, Start: 1,
 		Transport: &answering{handlers: make(map[peer.Kind]peer.Handler)},
-		LimitOf:   func(string) (route.RateLimit, bool) { return route.RateLimit{PerSecond: 5, Burst: 5}, true },
+		LimitOf:   func(tenant string) (route.RateLimit, bool) { limit, isKnown := limits[tenant]; return limit, isKnown },
 		IsNeeded:  func() bool { return true },
 	})
-	for number := range 2000 {
-		limiter.Admit(fmt.Sprint("tenant-", number), route.RateLimit{PerSecond: float64(number), Burst: 5}, "request", time.Now())
+	for tenant, limit := range limits {
+		limiter.Admit(tenant, limit, "request", time.Now())
 	}
 	for b.Loop() {
 		limiter.Snapshot("")
--- a/pkg/quota/view_test.go
+++ b/pkg/quota/view_test.go
@@ -51,3 +51,17 @@
 		seenMeter.Acknowledge(use, verdict, now)
 	}
 }
+
+// TestAFormerStandInKeepsNothingBack until it is told anew: its rate was that of the nodes that reported
+// to it, and the rest of the limit was another coordinator's.
+func TestAFormerStandInKeepsNothingBack(t *testing.T) {
+	g := NewWithT(t)
+	limit := route.RateLimit{PerSecond: 20, Burst: 20}
+	now := time.Unix(1_700_000_000, 0)
+	account := NewAccount(limit, Bounds{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}, now, now)
+	use := Use{Start: 1, Asked: 1, Admitted: 1, NewAsked: 1, NewAdmitted: 1, Entitled: 5, Share: 1}
+	account.Take("node", use, Contact{Nodes: 4}, now)
+	g.Expect(account.view(true, now).KeptBackPerSecond).To(BeZero())
+	account.Take("node", use, Contact{IsFirst: true, Nodes: 4, Silent: map[string]bool{"silent": true}}, now)
+	g.Expect(account.view(true, now).KeptBackPerSecond).To(Equal(5.0))
+}
