Tests of limits: no verdict on how fast a busy machine answers

Cause: nodes that answer had 500 ms in the test of those that do not, since one of these is silent until the time is up; and after a node was killed, the others had one try of 5 s.

Ruled out: leaving out the silent node, or asking it alone (it must not hide what the others say).

Change: the test in internal/ctl gives each node 5 s, with the same checks; TestOperatorsSeeALimitOverAllNodes repeats the last command within the patience of its others, and its checks hold together for one output. Fields that it does not read are gone; one of them never matched its name in the output.

Conclusion: the same is checked, and time decides nothing within these bounds.

--- a/internal/ctl/limit_test.go
+++ b/internal/ctl/limit_test.go
@@ -131,7 +131,8 @@
 		silent := metricsBy(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() }))
 		addresses := append(serve(nodes[0], nodes[1]), notThere, notHeld, broken, silent)
 		for _, command := range [][]string{{"limit", "list"}, {"limit", "show", "busy"}} {
-			got := run("", named(addresses, append(command, "--timeout", "500ms")...)...)
+			// The others have so long for their answers, also on a busy machine.
+			got := run("", named(addresses, append(command, "--timeout", "5s")...)...)
 			Expect(got.code).To(Equal(ctl.ExitIncomplete))
 			Expect(got.errors).To(ContainSubstring("a part of the whole"))
 			Expect(got.output).To(ContainSubstring("2 of 3 nodes answered"))
--- a/test/soak/operators_test.go
+++ b/test/soak/operators_test.go
@@ -31,18 +31,17 @@
 
 // shownLimit is what the test reads of the output of "limit show".
 type shownLimit struct {
-	Answered     int                                             `json:"answered"`
-	Known        int                                             `json:"known"`
-	Unanswered   []struct{ Address string }                      `json:"unanswered"`
-	Limit        float64                                         `json:"limit_per_s"`
-	Asked        float64                                         `json:"asked_per_s"`
-	Share        float64                                         `json:"share"`
-	Coordinator  string                                          `json:"coordinator"`
-	Admitted     int64                                           `json:"admitted"`
-	RefusedBy    map[string]uint64                               `json:"refused_by"`
-	Coordinators []struct{ Node string }                         `json:"coordinators"`
-	Zones        []struct{ Zone string }                         `json:"zones"`
-	Nodes        []struct{ Node, Coordinator, DecidedBy string } `json:"nodes"`
+	Answered     int                                  `json:"answered"`
+	Known        int                                  `json:"known"`
+	Limit        float64                              `json:"limit_per_s"`
+	Asked        float64                              `json:"asked_per_s"`
+	Share        float64                              `json:"share"`
+	Coordinator  string                               `json:"coordinator"`
+	Admitted     int64                                `json:"admitted"`
+	RefusedBy    map[string]uint64                    `json:"refused_by"`
+	Coordinators []struct{ Node string }              `json:"coordinators"`
+	Zones        []struct{ Zone string }              `json:"zones"`
+	Nodes        []struct{ Node, Coordinator string } `json:"nodes"`
 }
 
 // operators asks the nodes by the real command line.
@@ -126,9 +125,11 @@
 		ended = deployed.running[1]
 	}
 	g.Expect(ended.end(syscall.SIGKILL, time.Minute)).To(BeTrue())
-	code, output := asked.run(g, "limit", "show", greedyTenant)
-	g.Expect(code).To(Equal(exitIncomplete))
-	g.Expect(output).To(ContainSubstring("no answer: " + ended.metrics))
-	g.Expect(strings.Count(output, "no answer")).To(Equal(1))
-	t.Log(output)
+	g.Eventually(func(g Gomega) {
+		code, output := asked.run(g, "limit", "show", greedyTenant)
+		g.Expect(code).To(Equal(exitIncomplete))
+		g.Expect(output).To(ContainSubstring("no answer: " + ended.metrics))
+		g.Expect(strings.Count(output, "no answer")).To(Equal(1))
+		t.Log(output)
+	}, operatorPatience, operatorPoll).Should(Succeed())
 }
