--- a/internal/ctl/exitcode.go
+++ b/internal/ctl/exitcode.go
@@ -28,7 +28,7 @@
 	// ExitRefused means that the node refused the command; nothing changed.
 	ExitRefused ExitCode = 5
 	// ExitIncomplete means that a status is not what it should be yet: a node
-	// is behind or did not answer, or a change is not accepted.
+	// is behind, did not answer or was not asked, or a change is not accepted.
 	ExitIncomplete ExitCode = 6
 )
 
--- a/internal/edge/limits_page.go
+++ b/internal/edge/limits_page.go
@@ -18,8 +18,10 @@
 // lastList is the last copy of all limits. It is made when somebody asks, so that it costs nothing
 // while nobody does.
 type lastList struct {
+	// mutex guards the fields below, and is held while any copy is made: requests wait for one at
+	// most, however many callers the page has at once.
 	mutex sync.Mutex
-	// message was made at madeAt; guarded by mutex.
+	// message was made at madeAt; it is not changed any more.
 	message *wire.Node
 	madeAt  time.Time
 }
@@ -38,11 +40,11 @@
 
 // message returns what is known of one tenant, or of all if the name is empty.
 func (l *limits) message(tenant string) *wire.Node {
+	l.list.mutex.Lock()
+	defer l.list.mutex.Unlock()
 	if tenant != "" {
 		return l.encode(tenant)
 	}
-	l.list.mutex.Lock()
-	defer l.list.mutex.Unlock()
 	if l.list.message == nil || time.Since(l.list.madeAt) >= listInterval {
 		l.list.message, l.list.madeAt = l.encode(""), time.Now()
 	}
--- a/internal/edge/limits_page_test.go
+++ b/internal/edge/limits_page_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -154,3 +156,40 @@
 		g.Expect(readPage(g, pageOf(node, wire.Path+"?tenant=b")).Served).To(BeEmpty())
 	})
 }
+
+// TestPagesAndRequestsGoOnTogether: many callers of the page at once get whole answers while requests are
+// decided and nodes come and go, and no request is counted twice or lost.
+func TestPagesAndRequestsGoOnTogether(t *testing.T) {
+	const callers, each = 8, 50
+	g := NewWithT(t)
+	network := peer.NewNetwork(1)
+	defer network.Close()
+	tenants := []route.Tenant{{Name: "a", Limit: route.RateLimit{PerSecond: 5, Burst: 5}}, {Name: "b", Limit: route.RateLimit{PerSecond: 3, Burst: 3}}}
+	node := limitedNodes(g, network, 1, tenants)[0]
+	var group sync.WaitGroup
+	answers := make([][]*httptest.ResponseRecorder, callers)
+	for caller := range callers {
+		group.Go(func() {
+			for number := range each {
+				tenant := &tenants[number%len(tenants)]
+				node.limits.Admit(tenant, fmt.Sprint(caller, "-", number), time.Now())
+				answers[caller] = append(answers[caller], pageOf(node, wire.Path), pageOf(node, wire.Path+"?tenant="+tenant.Name))
+				node.limits.setNodes([]directory.Node{{Name: "n-0", Zone: "z-0", PeerAddress: "n-0"}, {Name: fmt.Sprint("other-", number), PeerAddress: "none"}})
+			}
+		})
+	}
+	group.Wait()
+	for _, answer := range slices.Concat(answers...) {
+		message := readPage(g, answer)
+		g.Expect(message.Nodes).To(Or(Equal(1), Equal(2)))
+		g.Expect(message.Served).NotTo(BeEmpty())
+	}
+	for _, tenant := range tenants {
+		served := readPage(g, pageOf(node, wire.Path+"?tenant="+tenant.Name)).Served[0]
+		decided := uint64(served.Admitted)
+		for _, count := range served.Refused {
+			decided += count
+		}
+		g.Expect(decided).To(Equal(uint64(callers * each / len(tenants))))
+	}
+}
