Room: owners speak only of services that they have found short of room

Cause: a report that did not name a service counted as room for all, also from an owner that had not measured it yet: after a loss of the owner during an overload the first report of the next one let everybody in. A new owner also overwrote what it had been told itself at its first judgement.

Ruled out: naming each measured service in each report. Without overload that is bytes for nothing; full shares matter only while earlier ones may be known. A count of judgements as the sign of "measured": it says nothing more, since an owner that never found a shortage has nothing to take back.

Change: Meters.Report returns what is to be told, and nothing for a service that was not short of room here within the time for which shares are kept; reports name those whose room is back in that time. What is not named stays as it was told until it lapses. A load that was not asked for lately is not announced as having room any more.

--- a/pkg/loadshed/meter.go
+++ b/pkg/loadshed/meter.go
@@ -99,6 +99,8 @@
 	capacity, asked float64
 	shares          Shares
 	demands         []Demand
+	// limitedAt is the last judgement that found a shortage; zero for none.
+	limitedAt time.Time
 	// wasForOthers says that this node has asked on behalf of others since the last judgement,
 	// and forOthersAt is the last judgement that found so.
 	wasForOthers bool
@@ -185,6 +187,15 @@
 		m.behind, m.outgrown = 0, 0
 	}
 	m.limit(elapsed)
+	if m.isLimited {
+		m.limitedAt = now
+	}
+}
+
+// hasFoundShortage reports whether the meter finds a shortage, or did so lately that the shares
+// told then may still be known.
+func (m *Meter) hasFoundShortage() bool {
+	return !m.limitedAt.IsZero() && m.judgedAt.Sub(m.limitedAt) <= shareLife
 }
 
 // average takes what was noted since the last judgement into the rates.
--- a/pkg/loadshed/meters.go
+++ b/pkg/loadshed/meters.go
@@ -71,13 +71,16 @@
 		return
 	}
 	found.Judge(m.queues.Backlog(key, now), now)
+	if !found.hasFoundShortage() {
+		return
+	}
 	shares, _ := found.Shares()
-	if found.isForOthers() {
-		m.board.Take(key, shares, now)
-	} else {
+	if !found.isForOthers() {
 		m.board.TakePartial(key, shares, now)
+		return
 	}
-	if found.isForOthers() && m.tell != nil {
+	m.board.Take(key, shares, now)
+	if m.tell != nil {
 		m.tellIfChanged(now)
 	}
 }
@@ -96,11 +99,6 @@
 func (m *Meters) Of(key Key, now time.Time) (Shares, time.Time) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.of(key, now)
-}
-
-// of is Of. The mutex is held.
-func (m *Meters) of(key Key, now time.Time) (Shares, time.Time) {
 	found := m.meters[key]
 	if found == nil || now.Sub(found.judgedAt) > shareLife {
 		return Shares{}, now
@@ -108,6 +106,25 @@
 	return found.Shares()
 }
 
+// Report returns what the nodes that ask for a service are to be told of it, and whether there is
+// anything to tell. A service that has not been short of room here is not spoken of: others may
+// have measured it for longer.
+func (m *Meters) Report(key Key, now time.Time) (Measured, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.report(key, now)
+}
+
+// report is Report. The mutex is held.
+func (m *Meters) report(key Key, now time.Time) (Measured, bool) {
+	found := m.meters[key]
+	if found == nil || now.Sub(found.judgedAt) > shareLife || !found.hasFoundShortage() {
+		return Measured{}, false
+	}
+	shares, at := found.Shares()
+	return Measured{Key: key, Shares: shares, At: at}, true
+}
+
 // tellIfChanged tells all nodes the shares if they have changed or matter still. The mutex is
 // held.
 func (m *Meters) tellIfChanged(now time.Time) {
@@ -117,24 +134,28 @@
 	}
 	isChanged, matters := false, false
 	for key, each := range m.meters {
-		if !each.isForOthers() {
+		measured, ok := m.report(key, now)
+		if !ok {
+			// What was told last is too old to be known.
+			delete(m.lastTold, key)
+		}
+		if !ok || !each.isForOthers() {
 			continue
 		}
-		shares, _ := m.of(key, now)
-		isChanged = isChanged || shares.differsFrom(m.lastTold[key], toldChange)
-		matters = matters || !shares.IsFull()
+		isChanged = isChanged || measured.Shares.differsFrom(m.lastTold[key], toldChange)
+		matters = matters || !measured.Shares.IsFull()
 	}
 	if !isChanged && (!matters || pause < repeatSpan) {
 		return
 	}
 	var message []Measured
 	for key, each := range m.meters {
-		shares, at := m.of(key, now)
-		if !each.isForOthers() || shares.IsFull() && m.lastTold[key].IsFull() {
+		measured, ok := m.report(key, now)
+		if !ok || !each.isForOthers() || measured.Shares.IsFull() && m.lastTold[key].IsFull() {
 			continue
 		}
-		message = append(message, Measured{Key: key, Shares: shares, At: at})
-		m.lastTold[key] = shares
+		message = append(message, measured)
+		m.lastTold[key] = measured.Shares
 	}
 	m.toldAt = now
 	m.tell(message)
--- a/pkg/owner/announcer.go
+++ b/pkg/owner/announcer.go
@@ -117,10 +117,7 @@
 	if err := rooms.UnmarshalVT(body); err != nil {
 		return nil, err
 	}
-	now := time.Now()
-	for _, each := range rooms.Rooms {
-		takeRoom(a.known.Board, each, now)
-	}
+	takeRooms(a.known.Board, rooms.Rooms, time.Now())
 	return &ownerpb.Ping{}, nil
 }
 
@@ -131,9 +128,9 @@
 	}
 	var rooms []*ownerpb.Room
 	for _, service := range services {
-		key := loadshed.Key{Service: service, Regions: regions}
-		if shares, at := a.known.Meters.Of(key, now); !shares.IsFull() {
-			rooms = append(rooms, encodeRoom(key, shares, now.Sub(at)))
+		measured, ok := a.known.Meters.Report(loadshed.Key{Service: service, Regions: regions}, now)
+		if ok {
+			rooms = append(rooms, encodeRoom(measured.Key, measured.Shares, now.Sub(measured.At)))
 		}
 	}
 	return rooms
@@ -167,22 +164,12 @@
 	board.Take(loadshed.Key{Service: told.Service, Regions: told.Regions}, shares, now.Add(-time.Duration(told.AgeMs)*time.Millisecond))
 }
 
-// takeReportedRoom notes what a report tells of the services of its question: those that it
-// does not name have room for all.
-func takeReportedRoom(board *loadshed.Board, services []string, regions string, told []*ownerpb.Room, now time.Time) {
-	if len(told) == 0 && board.IsIdle() {
-		return
-	}
-	named := make(map[string]bool, len(told))
+// takeRooms notes what an owner tells. Of services that it does not name, which it may not have
+// measured, what was told before holds until that is too old.
+func takeRooms(board *loadshed.Board, told []*ownerpb.Room, now time.Time) {
 	for _, each := range told {
-		named[each.Service] = true
 		takeRoom(board, each, now)
 	}
-	for _, service := range services {
-		if !named[service] {
-			board.Take(loadshed.Key{Service: service, Regions: regions}, loadshed.Shares{}, now)
-		}
-	}
 }
 
 // neighbours returns the other nodes of the region that are told of changes.
--- a/pkg/owner/client.go
+++ b/pkg/owner/client.go
@@ -66,7 +66,6 @@
 	peer.Stream
 	client *Client
 	node   directory.Node
-	asked  load
 	// askedAt is when the question was asked.
 	askedAt time.Time
 	// leeway is in which time the way there and back, and the delays of both processes, must be
@@ -112,27 +111,13 @@
 		return unsent{}
 	}
 	now := time.Now()
-	asked := &pending{client: c, node: node, asked: loadOf(question), askedAt: now, leeway: question.Leeway()}
+	asked := &pending{client: c, node: node, askedAt: now, leeway: question.Leeway()}
 	receive := func(body []byte, err error) { asked.receive(body, err, report) }
 	asked.Stream = c.transport.Open(
 		peer.Address(node.PeerAddress), kindQuestion, encodeQuestion(question, now), question.Plan.Deadline.Sub(now), receive)
 	return asked
 }
 
-// load is some services, and the key of the regions to which a request is bound.
-type load struct {
-	services []string
-	regions  string
-}
-
-func loadOf(question fanout.Question) load {
-	asked := load{services: question.Services}
-	if question.Plan.Regions != nil {
-		asked.regions = question.Plan.Regions().Key()
-	}
-	return asked
-}
-
 // receive hands on one message of the owner, or the end of its answer.
 func (p *pending) receive(body []byte, err error, report func(fanout.Report)) {
 	switch {
@@ -154,7 +139,7 @@
 	}
 	if decoded.Err == nil {
 		p.client.noteReport(p.node.Name, p.isLate.Load())
-		takeReportedRoom(p.client.board, p.asked.services, p.asked.regions, room, time.Now())
+		takeRooms(p.client.board, room, time.Now())
 	}
 	report(decoded)
 }
