Room: requests without a target show a shortage of room too

Cause: only sub-requests with a target counted in the backlog, so that requests of a route without one queued until they failed at their deadline, all of them late, and were never refused at the beginning.

Letting the room at servers follow the deadline: without a target nothing tells how long an answer of a server may take.

Change: fleet.Choice has the whole time of the request. The backlog counts those without a target, who are to be answered by their deadline: a quarter of it may pass waiting, the rest is for the server's work and a second try, as for targets. Where some in the queue have a target, theirs counts.

A burst of 1.5 times the capacity for half a second refuses nobody (TestABurstThatFitsTheDeadlineIsServed).

--- a/internal/front/overload_test.go
+++ b/internal/front/overload_test.go
@@ -136,7 +136,10 @@
 	s.fleet.Sweep(time.Now())
 }
 
-func newSimulation() *simulation {
+func newSimulation() *simulation { return newSimulationOf(func(*route.Route) {}) }
+
+// newSimulationOf returns a node whose route is changed before it is served.
+func newSimulationOf(change func(*route.Route)) *simulation {
 	network := exchangetest.NewNetwork()
 	servers := fleet.New(fleet.Settings{Dialer: network, Random: rand.New(rand.NewPCG(1, 1))})
 	simulated := &simulation{fleet: servers, records: &simRecords{refused: make(map[string]Record)}}
@@ -155,6 +158,7 @@
 			servers.Apply(fleet.Server{ID: name, Service: service, Address: name, Slots: simSlots}, time.Now())
 		}
 	}
+	change(&tally)
 	simulated.serve(tally)
 	return simulated
 }
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -164,7 +164,10 @@
 	for _, each := range part.asked {
 		excluded = append(excluded, each.lease)
 	}
-	return fleet.Choice{Service: part.service, Kind: r.plan.Kind, Assumed: r.plan.Assumed, Target: r.targetSpan(), Rank: r.rank(part), Excluded: excluded, Owned: part.owned, Regions: r.regions()}
+	return fleet.Choice{
+		Service: part.service, Kind: r.plan.Kind, Assumed: r.plan.Assumed, Target: r.targetSpan(), Span: r.plan.Deadline.Sub(r.began),
+		Rank: r.rank(part), Excluded: excluded, Owned: part.owned, Regions: r.regions(),
+	}
 }
 
 // rank orders the sub-requests of a part among those of other requests.
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -37,6 +37,8 @@
 	// Target is the time within which an answer is of full value; zero if it is
 	// not bounded.
 	Target time.Duration
+	// Span is the whole time that the request has, until its deadline.
+	Span time.Duration
 	// Rank orders sub-requests where not all find a free server.
 	Rank Rank
 	// Excluded are servers that were asked already.
--- a/pkg/fleet/waiting.go
+++ b/pkg/fleet/waiting.go
@@ -75,28 +75,45 @@
 	return count
 }
 
-// Backlog implements loadshed.Queues: it counts the sub-requests that are needed and in time.
+// Backlog implements loadshed.Queues: it counts the sub-requests that are needed and in time. Those
+// without a target are to be answered by their deadline; beside others with one, that of the others
+// counts, since all stand in the same queue.
 func (f *Fleet) Backlog(key loadshed.Key, now time.Time) loadshed.Backlog {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	var backlog loadshed.Backlog
-	var targets time.Duration
+	var targeted, others spans
 	for _, each := range f.waiters[key.Service] {
-		if each.countsIn(key.Regions) && each.Choice.Rank.isInTime(now) {
-			backlog.Waiting++
-			targets += each.Choice.Target
+		choice := each.Choice
+		switch {
+		case !each.countsIn(key.Regions) || !choice.Rank.isInTime(now):
+		case choice.Target > 0:
+			targeted.add(choice.Target)
+		case choice.Span > 0:
+			others.add(choice.Span)
 		}
 	}
-	if backlog.Waiting > 0 {
-		backlog.Target = targets / time.Duration(backlog.Waiting)
+	backlog := loadshed.Backlog{Waiting: targeted.count + others.count, Target: targeted.mean()}
+	if targeted.count == 0 {
+		backlog.Target = others.mean()
 	}
 	return backlog
 }
 
+// spans are times of which the mean is asked.
+type spans struct {
+	count int
+	sum   time.Duration
+}
+
+func (s *spans) add(span time.Duration) { s.count, s.sum = s.count+1, s.sum+span }
+
+// mean returns zero for none.
+func (s *spans) mean() time.Duration { return s.sum / time.Duration(max(1, s.count)) }
+
 // countsIn reports whether a waiter counts in the load of the requests that are bound to
 // regions with a key.
 func (w *Waiter) countsIn(regions string) bool {
-	return w.Choice.Rank.Needed && w.Choice.Target > 0 && w.Choice.Regions.Key() == regions
+	return w.Choice.Rank.Needed && w.Choice.Regions.Key() == regions
 }
 
 // removeWaiter takes a waiter from its list. The mutex is held.
--- a/pkg/loadshed/meter.go
+++ b/pkg/loadshed/meter.go
@@ -71,7 +71,7 @@
 // time by it.
 type Backlog struct {
 	Waiting int
-	// Target is the mean time within which their answers are of full value; zero for none.
+	// Target is the mean time within which they are to be answered; zero for none.
 	Target time.Duration
 }
 
