Room: news of a shortage reaches all nodes of a large region

Cause: an owner tells forty nodes, others each time in a region of more. With a hundred nodes 40 know a share after one message, and shares that are not told again lapse after 1.5 s: such nodes let everything in between.

Ruled out: telling all nodes directly: connections and messages of an owner grow with the region. A tree of more levels: each level adds a hop in which a lost node costs its part the news. Naming the part in the message: all nodes derive it from the nodes that they know.

Change: the nodes of a region form at most forty parts. An owner tells one node of each, the same until it does not answer; that one tells its part by owner.room.onward, which goes no further. What comes while a part is being told is merged into its next message. In regions of forty nodes or fewer each part is one node and nothing changes.

TestALostNodeKeepsNewsFromItsPartOnce, TestWhatIsToldOnDoesNotGrowWithTheOwners.

--- a/pkg/owner/announcer.go
+++ b/pkg/owner/announcer.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"slices"
+	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/bramblemast/bramblemast/pkg/directory"
 	"github.com/bramblemast/bramblemast/pkg/fanout"
 	"github.com/bramblemast/bramblemast/pkg/loadshed"
 	"github.com/bramblemast/bramblemast/pkg/owner/ownerpb"
@@ -15,18 +15,16 @@
 	"github.com/bramblemast/bramblemast/pkg/target"
 )
 
-// kindRoom tells of the room at services.
-const kindRoom peer.Kind = "owner.room"
-
-// Constants of what is told to all nodes of a region.
+// Messages about the room at services: the nodes that an owner tells get kindRoom, and tell those
+// of their part of the region by kindRoomOnward, which goes no further.
 const (
-	// tellTimeout bounds one message: what matters after it is told again by then.
-	tellTimeout = 400 * time.Millisecond
-	// mostTold bounds the nodes that are told at once, so that the connections to them stay
-	// open. In a larger region the others learn from the reports to their own questions.
-	mostTold = 40
+	kindRoom       peer.Kind = "owner.room"
+	kindRoomOnward peer.Kind = "owner.room.onward"
 )
 
+// tellTimeout bounds one message: what matters after it is told again by then.
+const tellTimeout = 400 * time.Millisecond
+
 // Announcer tells the nodes of the region what this node measures, as an owner, of the room at
 // services, and takes what other owners tell. It is safe for concurrent use.
 type Announcer struct {
@@ -34,8 +32,11 @@
 	roster    *Roster
 	transport peer.Transport
 	told      func([]loadshed.Measured)
-	// waiting has the message that is to be told next.
-	waiting chan []loadshed.Measured
+	// waiting is what this node has measured and is to tell, and onward what it was told and is to
+	// tell the nodes of its part.
+	waiting, onward *outbox
+	// heads are used by Run alone.
+	heads heads
 }
 
 // AnnouncerOptions are the parts of an Announcer.
@@ -53,54 +54,45 @@
 func NewAnnouncer(options AnnouncerOptions) *Announcer {
 	created := &Announcer{
 		known: options.Known, roster: options.Roster, transport: options.Transport, told: options.Told,
-		waiting: make(chan []loadshed.Measured, 1),
+		waiting: newOutbox(), onward: newOutbox(),
 	}
-	options.Known.Meters.Tell(created.put)
-	options.Transport.Handle(kindRoom, created.take)
+	options.Known.Meters.Tell(created.waiting.put)
+	options.Transport.Handle(kindRoom, created.takeAndTell)
+	options.Transport.Handle(kindRoomOnward, created.take)
 	return created
 }
 
-// put keeps a message until Run tells it, with what one that still waits tells of other services:
-// their change counts as told. Meters calls it for one message at a time.
-func (a *Announcer) put(message []loadshed.Measured) {
-	select {
-	case earlier := <-a.waiting:
-		message = merge(earlier, message)
-	default:
-	}
-	select {
-	case a.waiting <- message:
-	default:
-	}
-}
-
-// merge returns a message with what an earlier one tells of services that it does not name.
-func merge(earlier, message []loadshed.Measured) []loadshed.Measured {
-	merged := slices.Clone(message)
-	for _, each := range earlier {
-		isNamed := slices.ContainsFunc(message, func(later loadshed.Measured) bool { return later.Key == each.Key })
-		if !isNamed {
-			merged = append(merged, each)
-		}
-	}
-	return merged
-}
-
 // Run tells what has changed, until ctx ends.
 func (a *Announcer) Run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case message := <-a.waiting:
-			a.spread(ctx, message)
-		}
-	}
+	var onward sync.WaitGroup
+	onward.Go(func() { a.onward.run(ctx, a.tellPart) })
+	a.waiting.run(ctx, a.spread)
+	onward.Wait()
+	return nil
 }
 
-// spread tells the nodes of the region, and waits until they have answered or tellTimeout is over.
+// spread tells one node of each part of the region, and waits until they have answered or
+// tellTimeout is over.
 func (a *Announcer) spread(ctx context.Context, message []loadshed.Measured) {
 	a.told(message)
+	parts, _ := a.roster.parts()
+	chosen := a.heads.choose(parts)
+	answered := a.send(ctx, chosen, kindRoom, message)
+	a.heads.note(chosen, answered, parts)
+}
+
+// tellPart tells the nodes of this node's part of the region what it was told. One that hears it
+// twice takes the later measurement.
+func (a *Announcer) tellPart(ctx context.Context, message []loadshed.Measured) {
+	parts, own := a.roster.parts()
+	a.send(ctx, parts[own], kindRoomOnward, message)
+}
+
+// send returns the nodes that took a message in time.
+func (a *Announcer) send(ctx context.Context, addresses []peer.Address, kind peer.Kind, message []loadshed.Measured) []peer.Address {
+	if len(addresses) == 0 {
+		return nil
+	}
 	now := time.Now()
 	rooms := &ownerpb.Rooms{}
 	for _, each := range message {
@@ -108,17 +100,31 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	peer.Spread(limited, a.transport, a.roster.neighbours(), kindRoom, rooms, func() proto.Message { return &ownerpb.Ping{} })
+	return peer.Spread(limited, a.transport, addresses, kind, rooms, func() proto.Message { return &ownerpb.Ping{} })
 }
 
 // take notes what another owner tells.
 func (a *Announcer) take(_ context.Context, _ target.NodeID, body []byte) (proto.Message, error) {
+	_, err := a.note(body)
+	return &ownerpb.Ping{}, err
+}
+
+// takeAndTell notes what another owner tells, and lets the nodes of this node's part know.
+func (a *Announcer) takeAndTell(_ context.Context, _ target.NodeID, body []byte) (proto.Message, error) {
+	message, err := a.note(body)
+	if err == nil {
+		a.onward.put(message)
+	}
+	return &ownerpb.Ping{}, err
+}
+
+// note notes a message on this node's board and returns it.
+func (a *Announcer) note(body []byte) ([]loadshed.Measured, error) {
 	rooms := &ownerpb.Rooms{}
 	if err := rooms.UnmarshalVT(body); err != nil {
-		return nil, err
+		return nil, errors.Wrap(err, "decode rooms")
 	}
-	takeRooms(a.known.Board, rooms.Rooms, time.Now())
-	return &ownerpb.Ping{}, nil
+	return takeRooms(a.known.Board, rooms.Rooms, time.Now()), nil
 }
 
 // roomOf returns what is told with a report about some services.
@@ -150,8 +156,20 @@
 	return encoded
 }
 
-// takeRoom notes one service's shares on a board.
-func takeRoom(board *loadshed.Board, told *ownerpb.Room, now time.Time) {
+// takeRooms notes what an owner tells and returns it. Of services that it does not name, which it
+// may not have measured, what was told before holds until that is too old.
+func takeRooms(board *loadshed.Board, told []*ownerpb.Room, now time.Time) []loadshed.Measured {
+	message := make([]loadshed.Measured, len(told))
+	for index, each := range told {
+		decoded := decodeRoom(each, now)
+		board.Take(decoded.Key, decoded.Shares, decoded.At)
+		message[index] = decoded
+	}
+	return message
+}
+
+// decodeRoom reads one service's shares.
+func decodeRoom(told *ownerpb.Room, now time.Time) loadshed.Measured {
 	var shares loadshed.Shares
 	for _, rank := range told.Ranks {
 		shares.Ranks = append(shares.Ranks, loadshed.RankShare{Priority: int(rank.Priority), Share: rank.Share})
@@ -161,27 +179,8 @@
 			Class: loadshed.Class{Priority: int(heavy.Priority), Tenant: heavy.Tenant}, Share: heavy.Share,
 		})
 	}
-	board.Take(loadshed.Key{Service: told.Service, Regions: told.Regions}, shares, now.Add(-time.Duration(told.AgeMs)*time.Millisecond))
-}
-
-// takeRooms notes what an owner tells. Of services that it does not name, which it may not have
-// measured, what was told before holds until that is too old.
-func takeRooms(board *loadshed.Board, told []*ownerpb.Room, now time.Time) {
-	for _, each := range told {
-		takeRoom(board, each, now)
-	}
-}
-
-// neighbours returns the other nodes of the region that are told of changes.
-func (r *Roster) neighbours() []peer.Address {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	var addresses []peer.Address
-	for _, node := range r.byName {
-		isOther := node.Name != r.local.Name
-		if isOther && directory.SameRegion(r.regions, node.Zone, r.local.Zone) && len(addresses) < mostTold {
-			addresses = append(addresses, peer.Address(node.PeerAddress))
-		}
+	return loadshed.Measured{
+		Key: loadshed.Key{Service: told.Service, Regions: told.Regions}, Shares: shares,
+		At: now.Add(-time.Duration(told.AgeMs) * time.Millisecond),
 	}
-	return addresses
 }
--- a/pkg/owner/export_test.go
+++ b/pkg/owner/export_test.go
@@ -8,7 +8,7 @@
 )
 
 // Put hands an Announcer a message as its meters do.
-func (a *Announcer) Put(message []loadshed.Measured) { a.put(message) }
+func (a *Announcer) Put(message []loadshed.Measured) { a.waiting.put(message) }
 
 // RoomOf returns what a report about some services tells.
 func (a *Announcer) RoomOf(services []string, now time.Time) []*ownerpb.Room {
--- /dev/null
+++ b/pkg/owner/outbox.go
@@ -0,0 +1,59 @@
+package owner
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/bramblemast/bramblemast/pkg/loadshed"
+)
+
+// outbox holds the message that is to be told next. It is safe for concurrent use.
+type outbox struct {
+	// mutex is held by put.
+	mutex   sync.Mutex
+	waiting chan []loadshed.Measured
+}
+
+func newOutbox() *outbox { return &outbox{waiting: make(chan []loadshed.Measured, 1)} }
+
+// put keeps a message until it is told, with what one that still waits tells of other services:
+// their change counts as told. It does not block.
+func (o *outbox) put(message []loadshed.Measured) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	select {
+	case earlier := <-o.waiting:
+		message = merge(earlier, message)
+	default:
+	}
+	o.waiting <- message
+}
+
+// run hands on what was put, one message after the other, until ctx ends.
+func (o *outbox) run(ctx context.Context, tell func(context.Context, []loadshed.Measured)) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case message := <-o.waiting:
+			tell(ctx, message)
+		}
+	}
+}
+
+// merge returns a message with what an earlier one tells of services that it does not name, or that
+// were measured later there.
+func merge(earlier, message []loadshed.Measured) []loadshed.Measured {
+	merged := slices.Clone(message)
+	for _, each := range earlier {
+		index := slices.IndexFunc(merged, func(other loadshed.Measured) bool { return other.Key == each.Key })
+		switch {
+		case index < 0:
+			merged = append(merged, each)
+		case each.At.After(merged[index].At):
+			merged[index] = each
+		}
+	}
+	return merged
+}
--- /dev/null
+++ b/pkg/owner/parts.go
@@ -0,0 +1,83 @@
+package owner
+
+import (
+	"slices"
+
+	"github.com/bramblemast/bramblemast/pkg/directory"
+	"github.com/bramblemast/bramblemast/pkg/peer"
+)
+
+// mostParts bounds the parts into which the nodes of a region are divided, and so the nodes that an
+// owner tells itself: the connections to them stay open.
+const mostParts = 40
+
+// parts returns the other nodes of the region in parts of about even size, alike at all nodes that
+// know the same ones, and the index of this node's own part.
+func (r *Roster) parts() ([][]peer.Address, int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var names []string
+	for name, node := range r.byName {
+		if directory.SameRegion(r.regions, node.Zone, r.local.Zone) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	count, own := min(mostParts, len(names)), 0
+	parts := make([][]peer.Address, count)
+	for index := range parts {
+		for _, name := range names[index*len(names)/count : (index+1)*len(names)/count] {
+			if name == r.local.Name {
+				own = index
+				continue
+			}
+			parts[index] = append(parts[index], peer.Address(r.byName[name].PeerAddress))
+		}
+	}
+	return parts, own
+}
+
+// heads chooses the node of each part that is told first and tells the others. The same ones are
+// chosen until they do not answer, so that few connections are used.
+type heads struct {
+	// silent are the nodes that did not answer.
+	silent map[peer.Address]bool
+}
+
+// choose returns one node of each part.
+func (h *heads) choose(parts [][]peer.Address) []peer.Address {
+	var chosen []peer.Address
+	for _, part := range parts {
+		if len(part) == 0 {
+			continue
+		}
+		index := slices.IndexFunc(part, func(address peer.Address) bool { return !h.silent[address] })
+		chosen = append(chosen, part[max(0, index)])
+	}
+	return chosen
+}
+
+// note takes which of the chosen nodes have answered.
+func (h *heads) note(chosen, answered []peer.Address, parts [][]peer.Address) {
+	silent := make(map[peer.Address]bool)
+	for _, part := range parts {
+		count := 0
+		for _, address := range part {
+			isSilent := h.silent[address]
+			if slices.Contains(chosen, address) {
+				isSilent = !slices.Contains(answered, address)
+			}
+			if isSilent {
+				silent[address] = true
+				count++
+			}
+		}
+		if count == len(part) {
+			// All are tried anew.
+			for _, address := range part {
+				delete(silent, address)
+			}
+		}
+	}
+	h.silent = silent
+}
--- /dev/null
+++ b/pkg/owner/parts_test.go
@@ -0,0 +1,158 @@
+package owner_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bramblemast/bramblemast/pkg/directory"
+	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/loadshed"
+	"github.com/bramblemast/bramblemast/pkg/owner"
+	"github.com/bramblemast/bramblemast/pkg/peer"
+)
+
+// largeRegion is a region with more nodes than one of them tells itself.
+type largeRegion struct {
+	network    *peer.Network
+	announcers []*owner.Announcer
+	boards     []*loadshed.Board
+
+	mutex sync.Mutex
+	// sent counts the messages of each node, and first are the nodes that node0 told itself,
+	// guarded by mutex.
+	sent  map[string]int
+	first map[peer.Address]bool
+}
+
+// counted counts the messages of one node.
+type counted struct {
+	*peer.MemoryTransport
+	region *largeRegion
+	name   string
+}
+
+func (c counted) Call(ctx context.Context, to peer.Address, kind peer.Kind, message, reply proto.Message) error {
+	c.region.mutex.Lock()
+	c.region.sent[c.name]++
+	if c.name == "node0" {
+		c.region.first[to] = true
+	}
+	c.region.mutex.Unlock()
+	return c.MemoryTransport.Call(ctx, to, kind, message, reply)
+}
+
+const largeRegionNodes = 100
+
+// inLargeRegion runs a test with a hundred nodes; node0 is the owner of services.
+func inLargeRegion(t *testing.T, test func(g *WithT, region *largeRegion)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		region := &largeRegion{network: peer.NewNetwork(1), sent: make(map[string]int), first: make(map[peer.Address]bool)}
+		region.network.SetLatency(func(_, _ peer.Address) time.Duration { return time.Millisecond })
+		var known []directory.Node
+		for number := range largeRegionNodes {
+			name := fmt.Sprint("node", number)
+			known = append(known, directory.Node{Name: name, Zone: "z", PeerAddress: name})
+		}
+		var stopped sync.WaitGroup
+		for _, each := range known {
+			roster := owner.NewRoster(each, map[string]string{"z": "r"}, noServers{})
+			roster.SetNodes(known)
+			room := fanout.NewRoom(&crowdedQueues{})
+			announcer := owner.NewAnnouncer(owner.AnnouncerOptions{
+				Known: room, Roster: roster, Told: func([]loadshed.Measured) {},
+				Transport: counted{region.network.Transport(peer.Address(each.Name)), region, each.Name},
+			})
+			region.boards, region.announcers = append(region.boards, room.Board), append(region.announcers, announcer)
+			stopped.Go(func() { _ = announcer.Run(ctx) })
+		}
+		test(NewWithT(t), region)
+		cancel()
+		stopped.Wait()
+		time.Sleep(time.Minute)
+		region.network.Close()
+	})
+}
+
+// tell lets the owner tell a share, and returns how many nodes know it a little later.
+func (r *largeRegion) tell(share float64) int {
+	key := loadshed.Key{Service: "s"}
+	r.announcers[0].Put([]loadshed.Measured{{Key: key, Shares: roomShare(share), At: time.Now()}})
+	time.Sleep(50 * time.Millisecond)
+	know := 0
+	for _, board := range r.boards[1:] {
+		if board.ShareOf(key, loadshed.Class{}, time.Now()) == share {
+			know++
+		}
+	}
+	return know
+}
+
+// TestAllNodesOfALargeRegionLearn of a shortage within two round trips, by one message each, of
+// which the owner sends a bounded number.
+func TestAllNodesOfALargeRegionLearn(t *testing.T) {
+	inLargeRegion(t, func(g *WithT, region *largeRegion) {
+		g.Expect(region.tell(0.5)).To(Equal(largeRegionNodes - 1))
+		total := 0
+		for name, sent := range region.sent {
+			total += sent
+			if name != "node0" {
+				g.Expect(sent).To(BeNumerically("<=", 2), "each tells its own part alone")
+			}
+		}
+		g.Expect(region.sent["node0"]).To(BeNumerically("<=", 40))
+		g.Expect(total).To(BeNumerically("<=", largeRegionNodes))
+		g.Expect(region.tell(0.4)).To(Equal(largeRegionNodes - 1))
+		g.Expect(region.first).To(HaveLen(region.sent["node0"]/2), "the same nodes are told first")
+	})
+}
+
+// TestALostNodeKeepsNewsFromItsPartOnce: the next message goes to another node of the part.
+func TestALostNodeKeepsNewsFromItsPartOnce(t *testing.T) {
+	inLargeRegion(t, func(g *WithT, region *largeRegion) {
+		region.tell(0.5)
+		var lost []peer.Address
+		for address := range region.first {
+			if len(lost) < 5 {
+				lost = append(lost, address)
+			}
+		}
+		for _, address := range lost {
+			region.network.Freeze(address)
+		}
+		g.Expect(region.tell(0.4)).To(BeNumerically(">=", largeRegionNodes-1-3*len(lost)))
+		time.Sleep(400 * time.Millisecond)
+		g.Expect(region.tell(0.3)).To(Equal(largeRegionNodes - 1 - len(lost)))
+		for _, address := range lost {
+			region.network.Thaw(address)
+		}
+		time.Sleep(400 * time.Millisecond)
+		g.Expect(region.tell(0.2)).To(Equal(largeRegionNodes-1), "those that were lost are told by others")
+	})
+}
+
+// TestWhatIsToldOnDoesNotGrowWithTheOwners: what comes while a message is on its way goes with the
+// next one.
+func TestWhatIsToldOnDoesNotGrowWithTheOwners(t *testing.T) {
+	inLargeRegion(t, func(g *WithT, region *largeRegion) {
+		for number := range 40 {
+			key := loadshed.Key{Service: fmt.Sprint("s", number)}
+			region.announcers[number].Put([]loadshed.Measured{{Key: key, Shares: roomShare(0.5), At: time.Now()}})
+		}
+		time.Sleep(50 * time.Millisecond)
+		for _, board := range region.boards {
+			g.Expect(board.Limited()).To(BeNumerically(">=", 39))
+		}
+		for _, sent := range region.sent {
+			g.Expect(sent).To(BeNumerically("<=", 40+2*6))
+		}
+	})
+}
