Room: an owner that has measured room tells those that doubt it

Where two owners had told of a service at once, as after the loss of nodes, the shares of the one that was not asked any more held for 1.5 s although the other had measured room.

Ruled out: naming each measured service in each report, which costs bytes without overload.

Change: an owner has measured a service after five looks at it, as many as it takes at most to find a shortage. Its reports then name the service also if it has room, to a node whose question says that it let only a part in. A meter that is not driven for the time for which shares are kept begins anew.

Conclusion: to be measured.

--- a/pkg/loadshed/meter.go
+++ b/pkg/loadshed/meter.go
@@ -99,8 +99,8 @@
 	capacity, asked float64
 	shares          Shares
 	demands         []Demand
-	// limitedAt is the last judgement that found a shortage; zero for none.
-	limitedAt time.Time
+	// judgements counts those since the service is asked for.
+	judgements int
 	// wasForOthers says that this node has asked on behalf of others since the last judgement,
 	// and forOthersAt is the last judgement that found so.
 	wasForOthers bool
@@ -166,7 +166,11 @@
 		return
 	}
 	m.average(elapsed)
+	if now.Sub(m.judgedAt) > shareLife {
+		m.judgements = 0
+	}
 	m.judgedAt = now
+	m.judgements++
 	if m.wasForOthers {
 		m.forOthersAt, m.wasForOthers = now, false
 	}
@@ -187,16 +191,11 @@
 		m.behind, m.outgrown = 0, 0
 	}
 	m.limit(elapsed)
-	if m.isLimited {
-		m.limitedAt = now
-	}
 }
 
-// hasFoundShortage reports whether the meter finds a shortage, or did so lately that the shares
-// told then may still be known.
-func (m *Meter) hasFoundShortage() bool {
-	return !m.limitedAt.IsZero() && m.judgedAt.Sub(m.limitedAt) <= shareLife
-}
+// hasMeasured reports whether the meter can tell if there is room: it has found a shortage, or
+// would have by now.
+func (m *Meter) hasMeasured() bool { return m.isLimited || m.judgements >= leastBehind }
 
 // average takes what was noted since the last judgement into the rates.
 func (m *Meter) average(elapsed float64) {
--- a/pkg/loadshed/meters.go
+++ b/pkg/loadshed/meters.go
@@ -71,7 +71,7 @@
 		return
 	}
 	found.Judge(m.queues.Backlog(key, now), now)
-	if !found.hasFoundShortage() {
+	if !found.hasMeasured() {
 		return
 	}
 	shares, _ := found.Shares()
@@ -106,19 +106,18 @@
 	return found.Shares()
 }
 
-// Report returns what the nodes that ask for a service are to be told of it, and whether there is
-// anything to tell. A service that has not been short of room here is not spoken of: others may
-// have measured it for longer.
-func (m *Meters) Report(key Key, now time.Time) (Measured, bool) {
+// Measured returns the shares of a service, and whether this node has measured them lately. One that
+// has just begun to ask its servers has nothing to tell: others may know more.
+func (m *Meters) Measured(key Key, now time.Time) (Measured, bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.report(key, now)
+	return m.measured(key, now)
 }
 
-// report is Report. The mutex is held.
-func (m *Meters) report(key Key, now time.Time) (Measured, bool) {
+// measured is Measured. The mutex is held.
+func (m *Meters) measured(key Key, now time.Time) (Measured, bool) {
 	found := m.meters[key]
-	if found == nil || now.Sub(found.judgedAt) > shareLife || !found.hasFoundShortage() {
+	if found == nil || now.Sub(found.judgedAt) > shareLife || !found.hasMeasured() {
 		return Measured{}, false
 	}
 	shares, at := found.Shares()
@@ -134,7 +133,7 @@
 	}
 	isChanged, matters := false, false
 	for key, each := range m.meters {
-		measured, ok := m.report(key, now)
+		measured, ok := m.measured(key, now)
 		if !ok {
 			// What was told last is too old to be known.
 			delete(m.lastTold, key)
@@ -150,7 +149,7 @@
 	}
 	var message []Measured
 	for key, each := range m.meters {
-		measured, ok := m.report(key, now)
+		measured, ok := m.measured(key, now)
 		if !ok || !each.isForOthers() || measured.Shares.IsFull() && m.lastTold[key].IsFull() {
 			continue
 		}
--- a/pkg/owner/announcer.go
+++ b/pkg/owner/announcer.go
@@ -127,15 +127,17 @@
 	return takeRooms(a.known.Board, rooms.Rooms, time.Now()), nil
 }
 
-// roomOf returns what is told with a report about some services.
-func (a *Announcer) roomOf(services []string, regions string, now time.Time) []*ownerpb.Room {
+// roomOf returns what is told with a report about the services of a question: those that this node
+// has measured to be short of room, or to have room although the asking node let only a part in.
+func (a *Announcer) roomOf(question *ownerpb.Question, regions string, now time.Time) []*ownerpb.Room {
 	if a == nil {
 		return nil
 	}
 	var rooms []*ownerpb.Room
-	for _, service := range services {
-		measured, ok := a.known.Meters.Report(loadshed.Key{Service: service, Regions: regions}, now)
-		if ok {
+	for index, service := range question.Services {
+		measured, ok := a.known.Meters.Measured(loadshed.Key{Service: service, Regions: regions}, now)
+		isTakenForShort := index < len(question.AdmittedShares) && question.AdmittedShares[index] < 1
+		if ok && (isTakenForShort || !measured.Shares.IsFull()) {
 			rooms = append(rooms, encodeRoom(measured.Key, measured.Shares, now.Sub(measured.At)))
 		}
 	}
--- a/pkg/owner/server.go
+++ b/pkg/owner/server.go
@@ -102,7 +102,7 @@
 		for _, index := range wanted {
 			report.Wanted = append(report.Wanted, uint32(index))
 		}
-		report.Room = s.options.Announcer.roomOf(question.Services, plan.Regions().Key(), time.Now())
+		report.Room = s.options.Announcer.roomOf(question, plan.Regions().Key(), time.Now())
 		return open.Send(report)
 	}
 	plan.Collect.Granted = listenForGrants(open, len(question.Services))
@@ -117,7 +117,7 @@
 		return context.Canceled
 	}
 	report := lastReport(result, told, int(question.TopRecords))
-	report.Room = s.options.Announcer.roomOf(question.Services, plan.Regions().Key(), time.Now())
+	report.Room = s.options.Announcer.roomOf(question, plan.Regions().Key(), time.Now())
 	return open.Send(report)
 }
 
