--- a/pkg/loadshed/meter.go
+++ b/pkg/loadshed/meter.go
@@ -99,7 +99,7 @@
 	capacity, asked float64
 	shares          Shares
 	demands         []Demand
-	// judgements counts those since the service is asked for.
+	// judgements counts those since the service is asked for without a break of shareLife.
 	judgements int
 	// wasForOthers says that this node has asked on behalf of others since the last judgement,
 	// and forOthersAt is the last judgement that found so.
