--- a/pkg/loadshed/meter.go
+++ b/pkg/loadshed/meter.go
@@ -71,7 +71,7 @@
 // time by it.
 type Backlog struct {
 	Waiting int
-	// Target is the mean time within which their answers are of full value; zero for none.
+	// Target is the mean time within which they are to be answered; zero for none.
 	Target time.Duration
 }
 
@@ -99,6 +99,8 @@
 	capacity, asked float64
 	shares          Shares
 	demands         []Demand
+	// judgements counts those since the service is asked for without a break of shareLife.
+	judgements int
 	// wasForOthers says that this node has asked on behalf of others since the last judgement,
 	// and forOthersAt is the last judgement that found so.
 	wasForOthers bool
@@ -164,7 +166,11 @@
 		return
 	}
 	m.average(elapsed)
+	if now.Sub(m.judgedAt) > shareLife {
+		m.judgements = 0
+	}
 	m.judgedAt = now
+	m.judgements++
 	if m.wasForOthers {
 		m.forOthersAt, m.wasForOthers = now, false
 	}
@@ -187,6 +193,10 @@
 	m.limit(elapsed)
 }
 
+// hasMeasured reports whether the meter can tell if there is room: it has found a shortage, or
+// would have by now.
+func (m *Meter) hasMeasured() bool { return m.isLimited || m.judgements >= leastBehind }
+
 // average takes what was noted since the last judgement into the rates.
 func (m *Meter) average(elapsed float64) {
 	gain := 1 - math.Exp(-elapsed/rateSpan.Seconds())
--- a/pkg/loadshed/meters.go
+++ b/pkg/loadshed/meters.go
@@ -71,13 +71,16 @@
 		return
 	}
 	found.Judge(m.queues.Backlog(key, now), now)
+	if !found.hasMeasured() {
+		return
+	}
 	shares, _ := found.Shares()
-	if found.isForOthers() {
-		m.board.Take(key, shares, now)
-	} else {
+	if !found.isForOthers() {
 		m.board.TakePartial(key, shares, now)
+		return
 	}
-	if found.isForOthers() && m.tell != nil {
+	m.board.Take(key, shares, now)
+	if m.tell != nil {
 		m.tellIfChanged(now)
 	}
 }
@@ -96,11 +99,6 @@
 func (m *Meters) Of(key Key, now time.Time) (Shares, time.Time) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.of(key, now)
-}
-
-// of is Of. The mutex is held.
-func (m *Meters) of(key Key, now time.Time) (Shares, time.Time) {
 	found := m.meters[key]
 	if found == nil || now.Sub(found.judgedAt) > shareLife {
 		return Shares{}, now
@@ -108,6 +106,24 @@
 	return found.Shares()
 }
 
+// Measured returns the shares of a service, and whether this node has measured them lately. One that
+// has just begun to ask its servers has nothing to tell: others may know more.
+func (m *Meters) Measured(key Key, now time.Time) (Measured, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.measured(key, now)
+}
+
+// measured is Measured. The mutex is held.
+func (m *Meters) measured(key Key, now time.Time) (Measured, bool) {
+	found := m.meters[key]
+	if found == nil || now.Sub(found.judgedAt) > shareLife || !found.hasMeasured() {
+		return Measured{}, false
+	}
+	shares, at := found.Shares()
+	return Measured{Key: key, Shares: shares, At: at}, true
+}
+
 // tellIfChanged tells all nodes the shares if they have changed or matter still. The mutex is
 // held.
 func (m *Meters) tellIfChanged(now time.Time) {
@@ -117,24 +133,28 @@
 	}
 	isChanged, matters := false, false
 	for key, each := range m.meters {
-		if !each.isForOthers() {
+		measured, ok := m.measured(key, now)
+		if !ok {
+			// What was told last is too old to be known.
+			delete(m.lastTold, key)
+		}
+		if !ok || !each.isForOthers() {
 			continue
 		}
-		shares, _ := m.of(key, now)
-		isChanged = isChanged || shares.differsFrom(m.lastTold[key], toldChange)
-		matters = matters || !shares.IsFull()
+		isChanged = isChanged || measured.Shares.differsFrom(m.lastTold[key], toldChange)
+		matters = matters || !measured.Shares.IsFull()
 	}
 	if !isChanged && (!matters || pause < repeatSpan) {
 		return
 	}
 	var message []Measured
 	for key, each := range m.meters {
-		shares, at := m.of(key, now)
-		if !each.isForOthers() || shares.IsFull() && m.lastTold[key].IsFull() {
+		measured, ok := m.measured(key, now)
+		if !ok || !each.isForOthers() || measured.Shares.IsFull() && m.lastTold[key].IsFull() {
 			continue
 		}
-		message = append(message, Measured{Key: key, Shares: shares, At: at})
-		m.lastTold[key] = shares
+		message = append(message, measured)
+		m.lastTold[key] = measured.Shares
 	}
 	m.toldAt = now
 	m.tell(message)
