Limits: a process that has just started admits nothing out of touch

Cause: a process that starts knows nothing of what the one before it admitted in the window, and began alone with a request and the rate of its part. Processes that stop and start in series while a tenant's coordinators are cut off each did so again. A first coordinator that was cut off also granted itself the whole rate from its start until it had found the others silent, 0.3 s later.

Change: until a window has passed since the start, a node out of touch admits nothing, and tells its caller to come back after 200 ms. A first coordinator is alone until another node has answered it or reported to it. So that this costs little, a node that has not been in touch asks coordinators with its first report, 25 ms after a request or a list of nodes, rather than at the next tick.

A tenant whose coordinators are out of reach loses at each process that starts what that node would have admitted in 5 s.

--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -72,6 +72,8 @@
 	// context ends with Run; the calls that answers of others lead to belong to it.
 	context context.Context
 	cancel  context.CancelFunc
+	// startedAt is when the process began, as far as this package knows.
+	startedAt time.Time
 	// group counts the calls under way.
 	group sync.WaitGroup
 
@@ -156,7 +158,7 @@
 func New(options Options) *Limiter {
 	ctx, cancel := context.WithCancel(context.Background())
 	limiter := &Limiter{
-		context: ctx, cancel: cancel, options: options,
+		context: ctx, cancel: cancel, options: options, startedAt: time.Now(),
 		wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
 		addresses:    make(map[string]peer.Address),
 		coordinators: rendezvous.NewSet[string](nil), zoneCoordinators: rendezvous.NewSet[string](nil),
@@ -215,6 +217,7 @@
 	held := l.meters[tenant]
 	if held == nil {
 		held = &metered{meter: NewMeter(tenant, limit, l.options.Bounds, l.nodeCount(), l.wasInTouch, now), ranked: l.ranked(tenant)}
+		held.meter.SetStart(l.startedAt)
 		held.meter.SetPlace(l.place(tenant))
 		held.meter.SetStanding(l.standing(held.ranked), now)
 		l.meters[tenant] = held
@@ -260,6 +263,7 @@
 		case <-due:
 			isWaiting = false
 			l.report(ctx, time.Now())
+			l.seekContact(ctx, time.Now())
 		case <-l.urgent:
 			l.spread(ctx, time.Now())
 		case <-ticks:
--- a/pkg/quota/links.go
+++ b/pkg/quota/links.go
@@ -93,8 +93,9 @@
 // the mutex.
 func (l *Limiter) coordinator(ranked []string) string {
 	for _, name := range ranked {
-		// A node to which no other turns is no stand-in, but alone.
-		isUnheard := name == l.options.Local && name != ranked[0] && !l.isHeard
+		// A node to which no other turns is no stand-in, but alone; and so is a first coordinator that has
+		// not been in touch with any other since its start.
+		isUnheard := name == l.options.Local && !l.isHeard && (name != ranked[0] || !l.wasInTouch && l.coordinators.Len() > 1)
 		if found := l.links[name]; found != nil && found.answers && !isUnheard {
 			return name
 		}
@@ -156,6 +157,17 @@
 	}
 }
 
+// seekContact asks the coordinators at once, not with the next tick, if none has answered since the start: until
+// then the node admits next to nothing.
+func (l *Limiter) seekContact(ctx context.Context, now time.Time) {
+	l.mutex.Lock()
+	wasInTouch := l.wasInTouch
+	l.mutex.Unlock()
+	if !wasInTouch && l.options.IsNeeded() {
+		l.probeLinks(ctx, now)
+	}
+}
+
 // keepInTouch asks a coordinator whether it answers if none has lately, so that a node that is cut
 // off knows of it before its next request; and another one while a call is late, so that one
 // silent coordinator leaves no doubt. In doubt it asks those of its zone too. The caller holds
--- a/pkg/quota/meter.go
+++ b/pkg/quota/meter.go
@@ -28,6 +28,9 @@
 	// greatestAloneWait bounds the wait that is told by a node out of touch, which lasts for
 	// seconds mostly, while other nodes are in touch.
 	greatestAloneWait = 2 * time.Second
+	// startingWait is the wait that is told by a process that has just started and is out of touch: a
+	// coordinator that can be reached has answered by then.
+	startingWait = callTimeout
 )
 
 // Standing is how a node stands to a tenant's coordinators.
@@ -101,6 +104,8 @@
 	// wasInTouch says that the node has been in touch with coordinators since its start, so
 	// that other nodes cannot all have begun with it.
 	wasInTouch bool
+	// unknownUntil is until when the window may hold what an earlier process of the node admitted.
+	unknownUntil time.Time
 	// alone is the bucket while there is no coordinator or its word is too old.
 	alone bucket
 	// lately are the requests that were admitted in the last window.
@@ -135,6 +140,11 @@
 // are parts of one.
 func (m *Meter) SetPlace(place float64) { m.place = place }
 
+// SetStart takes when the node's process began. What an earlier one admitted in the window before is
+// not known, and it may have been all that the node may admit in a window: until that has passed
+// the node admits nothing while it is out of touch.
+func (m *Meter) SetStart(startedAt time.Time) { m.unknownUntil = startedAt.Add(m.bounds.Window) }
+
 // SetDoubt takes whether the node may be cut off and has not found out yet.
 func (m *Meter) SetDoubt(isInDoubt bool) { m.isInDoubt = isInDoubt }
 
@@ -161,7 +171,7 @@
 		// All nodes may have started together, after one burst was spent already.
 		m.alone.level = min(1, (m.limit.Burst+m.bounds.room(m.limit)/2)/float64(max(1, m.nodes)))
 	case m.isWithinLimit(now):
-		// What an earlier run of the process admitted is not known.
+		// A node that has counted for a part of a window has that part of what it may save up.
 		age := now.Sub(m.begunAt).Seconds() / m.bounds.Window.Seconds()
 		m.alone.level = min(m.alone.cap, 1+m.alone.cap*age)
 	}
@@ -265,6 +275,9 @@
 
 // admitAlone takes a token of the node's own bucket, if its window has room.
 func (m *Meter) admitAlone(now time.Time) (bool, time.Duration) {
+	if now.Before(m.unknownUntil) {
+		return false, min(startingWait, m.unknownUntil.Sub(now))
+	}
 	if m.standing != Alone {
 		m.alone.rate = m.entitlement(now)
 		m.alone.cap = m.savedAlone(m.alone.rate, now)
--- /dev/null
+++ b/pkg/quota/power_test.go
@@ -0,0 +1,74 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/quota"
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// startApart is the time between the starts of two nodes after a loss of all power.
+const startApart = 20 * time.Millisecond
+
+// powerCycle ends all nodes and starts them one after the other, while clients ask those that are there.
+// known returns the nodes that each of those that have been started knows.
+func (d *deployment) powerCycle(known func(node, started int) []quota.Node, loads ...load) {
+	for index := range d.nodes {
+		d.kill(index)
+	}
+	time.Sleep(time.Second)
+	for index := range d.nodes {
+		d.start(index)
+		for node := range index + 1 {
+			if list := known(node, index+1); list != nil {
+				d.nodes[node].limiter.SetNodes(list)
+			}
+		}
+		there := make([]load, 0, len(loads))
+		for _, played := range loads {
+			played.weights = append([]float64(nil), played.weights...)
+			clear(played.weights[index+1:])
+			there = append(there, played)
+		}
+		d.run(startApart, there...)
+	}
+}
+
+// lostAfterPower is the greatest part of the requests within limits that is refused in the first seconds after a loss
+// of all power: most of it before the coordinators have started.
+const lostAfterPower = 0.12
+
+// TestTenantsWithinTheirLimitsLoseLittleAfterALossOfPower: no process knows what the one before it admitted.
+func TestTenantsWithinTheirLimitsLoseLittleAfterALossOfPower(t *testing.T) {
+	limits := tenants()
+	for number := range 71 {
+		limits[fmt.Sprint("small-", number)] = route.RateLimit{PerSecond: 5, Burst: 5}
+	}
+	asked, refused := 0, 0
+	simulate(t, 67, limits, func(d *deployment) {
+		loads := []load{d.even("large", 39), d.even("medium", 10)}
+		for number := range 71 {
+			loads = append(loads, d.even(fmt.Sprint("small-", number), 0.8))
+		}
+		d.run(8*time.Second, loads...)
+		begun := d.moment()
+		d.powerCycle(func(node, started int) []quota.Node {
+			if node == started-1 {
+				return d.list()
+			}
+			return nil
+		}, loads...)
+		d.run(6*time.Second, loads...)
+		refused = len(d.waits)
+		for tenant := range limits {
+			asked += d.between(tenant, begun, d.moment())
+		}
+		asked += refused
+	})
+	t.Logf("refused %d of %d", refused, asked)
+	NewWithT(t).Expect(float64(refused)).To(BeNumerically("<=", lostAfterPower*float64(asked)))
+}
--- /dev/null
+++ b/pkg/quota/series_test.go
@@ -0,0 +1,151 @@
+package quota_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/quota"
+	"github.com/bramblemast/bramblemast/pkg/rendezvous"
+	"github.com/bramblemast/bramblemast/pkg/route"
+)
+
+// series is a way in which nodes lose touch while their processes start again, one after the other.
+type series struct {
+	name string
+	// cut puts the nodes out of touch.
+	cut func(d *deployment, tenant string)
+	// restarted returns the nodes whose processes start again.
+	restarted func(d *deployment, tenant string) []int
+	// usual is for how long the tenant stays within its limit after that.
+	usual time.Duration
+}
+
+// coordinatorsOf returns the nodes that coordinate a tenant for the whole deployment: the first one, and the one
+// that stands in for it.
+func (d *deployment) coordinatorsOf(tenant string) []int {
+	var names []string
+	for _, node := range d.nodes {
+		names = append(names, node.name)
+	}
+	var found []int
+	for _, name := range rendezvous.NewSet(rendezvous.Top("quota", names, 4)).Top(tenant, 2) {
+		found = append(found, slices.Index(names, name))
+	}
+	return found
+}
+
+func allOf(d *deployment, _ string) []int {
+	var found []int
+	for index := range d.nodes {
+		found = append(found, index)
+	}
+	return found
+}
+
+func coordinatorsAlone(d *deployment, tenant string) {
+	for _, index := range d.coordinatorsOf(tenant) {
+		alone(index, index+1)(d)
+	}
+}
+
+func firstAlone(d *deployment, tenant string) {
+	first := d.coordinatorsOf(tenant)[0]
+	alone(first, first+1)(d)
+}
+
+func allAlone(d *deployment, _ string) { alone(0, len(d.nodes))(d) }
+
+func allSeries() []series {
+	return []series{
+		{"all nodes alone, all start again", allAlone, allOf, 0},
+		{"all nodes alone for long, all start again", allAlone, allOf, 20 * time.Second},
+		{"coordinators alone, all start again", coordinatorsAlone, allOf, 0},
+		{"coordinators alone, they start again", coordinatorsAlone, (*deployment).coordinatorsOf, 0},
+		{"first coordinator alone, the other one starts again", firstAlone, func(d *deployment, tenant string) []int {
+			return d.coordinatorsOf(tenant)[1:]
+		}, 0},
+		{"first coordinator alone, all start again", firstAlone, allOf, 0},
+	}
+}
+
+// restartInSeries starts the processes of some nodes again, one after the other, each once in a span.
+func (d *deployment) restartInSeries(nodes []int, each, span time.Duration, asked load) {
+	for begun, next := time.Now(), 0; time.Since(begun) < span; next++ {
+		index := nodes[next%len(nodes)]
+		d.kill(index)
+		d.start(index)
+		d.nodes[index].limiter.SetNodes(d.list())
+		d.run(each/time.Duration(len(nodes)), asked)
+	}
+}
+
+// TestAProcessThatHasJustStartedAdmitsNothingOutOfTouch, whether it has been in touch or not, for a window: an earlier
+// one may have admitted all that the node may admit in it.
+func TestAProcessThatHasJustStartedAdmitsNothingOutOfTouch(t *testing.T) {
+	g := NewWithT(t)
+	for _, wasInTouch := range []bool{false, true} {
+		meter := quota.NewMeter("caller", route.RateLimit{PerSecond: 63, Burst: 63}, bounds, 6, wasInTouch, start)
+		meter.SetStart(start)
+		for now := start; now.Before(start.Add(bounds.Window)); now = now.Add(20 * time.Millisecond) {
+			decision := meter.Admit(now.String(), now)
+			g.Expect(decision.IsAdmitted).To(BeFalse())
+			g.Expect(decision.RetryAfter).To(And(BeNumerically(">", 0), BeNumerically("<=", 200*time.Millisecond)))
+		}
+		g.Expect(meter.Admit("later", start.Add(bounds.Window)).IsAdmitted).To(BeTrue())
+	}
+}
+
+// TestAFirstCoordinatorThatNobodyHasHeardIsAlone: it has just started, and does not know yet that all others are out
+// of its reach and turn to another one.
+func TestAFirstCoordinatorThatNobodyHasHeardIsAlone(t *testing.T) {
+	atOnce, later := "", ""
+	simulate(t, 12, tenants(), func(d *deployment) {
+		first := d.coordinatorOf("large")
+		alone(first, first+1)(d)
+		d.kill(first)
+		d.start(first)
+		d.nodes[first].limiter.SetNodes(d.list())
+		atOnce = d.nodes[first].limiter.Coordinator("large")
+		d.network.Heal()
+		time.Sleep(time.Second)
+		later = d.nodes[first].limiter.Coordinator("large")
+	})
+	g := NewWithT(t)
+	g.Expect(atOnce).To(BeEmpty())
+	g.Expect(later).NotTo(BeEmpty())
+}
+
+// TestTheSumHoldsWhileProcessesOutOfTouchStartInSeries: a tenant asks many times its limit, and each process
+// that starts has forgotten what the one before it admitted.
+func TestTheSumHoldsWhileProcessesOutOfTouchStartInSeries(t *testing.T) {
+	limits := map[string]route.RateLimit{"large": {PerSecond: 63, Burst: 63}, "small": {PerSecond: 10, Burst: 10}}
+	for tenant, limit := range limits {
+		for _, played := range allSeries() {
+			for _, each := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second} {
+				t.Run(tenant+", "+played.name+", each in "+each.String(), func(t *testing.T) {
+					t.Parallel()
+					most, during := 0, 0
+					simulate(t, 6, limits, func(d *deployment) {
+						usual, hot := d.even(tenant, limit.PerSecond/1.6), d.even(tenant, 6*limit.PerSecond)
+						d.run(3*time.Second, usual)
+						nodes := played.restarted(d, tenant)
+						if played.usual == 0 {
+							d.run(3*time.Second, hot)
+						}
+						played.cut(d, tenant)
+						d.run(played.usual, usual)
+						d.run(500*time.Millisecond, hot)
+						begun := d.moment()
+						d.restartInSeries(nodes, each, 12*time.Second, hot)
+						most, during = d.mostInWindow(tenant), d.between(tenant, begun+2*time.Second, begun+12*time.Second)
+					})
+					t.Logf("at most %d in 5 s, allowed %.0f; %.2f of the limit meanwhile", most, limitOf(limit), float64(during)/(10*limit.PerSecond))
+					NewWithT(t).Expect(float64(most)).To(BeNumerically("<=", limitOf(limit)))
+				})
+			}
+		}
+	}
+}
