Limits: an answer that comes out of touch leaves no count below zero

Cause: a node that goes out of touch while its report is under way counts all that is not acknowledged as its own. If the answer came all the same, the part that it had just acknowledged stayed there, and the next report told of 2^64 requests less that part as newly asked. The coordinator took that for the rate asked and told the least share: 0.08 of a limit of 63 a second was reached, for eight seconds and more, until the estimate had fallen. In the same way the coordinator could be told of fewer admitted requests than there were.

Ruled out: entitlements of silent nodes kept back (none at that time), and the account's debt (its bucket was full).

Change: what is acknowledged counts as the node's own no more. And a process that has just started and is out of touch tells its callers to come back after a second, not after 0.2 s: many came back before the coordinators had started, and were lost.

Conclusion: a coordinator's view of what is asked can no longer be spoilt by a late answer.

--- a/pkg/quota/meter.go
+++ b/pkg/quota/meter.go
@@ -28,9 +28,9 @@
 	// greatestAloneWait bounds the wait that is told by a node out of touch, which lasts for
 	// seconds mostly, while other nodes are in touch.
 	greatestAloneWait = 2 * time.Second
-	// startingWait is the wait that is told by a process that has just started and is out of touch: a
-	// coordinator that can be reached has answered by then.
-	startingWait = callTimeout
+	// startingWait is the wait that is told by a process that has just started and is out of touch. Callers come
+	// back once or twice: after a loss of all power the coordinators have started by then.
+	startingWait = time.Second
 )
 
 // Standing is how a node stands to a tenant's coordinators.
@@ -335,6 +335,9 @@
 		m.owned -= min(m.owned, use.Admitted-m.acknowledgedAdmitted-use.NewAdmitted)
 		m.askedAlone -= min(m.askedAlone, use.Asked-m.acknowledgedAsked-use.NewAsked)
 		m.acknowledgedAsked, m.acknowledgedAdmitted = use.Asked, use.Admitted
+		// The node may have gone out of touch since it reported, and counted all of this as its own.
+		m.owned = min(m.owned, max(0, m.admitted-m.acknowledgedAdmitted))
+		m.askedAlone = min(m.askedAlone, m.asked-m.acknowledgedAsked)
 	}
 	m.Tell(verdict, now)
 }
--- a/pkg/quota/meter_test.go
+++ b/pkg/quota/meter_test.go
@@ -241,3 +241,21 @@
 	g.Expect(admittedAlone(time.Second)).To(BeNumerically("<=", 9), "its entitlement of a window")
 	g.Expect(admittedAlone(10 * time.Second)).To(BeNumerically(">", 9))
 }
+
+// TestAReportAnsweredOutOfTouchLeavesNothingOwed: the node has gone out of touch while its report was under way, and the answer
+// comes all the same.
+func TestAReportAnsweredOutOfTouchLeavesNothingOwed(t *testing.T) {
+	g := NewWithT(t)
+	meter := inTouch(route.RateLimit{PerSecond: 63, Burst: 63}, 0.5, 0.3)
+	for number := range 20 {
+		meter.Admit(fmt.Sprint(number), start)
+	}
+	use, _ := meter.Report(1, start)
+	g.Expect(use.NewAsked).To(BeEquivalentTo(20))
+	meter.SetStanding(quota.Alone, start)
+	meter.Acknowledge(use, quota.Verdict{Share: 1}, start)
+	after, isNew := meter.Report(1, start)
+	g.Expect(isNew).To(BeFalse())
+	g.Expect(after.NewAsked).To(BeZero())
+	g.Expect(after.NewAdmitted).To(BeZero())
+}
