Limits: a node that was in no list before holds half of a limit until its coordinators stay the same

Cause: after a loss of power that outlasts the nodes' entries in the store, each process starts with the list of those that were there before it and hears of the others later. Meanwhile several nodes take themselves for a tenant's first coordinator, and each grants the whole rate to the nodes that report to it.

Change: a process whose node was not in the store's list when it began, so that its list may lack others, holds half of a limit as first coordinator until its coordinators have been the same for two seconds, in its first ten seconds. The registration knows it: its entry is found in the store before this process writes it. After a loss of power that is shorter than the entries live (60 to 90 s) all are found, and nothing changes.

Conclusion: holds for lists that are up to two seconds late.

--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -45,7 +45,8 @@
 	held.limiter = quota.New(quota.Options{
 		Local: settings.Node.Name, Zone: settings.Node.Zone, Bounds: settings.quotaBounds(), Transport: transport, Events: held,
 		LimitOf: node.state.limitOf, Start: rand.Uint64(),
-		IsNeeded: func() bool { table := node.state.Table(); return table != nil && table.HasTenants() },
+		IsNeeded:  func() bool { table := node.state.Table(); return table != nil && table.HasTenants() },
+		WasListed: func() bool { return node.member != nil && node.member.wasListed.Load() },
 	})
 	node.figures.gauge("quota_tenants_at_limit", "Tenants at their limit that this node coordinates.", func() float64 {
 		return float64(held.limiter.AtLimit())
--- a/internal/edge/registration.go
+++ b/internal/edge/registration.go
@@ -47,11 +47,21 @@
 	// written is the lease of the entry that was found in the store, if that is the one
 	// that this node would write; zero if there is none.
 	written atomic.Uint64
+	// isWriting says that this process has begun to write the entry, and wasListed that the store held it before
+	// that: others that were lost with this node are still listed then too.
+	isWriting atomic.Bool
+	wasListed atomic.Bool
 }
 
 // found takes an entry of a node as the store holds it.
 func (r *registration) found(entry directory.Entry) {
-	if *entry.Node == r.node && entry.Lease != 0 {
+	if *entry.Node != r.node {
+		return
+	}
+	if !r.isWriting.Load() {
+		r.wasListed.Store(true)
+	}
+	if entry.Lease != 0 {
 		r.written.Store(entry.Lease)
 	}
 }
@@ -59,6 +69,7 @@
 // run registers and renews until ctx ends.
 func (r *registration) run(ctx context.Context) error {
 	r.awaitLoad(ctx)
+	r.isWriting.Store(true)
 	lease, failures := r.written.Load(), 0
 	for ctx.Err() == nil {
 		next := renewInterval
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -31,6 +31,9 @@
 	// together, and few of their nodes have reported lately. There are two such coordinators
 	// as a rule.
 	partialRoom = 0.12
+	// settlingPart is the part of the limit that a first coordinator holds while lists of nodes differ: there are two
+	// at once as a rule.
+	settlingPart = 0.5
 	// steadySpan is the span of the estimate by which a tenant counts as beyond its limit
 	// rather than as one that sent some requests together.
 	steadySpan = 2 * time.Second
@@ -46,6 +49,8 @@
 	// whole deployment less the entitlements of nodes out of touch. A stand-in holds only
 	// the entitlements of the nodes that report to it.
 	IsFirst bool
+	// IsSettling says that nodes may take another one for the first coordinator, since their lists of nodes differ.
+	IsSettling bool
 	// Nodes is the number of nodes of the deployment, Silent those that did not answer.
 	Nodes  int
 	Silent map[string]bool
@@ -204,7 +209,11 @@
 			reserved += a.limit.PerSecond / float64(max(1, contact.Nodes))
 		}
 	}
-	return max(0, a.limit.PerSecond-reserved)
+	pooled := max(0, a.limit.PerSecond-reserved)
+	if contact.IsSettling {
+		pooled *= settlingPart
+	}
+	return pooled
 }
 
 // Verdict returns what nodes are to do at a moment.
--- a/pkg/quota/coordinators.go
+++ b/pkg/quota/coordinators.go
@@ -30,6 +30,12 @@
 	// ended. Lists lose a node that is cut off some seconds later, and it may go on at its
 	// entitlement; for a node that has ended, that part of limits lies unused as long.
 	goneSpan = 20 * time.Second
+	// listSpan is the time from the start of a process that was in no list before in which nodes still hear of
+	// each other, as when the entries of all lapsed while there was no power.
+	listSpan = 10 * time.Second
+	// settleSpan is for how long the coordinators must have been the same in it: before that, several nodes may take
+	// themselves for the first coordinator of a tenant.
+	settleSpan = 2 * time.Second
 )
 
 // Node is one node of the deployment.
@@ -104,6 +110,11 @@
 	}
 }
 
+// isSettling reports whether other nodes may have another list of nodes than this one. The caller holds the mutex.
+func (l *Limiter) isSettling(now time.Time) bool {
+	return now.Sub(l.startedAt) < listSpan && now.Sub(l.coordinatorsSince) < settleSpan && l.options.WasListed != nil && !l.options.WasListed()
+}
+
 // coordinatorCount returns how many of some nodes coordinate limits. It grows with the root of
 // their number: the connections of each node to coordinators, and those of coordinators, stay
 // few.
--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -60,6 +60,9 @@
 	IsNeeded func() bool
 	// Start names this run of the process, differently each time.
 	Start uint64
+	// WasListed reports whether the list of nodes held this one already when the process began, so that it holds
+	// all of them. Nil for always.
+	WasListed func() bool
 }
 
 // Limiter holds the tenants of one node to their limits, and coordinates those for which the
--- a/pkg/quota/power_test.go
+++ b/pkg/quota/power_test.go
@@ -72,3 +72,40 @@
 	t.Logf("refused %d of %d", refused, asked)
 	NewWithT(t).Expect(float64(refused)).To(BeNumerically("<=", lostAfterPower*float64(asked)))
 }
+
+// TestTheSumHoldsWhileListsOfNodesDiffer after a loss of all power: the entries of all nodes have lapsed, and each
+// hears late of those that start after it, so that several nodes take themselves for a tenant's first coordinator.
+func TestTheSumHoldsWhileListsOfNodesDiffer(t *testing.T) {
+	for tenant, limit := range tenants() {
+		for _, late := range []time.Duration{0, 500 * time.Millisecond, time.Second, 2 * time.Second} {
+			t.Run(fmt.Sprint(tenant, ", heard of after ", late), func(t *testing.T) {
+				t.Parallel()
+				most := 0
+				simulate(t, 67, tenants(), func(d *deployment) {
+					usual := limit.PerSecond / 1.6
+					hot := d.skewed(tenant, 12*usual)
+					d.run(6*time.Second, d.skewed(tenant, usual))
+					d.run(3*time.Second, hot)
+					for _, node := range d.nodes {
+						node.isUnlisted = true
+					}
+					behind := int(late / startApart)
+					listedAt := func(node, started int) []quota.Node { return d.list()[:min(len(d.nodes), max(node+1, started-behind))] }
+					d.powerCycle(listedAt, hot)
+					for started := range behind {
+						for index, node := range d.nodes {
+							node.limiter.SetNodes(listedAt(index, len(d.nodes)+1+started))
+						}
+						d.run(startApart, hot)
+					}
+					begun := d.moment()
+					d.run(8*time.Second, hot)
+					most = d.mostInWindow(tenant)
+					t.Logf("at most %d in 5 s, allowed %.0f; %.2f of the limit in the 5 s after", most, limitOf(limit),
+						float64(d.between(tenant, begun, begun+bounds.Window))/(limit.PerSecond*bounds.Window.Seconds()))
+				})
+				NewWithT(t).Expect(float64(most)).To(BeNumerically("<=", limitOf(limit)))
+			})
+		}
+	}
+}
--- a/pkg/quota/reports.go
+++ b/pkg/quota/reports.go
@@ -177,7 +177,7 @@
 
 // contact returns what this node knows of the others. The caller holds the mutex.
 func (l *Limiter) contact(kept *coordinated) Contact {
-	return Contact{IsFirst: kept.isFirst, Nodes: l.nodeCount() + len(l.gone), Silent: l.silent}
+	return Contact{IsFirst: kept.isFirst, IsSettling: l.isSettling(time.Now()), Nodes: l.nodeCount() + len(l.gone), Silent: l.silent}
 }
 
 // noteLimit follows whether a tenant is at its limit, and tells when it has come to it. The caller holds the mutex.
--- a/pkg/quota/simulation_test.go
+++ b/pkg/quota/simulation_test.go
@@ -48,6 +48,8 @@
 	ended   chan struct{}
 	// hasNoTable says that the node knows no configuration yet.
 	hasNoTable atomic.Bool
+	// isUnlisted says that the list of nodes did not hold it when its process began.
+	isUnlisted bool
 }
 
 // quiet takes no note of events.
@@ -106,6 +108,7 @@
 // start starts a node, or starts it again.
 func (d *deployment) start(index int) {
 	node := d.nodes[index]
+	isUnlisted := node.isUnlisted
 	ctx, cancel := context.WithCancel(context.Background())
 	node.limiter = quota.New(quota.Options{
 		Local: node.name, Zone: zoneOf(index), Bounds: bounds, Transport: refusable{d.network.Transport(peer.Address(node.name)), d}, Events: quiet{},
@@ -115,8 +118,9 @@
 			found, isKnown := d.limits[tenant]
 			return found, isKnown && !node.hasNoTable.Load()
 		},
-		IsNeeded: func() bool { return !node.hasNoTable.Load() },
-		Start:    d.random.Uint64(),
+		IsNeeded:  func() bool { return !node.hasNoTable.Load() },
+		WasListed: func() bool { return !isUnlisted },
+		Start:     d.random.Uint64(),
 	})
 	node.stop, node.ended = cancel, make(chan struct{})
 	limiter, ended := node.limiter, node.ended
