Limits: a coordinator that has started tells the others once, whether it reaches other coordinators or not

Change: a coordinator tells all nodes once after its start, as it did by chance before.

Test: TestACoordinatorThatHasStartedIsTurnedToAtOnce: half a second after its start all 67 nodes report to it; without the change, 1.

--- a/pkg/quota/starting_test.go
+++ b/pkg/quota/starting_test.go
@@ -34,3 +34,24 @@
 		})
 	}
 }
+
+// TestACoordinatorThatHasStartedIsTurnedToAtOnce by nodes that report to a stand-in: while they do, both grant the limit.
+func TestACoordinatorThatHasStartedIsTurnedToAtOnce(t *testing.T) {
+	turned, count := 0, 67
+	simulate(t, count, tenants(), func(d *deployment) {
+		first := d.coordinatorOf("large")
+		d.kill(first)
+		others := d.even("large", 100)
+		others.weights[first] = 0
+		d.run(5*time.Second, others)
+		d.start(first)
+		d.setNodes()
+		d.run(500*time.Millisecond, others)
+		for _, node := range d.nodes {
+			if node.limiter.Coordinator("large") == d.nodes[first].name {
+				turned++
+			}
+		}
+	})
+	NewWithT(t).Expect(turned).To(Equal(count))
+}
--- a/pkg/quota/verdicts.go
+++ b/pkg/quota/verdicts.go
@@ -31,15 +31,15 @@
 )
 
 // spread tells all nodes the shares of the tenants at their limits, if that is due. While
-// another coordinator does not answer it tells them also if there are none, to learn which
-// nodes are in touch.
+// another coordinator does not answer, and once after its start, it tells them also if there are none, to learn
+// which nodes are in touch.
 func (l *Limiter) spread(ctx context.Context, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	verdicts, isUrgent := l.dueVerdicts(now)
 	interval := repeatInterval
 	if len(verdicts) == 0 {
-		if !l.missesCoordinator() {
+		if !l.missesCoordinator() && !l.isUntold() {
 			return
 		}
 		interval = silentInterval
@@ -57,6 +57,12 @@
 	}
 }
 
+// isUntold reports whether this node coordinates limits and has told the others nothing since its start: those that
+// report to a stand-in turn back to it when it does. The caller holds the mutex.
+func (l *Limiter) isUntold() bool {
+	return l.spreadAt.IsZero() && l.coordinates(l.options.Local) && l.options.IsNeeded()
+}
+
 // dueVerdicts returns the verdicts on tenants at their limits, and whether one is much lower than what
 // was told. The caller holds the mutex.
 func (l *Limiter) dueVerdicts(now time.Time) (map[string]Verdict, bool) {
