--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -60,6 +60,9 @@
 	IsNeeded func() bool
 	// Start names this run of the process, differently each time.
 	Start uint64
+	// WasListed reports whether the list of nodes held this one already when the process began, so that it holds
+	// all of them. Nil for always.
+	WasListed func() bool
 }
 
 // Limiter holds the tenants of one node to their limits, and coordinates those for which the
@@ -72,6 +75,8 @@
 	// context ends with Run; the calls that answers of others lead to belong to it.
 	context context.Context
 	cancel  context.CancelFunc
+	// startedAt is when the process began, as far as this package knows.
+	startedAt time.Time
 	// group counts the calls under way.
 	group sync.WaitGroup
 
@@ -116,9 +121,8 @@
 	sweptAt    time.Time
 	tickAt     time.Time
 	sent       Sent
-	// tallies hold what was decided for each tenant since startedAt.
-	tallies   map[string]*tally
-	startedAt time.Time
+	// tallies hold what was decided for each tenant since the start.
+	tallies map[string]*tally
 }
 
 // Sent counts the messages of a Limiter.
@@ -160,13 +164,13 @@
 func New(options Options) *Limiter {
 	ctx, cancel := context.WithCancel(context.Background())
 	limiter := &Limiter{
-		context: ctx, cancel: cancel, options: options,
+		context: ctx, cancel: cancel, options: options, startedAt: time.Now(),
 		wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
 		addresses:    make(map[string]peer.Address),
 		coordinators: rendezvous.NewSet[string](nil), zoneCoordinators: rendezvous.NewSet[string](nil),
 		links: make(map[string]*link), meters: make(map[string]*metered), accounts: make(map[string]*coordinated),
 		silent: make(map[string]bool), gone: make(map[string]time.Time),
-		tallies: make(map[string]*tally), startedAt: time.Now(),
+		tallies: make(map[string]*tally),
 	}
 	options.Transport.Handle(kindReport, limiter.takeReport)
 	options.Transport.Handle(kindVerdicts, limiter.takeVerdicts)
@@ -222,6 +226,7 @@
 	held := l.meters[tenant]
 	if held == nil {
 		held = &metered{meter: NewMeter(tenant, limit, l.options.Bounds, l.nodeCount(), l.wasInTouch, now), ranked: l.ranked(tenant)}
+		held.meter.SetStart(l.startedAt)
 		held.meter.SetPlace(l.place(tenant))
 		held.meter.SetStanding(l.standing(held.ranked), now)
 		held.tally = l.tallyOf(tenant)
@@ -268,6 +273,7 @@
 		case <-due:
 			isWaiting = false
 			l.report(ctx, time.Now())
+			l.seekContact(ctx, time.Now())
 		case <-l.urgent:
 			l.spread(ctx, time.Now())
 		case <-ticks:
--- a/pkg/quota/refusal.go
+++ b/pkg/quota/refusal.go
@@ -21,6 +21,9 @@
 	// ShareTooOld: a coordinator answered and then told nothing new while the tenant was at its limit,
 	// and the node has admitted its part.
 	ShareTooOld
+	// JustStarted: no coordinator has answered since the start, and what an earlier process of the
+	// node admitted in the window is not known.
+	JustStarted
 	// refusalCount is the number of the values above.
 	refusalCount
 )
@@ -30,12 +33,13 @@
 	return [...]string{
 		NotRefused: "", BeyondShare: "beyond_share", Unacknowledged: "unacknowledged", InDoubt: "in_doubt",
 		BeyondOwnPart: "alone", ShareTooOld: "share_too_old",
+		JustStarted: "just_started",
 	}[r]
 }
 
 // Refusals returns all reasons.
 func Refusals() []Refusal {
-	return []Refusal{BeyondShare, Unacknowledged, InDoubt, BeyondOwnPart, ShareTooOld}
+	return []Refusal{BeyondShare, Unacknowledged, InDoubt, BeyondOwnPart, ShareTooOld, JustStarted}
 }
 
 // tally counts what a node decided about the requests of one tenant since its start. It outlives the
--- a/pkg/quota/snapshot_test.go
+++ b/pkg/quota/snapshot_test.go
@@ -220,12 +220,15 @@
 // is to be looked at.
 func TestEachRefusalHasItsReason(t *testing.T) {
 	limit := route.RateLimit{PerSecond: 5, Burst: 5}
+	started := quota.NewMeter("caller", limit, bounds, 67, false, start)
+	started.SetStart(start)
 	for reason, meter := range map[quota.Refusal]*quota.Meter{
 		quota.BeyondShare:    inTouch(limit, 0.01, 0),
 		quota.Unacknowledged: inTouch(limit, 1, 0),
 		quota.InDoubt:        inTouch(route.RateLimit{PerSecond: 5, Burst: 100}, 1, 0),
 		quota.BeyondOwnPart:  quota.NewMeter("caller", limit, bounds, 67, false, start),
 		quota.ShareTooOld:    inTouch(limit, 0.01, 0),
+		quota.JustStarted:    started,
 	} {
 		t.Run(reason.String(), func(t *testing.T) {
 			g := NewWithT(t)
@@ -245,7 +248,7 @@
 			g.Expect(reasons).To(And(HaveLen(1), HaveKey(reason)))
 		})
 	}
-	NewWithT(t).Expect(quota.Refusals()).To(HaveLen(5))
+	NewWithT(t).Expect(quota.Refusals()).To(HaveLen(6))
 }
 
 // TestARequestThatDidNotRunIsTakenOff the count of admitted ones.
