Room: what is told on has a pause, and silent nodes delay no others

Cause: a node that tells its part of a region on sent the next message as soon as the last was answered, so that their number grew with the owners up to one for each round trip. And one Spread has 32 calls under way: where 32 nodes did not answer, the others of the same message were not told before its time was over, and counted as silent. The order of the nodes is always the same, so that it was the same ones each time.

Ruled out: fewer parts or other first nodes for each owner. They divide the messages otherwise, their sum stays.

Change: a pause of 20 ms after each message to the own part; what comes in it goes with the next one. The nodes of a message are told in groups of 32 at the same time, as pkg/quota does.

Conclusion: news comes 20 ms later at most where several owners tell; it is due again within 500 ms anyway.

--- a/pkg/owner/announcer.go
+++ b/pkg/owner/announcer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,8 +23,17 @@
 	kindRoomOnward peer.Kind = "owner.room.onward"
 )
 
-// tellTimeout bounds one message: what matters after it is told again by then.
-const tellTimeout = 400 * time.Millisecond
+// Constants of what is told.
+const (
+	// tellTimeout bounds one message: what matters after it is told again by then.
+	tellTimeout = 400 * time.Millisecond
+	// onwardPause is the least time between two messages to this node's part of the region, so that their number does
+	// not grow with the owners; it is short against the time between two messages of one owner.
+	onwardPause = 20 * time.Millisecond
+	// spreadPart is the number of nodes that one Spread tells, as many as it calls at once: nodes that do not answer
+	// delay no others then.
+	spreadPart = 32
+)
 
 // Announcer tells the nodes of the region what this node measures, as an owner, of the room at
 // services, and takes what other owners tell. It is safe for concurrent use.
@@ -65,8 +75,9 @@
 // Run tells what has changed, until ctx ends.
 func (a *Announcer) Run(ctx context.Context) error {
 	var onward sync.WaitGroup
-	onward.Go(func() { a.onward.run(ctx, a.tellPart) })
-	a.waiting.run(ctx, a.spread)
+	onward.Go(func() { a.onward.run(ctx, onwardPause, a.tellPart) })
+	// Meters keep a pause between messages.
+	a.waiting.run(ctx, 0, a.spread)
 	onward.Wait()
 	return nil
 }
@@ -100,7 +111,21 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	return peer.Spread(limited, a.transport, addresses, kind, rooms, func() proto.Message { return &ownerpb.Ping{} })
+	var (
+		mutex sync.Mutex
+		taken []peer.Address
+		group sync.WaitGroup
+	)
+	for part := range slices.Chunk(addresses, spreadPart) {
+		group.Go(func() {
+			found := peer.Spread(limited, a.transport, part, kind, rooms, func() proto.Message { return &ownerpb.Ping{} })
+			mutex.Lock()
+			defer mutex.Unlock()
+			taken = append(taken, found...)
+		})
+	}
+	group.Wait()
+	return taken
 }
 
 // take notes what another owner tells.
--- a/pkg/owner/outbox.go
+++ b/pkg/owner/outbox.go
@@ -4,7 +4,9 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
+	"github.com/bramblemast/bramblemast/internal/pause"
 	"github.com/bramblemast/bramblemast/pkg/loadshed"
 )
 
@@ -30,14 +32,15 @@
 	o.waiting <- message
 }
 
-// run hands on what was put, one message after the other, until ctx ends.
-func (o *outbox) run(ctx context.Context, tell func(context.Context, []loadshed.Measured)) {
+// run hands on what was put, one message after the other with a pause after each, until ctx ends.
+func (o *outbox) run(ctx context.Context, span time.Duration, tell func(context.Context, []loadshed.Measured)) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case message := <-o.waiting:
 			tell(ctx, message)
+			pause.For(ctx, span)
 		}
 	}
 }
--- a/pkg/owner/parts_test.go
+++ b/pkg/owner/parts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -52,13 +53,19 @@
 
 // inLargeRegion runs a test with a hundred nodes; node0 is the owner of services.
 func inLargeRegion(t *testing.T, test func(g *WithT, region *largeRegion)) {
+	t.Helper()
+	inRegionOf(t, largeRegionNodes, test)
+}
+
+// inRegionOf runs a test with a number of nodes.
+func inRegionOf(t *testing.T, count int, test func(g *WithT, region *largeRegion)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		region := &largeRegion{network: peer.NewNetwork(1), sent: make(map[string]int), first: make(map[peer.Address]bool)}
 		region.network.SetLatency(func(_, _ peer.Address) time.Duration { return time.Millisecond })
 		var known []directory.Node
-		for number := range largeRegionNodes {
+		for number := range count {
 			name := fmt.Sprint("node", number)
 			known = append(known, directory.Node{Name: name, Zone: "z", PeerAddress: name})
 		}
@@ -156,3 +163,51 @@
 		}
 	})
 }
+
+// TestNodesThatDoNotAnswerKeepNewsFromNoOthers: of forty nodes most are cut off, among them those that come first by
+// name. The others hear at once.
+func TestNodesThatDoNotAnswerKeepNewsFromNoOthers(t *testing.T) {
+	const count, lost = 40, 33
+	inRegionOf(t, count, func(g *WithT, region *largeRegion) {
+		var names []string
+		for number := range count - 1 {
+			names = append(names, fmt.Sprint("node", number+1))
+		}
+		slices.Sort(names)
+		for _, name := range names[:lost] {
+			region.network.Freeze(peer.Address(name))
+		}
+		g.Expect(region.tell(0.5)).To(Equal(count - 1 - lost))
+	})
+}
+
+// TestWhatIsToldOnIsBoundInTime: all nodes are owners that tell something five times a second, each at another moment.
+func TestWhatIsToldOnIsBoundInTime(t *testing.T) {
+	const rounds, between = 10, 2 * time.Millisecond
+	inLargeRegion(t, func(g *WithT, region *largeRegion) {
+		for round := range rounds {
+			for number, announcer := range region.announcers {
+				key := loadshed.Key{Service: fmt.Sprint("s", number)}
+				announcer.Put([]loadshed.Measured{{Key: key, Shares: roomShare(0.9 - float64(round)/20), At: time.Now()}})
+				time.Sleep(between)
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+		for index, board := range region.boards {
+			for number := range largeRegionNodes {
+				if share := board.ShareOf(loadshed.Key{Service: fmt.Sprint("s", number)}, loadshed.Class{}, time.Now()); number != index {
+					g.Expect(share).To(Equal(0.9 - float64(rounds-1)/20))
+				}
+			}
+		}
+		most := 0
+		for _, sent := range region.sent {
+			most = max(most, sent)
+		}
+		t.Log("most messages of a node:", most)
+		span := rounds*largeRegionNodes*between + 50*time.Millisecond
+		// A part has two other nodes at most.
+		toldOn := 2 * int(span/(20*time.Millisecond)+1)
+		g.Expect(most).To(BeNumerically("<=", 40*rounds+toldOn))
+	})
+}
