Limits: a start is told once others are known, and a node is listed by its name

Cause: a coordinator that has started tells the others once, so that those that report to a stand-in turn back to it. It counted as told also where its list held itself alone by then, as when its own entry is read first. And a process counted as in no list before if its entry had another address, though others choose coordinators by names, so that their lists agree; it then held half of the limits that it coordinates for 2 s.

Ruled out: telling again after each change of the list. A list is read at one go, and a message to all nodes for each change grows with the nodes.

Change: it is told while nothing has been told to others and others are known. An entry with the name of the node counts as its own.

Figures (go test ./pkg/quota, 67 nodes): 0.5 s after the list is complete 1 of 67 nodes turned to the coordinator before, now 67.

Conclusion: both cost requests within limits some seconds at a start, no bound was broken by them.

--- a/internal/edge/registration.go
+++ b/internal/edge/registration.go
@@ -55,13 +55,11 @@
 
 // found takes an entry of a node as the store holds it.
 func (r *registration) found(entry directory.Entry) {
-	if *entry.Node != r.node {
-		return
-	}
-	if !r.isWriting.Load() {
+	if entry.Node.Name == r.node.Name && !r.isWriting.Load() {
+		// Also with another address: coordinators of limits are chosen by name.
 		r.wasListed.Store(true)
 	}
-	if entry.Lease != 0 {
+	if *entry.Node == r.node && entry.Lease != 0 {
 		r.written.Store(entry.Lease)
 	}
 }
--- a/internal/edge/registration_test.go
+++ b/internal/edge/registration_test.go
@@ -39,6 +39,9 @@
 			return tested.wasListed.Load()
 		}
 		g.Expect(wasListed(node)).To(BeTrue())
+		moved := node
+		moved.PeerAddress = "elsewhere:1"
+		g.Expect(wasListed(moved)).To(BeTrue(), "others choose coordinators by names")
 		g.Expect(wasListed(other)).To(BeFalse())
 	})
 }
--- a/pkg/quota/starting_test.go
+++ b/pkg/quota/starting_test.go
@@ -55,3 +55,26 @@
 	})
 	NewWithT(t).Expect(turned).To(Equal(count))
 }
+
+// TestACoordinatorThatKnewNoOthersIsTurnedToAtOnce: it has read its own entry before those of the others.
+func TestACoordinatorThatKnewNoOthersIsTurnedToAtOnce(t *testing.T) {
+	turned, count := 0, 67
+	simulate(t, count, tenants(), func(d *deployment) {
+		first := d.coordinatorOf("large")
+		d.kill(first)
+		others := d.even("large", 100)
+		others.weights[first] = 0
+		d.run(5*time.Second, others)
+		d.start(first)
+		d.nodes[first].limiter.SetNodes(d.list()[first : first+1])
+		d.run(300*time.Millisecond, others)
+		d.setNodes()
+		d.run(500*time.Millisecond, others)
+		for _, node := range d.nodes {
+			if node.limiter.Coordinator("large") == d.nodes[first].name {
+				turned++
+			}
+		}
+	})
+	NewWithT(t).Expect(turned).To(Equal(count))
+}
--- a/pkg/quota/verdicts.go
+++ b/pkg/quota/verdicts.go
@@ -60,7 +60,7 @@
 // isUntold reports whether this node coordinates limits and has told the others nothing since its start: those that
 // report to a stand-in turn back to it when it does. The caller holds the mutex.
 func (l *Limiter) isUntold() bool {
-	return l.spreadAt.IsZero() && l.coordinates(l.options.Local) && l.options.IsNeeded()
+	return l.sent.Verdicts == 0 && len(l.addresses) > 1 && l.coordinates(l.options.Local) && l.options.IsNeeded()
 }
 
 // dueVerdicts returns the verdicts on tenants at their limits, and whether one is much lower than what
