Signals are heard from the start of a process

Cause: signal.NotifyContext was called once the settings were read and the listeners open. A SIGTERM or SIGHUP before that ended the process by the signal, not with the code of a planned stop. The log's lines are written by a goroutine that the end of the process did not wait for, so that 'stopped' and 'node failed' were lost.

Change: signals are heard before the settings are read; a node that is told to stop by then takes up nothing. The log is flushed at the end, for 100 ms at most.

Conclusion: both faults are mended; who sent that node its signal is not shown.

--- a/cmd/bramblemast-edge/main.go
+++ b/cmd/bramblemast-edge/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
@@ -25,6 +26,10 @@
 	exitSettings = 2
 )
 
+// logsWithin is for how long an ending process waits for a slow reader of its log: a small part of
+// the shortest grace time (1 s).
+const logsWithin = 100 * time.Millisecond
+
 // collectPercent trades a little processor time for memory.
 const collectPercent = 50
 
@@ -68,6 +73,8 @@
 		fmt.Println("bramblemast-edge", version.Version)
 		return exitOK
 	}
+	heard := listen()
+	defer heard.close()
 	if given.Settings == "" {
 		given.Settings = os.Getenv(platform.SettingsVariable)
 	}
@@ -79,29 +86,48 @@
 		fmt.Println("settings are valid")
 		return exitOK
 	}
-	return serve(loaded, given.Settings)
+	return serve(loaded, given.Settings, heard)
+}
+
+// signals are what the platform tells the process.
+type signals struct {
+	// stop ends with the signal of a planned stop; further ones change nothing.
+	stop    context.Context
+	close   context.CancelFunc
+	hangups chan os.Signal
+}
+
+// listen begins to hear signals. It is called before anything else is done, since a signal that
+// nobody hears ends the process as if it had failed.
+func listen() *signals {
+	heard := &signals{hangups: make(chan os.Signal, 1)}
+	signal.Notify(heard.hangups, syscall.SIGHUP)
+	heard.stop, heard.close = signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	return heard
 }
 
 // serve runs the node until a signal or a failure.
-func serve(settings *edge.Settings, path string) int {
+func serve(settings *edge.Settings, path string, heard *signals) int {
+	if heard.stop.Err() != nil {
+		// Nothing has been taken up that a planned stop would have to end.
+		return exitOK
+	}
 	debug.SetGCPercent(collectPercent)
 	if limit := settings.MemoryBytes(); limit > 0 {
 		debug.SetMemoryLimit(limit)
 	}
-	logger := edge.NewLogger("bramblemast-edge", os.Stdout)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+	log := edge.OpenLog("bramblemast-edge", os.Stdout)
+	defer log.Flush(logsWithin)
+	logger := log.Logger()
 	node, err := edge.New(edge.Options{
 		Settings: settings, Logger: logger, Platform: platform.NewStore(settings.Store.Address),
 		Dialect: platform.Dialect(), ReadyPath: platform.ReadyPath,
-		Reload: func() (*edge.Settings, error) { return edge.LoadSettings(path) }, Hangup: hangups,
+		Reload: func() (*edge.Settings, error) { return edge.LoadSettings(path) }, Hangup: heard.hangups,
 	})
 	if err != nil {
 		return fail(exitFailure, err)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := node.Run(ctx); err != nil {
+	if err := node.Run(heard.stop); err != nil {
 		logger.Error("node failed", "error", err.Error())
 		return exitFailure
 	}
--- a/internal/edge/logs.go
+++ b/internal/edge/logs.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 )
@@ -13,24 +14,38 @@
 // asyncWriter hands lines to a writer without ever blocking: lines that find
 // the backlog full are dropped and counted.
 type asyncWriter struct {
-	lines   chan []byte
+	lines chan []byte
+	// flushes takes what is closed once the lines before it are written.
+	flushes chan chan struct{}
 	dropped atomic.Uint64
 }
 
 func newAsyncWriter(output io.Writer) *asyncWriter {
-	writer := &asyncWriter{lines: make(chan []byte, logBacklog)}
+	writer := &asyncWriter{lines: make(chan []byte, logBacklog), flushes: make(chan chan struct{})}
 	go writer.run(output)
 	return writer
 }
 
 func (w *asyncWriter) run(output io.Writer) {
-	for line := range w.lines {
-		if _, err := output.Write(line); err != nil {
-			w.dropped.Add(1)
+	for {
+		select {
+		case line := <-w.lines:
+			w.write(output, line)
+		case written := <-w.flushes:
+			for range len(w.lines) {
+				w.write(output, <-w.lines)
+			}
+			close(written)
 		}
 	}
 }
 
+func (w *asyncWriter) write(output io.Writer, line []byte) {
+	if _, err := output.Write(line); err != nil {
+		w.dropped.Add(1)
+	}
+}
+
 // Write implements io.Writer.
 func (w *asyncWriter) Write(line []byte) (int, error) {
 	select {
@@ -41,9 +56,42 @@
 	return len(line), nil
 }
 
-// NewLogger returns a logger of JSON lines that never blocks.
-func NewLogger(name string, output io.Writer) hclog.Logger {
-	return hclog.New(&hclog.LoggerOptions{
-		Name: name, Level: hclog.Info, Output: newAsyncWriter(output), JSONFormat: true,
-	})
+// flush waits until the lines before it are written, for a while.
+func (w *asyncWriter) flush(within time.Duration) {
+	timer := time.NewTimer(within)
+	defer timer.Stop()
+	written := make(chan struct{})
+	select {
+	case w.flushes <- written:
+	case <-timer.C:
+		return
+	}
+	select {
+	case <-written:
+	case <-timer.C:
+	}
 }
+
+// Log takes the lines of a process.
+type Log struct {
+	writer *asyncWriter
+	logger hclog.Logger
+}
+
+// OpenLog returns a log of JSON lines that never blocks.
+func OpenLog(name string, output io.Writer) *Log {
+	writer := newAsyncWriter(output)
+	return &Log{writer: writer, logger: hclog.New(&hclog.LoggerOptions{
+		Name: name, Level: hclog.Info, Output: writer, JSONFormat: true,
+	})}
+}
+
+// Logger returns what writes lines.
+func (l *Log) Logger() hclog.Logger { return l.logger }
+
+// Flush waits until the lines so far are written, for a while at most: a process that ends would
+// lose its last ones, which say why.
+func (l *Log) Flush(within time.Duration) { l.writer.flush(within) }
+
+// NewLogger returns a logger of JSON lines that never blocks.
+func NewLogger(name string, output io.Writer) hclog.Logger { return OpenLog(name, output).Logger() }
