Requests that end the servers of one shard are kept from that shard

Cause: what is known of a request is cleared by the answer of any server. A gathered request that ends the servers of one shard only is answered by the others, so that each try ended further ones.

Ruled out: budgets, which do not see the first sub-request of a shard; the number of attempts, which bounds one run only. Weighed: a service in each note of a request (the notes of the store, of messages and of owners would all change, and whole evidence be cleared service by service), and evidence under a fingerprint of the request at that service, which the store and other nodes take as any other. The second was taken: no form changes, and earlier nodes pass it on unharmed.

Change: once a service has answered a request, connections that broke at others count for the request at these alone, and only an answer from there clears that. A suspect shard gets a trial like a suspect request; without one the part is closed, or the request refused if it cannot do without. What all services have answered lately is not suspect at any.

--- a/pkg/exchange/fingerprint.go
+++ b/pkg/exchange/fingerprint.go
@@ -39,6 +39,13 @@
 	return Fingerprint(sum.Sum(nil)[:len(Fingerprint{})])
 }
 
+// At returns the fingerprint of the request at one of its services.
+func (f Fingerprint) At(service string) Fingerprint {
+	text := append(f[:len(f):len(f)], service...)
+	sum := sha256.Sum256(text)
+	return Fingerprint(sum[:len(f)])
+}
+
 // String returns the fingerprint as it stands in logs and in the store.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
--- a/pkg/fanout/kept_back.go
+++ b/pkg/fanout/kept_back.go
@@ -141,18 +141,28 @@
 }
 
 // useTrial moves leave for a trial to an attempt.
-func (r *run) useTrial(by *attempt) { by.trial, r.trial = r.trial, nil }
+func (r *run) useTrial(by *attempt) {
+	if part := &r.parts[by.part]; r.trial == nil && part.trial != nil {
+		by.trial, part.trial, by.isForShard = part.trial, nil, true
+		return
+	}
+	by.trial, r.trial = r.trial, nil
+}
 
 // returnTrial takes leave back from an attempt that did not run.
 func (r *run) returnTrial(from *attempt) {
-	if from.trial != nil {
+	switch {
+	case from.trial == nil:
+	case from.isForShard:
+		r.parts[from.part].trial, from.trial = from.trial, nil
+	default:
 		r.trial, from.trial = from.trial, nil
 	}
 }
 
 // keepBack puts off what is to be done for a part while the request is kept back.
 func (r *run) keepBack(part *part, now time.Time) bool {
-	if !r.isKeptBack() && !r.isTrialElsewhere(part, now) {
+	if !r.isKeptBack() && !r.isTrialElsewhere(part, now) && !r.isKeptFromShard(part, now) {
 		return false
 	}
 	r.withdraw(part)
@@ -169,13 +179,20 @@
 }
 
 // noteBroken tells the guard that a server broke its connection while it had the request,
-// unless another one has answered it. It is called from the attempt's goroutine.
+// unless another one has answered it: then that holds for its service alone. It is called from the
+// attempt's goroutine.
 func (r *run) noteBroken(broken *attempt, now time.Time) {
 	guard := r.runner.Quarantine
-	if guard == nil || !broken.Broken || r.served.Load() {
+	if guard == nil || !broken.Broken {
 		return
 	}
 	server := broken.lease.Server
+	if part := &r.parts[broken.part]; r.served.Load() {
+		if r.isGathered() && !part.served.Load() {
+			guard.NoteBrokenAt(r.request.Fingerprint(r.runner.Dialect), part.service, server.Incarnation(), server.Address, now)
+		}
+		return
+	}
 	guard.NoteBroken(r.request.Fingerprint(r.runner.Dialect), server.Incarnation(), server.Address, now)
 }
 
@@ -185,6 +202,7 @@
 	if guard := r.runner.Quarantine; guard != nil {
 		guard.NoteServed(r.fingerprint(), time.Now())
 	}
+	r.noteBrokenParts(time.Now())
 }
 
 // learnEnded takes the servers that an owner has seen end under the request.
--- /dev/null
+++ b/pkg/fanout/kept_shard_test.go
@@ -0,0 +1,122 @@
+package fanout_test
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/exchange/exchangetest"
+	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
+	"github.com/bramblemast/bramblemast/pkg/quarantine"
+)
+
+const (
+	// restart is how long a server that has ended is away.
+	restart = 700 * time.Millisecond
+	// repeatEvery is when the client of a deadly request comes again, for repeatFor.
+	repeatEvery = 250 * time.Millisecond
+	repeatFor   = 8 * time.Second
+)
+
+// newShardWorld has four shards of three servers. Those of shard a end when they run the deadly
+// request, and come back after a while; the others answer it. It returns how often they ended.
+func newShardWorld() (*world, *atomic.Int64) {
+	w := newDeadlyWorld(nil, nil)
+	ended := &atomic.Int64{}
+	for _, service := range fourShards {
+		for _, copied := range threeCopies {
+			w.add(service, service+copied, exchangetest.Answer{})
+			w.servers[service+copied].Respond = w.respondOf(service, service+copied, ended)
+		}
+	}
+	return w, ended
+}
+
+func (w *world) respondOf(service, name string, ended *atomic.Int64) func(exchangetest.Request) exchangetest.Answer {
+	return func(request exchangetest.Request) exchangetest.Answer {
+		if service != "a" || request.RequestURI != deadlyTarget {
+			return quick("x")
+		}
+		ended.Add(1)
+		w.network.Remove(name)
+		time.AfterFunc(restart, func() { w.network.Add(name, w.respondOf(service, name, ended)) })
+		return exchangetest.Answer{Delay: 10 * time.Millisecond}
+	}
+}
+
+// mostEndsOfAShard are the three servers after which a request is suspect, two that run it at that
+// moment, and two trials.
+const mostEndsOfAShard = quarantine.SuspectAfter + 2 + quarantine.PromptTrials
+
+// TestARequestThatEndsTheServersOfOneShardIsKeptFromThatShard, though the others answer it: they go
+// on, and the answer is a partial one.
+func TestARequestThatEndsTheServersOfOneShardIsKeptFromThatShard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w, ended := newShardWorld()
+		defer w.close()
+		for began := time.Now(); time.Since(began) < repeatFor; time.Sleep(repeatEvery) {
+			result := w.send(plan(fourShards...), deadlyTarget)
+			g.Expect(result.Got).To(Equal(3))
+			g.Expect(result.Parts[0]).To(BeNil())
+		}
+		t.Logf("%d servers ended", ended.Load())
+		g.Expect(ended.Load()).To(BeNumerically("<=", mostEndsOfAShard))
+		whole := plan(fourShards...)
+		whole.Required = len(fourShards)
+		g.Expect(w.send(whole, "/ordinary").Got).To(Equal(len(fourShards)))
+		began := time.Now()
+		g.Expect(w.send(plan(fourShards...), deadlyTarget).Got).To(Equal(3))
+		g.Expect(time.Since(began)).To(BeNumerically("<", 50*time.Millisecond), "nothing waits for the shard")
+	})
+}
+
+// TestARequestThatNeedsAShardWhoseServersItEndsIsRefused at once, and sent nowhere.
+func TestARequestThatNeedsAShardWhoseServersItEndsIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w, ended := newShardWorld()
+		defer w.close()
+		needed := func() fanout.Plan {
+			whole := plan(fourShards...)
+			whole.Required = len(fourShards)
+			return whole
+		}
+		for began := time.Now(); time.Since(began) < repeatFor; time.Sleep(repeatEvery) {
+			w.send(needed(), deadlyTarget)
+		}
+		t.Logf("%d servers ended", ended.Load())
+		g.Expect(ended.Load()).To(BeNumerically("<=", mostEndsOfAShard))
+		began := time.Now()
+		result := w.send(needed(), deadlyTarget)
+		g.Expect(result.Reason).To(Equal(fanout.StopQuarantined))
+		g.Expect(result.Outcome).To(Equal(outcome.NotRun))
+		g.Expect(result.Sent).To(BeZero())
+		g.Expect(time.Since(began)).To(BeZero())
+	})
+}
+
+// TestWhatSharedTheServersOfOneShardIsAnswered: a request that lost three servers of one shard with
+// another one gets its answer by a trial, and is not kept back from then on.
+func TestWhatSharedTheServersOfOneShardIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newDeadlyWorld(fourShards, append(threeCopies, "4"))
+		defer w.close()
+		for range 2 {
+			w.endFirst("a1", "a2", "a3", "a4")
+			wanted := plan(fourShards...)
+			wanted.Required, wanted.MaxAttempts = len(fourShards), 4
+			w.send(wanted, "/shared")
+		}
+		w.endFirst("a1", "a2", "a3", "a4")
+		wanted := plan(fourShards...)
+		wanted.Required, wanted.MaxAttempts = len(fourShards), 4
+		g.Expect(w.send(wanted, "/shared").Got).To(Equal(len(fourShards)))
+		g.Expect(w.runner.Quarantine.IsIdle()).To(BeTrue())
+	})
+}
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -275,6 +275,7 @@
 	}
 	for index := range r.parts {
 		r.withdraw(&r.parts[index])
+		r.parts[index].trial.GiveBack()
 		for _, each := range r.parts[index].live {
 			each.Expire(end)
 		}
--- a/pkg/fanout/owners.go
+++ b/pkg/fanout/owners.go
@@ -150,7 +150,7 @@
 		}
 		return
 	}
-	if r.isKeptBack() {
+	if r.isKeptBack() || r.isKeptAnywhere() {
 		r.isKeptFromOwners = true
 		return
 	}
--- a/pkg/fanout/part.go
+++ b/pkg/fanout/part.go
@@ -2,10 +2,12 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/quarantine"
 )
 
 // part is the state of one service in a run.
@@ -52,6 +54,16 @@
 	// spared says that the service is left to those that need it, since it is short of room and
 	// the request can be answered without it: it is asked where nobody else waits.
 	spared bool
+	// broken are the attempts whose server ended the connection, and served says that a server of
+	// the service has answered; attempts read it too.
+	broken []*attempt
+	served atomic.Bool
+	// kept says that the request is kept from the service's servers. trial is leave for one of
+	// them, isClaiming says that it was asked for, and isRefusedTrial that there was none.
+	kept           bool
+	trial          *quarantine.Trial
+	isClaiming     bool
+	isRefusedTrial bool
 	// isOffered says that the part counts among the load of its service.
 	isOffered bool
 	// granted counts the further servers that may be asked in a run for another
--- a/pkg/fanout/result.go
+++ b/pkg/fanout/result.go
@@ -136,6 +136,9 @@
 	if r.plan.Collect != nil {
 		return ""
 	}
+	if r.lacksShutShards() {
+		return StopQuarantined
+	}
 	if !r.isServable() {
 		return StopUnservable
 	}
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -40,8 +40,10 @@
 	// endedAt and result are set by the event loop when the attempt has ended.
 	endedAt time.Time
 	result  string
-	// trial is leave that the attempt was made with; nil if the request needed none.
-	trial *quarantine.Trial
+	// trial is leave that the attempt was made with; nil if the request needed none. isForShard says
+	// that it is for the part alone.
+	trial      *quarantine.Trial
+	isForShard bool
 }
 
 // finished is what an attempt reports.
@@ -95,6 +97,9 @@
 	claims         chan *quarantine.Trial
 	isClaiming     bool
 	isRefusedTrial bool
+	// shardClaims brings leave for one part, and hasKept says that parts are kept back.
+	shardClaims chan shardTrial
+	hasKept     bool
 	// fingerprinted is the request's fingerprint once it was made.
 	fingerprinted *exchange.Fingerprint
 	// lot orders the request among others, alike on all nodes.
@@ -118,7 +123,7 @@
 	return &run{
 		runner: runner, plan: plan, request: request, parts: parts, began: time.Now(), lot: xxhash.Sum64String(request.ID),
 		results: make(chan finished, len(parts)), wakes: make(chan int, len(parts)), ended: make(chan struct{}), open: len(parts),
-		inbox: newInbox(), claims: make(chan *quarantine.Trial), admission: loadshed.Decision{IsAdmitted: true, Share: 1},
+		inbox: newInbox(), claims: make(chan *quarantine.Trial), shardClaims: make(chan shardTrial), admission: loadshed.Decision{IsAdmitted: true, Share: 1},
 	}
 }
 
@@ -141,6 +146,7 @@
 	defer timer.Stop()
 	for {
 		now := time.Now()
+		r.settleKept(now)
 		if reason, done := r.decide(now); done {
 			return reason
 		}
@@ -163,6 +169,8 @@
 			r.takeReports(time.Now())
 		case claimed := <-r.claims:
 			r.takeTrial(claimed)
+		case claimed := <-r.shardClaims:
+			r.takeShardTrial(claimed)
 		case granted := <-r.granted():
 			r.takeGrant(granted, time.Now())
 		case index := <-r.wakes:
@@ -217,11 +225,15 @@
 	result.attempt.endedAt, result.attempt.result = now, result.describe()
 	if result.attempt.Broken {
 		r.noteBrokenConnection(now)
+		r.noteBrokenPart(part, result.attempt, now)
 	}
 	if result.err == nil && result.answer.Evidence != "" && !r.served.Load() {
 		// Also a failure that a server has made shows that it lives.
 		r.noteServed()
 	}
+	if result.err == nil && result.answer.Evidence != "" {
+		r.noteServedAt(part, now)
+	}
 	if part.answer != nil {
 		return
 	}
@@ -246,7 +258,9 @@
 	part.ran = true
 	part.hedgeAt = time.Time{}
 	r.noteServedPart(part)
+	r.noteServedAt(part, now)
 	r.got++
+	r.noteWhole(now)
 	if !part.closed {
 		r.open--
 	}
