A first broken connection at a shard is told nobody

Cause: each ordinary request that lost a server of a shard and ended without asking there again left a note, a look at the server and messages to other nodes.

Change: a node keeps the first broken connection of a request at a service to itself; the second one counts with it.

--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -110,6 +110,8 @@
 	disputed map[Note]bool
 	// leftover are notes of requests that were forgotten for want of room, and when they go.
 	leftover map[Note]time.Time
+	// hints are first broken connections of requests at one of their services.
+	hints map[exchange.Fingerprint]hint
 }
 
 // New returns a Guard that knows of no request.
@@ -117,7 +119,7 @@
 	return &Guard{
 		options: options, served: newServed(), work: make(chan struct{}, 1), records: make(map[exchange.Fingerprint]*record),
 		ended: make(map[fleet.Incarnation]time.Time), probed: make(map[fleet.Incarnation]bool), disputed: make(map[Note]bool),
-		leftover: make(map[Note]time.Time),
+		leftover: make(map[Note]time.Time), hints: make(map[exchange.Fingerprint]hint),
 	}
 }
 
@@ -280,6 +282,7 @@
 		}
 	}
 	g.sweepLeftover(now)
+	g.sweepHints(now)
 }
 
 // record returns the record of a request, and makes it if there is none. The mutex is held.
--- a/pkg/quarantine/shard.go
+++ b/pkg/quarantine/shard.go
@@ -39,10 +39,64 @@
 	return standing
 }
 
+// maxHints bounds the requests of which one broken connection at a service is remembered: a crash
+// leaves as many as its server had, and the next one of a request that is displaced counts as first.
+const maxHints = 1024
+
+// hint is the first connection of a request that broke at a service.
+type hint struct {
+	server  fleet.Incarnation
+	address string
+	at      time.Time
+}
+
 // NoteBrokenAt is NoteBroken for a server of one of a request's services, where others have answered.
+// A first one is told nobody: most requests that shared a server end without asking that service
+// again, and looks at its servers take connections of those that are left.
 func (g *Guard) NoteBrokenAt(request exchange.Fingerprint, service string, server fleet.Incarnation, address string, now time.Time) {
-	if !g.served.has(wholly(request), now) {
-		g.NoteBroken(request.At(service), server, address, now)
+	if g.served.has(wholly(request), now) {
+		return
+	}
+	here := request.At(service)
+	first, isFurther := g.takeHint(here, hint{server: server, address: address, at: now})
+	if !isFurther {
+		return
+	}
+	if first.server != (fleet.Incarnation{}) {
+		g.NoteBroken(here, first.server, first.address, now)
+	}
+	g.NoteBroken(here, server, address, now)
+}
+
+// takeHint remembers the first broken connection at a service, and returns it when there is a
+// further one, or one of a request of which more is known.
+func (g *Guard) takeHint(here exchange.Fingerprint, broken hint) (first hint, isFurther bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	first, isKnown := g.hints[here]
+	switch {
+	case g.records[here] != nil || isKnown && first.server != broken.server:
+		delete(g.hints, here)
+		return first, true
+	case isKnown:
+		return hint{}, false
+	}
+	for other := range g.hints {
+		if len(g.hints) < maxHints {
+			break
+		}
+		delete(g.hints, other)
+	}
+	g.hints[here] = broken
+	return hint{}, false
+}
+
+// sweepHints forgets what is old. The mutex is held.
+func (g *Guard) sweepHints(now time.Time) {
+	for here, first := range g.hints {
+		if now.Sub(first.at) > lifetime {
+			delete(g.hints, here)
+		}
 	}
 }
 
@@ -55,6 +109,9 @@
 	here := request.At(service)
 	if hasLost || g.remembers(here) {
 		g.NoteServed(here, now)
+		g.mutex.Lock()
+		defer g.mutex.Unlock()
+		delete(g.hints, here)
 	}
 }
 
--- a/pkg/quarantine/shard_test.go
+++ b/pkg/quarantine/shard_test.go
@@ -80,3 +80,21 @@
 		}
 	})
 }
+
+// TestOneBrokenConnectionAtAServiceIsToldNobody: most requests that shared a server are done without
+// it. The second one at the same service counts with it.
+func TestOneBrokenConnectionAtAServiceIsToldNobody(t *testing.T) {
+	in(t, 2, func(g *WithT, w *world) {
+		w.endAt(w.guards[0], "a", "a1", "a1")
+		w.endAt(w.guards[0], "b", "b1")
+		time.Sleep(news)
+		g.Expect(w.guards[0].IsIdle()).To(BeTrue())
+		g.Expect(w.network.Dials()).To(BeZero())
+		w.endAt(w.guards[0], "a", "a2")
+		time.Sleep(news)
+		g.Expect(w.ledger.held()).To(HaveLen(2))
+		w.endAt(w.guards[1], "a", "a3")
+		time.Sleep(news)
+		g.Expect(w.guards[0].StandingAt(deadly, "a")).To(Equal(quarantine.Suspect))
+	})
+}
