--- a/pkg/owner/deadly_test.go
+++ b/pkg/owner/deadly_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -69,3 +70,42 @@
 		g.Expect(c.arrivals("near")+c.arrivals("far")-ended).To(BeNumerically("<=", 2), "two trials of all nodes")
 	})
 }
+
+// TestAnOwnerKeepsARequestFromTheShardWhoseServersItEnds and leaves its trials to the asking node;
+// the other shards answer.
+func TestAnOwnerKeepsARequestFromTheShardWhoseServersItEnds(t *testing.T) {
+	in(t, func(g *WithT, c *cluster) {
+		asker, owners := c.outsider()
+		c.required = shardCount - 1
+		places := []string{"near", "far"}
+		for _, place := range places {
+			c.byName[serverName(0, place)].Respond = func(exchangetest.Request) exchangetest.Answer {
+				return exchangetest.Answer{Delay: 10 * time.Millisecond}
+			}
+		}
+		arrived := func() int {
+			return len(c.byName[serverName(0, places[0])].Requests()) + len(c.byName[serverName(0, places[1])].Requests())
+		}
+		request := &exchange.Request{Method: "GET", Target: "/", Header: http.Header{"Name": {"value"}}}
+		for _, name := range append(owners, asker.Name) {
+			knowing := c.node(name).runner
+			here := request.Fingerprint(knowing.Dialect).At(c.services[0])
+			knowing.Quarantine.LearnEnded(here, []fleet.Incarnation{{ID: "x"}, {ID: "y"}, {ID: "z"}}, time.Now())
+		}
+		for range 4 {
+			result, _ := c.ask(c.t.Context(), asker)
+			g.Expect(result.Got).To(Equal(shardCount - 1))
+			g.Expect(result.Parts[0]).To(BeNil())
+		}
+		g.Expect(arrived()).To(Equal(quarantine.PromptTrials), "two trials of the asking node")
+		// A node that knows nothing of it asks the owners, which send it nowhere.
+		for _, each := range c.nodes {
+			if runner := each.runner; runner.Quarantine.IsIdle() {
+				result, _ := c.ask(c.t.Context(), each)
+				g.Expect(result.Got).To(BeNumerically(">=", shardCount-1))
+				g.Expect(arrived()-quarantine.PromptTrials).To(BeNumerically("<=", maxAttempts), "what it asks itself")
+				return
+			}
+		}
+	})
+}
