A process whose log nobody reads stops: a test

Cause: the flush at the end of a process waits for whoever reads its output, and no test showed that the wait is bounded when nobody does.

Ruled out: a unit test of the writer alone, which would not show that nothing else of a stop writes to the same pipe.

Change: a test starts the node with a full pipe as its output, so that its first line blocks, and tells it to stop.

Conclusion: the process ends as planned. Its standard error is not covered: only a start that fails writes there.

--- a/cmd/bramblemast-edge/main_test.go
+++ b/cmd/bramblemast-edge/main_test.go
@@ -68,6 +68,12 @@
 
 // startProcess starts a process with a settings file.
 func startProcess(t *testing.T, settings string) *process {
+	t.Helper()
+	return startProcessWith(t, settings, nil)
+}
+
+// startProcessWith starts a process that writes its log to a file; nil if its output is kept.
+func startProcessWith(t *testing.T, settings string, log *os.File) *process {
 	t.Helper()
 	program, err := os.Executable()
 	if err != nil {
@@ -76,6 +82,9 @@
 	started := &process{g: NewWithT(t), command: exec.Command(program, "--settings", settings), output: &output{}, ended: make(chan struct{})}
 	started.command.Env = append(os.Environ(), runVariable+"=1")
 	started.command.Stdout, started.command.Stderr = started.output, started.output
+	if log != nil {
+		started.command.Stdout = log
+	}
 	if err := started.command.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -226,3 +235,27 @@
 	second.signal(syscall.SIGTERM)
 	second.expectPlannedEnd()
 }
+
+// TestAProcessWhoseLogNobodyReadsStops: the pipe behind its output is full from the start on, so
+// that its first line blocks. It ends with the code of a planned stop all the same.
+func TestAProcessWhoseLogNobodyReadsStops(t *testing.T) {
+	g := NewWithT(t)
+	var ends [2]int
+	g.Expect(syscall.Pipe2(ends[:], syscall.O_CLOEXEC|syscall.O_NONBLOCK)).To(Succeed())
+	var err error
+	for err == nil {
+		_, err = syscall.Write(ends[1], []byte{'\n'})
+	}
+	g.Expect(err).To(Equal(syscall.EAGAIN), "the pipe is full")
+	g.Expect(syscall.SetNonblock(ends[1], false)).To(Succeed())
+	reading, writing := os.NewFile(uintptr(ends[0]), "reading"), os.NewFile(uintptr(ends[1]), "writing")
+	defer func() {
+		g.Expect(reading.Close()).To(Succeed())
+		g.Expect(writing.Close()).To(Succeed())
+	}()
+	store := startStore(t)
+	started := startProcessWith(t, settingsFile(t, store), writing)
+	g.Eventually(func() []string { return store.Keys("bramblemast/nodes/") }, patience).Should(HaveLen(1))
+	started.signal(syscall.SIGTERM)
+	started.expectPlannedEnd()
+}
