An answer of a service clears the first broken connection there

Cause: the first connection of a request that breaks at a service is kept as a hint for ten minutes, and NoteServedAt left without a look while no request was suspect. So an answer that came later did not clear it: a second broken connection minutes later counted as two servers, though the service had answered the request in between. A hint was also made for a service that had answered lately, where broken connections count for nothing.

Ruled out: a shorter life of hints, since then a request that comes once a minute is never found out; hashing each part of each request, which costs 36 hashes while nothing is wrong.

Change: the guard counts its hints in an atomic; an answer looks for one while there are any, or a record. None is made for a service that answered lately.

Figures: TestAnAnswerOfAServiceClearsItsFirstBrokenConnection fails without the change: the guard is not idle.

Conclusion: only an answer clears, as docs/design/quarantine.md says, and it does so for hints too.

--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -92,6 +92,8 @@
 	// known is the number of records, and one more while one may be made, so that nothing is spent
 	// while there are none.
 	known atomic.Int64
+	// hinted is the number of hints.
+	hinted atomic.Int64
 	// work has an element while there is something to write.
 	work chan struct{}
 	// tell takes what other nodes are told directly, false if it has no room; nil if there is no way
--- a/pkg/quarantine/shard.go
+++ b/pkg/quarantine/shard.go
@@ -54,10 +54,10 @@
 // A first one is told nobody: most requests that shared a server end without asking that service
 // again, and looks at its servers take connections of those that are left.
 func (g *Guard) NoteBrokenAt(request exchange.Fingerprint, service string, server fleet.Incarnation, address string, now time.Time) {
-	if g.served.has(wholly(request), now) {
+	here := request.At(service)
+	if g.served.has(wholly(request), now) || g.served.has(here, now) {
 		return
 	}
-	here := request.At(service)
 	first, isFurther := g.takeHint(here, hint{server: server, address: address, at: now})
 	if !isFurther {
 		return
@@ -73,6 +73,7 @@
 func (g *Guard) takeHint(here exchange.Fingerprint, broken hint) (first hint, isFurther bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	defer g.countHints()
 	first, isKnown := g.hints[here]
 	switch {
 	case g.records[here] != nil || isKnown && first.server != broken.server:
@@ -98,25 +99,31 @@
 			delete(g.hints, here)
 		}
 	}
+	g.countHints()
 }
 
+// countHints lets NoteServedAt know whether there are hints. The mutex is held.
+func (g *Guard) countHints() { g.hinted.Store(int64(len(g.hints))) }
+
 // NoteServedAt takes that a service has answered a request. It is remembered only if servers of it
 // seem to have ended under the request: each request has an answer of each of its services.
 func (g *Guard) NoteServedAt(request exchange.Fingerprint, service string, hasLost bool, now time.Time) {
-	if !hasLost && g.IsIdle() {
+	if !hasLost && g.IsIdle() && g.hinted.Load() == 0 {
 		return
 	}
 	here := request.At(service)
-	if hasLost || g.remembers(here) {
+	if g.forgetHint(here) || hasLost {
 		g.NoteServed(here, now)
-		g.mutex.Lock()
-		defer g.mutex.Unlock()
-		delete(g.hints, here)
 	}
 }
 
-func (g *Guard) remembers(fingerprint exchange.Fingerprint) bool {
+// forgetHint forgets the first broken connection at a service, and reports whether it or more was
+// known.
+func (g *Guard) forgetHint(here exchange.Fingerprint) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.records[fingerprint] != nil
+	_, isKnown := g.hints[here]
+	delete(g.hints, here)
+	g.countHints()
+	return isKnown || g.records[here] != nil
 }
--- a/pkg/quarantine/shard_test.go
+++ b/pkg/quarantine/shard_test.go
@@ -98,3 +98,19 @@
 		g.Expect(w.guards[0].StandingAt(deadly, "a")).To(Equal(quarantine.Suspect))
 	})
 }
+
+// TestAnAnswerOfAServiceClearsItsFirstBrokenConnection, though nothing is suspect: a later one is a
+// first one again. One of a service that has answered lately does not count at all.
+func TestAnAnswerOfAServiceClearsItsFirstBrokenConnection(t *testing.T) {
+	in(t, 1, func(g *WithT, w *world) {
+		w.endAt(w.guards[0], "a", "a1")
+		w.guards[0].NoteServedAt(deadly, "b", false, time.Now())
+		w.guards[0].NoteServedAt(deadly, "a", false, time.Now())
+		w.endAt(w.guards[0], "a", "a2")
+		time.Sleep(2 * time.Minute)
+		w.endAt(w.guards[0], "a", "a3")
+		time.Sleep(news)
+		g.Expect(w.guards[0].IsIdle()).To(BeTrue())
+		g.Expect(w.network.Dials()).To(BeZero())
+	})
+}
