A shard that has answered loses nothing by broken connections

Cause: attempts took from part.served whether a shard had answered the request, the event loop from part.answer, which a failure made by a server does not set. So connections that broke after such a failure were noted against the request at that shard: three of them made it suspect there in one run. Likewise the connections of the shard that answered first were noted, since the request counted as answered before its shard did, to be cleared at once. A part that was sent out and then closed for want of a trial had the failure "not run".

Ruled out: a wrong outcome of the request or of an owner's report; both take whether a part may have run from its attempts. The claim stood in the failure that the log and an owner's cause show.

Change: both take it from part.served, which is set first; an answer is noted once a part, and again only if it lost connections. The failure of a part that may have run is unknown, or completed if a server is known to have run it.

That the shard that answers first is not noted has no test of its own.

Conclusion: what a shard has answered is known alike by attempts and by the event loop.

--- a/pkg/fanout/kept_back.go
+++ b/pkg/fanout/kept_back.go
@@ -196,9 +196,12 @@
 	guard.NoteBroken(r.request.Fingerprint(r.runner.Dialect), server.Incarnation(), server.Address, now)
 }
 
-// noteServed tells the guard that a server has answered the request.
+// noteServed tells the guard that a server has answered the request, once. What the part that
+// answered first has lost does not count: noteServedAt comes before.
 func (r *run) noteServed() {
-	r.served.Store(true)
+	if r.served.Swap(true) {
+		return
+	}
 	if guard := r.runner.Quarantine; guard != nil {
 		guard.NoteServed(r.fingerprint(), time.Now())
 	}
--- a/pkg/fanout/kept_shard.go
+++ b/pkg/fanout/kept_shard.go
@@ -73,7 +73,7 @@
 		r.hasKept = true
 	case part.trial != nil || part.isRefusedTrial || r.plan.Collect != nil || r.isShut(part, now):
 		part.kept = false
-		part.failure = &outcome.Error{Step: "let in", Peer: part.service, Outcome: outcome.NotRun, Reason: outcome.ReasonQuarantined}
+		part.failure = &outcome.Error{Step: "let in", Peer: part.service, Outcome: part.outcome(), Reason: outcome.ReasonQuarantined}
 		r.closePart(part)
 	default:
 		r.hasKept = true
@@ -144,7 +144,7 @@
 // before another service answered it holds for the part.
 func (r *run) noteBrokenPart(part *part, broken *attempt, now time.Time) {
 	part.broken = append(part.broken, broken)
-	if part.answer != nil {
+	if part.served.Load() {
 		r.noteServedAt(part, now)
 	} else if r.served.Load() {
 		r.noteBrokenAt(part, broken, now)
@@ -156,7 +156,7 @@
 	for index := range r.parts {
 		part := &r.parts[index]
 		for _, each := range part.broken {
-			if part.answer == nil {
+			if !part.served.Load() {
 				r.noteBrokenAt(part, each, now)
 			}
 		}
@@ -170,9 +170,12 @@
 	}
 }
 
-// noteServedAt takes that the service of a part has answered the request.
+// noteServedAt takes that the service of a part has answered the request, which is told once
+// unless it has lost connections since.
 func (r *run) noteServedAt(part *part, now time.Time) {
-	part.served.Store(true)
+	if part.served.Swap(true) && len(part.broken) == 0 {
+		return
+	}
 	if guard := r.runner.Quarantine; guard != nil && r.isGathered() {
 		guard.NoteServedAt(r.fingerprint(), part.service, len(part.broken) > 0, now)
 	}
--- a/pkg/fanout/kept_shard_test.go
+++ b/pkg/fanout/kept_shard_test.go
@@ -1,6 +1,7 @@
 package fanout_test
 
 import (
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -120,3 +121,58 @@
 		g.Expect(w.runner.Quarantine.IsIdle()).To(BeTrue())
 	})
 }
+
+// TestBrokenConnectionsOfAShardThatHasAnsweredCountForNothing, also if its answer was a failure that
+// a server made of the request: others of its servers that break their connection later are not
+// what the request ends.
+func TestBrokenConnectionsOfAShardThatHasAnsweredCountForNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newDeadlyWorld(fourShards, append(threeCopies, "4"))
+		defer w.close()
+		var asked atomic.Int64
+		for _, name := range []string{"a1", "a2", "a3", "a4"} {
+			w.servers[name].Respond = func(exchangetest.Request) exchangetest.Answer {
+				if asked.Add(1) > 1 {
+					w.network.Remove(name)
+					return exchangetest.Answer{}
+				}
+				answer := quick("x")
+				answer.Status, answer.Delay = http.StatusInternalServerError, 5*time.Millisecond
+				return answer
+			}
+		}
+		wanted := plan(fourShards...)
+		wanted.Required, wanted.MaxAttempts = len(fourShards)-1, 4
+		result := w.send(wanted, "/ordinary")
+		g.Expect(result.Got).To(Equal(len(fourShards) - 1))
+		g.Expect(result.Broken).To(Equal(3))
+		g.Expect(w.runner.Quarantine.IsIdle()).To(BeTrue())
+	})
+}
+
+// TestAPartThatIsKeptBackClaimsNotRunOnlyIfItWasSentNowhere.
+func TestAPartThatIsKeptBackClaimsNotRunOnlyIfItWasSentNowhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w, _ := newShardWorld()
+		defer w.close()
+		sent, notSent := 0, 0
+		for began := time.Now(); time.Since(began) < repeatFor; time.Sleep(repeatEvery) {
+			wanted := plan(fourShards...)
+			wanted.MaxAttempts = 3
+			result := w.send(wanted, deadlyTarget)
+			switch failure := result.Failures[0]; {
+			case outcome.ReasonOf(failure) != outcome.ReasonQuarantined:
+			case result.MayRun[0]:
+				sent++
+				g.Expect(outcome.Of(failure)).To(Equal(outcome.Unknown))
+			default:
+				notSent++
+				g.Expect(outcome.Of(failure)).To(Equal(outcome.NotRun))
+			}
+		}
+		g.Expect(sent).To(BeNumerically(">", 0))
+		g.Expect(notSent).To(BeNumerically(">", 0))
+	})
+}
--- a/pkg/fanout/part.go
+++ b/pkg/fanout/part.go
@@ -7,6 +7,7 @@
 
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
+	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/quarantine"
 )
 
@@ -79,6 +80,20 @@
 	notRun bool
 }
 
+// mayHaveRun reports whether a server has run the part, or may have.
+func (p *part) mayHaveRun() bool { return p.ran || p.executions > 0 }
+
+// outcome is what is known of a part without an answer.
+func (p *part) outcome() outcome.Outcome {
+	switch {
+	case p.ran:
+		return outcome.Completed
+	case p.mayHaveRun():
+		return outcome.Unknown
+	}
+	return outcome.NotRun
+}
+
 // markNotRun notes that a server has not run the request.
 func (p *part) markNotRun(lease *fleet.Lease) {
 	for index := range p.asked {
--- a/pkg/fanout/result.go
+++ b/pkg/fanout/result.go
@@ -110,7 +110,7 @@
 		if each.answer == nil && each.shed {
 			result.Shed++
 		}
-		result.MayRun[index], result.NoRoom[index] = each.ran || each.executions > 0, each.shed
+		result.MayRun[index], result.NoRoom[index] = each.mayHaveRun(), each.shed
 		ran = ran || each.ran
 		mayRun = mayRun || each.executions > 0
 	}
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -227,12 +227,10 @@
 		r.noteBrokenConnection(now)
 		r.noteBrokenPart(part, result.attempt, now)
 	}
-	if result.err == nil && result.answer.Evidence != "" && !r.served.Load() {
-		// Also a failure that a server has made shows that it lives.
-		r.noteServed()
-	}
 	if result.err == nil && result.answer.Evidence != "" {
+		// Also a failure that a server has made shows that it lives.
 		r.noteServedAt(part, now)
+		r.noteServed()
 	}
 	if part.answer != nil {
 		return
@@ -250,15 +248,13 @@
 // accept takes the answer of a part.
 func (r *run) accept(index int, answer *exchange.Response, now time.Time) {
 	part := &r.parts[index]
-	if !r.served.Load() {
-		r.noteServed()
-	}
+	r.noteServedAt(part, now)
+	r.noteServed()
 	r.withdraw(part)
 	part.answer = answer
 	part.ran = true
 	part.hedgeAt = time.Time{}
 	r.noteServedPart(part)
-	r.noteServedAt(part, now)
 	r.got++
 	r.noteWhole(now)
 	if !part.closed {
