A trial that reached no server after the end of its run is given back

Cause: leave for a trial is given back by the event loop, when the attempt that holds it was refused or never sent. An attempt that ends after its run, which a gathered request leaves once the others have answered, told nobody: its result was dropped, or lay in the channel. The trial was used up though no server ran the request, at one shard as for the whole request; two of them keep an ordinary request out for a minute.

Ruled out: waiting for the trial at the end of a run, which would hold up the answer.

Change: an attempt that finds its run ended gives leave back itself. abandon empties the channel of results after it has told of the end, and an attempt that put its result there looks whether the end was told meanwhile, so that each result is found once, whichever comes last.

Conclusion: a trial is used up by a server that may have run the request only.

--- a/pkg/fanout/kept_shard_test.go
+++ b/pkg/fanout/kept_shard_test.go
@@ -9,8 +9,10 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/exchange/exchangetest"
 	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/quarantine"
 )
@@ -176,3 +178,33 @@
 		g.Expect(notSent).To(BeNumerically(">", 0))
 	})
 }
+
+// TestATrialThatIsRefusedAfterTheRunIsGivenBack: the run has ended with the answers of the other
+// shards, and the server then says that it has not run the request.
+func TestATrialThatIsRefusedAfterTheRunIsGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newDeadlyWorld(fourShards, threeCopies)
+		defer w.close()
+		for _, copied := range threeCopies {
+			w.servers["a"+copied].Respond = func(exchangetest.Request) exchangetest.Answer {
+				refusal := exchangetest.Whole("")
+				refusal.Status, refusal.Delay = http.StatusServiceUnavailable, 100*time.Millisecond
+				refusal.Header = map[string]string{exchangetest.Dialect.NotRun: "1"}
+				return refusal
+			}
+		}
+		request := exchange.Request{Method: "GET", Target: "/suspect"}
+		here := request.Fingerprint(&exchangetest.Dialect).At("a")
+		w.runner.Quarantine.LearnEnded(here, []fleet.Incarnation{{ID: "x"}, {ID: "y"}, {ID: "z"}}, time.Now())
+		ended := plan(fourShards...)
+		ended.Target = time.Now().Add(50 * time.Millisecond)
+		result := w.send(ended, "/suspect")
+		g.Expect(result.Reason).To(Equal(fanout.StopTarget))
+		time.Sleep(200 * time.Millisecond)
+		g.Expect(w.arrivals("a1", "a2", "a3")).To(Equal(1), "the trial")
+		for range quarantine.PromptTrials {
+			g.Expect(w.runner.Quarantine.ClaimTrial(t.Context(), here)).NotTo(BeNil())
+		}
+	})
+}
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -231,9 +231,37 @@
 	now := time.Now()
 	r.runner.Fleet.Finish(started.lease, r.runner.classify(started, answer, err), started.ConnectTime, now)
 	r.noteBroken(started, now)
+	result := finished{attempt: started, answer: answer, err: err}
 	select {
-	case r.results <- finished{attempt: started, answer: answer, err: err}:
+	case r.results <- result:
 	case <-r.ended:
+		r.giveBackTrial(result)
+		return
+	}
+	select {
+	case <-r.ended:
+		r.dropResults()
+	default:
+	}
+}
+
+// dropResults empties the channel of results once the run has ended: whichever of abandon and an
+// attempt comes last finds what is left there.
+func (r *run) dropResults() {
+	for {
+		select {
+		case result := <-r.results:
+			r.giveBackTrial(result)
+		default:
+			return
+		}
+	}
+}
+
+// giveBackTrial gives leave back that an attempt has not used when it ended after its run.
+func (r *run) giveBackTrial(result finished) {
+	if result.err != nil && outcome.Of(result.err) == outcome.NotRun || result.err == nil && r.refused(result.answer) {
+		result.attempt.trial.GiveBack()
 	}
 }
 
@@ -268,6 +296,7 @@
 	if reason != StopCancelled || r.plan.Collect != nil {
 		end = end.Add(r.runner.Linger)
 	}
+	r.dropResults()
 	r.trial.GiveBack()
 	r.inbox.close()
 	for _, asked := range r.questions {
