--- a/pkg/fanout/kept_shard_test.go
+++ b/pkg/fanout/kept_shard_test.go
@@ -1,6 +1,7 @@
 package fanout_test
 
 import (
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -8,8 +9,10 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/exchange/exchangetest"
 	"github.com/bramblemast/bramblemast/pkg/fanout"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 	"github.com/bramblemast/bramblemast/pkg/quarantine"
 )
@@ -120,3 +123,88 @@
 		g.Expect(w.runner.Quarantine.IsIdle()).To(BeTrue())
 	})
 }
+
+// TestBrokenConnectionsOfAShardThatHasAnsweredCountForNothing, also if its answer was a failure that
+// a server made of the request: others of its servers that break their connection later are not
+// what the request ends.
+func TestBrokenConnectionsOfAShardThatHasAnsweredCountForNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newDeadlyWorld(fourShards, append(threeCopies, "4"))
+		defer w.close()
+		var asked atomic.Int64
+		for _, name := range []string{"a1", "a2", "a3", "a4"} {
+			w.servers[name].Respond = func(exchangetest.Request) exchangetest.Answer {
+				if asked.Add(1) > 1 {
+					w.network.Remove(name)
+					return exchangetest.Answer{}
+				}
+				answer := quick("x")
+				answer.Status, answer.Delay = http.StatusInternalServerError, 5*time.Millisecond
+				return answer
+			}
+		}
+		wanted := plan(fourShards...)
+		wanted.Required, wanted.MaxAttempts = len(fourShards)-1, 4
+		result := w.send(wanted, "/ordinary")
+		g.Expect(result.Got).To(Equal(len(fourShards) - 1))
+		g.Expect(result.Broken).To(Equal(3))
+		g.Expect(w.runner.Quarantine.IsIdle()).To(BeTrue())
+	})
+}
+
+// TestAPartThatIsKeptBackClaimsNotRunOnlyIfItWasSentNowhere.
+func TestAPartThatIsKeptBackClaimsNotRunOnlyIfItWasSentNowhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w, _ := newShardWorld()
+		defer w.close()
+		sent, notSent := 0, 0
+		for began := time.Now(); time.Since(began) < repeatFor; time.Sleep(repeatEvery) {
+			wanted := plan(fourShards...)
+			wanted.MaxAttempts = 3
+			result := w.send(wanted, deadlyTarget)
+			switch failure := result.Failures[0]; {
+			case outcome.ReasonOf(failure) != outcome.ReasonQuarantined:
+			case result.MayRun[0]:
+				sent++
+				g.Expect(outcome.Of(failure)).To(Equal(outcome.Unknown))
+			default:
+				notSent++
+				g.Expect(outcome.Of(failure)).To(Equal(outcome.NotRun))
+			}
+		}
+		g.Expect(sent).To(BeNumerically(">", 0))
+		g.Expect(notSent).To(BeNumerically(">", 0))
+	})
+}
+
+// TestATrialThatIsRefusedAfterTheRunIsGivenBack: the run has ended with the answers of the other
+// shards, and the server then says that it has not run the request.
+func TestATrialThatIsRefusedAfterTheRunIsGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newDeadlyWorld(fourShards, threeCopies)
+		defer w.close()
+		for _, copied := range threeCopies {
+			w.servers["a"+copied].Respond = func(exchangetest.Request) exchangetest.Answer {
+				refusal := exchangetest.Whole("")
+				refusal.Status, refusal.Delay = http.StatusServiceUnavailable, 100*time.Millisecond
+				refusal.Header = map[string]string{exchangetest.Dialect.NotRun: "1"}
+				return refusal
+			}
+		}
+		request := exchange.Request{Method: "GET", Target: "/suspect"}
+		here := request.Fingerprint(&exchangetest.Dialect).At("a")
+		w.runner.Quarantine.LearnEnded(here, []fleet.Incarnation{{ID: "x"}, {ID: "y"}, {ID: "z"}}, time.Now())
+		ended := plan(fourShards...)
+		ended.Target = time.Now().Add(50 * time.Millisecond)
+		result := w.send(ended, "/suspect")
+		g.Expect(result.Reason).To(Equal(fanout.StopTarget))
+		time.Sleep(200 * time.Millisecond)
+		g.Expect(w.arrivals("a1", "a2", "a3")).To(Equal(1), "the trial")
+		for range quarantine.PromptTrials {
+			g.Expect(w.runner.Quarantine.ClaimTrial(t.Context(), here)).NotTo(BeNil())
+		}
+	})
+}
