Edge: names and comments of the parts that log and show limits

Ruled out: other log lines, metric names or settings keys; they stay as they are. Change: told[K] is stateLines[K], its users have fields by what the lines are about, count64 is counter; comments name what is limited and in which unit. Settings.problems is divided into addresses and bounds, with the same faults in the same order. Conclusion: no behaviour changes.

--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -30,7 +30,7 @@
 
 	mutex sync.Mutex
 	// overloads bounds the lines about overloads of services, guarded by mutex.
-	overloads *told[string]
+	overloads *stateLines[string]
 	// second, lines and left are guarded by mutex.
 	second time.Time
 	lines  int
@@ -38,7 +38,7 @@
 }
 
 func newEvents(logger hclog.Logger, figures *figures, storeAge func() time.Duration) *events {
-	return &events{logger: logger, figures: figures, storeAge: storeAge, overloads: newTold[string](overloadSpan)}
+	return &events{logger: logger, figures: figures, storeAge: storeAge, overloads: newStateLines[string](overloadSpan)}
 }
 
 // Record implements front.Recorder.
--- a/internal/edge/figures.go
+++ b/internal/edge/figures.go
@@ -94,8 +94,8 @@
 	}, read))
 }
 
-// count64 registers a counter that is read when it is asked for.
-func (f *figures) count64(name, help string, read func() uint64) {
+// counter registers a counter whose value is read at each scrape.
+func (f *figures) counter(name, help string, read func() uint64) {
 	f.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: namespace, Name: name, Help: help,
 	}, func() float64 { return float64(read()) }))
--- a/internal/edge/keys.go
+++ b/internal/edge/keys.go
@@ -6,7 +6,7 @@
 	"github.com/bramblemast/bramblemast/internal/front"
 )
 
-// keyNews returns how far what the node knows of callers' keys may be trusted now.
+// keyNews returns whether the node's news of callers' keys is current, old, or so old that keys are refused.
 func (n *Node) keyNews() front.KeyNews {
 	settings := n.settings.Load()
 	switch {
@@ -18,8 +18,8 @@
 	return front.KeysCurrent
 }
 
-// watchKeys tells once when requests begin and cease to be refused because their keys cannot
-// be confirmed. Only sweepServers calls it.
+// watchKeys writes one line when requests begin to be refused because their keys cannot be
+// confirmed, and one when that ends. Only sweepServers calls it.
 func (n *Node) watchKeys() {
 	table := n.state.Table()
 	lapsed := table != nil && table.HasTenants() && n.keyNews() == front.KeysLapsed
--- a/internal/edge/limits_page.go
+++ b/internal/edge/limits_page.go
@@ -11,8 +11,8 @@
 	"github.com/bramblemast/bramblemast/pkg/route"
 )
 
-// listInterval is the least time between two copies of all limits: requests wait while one is made,
-// so that callers of the page who come more often get the last one.
+// listInterval is the least time between two copies of all limits, since requests of tenants wait while
+// one is made. Whoever asks within it gets the last one.
 const listInterval = 200 * time.Millisecond
 
 // lastList is the last copy of all limits. It is made when somebody asks, so that it costs nothing
@@ -26,7 +26,7 @@
 	madeAt  time.Time
 }
 
-// serveLimits tells what the node knows of the limits of tenants.
+// serveLimits answers GET wire.Path with what the node knows of the limits of tenants.
 func (n *Node) serveLimits(writer http.ResponseWriter, request *http.Request) {
 	if n.limits == nil {
 		http.Error(writer, "limits of tenants are not held by this node", http.StatusNotFound)
@@ -72,10 +72,12 @@
 	return message
 }
 
+// encodeLimit returns the message for a limit.
 func encodeLimit(limit route.RateLimit) wire.Limit {
 	return wire.Limit{PerSecond: limit.PerSecond, Burst: limit.Burst}
 }
 
+// encodeCoordinated returns the message for a tenant that the node coordinates.
 func encodeCoordinated(tenant quota.CoordinatedTenant) wire.Coordinated {
 	encoded := wire.Coordinated{
 		Tenant: tenant.Tenant, Limit: encodeLimit(tenant.Limit), First: tenant.IsFirst,
@@ -88,6 +90,7 @@
 	return encoded
 }
 
+// encodeServed returns the message for a tenant whose requests the node got.
 func encodeServed(tenant quota.ServedTenant, copied quota.Snapshot) wire.Served {
 	encoded := wire.Served{Tenant: tenant.Tenant, Limit: encodeLimit(tenant.Limit), Idle: tenant.IsIdle, Admitted: tenant.Admitted}
 	for reason, count := range tenant.Refused {
--- a/internal/edge/logs.go
+++ b/internal/edge/logs.go
@@ -15,7 +15,7 @@
 // the backlog full are dropped and counted.
 type asyncWriter struct {
 	lines chan []byte
-	// flushes takes what is closed once the lines before it are written.
+	// flushes takes a channel for each flush; it is closed when the lines of the backlog are written.
 	flushes chan chan struct{}
 	dropped atomic.Uint64
 }
@@ -26,6 +26,7 @@
 	return writer
 }
 
+// run writes lines for as long as the process lives.
 func (w *asyncWriter) run(output io.Writer) {
 	for {
 		select {
@@ -40,6 +41,7 @@
 	}
 }
 
+// write writes one line; one that the output does not take counts as dropped.
 func (w *asyncWriter) write(output io.Writer, line []byte) {
 	if _, err := output.Write(line); err != nil {
 		w.dropped.Add(1)
@@ -56,7 +58,7 @@
 	return len(line), nil
 }
 
-// flush waits until the lines before it are written, for a while.
+// flush waits until the lines before it are written, for at most within.
 func (w *asyncWriter) flush(within time.Duration) {
 	timer := time.NewTimer(within)
 	defer timer.Stop()
@@ -72,7 +74,7 @@
 	}
 }
 
-// Log takes the lines of a process.
+// Log takes the lines of a process. It is safe for concurrent use.
 type Log struct {
 	writer *asyncWriter
 	logger hclog.Logger
@@ -86,11 +88,11 @@
 	})}
 }
 
-// Logger returns what writes lines.
+// Logger returns the logger whose lines the log takes.
 func (l *Log) Logger() hclog.Logger { return l.logger }
 
-// Flush waits until the lines so far are written, for a while at most: a process that ends would
-// lose its last ones, which say why.
+// Flush waits until the lines so far are written, for at most within: otherwise a process that ends
+// would lose its last lines, which say why it ends.
 func (l *Log) Flush(within time.Duration) { l.writer.flush(within) }
 
 // NewLogger returns a logger of JSON lines that never blocks.
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -27,7 +27,7 @@
 	return nil
 }
 
-// metricsHandler serves the figures, and beside them the limits of tenants.
+// metricsHandler serves the figures and the limits of tenants.
 func (n *Node) metricsHandler() http.Handler {
 	mux := n.figures.handler()
 	mux.HandleFunc("GET "+wire.Path, n.serveLimits)
--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -12,13 +12,14 @@
 	"github.com/bramblemast/bramblemast/pkg/route"
 )
 
-// Bounds of what is told of tenants.
+// Bounds of metrics and log lines about tenants.
 const (
 	// namedTenants is the number of tenants with metrics of their own, those with the
 	// greatest limits; the others share otherTenants.
 	namedTenants = 10
 	otherTenants = "other"
-	// limitedSpan is for how long one line tells that a tenant is at its limit.
+	// limitedSpan is the least time between two lines that the same tenant is at its limit, or that
+	// coordinators do not answer.
 	limitedSpan = 5 * time.Second
 )
 
@@ -29,22 +30,22 @@
 	limiter *quota.Limiter
 
 	mutex sync.Mutex
-	// told bounds the lines about tenants at their limits, lost those about coordinators;
-	// guarded by mutex.
-	told *told[string]
-	lost *told[struct{}]
+	// atLimit limits the lines about tenants at their limits, by name, lost those about coordinators
+	// that do not answer, all together; guarded by mutex.
+	atLimit *stateLines[string]
+	lost    *stateLines[struct{}]
 	// named are the tenants with metrics of their own in the configuration version, guarded
 	// by mutex.
 	named   map[string]bool
 	version uint64
 
-	// list is what operators were told last.
+	// list is the last answer to operators who asked for all tenants.
 	list lastList
 }
 
 // newLimits returns the limits of a node and registers their metrics.
 func newLimits(node *Node, settings *Settings, transport peer.Transport) *limits {
-	held := &limits{node: node, told: newTold[string](limitedSpan), lost: newTold[struct{}](limitedSpan)}
+	held := &limits{node: node, atLimit: newStateLines[string](limitedSpan), lost: newStateLines[struct{}](limitedSpan)}
 	held.limiter = quota.New(quota.Options{
 		Local: settings.Node.Name, Zone: settings.Node.Zone, Bounds: settings.quotaBounds(), Transport: transport, Events: held,
 		LimitOf: node.state.limitOf, Start: rand.Uint64(),
@@ -57,8 +58,8 @@
 	node.figures.gauge("quota_tenants", "Tenants with a limit that this node was asked for lately.", func() float64 {
 		return float64(held.limiter.Tenants())
 	})
-	node.figures.count64("quota_reports_total", "Reports to coordinators of limits.", func() uint64 { return held.limiter.Sent().Reports })
-	node.figures.count64("quota_verdicts_total", "Admitted shares told to other nodes.", func() uint64 { return held.limiter.Sent().Verdicts })
+	node.figures.counter("quota_reports_total", "Reports to coordinators of limits.", func() uint64 { return held.limiter.Sent().Reports })
+	node.figures.counter("quota_verdicts_total", "Admitted shares told to other nodes.", func() uint64 { return held.limiter.Sent().Verdicts })
 	return held
 }
 
@@ -123,7 +124,7 @@
 // AtLimit implements quota.Events.
 func (l *limits) AtLimit(tenant string, verdict quota.Verdict, figures quota.Figures) {
 	l.mutex.Lock()
-	isDue := l.told.begins(tenant, time.Now())
+	isDue := l.atLimit.begins(tenant, time.Now())
 	l.mutex.Unlock()
 	if !isDue {
 		l.node.figures.logLines.WithLabelValues("rate").Inc()
@@ -137,7 +138,7 @@
 // BelowLimit implements quota.Events.
 func (l *limits) BelowLimit(tenant string, figures quota.Figures, span time.Duration) {
 	l.mutex.Lock()
-	isDue := l.told.ends(tenant, time.Now())
+	isDue := l.atLimit.ends(tenant, time.Now())
 	l.mutex.Unlock()
 	if isDue {
 		l.node.logger.Info("tenant within its limit again", "tenant", tenant, "span_ms", span.Milliseconds(),
@@ -152,7 +153,7 @@
 	isDue := l.lost.begins(struct{}{}, time.Now())
 	l.mutex.Unlock()
 	if isDue {
-		// A cut of links loses several within a moment: the first tells of it.
+		// A partition loses several coordinators at once: one line is enough, the metric counts all.
 		l.node.logger.Warn("coordinator of limits lost", "coordinator", name, "error", cause.Error())
 	}
 }
--- a/internal/edge/room.go
+++ b/internal/edge/room.go
@@ -20,7 +20,7 @@
 	})
 }
 
-// roomLogSpan is how often a service that stays short of room is told in the log: its shares
+// roomLogSpan is the least time between two lines that a service is short of room: its shares
 // change several times a second.
 const roomLogSpan = time.Second
 
@@ -28,24 +28,24 @@
 // of room or have room again. Only one goroutine uses it.
 type roomLog struct {
 	logger hclog.Logger
-	told   *told[loadshed.Key]
+	lines  *stateLines[loadshed.Key]
 }
 
-// newRoomLog returns a log that has told nothing yet.
+// newRoomLog returns a log that has no line yet.
 func newRoomLog(logger hclog.Logger) *roomLog {
-	return &roomLog{logger: logger, told: newTold[loadshed.Key](roomLogSpan)}
+	return &roomLog{logger: logger, lines: newStateLines[loadshed.Key](roomLogSpan)}
 }
 
-// write logs what was told of each service that is due.
+// write logs the shares of each service for which a line is due.
 func (l *roomLog) write(message []loadshed.Measured) {
 	for _, each := range message {
 		if each.Shares.IsFull() {
-			if l.told.ends(each.Key, each.At) {
+			if l.lines.ends(each.Key, each.At) {
 				l.logger.Info("room again", "service", each.Service)
 			}
 			continue
 		}
-		if !l.told.begins(each.Key, each.At) {
+		if !l.lines.begins(each.Key, each.At) {
 			continue
 		}
 		l.logger.Warn("short of room", "service", each.Service, "shares", each.Shares.Ranks, "tenants", each.Shares.Tenants)
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -126,7 +126,17 @@
 	return settings, nil
 }
 
+// problems returns all faults of the settings, in their order.
 func (s *Settings) problems() []string {
+	problems := append(s.addressProblems(), s.boundProblems()...)
+	if s.Listen.MetricsPort < 0 || s.Listen.MetricsPort > 65535 {
+		problems = append(problems, "listen.metrics_port is not a port")
+	}
+	return problems
+}
+
+// addressProblems returns the faults of the names and addresses.
+func (s *Settings) addressProblems() []string {
 	var problems []string
 	wanted := func(name, value string) {
 		if value == "" {
@@ -151,6 +161,12 @@
 	for index, peer := range s.Peers {
 		address(fmt.Sprintf("peers.%d", index), peer, false)
 	}
+	return problems
+}
+
+// boundProblems returns the faults of the limits and bounds.
+func (s *Settings) boundProblems() []string {
+	var problems []string
 	negative := func(name string, value float64) {
 		if value < 0 {
 			problems = append(problems, name+" is negative")
@@ -180,9 +196,6 @@
 	if s.Bounds.GraceSeconds <= 0 {
 		problems = append(problems, "bounds.grace_s must be above 0")
 	}
-	if s.Listen.MetricsPort < 0 || s.Listen.MetricsPort > 65535 {
-		problems = append(problems, "listen.metrics_port is not a port")
-	}
 	return problems
 }
 
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -26,7 +26,7 @@
 	budgets  *budgets
 	policies *policies
 	figures  *figures
-	// refusals bounds the lines about entries that were refused.
+	// refusals limits the rate of lines about entries that were refused; nothing else of it is used.
 	refusals *events
 	// idle takes the configured time for which clients' connections may rest.
 	idle func(time.Duration)
@@ -134,6 +134,7 @@
 	}
 }
 
+// applyServer takes a server's entry; lines about single servers begin once the first state is restored.
 func (s *state) applyServer(entry directory.Entry) {
 	now := time.Now()
 	change := s.fleet.Apply(*entry.Server, now)
--- a/internal/edge/suspects.go
+++ b/internal/edge/suspects.go
@@ -46,15 +46,15 @@
 func (n *Node) openTeller() {
 	n.teller = quarantine.NewTeller(n.quarantine, n.transport)
 	n.state.teller = n.teller
-	n.figures.count64("suspect_notes_told_total", "Notes on requests under which servers ended that were told to other nodes.", func() uint64 {
+	n.figures.counter("suspect_notes_told_total", "Notes on requests under which servers ended that were told to other nodes.", func() uint64 {
 		told, _ := n.teller.Counts()
 		return told
 	})
-	n.figures.count64("suspect_notes_heard_total", "Notes on requests under which servers ended that other nodes told first.", func() uint64 {
+	n.figures.counter("suspect_notes_heard_total", "Notes on requests under which servers ended that other nodes told first.", func() uint64 {
 		_, heard := n.teller.Counts()
 		return heard
 	})
-	n.figures.count64("suspect_notes_refused_total", "Times that a note for other nodes found no room to wait: ends are told later, the rest by the store.", n.teller.Refused)
+	n.figures.counter("suspect_notes_refused_total", "Times that a note for other nodes found no room to wait: ends are told later, the rest by the store.", n.teller.Refused)
 }
 
 // addressesOf returns where nodes are told something.
