Route: the unit of a tenant's rate, and a method that nobody calls

Cause: RateLimit did not say its unit, the comment on RegionsOf had to be read twice, Table.Tenants had no caller and no test. Ruled out: keeping it for programs that embed the package: HasTenants, Tenant and LargestTenants serve what is asked for. Change: comments; Table.Tenants is removed. Conclusion: no behaviour changes.

--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -57,9 +57,10 @@
 }
 
 // RegionsOf returns where a request of a host and target (a path, with its query if it has
-// one) may be served by this version; otherwise where no route matches it any more. tenant
-// is the name of its caller, empty for none. Where this version does not name the tenant any
-// more, the bounds that its request began with hold on beside those of the route.
+// one) may be served by this version. tenant is the name of its caller, empty for none, and
+// otherwise holds the regions that the request began with: they are returned if no route of
+// this version matches it, and bound it beside those of the route if this version lacks the
+// tenant.
 func (t *Table) RegionsOf(host, target, tenant string, otherwise Regions) Regions {
 	path, _, _ := strings.Cut(target, "?")
 	found := t.Match(host, path)
--- a/pkg/route/tenant.go
+++ b/pkg/route/tenant.go
@@ -24,9 +24,9 @@
 // RateLimit bounds the requests of a tenant over all nodes together. The zero value is no
 // limit.
 type RateLimit struct {
-	// PerSecond is the rate that is granted for ever; zero for no limit.
+	// PerSecond is the sustained rate, in requests a second; zero for no limit.
 	PerSecond float64
-	// Burst is the number of requests beyond that rate that may come together.
+	// Burst is the number of requests beyond that rate that may come at once.
 	Burst float64
 }
 
@@ -42,11 +42,8 @@
 // Tenant returns a tenant by its name, or nil.
 func (t *Table) Tenant(name string) *Tenant { return t.tenants[name] }
 
-// Tenants returns the number of tenants.
-func (t *Table) Tenants() int { return len(t.tenants) }
-
-// LargestTenants returns some tenants with the greatest limits, the greatest first. A tenant
-// without a limit is none of them.
+// LargestTenants returns at most count tenants, those with the greatest rates, the greatest first.
+// Tenants without a limit are left out.
 func (t *Table) LargestTenants(count int) []*Tenant {
 	var bound []*Tenant
 	for _, tenant := range t.tenants {
@@ -90,7 +87,7 @@
 	}
 }
 
-// validateTenants reports the faults of the tenants. Keys are secrets and stand in no report.
+// validateTenants reports the faults of the tenants. Keys are secrets and not part of any report.
 func validateTenants(tenants []Tenant, report func(string, ...any)) {
 	names, holders := make(map[string]bool, len(tenants)), make(map[string]string, len(tenants))
 	for _, tenant := range tenants {
