Peer: one way to send a message to all of many nodes at once

Cause: owner.Announcer and quota.Limiter each divided addresses into parts for peer.Spread by the same lines, with a copy of its width of 32 that had to be kept equal by hand. Ruled out: a wider Spread: its bound on calls under way is what other callers want. Change: peer.SpreadAll holds these lines, with the width from one place. Comments of pkg/quota/verdicts.go say when shares are told and which verdicts count. Conclusion: no behaviour changes.

--- a/pkg/owner/announcer.go
+++ b/pkg/owner/announcer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -30,9 +29,6 @@
 	// onwardPause is the least time between two messages to this node's part of the region, so that their number does
 	// not grow with the owners; it is short against the time between two messages of one owner.
 	onwardPause = 20 * time.Millisecond
-	// spreadPart is the number of nodes that one Spread tells, as many as it calls at once: nodes that do not answer
-	// delay no others then.
-	spreadPart = 32
 )
 
 // Announcer tells the nodes of the region what this node measures, as an owner, of the room at
@@ -111,21 +107,7 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	var (
-		mutex sync.Mutex
-		taken []peer.Address
-		group sync.WaitGroup
-	)
-	for part := range slices.Chunk(addresses, spreadPart) {
-		group.Go(func() {
-			found := peer.Spread(limited, a.transport, part, kind, rooms, func() proto.Message { return &ownerpb.Ping{} })
-			mutex.Lock()
-			defer mutex.Unlock()
-			taken = append(taken, found...)
-		})
-	}
-	group.Wait()
-	return taken
+	return peer.SpreadAll(limited, a.transport, addresses, kind, rooms, func() proto.Message { return &ownerpb.Ping{} })
 }
 
 // take notes what another owner tells.
--- a/pkg/peer/spread.go
+++ b/pkg/peer/spread.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"google.golang.org/protobuf/proto"
 )
 
-// spreadWidth bounds the calls of one Spread that are under way together: a node that is
-// silent holds up no more than one in so many.
+// spreadWidth is the number of calls of one Spread that are under way at once: a node that does not
+// answer holds up only one of them.
 const spreadWidth = 32
 
 // Spread sends one message to several nodes at once and returns the addresses that took it.
@@ -37,3 +38,23 @@
 	group.Wait()
 	return taken
 }
+
+// SpreadAll does the same as Spread, with all calls under way at once, so that nodes that do not answer
+// delay no others: ctx ends too early for the last addresses of one long Spread.
+func SpreadAll(ctx context.Context, transport Transport, addresses []Address, kind Kind, message proto.Message, newReply func() proto.Message) []Address {
+	var (
+		mutex sync.Mutex
+		taken []Address
+		group sync.WaitGroup
+	)
+	for part := range slices.Chunk(addresses, spreadWidth) {
+		group.Go(func() {
+			found := Spread(ctx, transport, part, kind, message, newReply)
+			mutex.Lock()
+			defer mutex.Unlock()
+			taken = append(taken, found...)
+		})
+	}
+	group.Wait()
+	return taken
+}
--- a/pkg/quota/verdicts.go
+++ b/pkg/quota/verdicts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,22 +16,22 @@
 // kindVerdicts is the message by which a coordinator tells all nodes a share.
 const kindVerdicts peer.Kind = "quota.verdicts"
 
+// When coordinators tell shares.
 const (
-	// fallingShare of what was told is when a lower share is told at once, not with the next
-	// repetition.
+	// fallingShare is the part of the share told last below which a new one is told at once rather
+	// than with the next repetition: until then nodes admit too much.
 	fallingShare = 0.8
-	// urgentInterval is the least time between two tellings.
+	// urgentInterval is the least time between two messages to the same node, also if shares keep
+	// falling.
 	urgentInterval = 50 * time.Millisecond
-	// spreadPart is the number of nodes that one Spread tells: as many as it calls at once.
-	spreadPart = 32
-	// releaseSpan is for how long a share of 1 is still told: within it every node that is
-	// in touch hears that the tenant is within its limit again.
+	// releaseSpan is for how long a share of 1 is still told after a tenant has come back within its
+	// limit: several repetitions, so that every node that is in touch learns of it.
 	releaseSpan = 3 * repeatInterval
 )
 
-// spread tells all nodes the shares of the tenants at their limits, if that is due. While
-// another coordinator does not answer, and once after its start, it tells them also if there are none, to learn
-// which nodes are in touch.
+// spread tells all nodes the shares of the tenants at their limits, if that is due. While another
+// coordinator does not answer, and once after its start, it also sends a message without shares, to
+// learn which nodes are in touch.
 func (l *Limiter) spread(ctx context.Context, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -57,8 +56,8 @@
 	}
 }
 
-// isUntold reports whether this node coordinates limits and has told the others nothing since its start: those that
-// report to a stand-in turn back to it when it does. The caller holds the mutex.
+// isUntold reports whether this node coordinates limits and has sent the others no verdicts since its
+// start: on the first ones, nodes that report to a stand-in turn back to it. The caller holds the mutex.
 func (l *Limiter) isUntold() bool {
 	return l.sent.Verdicts == 0 && len(l.addresses) > 1 && l.coordinates(l.options.Local) && l.options.IsNeeded()
 }
@@ -103,8 +102,8 @@
 	return found
 }
 
-// tell sends verdicts to some nodes and notes which of them took it; underWay is set until
-// then. The caller holds the mutex.
+// tell sends verdicts to some nodes and notes which of them took them; it clears underWay when all
+// calls have ended. The caller holds the mutex.
 func (l *Limiter) tell(ctx context.Context, nodes map[peer.Address]string, verdicts map[string]Verdict, underWay *bool) {
 	l.takeTold(ctx, l.options.Local, verdicts, time.Now())
 	if l.isStopped {
@@ -136,31 +135,16 @@
 	})
 }
 
-// sendAll sends verdicts to some addresses together and returns those that took them in time. A
-// Spread has several of them at once under way; one Spread for many nodes would end too late
-// for the last.
+// sendAll sends verdicts to some addresses at once and returns those that took them within callTimeout.
 func (l *Limiter) sendAll(ctx context.Context, addresses []peer.Address, message *quotapb.Verdicts) []peer.Address {
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var (
-		mutex sync.Mutex
-		taken []peer.Address
-		group sync.WaitGroup
-	)
-	for part := range slices.Chunk(addresses, spreadPart) {
-		group.Go(func() {
-			found := peer.Spread(limited, l.options.Transport, part, kindVerdicts, message, func() proto.Message { return &quotapb.Taken{} })
-			mutex.Lock()
-			defer mutex.Unlock()
-			taken = append(taken, found...)
-		})
-	}
-	group.Wait()
-	return taken
+	return peer.SpreadAll(limited, l.options.Transport, addresses, kindVerdicts, message, func() proto.Message { return &quotapb.Taken{} })
 }
 
-// takeTold takes verdicts that a coordinator told unasked; only those of the one to which this node turns count.
-// The caller holds the mutex.
+// takeTold takes verdicts that do not answer a report. Only those of the coordinator to which this node
+// reports count; those of another one of the tenant's coordinators are kept, in case that this node turns
+// to it, and lead to a call to the present one. The caller holds the mutex.
 func (l *Limiter) takeTold(ctx context.Context, from string, verdicts map[string]Verdict, now time.Time) {
 	for tenant, verdict := range verdicts {
 		held := l.meters[tenant]
@@ -195,7 +179,7 @@
 	if found == nil || found.answers {
 		return &quotapb.Taken{}, nil
 	}
-	// It is worth asking again at once.
+	// The coordinator reaches this node, so that it may answer again.
 	found.nextProbe = now
 	if !found.hasFailed() {
 		// The first call to it is still under way, as after a start.
