Quota: comments in the field's terms, SetNodes and tallies by job

Change: comments; SetNodes leaves the choice to chooseCoordinators; tally.go has the counts; compareSizes by cmp.Or; a test no longer shadows make. In account.go, limiter.go, links.go and meter.go only single lines of comments. Conclusion: no behaviour changes.

--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -61,6 +61,7 @@
 	limit  route.RateLimit
 	bounds Bounds
 	bucket bucket
+	// asked and steady are the rates of requests over askedSpan and over steadySpan.
 	asked  movingRate
 	steady movingRate
 	nodes  map[string]*reported
--- a/pkg/quota/calm_test.go
+++ b/pkg/quota/calm_test.go
@@ -20,20 +20,20 @@
 // mostly to one.
 func TestTenantAtEightTimesItsLimitGetsItAndNoMore(t *testing.T) {
 	for _, tenant := range []string{"large", "medium", "small"} {
-		for _, spread := range []string{"even", "skewed"} {
-			t.Run(tenant+" "+spread, func(t *testing.T) {
+		for _, kind := range []string{"even", "skewed"} {
+			t.Run(tenant+" "+kind, func(t *testing.T) {
 				t.Parallel()
 				most, least, calm, limit := 0, 0, 0, tenants()[tenant]
 				simulate(t, 67, tenants(), func(d *deployment) {
-					make := d.even
-					if spread == "skewed" {
-						make = d.skewed
+					spread := d.even
+					if kind == "skewed" {
+						spread = d.skewed
 					}
-					d.run(5*time.Second, make(tenant, limit.PerSecond/1.6))
+					d.run(5*time.Second, spread(tenant, limit.PerSecond/1.6))
 					calm = d.refused[tenant]
 					before := d.sent()
 					begun := d.moment()
-					d.run(20*time.Second, make(tenant, 8*limit.PerSecond))
+					d.run(20*time.Second, spread(tenant, 8*limit.PerSecond))
 					after := d.sent()
 					most = d.mostInWindow(tenant)
 					least = d.leastInWindow(tenant, begun, begun+20*time.Second)
--- a/pkg/quota/coordinators.go
+++ b/pkg/quota/coordinators.go
@@ -11,7 +11,7 @@
 	"github.com/bramblemast/bramblemast/pkg/rendezvous"
 )
 
-// Coordinators of a deployment.
+// Number and choice of the coordinators of a deployment, and how long its lists of nodes may differ.
 const (
 	// leastCoordinators is the least number of nodes that coordinate limits.
 	leastCoordinators = 4
@@ -23,18 +23,18 @@
 	zoneCoordinatorCount = 4
 	// coordinatorsKey is what the coordinators are ranked by.
 	coordinatorsKey = "quota"
-	// assumedNodes stands for the number of nodes until they are known. A node's equal part of a
-	// limit is small then.
+	// assumedNodes stands for the number of nodes until the list of nodes is known. It is large, so
+	// that a node's equal part of a limit is small until then.
 	assumedNodes = 100
-	// goneSpan is for how long a node that has left the list counts as cut off rather than
-	// ended. Lists lose a node that is cut off some seconds later, and it may go on at its
-	// entitlement; for a node that has ended, that part of limits lies unused as long.
+	// goneSpan is for how long a node that has left the list of nodes counts as cut off rather than
+	// ended. A node that is cut off leaves the list some seconds later and may still admit requests
+	// at its entitlement; if it has ended, its part of limits stays unused for goneSpan.
 	goneSpan = 20 * time.Second
-	// listSpan is the time from the start of a process that was in no list before in which nodes still hear of
-	// each other, as when the entries of all lapsed while there was no power.
+	// listSpan is for how long after its start a process that the list did not hold before takes the lists of
+	// nodes to be incomplete, as after a loss of power in which the entries of all nodes lapsed.
 	listSpan = 10 * time.Second
-	// settleSpan is for how long the coordinators must have been the same in it: before that, several nodes may take
-	// themselves for the first coordinator of a tenant.
+	// settleSpan is for how long, within listSpan, the coordinators must stay the same before they are relied
+	// on: until then several nodes may take themselves for the first coordinator of a tenant.
 	settleSpan = 2 * time.Second
 )
 
@@ -45,17 +45,18 @@
 	Address peer.Address
 }
 
-// SetNodes takes the nodes of the deployment, this one included.
+// SetNodes takes the nodes of the deployment, this one included. Nodes without an address are left
+// out, since nothing can be sent to them.
 func (l *Limiter) SetNodes(nodes []Node) {
 	now := time.Now()
-	names, near := make([]string, 0, len(nodes)), make([]string, 0, len(nodes))
+	names, inZone := make([]string, 0, len(nodes)), make([]string, 0, len(nodes))
 	addresses := make(map[string]peer.Address, len(nodes))
 	for _, node := range nodes {
 		if node.Address != "" {
 			names = append(names, node.Name)
 			addresses[node.Name] = node.Address
 			if node.Zone == l.options.Zone {
-				near = append(near, node.Name)
+				inZone = append(inZone, node.Name)
 			}
 		}
 	}
@@ -65,15 +66,7 @@
 	l.addresses = addresses
 	slices.Sort(names)
 	l.rank = max(0, slices.Index(names, l.options.Local))
-	known := l.coordinators.Top(coordinatorsKey, l.coordinators.Len())
-	found := rendezvous.Top(coordinatorsKey, names, coordinatorCount(len(names)))
-	if !slices.Equal(known, found) {
-		l.coordinators, l.coordinatorsSince, l.isCoordinator = rendezvous.NewSet(found), now, make(map[string]bool, len(found))
-		for _, name := range found {
-			l.isCoordinator[name] = true
-		}
-	}
-	l.zoneCoordinators = rendezvous.NewSet(rendezvous.Top(coordinatorsKey, near, zoneCoordinatorCount))
+	l.chooseCoordinators(names, inZone, now)
 	l.noteGone(before, addresses, now)
 	l.openLinks(now)
 	for tenant, held := range l.meters {
@@ -85,22 +78,36 @@
 	l.requestReport()
 }
 
-// noteGone notes which nodes have left the list and which are back. One that left may be cut off
-// and go on with its entitlement, so that it counts as silent for a while; one that is back does
-// until it has answered. The caller holds the mutex.
-func (l *Limiter) noteGone(before, now map[string]peer.Address, at time.Time) {
+// chooseCoordinators ranks the coordinators of the deployment and those of this node's zone. The caller
+// holds the mutex.
+func (l *Limiter) chooseCoordinators(names, inZone []string, now time.Time) {
+	known := l.coordinators.Top(coordinatorsKey, l.coordinators.Len())
+	found := rendezvous.Top(coordinatorsKey, names, coordinatorCount(len(names)))
+	if !slices.Equal(known, found) {
+		l.coordinators, l.coordinatorsSince, l.isCoordinator = rendezvous.NewSet(found), now, make(map[string]bool, len(found))
+		for _, name := range found {
+			l.isCoordinator[name] = true
+		}
+	}
+	l.zoneCoordinators = rendezvous.NewSet(rendezvous.Top(coordinatorsKey, inZone, zoneCoordinatorCount))
+}
+
+// noteGone compares the list of nodes with the one before it. A node that has left it may be cut off
+// and still admit requests at its entitlement, so that it counts as silent for goneSpan. One that is
+// listed again counts as silent until it reports or answers. The caller holds the mutex.
+func (l *Limiter) noteGone(before, after map[string]peer.Address, now time.Time) {
 	for name := range before {
-		if now[name] == "" && name != l.options.Local {
+		if after[name] == "" && name != l.options.Local {
 			l.silent[name] = true
-			l.gone[name] = at.Add(goneSpan)
+			l.gone[name] = now.Add(goneSpan)
 		}
 	}
-	for name := range now {
+	for name := range after {
 		delete(l.gone, name)
 	}
 }
 
-// forgetGone forgets nodes that have left the list for long. The caller holds the mutex.
+// forgetGone forgets nodes that left the list more than goneSpan ago. The caller holds the mutex.
 func (l *Limiter) forgetGone(now time.Time) {
 	for name, until := range l.gone {
 		if now.After(until) {
@@ -115,9 +122,9 @@
 	return now.Sub(l.startedAt) < listSpan && now.Sub(l.coordinatorsSince) < settleSpan && l.options.WasListed != nil && !l.options.WasListed()
 }
 
-// coordinatorCount returns how many of some nodes coordinate limits. It grows with the root of
-// their number: the connections of each node to coordinators, and those of coordinators, stay
-// few.
+// coordinatorCount returns how many of a number of nodes coordinate limits. It grows with the square
+// root of that number, so that each node has few connections to coordinators, and
+// a coordinator few to the others.
 func coordinatorCount(nodes int) int {
 	count := leastCoordinators
 	for count*count < nodes {
@@ -138,12 +145,12 @@
 	return found
 }
 
-// place returns where this node stands among all for a tenant: multiples of the golden ratio spread
-// any number of nodes evenly, and each tenant has the even spread from another beginning, so
-// that no node comes first with all of them. The caller holds the mutex.
+// place returns this node's place for a tenant (see Meter.SetPlace), 0 to below 1. Multiples of the golden
+// ratio, taken by rank, spread any number of nodes evenly; an offset by the hash of the tenant's name
+// keeps one node from being first for all tenants. The caller holds the mutex.
 func (l *Limiter) place(tenant string) float64 {
-	begin := float64(xxhash.Sum64String(tenant)>>11) / (1 << 53)
-	_, place := math.Modf(begin + float64(l.rank)/math.Phi)
+	offset := float64(xxhash.Sum64String(tenant)>>11) / (1 << 53)
+	_, place := math.Modf(offset + float64(l.rank)/math.Phi)
 	return place
 }
 
--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -18,7 +18,7 @@
 	// callTimeout is after how long a coordinator counts as silent, and until when a node
 	// has taken a verdict: several times the way to a far region and back.
 	callTimeout = 200 * time.Millisecond
-	// tick is how often it is looked which verdicts, probes and sweeps are due.
+	// tick is the time between two checks which verdicts, probes and sweeps are due.
 	tick = 100 * time.Millisecond
 	// repeatInterval is how often a share below 1 is told again.
 	repeatInterval = 300 * time.Millisecond
@@ -112,7 +112,7 @@
 	// since.
 	answeredAt time.Time
 	isInDoubt  bool
-	// asked is the number of the coordinator that was asked last whether it answers.
+	// asked counts the times that keepInTouch asked a coordinator; it takes them in turn.
 	asked int
 	// wasInTouch says that a coordinator has answered since the start.
 	wasInTouch bool
@@ -292,7 +292,7 @@
 	l.group.Wait()
 }
 
-// onTick does what is due by time.
+// onTick does what is due by time; a span without ticks counts as a suspension of the process.
 func (l *Limiter) onTick(ctx context.Context, now time.Time) {
 	l.mutex.Lock()
 	if !l.tickAt.IsZero() && now.Sub(l.tickAt) > standstill {
@@ -330,7 +330,7 @@
 	l.requestReport()
 }
 
-// dropBursts lets the accounts begin without a burst. The caller holds the mutex.
+// dropBursts takes the saved tokens from all accounts. The caller holds the mutex.
 func (l *Limiter) dropBursts() {
 	l.coordinatorsSince = time.Now()
 	for _, kept := range l.accounts {
--- a/pkg/quota/links.go
+++ b/pkg/quota/links.go
@@ -41,7 +41,7 @@
 	calledAt time.Time
 	// checkedAt is when it was last asked because another one stands in for it.
 	checkedAt time.Time
-	// lost says that it was told to be lost.
+	// lost says that Events was told of its loss and not yet of its return.
 	lost bool
 }
 
--- a/pkg/quota/meter.go
+++ b/pkg/quota/meter.go
@@ -90,9 +90,10 @@
 	// begunAt is since when the node counts.
 	begunAt time.Time
 
+	// share is the part of the requests to admit as it was told last, at toldAt; 1 if it never was.
 	share  float64
 	toldAt time.Time
-	// limitedAt is when the tenant was last told to be at its limit.
+	// limitedAt is when a share below 1 was told last: the tenant was at its limit.
 	limitedAt time.Time
 	wait      time.Duration
 	spare     float64
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -1,16 +1,18 @@
 // Package quota holds tenants to limits of rate and burst that all nodes keep together.
 //
 // No request waits for a message. A node admits at once and reports afterwards to the tenant's
-// coordinator, a node chosen by rendezvous hashing. The coordinator sees the sum over all
-// nodes, and tells which share of the tenant's requests to admit: all of them while the sum
-// is within the limit. Each node draws lots by that share, so that no part of the limit lies
-// unused at a node that is not asked. A node without a coordinator admits by itself at its
-// entitlement, the rate that it admitted lately and an equal part of what nobody used; the
-// entitlements of all nodes together are the limit.
+// coordinator, a node chosen by rendezvous hashing. The coordinator sums up the reports of all
+// nodes and answers with a Verdict: the share of the tenant's requests to admit, which is 1 while
+// the sum is within the limit. Each node admits that share of the requests, chosen by a hash of
+// tenant, request id and time, so that no part of the limit lies unused at a node that gets no
+// requests. While the first coordinator of a tenant does not answer, the next by rank stands in
+// for it. A node that reaches none of them admits by itself at its entitlement, the rate that it
+// admitted lately and an equal part of what nobody used; the entitlements of all nodes together
+// are the limit.
 //
 // Meter (a node's view of one tenant) and Account (a coordinator's) decide as pure functions
-// of their state and a moment; they are not safe for concurrent use. Limiter carries what they
-// say between nodes and is safe for concurrent use.
+// of their state and a moment; they are not safe for concurrent use. Limiter exchanges their
+// reports and verdicts between nodes and is safe for concurrent use.
 package quota
 
 import (
@@ -20,7 +22,8 @@
 )
 
 // Bounds is how far the requests of a tenant, over all nodes, may go beyond its limit: in any
-// Window they are at most (rate x Window + burst) x (1 + Overshoot) + Slack.
+// Window they are at most (rate x Window + burst) x (1 + Overshoot) + Slack. Overshoot is a ratio,
+// Slack a number of requests.
 type Bounds struct {
 	Window    time.Duration
 	Overshoot float64
--- a/pkg/quota/refusal.go
+++ b/pkg/quota/refusal.go
@@ -18,8 +18,8 @@
 	InDoubt
 	// BeyondOwnPart: no coordinator answers, and the node has admitted its part of the limit.
 	BeyondOwnPart
-	// ShareTooOld: a coordinator answered and then told nothing new while the tenant was at its limit,
-	// and the node has admitted its part.
+	// ShareTooOld: a coordinator answers, but the share that it told, below 1, is older than shareAge,
+	// and the node has admitted its part of the limit.
 	ShareTooOld
 	// JustStarted: no coordinator has answered since the start, and what an earlier process of the
 	// node admitted in the window is not known.
@@ -32,8 +32,7 @@
 func (r Refusal) String() string {
 	return [...]string{
 		NotRefused: "", BeyondShare: "beyond_share", Unacknowledged: "unacknowledged", InDoubt: "in_doubt",
-		BeyondOwnPart: "alone", ShareTooOld: "share_too_old",
-		JustStarted: "just_started",
+		BeyondOwnPart: "alone", ShareTooOld: "share_too_old", JustStarted: "just_started",
 	}[r]
 }
 
@@ -41,19 +40,3 @@
 func Refusals() []Refusal {
 	return []Refusal{BeyondShare, Unacknowledged, InDoubt, BeyondOwnPart, ShareTooOld, JustStarted}
 }
-
-// tally counts what a node decided about the requests of one tenant since its start. It outlives the
-// tenant's meter, so that an operator can ask for it after the tenant has become idle.
-type tally struct {
-	admitted int64
-	refused  [refusalCount]uint64
-}
-
-// count takes one decision.
-func (t *tally) count(decision Decision) {
-	if decision.IsAdmitted {
-		t.admitted++
-		return
-	}
-	t.refused[decision.Refusal]++
-}
--- a/pkg/quota/reports.go
+++ b/pkg/quota/reports.go
@@ -15,7 +15,8 @@
 // kindReport is the message by which a node reports to a coordinator.
 const kindReport peer.Kind = "quota.report"
 
-// usedMuchTold is the number of tenants of which one answer tells unasked.
+// usedMuchTold is the number of tenants of which an answer to an empty report tells: every node sends one
+// every half second or so, and the accounts are locked while it is answered. Which ones varies.
 const usedMuchTold = 16
 
 // report tells each coordinator what is new for it.
@@ -48,7 +49,8 @@
 	}
 }
 
-// call sends a report to a coordinator and takes the answer. The caller holds the mutex.
+// call sends a report to a coordinator and takes the answer; told is what the report holds, empty if it
+// only asks whether the coordinator answers. The caller holds the mutex.
 func (l *Limiter) call(ctx context.Context, name string, message *quotapb.Report, told map[string]Use) {
 	if l.isStopped {
 		return
@@ -62,7 +64,7 @@
 		answer := &quotapb.Verdicts{}
 		err := l.options.Transport.Call(limited, address, kindReport, message, answer)
 		if ctx.Err() != nil {
-			// The node stops; its coordinator is not to blame.
+			// The call ended because this node stops: it tells nothing of the coordinator.
 			return
 		}
 		now := time.Now()
@@ -141,7 +143,7 @@
 	for tenant, use := range uses {
 		limit, isKnown := l.options.LimitOf(tenant)
 		if !isKnown || !limit.IsBound() {
-			// The node's configuration is another one; it has its own limit to hold to.
+			// The reporting node has another configuration, and holds the tenant to the limit in that.
 			verdicts[tenant] = Verdict{Share: 1}
 			continue
 		}
--- a/pkg/quota/snapshot.go
+++ b/pkg/quota/snapshot.go
@@ -1,9 +1,9 @@
 package quota
 
 import (
+	"cmp"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/bramblemast/bramblemast/pkg/route"
@@ -34,12 +34,14 @@
 	Nodes       int
 	Silent      []string
 	SilentCount int
-	// Coordinated are the tenants whose requests over all nodes this node sums up, if it was told of
-	// any in the last ten seconds; the greatest limits first. CoordinatedLeftOut is the number of those beyond the bound.
+	// Coordinated are the tenants whose requests over all nodes this node sums up, if one was reported
+	// in the last ten seconds or the tenant is at its limit; the greatest limits first.
+	// CoordinatedLeftOut is the number of those beyond the bound.
 	Coordinated        []CoordinatedTenant
 	CoordinatedLeftOut int
 	// Served are the tenants of which this node has had requests or a share since its start, the
-	// greatest limits first; a tenant that is asked for by name also if it had none. ServedLeftOut is the number of those beyond the bound.
+	// greatest limits first; in the snapshot of one tenant also if it has had neither. ServedLeftOut
+	// is the number of those beyond the bound.
 	Served        []ServedTenant
 	ServedLeftOut int
 }
@@ -118,7 +120,7 @@
 	return copied
 }
 
-// firstNames sorts names and returns as many as a snapshot holds.
+// firstNames sorts names in place and returns at most snapshotNames of them.
 func firstNames(names []string) []string {
 	slices.Sort(names)
 	return names[:min(len(names), snapshotNames)]
@@ -200,8 +202,8 @@
 	return found
 }
 
-// view returns the state of an account as it is at a moment, without settling it. It takes no longer
-// for an account of many nodes.
+// view returns the state of an account at a moment without changing it. Its time does not grow with the
+// number of nodes that report, since it is taken under the mutex for every tenant of a snapshot.
 func (a *Account) view(isFirst bool, now time.Time) CoordinatedTenant {
 	copied := *a
 	copied.bucket.settle(now)
@@ -235,29 +237,6 @@
 	found.EntitledPerSecond = m.entitlement(now)
 }
 
-// tallyOf returns what is counted of a tenant. The caller holds the mutex.
-func (l *Limiter) tallyOf(tenant string) *tally {
-	counted := l.tallies[tenant]
-	if counted == nil {
-		counted = &tally{}
-		l.tallies[tenant] = counted
-	}
-	return counted
-}
-
-// forgetTallies forgets the counts of tenants that are in no configuration any more. The caller holds
-// the mutex.
-func (l *Limiter) forgetTallies() {
-	for tenant := range l.tallies {
-		if l.meters[tenant] != nil {
-			continue
-		}
-		if _, isKnown := l.options.LimitOf(tenant); !isKnown {
-			delete(l.tallies, tenant)
-		}
-	}
-}
-
 // largest keeps the tenants with the greatest limits of the configuration in force. Nodes with the same
 // configuration leave out the same tenants, so that what they say of the others can be added up.
 type largest struct {
@@ -288,11 +267,5 @@
 
 // compareSizes orders the greater limit first, then by name.
 func compareSizes(one, other sizedTenant) int {
-	switch {
-	case one.limit.PerSecond > other.limit.PerSecond:
-		return -1
-	case one.limit.PerSecond < other.limit.PerSecond:
-		return 1
-	}
-	return strings.Compare(one.tenant, other.tenant)
+	return cmp.Or(cmp.Compare(other.limit.PerSecond, one.limit.PerSecond), cmp.Compare(one.tenant, other.tenant))
 }
--- /dev/null
+++ b/pkg/quota/tally.go
@@ -0,0 +1,40 @@
+package quota
+
+// tally counts what a node decided about the requests of one tenant since its start. It outlives the
+// tenant's meter, so that an operator can ask for it after the tenant has become idle.
+type tally struct {
+	admitted int64
+	refused  [refusalCount]uint64
+}
+
+// count takes one decision.
+func (t *tally) count(decision Decision) {
+	if decision.IsAdmitted {
+		t.admitted++
+		return
+	}
+	t.refused[decision.Refusal]++
+}
+
+// tallyOf returns the tally of a tenant, a new one if there is none. The caller holds the mutex.
+func (l *Limiter) tallyOf(tenant string) *tally {
+	counted := l.tallies[tenant]
+	if counted == nil {
+		counted = &tally{}
+		l.tallies[tenant] = counted
+	}
+	return counted
+}
+
+// forgetTallies forgets the counts of tenants that are in no configuration any more. The caller holds
+// the mutex.
+func (l *Limiter) forgetTallies() {
+	for tenant := range l.tallies {
+		if l.meters[tenant] != nil {
+			continue
+		}
+		if _, isKnown := l.options.LimitOf(tenant); !isKnown {
+			delete(l.tallies, tenant)
+		}
+	}
+}
--- a/pkg/quota/window.go
+++ b/pkg/quota/window.go
@@ -2,21 +2,25 @@
 
 import "time"
 
-// countSlots is the number of slots of a windowCount. Those of the oldest slot count in part, as if
-// they were spread evenly over it.
+// countSlots is the number of slots of a windowCount: a twentieth of the span each, small beside the
+// bounds that are held in it. The events of the oldest slot count in part, as if they were spread
+// evenly over it.
 const countSlots = 20
 
 // windowCount counts the events of the last span, by slots, so that its size does not grow with
 // their number.
 type windowCount struct {
-	slot   time.Duration
-	since  time.Time
+	// slot is the length of a slot; slots are numbered from since on.
+	slot  time.Duration
+	since time.Time
+	// counts is a ring of the last slots, sum their sum.
 	counts [countSlots + 1]int32
 	sum    int32
 	// latest is the number of the slot that was counted in last.
 	latest int64
 }
 
+// newWindowCount returns a count of the events of the last span that has seen none.
 func newWindowCount(span time.Duration, now time.Time) windowCount {
 	return windowCount{slot: max(1, span/countSlots), since: now}
 }
@@ -30,10 +34,11 @@
 	w.sum += count
 }
 
-// read returns the number of events.
+// read returns the number of events in the last span.
 func (w *windowCount) read(now time.Time) float64 {
 	w.advance(now)
-	// The oldest slot of all shares the place of the next one to come.
+	// The ring holds one slot more than the span: of the oldest one, the part that has left the span is
+	// taken off.
 	begun := float64(now.Sub(w.since)%w.slot) / float64(w.slot)
 	return float64(w.sum) - begun*float64(w.counts[(w.latest+1)%int64(len(w.counts))])
 }
