Limits for operators: comments, one transport, one order

Cause: the transport without a proxy stood twice in internal/ctl, without a reason; comments on sums and on what is left out had to be read twice, those of printing functions were missing; errors of Close were dropped for "its end tells nothing". Ruled out: one order of tenants for nodes and the command line in a shared package: one works on route.RateLimit, the other one on messages, and a package of one line would tie them. Change: newTransport; cmp.Or for orders of two keys; comments. Conclusion: no behaviour changes.

--- a/api/limits/limits.go
+++ b/api/limits/limits.go
@@ -1,6 +1,6 @@
 // Package limits holds the typed messages by which a node of a routed deployment tells operators
 // of the limits of tenants, and a call that asks for them. They are served beside the node's
-// metrics. Tenants are named; their keys are not part of any message.
+// metrics. Tenants are named; their keys are not part of any message. Get is safe for concurrent use.
 package limits
 
 import (
@@ -15,7 +15,7 @@
 )
 
 const (
-	// Path gives a Node (GET).
+	// Path is where GET returns a Node.
 	Path = "/limits"
 	// ParameterTenant selects one tenant; without it a node tells of those with the greatest limits.
 	ParameterTenant = "tenant"
@@ -38,8 +38,8 @@
 	Silent      []string `json:"silent,omitempty"`
 	SilentCount int      `json:"silent_count"`
 	// Coordinated are tenants whose requests over all nodes this node sums up, Served those whose
-	// requests came to it; each the greatest limits first, and 256 at most. The numbers of those
-	// beyond are left out.
+	// requests came to it; each the greatest limits first, and 256 at most. CoordinatedLeftOut and
+	// ServedLeftOut are the numbers of those beyond.
 	Coordinated        []Coordinated `json:"coordinated"`
 	CoordinatedLeftOut int           `json:"coordinated_left_out,omitempty"`
 	Served             []Served      `json:"served"`
@@ -94,7 +94,7 @@
 	EntitledPerSecond float64 `json:"entitled_per_s"`
 	// AdmittedPerSecond is the mean over the window of the deployment's bound on limits.
 	AdmittedPerSecond float64 `json:"admitted_per_s"`
-	// Admitted and Refused count requests since CountedSince, Refused by reason.
+	// Admitted and Refused count requests since CountedSince, Refused by reason (quota.Refusal).
 	Admitted int64             `json:"admitted"`
 	Refused  map[string]uint64 `json:"refused,omitempty"`
 }
@@ -103,7 +103,8 @@
 var ErrNotHeld = errors.New("the node holds no limits")
 
 // Get asks the node whose metrics are served at address (host:port) for one tenant, or for those
-// with the greatest limits if the name is empty. The error is ErrNotHeld or tells why there is no answer.
+// with the greatest limits if the name is empty. The error is ErrNotHeld for a node that holds no
+// limits; any other one tells why there is no answer or none that can be read.
 func Get(ctx context.Context, client *http.Client, address, tenant string) (*Node, error) {
 	location := url.URL{Scheme: "http", Host: address, Path: Path}
 	if tenant != "" {
@@ -117,7 +118,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "ask for limits")
 	}
-	// The answer has been read, or is given up: its end tells nothing.
+	// An error of Close changes nothing: the answer has been read, or another error is returned.
 	defer func() { _ = response.Body.Close() }()
 	switch response.StatusCode {
 	case http.StatusOK:
--- a/internal/ctl/limit.go
+++ b/internal/ctl/limit.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -20,7 +21,7 @@
 	Metrics []string `long:"metrics" value-name:"HOST:PORT" env:"BRAMBLEMAST_METRICS" env-delim:"," default:"127.0.0.1:9464" description:"metrics' address of a node of a routed deployment; repeat it to name all nodes, whose answers are added up"`
 }
 
-// limitAnswers is what all nodes that were asked said.
+// limitAnswers is what the nodes that were asked answered. nodes is sorted by zone and name.
 type limitAnswers struct {
 	nodes      []*limits.Node
 	unanswered []unansweredAddress
@@ -32,11 +33,11 @@
 	Error   string `json:"error"`
 }
 
-// askLimits asks all nodes for one tenant, or for all if the name is empty. A node that is named by
-// several addresses counts once. The error is that of the last node if none answered.
+// askLimits asks the nodes at addresses for one tenant, or for those with the greatest limits if the
+// name is empty. A node that is named by several addresses counts once. The error is that of the last
+// address if none answered.
 func (env *environment) askLimits(addresses []string, tenant string) (*limitAnswers, error) {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.Proxy = nil
+	transport := newTransport()
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport}
 	distinct := slices.Compact(slices.Sorted(slices.Values(addresses)))
@@ -56,7 +57,8 @@
 	return collectLimits(distinct, found, failures)
 }
 
-// collectLimits sorts answers by zone and node, and tells which addresses gave none.
+// collectLimits sorts answers by zone and node, and lists the addresses that gave none. found and
+// failures are by the index of addresses.
 func collectLimits(addresses []string, found []*limits.Node, failures []error) (*limitAnswers, error) {
 	answers := &limitAnswers{}
 	var last error
@@ -72,10 +74,7 @@
 		return nil, last
 	}
 	slices.SortFunc(answers.nodes, func(one, other *limits.Node) int {
-		if order := strings.Compare(one.Zone, other.Zone); order != 0 {
-			return order
-		}
-		return strings.Compare(one.Node, other.Node)
+		return cmp.Or(strings.Compare(one.Zone, other.Zone), strings.Compare(one.Node, other.Node))
 	})
 	answers.nodes = slices.CompactFunc(answers.nodes, func(one, other *limits.Node) bool { return one.Node == other.Node })
 	return answers, nil
@@ -83,7 +82,8 @@
 
 // limitStatus tells over which nodes figures of limits were added up.
 type limitStatus struct {
-	// Answered is the number of nodes that answered, Known how many there are by what they say.
+	// Answered is the number of nodes that answered, Known the greatest number of nodes of the
+	// deployment that one of them knows.
 	Answered   int                 `json:"answered"`
 	Known      int                 `json:"known"`
 	Unanswered []unansweredAddress `json:"unanswered"`
--- a/internal/ctl/limit_list.go
+++ b/internal/ctl/limit_list.go
@@ -41,6 +41,7 @@
 	return report.failure()
 }
 
+// printLimitList writes the report as text.
 func printLimitList(t *table, report *limitListReport) {
 	printLimitStatus(t, &report.limitStatus)
 	if report.LeftOut > 0 {
@@ -71,6 +72,7 @@
 	}
 }
 
+// formatNumbers lists numbers.
 func formatNumbers(numbers []uint64) string {
 	texts := make([]string, 0, len(numbers))
 	for _, number := range numbers {
@@ -87,9 +89,10 @@
 	return formatRate(sum.PerSecond)
 }
 
-// formatRate writes a rate or a number of requests with one digit.
+// formatRate writes a rate or a number of requests with one digit after the point.
 func formatRate(value float64) string { return strconv.FormatFloat(value, 'f', 1, 64) }
 
+// formatRateIfKnown writes a rate, or a mark for one that is not known.
 func formatRateIfKnown(value *float64) string {
 	if value == nil {
 		return absent
--- a/internal/ctl/limit_show.go
+++ b/internal/ctl/limit_show.go
@@ -47,7 +47,7 @@
 	return report.failure()
 }
 
-// unknownTenant is the error for a tenant that no node knows which answered.
+// unknownTenant returns the error for a tenant that none of the nodes that answered knows.
 func unknownTenant(tenant string, status *limitStatus) error {
 	if status.isComplete() {
 		return errors.Errorf("no node knows a tenant %q", tenant)
@@ -55,6 +55,7 @@
 	return &incompleteError{message: fmt.Sprintf("no node that answered knows a tenant %q, and not every node answered", tenant)}
 }
 
+// printLimitShow writes the report as text.
 func printLimitShow(t *table, report *limitShowReport) {
 	printLimitStatus(t, &report.limitStatus)
 	for _, text := range notAskedReporters(report.tenantDetail) {
@@ -89,6 +90,7 @@
 	return lines
 }
 
+// printCoordinators writes a table of the coordinators that answered; nothing if there are none.
 func printCoordinators(t *table, detail *tenantDetail) {
 	if len(detail.Coordinators) == 0 {
 		return
@@ -105,6 +107,7 @@
 	}
 }
 
+// printZones writes the sums of each zone.
 func printZones(t *table, detail *tenantDetail) {
 	t.line("")
 	t.row("ZONE", "NODES", "ENTITLED/S", "ADMITTED/S", "ADMITTED", "REFUSED")
@@ -114,6 +117,7 @@
 	}
 }
 
+// printNodes writes what each node said.
 func printNodes(t *table, detail *tenantDetail) {
 	t.line("")
 	t.row("NODE", "ZONE", "DECIDED BY", "SHARE", "SHARE AGE", "ENTITLED/S", "ADMITTED/S", "ADMITTED", "SINCE", "WHY REFUSED")
@@ -124,7 +128,8 @@
 	}
 }
 
-// decidedBy tells who decides about the tenant's requests at a node, in the words of its log.
+// decidedBy returns how a node stands to the tenant's coordinators, and the one to which it reports, in
+// the words of its log.
 func (n *nodeOfTenant) decidedBy() string {
 	switch {
 	case n.Idle:
@@ -135,7 +140,7 @@
 	return n.DecidedBy + " " + n.Coordinator
 }
 
-// shareText writes the share by which a node goes, marked if it is too old for that.
+// shareText writes the share that a node was told last, marked if it is too old to admit requests by.
 func (n *nodeOfTenant) shareText() string {
 	switch {
 	case n.ShareAgeMS == nil:
--- a/internal/ctl/limit_sum.go
+++ b/internal/ctl/limit_sum.go
@@ -15,8 +15,8 @@
 	limits.Limit
 	// LimitsDiffer says that nodes know different limits; that of the newest configuration is told.
 	LimitsDiffer bool `json:"limits_differ"`
-	// AskedPerSecond is what coordinators were told; left out if none that answered knows the tenant
-	// and some did not answer.
+	// AskedPerSecond is the rate of requests that nodes reported to coordinators; left out if no
+	// coordinator that answered knows the tenant and some node did not answer.
 	AskedPerSecond    *float64 `json:"asked_per_s,omitempty"`
 	AdmittedPerSecond float64  `json:"admitted_per_s"`
 	// Coordinator is the tenant's first coordinator, Share and Level what it holds; left out if it
@@ -67,8 +67,9 @@
 	Refused           uint64  `json:"refused"`
 }
 
-// details adds up what nodes said, the greatest limits first. A tenant that some node left out for
-// the bound on its list is left out, since its sum would be a part only; their least number is returned too.
+// details adds up what nodes said, the greatest limits first. Tenants that may be missing in the bounded
+// list of some node are left out, since their sums would be a part only. The second result is the least
+// number of those.
 func (a *limitAnswers) details() ([]*tenantDetail, int) {
 	byName := make(map[string]*tenantDetail)
 	of := func(name string) *tenantDetail {
@@ -96,16 +97,14 @@
 	return list[:whole], max(len(list)-whole, a.leftOut())
 }
 
-// compareLimits orders the greater limit first, then by name, as nodes do.
+// compareLimits orders the greater limit first, then by name: the order in which nodes fill their
+// lists, on which wholeTenants relies.
 func compareLimits(one limits.Limit, oneName string, other limits.Limit, otherName string) int {
-	if order := cmp.Compare(other.PerSecond, one.PerSecond); order != 0 {
-		return order
-	}
-	return cmp.Compare(oneName, otherName)
+	return cmp.Or(cmp.Compare(other.PerSecond, one.PerSecond), cmp.Compare(oneName, otherName))
 }
 
-// wholeTenants returns how many tenants of a sorted list come before the first one that a node may have
-// left out.
+// wholeTenants returns the number of tenants of a sorted list that no node has left out: those not beyond
+// the last one in any list that a node has cut off.
 func (a *limitAnswers) wholeTenants(list []*tenantDetail) int {
 	whole := len(list)
 	bound := func(limit limits.Limit, name string) {
@@ -133,8 +132,8 @@
 	return most
 }
 
-// addCoordinator adds what a coordinator said. If two take themselves for the first one, that with
-// more requests is told of.
+// addCoordinator adds what a coordinator said. If two take themselves for the first one, as while
+// lists of nodes differ, the sum shows the one that more requests were reported to.
 func (d *tenantDetail) addCoordinator(node *limits.Node, said limits.Coordinated) {
 	d.noteLimit(node, said.Limit)
 	asked := said.AskedPerSecond
@@ -176,7 +175,7 @@
 	d.Nodes = append(d.Nodes, nodeOfTenant{Node: node.Node, Zone: node.Zone, CountedSince: node.CountedSince, Served: said})
 }
 
-// noteLimit takes the limit that a node knows.
+// noteLimit takes the limit that a node knows; it is called before what the node said is added.
 func (d *tenantDetail) noteLimit(node *limits.Node, limit limits.Limit) {
 	isFirst := len(d.Coordinators) == 0 && len(d.Nodes) == 0
 	d.LimitsDiffer = d.LimitsDiffer || !isFirst && limit != d.Limit
@@ -185,7 +184,8 @@
 	}
 }
 
-// settle tells that nothing is asked where every node says so.
+// settle sets the rate of requests to zero if all nodes answered and none coordinates the tenant;
+// otherwise a rate that is not known stays out.
 func (d *tenantDetail) settle(status *limitStatus) {
 	if d.AskedPerSecond == nil && status.isComplete() {
 		d.AskedPerSecond = new(float64)
--- a/internal/ctl/log.go
+++ b/internal/ctl/log.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open log")
 	}
-	// It has been read, or is given up: its end tells nothing.
+	// An error of Close changes nothing: the file has been read, or another error is returned.
 	defer func() { _ = file.Close() }()
 	lines, _, err = explain.Read(io.Reader(file))
 	return lines, errors.WithMessage(err, name)
--- a/internal/ctl/session.go
+++ b/internal/ctl/session.go
@@ -28,10 +28,17 @@
 	pause   time.Duration
 }
 
-// newSession returns a session whose clients share one transport.
-func newSession(addresses []string, timeout time.Duration) *session {
+// newTransport returns a transport that connects to nodes directly, whatever proxy the environment
+// names for other traffic.
+func newTransport() *http.Transport {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
+	return transport
+}
+
+// newSession returns a session whose clients share one transport.
+func newSession(addresses []string, timeout time.Duration) *session {
+	transport := newTransport()
 	opened := &session{timeout: timeout, pause: settlePause}
 	for _, address := range addresses {
 		opened.clients = append(opened.clients, operator.NewClient(address, &http.Client{Transport: transport}))
