Explain and the node's program: comments that say what a field holds

Cause: one comment stood for six fields of explain.Line that come from two kinds of lines; messages about owners and limits were mixed; the comment on signals did not say that a second signal is handled. Ruled out: names of the fields in the log; they stay. Change: comments and the order of constants. Conclusion: no behaviour changes.

--- a/cmd/bramblemast-edge/main.go
+++ b/cmd/bramblemast-edge/main.go
@@ -26,8 +26,8 @@
 	exitSettings = 2
 )
 
-// logsWithin is for how long an ending process waits for a slow reader of its log: a small part of
-// the shortest grace time (1 s).
+// logsWithin is for how long an ending process waits for a slow reader of its log. It comes on top of
+// the grace time, and is small beside the shortest one (1 s).
 const logsWithin = 100 * time.Millisecond
 
 // collectPercent trades a little processor time for memory.
@@ -89,16 +89,17 @@
 	return serve(loaded, given.Settings, heard)
 }
 
-// signals are what the platform tells the process.
+// signals are the signals that the process handles, and what it does on them.
 type signals struct {
-	// stop ends with the signal of a planned stop; further ones change nothing.
-	stop    context.Context
-	close   context.CancelFunc
+	// stop ends with the first signal of a planned stop; close ends it too, and takes no more of them.
+	stop  context.Context
+	close context.CancelFunc
+	// hangups takes the signals to read the settings again.
 	hangups chan os.Signal
 }
 
-// listen begins to hear signals. It is called before anything else is done, since a signal that
-// nobody hears ends the process as if it had failed.
+// listen begins to handle signals. It is called before the settings are read, since a signal without a
+// handler ends the process as if it had failed.
 func listen() *signals {
 	heard := &signals{hangups: make(chan os.Signal, 1)}
 	signal.Notify(heard.hangups, syscall.SIGHUP)
@@ -109,7 +110,7 @@
 // serve runs the node until a signal or a failure.
 func serve(settings *edge.Settings, path string, heard *signals) int {
 	if heard.stop.Err() != nil {
-		// Nothing has been taken up that a planned stop would have to end.
+		// No listener is open yet, so that there is nothing to stop.
 		return exitOK
 	}
 	debug.SetGCPercent(collectPercent)
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -19,10 +19,10 @@
 	messageRequest         = "request"
 	messageOwned           = "owned parts"
 	messageOwnerLost       = "owner lost"
+	messageOwnerRegained   = "owner regained"
 	messageAtLimit         = "tenant at its limit"
 	messageBelowLimit      = "tenant within its limit again"
 	messageCoordinatorLost = "coordinator of limits lost"
-	messageOwnerRegained   = "owner regained"
 	messageConfiguration   = "configuration in force"
 	messageLost            = "dependency lost"
 	messageRegained        = "dependency regained"
@@ -60,8 +60,9 @@
 	Shed       int     `json:"shed"`
 	RetryAfter int64   `json:"retry_after_ms"`
 	Waiting    int     `json:"waiting"`
-	// ShortService is the service that decided whether the request was let in, Share the part
-	// of the requests of its priority that was, and ShareAge how old that news was.
+	// ShortService is the service without enough room that decided whether the request was admitted,
+	// Share the part of the requests of its priority and tenant that was, and ShareAge the age of
+	// that share, in milliseconds.
 	ShortService string                 `json:"short_service"`
 	Share        float64                `json:"share"`
 	ShareAge     int64                  `json:"share_age_ms"`
@@ -78,18 +79,23 @@
 	// Fingerprint is the same for all tries of a request; ServersEnded ended while they had it.
 	Fingerprint  string   `json:"fingerprint"`
 	ServersEnded []string `json:"servers_ended"`
-	// These say by what it was decided that a tenant is beyond its limit.
+	// QuotaShare is the admitted share by which a request beyond its tenant's limit was refused,
+	// QuotaShareAge the time since the node was told it, and QuotaDecidedBy how the node stood to the
+	// tenant's coordinators.
 	QuotaShare     float64 `json:"quota_share"`
 	QuotaShareAge  int64   `json:"quota_share_age_ms"`
 	QuotaDecidedBy string  `json:"quota_decided_by"`
+	// AskedPerSecond is the rate of a tenant's requests over all nodes, as its coordinator has it, and
+	// LimitPerSecond the rate of its limit.
 	AskedPerSecond float64 `json:"asked_per_s"`
 	LimitPerSecond float64 `json:"limit_per_s"`
-	Coordinator    string  `json:"coordinator"`
-	Dependency     string  `json:"dependency"`
-	Server         string  `json:"server"`
-	Service        string  `json:"service"`
-	Template       string  `json:"template"`
-	Arm            string  `json:"arm"`
+	// Coordinator is the coordinator of limits that the node lost.
+	Coordinator string `json:"coordinator"`
+	Dependency  string `json:"dependency"`
+	Server      string `json:"server"`
+	Service     string `json:"service"`
+	Template    string `json:"template"`
+	Arm         string `json:"arm"`
 }
 
 // header are the fields that the logger itself writes.
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -158,7 +158,8 @@
 	}
 }
 
-// caller tells who sent a request, as far as its node knew.
+// caller returns who sent a request, as far as its node knew: the tenant, or the hash of a key that no
+// tenant holds; empty without either.
 func caller(line Line) string {
 	switch {
 	case line.Tenant != "":
@@ -169,7 +170,7 @@
 	return ""
 }
 
-// writeRoom prints by what a request was let in or refused.
+// writeRoom prints which service was short of room for a request, and the share that it admitted.
 func writeRoom(output io.Writer, line Line) {
 	if line.ShortService == "" {
 		return
