Soak: one way to send a look-up

Ruled out: the callers of the mixed traffic by the same way: they keep connections, leave early and tell a cut apart. Change: lookUp; comments. Conclusion: no behaviour changes.

--- a/test/soak/limits_test.go
+++ b/test/soak/limits_test.go
@@ -45,6 +45,7 @@
 	windowStep = 250 * time.Millisecond
 )
 
+// limitedTenants returns the tenants with limits.
 func limitedTenants() []platformtest.Tenant {
 	var tenants []platformtest.Tenant
 	for _, name := range []string{greedyTenant, modestTenant} {
@@ -72,23 +73,17 @@
 	return running
 }
 
+// askAs sends a request of a tenant with a limit, and checks what can be checked at once.
 func (d *deployment) askAs(ctx context.Context, tenant string, chosen *node, id string) {
-	got := reply{ID: id, Node: chosen.name, Life: chosen.currentLife(), Path: "/lookup/", Sent: time.Now(), Repeated: true, Tenant: tenant}
-	limited, cancel := context.WithTimeout(ctx, callerDeadline+time.Second)
-	defer cancel()
-	client := newClient(chosen.clients, standingKey(tenant))
-	defer client.HTTP.CloseIdleConnections()
-	answer, err := client.Do(limited, http.MethodGet, host, got.Path, id, "", callerDeadline)
-	got.Ended, got.Status, got.HasWait = time.Now(), answer.Status, answer.Header.Get("Retry-After") != ""
-	if err != nil {
-		got.Status, got.Failure = 0, err.Error()
-	}
+	got, answer := d.lookUp(ctx, chosen, standingKey(tenant), id)
+	got.Tenant = tenant
 	d.history.tookLimited(got)
 	if err := d.judge(got, answer); err != nil {
 		d.history.violated("%s at %s: %v", id, chosen.name, err)
 	}
 }
 
+// tookLimited notes what a caller of a tenant with a limit has got.
 func (h *history) tookLimited(got reply) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -258,6 +258,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	// The history is for whoever looks into a failure: what cannot be written of it fails no test.
 	defer func() { _ = file.Close() }()
 	encoder := json.NewEncoder(file)
 	for _, each := range d.history.events {
--- a/test/soak/tenants_test.go
+++ b/test/soak/tenants_test.go
@@ -22,17 +22,20 @@
 	rovingTenant    = "roving"
 	// rovingLives is the number of versions that hold a key.
 	rovingLives = 2
-	// rovingEvery is the pause between two requests with such keys.
+	// rovingEvery is the pause between two requests with keys of the roving tenant.
 	rovingEvery = 25 * time.Millisecond
-	// rovingStream is the number of their source of randomness.
+	// rovingStream is the number of their source of randomness, beyond those of the callers, which are
+	// counted from 0.
 	rovingStream = 7919
 	// neverKey is in no configuration, forgedTenant stands where clients name themselves.
 	neverKey     = "key-never"
 	forgedTenant = "forged"
 )
 
+// standingTenant returns the name of a tenant whose key never changes.
 func standingTenant(number int) string { return fmt.Sprint("standing-", number%standingTenants) }
 
+// standingKey returns the key of a tenant that has one in every configuration.
 func standingKey(tenant string) string { return "key-of-" + tenant }
 
 // rovingKey returns the key that a version adds.
@@ -81,21 +84,15 @@
 	return running
 }
 
+// askWith sends a request with the key that a version added, or with one of no configuration for version
+// 0, and checks what can be checked at once.
 func (d *deployment) askWith(ctx context.Context, chosen *node, version int, id string) {
 	key := rovingKey(version)
 	if version == 0 {
 		key = neverKey
 	}
-	got := keyed{Version: version, reply: reply{ID: id, Node: chosen.name, Life: chosen.currentLife(), Path: "/lookup/", Sent: time.Now(), Repeated: true}}
-	limited, cancel := context.WithTimeout(ctx, callerDeadline+time.Second)
-	defer cancel()
-	client := newClient(chosen.clients, key)
-	defer client.HTTP.CloseIdleConnections()
-	answer, err := client.Do(limited, http.MethodGet, host, got.Path, id, "", callerDeadline)
-	got.Ended, got.Status, got.HasWait = time.Now(), answer.Status, answer.Header.Get("Retry-After") != ""
-	if err != nil {
-		got.Status, got.Failure = 0, err.Error()
-	}
+	found, answer := d.lookUp(ctx, chosen, key, id)
+	got := keyed{Version: version, reply: found}
 	if chosen.currentLife() != got.Life {
 		got.Life = -1
 	}
@@ -105,6 +102,7 @@
 	}
 }
 
+// tookKeyed notes what a caller with a key that comes and goes has got.
 func (h *history) tookKeyed(got keyed) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -237,7 +235,7 @@
 	return isLong && !d.history.was(storeSilent, removedAt.Add(-contactBound), got.Ended)
 }
 
-// takenAt returns when the store took a version, if it has.
+// takenAt returns when the store took a version, and whether it has.
 func (h *history) takenAt(version int) (time.Time, bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
--- a/test/soak/traffic_test.go
+++ b/test/soak/traffic_test.go
@@ -99,6 +99,22 @@
 	}
 }
 
+// lookUp sends one request of the route to a single service over a connection of its own, and returns
+// what its caller saw.
+func (d *deployment) lookUp(ctx context.Context, chosen *node, key, id string) (reply, platformtest.Answer) {
+	got := reply{ID: id, Node: chosen.name, Life: chosen.currentLife(), Path: "/lookup/", Sent: time.Now(), Repeated: true}
+	limited, cancel := context.WithTimeout(ctx, callerDeadline+time.Second)
+	defer cancel()
+	client := newClient(chosen.clients, key)
+	defer client.HTTP.CloseIdleConnections()
+	answer, err := client.Do(limited, http.MethodGet, host, got.Path, id, "", callerDeadline)
+	got.Ended, got.Status, got.HasWait = time.Now(), answer.Status, answer.Header.Get("Retry-After") != ""
+	if err != nil {
+		got.Status, got.Failure = 0, err.Error()
+	}
+	return got, answer
+}
+
 // failureCutOff is a connection that ended without an answer after the request
 // was sent.
 const failureCutOff = "cut off"
