Explain, edge, scripts: literals with names and numbers with reasons

Cause: three messages of log lines stood as literals beside constants for the others; 208 more connections and the gathered -skip patterns had no reason. Ruled out: another number of connections: that wants figures. Change: constants and comments. Figures: go vet, staticcheck and go test of internal/explain, internal/edge and pkg/route pass; scripts/test.sh with two -skip flags runs. Conclusion: no behaviour changes.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -34,8 +34,9 @@
 	// group of its shards: 15 for 220 shards, and those of two sets while the shards
 	// are being cut anew.
 	maxPeerConnections = 48
-	// quotaPeerConnections is how many more there may be where limits of tenants are held: their
-	// coordinators tell all nodes that a tenant is at its limit.
+	// quotaPeerConnections is how many more there may be where limits of tenants are held, since their
+	// coordinators tell all nodes when a tenant is at its limit: 256 in all, what pkg/peer keeps by
+	// default.
 	quotaPeerConnections = 208
 	// maxPeerInbound bounds the connections of other nodes: all nodes of a region ask
 	// an owner, 680 at the size to design for.
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -16,19 +16,22 @@
 
 // Messages of the nodes' lines that are looked at.
 const (
-	messageRequest         = "request"
-	messageOwned           = "owned parts"
-	messageOwnerLost       = "owner lost"
-	messageOwnerRegained   = "owner regained"
-	messageAtLimit         = "tenant at its limit"
-	messageBelowLimit      = "tenant within its limit again"
-	messageCoordinatorLost = "coordinator of limits lost"
-	messageConfiguration   = "configuration in force"
-	messageLost            = "dependency lost"
-	messageRegained        = "dependency regained"
-	messageOverload        = "overload"
-	messageKeysLapsed      = "keys lapsed"
-	messageKeysConfirmed   = "keys confirmed"
+	messageRequest              = "request"
+	messageOwned                = "owned parts"
+	messageOwnerLost            = "owner lost"
+	messageOwnerRegained        = "owner regained"
+	messageAtLimit              = "tenant at its limit"
+	messageBelowLimit           = "tenant within its limit again"
+	messageCoordinatorLost      = "coordinator of limits lost"
+	messageConfiguration        = "configuration in force"
+	messageConfigurationRefused = "configuration refused"
+	messageStarted              = "started"
+	messageStopping             = "stopping"
+	messageLost                 = "dependency lost"
+	messageRegained             = "dependency regained"
+	messageOverload             = "overload"
+	messageKeysLapsed           = "keys lapsed"
+	messageKeysConfirmed        = "keys confirmed"
 )
 
 // maxLineBytes bounds one line.
--- a/pkg/route/regions.go
+++ b/pkg/route/regions.go
@@ -22,7 +22,7 @@
 	return Regions{isBound: true, names: slices.Compact(sorted)}
 }
 
-// And returns the bound to regions that both allow; none is left where they have none in
+// And returns the bound to the regions that both allow; it allows no region if they have none in
 // common.
 func (r Regions) And(other Regions) Regions {
 	switch {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,6 +6,7 @@
 
 seed="${BRAMBLEMAST_TEST_SEED:-1}"
 flags=()
+# All patterns to skip go into one flag, since go test takes the last -skip only.
 skipped=()
 while [ $# -gt 0 ] && [ "$1" != "--" ]; do
   if [ "$1" = "-skip" ]; then
