--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -110,7 +110,7 @@
 	switch line.Message {
 	case messageOverload, messageKeysLapsed, messageKeysConfirmed:
 		return true
-	case messageConfiguration, messageLost, messageRegained, messageOwnerLost, messageOwnerRegained, "started", "stopping", "configuration refused":
+	case messageConfiguration, messageLost, messageRegained, messageOwnerLost, messageOwnerRegained, messageStarted, messageStopping, messageConfigurationRefused:
 		return true
 	case messageAtLimit, messageBelowLimit:
 		return line.Tenant == request.Tenant && request.Reason == string(outcome.ReasonOverLimit)
@@ -158,7 +158,8 @@
 	}
 }
 
-// caller tells who sent a request, as far as its node knew.
+// caller returns who sent a request, as far as its node knew: the tenant, or the hash of a key that no
+// tenant holds; empty without either.
 func caller(line Line) string {
 	switch {
 	case line.Tenant != "":
@@ -169,7 +170,7 @@
 	return ""
 }
 
-// writeRoom prints by what a request was let in or refused.
+// writeRoom prints which service was short of room for a request, and the share that it admitted.
 func writeRoom(output io.Writer, line Line) {
 	if line.ShortService == "" {
 		return
