Tests: the test of a new meter is named for what it tests

Cause: TestAProcessThatHasJustStartedBeginsAloneWithOneRequest makes a new meter without a start of its process, so that it tests a tenant that the node has not met before. What a process does that has just started is in TestAProcessThatHasJustStartedAdmitsNothingOutOfTouch.

Change: its name and the name in its comment only.

--- a/pkg/quota/meter_test.go
+++ b/pkg/quota/meter_test.go
@@ -195,9 +195,9 @@
 	g.Expect(meter.Admit("back", now).IsAdmitted).To(BeTrue())
 }
 
-// TestAProcessThatHasJustStartedBeginsAloneWithOneRequest: what it admitted in its run before, a moment
+// TestANewMeterBeginsAloneWithOneRequest: what it admitted in its run before, a moment
 // ago, is not known. One that has been there for a window may use what the window has left.
-func TestAProcessThatHasJustStartedBeginsAloneWithOneRequest(t *testing.T) {
+func TestANewMeterBeginsAloneWithOneRequest(t *testing.T) {
 	g := NewWithT(t)
 	admittedAlone := func(age time.Duration) (admitted int) {
 		meter := quota.NewMeter("caller", route.RateLimit{PerSecond: 63, Burst: 63}, bounds, 6, true, start)
