Limits: a coordinator that starts counts what earlier ones granted

Cause: after a loss of all power that some entries of nodes outlast, lists of nodes grow while processes start, and twelve coordinators of a tenant followed each other within three seconds (traced with one in four nodes listed: in each quarter of a second the requests were admitted by the share of one to six coordinators, most of which had just been turned to, as first or as stand-in, mostly at a share of 1; at least 374 in those three seconds). A new account knew nothing of what nodes had admitted under others. It told a share of 1 until it had heard of as many requests, and one that was turned to again took what others had granted from its burst only, never below zero.

Change: in the first window after its start a node reports all that it has admitted as new, and each coordinator counts what is new to it. A coordinator keeps a second level for the window after its own start: the limit of a window at an even rate, less all that nodes report, whoever granted it. The lower level holds. What a node was asked under earlier coordinators counts as its rate at once.

--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -75,6 +75,8 @@
 	// the share until cautiousUntil, since what is asked is not known yet.
 	cautious      float64
 	cautiousUntil time.Time
+	// starting is what the tenant may use in the first window after the coordinator's start.
+	starting startingWindow
 	// reserved is what was taken from the bucket for the first requests of silent nodes, last
 	// at reservedAt.
 	reserved   float64
@@ -107,7 +109,13 @@
 	a.usedAt = now
 	a.settle(contact, now)
 	asked, admitted := use.NewAsked, use.NewAdmitted
+	// granted is how many of them this coordinator has granted at most.
+	granted := float64(asked)
 	before := a.nodes[node]
+	if before == nil && a.isStarting() {
+		granted *= use.Share
+		a.expect(use, now)
+	}
 	if before != nil && before.use.Start == use.Start {
 		if use.Asked < before.use.Asked {
 			return
@@ -120,7 +128,7 @@
 	a.nodes[node] = &reported{use: use, at: now}
 	a.asked.add(float64(asked), now)
 	a.steady.add(float64(asked), now)
-	a.bucket.level = max(a.bucket.level-float64(admitted), -a.debt())
+	a.spend(float64(admitted), granted)
 	if now.Before(a.cautiousUntil) && use.Share > 0 {
 		a.cautious = min(a.cautious, use.Share)
 	}
@@ -169,6 +177,7 @@
 		}
 	}
 	a.bucket.settle(now)
+	a.settleStarting(now)
 }
 
 // sumUp forgets nodes that are silent for long and sums up what nobody used lately.
@@ -260,7 +269,7 @@
 // share returns the part of the requests by which the bucket is used up, or made up for,
 // within the horizon.
 func (a *Account) share(now time.Time) float64 {
-	granted := a.bucket.rate + a.bucket.level/horizon.Seconds()
+	granted := a.granted()
 	asked := a.asked.read(now)
 	share := 1.0
 	if asked > granted {
--- a/pkg/quota/meter.go
+++ b/pkg/quota/meter.go
@@ -325,6 +325,10 @@
 		NewAsked: m.asked - m.acknowledgedAsked - m.askedAlone, NewAdmitted: m.admitted - m.acknowledgedAdmitted - m.owned,
 		Recent: m.recentRate(now), Entitled: m.entitlement(now), Share: m.share,
 	}
+	if now.Before(m.unknownUntil) {
+		// Coordinators follow each other while processes start: each counts what is new to it.
+		use.NewAdmitted = m.admitted
+	}
 	return use, m.asked != m.acknowledgedAsked || m.admitted != m.acknowledgedAdmitted
 }
 
@@ -332,7 +336,8 @@
 func (m *Meter) Acknowledge(use Use, verdict Verdict, now time.Time) {
 	if use.Asked >= m.acknowledgedAsked {
 		m.recent.add(float64(max(0, use.Admitted-m.acknowledgedAdmitted)), now)
-		m.owned -= min(m.owned, use.Admitted-m.acknowledgedAdmitted-use.NewAdmitted)
+		// Of a process that has just started NewAdmitted may hold what was acknowledged before.
+		m.owned -= min(m.owned, max(0, use.Admitted-m.acknowledgedAdmitted-use.NewAdmitted))
 		m.askedAlone -= min(m.askedAlone, use.Asked-m.acknowledgedAsked-use.NewAsked)
 		m.acknowledgedAsked, m.acknowledgedAdmitted = use.Asked, use.Admitted
 		// The node may have gone out of touch since it reported, and counted all of this as its own.
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -55,7 +55,8 @@
 	Asked    uint64
 	Admitted int64
 	// NewAsked and NewAdmitted are the part of them that no coordinator has acknowledged and
-	// that the node did not admit by its own entitlement.
+	// that the node did not admit by its own entitlement. In the first window after its process started
+	// NewAdmitted is all of Admitted: each coordinator counts what is new to it.
 	NewAsked    uint64
 	NewAdmitted int64
 	// Recent is the rate that the node admitted lately, Entitled the one that it may admit
--- a/pkg/quota/reports.go
+++ b/pkg/quota/reports.go
@@ -153,6 +153,9 @@
 				since = l.coordinatorsSince
 			}
 			kept = &coordinated{account: NewAccount(limit, l.options.Bounds, since, now), told: 1}
+			if now.Sub(l.startedAt) < l.options.Bounds.Window {
+				kept.account.SetStart(l.startedAt)
+			}
 			l.accounts[tenant] = kept
 		}
 		kept.isFirst = isFirst
--- /dev/null
+++ b/pkg/quota/starting_account_test.go
@@ -0,0 +1,49 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bramblemast/bramblemast/pkg/quota"
+)
+
+// TestACoordinatorThatStartsCountsWhatEarlierOnesGranted: ten nodes that started a second ago have admitted 200
+// requests of 1,000 under others, of 60 a second allowed. A tenant within its limit is served all the same.
+func TestACoordinatorThatStartsCountsWhatEarlierOnesGranted(t *testing.T) {
+	g := NewWithT(t)
+	shareAfter := func(asked, admitted int) float64 {
+		now := start.Add(time.Second)
+		account := quota.NewAccount(largeLimit, bounds, now, now)
+		account.SetStart(start)
+		for number := range 10 {
+			now = now.Add(50 * time.Millisecond)
+			use := quota.Use{Start: 1, Asked: uint64(asked), Admitted: int64(admitted), NewAsked: 1, NewAdmitted: int64(admitted), Share: 1}
+			account.Take(fmt.Sprint(number), use, first, now)
+		}
+		return account.Verdict(first, now).Share
+	}
+	g.Expect(shareAfter(100, 20)).To(BeNumerically("<=", 0.01))
+	g.Expect(shareAfter(3, 3)).To(BeEquivalentTo(1))
+}
+
+// TestANodeThatStartsTellsEachCoordinatorAllThatItAdmitted, and later only what is new.
+func TestANodeThatStartsTellsEachCoordinatorAllThatItAdmitted(t *testing.T) {
+	g := NewWithT(t)
+	meter := quota.NewMeter("caller", largeLimit, bounds, 67, true, start)
+	meter.SetStart(start)
+	meter.SetStanding(quota.WithFirst, start)
+	for number := range 3 {
+		g.Expect(meter.Admit(fmt.Sprint(number), start).IsAdmitted).To(BeTrue())
+	}
+	use, _ := meter.Report(1, start)
+	meter.Acknowledge(use, quota.Verdict{Share: 1, IsFirst: true}, start)
+	g.Expect(meter.Admit("another", start).IsAdmitted).To(BeTrue())
+	use, _ = meter.Report(1, start)
+	g.Expect(use.NewAdmitted).To(BeEquivalentTo(4))
+	g.Expect(use.NewAsked).To(BeEquivalentTo(1))
+	use, _ = meter.Report(1, start.Add(bounds.Window))
+	g.Expect(use.NewAdmitted).To(BeEquivalentTo(1))
+}
