Owners: comments on their return and on messages about room

Cause: the times of the return of an owner were explained in sentences that had to be read twice ("times its last rest without a loss forgets ..."); a method had the name of a constant, greatestRest; the check that a node is known as it was stood in two functions; a dropped grant and a dropped error of a ping did not say why no log line is written; lines were beyond 120 columns.

Ruled out: another name for heads, since pkg/configsync uses the same word for the same thing. The check of replaced nodes in due stays needed: a question that was asked before the roster changed may be lost after it.

Change: comments; restBound for the method greatestRest, admit for takes; due calls forgetReplaced.

Conclusion: no change of behaviour.

--- a/pkg/owner/absence.go
+++ b/pkg/owner/absence.go
@@ -8,17 +8,18 @@
 
 // Times of the return of owners.
 const (
-	// firstRest is after which time a lost owner is tried. A trial is one small message beside the
-	// requests, and where a message was lost on the way it is answered as soon as that has come.
+	// firstRest is how long after its loss an owner is tried first: a few round trips, so that one
+	// that lost a single message misses few requests. A trial is one small message.
 	firstRest = 20 * time.Millisecond
-	// greatestPause bounds the time between two trials: how much later than it could an owner
-	// that is well again returns.
+	// greatestPause bounds the time between two trials, and so how long an owner that answers
+	// again is still left out.
 	greatestPause = time.Second
-	// greatestRest bounds how long an owner is not tried that answers its trials in time and
-	// questions too late, again and again: each return may cost one request its silence.
+	// greatestRest bounds the time from a loss to the first trial of an owner that answers trials
+	// in time and questions too late, again and again: each of its returns may cost one request
+	// the wait until the owner counts as silent.
 	greatestRest = 30 * time.Second
-	// memoryFactor times its last rest without a loss forgets an owner's earlier ones, once it has
-	// answered a question in time.
+	// memoryFactor times its last rest is how long after its return an owner's losses are
+	// forgotten, if it had none meanwhile and has answered a question in time.
 	memoryFactor = 50
 	// provingPause is how long the first question after a return goes alone, unless it is
 	// answered earlier: longer than any owner is waited for without a report.
@@ -68,7 +69,7 @@
 		// What was asked before the return was lost to the same cause.
 		if asked.After(known.since) {
 			lost.isLateAgain = lost.leeway > 0
-			lost.rest = min(2*known.rest, lost.greatestRest())
+			lost.rest = min(2*known.rest, lost.restBound())
 		}
 	}
 	lost.pause, lost.trialAt = lost.rest, now.Add(lost.rest)
@@ -76,8 +77,8 @@
 	return true
 }
 
-// greatestRest is how long the node rests at most: one that was never late can be tried often.
-func (l *absence) greatestRest() time.Duration {
+// restBound is how long the node rests at most: one that was never late can be tried often.
+func (l *absence) restBound() time.Duration {
 	if l.leeway == 0 {
 		return greatestPause
 	}
@@ -97,8 +98,9 @@
 	return min(one, other)
 }
 
-// takes reports whether a request may ask a node, and counts it if it does.
-func (a absences) takes(name string, now time.Time) bool {
+// admit reports whether a request may ask a node. Of a node that is proving itself after it was
+// late again, it admits one request in provingPause.
+func (a absences) admit(name string, now time.Time) bool {
 	known := a[name]
 	switch {
 	case known == nil:
@@ -135,9 +137,10 @@
 func (a absences) due(known map[string]directory.Node, now time.Time) ([]trial, time.Time) {
 	var trials []trial
 	var next time.Time
+	a.forgetReplaced(known)
 	for name, each := range a {
 		switch {
-		case known[name] != each.node || each.isForgotten(now):
+		case each.isForgotten(now):
 			delete(a, name)
 		case !each.isOut || each.trialAt.IsZero():
 		case !now.Before(each.trialAt):
@@ -173,8 +176,8 @@
 	return l.leeway
 }
 
-// reported takes that a node has reported, late or not, as tried does. One that was late again
-// returns by a trial alone: what else it still reports was asked before.
+// reported takes that a node has reported, late or not, and returns the same as tried. One that
+// was late again returns by a trial alone: what else it still reports was asked before its loss.
 func (a absences) reported(name string, isLate bool, now time.Time) (time.Duration, bool) {
 	known := a[name]
 	switch {
--- a/pkg/owner/absence_test.go
+++ b/pkg/owner/absence_test.go
@@ -52,7 +52,7 @@
 		if passed%interval != 0 {
 			continue
 		}
-		if !o.absences.takes(o.node.Name, o.now) {
+		if !o.absences.admit(o.node.Name, o.now) {
 			continue
 		}
 		asked++
@@ -130,7 +130,7 @@
 	taken := func() int {
 		count := 0
 		for range 40 {
-			if o.absences.takes(o.node.Name, o.now) {
+			if o.absences.admit(o.node.Name, o.now) {
 				count++
 			}
 		}
@@ -195,7 +195,7 @@
 	}
 	o.absences.leave(o.node, leewayInTest, o.now, o.now)
 	o.absences.due(map[string]directory.Node{"owner": {Name: "owner", PeerAddress: "another"}}, o.now)
-	g.Expect(o.absences.takes("owner", o.now)).To(BeTrue())
+	g.Expect(o.absences.admit("owner", o.now)).To(BeTrue())
 }
 
 // TestAReplacedNodeIsAskedAtOnce, however long the one before it was to rest; one that is listed
@@ -208,9 +208,9 @@
 	roster.SetNodes([]directory.Node{lost})
 	g.Expect(roster.leave(lost, leewayInTest, now, now)).To(BeTrue())
 	roster.SetNodes([]directory.Node{lost})
-	g.Expect(roster.absences.takes(lost.Name, now)).To(BeFalse())
+	g.Expect(roster.absences.admit(lost.Name, now)).To(BeFalse())
 	replaced := lost
 	replaced.PeerAddress = "another"
 	roster.SetNodes([]directory.Node{replaced})
-	g.Expect(roster.absences.takes(lost.Name, now)).To(BeTrue())
+	g.Expect(roster.absences.admit(lost.Name, now)).To(BeTrue())
 }
--- a/pkg/owner/announcer.go
+++ b/pkg/owner/announcer.go
@@ -15,8 +15,8 @@
 	"github.com/bramblemast/bramblemast/pkg/target"
 )
 
-// Messages about the room at services: the nodes that an owner tells get kindRoom, and tell those
-// of their part of the region by kindRoomOnward, which goes no further.
+// Messages about the room at services. An owner sends kindRoom to one node of each part of the
+// region, its head; the head sends kindRoomOnward to the others of its part, who pass it to nobody.
 const (
 	kindRoom       peer.Kind = "owner.room"
 	kindRoomOnward peer.Kind = "owner.room.onward"
@@ -24,10 +24,11 @@
 
 // Constants of what is told.
 const (
-	// tellTimeout bounds one message: what matters after it is told again by then.
+	// tellTimeout bounds one message: meters repeat what still matters about as often.
 	tellTimeout = 400 * time.Millisecond
-	// onwardPause is the least time between two messages to this node's part of the region, so that their number does
-	// not grow with the owners; it is short against the time between two messages of one owner.
+	// onwardPause is the least time between two messages to this node's part of the region, so
+	// that their number does not grow with the owners; it is short against the time between two
+	// messages of one owner.
 	onwardPause = 20 * time.Millisecond
 )
 
@@ -78,7 +79,7 @@
 	return nil
 }
 
-// spread tells one node of each part of the region, and waits until they have answered or
+// spread tells the head of each part of the region, and waits until they have answered or
 // tellTimeout is over.
 func (a *Announcer) spread(ctx context.Context, message []loadshed.Measured) {
 	a.told(message)
@@ -95,8 +96,10 @@
 	a.send(ctx, parts[own], kindRoomOnward, message)
 }
 
-// send returns the nodes that took a message in time.
-func (a *Announcer) send(ctx context.Context, addresses []peer.Address, kind peer.Kind, message []loadshed.Measured) []peer.Address {
+// send sends a message to some nodes and returns those that took it in time.
+func (a *Announcer) send(
+	ctx context.Context, addresses []peer.Address, kind peer.Kind, message []loadshed.Measured,
+) []peer.Address {
 	if len(addresses) == 0 {
 		return nil
 	}
--- a/pkg/owner/client.go
+++ b/pkg/owner/client.go
@@ -160,6 +160,7 @@
 	}
 }
 
+// wakeUp lets Run look at once for trials that are due.
 func (c *Client) wakeUp() {
 	select {
 	case c.wake <- struct{}{}:
@@ -189,7 +190,7 @@
 }
 
 // try asks a node whether it would answer questions, and measures how long its answer takes. The
-// first may have to wait for a connection, so that one that is too late is asked again.
+// first ping may have to wait for a connection: if it is answered too late, a second one counts.
 func (c *Client) try(ctx context.Context, each trial) {
 	isAnswered, took := c.ping(ctx, each.node)
 	if isAnswered && each.leeway > 0 && took > each.leeway {
@@ -202,8 +203,8 @@
 	c.wakeUp()
 }
 
-// ping reports whether a node answers, and after which time. One that does not stays left out,
-// which was told when it was lost.
+// ping reports whether a node answers, and after which time. Its error goes into no log: the node
+// stays left out, which was logged when it was lost.
 func (c *Client) ping(ctx context.Context, node directory.Node) (bool, time.Duration) {
 	limited, cancel := context.WithTimeout(ctx, trialTimeout)
 	defer cancel()
@@ -212,6 +213,8 @@
 	return err == nil, time.Since(began)
 }
 
+// encodeQuestion returns the message of a question, with its moments as spans from now: clocks of
+// nodes differ.
 func encodeQuestion(question fanout.Question, now time.Time) *ownerpb.Question {
 	plan, request := question.Plan, question.Request
 	encoded := &ownerpb.Question{
@@ -239,10 +242,11 @@
 	return encoded
 }
 
+// microseconds returns a span as messages carry it; zero for one that is over.
 func microseconds(span time.Duration) uint64 { return uint64(max(0, span.Microseconds())) }
 
-// decodeReport reads a report. The records of all its parts stand in the answer of
-// one of them, since they are merged.
+// decodeReport reads a report, and what it tells of the room at services. The records of all its
+// parts stand in the answer of one of them, since they are merged.
 func decodeReport(body []byte) (fanout.Report, []*ownerpb.Room, error) {
 	encoded := &ownerpb.Report{}
 	if err := encoded.UnmarshalVT(body); err != nil {
--- a/pkg/owner/parts.go
+++ b/pkg/owner/parts.go
@@ -73,7 +73,7 @@
 			}
 		}
 		if count == len(part) {
-			// All are tried anew.
+			// The whole part is silent: all of it is tried anew.
 			for _, address := range part {
 				delete(silent, address)
 			}
--- a/pkg/owner/roster.go
+++ b/pkg/owner/roster.go
@@ -117,7 +117,7 @@
 	var groups []fanout.Group
 	for _, group := range r.layout(services) {
 		for _, candidate := range group.candidates {
-			if !r.absences.takes(candidate.Name, now) {
+			if !r.absences.admit(candidate.Name, now) {
 				continue
 			}
 			name := candidate.Name
@@ -219,15 +219,15 @@
 	return r.absences.leave(node, leeway, asked, now)
 }
 
-// reported takes that a node has reported, late or not. It returns for how long it was left out, if it
-// was and is no longer.
+// reported takes that a node has reported, late or not. It returns for how long the node was left
+// out, if it was and is no longer.
 func (r *Roster) reported(name string, isLate bool, now time.Time) (time.Duration, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return r.absences.reported(name, isLate, now)
 }
 
-// tried takes how a trial went, as reported does.
+// tried takes how a trial went, and returns the same as reported.
 func (r *Roster) tried(node directory.Node, isAnswered bool, took time.Duration, now time.Time) (time.Duration, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/pkg/owner/server.go
+++ b/pkg/owner/server.go
@@ -145,7 +145,8 @@
 	open.Listen(func(body []byte) {
 		grant := &ownerpb.Grant{}
 		if err := grant.UnmarshalVT(body); err != nil {
-			// Nothing is granted by it; the asking node turns to the servers.
+			// It is not logged: nothing is granted by it, and the asking node, which reports a
+			// silent owner itself, turns to the servers.
 			return
 		}
 		indexes := make([]int, len(grant.Indexes))
@@ -155,6 +156,7 @@
 		select {
 		case grants <- indexes:
 		default:
+			// More than the asking node grants: beyond what was wanted.
 		}
 	})
 	return grants
@@ -173,10 +175,12 @@
 		Kind: question.Kind, Tenant: question.Tenant, Priority: int(question.Priority),
 		Services: question.Services, Required: int(question.Required), Repeatable: true,
 		MaxAttempts: int(question.MaxAttempts), Deadline: began.Add(left), Assumed: span(question.AssumedUs),
-		Patience: left, Hedge: hedge, ExtraShare: share, Collect: &fanout.Collect{Within: span(question.ReportUs), Lot: question.Lot},
+		Patience: left, Hedge: hedge, ExtraShare: share,
+		Collect: &fanout.Collect{Within: span(question.ReportUs), Lot: question.Lot},
 	}
 	asked := Asked{
-		Host: question.Host, Target: question.Target, Version: question.Version, Tenant: question.Tenant, Regions: route.OnlyRegions(question.Regions),
+		Host: question.Host, Target: question.Target, Version: question.Version, Tenant: question.Tenant,
+		Regions: route.OnlyRegions(question.Regions),
 	}
 	plan.Regions = func() route.Regions { return s.options.Regions(asked) }
 	for _, position := range question.Spared {
@@ -191,6 +195,7 @@
 	return plan
 }
 
+// span returns a time as messages carry it.
 func span(microseconds uint64) time.Duration { return time.Duration(microseconds) * time.Microsecond }
 
 // requestOf returns the client's request as a question carries it.
