Quarantine: names for what a node leaves to others to write

Cause: wait, endWait, waitAgain and isWaiting did not say what is waited for, and the comment of one ("does so after ...") only made sense under another function. "leave" was both leave for a trial and the keeping of notes of forgotten requests; isAlone meant one thing in a record and another in a trial. room.go is about memory, while "room" elsewhere is that at servers. A note that cannot be read and a node that takes no news were passed over without a reason.

Ruled out: a log line for each note that is passed over: any node could fill the log with it, and the store tells the same.

Change: awaitWriters, endAwait, awaitWritersAgain, isAwaitingWriters, keepLeftover, hasTriedAlone; leftover.go for room.go; comments.

Conclusion: no change of behaviour.

--- a/pkg/quarantine/room.go
+++ b/pkg/quarantine/leftover.go
@@ -16,7 +16,7 @@
 	maxLeftover = 4 * maxRecords
 )
 
-// makeRoom forgets some request, if there are too many: one that is not suspect, unless all
+// makeRoom forgets some request, if maxRecords are remembered: one that is not suspect, unless all
 // are. The mutex is held.
 func (g *Guard) makeRoom(now time.Time) {
 	if len(g.records) < maxRecords {
@@ -29,13 +29,13 @@
 			break
 		}
 	}
-	g.leave(chosen, g.records[chosen])
+	g.keepLeftover(chosen, g.records[chosen])
 	g.drop(chosen)
 }
 
-// leave remembers the notes of a request that is forgotten for want of room: other nodes may need
+// keepLeftover remembers the notes of a request that is forgotten for want of room: other nodes may need
 // them, and if all forget the request, nobody else removes them. The mutex is held.
-func (g *Guard) leave(fingerprint exchange.Fingerprint, known *record) {
+func (g *Guard) keepLeftover(fingerprint exchange.Fingerprint, known *record) {
 	for _, note := range known.written(fingerprint) {
 		for other := range g.leftover {
 			if len(g.leftover) < maxLeftover {
--- a/pkg/quarantine/news.go
+++ b/pkg/quarantine/news.go
@@ -26,12 +26,13 @@
 // stood still in a suspended process meanwhile is known from the store.
 const maxNewsAge = 10 * time.Second
 
-// TellNews sets the function that takes what this node finds out, and reports whether it had room for
-// it; a server that ended is told again otherwise. The function must neither block nor call the Guard, whose mutex is held. TellNews is called before the Guard is used.
+// TellNews sets the function that takes what this node finds out and reports whether it had room
+// for it; a server that ended is told again otherwise. The function must neither block nor call
+// the Guard, whose mutex is held. TellNews is called before the Guard is used.
 func (g *Guard) TellNews(tell func(News) bool) { g.tell = tell }
 
-// Times after which a node writes what it has heard, if the store does not hold it by then. The node
-// that told it has ended, or counts on what it heard itself.
+// Times after which a node writes to the store what it has heard, if the store does not hold it by
+// then: the node that told it has ended, or leaves the writing to another one from which it heard it.
 const (
 	// heardDelay is several times what a note takes to the store and back.
 	heardDelay = 3 * time.Second
@@ -63,51 +64,56 @@
 	known := g.record(fingerprint, now)
 	isNew := known.hear(news, now)
 	if isNew && news.Note.Trial == 0 {
-		g.wait(fingerprint, known)
+		g.awaitWriters(fingerprint, known)
 	}
 	g.changed(fingerprint, before, now)
 	return isNew
 }
 
-// wait gives the nodes that told of ends time to write them. The mutex is held.
-func (g *Guard) wait(fingerprint exchange.Fingerprint, known *record) {
-	if known.isWaiting {
+// awaitWriters gives the nodes that told of ends time to write them. The mutex is held.
+func (g *Guard) awaitWriters(fingerprint exchange.Fingerprint, known *record) {
+	if known.isAwaitingWriters {
 		return
 	}
-	known.isWaiting = true
-	time.AfterFunc(heardDelay+rand.N(heardSpread), func() { g.endWait(fingerprint, known) })
+	known.isAwaitingWriters = true
+	time.AfterFunc(heardDelay+rand.N(heardSpread), func() { g.endAwait(fingerprint, known) })
 }
 
-// endWait writes what was heard and is not in the store. While that is out of reach, other nodes
+// endAwait writes what was heard and is not in the store. While that is out of reach, other nodes
 // cannot write either, and are given the same time again.
-func (g *Guard) endWait(fingerprint exchange.Fingerprint, known *record) {
+func (g *Guard) endAwait(fingerprint exchange.Fingerprint, known *record) {
 	isLost := g.options.LedgerLost()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if g.records[fingerprint] != known {
 		return
 	}
-	known.isWaiting = false
+	known.isAwaitingWriters = false
 	if isLost {
-		g.wait(fingerprint, known)
+		g.awaitWriters(fingerprint, known)
 	} else if known.hasUnwritten() {
 		g.signal()
 	}
 }
 
-// waitAgain does so after a call that did not reach the store. The mutex is not held.
-func (g *Guard) waitAgain(notes []Note) {
+// awaitWritersAgain gives the nodes that told of notes time once more, after this node could not
+// write them itself. The mutex is not held.
+func (g *Guard) awaitWritersAgain(notes []Note) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	for _, note := range notes {
-		if known := g.records[note.Fingerprint]; known != nil && known.ends[note.Server] != nil && known.ends[note.Server].isHeard {
-			g.wait(note.Fingerprint, known)
+		known := g.records[note.Fingerprint]
+		if known == nil {
+			continue
+		}
+		if ended := known.ends[note.Server]; ended != nil && ended.isHeard {
+			g.awaitWriters(note.Fingerprint, known)
 		}
 	}
 }
 
-// mostEndsTold bounds the servers of one request that nodes tell each other of: where a trial may be made
-// depends on which have ended, and a request of many shards ends one of each.
+// mostEndsTold bounds the servers of one request that nodes tell each other of: where a trial may be
+// made depends on which have ended, and a request of many shards ends one of each.
 const mostEndsTold = 64
 
 // tellEnded tells the other nodes of servers that ended under a request. The mutex is held.
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -107,10 +107,12 @@
 	ended map[fleet.Incarnation]time.Time
 	// probed are the servers that are being looked at.
 	probed map[fleet.Incarnation]bool
-	// removals are notes that are to be removed, and disputed those that are so soon.
+	// removals are notes that are to be removed from the store, and disputed those that will be
+	// unless another node removes them first.
 	removals []Note
 	disputed map[Note]bool
-	// leftover are notes of requests that were forgotten for want of room, and when they go.
+	// leftover are notes in the store of requests that were forgotten for want of memory, and
+	// when they are removed.
 	leftover map[Note]time.Time
 	// hints are first broken connections of requests at one of their services.
 	hints map[exchange.Fingerprint]hint
@@ -267,7 +269,7 @@
 	g.mutex.Unlock()
 }
 
-// Sweep forgets what is old.
+// Sweep forgets what is old. It is called every second or so.
 func (g *Guard) Sweep(now time.Time) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -331,6 +333,7 @@
 	}
 }
 
+// signal tells Run that there is work.
 func (g *Guard) signal() {
 	select {
 	case g.work <- struct{}{}:
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -17,10 +17,10 @@
 	trials map[int]bool
 	// nextTrialAt is when a further trial is made after the prompt ones.
 	nextTrialAt time.Time
-	// isAlone says that this node made a trial without the ledger.
-	isAlone bool
-	// isWaiting says that the nodes that told of ends are given time to write them.
-	isWaiting bool
+	// hasTriedAlone says that this node made a trial without the ledger.
+	hasTriedAlone bool
+	// isAwaitingWriters says that the nodes that told of ends are given time to write them.
+	isAwaitingWriters bool
 	// expiresAt is put off by every server that ends.
 	expiresAt time.Time
 }
@@ -33,8 +33,8 @@
 	// isConfirmed says that the server itself ended, isWritten that the store holds it.
 	isConfirmed bool
 	isWritten   bool
-	// isTold says that other nodes were told directly, and isHeard that one of them told it,
-	// which writes it to the store too, unless it has enough others.
+	// isTold says that other nodes know it directly, from this node or another one. isHeard says
+	// that another one told it first, and writes it to the store unless that holds enough ends.
 	isTold  bool
 	isHeard bool
 }
@@ -49,12 +49,14 @@
 func (e *end) isKnownToOthers() bool { return e.isTold }
 
 // isKept reports whether the store holds an end, or another node is given time to see to that.
-func (r *record) isKept(e *end) bool { return e.isWritten || e.isHeard && r.isWaiting }
+func (r *record) isKept(e *end) bool { return e.isWritten || e.isHeard && r.isAwaitingWriters }
 
+// newRecord returns the record of a request of which nothing is known.
 func newRecord(now time.Time) *record {
 	return &record{ends: make(map[fleet.Incarnation]*end), trials: make(map[int]bool), expiresAt: now.Add(lifetime)}
 }
 
+// add takes that a server seems to have ended, or has if that is confirmed.
 func (r *record) add(server fleet.Incarnation, isConfirmed bool, now time.Time) *end {
 	known := r.ends[server]
 	if known == nil {
@@ -79,6 +81,7 @@
 	return true
 }
 
+// learn takes a note that the store holds.
 func (r *record) learn(note Note, now time.Time) {
 	if note.Trial > 0 {
 		r.noteTrial(note.Trial, now)
@@ -103,6 +106,7 @@
 	}
 }
 
+// standing returns what is known of the request.
 func (r *record) standing(now time.Time) Standing {
 	confirmed := r.count((*end).hasEnded)
 	switch {
@@ -150,6 +154,7 @@
 	return count
 }
 
+// isEmpty reports whether nothing is known of the request.
 func (r *record) isEmpty() bool { return len(r.ends) == 0 && len(r.trials) == 0 }
 
 // servers returns the servers that ended, in their order.
@@ -178,6 +183,7 @@
 	return notes
 }
 
+// hasUnwritten reports whether the store lacks a server that it needs to know.
 func (r *record) hasUnwritten() bool { return len(r.unwritten(exchange.Fingerprint{})) > 0 }
 
 // holds reports whether a note is among those that the store holds.
--- a/pkg/quarantine/teller.go
+++ b/pkg/quarantine/teller.go
@@ -99,17 +99,19 @@
 	return true
 }
 
-// pass keeps what another node told until Run tells it on, where that node could not tell all.
+// pass keeps what another node told until Run passes it on, where that node could not tell all.
 func (t *Teller) pass(news []News) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if len(t.others) <= mostTold || len(news) == 0 {
 		return
 	}
+	// What finds no room the others learn from the store.
 	t.passed = append(t.passed, news[:min(len(news), maxWaiting-len(t.passed))]...)
 	t.signal()
 }
 
+// signal tells Run that news waits.
 func (t *Teller) signal() {
 	select {
 	case t.wake <- struct{}{}:
@@ -169,6 +171,7 @@
 		defer func() { <-t.slots }()
 		limited, cancel := context.WithTimeout(ctx, newsTimeout)
 		defer cancel()
+		// Nodes that do not take it learn from the store.
 		peer.Spread(limited, t.transport, addresses, kindNews, message, func() proto.Message { return &quarantinepb.Taken{} })
 	})
 }
@@ -184,7 +187,7 @@
 	return drawn
 }
 
-// take hears what another node tells, and tells on what is new here.
+// take hears what another node tells, and passes on what is new here.
 func (t *Teller) take(_ context.Context, _ target.NodeID, body []byte) (proto.Message, error) {
 	message := &quarantinepb.News{}
 	if err := message.UnmarshalVT(body); err != nil {
@@ -193,8 +196,9 @@
 	now := time.Now()
 	var fresh []News
 	for _, each := range message.Notes[:min(len(message.Notes), maxNews)] {
-		news, isWhole := decodeNews(each, now)
-		if isWhole && t.guard.Hear(news, now) {
+		// A note that makes no sense here is passed over: a node of another version may tell more.
+		news, isSound := decodeNews(each, now)
+		if isSound && t.guard.Hear(news, now) {
 			fresh = append(fresh, news)
 		}
 	}
@@ -203,6 +207,8 @@
 	return &quarantinepb.Taken{}, nil
 }
 
+// encodeNews returns the message of some news, with ages in the place of moments: clocks of nodes
+// differ.
 func encodeNews(news []News, now time.Time) *quarantinepb.News {
 	message := &quarantinepb.News{}
 	for _, each := range news {
--- a/pkg/quarantine/trial.go
+++ b/pkg/quarantine/trial.go
@@ -11,7 +11,7 @@
 type Trial struct {
 	guard *Guard
 	note  Note
-	// isAlone says that it was made without the ledger, which does not hold its note.
+	// isAlone says that it was claimed without the ledger, which does not hold its note.
 	isAlone bool
 }
 
@@ -56,12 +56,12 @@
 	defer g.mutex.Unlock()
 	known := g.records[fingerprint]
 	now := time.Now()
-	if known == nil || known.isAlone || !known.mayTry(now) {
+	if known == nil || known.hasTriedAlone || !known.mayTry(now) {
 		return nil
 	}
 	before := known.standing(now)
 	note := Note{Fingerprint: fingerprint, Trial: known.nextTrial()}
-	known.isAlone = true
+	known.hasTriedAlone = true
 	known.noteTrial(note.Trial, now)
 	g.tellOther(News{Note: note, At: now})
 	g.changed(fingerprint, before, now)
@@ -101,7 +101,7 @@
 		now := time.Now()
 		before := known.standing(now)
 		delete(known.trials, t.note.Trial)
-		known.isAlone = known.isAlone && !t.isAlone
+		known.hasTriedAlone = known.hasTriedAlone && !t.isAlone
 		g.tellOther(News{Note: t.note, IsGone: true, At: now})
 		g.changed(t.note.Fingerprint, before, now)
 	}
--- a/pkg/quarantine/write.go
+++ b/pkg/quarantine/write.go
@@ -26,7 +26,8 @@
 	disputeSpread = time.Second
 )
 
-// Run writes notes to the ledger until ctx ends.
+// Run finds out whether servers ended that seem to have, tells the other nodes of those that did, and
+// writes notes to the ledger, until ctx ends.
 func (g *Guard) Run(ctx context.Context) error {
 	failures := 0
 	for ctx.Err() == nil {
@@ -56,8 +57,8 @@
 	return nil
 }
 
-// isUrgent reports whether a suspect request is to be told: the other nodes send it to all its
-// shards until they know.
+// isUrgent reports whether a suspect request has notes to write, which are not kept back for
+// noteDelay: the other nodes send it to all its shards until they know.
 func (g *Guard) isUrgent() bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -87,7 +88,7 @@
 	}
 	if err := g.options.Ledger.AddNotes(limited, additions); err != nil {
 		g.options.Events.LedgerFailed("add notes", err)
-		g.waitAgain(additions)
+		g.awaitWritersAgain(additions)
 		return err
 	}
 	g.noteWritten(additions)
@@ -115,6 +116,7 @@
 	return all[:min(len(all), maxNotes)]
 }
 
+// noteWritten takes that the store holds notes.
 func (g *Guard) noteWritten(notes []Note) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -148,6 +150,7 @@
 	})
 }
 
+// takeRemovals takes as many notes that are to be removed as one call may hold.
 func (g *Guard) takeRemovals() []Note {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -160,6 +163,7 @@
 	return taken
 }
 
+// returnRemovals puts back notes that could not be removed.
 func (g *Guard) returnRemovals(notes []Note) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
