Rhythm: constants for what stood as bare numbers

Cause: two bare factors (2 in judge, a half in mayLook) had no reason, the last moment of a look stood in two functions, and how a period is taken from two intervals had to be worked out from the code.

Ruled out: a test of each constant alone; the models of the package play them all.

Change: togetherFactor, lookBefore, lookSpan; comments.

Conclusion: no change of behaviour.

--- a/pkg/rhythm/periods.go
+++ b/pkg/rhythm/periods.go
@@ -6,7 +6,8 @@
 const (
 	// intervalCount is how many intervals between pauses are kept to compare others with.
 	intervalCount = 16
-	// greatestTimes is how many periods an interval may have: some pauses meet no request.
+	// greatestTimes is how many periods the longer of two intervals may have: a pause that meets
+	// no request is not seen.
 	greatestTimes = 2
 	// periodMemory is for how many periods one is used for further servers after it was
 	// last seen.
@@ -71,7 +72,7 @@
 }
 
 // common returns the period that two intervals share, if the longer is a small multiple of
-// the shorter.
+// the shorter: the mean of the shorter and of the period by which the longer is that multiple.
 func common(one, other time.Duration) (time.Duration, bool) {
 	shorter, longer := min(one, other), max(one, other)
 	if shorter < leastPeriod {
@@ -81,8 +82,8 @@
 	return shorter + rest/time.Duration(2*max(times, 1)), ok && times <= greatestTimes
 }
 
-// multiple returns how many periods an interval has and what is over, which may be below
-// zero. It is none if the rest is more than the tolerance.
+// multiple returns how many periods an interval has and the rest, which may be below zero. It
+// reports false if that is none, or if the rest is more than the tolerance.
 func multiple(elapsed, period time.Duration) (int, time.Duration, bool) {
 	times := int((elapsed + period/2) / period)
 	rest := elapsed - time.Duration(times)*period
--- a/pkg/rhythm/server.go
+++ b/pkg/rhythm/server.go
@@ -38,10 +38,15 @@
 	// lookEvery tells in which of the foreseen pauses since the last one that was seen a request
 	// is sent all the same, to see whether the server still pauses: in every second one.
 	lookEvery = 2
-	// That request is sent once one lookAfter-th of the foreseen pause is over. An answer shows
-	// that there is no pause if it comes neither in the first nor in the last answersAfter-th.
+	// That request is sent once one lookAfter-th of the foreseen pause is over, and while at least
+	// one lookBefore-th is left: its answer then shows the end of the pause. An answer shows that
+	// there is no pause if it comes neither in the first nor in the last answersAfter-th.
 	lookAfter    = 4
+	lookBefore   = 2
 	answersAfter = 4
+	// togetherFactor times the span in which the requests of a silence were answered is less than
+	// that in which they were sent, if a pause has held them back.
+	togetherFactor = 2
 )
 
 // Server is what the answers of one process of a server have shown. The zero value
@@ -97,7 +102,9 @@
 	}
 	foreseen, end := s.foreseenAround(now, shared)
 	if now.Sub(from) >= s.leastSilence(usual, foreseen) {
-		s.silence = silence{notBefore: previous, from: from, firstAnswered: now, lastAnswered: now, firstSent: sent, lastSent: sent}
+		s.silence = silence{
+			notBefore: previous, from: from, firstAnswered: now, lastAnswered: now, firstSent: sent, lastSent: sent,
+		}
 		if foreseen {
 			s.silence.isCounted = true
 			s.see(now, now.Sub(from), shared)
@@ -109,8 +116,8 @@
 	}
 }
 
-// leastSilence returns the shortest silence that counts. One at a foreseen moment is met
-// by the one request that was sent to see it, which is sent when it has begun.
+// leastSilence returns the shortest silence that counts. At a foreseen moment half of that is
+// enough: it is met by the one request that was sent to see it, when a part of it was over.
 func (s *Server) leastSilence(usual time.Duration, foreseen bool) time.Duration {
 	least := max(leastPause, leastUsualTimes*usual)
 	if foreseen {
@@ -146,7 +153,7 @@
 // server answers in the order and at the pace in which it was asked.
 func (s *Server) judge(shared *Periods) {
 	last := &s.silence
-	if last.isCounted || last.lastSent.Sub(last.firstSent) <= 2*last.lastAnswered.Sub(last.firstAnswered) {
+	if last.isCounted || last.lastSent.Sub(last.firstSent) <= togetherFactor*last.lastAnswered.Sub(last.firstAnswered) {
 		return
 	}
 	last.isCounted = true
@@ -173,6 +180,7 @@
 	_, _, isHalfway := multiple(2*elapsed, period)
 	switch {
 	case isForeseen:
+		// Half of the error is taken for one of the period: a single pause may be late by itself.
 		s.period = period + rest/time.Duration(2*times)
 		s.isDoubted = times > 1
 		s.take(until, length, shared)
@@ -259,7 +267,7 @@
 // pauses as foreseen.
 func (s *Server) Sent(now time.Time, shared *Periods) {
 	end, unseen := s.nextEnd(now, shared)
-	if unseen > 0 && end.Sub(now) <= s.length*(lookAfter-1)/lookAfter {
+	if unseen > 0 && end.Sub(now) <= s.lookSpan() {
 		s.lookedAt = end
 	}
 }
@@ -271,9 +279,13 @@
 		return false
 	}
 	left := end.Sub(now)
-	return left <= s.length*(lookAfter-1)/lookAfter && left >= s.length/2
+	return left <= s.lookSpan() && left >= s.length/lookBefore
 }
 
+// lookSpan is how long before the end of a foreseen pause a request may first be sent to see
+// whether the server pauses.
+func (s *Server) lookSpan() time.Duration { return s.length * (lookAfter - 1) / lookAfter }
+
 // nextEnd returns when the next foreseen pause ends and how many periods after the last
 // pause that was seen; the number is zero if none is foreseen.
 func (s *Server) nextEnd(now time.Time, shared *Periods) (time.Time, int) {
