Load shedding: the estimate of the capacity apart from the shares

Cause: limit had two jobs, the estimate and the shares. The count "calm" was a metaphor and its comment told less than the code: it is not the judgements without a queue but those that also found the capacity in use. "No more is let in" meant that the shares do not grow, "bounds how fast it falls" was a part that is left, and a constant of the lots had no origin.

Ruled out: the removal of Meters.Of, which only tests call: a test of pkg/fanout tells by it that a service is not measured at all, and Measured would say the same of one that has just begun to be.

Change: estimate and limit; withoutQueue; comments.

Conclusion: no change of behaviour.

--- a/pkg/loadshed/board.go
+++ b/pkg/loadshed/board.go
@@ -13,7 +13,8 @@
 
 // Board holds what this node was told of the room at services.
 type Board struct {
-	// limited counts the services with shares, so that nothing is locked without overload.
+	// limited counts the services that are short of room, so that nothing is locked without
+	// overload.
 	limited atomic.Int64
 
 	mutex sync.RWMutex
@@ -72,7 +73,7 @@
 	b.countLimited()
 }
 
-// countLimited counts the services with shares. The mutex is held.
+// countLimited counts the services that are short of room. The mutex is held.
 func (b *Board) countLimited() {
 	count := int64(0)
 	for _, known := range b.told {
@@ -134,7 +135,8 @@
 	return decision
 }
 
-// maxSpareable bounds the services that a request leaves to others.
+// maxSpareable bounds the services that a request leaves to others, so that the scarcest fit in
+// an array of Admit.
 const maxSpareable = 63
 
 // scarce is a service of which only a part of the requests is let in.
--- a/pkg/loadshed/lots.go
+++ b/pkg/loadshed/lots.go
@@ -71,7 +71,8 @@
 	return slots
 }
 
-// mix spreads a hash and the number of a span over all lots (the finalizer of MurmurHash3).
+// mix spreads a hash and the number of a span over all lots: the finalizer of MurmurHash3, after
+// the number times 2^64 over the golden ratio, by which numbers that follow each other differ much.
 func mix(hash, span uint64) uint64 {
 	hash ^= span * 0x9e3779b97f4a7c15
 	hash ^= hash >> 33
--- a/pkg/loadshed/meter.go
+++ b/pkg/loadshed/meter.go
@@ -28,7 +28,7 @@
 	// tolerableWait is the part of the time to a request's target that it may wait for a
 	// server: the rest is for the server's work and for a second try.
 	tolerableWait = 0.25
-	// noticeableWait is the part of it from which on no more is let in: the servers are full.
+	// noticeableWait is the part of it from which on the shares do not grow: the servers are full.
 	noticeableWait = 0.05
 	// leastWaiting is how many requests make a queue: at low rates as many wait while one of a
 	// service's servers stands still or is found to be lost.
@@ -45,8 +45,8 @@
 	// behindPart of what the servers do is let in while the queue is too long, so that it is
 	// served.
 	behindPart = 0.8
-	// greatestFall bounds how fast the estimated capacity falls in one judgement: answers that
-	// a lost server still owes come from the others a little later.
+	// greatestFall is the part of the estimated capacity that one judgement leaves at least:
+	// answers that a lost server still owes come from the others a little later.
 	greatestFall = 0.9
 	// usedPart of the estimated capacity is let in before it grows: otherwise other services
 	// hold the requests back, and nothing is found out.
@@ -91,8 +91,9 @@
 	meanWork float64
 	judgedAt time.Time
 	// behind counts judgements in a row that found too long a queue, outgrown those of them
-	// that found it growing although servers work, calm those that did not find one.
-	behind, outgrown, calm int
+	// that found it growing although servers work. withoutQueue counts those since the last
+	// queue that found the estimated capacity in use.
+	behind, outgrown, withoutQueue int
 	// isLimited says that only a part is let in; capacity is what the servers are taken to
 	// bear then, and asked what is asked of them, in work a second.
 	isLimited       bool
@@ -179,18 +180,18 @@
 	m.queued = queued
 	switch {
 	case backlog.Waiting >= leastWaiting && m.waitsFor(queued, tolerableWait*backlog.Target.Seconds()):
-		m.behind, m.calm = m.behind+1, 0
+		m.behind, m.withoutQueue = m.behind+1, 0
 		if isWorking && isGrowing {
 			m.outgrown++
 		}
 	case m.waitsFor(queued, noticeableWait*backlog.Target.Seconds()):
-		m.behind, m.outgrown, m.calm = 0, 0, 0
+		m.behind, m.outgrown, m.withoutQueue = 0, 0, 0
 	case m.isUsed():
-		m.behind, m.outgrown, m.calm = 0, 0, m.calm+1
+		m.behind, m.outgrown, m.withoutQueue = 0, 0, m.withoutQueue+1
 	default:
 		m.behind, m.outgrown = 0, 0
 	}
-	m.limit(elapsed)
+	m.limit(m.estimate(elapsed))
 }
 
 // hasMeasured reports whether the meter can tell if there is room: it has found a shortage, or
@@ -228,10 +229,10 @@
 
 // growth returns by how much more is let in after a judgement without a queue.
 func (m *Meter) growth() float64 {
-	if m.calm > 1 && m.isStarved() {
+	if m.withoutQueue > 1 && m.isStarved() {
 		return greatestGrowth
 	}
-	return min(greatestGrowth, max(probeGrowth, growthStep*float64(m.calm-probeTicks)))
+	return min(greatestGrowth, max(probeGrowth, growthStep*float64(m.withoutQueue-probeTicks)))
 }
 
 // isStarved reports whether so little is let in that servers have mostly come back from an outage
@@ -247,9 +248,9 @@
 	return max(m.servedRate, leastShare*m.asked)
 }
 
-// limit estimates the capacity from the queue, and sets the shares by it.
-func (m *Meter) limit(elapsed float64) {
-	allowed := m.capacity
+// estimate estimates the capacity from the queue, and returns the work a second that is to be
+// let in by it.
+func (m *Meter) estimate(elapsed float64) float64 {
 	switch {
 	case m.outgrown >= leastOutgrown || m.behind >= leastBehind || m.isLimited && m.behind > 0:
 		if m.isLimited {
@@ -258,15 +259,18 @@
 			// The average is behind a load that has just begun.
 			m.isLimited, m.capacity = true, max(m.servedRate, m.servedLast/elapsed)
 		}
-		allowed = behindPart * m.capacity
-	case m.isLimited && m.queued > 0 && m.calm == 0:
+		return behindPart * m.capacity
+	case m.isLimited && m.queued > 0 && m.withoutQueue == 0:
 		// With a queue the servers are busy, so what they do is all that they can do.
 		m.capacity = min(m.capacity, max(m.servedRate, greatestFall*m.capacity))
-		allowed = m.capacity
-	case m.isLimited && m.calm > 0 && m.isUsed():
+	case m.isLimited && m.withoutQueue > 0 && m.isUsed():
 		m.capacity = max(m.capacity, m.leastCapacity()) * (1 + m.growth()*elapsed/tickSpan.Seconds())
-		allowed = m.capacity
 	}
+	return m.capacity
+}
+
+// limit sets the shares by the work a second that is to be let in, while there is a shortage.
+func (m *Meter) limit(allowed float64) {
 	if !m.isLimited {
 		return
 	}
