Fleet: no method for tests alone

Cause: only tests called CanServe; the code asks CountServable.

Change: CanServe is gone, tests expect 1 and 0 of CountServable where they expected true and false; order; comment.

Conclusion: no change of behaviour.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -337,7 +337,7 @@
 		fleet: servers, figures: newFigures(), logger: NewLogger("test", writerFunc(func(line []byte) { lines <- string(line) })),
 		evacuateWithin: func() time.Duration { return time.Hour },
 	}
-	mayServe := func() bool { return servers.CanServe("s", route.Regions{}, time.Now()) }
+	mayServe := func() bool { return servers.CountServable([]string{"s"}, route.Regions{}, time.Now()) == 1 }
 	tested.Changed(directory.Entry{Key: "k", Revision: 1, EvacuatedZone: "z"})
 	g.Expect(mayServe()).To(BeFalse(), "found at the start, nobody knows how long ago it was told")
 	tested.Changed(directory.Entry{Key: "k", Revision: 2, EvacuatedZone: "z", Gone: true})
--- a/pkg/fleet/evacuation_test.go
+++ b/pkg/fleet/evacuation_test.go
@@ -57,9 +57,9 @@
 	for _, zone := range []string{"near", "far", "farther"} {
 		tested.Evacuate(zone, evacuateWithin, now)
 	}
-	g.Expect(tested.CanServe("s", route.Regions{}, now.Add(evacuateWithin/2))).To(BeTrue())
+	g.Expect(tested.CountServable([]string{"s"}, route.Regions{}, now.Add(evacuateWithin/2))).To(Equal(1))
 	now = now.Add(evacuateWithin)
-	g.Expect(tested.CanServe("s", route.Regions{}, now)).To(BeFalse())
+	g.Expect(tested.CountServable([]string{"s"}, route.Regions{}, now)).To(BeZero())
 	_, availability := tested.Acquire(choice, now)
 	g.Expect(availability).To(Equal(fleet.Absent))
 }
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -220,6 +220,13 @@
 	f.boundIdle()
 }
 
+// SetLeaveWithin takes for how long a leaving server may be asked if its service has no other.
+func (f *Fleet) SetLeaveWithin(span time.Duration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.leaveWithin = span
+}
+
 // Callers counts the nodes that share the servers, this node among them.
 type Callers struct {
 	Total  int
@@ -228,13 +235,6 @@
 	Names []string
 }
 
-// SetLeaveWithin takes for how long a leaving server may be the last resort.
-func (f *Fleet) SetLeaveWithin(span time.Duration) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.leaveWithin = span
-}
-
 // SetCallers takes the nodes that share the servers; the caller does not change
 // the map afterwards.
 func (f *Fleet) SetCallers(callers Callers) {
--- a/pkg/fleet/places.go
+++ b/pkg/fleet/places.go
@@ -43,14 +43,8 @@
 	return true
 }
 
-// CanServe reports whether a server of a service may be asked in the regions. While no
-// server of it is known it may: those that start are listed soon.
-func (f *Fleet) CanServe(service string, regions route.Regions, now time.Time) bool {
-	return f.CountServable([]string{service}, regions, now) == 1
-}
-
 // CountServable returns how many of the services have a server that may be asked in the
-// regions, as CanServe tells.
+// regions. A service of which no server is known counts: those that start are listed soon.
 func (f *Fleet) CountServable(services []string, regions route.Regions, now time.Time) int {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -63,7 +57,7 @@
 	return count
 }
 
-// isServable is CanServe. The mutex is held.
+// isServable reports whether a service counts for CountServable. The mutex is held.
 func (f *Fleet) isServable(service string, regions route.Regions, now time.Time) bool {
 	isKnown := false
 	for _, each := range f.services[service] {
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -76,8 +76,8 @@
 	// firstTurnedAwayRetry and greatestTurnedAwayRetry bound the mean time after
 	// which this node opens a connection again to a server that turned one away;
 	// each one in a row doubles it. A server spends its time on connections that
-	// it turns away: 70,000 of them kept 70 nodes from serving for six seconds
-	// after a loss of power.
+	// it turns away: where all nodes open them at once, as after a loss of power, it
+	// serves none for seconds.
 	firstTurnedAwayRetry    = 50 * time.Millisecond
 	greatestTurnedAwayRetry = 1600 * time.Millisecond
 	// narrowSpan is for how long a server that turned a connection away gets
