Fanout: what a failed attempt has shown, and words for spared services

Cause: noteFailure had errors, refusals and failures in one function and asked twice whether an error means that nothing ran; refusedBecause asked twice whether the run is for another node. "Left to those that need them" and "left to others" stood for one thing that the code calls spared. Comments said "is when" of spans, and nothing on newRun, choice, classify, takeReport and the status 421.

Conclusion: no change of behaviour.

--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -17,9 +17,9 @@
 // tries of a client.
 func (r *run) contentHash() uint64 {
 	var hash xxhash.Digest
-	hash.Reset()
+	hash.Reset() // A zero Digest is not ready.
 	for _, text := range []string{r.plan.Tenant, r.request.Method, r.request.Host, r.request.Target} {
-		// A Digest takes everything.
+		// The writes to a Digest never fail.
 		_, _ = hash.WriteString(text)
 		_, _ = hash.Write([]byte{0})
 	}
@@ -43,10 +43,10 @@
 	return r.runner.Room != nil && (r.admission.Share < 1 || r.admit(now).Share < 1)
 }
 
-// scarceHedgePart is the part of the time to its target for which a sub-request to a service that
-// is short of room is waited for before another server is asked: a working server that is full
-// takes up to that (pkg/fleet keeps less there), and what is asked twice takes the place of a
-// request that is refused.
+// scarceHedgePart is the part of the time to the target after which, at the earliest, a sub-request
+// to a service that is short of room is hedged. A working server that is full answers within that,
+// since pkg/fleet keeps fewer requests at it, and each hedge takes the place of a request that is
+// refused.
 const scarceHedgePart = 0.5
 
 // isScarce reports whether the service of a part has room for only a part of the requests like
@@ -61,7 +61,7 @@
 }
 
 // spareOthers marks the services that have no room for the request and without which it can be
-// answered: they are left to requests that need them.
+// answered as spared: they are left to requests that need them.
 func (r *run) spareOthers() {
 	spared := r.admission.Spared
 	if r.plan.Collect != nil {
@@ -75,7 +75,7 @@
 	}
 }
 
-// sparedOf returns which of the positions in a group are left to those that need them.
+// sparedOf returns the positions in a group whose services are spared.
 func (r *run) sparedOf(group []int) []int {
 	var spared []int
 	for position, index := range group {
@@ -86,8 +86,7 @@
 	return spared
 }
 
-// hasAllButSpared reports whether all parts are answered that the request does not leave to
-// others.
+// hasAllButSpared reports whether some parts are spared and all others are answered.
 func (r *run) hasAllButSpared() bool {
 	if r.spared == 0 || r.got < len(r.parts)-r.spared {
 		return false
@@ -100,10 +99,9 @@
 	return true
 }
 
-// takeBackSpared asks the services that were left to others after all, once the request cannot
-// be answered without them any more. An owner that is still answering has a server at work or
-// waits for one: it keeps the part, and is given the time of a report before this node asks a
-// further server.
+// takeBackSpared asks the spared services after all, once the request cannot be answered without
+// them any more. An owner that is still answering has a server at work or waits for one: it keeps
+// the part, and is given the time of a report before this node asks a further server.
 func (r *run) takeBackSpared() {
 	if r.spared == 0 || r.plan.Collect != nil || r.got+r.open-r.missingSpared() >= r.plan.Required {
 		return
@@ -125,8 +123,8 @@
 	}
 }
 
-// askBeside asks the servers of a part itself that its owner was given time for. What the owner
-// reports later is still taken.
+// askBeside lets this node ask the servers of a part whose owner has not answered within the time
+// that it was given. What the owner reports later is still taken.
 func (r *run) askBeside(index int, now time.Time) {
 	part := &r.parts[index]
 	if part.executions >= r.plan.MaxAttempts {
@@ -136,7 +134,7 @@
 	r.retry(index, now)
 }
 
-// missingSpared counts the open parts without an answer that are left to others.
+// missingSpared counts the open parts without an answer that are spared.
 func (r *run) missingSpared() int {
 	count := 0
 	for index := range r.parts {
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -77,7 +77,7 @@
 	Granted <-chan []int
 	// Lot is the request's lot at the other node; zero to draw one from its id.
 	Lot uint64
-	// Spared are the positions of services that are left to those that need them.
+	// Spared are the positions of services that are left to requests that need them.
 	Spared []int
 	// AdmittedShares are, for each service, the part of the requests like this one that the
 	// other node took it to have room for; nil for all.
@@ -155,7 +155,7 @@
 	// EndedServers are those that ended while they had the request, if it is kept from
 	// others.
 	EndedServers []fleet.Incarnation
-	// Admission is by what the request was let in or not.
+	// Admission is the decision by which the request was let in or not.
 	Admission loadshed.Decision
 	// NoRoom says of each part whether a server refused it for want of room, or none
 	// was free.
@@ -206,12 +206,10 @@
 	Lots   *loadshed.Lots
 }
 
-// NewRoom returns what a node knows that is told nothing by others.
+// NewRoom returns what a node knows that has measured nothing and was told nothing.
 func NewRoom(queues loadshed.Queues) *Room {
 	board := loadshed.NewBoard()
-	return &Room{
-		Board: board, Meters: loadshed.NewMeters(queues, board), Lots: &loadshed.Lots{},
-	}
+	return &Room{Board: board, Meters: loadshed.NewMeters(queues, board), Lots: &loadshed.Lots{}}
 }
 
 // Sweep forgets what is old. It is called every second or so.
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -13,6 +13,8 @@
 	"github.com/bramblemast/bramblemast/pkg/policy"
 )
 
+// statusMisdirected is the status of a server that is not the one the request was meant for: another
+// process has taken its address.
 const statusMisdirected = http.StatusMisdirectedRequest
 
 // launchFirst asks the first server of a part.
@@ -159,13 +161,15 @@
 	return false
 }
 
+// choice tells the fleet what a server of a part is wanted for.
 func (r *run) choice(part *part) fleet.Choice {
 	var excluded []*fleet.Lease
 	for _, each := range part.asked {
 		excluded = append(excluded, each.lease)
 	}
 	return fleet.Choice{
-		Service: part.service, Kind: r.plan.Kind, Assumed: r.plan.Assumed, Target: r.targetSpan(), Span: r.plan.Deadline.Sub(r.began),
+		Service: part.service, Kind: r.plan.Kind, Assumed: r.plan.Assumed,
+		Target: r.targetSpan(), Span: r.plan.Deadline.Sub(r.began),
 		Rank: r.rank(part), Excluded: excluded, Owned: part.owned, Regions: r.regions(),
 	}
 }
@@ -173,7 +177,8 @@
 // rank orders the sub-requests of a part among those of other requests.
 func (r *run) rank(part *part) fleet.Rank {
 	return fleet.Rank{
-		Needed: r.isNeeded(part), Target: r.plan.Target, Lot: loadshed.WaitOrder(r.lot, r.plan.Priority), Deadline: r.plan.Deadline,
+		Needed: r.isNeeded(part), Target: r.plan.Target, Deadline: r.plan.Deadline,
+		Lot: loadshed.WaitOrder(r.lot, r.plan.Priority),
 	}
 }
 
@@ -268,6 +273,7 @@
 	}
 }
 
+// classify returns what an attempt has shown of its server.
 func (r *Runner) classify(started *attempt, answer *exchange.Response, err error) fleet.Result {
 	switch {
 	case started.Withdrawn:
--- a/pkg/fanout/owners.go
+++ b/pkg/fanout/owners.go
@@ -41,8 +41,8 @@
 	Lot uint64
 	// Spared are the positions of services that are left to those that need them.
 	Spared []int
-	// AdmittedShares are, for each service, the part of the requests like this one that it has
-	// room for; nil for all.
+	// AdmittedShares are, for each service, the part of the requests like this one that the
+	// asking node takes the service to have room for; nil for all.
 	AdmittedShares []float64
 	// ReportWithin is the time after which the owner reports what it has.
 	ReportWithin time.Duration
@@ -102,7 +102,7 @@
 
 // Constants of questions to owners.
 const (
-	// reportShare of the time that is left to the target is when an owner reports
+	// reportShare is the part of the time left to the target after which an owner reports
 	// what it has: early enough for the asking node to ask the servers itself.
 	reportShare = 0.3
 	// leastReport and greatestReport bound it: an owner needs some milliseconds of
@@ -166,8 +166,8 @@
 	}
 }
 
-// divide finds the owners of the plan's services. Only a request that is sent on to them divides:
-// an owner that has just returned gets one at a time, and waits for what came of it.
+// divide finds the owners of the plan's services. It is called only for a request that is sent on to
+// them: an owner that has just returned is named to one request at a time, and proves itself by it.
 func (r *run) divide() {
 	if r.plan.Collect == nil && r.runner.Owners != nil && r.plan.Repeatable {
 		r.groups = r.runner.Owners.Divide(r.plan.Services, r.regions())
@@ -189,7 +189,8 @@
 	required := (r.plan.Required*len(services) + len(r.parts) - 1) / len(r.parts)
 	asked.pending = r.runner.Owners.Ask(Question{
 		Owner: group.Owner, Services: services, Plan: &r.plan, Required: required, Request: r.request,
-		ReportWithin: asked.within, Lot: r.lot, Spared: r.sparedOf(group.Indexes), AdmittedShares: r.admittedShares(services, now),
+		ReportWithin: asked.within, Lot: r.lot, Spared: r.sparedOf(group.Indexes),
+		AdmittedShares: r.admittedShares(services, now),
 	}, func(report Report) { r.inbox.put(asked, report) })
 }
 
@@ -212,6 +213,8 @@
 	}
 }
 
+// takeReport takes what one owner has got, and decides what becomes of the parts that it did not
+// get once nothing more comes.
 func (r *run) takeReport(from *question, report Report, now time.Time) {
 	if !from.silentAt.IsZero() {
 		from.silentAt = now.Add(from.patience())
--- a/pkg/fanout/result.go
+++ b/pkg/fanout/result.go
@@ -10,30 +10,10 @@
 	"github.com/bramblemast/bramblemast/pkg/quarantine"
 )
 
-// noteFailure updates what is known of the execution.
+// noteFailure updates what is known of the execution after an attempt without a sound answer.
 func (r *run) noteFailure(part *part, result finished) {
 	if result.err != nil {
-		part.failure = result.err
-		if outcome.Of(result.err) == outcome.NotRun {
-			r.returnTrial(result.attempt)
-		}
-		part.shed = part.shed || result.attempt.TurnedAway
-		if r.plan.Repeatable && result.attempt.TurnedAway {
-			part.executions--
-			part.refusals++
-			part.markNotRun(result.attempt.lease)
-			if !result.attempt.Arrived {
-				part.arrivals--
-			}
-			return
-		}
-		if outcome.Of(result.err) == outcome.NotRun {
-			part.executions--
-			if !result.attempt.Arrived {
-				part.arrivals--
-				part.markNotRun(result.attempt.lease)
-			}
-		}
+		r.noteError(part, result.attempt, result.err)
 		return
 	}
 	part.refusal = result.answer
@@ -48,6 +28,32 @@
 	part.ran = true
 }
 
+// noteError updates what is known of the execution after an attempt without an answer.
+func (r *run) noteError(part *part, ended *attempt, err error) {
+	isNotRun := outcome.Of(err) == outcome.NotRun
+	part.failure = err
+	part.shed = part.shed || ended.TurnedAway
+	if isNotRun {
+		r.returnTrial(ended)
+	}
+	switch {
+	case r.plan.Repeatable && ended.TurnedAway:
+		part.executions--
+		part.refusals++
+		part.markNotRun(ended.lease)
+		if !ended.Arrived {
+			part.arrivals--
+		}
+	case isNotRun:
+		part.executions--
+		if !ended.Arrived {
+			part.arrivals--
+			part.markNotRun(ended.lease)
+		}
+	}
+}
+
+// refused reports whether a server answered without running the request.
 func (r *run) refused(answer *exchange.Response) bool {
 	return answer.Header.Get(r.runner.Dialect.NotRun) != "" || answer.Status == statusMisdirected
 }
@@ -81,6 +87,7 @@
 	return records
 }
 
+// recordOf is the story of one attempt, as far as it has come.
 func (r *run) recordOf(part *part, sent *attempt, now time.Time) AttemptRecord {
 	ended, result := sent.endedAt, sent.result
 	if ended.IsZero() {
@@ -124,25 +131,19 @@
 }
 
 // refusedBecause returns why a request is not begun at all; empty if it is. A question of
-// another node was let in there.
+// another node was let in there, which also makes the trials of a suspect request.
 func (r *run) refusedBecause() StopReason {
-	standing := r.standing()
-	if standing == quarantine.Quarantined {
-		return StopQuarantined
-	}
-	if r.plan.Collect != nil && standing == quarantine.Suspect {
+	standing, isForOther := r.standing(), r.plan.Collect != nil
+	switch {
+	case standing == quarantine.Quarantined || isForOther && standing == quarantine.Suspect:
 		return StopQuarantined
-	}
-	if r.plan.Collect != nil {
+	case isForOther:
 		return ""
-	}
-	if r.lacksShutShards() {
+	case r.lacksShutShards():
 		return StopQuarantined
-	}
-	if !r.isServable() {
+	case !r.isServable():
 		return StopUnservable
-	}
-	if !r.isLetIn() {
+	case !r.isLetIn():
 		return StopNotOffered
 	}
 	return ""
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -16,19 +16,19 @@
 
 // Times of the event loop.
 const (
-	// recheck is when a part for which no server could be asked is tried again: a
+	// recheck is after which time a part for which no server could be asked is tried again: a
 	// tenth of the shortest target that is set for gathered requests (120 ms), so that a part
 	// whose rank has changed meanwhile loses little. Waiters are woken without it.
 	recheck = 12 * time.Millisecond
-	// deniedRecheck is when a hedge or a retry is tried again that the budget
-	// denied: a third of that target. At 3 requests a second and node the budget
-	// of a service changes less often than that.
+	// deniedRecheck is after which time a hedge or a retry that the budget denied is tried
+	// again: a third of that target. At 3 requests a second and node the budget of a service
+	// changes less often than that.
 	deniedRecheck = 40 * time.Millisecond
 	// freeRefusals is how many refusals of servers a part may meet at once: with
 	// three servers a shard, each of them is then asked once.
 	freeRefusals = 2
-	// refusedRecheck is when it is tried again after that: about the time that a
-	// full server (3 to 5 slots, 20 to 28 ms a request) needs to empty its slots twice.
+	// refusedRecheck is after which time it is tried again after that: about what a full
+	// server (3 to 5 slots, 20 to 28 ms a request) needs to empty its slots twice.
 	refusedRecheck = 60 * time.Millisecond
 )
 
@@ -69,20 +69,21 @@
 	// the rule is to be asked again; zero for never.
 	coveredAt time.Time
 	recheckAt time.Time
-	// groups are the services with an owner, and admission by what the request was let in.
-	// isKeptFromOwners says that none was looked for, since the request is kept back.
+	// groups are the services with an owner. isKeptFromOwners says that no owner was looked for,
+	// since the request is kept back.
 	groups           []Group
 	isKeptFromOwners bool
-	admission        loadshed.Decision
-	// spared counts the parts that are left to others.
+	// admission is the decision by which the request was let in or not.
+	admission loadshed.Decision
+	// spared counts the parts that are spared; see part.spared.
 	spared int
-	// work is what one part takes of a server.
+	// work is the typical time that a server needs for a part; zero until it is asked for.
 	work time.Duration
 	// questions are those to owners, and inbox what they have reported.
 	questions []*question
 	inbox     *inbox
-	// fresh are the answers that Plan.Collect has not been told, and wants the parts
-	// that need a further server; reportAt is when it is told next, and told says that
+	// fresh are the answers that the other node of Plan.Collect has not been told, and wants the
+	// parts that need a further server; reportAt is when it is told next, and told says that
 	// it was once.
 	fresh    map[int]*exchange.Response
 	wants    []int
@@ -115,15 +116,18 @@
 	brokenAt time.Time
 }
 
+// newRun returns the state of a run of which nothing was asked yet. The request's lot is that of its id
+// until isLetIn or a question sets another one.
 func newRun(runner *Runner, plan Plan, request *exchange.Request) *run {
 	parts := make([]part, len(plan.Services))
 	for index, service := range plan.Services {
 		parts[index].service = service
 	}
 	return &run{
-		runner: runner, plan: plan, request: request, parts: parts, began: time.Now(), lot: xxhash.Sum64String(request.ID),
-		results: make(chan finished, len(parts)), wakes: make(chan int, len(parts)), ended: make(chan struct{}), open: len(parts),
-		inbox: newInbox(), claims: make(chan *quarantine.Trial), shardClaims: make(chan shardTrial), admission: loadshed.Decision{IsAdmitted: true, Share: 1},
+		runner: runner, plan: plan, request: request, parts: parts, open: len(parts), began: time.Now(),
+		lot: xxhash.Sum64String(request.ID), admission: loadshed.Decision{IsAdmitted: true, Share: 1},
+		results: make(chan finished, len(parts)), wakes: make(chan int, len(parts)), ended: make(chan struct{}),
+		inbox: newInbox(), claims: make(chan *quarantine.Trial), shardClaims: make(chan shardTrial),
 	}
 }
 
@@ -342,6 +346,7 @@
 	return len(r.parts) == 1 && part.absent && r.runner.Fleet.AbsentFor(r.load(part.service), now) >= r.plan.Deadline.Sub(now)
 }
 
+// closePart ends the search for a server of a part.
 func (r *run) closePart(part *part) {
 	part.closed = true
 	part.hedgeAt = time.Time{}
@@ -349,6 +354,7 @@
 	r.takeBackSpared()
 }
 
+// without returns a list of attempts without one of them. It reuses the list.
 func without(list []*attempt, removed *attempt) []*attempt {
 	for index, each := range list {
 		if each == removed {
