--- a/pkg/fanout/inbox.go
+++ b/pkg/fanout/inbox.go
@@ -14,6 +14,7 @@
 	closed  bool
 }
 
+// questionReport is a report with the question that it answers.
 type questionReport struct {
 	question *question
 	report   Report
@@ -21,6 +22,7 @@
 
 func newInbox() *inbox { return &inbox{arrived: make(chan struct{}, 1)} }
 
+// put keeps a report; after close it does nothing.
 func (i *inbox) put(from *question, report Report) {
 	i.mutex.Lock()
 	if !i.closed {
@@ -33,6 +35,7 @@
 	}
 }
 
+// take returns the reports that have come, in their order.
 func (i *inbox) take() []questionReport {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
@@ -41,6 +44,7 @@
 	return taken
 }
 
+// close drops what was not taken.
 func (i *inbox) close() {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
--- a/pkg/fleet/lease.go
+++ b/pkg/fleet/lease.go
@@ -61,7 +61,9 @@
 
 // String returns the name used in logs.
 func (r Result) String() string {
-	return [...]string{"answered", "failed", "unreachable", "refused", "turned_away", "abandoned", "wrong_instance", "withdrawn"}[r]
+	return [...]string{
+		"answered", "failed", "unreachable", "refused", "turned_away", "abandoned", "wrong_instance", "withdrawn",
+	}[r]
 }
 
 // MaySend reports whether a leased server may still be asked. It is called right before
@@ -119,15 +121,20 @@
 	f.wakeWaiters(used, now)
 }
 
+// leastServiceTime is the least time that a server is taken to need for a request: the round trip is an
+// average, of which single answers take less.
+const leastServiceTime = 100 * time.Microsecond
+
 // observeTime takes the time of one request into the profile of its kind and
 // the ratio of its server. The mutex is held.
 func (f *Fleet) observeTime(lease *Lease, elapsed time.Duration, now time.Time) {
-	service := max(elapsed-lease.member.zone.roundTrip, 100*time.Microsecond)
+	service := max(elapsed-lease.member.zone.roundTrip, leastServiceTime)
 	typical := lease.profile.typical()
 	lease.member.observe(lease.began, now, float64(service)/float64(typical))
 	lease.profile.observe(service)
 }
 
+// removeLease takes a lease from those under way.
 func (m *member) removeLease(lease *Lease) {
 	for index, each := range m.active {
 		if each == lease {
@@ -163,7 +170,7 @@
 func (m *member) narrow(now time.Time) {
 	m.narrowLimit = max(1, len(m.active)/2)
 	m.narrowUntil = now.Add(narrowSpan)
-	m.avoidUntil = now.Add(firstPenalty / 3)
+	m.avoidUntil = now.Add(narrowPenalty)
 }
 
 // pauseTurnedAway sets from when a server that turned a connection away is tried
@@ -184,6 +191,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	lease.member.removeLease(lease)
-	lease.member.coldSends = slices.DeleteFunc(lease.member.coldSends, func(at time.Time) bool { return at.Equal(lease.began) })
-	f.wakeWaiters(lease.member, time.Now())
+	used := lease.member
+	used.coldSends = slices.DeleteFunc(used.coldSends, func(at time.Time) bool { return at.Equal(lease.began) })
+	f.wakeWaiters(used, time.Now())
 }
--- a/pkg/fleet/places.go
+++ b/pkg/fleet/places.go
@@ -72,10 +72,12 @@
 	return !isKnown
 }
 
-// CountInReach returns how many servers of a service may be asked in the regions, and how many of
-// them seem to be in reach: without some that have ended, and those whose last connection could
-// not be opened.
-func (f *Fleet) CountInReach(service string, regions route.Regions, ended []Incarnation, now time.Time) (inReach, all int) {
+// CountInReach returns how many servers of a service may be asked in the regions as all, and how
+// many of them seem to be in reach: without some that have ended, and those whose last connection
+// could not be opened.
+func (f *Fleet) CountInReach(
+	service string, regions route.Regions, ended []Incarnation, now time.Time,
+) (inReach, all int) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, each := range f.services[service] {
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -83,6 +83,9 @@
 	// narrowSpan is for how long a server that turned a connection away gets
 	// fewer requests at a time.
 	narrowSpan = time.Second
+	// narrowPenalty is for how long it is avoided, which is less than for a failure: it still
+	// serves what it has.
+	narrowPenalty = firstPenalty / 3
 	// coldRatio is how much slower a server is taken for while it warms up.
 	coldRatio = 1.6
 )
@@ -204,6 +207,7 @@
 	m.failureRate, m.failureRateAt = rate+failureGain*(outcome-rate), now
 }
 
+// setRatio takes the ratio of a moment.
 func (m *member) setRatio(ratio float64, now time.Time) {
 	m.ratio, m.ratioAt = ratio, now
 }
--- a/pkg/loadshed/board.go
+++ b/pkg/loadshed/board.go
@@ -115,7 +115,9 @@
 // Admit decides about a request that needs some of the services, and is bound to the regions with
 // a key. The requests with the greatest lots are let in, so that all services and nodes let in
 // the same ones.
-func (b *Board) Admit(services []string, regions string, required int, class Class, lot uint64, now time.Time) Decision {
+func (b *Board) Admit(
+	services []string, regions string, required int, class Class, lot uint64, now time.Time,
+) Decision {
 	if b.IsIdle() {
 		return Decision{IsAdmitted: true, Class: class, Share: 1}
 	}
--- a/pkg/owner/server.go
+++ b/pkg/owner/server.go
@@ -237,13 +237,16 @@
 	report.Sent, report.Hedges = uint32(result.Sent), uint32(result.Hedges)
 	report.Retries, report.Denied = uint32(result.Retries), uint32(result.Denied)
 	for _, each := range result.EndedServers {
-		report.EndedIncarnations = append(report.EndedIncarnations, &ownerpb.Incarnation{Id: each.ID, Start: int64(each.Start)})
+		ended := &ownerpb.Incarnation{Id: each.ID, Start: int64(each.Start)}
+		report.EndedIncarnations = append(report.EndedIncarnations, ended)
 	}
 	for index, answer := range result.Parts {
 		if answer != nil {
 			continue
 		}
-		failure := &ownerpb.Failure{Index: uint32(index), Cause: "no answer", Shed: result.NoRoom[index], NotRun: !result.MayRun[index]}
+		failure := &ownerpb.Failure{
+			Index: uint32(index), Cause: "no answer", Shed: result.NoRoom[index], NotRun: !result.MayRun[index],
+		}
 		if err := result.Failures[index]; err != nil {
 			failure.Cause = err.Error()
 		}
