Queries: a shard without servers hides no larger one

Cause: where a shard had no servers, no part was made of the larger shards that cover it, so that its keys were told as missing although servers held them: a repartition whose new halves are known and not served yet, between larger shards that overlap. Ruled out: the check (TestTilingIsExactAndCheapest's reach), which says just that; the search, which takes the cheapest of the parts that it is given. Change: only a shard with servers takes the place of a piece. Without any server the shard itself costs less than the piece, so that the layout's parts are told as before. Conclusion: such keys are asked of the larger shards. An answer was never told as more complete than it was.

--- a/pkg/query/tiling.go
+++ b/pkg/query/tiling.go
@@ -114,12 +114,14 @@
 }
 
 // pieces returns one part for each two neighbouring boundaries that no whole
-// edge joins. It can be asked from every server whose shard covers it; with no
-// such server it is a gap.
+// edge with servers joins. It can be asked from every server whose shard covers
+// it; with no such server it is a gap.
 func pieces(bounds []uint32, edges []plannedPart) []plannedPart {
 	whole := make(map[keyspace.Range]bool, len(edges))
 	for _, edge := range edges {
-		whole[edge.keys] = true
+		if len(edge.candidates) > 0 {
+			whole[edge.keys] = true
+		}
 	}
 	var result []plannedPart
 	for i := 1; i < len(bounds); i++ {
--- a/pkg/query/tiling_test.go
+++ b/pkg/query/tiling_test.go
@@ -113,6 +113,21 @@
 	}
 }
 
+// TestAShardWithoutServersHidesNoLargerOne: two halves are split from larger shards that overlap, and have no servers
+// yet. Their parts are asked of the larger ones.
+func TestAShardWithoutServersHidesNoLargerOne(t *testing.T) {
+	held := func(name string) []*catalog.Server { return []*catalog.Server{{ID: target.ServerID(name)}} }
+	parts := tile(sixteenths(0, 3), []shard{
+		newShard("first", sixteenths(0, 1), nil), newShard("lower", sixteenths(0, 2), held("a")),
+		newShard("last", sixteenths(2, 3), nil), newShard("upper", sixteenths(1, 3), held("b")),
+	})
+	for _, part := range parts {
+		if len(part.candidates) == 0 {
+			t.Errorf("%s is missing, but a larger shard holds it", part.keys)
+		}
+	}
+}
+
 func TestTilingPrefersMoreReplicas(t *testing.T) {
 	replicas := func(names ...string) (servers []*catalog.Server) {
 		for _, name := range names {
