Limits: a node that returns awaits a share that holds

By the standing of each admitted request in that window the excess came in the 0.5 s in which 22 nodes that had each been alone returned: each admitted at the share of before, or at 1 if it had never been told one, until its first report was answered. Change: a node that was alone, and has been in touch since its start, goes on as alone until the first coordinator tells it a share, or a stand-in that has heard of all for 0.9 s.

--- a/pkg/quota/meter.go
+++ b/pkg/quota/meter.go
@@ -100,6 +100,10 @@
 	// isInDoubt says that a coordinator, of this tenant or of another one, has fallen silent and
 	// none has answered since.
 	isInDoubt bool
+	// awaitsWord says that a coordinator answers again since returnedAt and has not told a share that holds: the
+	// tenant may have come to its limit meanwhile, and a stand-in must hear first of all nodes that return at once.
+	awaitsWord bool
+	returnedAt time.Time
 	// hasSpare says that the first coordinator has told spare.
 	hasSpare bool
 	// entitled is the rate while out of touch with the first coordinator.
@@ -159,6 +163,9 @@
 	if m.standing == WithFirst {
 		m.entitled = m.entitlement(now)
 	}
+	if isReturning := m.wasInTouch || !m.toldAt.IsZero(); isReturning && m.standing == Alone && now.After(m.begunAt) {
+		m.awaitsWord, m.returnedAt = true, now
+	}
 	m.standing = standing
 	if standing == Alone {
 		m.goAlone(now)
@@ -247,7 +254,7 @@
 	if !m.toldAt.IsZero() {
 		decision.Age = now.Sub(m.toldAt)
 	}
-	isAlone := m.standing == Alone || m.share < 1 && decision.Age > shareAge
+	isAlone := m.standing == Alone || m.awaitsWord || m.share < 1 && decision.Age > shareAge
 	switch {
 	case isAlone:
 		decision.IsAdmitted, decision.RetryAfter = m.admitAlone(now)
@@ -367,6 +374,9 @@
 // Tell takes what the coordinator says.
 func (m *Meter) Tell(verdict Verdict, now time.Time) {
 	m.share, m.wait, m.toldAt = verdict.Share, verdict.Wait, now
+	if verdict.IsFirst || now.Sub(m.returnedAt) >= cautiousSpan {
+		m.awaitsWord = false
+	}
 	if verdict.Share < 1 {
 		m.limitedAt = now
 	}
--- a/pkg/quota/meter_test.go
+++ b/pkg/quota/meter_test.go
@@ -259,3 +259,36 @@
 	g.Expect(after.NewAsked).To(BeZero())
 	g.Expect(after.NewAdmitted).To(BeZero())
 }
+
+// TestANodeThatReturnsAwaitsAShareThatHolds: many nodes that were each alone return at once, and what each was told
+// before says nothing of what is asked now.
+func TestANodeThatReturnsAwaitsAShareThatHolds(t *testing.T) {
+	limit := route.RateLimit{PerSecond: 17, Burst: 17}
+	admittedAt := func(meter *quota.Meter, name string, now time.Time) int {
+		admitted := 0
+		for number := range 20 {
+			if meter.Admit(fmt.Sprint(name, number), now).IsAdmitted {
+				admitted++
+			}
+		}
+		return admitted
+	}
+	for name, meter := range map[string]*quota.Meter{
+		"told before":        inTouch(limit, 1, 0),
+		"never asked so far": quota.NewMeter("caller", limit, bounds, 67, true, start),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			meter.SetStanding(quota.Alone, start)
+			late := start.Add(10 * time.Second)
+			alone := admittedAt(meter, "alone", late)
+			g.Expect(alone).To(BeNumerically("<=", 2))
+			meter.SetStanding(quota.WithStandIn, late)
+			g.Expect(admittedAt(meter, "returned", late)).To(BeZero(), "what it may admit alone was used up")
+			meter.Tell(quota.Verdict{Share: 1}, late)
+			g.Expect(admittedAt(meter, "stand-in", late)).To(BeZero(), "a stand-in has not heard of all that return")
+			meter.Tell(quota.Verdict{Share: 1, IsFirst: true}, late)
+			g.Expect(admittedAt(meter, "first", late)).To(BeNumerically(">", 2))
+		})
+	}
+}
