Tests: ports below those of outgoing connections

The spec had found the port free in the range from which the system takes those of outgoing connections (32768 to 60999), and one of these had it a moment later. Ruled out: load as such; the other 15 specs passed and the node's own line tells the cause. Which connection had the port is not shown. Change: the soak's way to find ports below that range moves to internal/lab/freeport and serves both. Conclusion: only a listening process can have such a port.

--- a/test/integration/helpers_test.go
+++ b/test/integration/helpers_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"net"
 	"net/url"
 	"os"
 	"time"
@@ -11,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/bramblemast/bramblemast/internal/lab/freeport"
 	"github.com/bramblemast/bramblemast/pkg/policy"
 )
 
@@ -40,10 +40,9 @@
 // a process that must come back at the same address.
 func freeAddress() string {
 	GinkgoHelper()
-	listener, err := net.Listen("tcp", anyPort)
+	address, err := freeport.Address()
 	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return address
 }
 
 func durationOf(duration time.Duration) policy.Duration { return policy.Duration(duration) }
--- a/test/soak/deployment_test.go
+++ b/test/soak/deployment_test.go
@@ -3,14 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/bramblemast/bramblemast/internal/lab/faultproxy"
+	"github.com/bramblemast/bramblemast/internal/lab/freeport"
 	"github.com/bramblemast/bramblemast/platform/platformtest"
 )
 
@@ -284,29 +283,11 @@
 	d.configure(shards)
 }
 
-// Nodes listen below the range from which the system takes the ports of outgoing
-// connections: one of those could otherwise hold a node's port while it restarts.
-const (
-	leastPort    = 20000
-	greatestPort = 32000
-)
-
-// portsTaken counts the ports that were given out, from a random one on, so that none
-// is given out twice.
-var portsTaken, firstPort = atomic.Int64{}, rand.Int64N(greatestPort - leastPort)
-
 // freePort returns a loopback address that is free now.
 func freePort(t *testing.T) string {
-	for range greatestPort - leastPort {
-		port := leastPort + (firstPort+portsTaken.Add(1))%(greatestPort-leastPort)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		_ = listener.Close()
-		return address
+	address, err := freeport.Address()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no port is free")
-	return ""
+	return address
 }
