Limits: a node that returned awaits a share for two seconds at most

Cause: nothing is told of a tenant that is asked for seldom until its next request, so that a node that had been alone decided that request alone too, long after its return, and refused it where it has no lot. Ruled out: reports of all tenants at a return, which cost a message each for tenants that nobody asks for. TestANodeThatReturnsAwaitsAShareThatHolds asks 3 s after a return too.

--- a/pkg/quota/meter.go
+++ b/pkg/quota/meter.go
@@ -33,6 +33,10 @@
 	startingWait = time.Second
 )
 
+// awaitSpan is for how long a node that was alone waits for a share at most: by then the coordinators have heard of
+// all nodes that returned with it.
+const awaitSpan = 2 * time.Second
+
 // Standing is how a node stands to a tenant's coordinators.
 type Standing int
 
@@ -100,10 +104,10 @@
 	// isInDoubt says that a coordinator, of this tenant or of another one, has fallen silent and
 	// none has answered since.
 	isInDoubt bool
-	// awaitsWord says that a coordinator answers again since returnedAt and has not told a share that holds: the
+	// awaitsShare says that a coordinator answers again since returnedAt and has not told a share that holds: the
 	// tenant may have come to its limit meanwhile, and a stand-in must hear first of all nodes that return at once.
-	awaitsWord bool
-	returnedAt time.Time
+	awaitsShare bool
+	returnedAt  time.Time
 	// hasSpare says that the first coordinator has told spare.
 	hasSpare bool
 	// entitled is the rate while out of touch with the first coordinator.
@@ -164,7 +168,7 @@
 		m.entitled = m.entitlement(now)
 	}
 	if isReturning := m.wasInTouch || !m.toldAt.IsZero(); isReturning && m.standing == Alone && now.After(m.begunAt) {
-		m.awaitsWord, m.returnedAt = true, now
+		m.awaitsShare, m.returnedAt = true, now
 	}
 	m.standing = standing
 	if standing == Alone {
@@ -254,7 +258,7 @@
 	if !m.toldAt.IsZero() {
 		decision.Age = now.Sub(m.toldAt)
 	}
-	isAlone := m.standing == Alone || m.awaitsWord || m.share < 1 && decision.Age > shareAge
+	isAlone := m.standing == Alone || m.isAwaitingShare(now) || m.share < 1 && decision.Age > shareAge
 	switch {
 	case isAlone:
 		decision.IsAdmitted, decision.RetryAfter = m.admitAlone(now)
@@ -286,6 +290,12 @@
 	return decision
 }
 
+// isAwaitingShare reports whether the node has returned a moment ago and has not been told a share that holds. It ends
+// by itself: of a tenant that is asked for seldom nothing is told until its next request.
+func (m *Meter) isAwaitingShare(now time.Time) bool {
+	return m.awaitsShare && now.Sub(m.returnedAt) < awaitSpan
+}
+
 // refusalAlone returns why admitAlone refuses.
 func (m *Meter) refusalAlone(now time.Time) Refusal {
 	switch {
@@ -375,7 +385,7 @@
 func (m *Meter) Tell(verdict Verdict, now time.Time) {
 	m.share, m.wait, m.toldAt = verdict.Share, verdict.Wait, now
 	if verdict.IsFirst || now.Sub(m.returnedAt) >= cautiousSpan {
-		m.awaitsWord = false
+		m.awaitsShare = false
 	}
 	if verdict.Share < 1 {
 		m.limitedAt = now
--- a/pkg/quota/meter_test.go
+++ b/pkg/quota/meter_test.go
@@ -287,6 +287,8 @@
 			g.Expect(admittedAt(meter, "returned", late)).To(BeZero(), "what it may admit alone was used up")
 			meter.Tell(quota.Verdict{Share: 1}, late)
 			g.Expect(admittedAt(meter, "stand-in", late)).To(BeZero(), "a stand-in has not heard of all that return")
+			unasked := *meter
+			g.Expect(admittedAt(&unasked, "later", late.Add(3*time.Second))).To(BeNumerically(">", 2), "nothing is told of a tenant until it is asked for")
 			meter.Tell(quota.Verdict{Share: 1, IsFirst: true}, late)
 			g.Expect(admittedAt(meter, "first", late)).To(BeNumerically(">", 2))
 		})
