Directory: a loss of the store is told again when its cause changes

Cause: a node wrote one line when the store was lost, with the first failure, and none until it was regained. In the incident the store answered again after 2 s and nodes counted it as lost for 15 s: nothing told why. Ruled out: a line for each failed call, which an outage would make a hundred of. Change: failures have a kind (limited, behind what is known, any other); a loss is told again when the kind changes. A store that answers with an older state than is known is ErrStoreBehind. Evidence: TestALossIsToldAgainWhenItsCauseChanges; no logic depends on the kind.

--- a/pkg/directory/contact.go
+++ b/pkg/directory/contact.go
@@ -1,6 +1,10 @@
 package directory
 
-import "time"
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
 
 // contact is whether the store answers.
 type contact int
@@ -63,10 +67,36 @@
 	return f.contact == contactLost
 }
 
+// lost takes that a call to the store failed. It tells of the first failure in a row, and of each
+// that is of another kind than the one before.
 func (f *Follower) lost(cause error) {
-	if f.setContact(contactLost) != contactLost {
+	before, kind := f.setContact(contactLost), kindOfFailure(cause)
+	if before != contactLost || kind != f.failureKind {
 		f.listener.Dependency(storeDependency, false, cause)
 	}
+	f.failureKind = kind
+}
+
+// failureKind tells failures of calls to the store apart, whose texts differ each time.
+type failureKind int
+
+const (
+	// failureOther is any failure that has no kind of its own, such as a lost connection.
+	failureOther failureKind = iota
+	failureLimited
+	// failureBehind means that the store answers with an older state than is known.
+	failureBehind
+)
+
+// kindOfFailure returns the kind of a failed call.
+func kindOfFailure(cause error) failureKind {
+	switch {
+	case errors.Is(cause, ErrStoreBehind):
+		return failureBehind
+	case errors.Is(cause, ErrLimited):
+		return failureLimited
+	}
+	return failureOther
 }
 
 func (f *Follower) regained() {
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -84,6 +84,8 @@
 	// ErrLimited means that the store refused the call because of its rate
 	// limit.
 	ErrLimited = errors.New("the store limits its callers")
+	// ErrStoreBehind means that the store answered with an older state than is known.
+	ErrStoreBehind = errors.New("the store is behind what is known of it")
 )
 
 // Source reads the platform's store. It is safe for concurrent use.
@@ -103,6 +105,7 @@
 	// Restored tells that what was found at the start has been handed to Changed,
 	// up to a revision; what Changed gets from now on is news.
 	Restored(revision uint64)
-	// Dependency tells that a source of changes was lost or regained.
+	// Dependency tells that a source of changes was lost or regained. A loss is told again when
+	// its cause is of another kind.
 	Dependency(name string, connected bool, cause error)
 }
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -119,6 +119,8 @@
 	loadedAt  time.Time
 	startedAt time.Time
 	failures  int
+	// failureKind is the kind of the last failure.
+	failureKind failureKind
 	// historyGone says that the changes since the last reading are not known any more,
 	// so that no copy will do.
 	historyGone bool
@@ -351,7 +353,7 @@
 			f.noteLoaded(time.Now())
 			return nil
 		}
-		return errors.Errorf("the store answered with revision %d, %d was seen", batch.Revision, known)
+		return errors.Wrapf(ErrStoreBehind, "the store answered with revision %d, %d was seen", batch.Revision, known)
 	}
 	f.regained()
 	f.replica.apply(batch, wholeState, time.Now())
--- a/pkg/directory/news_test.go
+++ b/pkg/directory/news_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,3 +57,23 @@
 		g.Expect(tested.watchWait()).To(Equal(leastWatchWait))
 	})
 }
+
+// TestALossIsToldAgainWhenItsCauseChanges: a store that cannot be reached, then answers with an older
+// state than is known, is two matters for whoever reads the log; a hundred lost connections are one.
+func TestALossIsToldAgainWhenItsCauseChanges(t *testing.T) {
+	g := NewWithT(t)
+	seen := &observer{state: make(map[string]uint64)}
+	tested := NewFollower(nil, seen)
+	for range 3 {
+		tested.lost(errors.New("connection reset"))
+	}
+	for range 3 {
+		tested.lost(fmt.Errorf("revision 3, 4 was seen: %w", ErrStoreBehind))
+	}
+	lost, _ := seen.dependency()
+	g.Expect(lost).To(Equal(2))
+	tested.regained()
+	tested.lost(fmt.Errorf("revision 3, 4 was seen: %w", ErrStoreBehind))
+	lost, _ = seen.dependency()
+	g.Expect(lost).To(Equal(3))
+}
