Edge: nodes write back what a restored store has lost

Seen (tests): after a restore the store holds an older revision of a template than the one that was acknowledged and is in force at the nodes, and lacks notes on requests that end servers, or holds some that were removed. A node that starts later knows only that. Cause: the operator and the servers write again what they wrote; what the product itself keeps in the store has no other writer than the nodes. Ruled out: a duty with a lease, which the restore could lose too; all nodes at once, since each would make a call for each key. Change: internal/edge/write_back.go. Once the store has settled, the node that ranks first for a key writes it, the next ones a second later each if it did not; each write expects the revision that the store shows, so that a later change is never overwritten.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -58,6 +58,7 @@
 type Platform interface {
 	directory.Source
 	Registry
+	Restorer
 	quarantine.Ledger
 	// SetObserver lets a function take each call by its name and its error; it does
 	// not block. It is called before the first call.
@@ -103,6 +104,7 @@
 	metrics         *http.Server
 	metricsListener net.Listener
 	member          *registration
+	writeBack       *writeBack
 	// transport, peers and owners are nil if the node has no address for its peers.
 	transport *peer.TCP
 	peers     *directory.Peers
@@ -154,6 +156,8 @@
 	}
 	node.member = newRegistration(options.Platform, local, options.Logger, node.follower, func() int { return len(node.state.knownNodes()) })
 	node.state.member = node.member
+	node.writeBack = newWriteBack(options.Platform, node)
+	node.state.writeBack = node.writeBack
 	if err := node.openReady(); err != nil {
 		return nil, err
 	}
@@ -274,6 +278,7 @@
 	}
 	add(n.follower.Run)
 	add(n.member.run)
+	add(n.writeBack.run)
 	add(n.quarantine.Run)
 	if n.transport != nil {
 		add(n.transport.Run)
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -49,8 +49,9 @@
 	limits *limits
 	// teller tells the nodes of suspect requests; nil if the node has no peers.
 	teller *quarantine.Teller
-	// member is told of the nodes' entries, and of restores of the store.
-	member *registration
+	// member is told of the nodes' entries, and writeBack with it of restores of the store.
+	member    *registration
+	writeBack *writeBack
 
 	startedAt time.Time
 	table     atomic.Pointer[route.Table]
@@ -330,6 +331,7 @@
 		"era", change.To.Era, "revision", change.To.Revision, "keys_kept", len(change.Kept),
 		"keys", change.Kept[:min(len(change.Kept), keptKeysTold)])
 	s.member.noteEra()
+	s.writeBack.noteEra()
 }
 
 // Dependency implements directory.Listener.
--- /dev/null
+++ b/internal/edge/write_back.go
@@ -0,0 +1,117 @@
+package edge
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/bramblemast/bramblemast/pkg/directory"
+	"github.com/bramblemast/bramblemast/pkg/rendezvous"
+)
+
+// Restorer writes to the store what only nodes write, after the store has lost it.
+type Restorer interface {
+	// WriteBack writes a lost state unless its key was written meanwhile; false if it was.
+	WriteBack(ctx context.Context, lost directory.Lost) (bool, error)
+}
+
+// Times of writing back.
+const (
+	writeBackInterval = 250 * time.Millisecond
+	writeBackTimeout  = time.Second
+	// writeBackTurn is how much later than the one before it a node writes a key, in the order of its
+	// rank for that key: the others find it written. writeBackRanks bounds the turns.
+	writeBackTurn  = time.Second
+	writeBackRanks = 5
+)
+
+// writeBack writes to the store what it has lost and nobody but the nodes keeps: templates, and notes on
+// requests that end servers. All nodes know it, so that each key needs no lease: the node that ranks
+// first for it writes, the next ones do if it did not, and each write is conditional.
+type writeBack struct {
+	restorer Restorer
+	node     *Node
+	// eraBegan has an element when the store has come back from an older copy.
+	eraBegan chan struct{}
+}
+
+func newWriteBack(restorer Restorer, node *Node) *writeBack {
+	return &writeBack{restorer: restorer, node: node, eraBegan: make(chan struct{}, 1)}
+}
+
+// noteEra tells that the store has come back from an older copy.
+func (w *writeBack) noteEra() {
+	select {
+	case w.eraBegan <- struct{}{}:
+	default:
+	}
+}
+
+// run writes back after each restore, until ctx ends.
+func (w *writeBack) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-w.eraBegan:
+			w.writeAll(ctx)
+		}
+	}
+	return nil
+}
+
+// writeAll writes until the store has everything back, as this node knows it.
+func (w *writeBack) writeAll(ctx context.Context) {
+	ticker := time.NewTicker(writeBackInterval)
+	defer ticker.Stop()
+	var settledAt time.Time
+	for w.node.follower.Restores() {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			lost := w.node.follower.Lost()
+			if len(lost) > 0 && settledAt.IsZero() {
+				settledAt = now
+			}
+			w.writeDue(ctx, lost, now.Sub(settledAt))
+		}
+	}
+}
+
+// writeDue writes those of the lost states for which it is this node's turn a span after the store
+// has settled.
+func (w *writeBack) writeDue(ctx context.Context, lost []directory.Lost, span time.Duration) {
+	names := w.nodeNames()
+	for _, each := range lost {
+		if time.Duration(w.rank(each.Entry.Key, names))*writeBackTurn > span {
+			continue
+		}
+		limited, cancel := context.WithTimeout(ctx, writeBackTimeout)
+		written, err := w.restorer.WriteBack(limited, each)
+		cancel()
+		if err != nil {
+			w.node.logger.Warn("lost state not written back", "key", each.Entry.Key, "error", err.Error())
+			// The store refuses this node, or is away: another one may write meanwhile.
+			return
+		}
+		w.node.logger.Info("lost state written back", "key", each.Entry.Key, "gone", each.Entry.Gone,
+			"was_newer", !written, "store_revision", each.StoreRevision)
+	}
+}
+
+// nodeNames returns the names of the known nodes, this one among them.
+func (w *writeBack) nodeNames() []string {
+	names := []string{w.node.member.node.Name}
+	for _, known := range w.node.state.knownNodes() {
+		if known.Name != names[0] {
+			names = append(names, known.Name)
+		}
+	}
+	return names
+}
+
+// rank returns this node's rank for a key among nodes, at most writeBackRanks.
+func (w *writeBack) rank(key string, names []string) int {
+	return min(slices.Index(rendezvous.Rank(key, names), w.node.member.node.Name), writeBackRanks)
+}
