Soak: the store comes back from an older copy

Cause: nothing in the soak could make the store lose what it had acknowledged. Ruled out: a fault of the existing catalogue: seeds would draw other faults than before.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -77,6 +77,7 @@
 	asking := deployed.askLimited(ctx, seed)
 	deployed.run(sources{
 		faults: rand.New(rand.NewPCG(seed, 1)), series: rand.New(rand.NewPCG(seed, 2)), servers: rand.New(rand.NewPCG(seed, 3)),
+		restores: rand.New(rand.NewPCG(seed, 4)),
 	}, *spanFlag, *timedFlag)
 	cancel()
 	requests.Wait()
@@ -89,7 +90,7 @@
 
 // sources are the sources of randomness of a seed. Each part of the faults has its own, so that a
 // seed draws the same in one whatever another one draws.
-type sources struct{ faults, series, servers *rand.Rand }
+type sources struct{ faults, series, servers, restores *rand.Rand }
 
 // run alternates between faults and calm until the span is over.
 func (d *deployment) run(random sources, span time.Duration, timed bool) {
@@ -99,6 +100,7 @@
 		span := min(chaosSpan, time.Until(end))
 		broken.running.Go(func() { broken.chaosOfSeries(random.series, span) })
 		broken.running.Go(func() { broken.chaosOfServers(random.servers, span) })
+		broken.running.Go(func() { broken.chaosOfRestores(random.restores, span) })
 		broken.chaos(span)
 		for _, each := range d.running {
 			each.awaitReady()
