Edge: a starting node registers once a restored store has settled

Cause: an entry of the store's own era tells starting nodes that the store has back what a restore had lost. A node that started just after the restore wrote its entry at once, so that the next one took an older configuration for the one in force. Ruled out: running nodes, which waited already. Change: whoever writes an entry waits for the store to settle first, whether its lease is of an earlier era or it has none. Evidence: TestANodeRegistersInANewEraOnceItHasSettled fails on the commit before: written 3 s too early. Conclusion: the entries mean what their readers take them for.

--- a/internal/edge/registration.go
+++ b/internal/edge/registration.go
@@ -100,7 +100,6 @@
 // run registers and renews until ctx ends.
 func (r *registration) run(ctx context.Context) error {
 	r.awaitLoad(ctx)
-	r.isWriting.Store(true)
 	var lease directory.Lease
 	if written := r.written.Load(); written != nil {
 		lease = *written
@@ -109,8 +108,11 @@
 	for ctx.Err() == nil {
 		if r.isOfEarlierEra(lease) {
 			lease = directory.Lease{}
+		}
+		if lease.ID == 0 {
 			r.awaitSettled(ctx)
 		}
+		r.isWriting.Store(true)
 		next := renewInterval
 		if err := r.step(ctx, &lease); err != nil {
 			r.logger.Warn("registration failed", "error", err.Error())
@@ -143,13 +145,14 @@
 }
 
 // awaitSettled waits until the store has back what a restore has lost, since an entry of the new era
-// tells starting nodes so, and then as long as the number of nodes asks for.
+// tells starting nodes so, and then as long as the number of nodes asks for. It does not wait if
+// the store has settled.
 func (r *registration) awaitSettled(ctx context.Context) {
-	for ctx.Err() == nil {
-		left := r.store.SettlesIn()
-		if left <= 0 {
-			break
-		}
+	left := r.store.SettlesIn()
+	if left <= 0 {
+		return
+	}
+	for ; ctx.Err() == nil && left > 0; left = r.store.SettlesIn() {
 		pause.For(ctx, left)
 	}
 	spread := time.Duration(r.nodes()) * time.Second / restoredRate
--- a/internal/edge/registration_test.go
+++ b/internal/edge/registration_test.go
@@ -60,3 +60,50 @@
 		g.Expect(wasListed(other)).To(BeFalse())
 	})
 }
+
+// settlingStore is a store that was restored and settles at a moment.
+type settlingStore struct {
+	settledStore
+	settlesAt time.Time
+}
+
+func (s *settlingStore) SettlesIn() time.Duration { return max(0, time.Until(s.settlesAt)) }
+
+// recordedRegistry keeps when entries were written.
+type recordedRegistry struct {
+	keptRegistry
+	store   *settledStore
+	written []time.Time
+}
+
+func (r *recordedRegistry) Register(context.Context, directory.Node, time.Duration) (directory.Lease, error) {
+	r.written = append(r.written, time.Now())
+	return directory.Lease{ID: 7, Era: r.store.era.Load()}, nil
+}
+
+// TestANodeRegistersInANewEraOnceItHasSettled: its entry tells starting nodes that what a restore has lost is back. That
+// holds for a node that starts meanwhile as for one that was running, whose lease is of the era before.
+func TestANodeRegistersInANewEraOnceItHasSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store := &settlingStore{settlesAt: time.Now().Add(3 * time.Second)}
+		store.era.Store(2)
+		registry := &recordedRegistry{store: &store.settledStore}
+		tested := newRegistration(registry, directory.Node{Name: "n"}, hclog.NewNullLogger(), store, func() int { return 2 })
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- tested.run(ctx) }()
+		time.Sleep(3*time.Second + leastRestoredSpread)
+		g.Expect(registry.written).To(HaveLen(1))
+		g.Expect(registry.written[0]).To(BeTemporally(">=", store.settlesAt))
+		time.Sleep(time.Second)
+		store.settlesAt = time.Now().Add(2 * time.Second)
+		store.era.Store(3)
+		tested.noteEra()
+		time.Sleep(2*time.Second + leastRestoredSpread)
+		g.Expect(registry.written).To(HaveLen(2), "without waiting for the next renewal")
+		g.Expect(registry.written[1]).To(BeTemporally(">=", store.settlesAt))
+		stop()
+		g.Expect(<-ended).To(Succeed())
+	})
+}
