Edge: a node that started after a restore writes back too

Cause: only nodes that saw the era begin wrote back what the store had lost; one that learned it from another node, which then ended, kept it to itself. Evidence: by reading; the tests of write-back pass. Conclusion: one node that knows is enough.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -157,7 +157,6 @@
 	node.member = newRegistration(options.Platform, local, options.Logger, node.follower, func() int { return len(node.state.knownNodes()) })
 	node.state.member = node.member
 	node.writeBack = newWriteBack(options.Platform, node)
-	node.state.writeBack = node.writeBack
 	if err := node.openReady(); err != nil {
 		return nil, err
 	}
@@ -311,6 +310,9 @@
 			if span := suspensions.Since(); span > 0 {
 				n.resume(span)
 			}
+			if n.follower.Restores() {
+				n.writeBack.wake()
+			}
 			n.state.fleet.Sweep(now)
 			n.quarantine.Sweep(now)
 			n.watchKeys()
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -49,9 +49,8 @@
 	limits *limits
 	// teller tells the nodes of suspect requests; nil if the node has no peers.
 	teller *quarantine.Teller
-	// member is told of the nodes' entries, and writeBack with it of restores of the store.
-	member    *registration
-	writeBack *writeBack
+	// member is told of the nodes' entries, and of restores of the store.
+	member *registration
 
 	startedAt time.Time
 	table     atomic.Pointer[route.Table]
@@ -331,7 +330,6 @@
 		"era", change.To.Era, "revision", change.To.Revision, "keys_kept", len(change.Kept),
 		"keys", change.Kept[:min(len(change.Kept), keptKeysTold)])
 	s.member.noteEra()
-	s.writeBack.noteEra()
 }
 
 // Dependency implements directory.Listener.
--- a/internal/edge/write_back.go
+++ b/internal/edge/write_back.go
@@ -31,18 +31,18 @@
 type writeBack struct {
 	restorer Restorer
 	node     *Node
-	// eraBegan has an element when the store has come back from an older copy.
-	eraBegan chan struct{}
+	// work has an element when the store may lack something.
+	work chan struct{}
 }
 
 func newWriteBack(restorer Restorer, node *Node) *writeBack {
-	return &writeBack{restorer: restorer, node: node, eraBegan: make(chan struct{}, 1)}
+	return &writeBack{restorer: restorer, node: node, work: make(chan struct{}, 1)}
 }
 
-// noteEra tells that the store has come back from an older copy.
-func (w *writeBack) noteEra() {
+// wake tells that the store may lack something, as this node or another one knows it.
+func (w *writeBack) wake() {
 	select {
-	case w.eraBegan <- struct{}{}:
+	case w.work <- struct{}{}:
 	default:
 	}
 }
@@ -53,7 +53,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-w.eraBegan:
+		case <-w.work:
 			w.writeAll(ctx)
 		}
 	}
