Directory: copies at a first start, entries of nodes, and a line for nodes that await others

Cause: three leftovers of the eras, by reading. A copy from before a restore was taken while a system starts for the first time although nodes' entries of an earlier era stood in it; an entry that a node wrote anew counted as possibly older where its revision is below the one it had before; and nothing in the log told that a node which has just started awaits others. Ruled out: trusting no copy at a first start: there are no entries yet, and each node would pay for a fresh reading. Change: at a first start a copy is trusted only while no node has an entry; an entry of a later era is the later one; the dependency "peers" is lost while a starting node awaits others, which the log and a metric tell, and `bramblemastctl log explain` shows restores and that. Conclusion: TestReplicasAgreeAfterRestores and the tests of platform/ pass.

--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -30,6 +30,7 @@
 	messageLost                 = "dependency lost"
 	messageRegained             = "dependency regained"
 	messageOverload             = "overload"
+	messageStoreRestored        = "store came back from an older copy"
 	messageKeysLapsed           = "keys lapsed"
 	messageKeysConfirmed        = "keys confirmed"
 )
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -110,7 +110,7 @@
 	switch line.Message {
 	case messageOverload, messageKeysLapsed, messageKeysConfirmed:
 		return true
-	case messageConfiguration, messageLost, messageRegained, messageOwnerLost, messageOwnerRegained, messageStarted, messageStopping, messageConfigurationRefused:
+	case messageConfiguration, messageLost, messageRegained, messageStoreRestored, messageOwnerLost, messageOwnerRegained, messageStarted, messageStopping, messageConfigurationRefused:
 		return true
 	case messageAtLimit, messageBelowLimit:
 		return line.Tenant == request.Tenant && request.Reason == string(outcome.ReasonOverLimit)
--- a/pkg/directory/era.go
+++ b/pkg/directory/era.go
@@ -80,6 +80,8 @@
 		return false
 	case s.entry.Template != nil && entry.Template != nil:
 		return true
+	case s.entry.Node != nil && entry.Node != nil && entry.Node.Era > s.entry.Node.Era:
+		return true
 	case !s.entry.Gone && entry.Revision == s.written:
 		return true
 	}
--- a/pkg/directory/era_test.go
+++ b/pkg/directory/era_test.go
@@ -362,6 +362,7 @@
 	g.Expect(tested.trustsCopy(of(2, 1, 2))).To(BeTrue())
 	tested.SetFirstStart(true)
 	g.Expect(tested.trustsCopy(of(2))).To(BeTrue(), "there was nothing before")
+	g.Expect(tested.trustsCopy(of(2, 1))).To(BeFalse(), "the store was restored just now")
 }
 
 // TestAStartingNodeAwaitsPeersAfterARestore: what it reads may be older than what is in force elsewhere. It is told by a
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -57,7 +57,12 @@
 )
 
 // Names of dependencies.
-const storeDependency = "store"
+const (
+	storeDependency = "store"
+	// peersDependency is that of a node that has just started on other nodes, which know what was in
+	// force before a restore of the store.
+	peersDependency = "peers"
+)
 
 // Follower keeps a replica of the store. Run is called once; the other methods
 // are safe for concurrent use.
--- a/pkg/directory/restore.go
+++ b/pkg/directory/restore.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // isBeyond reports whether a batch is older than the position.
@@ -117,8 +119,8 @@
 // trustsCopy reports whether a copy of the store is of the era that the store told with it: it may be
 // from before a restore. A node's entry that was written in that era proves it.
 func (f *Follower) trustsCopy(batch Batch) bool {
-	newest, _ := batch.newestNodeEra()
-	return batch.Era == 0 || f.isFirstStart || newest == batch.Era
+	newest, hasNodes := batch.newestNodeEra()
+	return batch.Era == 0 || newest == batch.Era || f.isFirstStart && !hasNodes
 }
 
 // beginAwaitingPeers takes what a starting node reads first. If no node has written its entry in the
@@ -129,11 +131,19 @@
 		return
 	}
 	f.awaitsPeers.Store(true)
+	f.listener.Dependency(peersDependency, false, errMayBeOlder)
 	time.AfterFunc(f.writeBack(), f.endAwaitingPeers)
 }
 
+// errMayBeOlder is why a node that has just started awaits others.
+var errMayBeOlder = errors.New("the store came back from an older copy lately, and other nodes may know what it has lost")
+
 // endAwaitingPeers lets the node serve by what it knows.
-func (f *Follower) endAwaitingPeers() { f.awaitsPeers.Store(false) }
+func (f *Follower) endAwaitingPeers() {
+	if f.awaitsPeers.Swap(false) {
+		f.listener.Dependency(peersDependency, true, nil)
+	}
+}
 
 // AwaitsPeers reports whether the node has just started and what it has read may be older than what is
 // in force elsewhere.
