Directory: what proves that a restored store's state is new, and late answers

(1) A watch that was asked in the era before and answered in it after another node had told of the restore, or a comparison that crossed it, confirmed the node's knowledge of the new era. (2) The first revision that was evidently given out again was derived also from heartbeats, which change a server's entry without a revision, and from states of two eras ago, and not at all before a node had seen a change; from it follows which states of the restored store are news. (3) A node that was told of the restore late took its own moment for the begin of the era and held what nobody had written again for up to 6 s longer than the others. (4) Two answers at once could both tell of one era. (5) A starting node that awaits others did not know that the store may still settle. Ruled out: for (2) dropping the derivation: an operator's change right after the restore would wait for the store to settle. Change: answers count in the era of their question only; the derivation uses what was known of the ending era alone, and no heartbeats; the first node that saw the era begin decides for all; batches are applied one at a time.

--- a/pkg/directory/era.go
+++ b/pkg/directory/era.go
@@ -88,6 +88,12 @@
 	return entry.Revision > s.written || entry.Revision > baseline
 }
 
+// isRewrittenAs reports whether a state has the revision of this one and was evidently written after the
+// restore. The entry of a server proves nothing: it counts heartbeats that the store gives no revision.
+func (s earlierState) isRewrittenAs(entry Entry) bool {
+	return !s.entry.Gone && entry.Revision == s.written && s.entry.ServerID == "" && !s.isConfirmedBy(entry)
+}
+
 // holdsRevisionOf reports whether the published template of an entry is part of this one's history.
 func (s earlierState) holdsRevisionOf(entry Entry) bool {
 	document, err := stored.Decode(s.entry.Template.Template.Key(), s.entry.Value)
--- a/pkg/directory/era_test.go
+++ b/pkg/directory/era_test.go
@@ -12,6 +12,8 @@
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
+	"github.com/bramblemast/bramblemast/pkg/directory/directorypb"
+	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/peer"
 	"github.com/bramblemast/bramblemast/pkg/route"
 	"github.com/bramblemast/bramblemast/pkg/template"
@@ -170,6 +172,67 @@
 	g.Expect(tested.apply(Batch{Era: 3, Revision: 99}, allChanges, now)).To(BeZero(), "changes cannot begin an era")
 }
 
+// TestAHeartbeatTellsNothingOfTheCopy: a server's entry changes with each heartbeat without a new revision. The same
+// revision with another value shows for other keys that it was given out again, so that all that follow are news.
+func TestAHeartbeatTellsNothingOfTheCopy(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	for key, isNews := range map[string]bool{"servers/i": false, "other": true} {
+		entry := func(key string, revision uint64, value string) Entry {
+			entry := Entry{Key: key, Revision: revision, Value: []byte(value)}
+			if key == "servers/i" {
+				entry.ServerID, entry.Server = "i", &fleet.Server{ID: "i"}
+			}
+			return entry
+		}
+		tested := newReplica(&observer{state: make(map[string]uint64)})
+		tested.apply(Batch{Era: 1, Revision: 9, Entries: []Entry{entry(key, 4, "beat 1"), entry("changed", 8, "new")}}, wholeState, now)
+		tested.apply(Batch{Era: 2, Revision: 6, Entries: []Entry{entry(key, 4, "beat 2"), entry("changed", 5, "old")}}, wholeState, now)
+		g.Expect(inForceOf(tested)["changed"] == 5).To(Equal(isNews), key)
+		g.Expect(tested.entries[key].Value).To(Equal([]byte("beat 2")))
+	}
+}
+
+// TestLateAnswersOfAnEarlierEraProveNothing: a node is told of the restore by another one while its own watch waits, or
+// while it asks a node that has not heard of it.
+func TestLateAnswersOfAnEarlierEraProveNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		source := newHistory()
+		source.era = 1
+		tested := NewFollower(source, &observer{state: make(map[string]uint64)})
+		for range 5 {
+			source.write("key", false)
+		}
+		for range 2 {
+			// The copy that it reads first shows no era.
+			_, err := tested.step(t.Context())
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		knownAt := tested.KnownAt()
+		time.Sleep(time.Second)
+		watched := make(chan error)
+		go func() {
+			_, err := tested.step(t.Context())
+			watched <- err
+		}()
+		synctest.Wait()
+		tested.take(Batch{Era: 2, Revision: 3}, wholeState)
+		source.write("key", false)
+		g.Expect(<-watched).To(MatchError(ErrStoreBehind))
+		g.Expect(tested.KnownAt()).To(Equal(knownAt))
+		g.Expect(tested.Position()).To(Equal(Position{Era: 2, Revision: 3}))
+
+		asking := &Peers{follower: tested, readers: newReaders(Node{}, nil)}
+		age := uint32(0)
+		heardAt, isNews := asking.hear(&directorypb.ChangesRequest{Era: 1, After: 5}, &directorypb.ChangesReply{Era: 1, Revision: 5, KnownAgeMs: &age},
+			Position{Era: 1, Revision: 5}, time.Now())
+		g.Expect(heardAt.IsZero()).To(BeTrue())
+		g.Expect(isNews).To(BeFalse())
+		g.Expect(tested.KnownAt()).To(Equal(knownAt))
+	})
+}
+
 // TestAConfigurationNeverGoesBack by a restore, however long its operator takes to write it again, and whichever node
 // knows it.
 func TestAConfigurationNeverGoesBack(t *testing.T) {
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -104,6 +104,9 @@
 	spread   time.Duration
 	isOutage atomic.Bool
 
+	// taking makes batches be applied one at a time, so that one of them begins an era.
+	taking sync.Mutex
+
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
 	contactAt time.Time
@@ -309,7 +312,8 @@
 	kickable, kick := context.WithCancelCause(limited)
 	defer kick(nil)
 	defer f.listenForKick(kick)()
-	batch, err := f.source.Watch(kickable, f.replica.revision(), wait)
+	asked := f.replica.position()
+	batch, err := f.source.Watch(kickable, asked.Revision, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		f.loaded, f.historyGone = false, true
 		return false, nil
@@ -321,11 +325,14 @@
 		return false, errors.WithMessage(err, "watch the store")
 	}
 	f.regained()
-	if batch.Era > f.replica.position().Era {
+	if batch.Era > asked.Era {
 		// The revision that was asked for belongs to an era before.
 		f.loaded, f.historyGone = false, true
 		return false, nil
 	}
+	if current := f.replica.position(); current.Era > asked.Era || batch.Era != 0 && batch.Era < asked.Era {
+		return false, errors.Wrapf(ErrStoreBehind, "the watch tells of era %d, %d was seen", batch.Era, current.Era)
+	}
 	f.take(batch, allChanges)
 	f.confirm(time.Now())
 	return len(batch.Entries) > 0, nil
@@ -385,6 +392,7 @@
 	f.regained()
 	f.beginAwaitingPeers(batch)
 	f.take(batch, wholeState)
+	f.endRestart()
 	f.noteLoaded(time.Now())
 	if fresh {
 		f.historyGone = false
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -261,8 +261,9 @@
 // hear takes the answer to a question of a moment. It returns when the other node knew all that the
 // store held, zero if the answer does not tell, and whether the store knows more than this node.
 func (p *Peers) hear(request *directorypb.ChangesRequest, reply *directorypb.ChangesReply, known Position, asked time.Time) (time.Time, bool) {
-	if reply.Era < known.Era {
-		// It has not heard of the restore yet and asks this node in turn.
+	if current := p.follower.replica.position(); reply.Era < current.Era {
+		// It has not heard of the restore yet and asks this node in turn, or this node was told of the
+		// restore meanwhile.
 		return time.Time{}, false
 	}
 	p.incomplete = reply.Era == known.Era && isNewerOnly(reply, request.After)
--- a/pkg/directory/restore.go
+++ b/pkg/directory/restore.go
@@ -97,6 +97,8 @@
 
 // take applies a batch, and tells of an era that begins with it. It returns how many changes were news.
 func (f *Follower) take(batch Batch, covered coverage) int {
+	f.taking.Lock()
+	defer f.taking.Unlock()
 	now, before, provenAt := time.Now(), f.replica.position(), f.proven()
 	news := f.replica.apply(batch, covered, now)
 	after := f.replica.position()
@@ -123,6 +125,13 @@
 	return batch.Era == 0 || newest == batch.Era || f.isFirstStart && !hasNodes
 }
 
+// endRestart notes that the store may still settle, if that is why a starting node awaits others.
+func (f *Follower) endRestart() {
+	if f.awaitsPeers.Load() {
+		f.replica.noteEraBegan(time.Now())
+	}
+}
+
 // beginAwaitingPeers takes what a starting node reads first. If no node has written its entry in the
 // era of the store, the store has just come back from an older copy: the node does not serve by that
 // before another node has told what was in force, or the operator has had time to write it again.
@@ -163,7 +172,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	inForce := r.inForce()
-	baseline := r.lastOfCopy(batch, inForce)
+	baseline := r.lastOfCopy(batch)
 	for _, entry := range batch.Entries {
 		if known, exists := inForce[entry.Key]; exists && known.isConfirmedBy(entry) {
 			delete(inForce, entry.Key)
@@ -179,31 +188,40 @@
 }
 
 // lastOfCopy returns a revision that is not before the last one of the copy which the store came back from,
-// by the first batch of the era and what was known before: revisions that belonged to something else then
-// were given out again, and so were all that follow. The mutex is held.
-func (r *replica) lastOfCopy(batch Batch, known map[string]earlierState) uint64 {
-	keyAt := make(map[uint64]string, len(known))
-	for key, state := range known {
-		if state.entry.Era == r.era {
-			keyAt[state.entry.Revision] = key
-		}
+// by the first batch of the new era and what was known of the one before: revisions that belonged to
+// something else then were given out again, and so were all that follow. The mutex is held.
+func (r *replica) lastOfCopy(batch Batch) uint64 {
+	keyAt := make(map[uint64]string, len(r.entries)+len(r.tombstones))
+	for key, entry := range r.entries {
+		keyAt[entry.Revision] = key
+	}
+	for key, old := range r.tombstones {
+		keyAt[old.revision] = key
 	}
 	last := batch.Revision
 	for _, entry := range batch.Entries {
-		if entry.Revision > last || entry.Revision > r.at || r.isForgotten(entry.Revision) {
+		if entry.Revision > last || entry.Revision > r.at {
 			continue
 		}
-		state, isKnown := known[entry.Key]
 		owner, isOwned := keyAt[entry.Revision]
-		isOther := isOwned && owner != entry.Key
-		isNewer := !isKnown || entry.Revision > state.written || entry.Revision == state.written && !state.entry.Gone && !state.isConfirmedBy(entry)
-		if isOther || isNewer {
+		if isOwned && owner != entry.Key || r.wasWrittenSince(entry) {
 			last = entry.Revision - 1
 		}
 	}
 	return last
 }
 
+// wasWrittenSince reports whether an entry was evidently written after the store came back from an older
+// copy, by what was known of its key in the era before. The mutex is held.
+func (r *replica) wasWrittenSince(entry Entry) bool {
+	if known, isHeld := r.entries[entry.Key]; isHeld {
+		state := earlierState{entry: known, written: known.Revision}
+		return entry.Revision > known.Revision || state.isRewrittenAs(entry)
+	}
+	// The key may have been written again and removed unseen, where changes were passed over.
+	return entry.Revision > r.tombstones[entry.Key].written && !r.isForgotten(entry.Revision)
+}
+
 // inForce returns the state of each key that the listener was told last. The mutex is held.
 func (r *replica) inForce() map[string]earlierState {
 	states := make(map[string]earlierState, len(r.entries)+len(r.tombstones))
@@ -251,11 +269,12 @@
 	return news
 }
 
-// noteEraBegan takes when another node saw the era begin; zero if it does not know.
+// noteEraBegan takes when another node saw the era begin; zero if it does not know. The first one that saw
+// it decides, so that all nodes take the store to have settled at about the same time.
 func (r *replica) noteEraBegan(since time.Time) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.earlier.since.IsZero() {
+	if r.earlier.since.IsZero() || !since.IsZero() && since.Before(r.earlier.since) {
 		r.earlier.since = since
 	}
 }
