--- a/pkg/directory/changes.go
+++ b/pkg/directory/changes.go
@@ -136,7 +136,7 @@
 	if reply.EraAgeMs != nil && reply.Era == p.follower.replica.position().Era {
 		since = momentOf(asked, reply.EraAgeMs)
 	}
-	p.follower.replica.learnEarlier(states, since, p.follower.writeBack(), time.Now())
+	p.follower.replica.learnEarlier(states, since, p.follower.writeBackWithin(), time.Now())
 	if reply.Revision > 0 && !reply.AwaitsPeers {
 		p.follower.endAwaitingPeers()
 	}
--- /dev/null
+++ b/pkg/directory/earlier.go
@@ -0,0 +1,377 @@
+package directory
+
+import (
+	"bytes"
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramblemast/bramblemast/pkg/template/stored"
+)
+
+// Times for which states from before a restore stay in force at most.
+const (
+	// defaultWriteBackSpan is how long the operator and the servers may take to write again what
+	// the store has lost; see SetWriteBackSpan.
+	defaultWriteBackSpan = 2800 * time.Millisecond
+	// nodesWriteBackSpan is how long the nodes may take: their writes are spread, since the store
+	// limits its callers. It is that of their leases, after which a lost node's entry goes.
+	nodesWriteBackSpan = 90 * time.Second
+	// forGood is for what never goes back to an older state.
+	forGood = time.Duration(math.MaxInt64)
+)
+
+// earlierState is the state of a key from before the store came back from an older copy.
+type earlierState struct {
+	entry Entry
+	// written is the revision of the key's last write, also if the key is gone.
+	written uint64
+}
+
+// retention returns for how long the state stays in force unless its key is written again, where
+// the operator and the servers write again within a span. A configuration is replaced by a later
+// version only.
+func (s earlierState) retention(writeBackSpan time.Duration) time.Duration {
+	switch {
+	case s.entry.Configuration != nil:
+		return forGood
+	case s.entry.isOwn() || s.entry.Node != nil:
+		return nodesWriteBackSpan
+	}
+	return writeBackSpan
+}
+
+// isOwn reports whether nodes write the key back themselves: nobody else does.
+func (e Entry) isOwn() bool { return e.Template != nil || e.Note != nil }
+
+// isConfirmedBy reports whether the store holds the same state again.
+func (s earlierState) isConfirmedBy(entry Entry) bool {
+	if s.entry.Gone || entry.Gone {
+		return s.entry.Gone && entry.Gone
+	}
+	// What cannot be read may have been left out of the entry.
+	return s.entry.Problem == nil && entry.Problem == nil && bytes.Equal(s.entry.Value, entry.Value)
+}
+
+// isReplacedBy reports whether a state that the restored store holds is a later one. A state of the
+// copy was never written later than what is known of its key; one beyond the first revision that was
+// seen of the era was written after the restore. What is neither may be both.
+func (s earlierState) isReplacedBy(entry Entry, baseline uint64) bool {
+	switch {
+	case s.entry.Configuration != nil && entry.Configuration != nil:
+		return entry.Configuration.Version >= s.entry.Configuration.Version
+	case s.entry.Template != nil && entry.Template != nil && s.holdsRevisionOf(entry):
+		return false
+	case s.entry.Template != nil && entry.Template != nil:
+		return true
+	case s.entry.Node != nil && entry.Node != nil && entry.Node.Era > s.entry.Node.Era:
+		return true
+	case !s.entry.Gone && entry.Revision == s.written:
+		return true
+	}
+	return entry.Revision > s.written || entry.Revision > baseline
+}
+
+// isRewrittenAs reports whether a state has the revision of this one and was evidently written after the
+// restore. The entry of a server proves nothing: it counts heartbeats that the store gives no revision.
+func (s earlierState) isRewrittenAs(entry Entry) bool {
+	return !s.entry.Gone && entry.Revision == s.written && s.entry.ServerID == "" && !s.isConfirmedBy(entry)
+}
+
+// holdsRevisionOf reports whether the published template of an entry is part of this one's history.
+func (s earlierState) holdsRevisionOf(entry Entry) bool {
+	document, err := stored.Decode(s.entry.Template.Template.Key(), s.entry.Value)
+	if err != nil {
+		// It was decoded when it was read, so that this means a history which cannot be read: the
+		// template that the store holds now decides.
+		return false
+	}
+	_, found := document.Find(entry.Template.Template.ChangeID)
+	return found
+}
+
+// isLaterThan reports whether the state is a later one than another of the same key.
+func (s earlierState) isLaterThan(other earlierState) bool {
+	if s.entry.Configuration != nil && other.entry.Configuration != nil {
+		return s.entry.Configuration.Version > other.entry.Configuration.Version
+	}
+	if order := cmp.Or(cmp.Compare(s.entry.Era, other.entry.Era), cmp.Compare(s.written, other.written)); order != 0 {
+		return order > 0
+	}
+	return s.entry.Gone && !other.entry.Gone
+}
+
+// earlierStates are the states from before an era that stay in force, and with them which keys were gone.
+// They are guarded by the mutex of their replica.
+type earlierStates struct {
+	states map[string]earlierState
+	// since is when the era began, as this node or another one saw it; zero for long ago.
+	since time.Time
+	// baseline is the first revision that was seen of the era.
+	baseline uint64
+}
+
+// digestOf returns a number that is the same for the same states; zero for none.
+func digestOf(states map[string]earlierState) uint64 {
+	var digest uint64
+	for key, state := range states {
+		text := key + " " + strconv.FormatUint(state.entry.Era, 10) + " " + strconv.FormatUint(state.written, 10)
+		if state.entry.Gone {
+			text += " gone"
+		}
+		digest += xxhash.Sum64String(text)
+	}
+	return digest
+}
+
+// beginEra forgets what the store held in the era before and keeps what is in force, except what
+// the first batch of the era confirms. The order is held.
+func (r *replica) beginEra(batch Batch, now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	inForce := r.inForce()
+	baseline := r.lastOfCopy(batch)
+	for _, entry := range batch.Entries {
+		if known, exists := inForce[entry.Key]; exists && known.isConfirmedBy(entry) {
+			delete(inForce, entry.Key)
+		}
+	}
+	isChange := r.at > 0
+	r.entries, r.tombstones = make(map[string]Entry, len(batch.Entries)), make(map[string]tombstone)
+	r.gaps, r.forgottenUpTo, r.at, r.era = nil, 0, 0, batch.Era
+	r.earlier = earlierStates{states: inForce, baseline: baseline}
+	if isChange {
+		r.earlier.since = now
+	}
+}
+
+// lastOfCopy returns a revision that is not before the last one of the copy which the store came back from,
+// by the first batch of the new era and what was known of the one before: revisions that belonged to
+// something else then were given out again, and so were all that follow. The mutex is held.
+func (r *replica) lastOfCopy(batch Batch) uint64 {
+	keyAt := make(map[uint64]string, len(r.entries)+len(r.tombstones))
+	for key, entry := range r.entries {
+		keyAt[entry.Revision] = key
+	}
+	for key, old := range r.tombstones {
+		keyAt[old.revision] = key
+	}
+	last := batch.Revision
+	for _, entry := range batch.Entries {
+		if entry.Revision > last || entry.Revision > r.at {
+			continue
+		}
+		owner, isOwned := keyAt[entry.Revision]
+		if isOwned && owner != entry.Key || r.wasWrittenSince(entry) {
+			last = entry.Revision - 1
+		}
+	}
+	return last
+}
+
+// wasWrittenSince reports whether an entry was evidently written after the store came back from an older
+// copy, by what was known of its key in the era before. The mutex is held.
+func (r *replica) wasWrittenSince(entry Entry) bool {
+	if known, isHeld := r.entries[entry.Key]; isHeld {
+		state := earlierState{entry: known, written: known.Revision}
+		return entry.Revision > known.Revision || state.isRewrittenAs(entry)
+	}
+	// The key may have been written again and removed unseen, where changes were passed over.
+	return entry.Revision > r.tombstones[entry.Key].written && !r.isForgotten(entry.Revision)
+}
+
+// inForce returns the state of each key that the listener was told last. The mutex is held.
+func (r *replica) inForce() map[string]earlierState {
+	states := make(map[string]earlierState, len(r.entries)+len(r.tombstones))
+	for key, old := range r.tombstones {
+		states[key] = earlierState{entry: old.end, written: old.written}
+	}
+	// Also those that were written again since they went.
+	for key, entry := range r.entries {
+		states[key] = earlierState{entry: entry, written: entry.Revision}
+	}
+	maps.Copy(states, r.earlier.states)
+	return states
+}
+
+// isInForce reports whether the listener is to be told of a state that the store holds now. If so, the
+// earlier state of its key has come to its end.
+func (r *replica) isInForce(entry Entry) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known, exists := r.earlier.states[entry.Key]
+	if !exists {
+		return true
+	}
+	isConfirmed := known.isConfirmedBy(entry)
+	if isConfirmed || known.isReplacedBy(entry, r.earlier.baseline) {
+		delete(r.earlier.states, entry.Key)
+		return !isConfirmed
+	}
+	return false
+}
+
+// learnEarlier takes states from before the era that another node knows, which saw the era begin at a
+// moment; zero if it does not know. It returns how many were news.
+func (r *replica) learnEarlier(states []earlierState, since time.Time, writeBackSpan time.Duration, now time.Time) int {
+	r.order.Lock()
+	defer r.order.Unlock()
+	r.noteEraBegan(since)
+	news := 0
+	for _, state := range states {
+		if r.keepEarlier(state, writeBackSpan, now) {
+			r.listener.Changed(state.entry)
+			news++
+		}
+	}
+	return news
+}
+
+// noteEraBegan takes when another node saw the era begin; zero if it does not know. The first one that saw
+// it decides, so that all nodes take the store to have settled at about the same time.
+func (r *replica) noteEraBegan(since time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.earlier.since.IsZero() || !since.IsZero() && since.Before(r.earlier.since) {
+		r.earlier.since = since
+	}
+}
+
+// eraBegan returns when the era began, as this node or another one saw it; zero for long ago.
+func (r *replica) eraBegan() time.Time {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.earlier.since
+}
+
+// keepEarlier keeps a state that another node knows, if it goes before what this one does, and
+// reports whether it did.
+func (r *replica) keepEarlier(state earlierState, writeBackSpan time.Duration, now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	key := state.entry.Key
+	span := state.retention(writeBackSpan)
+	if state.entry.Era >= r.era || span != forGood && !now.Before(r.earlier.since.Add(span)) {
+		return false
+	}
+	if known, exists := r.earlier.states[key]; exists {
+		if !state.isLaterThan(known) {
+			return false
+		}
+		r.earlier.states[key] = state
+		return true
+	}
+	current, exists := r.entries[key]
+	_, isGone := r.tombstones[key]
+	switch {
+	case isGone, !exists && state.entry.Gone:
+		return false
+	case exists && (state.isConfirmedBy(current) || state.isReplacedBy(current, r.earlier.baseline)):
+		return false
+	}
+	r.earlier.states[key] = state
+	return true
+}
+
+// expireEarlier ends the earlier states that were not written again by a moment at which the store was
+// known: what it holds is in force from then on.
+func (r *replica) expireEarlier(knownAt time.Time, writeBackSpan time.Duration) {
+	r.order.Lock()
+	defer r.order.Unlock()
+	for _, entry := range r.takeExpired(knownAt, writeBackSpan) {
+		r.listener.Changed(entry)
+	}
+}
+
+// takeExpired returns what the store holds in the place of the earlier states that have expired.
+func (r *replica) takeExpired(knownAt time.Time, writeBackSpan time.Duration) []Entry {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var due []Entry
+	if len(r.earlier.states) == 0 {
+		return nil
+	}
+	for _, key := range slices.Sorted(maps.Keys(r.earlier.states)) {
+		state := r.earlier.states[key]
+		current, exists := r.entries[key]
+		span := state.retention(writeBackSpan)
+		if r.isSilent(key) {
+			// An even older copy may hold the key.
+			span = tombstoneLifetime
+		}
+		if span == forGood || knownAt.Before(r.earlier.since.Add(span)) {
+			continue
+		}
+		delete(r.earlier.states, key)
+		switch {
+		case exists:
+			due = append(due, current)
+		case !state.entry.Gone:
+			end := state.entry.end(r.at)
+			end.Era = r.era
+			due = append(due, end)
+		}
+	}
+	return due
+}
+
+// isSilent reports whether the earlier state of a key is the same as what the store holds: none. The
+// mutex is held.
+func (r *replica) isSilent(key string) bool {
+	_, exists := r.entries[key]
+	return !exists && r.earlier.states[key].entry.Gone
+}
+
+// overruling returns the earlier states that go before what the store holds. The mutex is held.
+func (r *replica) overruling() map[string]earlierState {
+	states := maps.Clone(r.earlier.states)
+	maps.DeleteFunc(states, func(key string, _ earlierState) bool { return r.isSilent(key) })
+	return states
+}
+
+// earlierKeys returns the keys whose earlier state goes before what the store holds, in their order.
+func (r *replica) earlierKeys() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return slices.Sorted(maps.Keys(r.overruling()))
+}
+
+// earlierDigest returns a number that is the same for replicas with the same earlier states.
+func (r *replica) earlierDigest() uint64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return digestOf(r.overruling())
+}
+
+// statesForEra returns what goes before the store's state of an era that another node knows. Where that
+// node's era is later than its own, everything may.
+func (r *replica) statesForEra(era uint64) []earlierState {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if era > r.era {
+		states := r.inForce()
+		// Servers write their entries again within seconds, to the store that the node reads.
+		maps.DeleteFunc(states, func(_ string, state earlierState) bool { return state.entry.ServerID != "" })
+		return slices.Collect(maps.Values(states))
+	}
+	return slices.Collect(maps.Values(r.overruling()))
+}
+
+// lostOwn returns the states that nodes write back, in the order of their keys.
+func (r *replica) lostOwn() []Lost {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var lost []Lost
+	overruling := r.overruling()
+	for _, key := range slices.Sorted(maps.Keys(overruling)) {
+		if state := overruling[key]; state.entry.isOwn() {
+			lost = append(lost, Lost{Entry: state.entry, StoreRevision: r.entries[key].Revision})
+		}
+	}
+	return lost
+}
--- a/pkg/directory/era_test.go
+++ b/pkg/directory/era_test.go
@@ -5,117 +5,17 @@
 	"fmt"
 	"strconv"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
-	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
-	"github.com/bramblemast/bramblemast/pkg/directory/directorypb"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
-	"github.com/bramblemast/bramblemast/pkg/peer"
 	"github.com/bramblemast/bramblemast/pkg/route"
 	"github.com/bramblemast/bramblemast/pkg/template"
 	"github.com/bramblemast/bramblemast/pkg/template/stored"
 )
 
-// restoreAll brings the store of all nodes back from a copy that holds so many changes.
-func restoreAll(nodes []*node, changes int) {
-	for _, each := range nodes {
-		each.source.restore(changes)
-	}
-}
-
-// TestEachNodeFollowsARestoredStore, also one that the store does not answer and one whose watch hears nothing: the
-// other nodes tell them. What was written before the restore stays in force until it is due again.
-func TestEachNodeFollowsARestoredStore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		nodes, stop := cluster(t, 5)
-		writeAll(nodes, "first", false)
-		time.Sleep(2 * time.Second)
-		nodes[3].source.set(func() { nodes[3].source.fail = errors.New("refused") })
-		nodes[4].source.set(func() { nodes[4].source.deaf = true })
-		for number := range 20 {
-			writeAll(nodes, fmt.Sprint("lost/", number), false)
-		}
-		time.Sleep(3 * compareInterval)
-		restoreAll(nodes, 1)
-		again := writeAll(nodes, "lost/0", false)
-		written := writeAll(nodes, "new", false)
-		time.Sleep(defaultWriteBackSpan - time.Second)
-		for number, each := range nodes {
-			g.Expect(each.seen.has("new")).To(Equal(written), fmt.Sprint(number))
-			g.Expect(each.seen.has("lost/0")).To(Equal(again))
-			g.Expect(each.seen.has("lost/1")).NotTo(BeZero(), "it may be written again")
-		}
-		time.Sleep(4 * time.Second)
-		for number, each := range nodes {
-			g.Expect(each.seen.has("lost/0")).To(Equal(again))
-			g.Expect(each.seen.has("lost/1")).To(BeZero(), fmt.Sprint(number))
-			g.Expect(each.seen.has("first")).To(Equal(uint64(1)))
-			g.Expect(each.seen.eras).To(HaveLen(1))
-			g.Expect(each.seen.eras[0].To.Era).To(Equal(uint64(1)))
-			g.Expect(each.EarlierKeys()).To(BeEmpty())
-		}
-		stop()
-	})
-}
-
-// TestSeveralRestoresInARow: each begins before the store has settled after the one before.
-func TestSeveralRestoresInARow(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		nodes, stop := cluster(t, 3)
-		writeAll(nodes, "stays", false)
-		writeAll(nodes, "ends", false)
-		time.Sleep(time.Second)
-		writeAll(nodes, "ends", true)
-		time.Sleep(time.Second)
-		for range 4 {
-			restoreAll(nodes, 2)
-			time.Sleep(time.Second)
-			for _, each := range nodes {
-				g.Expect(each.seen.has("ends")).To(BeZero(), "it was removed before")
-			}
-		}
-		writeAll(nodes, "ends", true)
-		time.Sleep(2 * defaultWriteBackSpan)
-		for _, each := range nodes {
-			g.Expect(each.seen.has("ends")).To(BeZero())
-			g.Expect(each.seen.has("stays")).To(Equal(uint64(1)))
-			g.Expect(each.Position().Era).To(Equal(uint64(4)))
-		}
-		stop()
-	})
-}
-
-// TestARestoreIsNoticedInAnyOrder: the store is restored while a node's calls fail, and has passed the revision that
-// the node knows by the time that they are answered.
-func TestARestoreIsNoticedInAnyOrder(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		nodes, stop := cluster(t, 1)
-		source := nodes[0].source
-		for number := range 5 {
-			writeAll(nodes, fmt.Sprint(number), false)
-		}
-		time.Sleep(time.Second)
-		source.set(func() { source.fail = errors.New("refused") })
-		time.Sleep(time.Second)
-		source.restore(2)
-		early := source.write("early", false)
-		for range 9 {
-			source.write("late", false)
-		}
-		source.set(func() { source.fail = nil })
-		time.Sleep(2 * time.Second)
-		g.Expect(nodes[0].seen.has("early")).To(Equal(early))
-		stop()
-	})
-}
-
 // inForceOf returns the revisions of the keys that a replica has in force.
 func inForceOf(tested *replica) map[string]uint64 {
 	tested.mutex.Lock()
@@ -193,46 +93,6 @@
 	}
 }
 
-// TestLateAnswersOfAnEarlierEraProveNothing: a node is told of the restore by another one while its own watch waits, or
-// while it asks a node that has not heard of it.
-func TestLateAnswersOfAnEarlierEraProveNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		source := newHistory()
-		source.era = 1
-		tested := NewFollower(source, &observer{state: make(map[string]uint64)})
-		for range 5 {
-			source.write("key", false)
-		}
-		for range 2 {
-			// The copy that it reads first shows no era.
-			_, err := tested.step(t.Context())
-			g.Expect(err).NotTo(HaveOccurred())
-		}
-		knownAt := tested.KnownAt()
-		time.Sleep(time.Second)
-		watched := make(chan error)
-		go func() {
-			_, err := tested.step(t.Context())
-			watched <- err
-		}()
-		synctest.Wait()
-		tested.take(Batch{Era: 2, Revision: 3}, wholeState)
-		source.write("key", false)
-		g.Expect(<-watched).To(MatchError(ErrStoreBehind))
-		g.Expect(tested.KnownAt()).To(Equal(knownAt))
-		g.Expect(tested.Position()).To(Equal(Position{Era: 2, Revision: 3}))
-
-		asking := &Peers{follower: tested, readers: newReaders(Node{}, nil)}
-		age := uint32(0)
-		heardAt, isNews := asking.hear(&directorypb.ChangesRequest{Era: 1, After: 5}, &directorypb.ChangesReply{Era: 1, Revision: 5, KnownAgeMs: &age},
-			Position{Era: 1, Revision: 5}, time.Now())
-		g.Expect(heardAt.IsZero()).To(BeTrue())
-		g.Expect(isNews).To(BeFalse())
-		g.Expect(tested.KnownAt()).To(Equal(knownAt))
-	})
-}
-
 // TestAConfigurationNeverGoesBack by a restore, however long its operator takes to write it again, and whichever node
 // knows it.
 func TestAConfigurationNeverGoesBack(t *testing.T) {
@@ -406,96 +266,3 @@
 		}
 	})
 }
-
-// TestACopyFromBeforeARestoreIsNotTaken: reads that may be old can be from before it, while the store tells its new
-// era with them. A node's entry of that era shows that one is not.
-func TestACopyFromBeforeARestoreIsNotTaken(t *testing.T) {
-	g := NewWithT(t)
-	tested := NewFollower(newHistory(), &observer{state: make(map[string]uint64)})
-	of := func(era uint64, nodes ...uint64) Batch {
-		batch := Batch{Era: era}
-		for _, writtenIn := range nodes {
-			batch.Entries = append(batch.Entries, Entry{Node: &Node{Era: writtenIn}})
-		}
-		return batch
-	}
-	g.Expect(tested.trustsCopy(of(0))).To(BeTrue(), "the store knows no eras")
-	g.Expect(tested.trustsCopy(of(2))).To(BeFalse(), "nothing tells")
-	g.Expect(tested.trustsCopy(of(2, 1, 1))).To(BeFalse())
-	g.Expect(tested.trustsCopy(of(2, 1, 2))).To(BeTrue())
-	tested.SetFirstStart(true)
-	g.Expect(tested.trustsCopy(of(2))).To(BeTrue(), "there was nothing before")
-	g.Expect(tested.trustsCopy(of(2, 1))).To(BeFalse(), "the store was restored just now")
-}
-
-// TestAStartingNodeAwaitsPeersAfterARestore: what it reads may be older than what is in force elsewhere. It is told by a
-// node that was running, not by one that has just started too, and does not wait for longer than others may take to
-// write again what was lost.
-func TestAStartingNodeAwaitsPeersAfterARestore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		network := peer.NewNetwork(1)
-		start := func(name string, known ...Node) (*Follower, *Peers) {
-			follower := NewFollower(newHistory(), &observer{state: make(map[string]uint64)})
-			peers := NewPeers(PeersOptions{
-				Follower: follower, Transport: network.Transport(peer.Address(name)), Local: Node{Name: name, PeerAddress: name},
-				Nodes: func() []Node { return known },
-			})
-			return follower, peers
-		}
-		listed := Batch{Era: 2, Revision: 3, Entries: []Entry{{Key: "nodes/running", Revision: 1, Node: &Node{Name: "running", Era: 1}}}}
-		running, _ := start("running")
-		running.take(Batch{Era: 1, Revision: 9}, wholeState)
-		running.regained()
-		other, _ := start("other")
-		other.beginAwaitingPeers(listed)
-		other.take(listed, wholeState)
-		started, asking := start("started")
-		started.beginAwaitingPeers(listed)
-		started.take(listed, wholeState)
-		g.Expect(started.AwaitsPeers()).To(BeTrue())
-		g.Expect(started.HasNews()).To(BeFalse())
-		_, err := asking.compare(context.Background(), "other")
-		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(started.AwaitsPeers()).To(BeTrue())
-		_, err = asking.compare(context.Background(), "running")
-		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(started.AwaitsPeers()).To(BeFalse(), "it has heard of a running node, though that is in the era before")
-		time.Sleep(defaultWriteBackSpan + time.Millisecond)
-		synctest.Wait()
-		g.Expect(other.AwaitsPeers()).To(BeFalse())
-		settled, _ := start("settled")
-		listed.Entries[0].Node.Era = 2
-		settled.beginAwaitingPeers(listed)
-		g.Expect(settled.AwaitsPeers()).To(BeFalse(), "a node has written its entry in this era")
-		network.Close()
-	})
-}
-
-// TestWhatIsProvenAfterARestore: what the store tells proves nothing until it has settled, and by then nothing that was
-// known before is still proven.
-func TestWhatIsProvenAfterARestore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		tested := NewFollower(nil, &observer{state: make(map[string]uint64)})
-		tested.SetWriteBackSpan(3 * time.Second)
-		tested.regained()
-		tested.take(Batch{Era: 1, Revision: 9}, wholeState)
-		tested.confirm(time.Now())
-		time.Sleep(time.Second)
-		tested.take(Batch{Era: 2, Revision: 4}, wholeState)
-		for range 2 {
-			tested.confirm(time.Now())
-			g.Expect(tested.HasNews()).To(BeFalse())
-			g.Expect(tested.IsSettling()).To(BeTrue())
-			time.Sleep(time.Second)
-		}
-		g.Expect(tested.IsKnownWithin(3*time.Second)).To(BeTrue(), "as of before the restore")
-		g.Expect(tested.IsKnownWithin(3*time.Second - 1)).To(BeFalse())
-		time.Sleep(time.Second)
-		tested.confirm(time.Now())
-		g.Expect(tested.IsSettling()).To(BeFalse())
-		g.Expect(tested.IsKnownWithin(0)).To(BeTrue())
-		g.Expect(tested.HasNews()).To(BeTrue())
-	})
-}
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -245,7 +245,7 @@
 	isBack := f.contact == contactLost && f.Role() == Asker && at.After(f.lostAt)
 	knownAt := f.knownAt
 	f.mutex.Unlock()
-	f.replica.expireEarlier(knownAt, f.writeBack())
+	f.replica.expireEarlier(knownAt, f.writeBackWithin())
 	if isBack {
 		f.regainedByOthers()
 	}
@@ -392,7 +392,7 @@
 	f.regained()
 	f.beginAwaitingPeers(batch)
 	f.take(batch, wholeState)
-	f.endRestart()
+	f.noteSettlingAtStart()
 	f.noteLoaded(time.Now())
 	if fresh {
 		f.historyGone = false
