Directory: revisions at which keys went prove nothing after a restore

Cause: the first revision that was evidently given out again was derived also from keys that had gone. Where a reading of everything finds a key missing, the revision of its end is that of the reading, and a node that hears of an end from another one knows no last write: a state of the copy was taken for a later one. Ruled out: entries: they have the revision of their last write. Change: the derivation uses entries, and keys that were never known. Conclusion: what is not derived waits for the store to settle, as designed.

--- a/pkg/directory/earlier.go
+++ b/pkg/directory/earlier.go
@@ -136,6 +136,7 @@
 	defer r.mutex.Unlock()
 	inForce := r.inForce()
 	baseline := r.lastOfCopy(batch)
+	r.succession = r.successionTo(batch)
 	for _, entry := range batch.Entries {
 		if known, exists := inForce[entry.Key]; exists && known.isConfirmedBy(entry) {
 			delete(inForce, entry.Key)
@@ -154,13 +155,11 @@
 // by the first batch of the new era and what was known of the one before: revisions that belonged to
 // something else then were given out again, and so were all that follow. The mutex is held.
 func (r *replica) lastOfCopy(batch Batch) uint64 {
-	keyAt := make(map[uint64]string, len(r.entries)+len(r.tombstones))
+	// Not those at which keys went: where that was found by a reading of everything, it was earlier.
+	keyAt := make(map[uint64]string, len(r.entries))
 	for key, entry := range r.entries {
 		keyAt[entry.Revision] = key
 	}
-	for key, old := range r.tombstones {
-		keyAt[old.revision] = key
-	}
 	last := batch.Revision
 	for _, entry := range batch.Entries {
 		if entry.Revision > last || entry.Revision > r.at {
@@ -181,8 +180,10 @@
 		state := earlierState{entry: known, written: known.Revision}
 		return entry.Revision > known.Revision || state.isRewrittenAs(entry)
 	}
-	// The key may have been written again and removed unseen, where changes were passed over.
-	return entry.Revision > r.tombstones[entry.Key].written && !r.isForgotten(entry.Revision)
+	// One that is gone was there, at revisions that may not have been seen; so may others have been, where
+	// changes were passed over.
+	_, isGone := r.tombstones[entry.Key]
+	return !isGone && !r.isForgotten(entry.Revision)
 }
 
 // inForce returns the state of each key that the listener was told last. The mutex is held.
