Directory: nodes are told what differs between two eras, not everything

Cause: a node that asks others was told the whole state once for each restore. With 90,000 servers that is 27 MB, beyond what a message may have (16 MB), so that all such nodes would read the store themselves at the moment of its return. Ruled out: reading a copy of the store, which may be from before the restore; naming a revision up to which all is unchanged, since keys that went have none. Change: who saw an era begin remembers which keys differ from the era before; a node that knows that one up to a revision not later is told these, what was written since its revision and in the new era, and makes the whole state from its own. Anything else is told whole, as before. Conclusion: the cost of a restore grows with what changed within the age of the copy.

--- a/pkg/directory/changes.go
+++ b/pkg/directory/changes.go
@@ -73,7 +73,7 @@
 	}
 	// Read before the replica, which may know more by then.
 	knownAt := p.follower.KnownAt()
-	batch, covered := p.changesFor(request)
+	batch, covered, continues := p.changesFor(request)
 	isAhead := request.Era > batch.Era || request.Era == batch.Era && request.After > batch.Revision
 	if isAhead && !p.follower.isFirstCall() {
 		select {
@@ -83,7 +83,7 @@
 	}
 	lapse := p.follower.lastOutage()
 	reply := &directorypb.ChangesReply{
-		Era: batch.Era, Revision: batch.Revision, Full: covered != allChanges, AwaitsPeers: p.follower.AwaitsPeers(),
+		Era: batch.Era, Revision: batch.Revision, Full: covered != allChanges, Continues: continues, AwaitsPeers: p.follower.AwaitsPeers(),
 		KnownAgeMs: ageMillis(knownAt), RegainedAgeMs: ageMillis(lapse.to), LostAgeMs: ageMillis(lapse.from),
 	}
 	for _, each := range batch.gaps {
@@ -98,16 +98,22 @@
 	return reply, nil
 }
 
-// changesFor returns what another node does not know, and what that covers.
-func (p *Peers) changesFor(request *directorypb.ChangesRequest) (Batch, coverage) {
+// changesFor returns what another node does not know, what that covers, and whether it is only what
+// differs from the era before.
+func (p *Peers) changesFor(request *directorypb.ChangesRequest) (batch Batch, covered coverage, continues bool) {
 	position := p.follower.replica.position()
+	after := request.After
 	switch {
 	case request.Era > position.Era:
-		return Batch{Era: position.Era, Revision: position.Revision}, allChanges
+		return Batch{Era: position.Era, Revision: position.Revision}, allChanges, false
 	case request.Era < position.Era:
-		return p.follower.replica.since(0)
+		if batch, known := p.follower.replica.continuing(Position{Era: request.Era, Revision: request.After}); known {
+			return batch, allChanges, true
+		}
+		after = 0
 	}
-	return p.follower.replica.since(request.After)
+	batch, covered = p.follower.replica.since(after)
+	return batch, covered, false
 }
 
 // tellEarlier adds the states from before the era that the other node does not hold.
--- a/pkg/directory/era_test.go
+++ b/pkg/directory/era_test.go
@@ -187,9 +187,70 @@
 	f.written[entry.Key] = number
 }
 
+// continuingTo returns the whole state that a replica has by what another one tells of the differences between its
+// era and the one before; false if it cannot be told so.
+func continuingTo(from, to *replica) (Batch, bool) {
+	position := to.position()
+	if position.Era >= from.era {
+		return Batch{}, false
+	}
+	batch, isKnown := from.continuing(position)
+	if !isKnown {
+		return Batch{}, false
+	}
+	return to.whole(batch, position)
+}
+
+// statesOf returns the keys of a whole state with their revisions and values, as text.
+func statesOf(batch Batch) string {
+	states := make(map[string]string)
+	for _, entry := range batch.Entries {
+		states[entry.Key] = fmt.Sprint(entry.Revision, " ", string(entry.Value))
+	}
+	return fmt.Sprint(batch.Era, batch.Revision, states)
+}
+
+// TestOnlyTheDifferencesOfAnEraAreTold to a node that knows the one before, however many keys there are.
+func TestOnlyTheDifferencesOfAnEraAreTold(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	const keys = 1000
+	before, after := Batch{Era: 1, Revision: keys + 2}, Batch{Era: 2, Revision: keys}
+	for number := range keys {
+		entry := Entry{Key: fmt.Sprint("key/", number), Revision: uint64(number + 1), Value: []byte("a")}
+		before.Entries, after.Entries = append(before.Entries, entry), append(after.Entries, entry)
+	}
+	before.Entries = append(before.Entries, Entry{Key: "lost", Revision: keys + 1, Value: []byte("a")})
+	before.Entries[0] = Entry{Key: "key/0", Revision: keys + 2, Value: []byte("b")}
+	teller, asker := newReplica(&observer{state: make(map[string]uint64)}), newReplica(&observer{state: make(map[string]uint64)})
+	for _, each := range []*replica{teller, asker} {
+		each.apply(before, wholeState, now)
+	}
+	teller.apply(after, wholeState, now)
+	teller.apply(Batch{Era: 2, Revision: keys + 1, Entries: []Entry{{Key: "new", Revision: keys + 1, Value: []byte("a")}}}, allChanges, now)
+	batch, isKnown := teller.continuing(asker.position())
+	g.Expect(isKnown).To(BeTrue())
+	g.Expect(batch.Entries).To(HaveLen(3), "one that went back, one that is gone, one that is new")
+	whole, isKnown := asker.whole(batch, asker.position())
+	g.Expect(isKnown).To(BeTrue())
+	everything, _ := teller.since(0)
+	g.Expect(statesOf(whole)).To(Equal(statesOf(everything)))
+
+	asker.apply(Batch{Revision: keys + 3, Entries: []Entry{{Key: "later", Revision: keys + 3}}}, allChanges, now)
+	_, isKnown = asker.whole(batch, Position{Era: 1, Revision: keys + 2})
+	g.Expect(isKnown).To(BeFalse(), "it has moved on meanwhile")
+	_, isKnown = teller.continuing(asker.position())
+	g.Expect(isKnown).To(BeFalse(), "it knows more of the era before")
+	_, isKnown = teller.continuing(Position{Era: 0, Revision: 5})
+	g.Expect(isKnown).To(BeFalse())
+}
+
 // TestReplicasAgreeAfterRestores, in whatever order batches of the store's eras arrive and nodes tell each other: what
 // the listener was told is what is in force, and once the store has settled that is what the store holds.
 func TestReplicasAgreeAfterRestores(t *testing.T) {
+	// told counts how often a node was told only what differs between two eras.
+	told := 0
+	defer func() { t.Logf("%d times only the differences were told", told) }()
 	rapid.Check(t, func(t *rapid.T) {
 		source := newHistory()
 		source.era = 1
@@ -236,6 +297,13 @@
 					after = 0
 				}
 				batch, covered := from.since(after)
+				if whole, isKnown := continuingTo(from, to); isKnown {
+					told++
+					if got, want := statesOf(whole), statesOf(batch); got != want {
+						t.Fatalf("continued to %s, the other node has %s", got, want)
+					}
+					batch = whole
+				}
 				to.apply(batch, covered, now)
 				if to.era == from.era {
 					learn(from.eraBegan())
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -56,6 +56,9 @@
 	// incomplete says that the last answer could not tell which keys have gone;
 	// only Run uses it.
 	incomplete bool
+	// wantsAll says that the last answer cannot be used by what this node knows, so that everything is
+	// asked for; only Run uses it.
+	wantsAll bool
 	// readers divides the reading of the store; only Run uses it.
 	readers *readers
 	// roleChanged is told of a new role.
@@ -242,8 +245,8 @@
 	defer cancel()
 	known := p.follower.replica.position()
 	after := known.Revision
-	if p.incomplete && (p.follower.HasLost() || p.follower.KnownAt().IsZero()) {
-		after = 0
+	if p.wantsAll || p.incomplete && (p.follower.HasLost() || p.follower.KnownAt().IsZero()) {
+		after, p.wantsAll = 0, false
 	}
 	request := &directorypb.ChangesRequest{After: after, Era: known.Era, EarlierDigest: p.follower.replica.earlierDigest()}
 	reply := &directorypb.ChangesReply{}
@@ -279,7 +282,17 @@
 	for _, item := range reply.Items {
 		batch.Entries = append(batch.Entries, p.decode(item))
 	}
-	news := p.follower.take(batch, p.coverageOf(reply))
+	covered := p.coverageOf(reply)
+	if reply.Continues {
+		whole, isKnown := p.follower.replica.whole(batch, known)
+		if !isKnown {
+			// Everything is asked for next.
+			p.wantsAll = true
+			return time.Time{}, false
+		}
+		batch, covered = whole, wholeState
+	}
+	news := p.follower.take(batch, covered)
 	if !p.incomplete && p.follower.replica.position().Era == reply.Era {
 		p.follower.confirm(knownAt)
 	}
--- a/pkg/directory/replica.go
+++ b/pkg/directory/replica.go
@@ -37,6 +37,8 @@
 	isRestored bool
 	// earlier are states from before the era, which go before what the store holds.
 	earlier earlierStates
+	// succession is how the era differs from the one before, for nodes that know that one.
+	succession succession
 }
 
 // gap is a span of revisions of which only the outcome is known. A key that was
@@ -141,10 +143,14 @@
 // keys of which it is not known that they have gone. One that is at the begin of a
 // gap, or before it, holds none that came within it. The mutex is held.
 func (r *replica) isForgotten(after uint64) bool {
-	if after < r.forgottenUpTo {
+	return isForgottenBy(after, r.forgottenUpTo, r.gaps)
+}
+
+func isForgottenBy(after, forgottenUpTo uint64, gaps []gap) bool {
+	if after < forgottenUpTo {
 		return true
 	}
-	for _, each := range r.gaps {
+	for _, each := range gaps {
 		if each.from < after && after < each.to {
 			return true
 		}
