Settings: a restored store has two seconds to settle at least

Cause: the span was that of a list after an outage, which is zero where a deployment names no contact bound, or one of less than 0.7 s: what was in force before a restore would have ended at once. Ruled out: a setting of its own: the platform promises two seconds for what is written again. Change: the same span, but two seconds at least. Evidence: TestWhatARestoreLostHasTimeToComeBack; the function did not exist before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -137,7 +137,7 @@
 	node.follower = directory.NewFollower(options.Platform, node.state)
 	node.follower.SetSuspended(options.Suspended)
 	node.follower.SetNewsAge(settings.newsAge())
-	node.follower.SetWriteBackSpan(settings.listSettles())
+	node.follower.SetWriteBackSpan(settings.writeBackSpan())
 	node.follower.SetConfirms(settings.Bounds.RefuseUnconfirmedKeys)
 	node.follower.SetFirstStart(settings.Node.FirstStart)
 	recorder := newEvents(node.logger, node.figures, node.storeAge)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -306,6 +306,15 @@
 	}
 }
 
+// TestWhatARestoreLostHasTimeToComeBack, also where a deployment names no bound on being in contact.
+func TestWhatARestoreLostHasTimeToComeBack(t *testing.T) {
+	g := NewWithT(t)
+	for contact, want := range map[int]time.Duration{0: lapsedReturn, 500: lapsedReturn, 5000: 2800 * time.Millisecond} {
+		settings := &Settings{Bounds: BoundSettings{ContactMillis: contact, ApplyMillis: 3000, DrainMillis: 3000}}
+		g.Expect(settings.writeBackSpan()).To(Equal(want), "a contact bound of %d ms", contact)
+	}
+}
+
 // TestNewsIsAsOldAsTheDeploymentAllows: nodes read the store as seldom as its
 // bounds on configurations and leaving servers allow, with a reserve, and not
 // more often where these are unknown.
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -52,7 +52,7 @@
 	n.state.fleet.SetLeaveWithin(offered.leaveWithin())
 	n.state.fleet.SetWarmUpBounds(offered.warmUpBounds())
 	n.follower.SetNewsAge(offered.newsAge())
-	n.follower.SetWriteBackSpan(offered.listSettles())
+	n.follower.SetWriteBackSpan(offered.writeBackSpan())
 	n.follower.SetConfirms(offered.Bounds.RefuseUnconfirmedKeys)
 	if n.peers != nil {
 		n.peers.SetSeeds(offered.Peers)
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -299,6 +299,10 @@
 	return max(0, min(contact, lapsedReturn+s.newsAge()))
 }
 
+// writeBackSpan returns how long the operator and the servers may take to write again what the store
+// has lost when it comes back from an older copy.
+func (s *Settings) writeBackSpan() time.Duration { return max(lapsedReturn, s.listSettles()) }
+
 // Shares of the machine's limits.
 const (
 	// memoryShare of the memory is what the heap may grow to before memory is
