Edge: what is written back is written once

Cause: a lost state was written each 250 ms until the node had read it again: 5 calls for 2 keys, each with a line, and a line each 250 ms where the store refuses the node. Ruled out: waiting for the reading: it may come a second later, and a write that was taken is in the store. Change: a state that was written over a revision of the store is not written over it again; after a refusal the node waits a second. A node that was told of an era by another one while it heard of the differences from a third does not ask for everything. Evidence: TestNotesOnSuspectRequestsAreWrittenBack counts the writes: 5 before, 2 now. Conclusion: a restore costs one call for each lost key.

--- a/internal/edge/write_back.go
+++ b/internal/edge/write_back.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/bramblemast/bramblemast/internal/pause"
 	"github.com/bramblemast/bramblemast/pkg/directory"
 	"github.com/bramblemast/bramblemast/pkg/rendezvous"
 )
@@ -65,6 +66,7 @@
 	ticker := time.NewTicker(writeBackInterval)
 	defer ticker.Stop()
 	var settledAt time.Time
+	written := make(map[string]uint64)
 	for w.node.follower.Restores() {
 		select {
 		case <-ctx.Done():
@@ -74,32 +76,44 @@
 			if len(lost) > 0 && settledAt.IsZero() {
 				settledAt = now
 			}
-			w.writeDue(ctx, lost, now.Sub(settledAt))
+			w.writeDue(ctx, lost, now.Sub(settledAt), written)
 		}
 	}
 }
 
 // writeDue writes those of the lost states for which it is this node's turn a span after the store
-// has settled.
-func (w *writeBack) writeDue(ctx context.Context, lost []directory.Lost, span time.Duration) {
+// has settled. What was written over a revision of the store is known to be there a reading later.
+func (w *writeBack) writeDue(ctx context.Context, lost []directory.Lost, span time.Duration, written map[string]uint64) {
 	names := w.nodeNames()
 	for _, each := range lost {
-		if time.Duration(w.rank(each.Entry.Key, names))*writeBackTurn > span {
+		over, isWritten := written[each.Entry.Key]
+		isDue := time.Duration(w.rank(each.Entry.Key, names))*writeBackTurn <= span
+		if !isDue || isWritten && over == each.StoreRevision {
 			continue
 		}
-		limited, cancel := context.WithTimeout(ctx, writeBackTimeout)
-		written, err := w.restorer.WriteBack(limited, each)
-		cancel()
-		if err != nil {
-			w.node.logger.Warn("lost state not written back", "key", each.Entry.Key, "error", err.Error())
+		if !w.write(ctx, each) {
 			// The store refuses this node, or is away: another one may write meanwhile.
+			pause.For(ctx, writeBackTurn)
 			return
 		}
-		w.node.logger.Info("lost state written back", "key", each.Entry.Key, "gone", each.Entry.Gone,
-			"was_newer", !written, "store_revision", each.StoreRevision)
+		written[each.Entry.Key] = each.StoreRevision
 	}
 }
 
+// write writes one state, and reports whether the store took the call.
+func (w *writeBack) write(ctx context.Context, lost directory.Lost) bool {
+	limited, cancel := context.WithTimeout(ctx, writeBackTimeout)
+	defer cancel()
+	isWritten, err := w.restorer.WriteBack(limited, lost)
+	if err != nil {
+		w.node.logger.Warn("lost state not written back", "key", lost.Entry.Key, "error", err.Error())
+		return false
+	}
+	w.node.logger.Info("lost state written back", "key", lost.Entry.Key, "gone", lost.Entry.Gone,
+		"was_newer", !isWritten, "store_revision", lost.StoreRevision)
+	return true
+}
+
 // nodeNames returns the names of the known nodes, this one among them.
 func (w *writeBack) nodeNames() []string {
 	names := []string{w.node.member.node.Name}
--- a/pkg/directory/peers.go
+++ b/pkg/directory/peers.go
@@ -286,8 +286,8 @@
 	if reply.Continues {
 		whole, isKnown := p.follower.replica.whole(batch, known)
 		if !isKnown {
-			// Everything is asked for next.
-			p.wantsAll = true
+			// Everything is asked for next, unless this node was told of the era meanwhile.
+			p.wantsAll = p.follower.replica.position().Era == known.Era
 			return time.Time{}, false
 		}
 		batch, covered = whole, wholeState
