Edge: no entry in an era whose begin the node has not seen

Cause: a node whose renewal was refused after a restore (its lease was lost, or another node's by now) wrote its entry in the new era at once, if it heard of the era by that call before its reading of the store did. The entry told others that the store had settled. Ruled out: waiting a fixed time after a refused renewal: leases end for other reasons too. Change: a node registers in the era that it knows; if the store grants a lease of another one, the call fails and is made again later. Conclusion: an entry of an era is always written by a node that has seen it settle.

--- a/internal/edge/registration.go
+++ b/internal/edge/registration.go
@@ -14,7 +14,8 @@
 
 // Registry keeps the nodes' entries for as long as they are renewed.
 type Registry interface {
-	// Register writes a node's entry and returns its lease.
+	// Register writes a node's entry and returns its lease. It is an error if the store is in another
+	// era than the entry names.
 	Register(ctx context.Context, node directory.Node, lifetime time.Duration) (directory.Lease, error)
 	// Renew keeps a lease; it returns false if the lease is over.
 	Renew(ctx context.Context, lease directory.Lease) (bool, error)
@@ -181,7 +182,10 @@
 	limited, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	if lease.ID == 0 {
-		granted, err := r.registry.Register(limited, r.node, registrationLifetime)
+		node := r.node
+		// An entry of an era whose begin this node has not seen yet would tell others that it has settled.
+		node.Era = r.store.Position().Era
+		granted, err := r.registry.Register(limited, node, registrationLifetime)
 		if err == nil {
 			*lease = granted
 		}
