--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -310,7 +310,7 @@
 			if span := suspensions.Since(); span > 0 {
 				n.resume(span)
 			}
-			if n.follower.Restores() {
+			if n.follower.IsRestoring() {
 				n.writeBack.wake()
 			}
 			n.state.fleet.Sweep(now)
--- a/internal/edge/write_back.go
+++ b/internal/edge/write_back.go
@@ -67,7 +67,7 @@
 	defer ticker.Stop()
 	var settledAt time.Time
 	written := make(map[string]uint64)
-	for w.node.follower.Restores() {
+	for w.node.follower.IsRestoring() {
 		select {
 		case <-ctx.Done():
 			return
--- a/pkg/directory/earlier.go
+++ b/pkg/directory/earlier.go
@@ -22,8 +22,8 @@
 	// nodesWriteBackSpan is how long the nodes may take: their writes are spread, since the store
 	// limits its callers. It is that of their leases, after which a lost node's entry goes.
 	nodesWriteBackSpan = 90 * time.Second
-	// forGood is for what never goes back to an older state.
-	forGood = time.Duration(math.MaxInt64)
+	// unlimitedRetention is for what never goes back to an older state.
+	unlimitedRetention = time.Duration(math.MaxInt64)
 )
 
 // earlierState is the state of a key from before the store came back from an older copy.
@@ -39,7 +39,7 @@
 func (s earlierState) retention(writeBackSpan time.Duration) time.Duration {
 	switch {
 	case s.entry.Configuration != nil:
-		return forGood
+		return unlimitedRetention
 	case s.entry.isOwn() || s.entry.Node != nil:
 		return nodesWriteBackSpan
 	}
@@ -257,7 +257,7 @@
 	defer r.mutex.Unlock()
 	key := state.entry.Key
 	span := state.retention(writeBackSpan)
-	if state.entry.Era >= r.era || span != forGood && !now.Before(r.earlier.since.Add(span)) {
+	if state.entry.Era >= r.era || span != unlimitedRetention && !now.Before(r.earlier.since.Add(span)) {
 		return false
 	}
 	if known, exists := r.earlier.states[key]; exists {
@@ -301,11 +301,11 @@
 		state := r.earlier.states[key]
 		current, exists := r.entries[key]
 		span := state.retention(writeBackSpan)
-		if r.isSilent(key) {
+		if r.isGoneInBoth(key) {
 			// An even older copy may hold the key.
 			span = tombstoneLifetime
 		}
-		if span == forGood || knownAt.Before(r.earlier.since.Add(span)) {
+		if span == unlimitedRetention || knownAt.Before(r.earlier.since.Add(span)) {
 			continue
 		}
 		delete(r.earlier.states, key)
@@ -321,9 +321,9 @@
 	return due
 }
 
-// isSilent reports whether the earlier state of a key is the same as what the store holds: none. The
+// isGoneInBoth reports whether the earlier state of a key is the same as what the store holds: none. The
 // mutex is held.
-func (r *replica) isSilent(key string) bool {
+func (r *replica) isGoneInBoth(key string) bool {
 	_, exists := r.entries[key]
 	return !exists && r.earlier.states[key].entry.Gone
 }
@@ -331,7 +331,7 @@
 // overruling returns the earlier states that go before what the store holds. The mutex is held.
 func (r *replica) overruling() map[string]earlierState {
 	states := maps.Clone(r.earlier.states)
-	maps.DeleteFunc(states, func(key string, _ earlierState) bool { return r.isSilent(key) })
+	maps.DeleteFunc(states, func(key string, _ earlierState) bool { return r.isGoneInBoth(key) })
 	return states
 }
 
--- a/pkg/directory/follower.go
+++ b/pkg/directory/follower.go
@@ -379,7 +379,7 @@
 		f.historyGone = true
 		return nil
 	}
-	if known := f.replica.position(); known.isBeyond(batch) {
+	if known := f.replica.position(); known.isAheadOf(batch) {
 		if !fresh {
 			// The copy is older than what other nodes have told: the changes since are
 			// read next.
--- a/pkg/directory/restore.go
+++ b/pkg/directory/restore.go
@@ -6,8 +6,8 @@
 	"github.com/pkg/errors"
 )
 
-// isBeyond reports whether a batch is older than the position.
-func (p Position) isBeyond(batch Batch) bool {
+// isAheadOf reports whether a batch is older than the position.
+func (p Position) isAheadOf(batch Batch) bool {
 	if batch.Era == 0 || batch.Era == p.Era {
 		return batch.Revision < p.Revision
 	}
@@ -36,9 +36,9 @@
 	return f.replica.lostOwn()
 }
 
-// Restores reports whether the store has come back from an older copy and lacks something that it held
+// IsRestoring reports whether the store has come back from an older copy and lacks something that it held
 // before, or may lack it.
-func (f *Follower) Restores() bool { return f.IsSettling() || len(f.replica.lostOwn()) > 0 }
+func (f *Follower) IsRestoring() bool { return f.IsSettling() || len(f.replica.lostOwn()) > 0 }
 
 // IsSettling reports whether the store has come back from an older copy and may lack what the operator
 // and the servers are about to write again.
