Tests: what a stand-in of the registry records is guarded

Cause: the stand-in had no mutex, and the moment at which the store settles was a plain field. Ruled out: the registration itself: all five reports name the stand-in. Change: a mutex and an atomic pointer; the assertions are as they were. Evidence: go test -race ./internal/edge passes.

--- a/internal/edge/registration_test.go
+++ b/internal/edge/registration_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -64,19 +66,38 @@
 // settlingStore is a store that was restored and settles at a moment.
 type settlingStore struct {
 	settledStore
-	settlesAt time.Time
+	settlesAt atomic.Pointer[time.Time]
 }
 
-func (s *settlingStore) SettlesIn() time.Duration { return max(0, time.Until(s.settlesAt)) }
+func (s *settlingStore) SettlesIn() time.Duration { return max(0, time.Until(*s.settlesAt.Load())) }
+
+// settleWithin lets the store settle after a span, and returns when that is.
+func (s *settlingStore) settleWithin(span time.Duration) time.Time {
+	at := time.Now().Add(span)
+	s.settlesAt.Store(&at)
+	return at
+}
 
 // recordedRegistry keeps when entries were written.
 type recordedRegistry struct {
 	keptRegistry
-	store   *settledStore
+	store *settledStore
+
+	mutex sync.Mutex
+	// written is guarded by mutex.
 	written []time.Time
 }
 
+// times returns when entries were written.
+func (r *recordedRegistry) times() []time.Time {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return slices.Clone(r.written)
+}
+
 func (r *recordedRegistry) Register(context.Context, directory.Node, time.Duration) (directory.Lease, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
 	r.written = append(r.written, time.Now())
 	return directory.Lease{ID: 7, Era: r.store.era.Load()}, nil
 }
@@ -86,7 +107,8 @@
 func TestANodeRegistersInANewEraOnceItHasSettled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		store := &settlingStore{settlesAt: time.Now().Add(3 * time.Second)}
+		store := &settlingStore{}
+		settlesAt := store.settleWithin(3 * time.Second)
 		store.era.Store(2)
 		registry := &recordedRegistry{store: &store.settledStore}
 		tested := newRegistration(registry, directory.Node{Name: "n"}, hclog.NewNullLogger(), store, func() int { return 2 })
@@ -94,15 +116,15 @@
 		ended := make(chan error)
 		go func() { ended <- tested.run(ctx) }()
 		time.Sleep(3*time.Second + leastRestoredSpread)
-		g.Expect(registry.written).To(HaveLen(1))
-		g.Expect(registry.written[0]).To(BeTemporally(">=", store.settlesAt))
+		g.Expect(registry.times()).To(HaveLen(1))
+		g.Expect(registry.times()[0]).To(BeTemporally(">=", settlesAt))
 		time.Sleep(time.Second)
-		store.settlesAt = time.Now().Add(2 * time.Second)
+		settlesAt = store.settleWithin(2 * time.Second)
 		store.era.Store(3)
 		tested.noteEra()
 		time.Sleep(2*time.Second + leastRestoredSpread)
-		g.Expect(registry.written).To(HaveLen(2), "without waiting for the next renewal")
-		g.Expect(registry.written[1]).To(BeTemporally(">=", store.settlesAt))
+		g.Expect(registry.times()).To(HaveLen(2), "without waiting for the next renewal")
+		g.Expect(registry.times()[1]).To(BeTemporally(">=", settlesAt))
 		stop()
 		g.Expect(<-ended).To(Succeed())
 	})
