Membership: each item of gossip is delivered to two successors

Callers of bramblemastd: a node that missed the news of a drained or ended back end went on asking it until the next comparison of lists, up to ten seconds.

Nobody was charged with any particular member. Ruled out: a message lost or ignored (none was sent to the member), an entry replaced in the queue (each node made its eight sends).

Change: pkg/relay delivers each item to the two members that follow a node on the ring of its zone (pkg/ring) until they acknowledge it, and passes over those that do not answer, are suspected or leave. The two deliveries take the place of two random sends. Each member so has two nodes charged with it, and an item that any node has goes on along the ring. Leave also waits for one acknowledgement.

--- a/pkg/membership/cluster_test.go
+++ b/pkg/membership/cluster_test.go
@@ -32,6 +32,9 @@
 	seeds  atomic.Pointer[[]Seed]
 	starts int
 	timing Timing
+	trace  messageTrace
+	// ended is the traffic of replaced processes.
+	ended peer.Stats
 }
 
 func newCluster(t testing.TB, seed uint64) *cluster {
@@ -55,7 +58,7 @@
 	node := &testNode{address: address, transport: c.network.TransportOf(address, id), done: make(chan struct{})}
 	node.Membership = New(Options{
 		Self:       Member{ID: id, Address: address, Zone: target.Zone(zone), Region: "region"},
-		Transport:  node.transport,
+		Transport:  &tracedTransport{MemoryTransport: node.transport, trace: &c.trace},
 		Seeds:      func() []Seed { return *c.seeds.Load() },
 		Seed:       uint64(c.starts),
 		Timing:     c.timing,
--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -2,26 +2,84 @@
 
 import (
 	"context"
+	"time"
 
 	pb "github.com/bramblemast/bramblemast/pkg/membership/membershippb"
+	"github.com/bramblemast/bramblemast/pkg/relay"
 	"github.com/bramblemast/bramblemast/pkg/target"
 )
 
-// startGossip sends queued gossip to some random members. Without other members, it clears the
-// queue.
+// startGossip delivers queued gossip to the successors that are due, and to random members so that
+// it spreads quickly. Without other members, it clears the queue.
 func (m *Membership) startGossip(ctx context.Context) {
 	m.mutex.Lock()
-	chosen := m.randomOthers(m.options.GossipFanout, "")
 	timeout := m.options.Timing.ProbeTimeout
-	if len(chosen) == 0 {
+	batches := m.takeRelayBatches(time.Now())
+	var chosen []Member
+	if m.queue.len() > 0 {
+		chosen = m.randomOthers(max(1, m.options.GossipFanout-len(batches)), "")
+	}
+	if len(m.table.others) == 0 {
 		m.queue.clear()
 	}
 	m.mutex.Unlock()
+	for _, batch := range batches {
+		m.start(func() { m.relayTo(ctx, batch, timeout) })
+	}
 	for _, member := range chosen {
 		m.start(func() { m.ping(ctx, member, timeout, nil) })
 	}
 }
 
+// relayBatch is gossip to be delivered to one successor.
+type relayBatch = relay.Batch[target.NodeID, *item]
+
+// takeRelayBatches returns what is to be sent to the successors now. The caller holds the mutex.
+func (m *Membership) takeRelayBatches(now time.Time) []relayBatch {
+	if m.stale {
+		return nil
+	}
+	m.ring.update(m.table)
+	m.queue.relay.Follow(m.ring.following(), func(id target.NodeID) bool { return m.table.records[id].state() == Alive })
+	return m.queue.relay.Take(now)
+}
+
+// relayTo sends a batch to a successor and records whether the successor acknowledged it.
+func (m *Membership) relayTo(ctx context.Context, batch relayBatch, timeout time.Duration) {
+	m.counters.relays.Add(1)
+	delivered := m.deliverBatch(ctx, batch, timeout)
+	m.mutex.Lock()
+	defer m.unlock()
+	if delivered {
+		m.queue.relay.Acknowledge(batch)
+		return
+	}
+	m.counters.relayFailures.Add(1)
+	m.queue.relay.Fail(batch, time.Now())
+}
+
+// deliverBatch sends a batch to a successor, with any accusation of it that this node holds. It
+// reports whether the successor acknowledged it.
+func (m *Membership) deliverBatch(ctx context.Context, batch relayBatch, timeout time.Duration) bool {
+	gossip := &pb.Gossip{}
+	for _, each := range batch.Items {
+		each.appendTo(gossip)
+	}
+	m.mutex.Lock()
+	known := m.table.records[batch.Node]
+	if known == nil {
+		m.unlock()
+		return false
+	}
+	member := known.member
+	if accusation := m.accusationFor(member.ID); accusation != nil {
+		gossip.Entries = append(gossip.Entries, accusation)
+	}
+	m.unlock()
+	ack, _, err := m.pingWith(ctx, member, timeout, gossip)
+	return err == nil && target.NodeID(ack.Id) == member.ID
+}
+
 // takeGossip returns the gossip for one message, or nil if there is none.
 func (m *Membership) takeGossip() *pb.Gossip {
 	m.mutex.Lock()
--- a/pkg/membership/leave.go
+++ b/pkg/membership/leave.go
@@ -22,8 +22,8 @@
 )
 
 // Leave announces that this node is about to stop, so that peers list it as leaving. It returns
-// when the announcement has been sent often enough to reach the zone, or with the error of ctx. The
-// node continues to answer its peers until Run ends.
+// when the announcement has been sent to enough members and one of them has acknowledged it, or
+// with the error of ctx. The node continues to answer its peers until Run ends.
 func (m *Membership) Leave(ctx context.Context) error {
 	m.mutex.Lock()
 	if m.table.self.member.State != Leaving {
@@ -76,11 +76,11 @@
 	return chosen
 }
 
-// announcing reports whether this node's own entry is still queued as gossip.
+// announcing reports whether this node's own entry has yet to be announced.
 func (m *Membership) announcing() bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return len(m.table.others) > 0 && m.queue.has(entryKey(string(m.options.Self.ID)))
+	return len(m.table.others) > 0 && !m.queue.announced(entryKey(string(m.options.Self.ID)))
 }
 
 // announceDeparture notifies some members of this zone and one of each other zone that this node
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -46,6 +46,7 @@
 	// The fields below are guarded by mutex.
 	random            *rand.Rand
 	table             *table
+	ring              zoneRing
 	queue             *queue
 	health            health
 	probeRound        []target.NodeID
@@ -173,7 +174,8 @@
 	if elapsed(&m.schedule.probe, now, m.health.stretch(timing.ProbePeriod)) {
 		work = append(work, m.startProbe)
 	}
-	if m.queue.len() > 0 {
+	m.queue.relay.Expire(now)
+	if m.queue.len() > 0 || m.queue.relay.Waiting() {
 		work = append(work, m.startGossip)
 	}
 	if elapsed(&m.schedule.sync, now, timing.SyncPeriod) {
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -236,6 +236,7 @@
 		node := c.nodes[addressOf("oslo", 3)]
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
+		c.trace.start()
 		if err := node.Leave(ctx); err != nil {
 			t.Fatal(err)
 		}
@@ -243,6 +244,7 @@
 		for _, other := range c.nodes {
 			if other != node && !slices.Equal(idsIn(other, "oslo", Leaving), []target.NodeID{node.options.Self.ID}) {
 				t.Errorf("%s does not hold the node as leaving", other.address)
+				t.Log(c.trace.describe(itemName(entryOf(node.table.self)), other.address))
 			}
 		}
 		node.cancel()
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -255,21 +255,28 @@
 // ping sends one ping with gossip, and with additional entries if given, and applies the gossip in
 // the ack.
 func (m *Membership) ping(ctx context.Context, pinged Member, timeout time.Duration, entries []*pb.Entry) (*pb.Ack, error) {
+	ack, accused, err := m.pingWith(ctx, pinged, timeout, m.gossipFor(pinged.ID, entries))
+	if err == nil && len(entries) == 0 && (accused || ack.SenderUnknown) {
+		m.introduce(pinged)
+	}
+	return ack, err
+}
+
+// pingWith sends one ping with the given gossip and applies the gossip in the ack. It also reports
+// whether the ack accused this node.
+func (m *Membership) pingWith(ctx context.Context, pinged Member, timeout time.Duration, gossip *pb.Gossip) (ack *pb.Ack, accused bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request := &pb.Ping{Target: string(pinged.ID), Gossip: m.gossipFor(pinged.ID, entries)}
-	ack := &pb.Ack{}
+	request := &pb.Ping{Target: string(pinged.ID), Gossip: gossip}
+	ack = &pb.Ack{}
 	if err := m.options.Transport.Call(ctx, pinged.Address, kindPing, request, ack); err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	accused := m.receive(ack.Gossip)
+	accused = m.receive(ack.Gossip)
 	if ack.Self != nil {
 		m.receive(&pb.Gossip{Entries: []*pb.Entry{ack.Self}})
 	}
-	if len(entries) == 0 && (accused || ack.SenderUnknown) {
-		m.introduce(pinged)
-	}
-	return ack, nil
+	return ack, accused, nil
 }
 
 // introduce sends this node's own entry to a member.
--- a/pkg/membership/queue.go
+++ b/pkg/membership/queue.go
@@ -1,7 +1,11 @@
 package membership
 
 import (
+	"time"
+
 	pb "github.com/bramblemast/bramblemast/pkg/membership/membershippb"
+	"github.com/bramblemast/bramblemast/pkg/relay"
+	"github.com/bramblemast/bramblemast/pkg/target"
 )
 
 const (
@@ -21,15 +25,39 @@
 	superseded bool
 }
 
-// queue holds the gossip that this node passes on; items that were sent least often go first. It is
-// not safe for concurrent use.
+// appendTo adds the item to a message.
+func (i *item) appendTo(gossip *pb.Gossip) {
+	if i.entry != nil {
+		gossip.Entries = append(gossip.Entries, i.entry)
+		return
+	}
+	gossip.News = append(gossip.News, i.broadcast)
+}
+
+// queue holds the gossip that this node passes on, to random members and to its successors. Of the
+// items for random members, those that were sent least often go first. It is not safe for
+// concurrent use.
 type queue struct {
 	// tiers[n] holds the items that were sent n times, oldest first.
 	tiers [][]*item
 	byKey map[string]*item
+	relay *relay.Queue[target.NodeID, *item]
 }
 
-func newQueue() *queue { return &queue{byKey: make(map[string]*item)} }
+// relayRetention is how long delivery of an item to a successor is attempted. After that, the
+// periodic comparison of lists supplies it.
+const relayRetention = DefaultSyncPeriod
+
+func newQueue() *queue {
+	return &queue{byKey: make(map[string]*item), relay: relay.NewQueue(relay.Config[target.NodeID, *item]{
+		Retention: relayRetention,
+		MaxItems:  maxQueued,
+		MaxBatch:  maxGossipBytes,
+		Size:      func(each *item) int { return each.size },
+		Skip:      func(id target.NodeID, each *item) bool { return each.key == entryKey(string(id)) },
+		Obsolete:  func(each *item) bool { return each.superseded },
+	})}
+}
 
 // addEntry queues an entry. It replaces an earlier entry about the same member.
 func (q *queue) addEntry(entry *pb.Entry) {
@@ -39,8 +67,11 @@
 // entryKey returns the key of the entry about a member.
 func entryKey(id string) string { return "member/" + id }
 
-// has reports whether an item is queued.
-func (q *queue) has(key string) bool { return q.byKey[key] != nil }
+// announced reports whether an item has been sent to enough random members and acknowledged by a
+// successor.
+func (q *queue) announced(key string) bool {
+	return q.byKey[key] == nil && q.relay.Acknowledged(func(each *item) bool { return each.key == key })
+}
 
 // addBroadcast queues a message of another subsystem.
 func (q *queue) addBroadcast(broadcast *pb.News) {
@@ -48,6 +79,7 @@
 }
 
 func (q *queue) add(added *item) {
+	q.relay.Add(added, time.Now())
 	if old := q.byKey[added.key]; old != nil {
 		old.superseded = true
 	}
@@ -75,12 +107,14 @@
 	}
 }
 
+// len returns the number of items for random members.
 func (q *queue) len() int { return len(q.byKey) }
 
 // clear drops all items.
 func (q *queue) clear() {
 	q.tiers = nil
 	clear(q.byKey)
+	q.relay.Clear()
 }
 
 // take returns items for one message, at most maxBytes in total, and drops those that have now been
@@ -110,11 +144,7 @@
 	}
 	for number, taken := range sent {
 		q.requeue(taken, sentTiers[number]+1, limit)
-		if taken.entry != nil {
-			gossip.Entries = append(gossip.Entries, taken.entry)
-		} else {
-			gossip.News = append(gossip.News, taken.broadcast)
-		}
+		taken.appendTo(gossip)
 	}
 	return gossip
 }
--- a/pkg/membership/stats.go
+++ b/pkg/membership/stats.go
@@ -22,6 +22,10 @@
 	SyncsDiffering uint64
 	// Summaries counts exchanges that this node started with other zones, including failed ones.
 	Summaries uint64
+	// Relays counts deliveries of gossip to successors. RelayFailures counts those that were not
+	// acknowledged.
+	Relays        uint64
+	RelayFailures uint64
 	// BroadcastsDelivered counts messages of other subsystems that were passed to a handler.
 	BroadcastsDelivered uint64
 }
@@ -33,6 +37,7 @@
 	refutations, pauses   atomic.Uint64
 	syncs, syncsDiffering atomic.Uint64
 	summaries             atomic.Uint64
+	relays, relayFailures atomic.Uint64
 	broadcastsDelivered   atomic.Uint64
 }
 
@@ -48,6 +53,8 @@
 		Syncs:               m.counters.syncs.Load(),
 		SyncsDiffering:      m.counters.syncsDiffering.Load(),
 		Summaries:           m.counters.summaries.Load(),
+		Relays:              m.counters.relays.Load(),
+		RelayFailures:       m.counters.relayFailures.Load(),
 		BroadcastsDelivered: m.counters.broadcastsDelivered.Load(),
 	}
 }
--- a/pkg/membership/suspicion.go
+++ b/pkg/membership/suspicion.go
@@ -56,18 +56,12 @@
 	return maximum - time.Duration(share*float64(maximum-minimum))
 }
 
-// retransmits returns how often a node passes on one item of gossip in a zone with the given number
-// of members. The share of members that random gossip misses falls as exp(-n) with the number n of
-// retransmissions. So the expected number of members that miss an item is about 1 in 100 in small
-// zones and less in large ones.
+// retransmits returns how often a node sends one item of gossip to random members in a zone with
+// the given number of members, besides the deliveries to its successors. It grows with the logarithm
+// of the zone, as does the number of rounds that an item needs to spread.
 func retransmits(members int) int {
-	return retransmitBase + int(math.Ceil(retransmitFactor*math.Log10(float64(members+1))))
+	return int(math.Ceil(retransmitFactor * math.Log10(float64(members+1))))
 }
 
-const (
-	// retransmitBase is the number of times that an item is passed on in any zone.
-	retransmitBase = 2
-	// retransmitFactor is the number of additional times for each factor of ten in the number of
-	// members.
-	retransmitFactor = 4
-)
+// retransmitFactor is the number of times for each factor of ten in the number of members.
+const retransmitFactor = 4
