--- a/pkg/membership/spread_test.go
+++ b/pkg/membership/spread_test.go
@@ -255,3 +255,35 @@
 	}
 	return listed, others
 }
+
+// TestResumedNodesReceiveBroadcasts broadcasts while a node is paused and right after it has
+// resumed. The node acknowledges that gossip and ignores it, because it cannot tell how long it
+// waited, so it must fetch the broadcasts from another member.
+func TestResumedNodesReceiveBroadcasts(t *testing.T) {
+	const pause = 4 * time.Second
+	inCluster(t, func(t *testing.T, c *cluster) {
+		c.startZone("oslo", 30)
+		c.settle(joinBound)
+		received := c.recordBroadcasts("test")
+		origin := c.nodes[addressOf("oslo", 0)]
+		broadcast := func(payload string) {
+			if err := origin.Broadcast("test", []byte(payload)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for number := 3; number < 30; number++ {
+			paused := addressOf("oslo", number)
+			before, after := fmt.Sprintf("during pause %d", number), fmt.Sprintf("after pause %d", number)
+			c.freeze(paused)
+			time.Sleep(pause / 2)
+			broadcast(before)
+			time.Sleep(pause / 2)
+			c.thaw(paused)
+			time.Sleep(10 * time.Millisecond)
+			broadcast(after)
+			time.Sleep(gossipQuarantine + broadcastBound)
+			received.check(t, c, before, origin)
+			received.check(t, c, after, origin)
+		}
+	})
+}
