Quarantine: updates are delivered along a ring

Callers of bramblemast-edge: while the store is unavailable, a node that has not heard that a request ends servers sends it to up to three more of them, and what those were running fails.

With more than 24 nodes an update went to 24 nodes drawn at random and from each of them to four others, once. Ruled out: lost messages, the network of the test loses none.

Change: each node delivers what it has to the two nodes that follow it on the ring of all nodes until they acknowledge it (pkg/relay), and forwards to two drawn at random in place of four.

--- a/pkg/quarantine/gossip.go
+++ b/pkg/quarantine/gossip.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bramblemast/bramblemast/internal/pause"
@@ -15,6 +16,8 @@
 	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/peer"
 	"github.com/bramblemast/bramblemast/pkg/quarantine/quarantinepb"
+	"github.com/bramblemast/bramblemast/pkg/relay"
+	"github.com/bramblemast/bramblemast/pkg/ring"
 	"github.com/bramblemast/bramblemast/pkg/target"
 )
 
@@ -24,10 +27,11 @@
 // Bounds and times of sending updates.
 const (
 	// fanOut bounds the nodes to which a node sends its own updates, so that the connections to
-	// owners stay open. If there are more nodes, those that receive an update forward it to
-	// forwardFanOut others each, which reaches all but a few; the rest learns from the store.
+	// owners stay open. If there are more nodes, every node that has an update delivers it to those
+	// that follow it on the ring of all nodes, which reaches all, and forwards what it received to
+	// forwardFanOut others, which is faster.
 	fanOut        = 24
-	forwardFanOut = 4
+	forwardFanOut = 2
 	// maxNotesPerMessage bounds the notes of one message, and maxQueued those that wait for one: a
 	// crash leaves as many as the server had requests. Crashes that do not fit in the queue are
 	// sent later; everything else reaches the other nodes through the store.
@@ -36,8 +40,7 @@
 	// messageInterval is the minimum time between two messages to the same nodes. What is detected
 	// in between goes in one message.
 	messageInterval = 10 * time.Millisecond
-	// messageTimeout bounds a message: several times the round trip to a distant region. A node
-	// that was not reached by then learns from the store.
+	// messageTimeout bounds a message: several times the round trip to a distant region.
 	messageTimeout = 400 * time.Millisecond
 	// maxInFlight bounds the messages in flight. It is greater than one so that a silent node does
 	// not hold up the next message.
@@ -59,16 +62,29 @@
 	sent, received, refused atomic.Uint64
 
 	mutex sync.Mutex
-	// peers are the addresses of the other nodes, guarded by mutex.
+	// peers are the addresses of the other nodes in the order of the ring, guarded by mutex.
 	peers []peer.Address
 	// local queues the updates of this node, forwarded those received from others; guarded by
 	// mutex.
 	local, forwarded []Update
+	// relay queues all updates for the nodes that follow this one; guarded by mutex.
+	relay *relay.Queue[peer.Address, *Update]
 }
 
+// relayBatch is updates to be delivered to one of the nodes that follow this one.
+type relayBatch = relay.Batch[peer.Address, *Update]
+
 // NewGossiper registers a handler for the updates of other nodes, and takes those of the guard.
 func NewGossiper(guard *Guard, transport peer.Transport) *Gossiper {
-	gossiper := &Gossiper{guard: guard, transport: transport, wake: make(chan struct{}, 1), slots: make(chan struct{}, maxInFlight)}
+	gossiper := &Gossiper{
+		guard: guard, transport: transport, wake: make(chan struct{}, 1), slots: make(chan struct{}, maxInFlight),
+		relay: relay.NewQueue(relay.Config[peer.Address, *Update]{
+			Retention: maxUpdateAge,
+			MaxItems:  maxQueued,
+			MaxBatch:  maxNotesPerMessage,
+			Size:      func(*Update) int { return 1 },
+		}),
+	}
 	guard.OnUpdate(gossiper.enqueue)
 	transport.Handle(kindUpdates, gossiper.handle)
 	return gossiper
@@ -78,9 +94,20 @@
 func (g *Gossiper) SetNodes(nodes []peer.Address) {
 	local := g.transport.Address()
 	peers := slices.DeleteFunc(slices.Clone(nodes), func(each peer.Address) bool { return each == local || each == "" })
+	ordered := ring.After(peers, local, outranks)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.peers = peers
+	g.peers = ordered
+}
+
+// outranks orders nodes by the hash of their addresses, so that neighbours on the ring are seldom in
+// the same zone.
+func outranks(one, other peer.Address) bool {
+	oneRank, otherRank := xxhash.Sum64String(string(one)), xxhash.Sum64String(string(other))
+	if oneRank != otherRank {
+		return oneRank > otherRank
+	}
+	return one > other
 }
 
 // Counts returns how many notes were sent and received.
@@ -99,9 +126,22 @@
 		return false
 	}
 	g.local = append(g.local, update)
+	g.addToRelay([]Update{update})
 	return true
 }
 
+// addToRelay queues updates for the nodes that follow this one, if there are more nodes than their
+// origin sends them to. The caller holds the mutex.
+func (g *Gossiper) addToRelay(updates []Update) {
+	if len(g.peers) <= fanOut {
+		return
+	}
+	now := time.Now()
+	for index := range updates {
+		g.relay.Add(&updates[index], now)
+	}
+}
+
 // forward queues updates of another node until Run sends them on, if there are more nodes than that
 // one could reach.
 func (g *Gossiper) forward(updates []Update) {
@@ -110,7 +150,8 @@
 	if len(g.peers) <= fanOut || len(updates) == 0 {
 		return
 	}
-	// The other nodes learn from the store what does not fit in the queue.
+	g.addToRelay(updates)
+	// What does not fit in the queue reaches the other nodes along the ring.
 	g.forwarded = append(g.forwarded, updates[:min(len(updates), maxQueued-len(g.forwarded))]...)
 	g.signal()
 }
@@ -136,6 +177,9 @@
 		local, forwarded := g.nextBatches()
 		g.send(ctx, &sending, local, fanOut)
 		g.send(ctx, &sending, forwarded, forwardFanOut)
+		for _, batch := range g.nextRelayBatches() {
+			sending.Go(func() { g.deliver(ctx, batch) })
+		}
 		pause.For(ctx, messageInterval)
 	}
 }
@@ -152,6 +196,47 @@
 	return local, forwarded
 }
 
+// nextRelayBatches returns what is to be delivered now to the nodes that follow this one.
+func (g *Gossiper) nextRelayBatches() []relayBatch {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := time.Now()
+	g.relay.Expire(now)
+	g.relay.Follow(g.peers, func(peer.Address) bool { return true })
+	return g.relay.Take(now)
+}
+
+// deliver sends a batch to a node that follows this one. Run sends what it did not acknowledge again.
+func (g *Gossiper) deliver(ctx context.Context, batch relayBatch) {
+	limited, cancel := context.WithTimeout(ctx, messageTimeout)
+	defer cancel()
+	updates := make([]Update, 0, len(batch.Items))
+	for _, each := range batch.Items {
+		updates = append(updates, *each)
+	}
+	g.sent.Add(uint64(len(updates)))
+	err := g.transport.Call(limited, batch.Node, kindUpdates, encodeUpdates(updates, time.Now()), &quarantinepb.Taken{})
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if err == nil {
+		g.relay.Acknowledge(batch)
+		g.signalIfWaiting()
+		return
+	}
+	// The error shows nothing but that the node does not answer, for which Run tries those behind it.
+	backoff := g.relay.Fail(batch, time.Now())
+	g.signal()
+	time.AfterFunc(backoff, g.signal)
+}
+
+// signalIfWaiting tells Run of updates that were queued for a node while a batch was in flight. The
+// caller holds the mutex.
+func (g *Gossiper) signalIfWaiting() {
+	if g.relay.Waiting() {
+		g.signal()
+	}
+}
+
 // splitBatch cuts off as many updates as fit in one message.
 func splitBatch(queued []Update) (batch, rest []Update) {
 	count := min(len(queued), maxNotesPerMessage)
@@ -175,7 +260,7 @@
 		defer func() { <-g.slots }()
 		limited, cancel := context.WithTimeout(ctx, messageTimeout)
 		defer cancel()
-		// Nodes that do not receive the message learn from the store.
+		// Nodes that do not receive the message learn along the ring or from the store.
 		peer.Spread(limited, g.transport, addresses, kindUpdates, message, func() proto.Message { return &quarantinepb.Taken{} })
 	})
 }
