Limits: a node that is listed again is not held as cut off for ever

Callers of tenants with limits: a node that becomes a coordinator keeps rate back for nodes that it holds as cut off, and refuses tenants within their limits for it. Operators: `limit show` names nodes as out of touch that are not.

Cause: a node that leaves the node list counts as cut off, and once it is listed again only its report or a verdict that it accepts clears that. A node that coordinates nothing gets no reports and sends no verdicts.

Change: a node that coordinates nothing forgets it 20 s after the return, which is as long as a node counts as cut off after it has left. A coordinator goes on until it has been in contact, so that the sum of what is admitted holds as before.

--- a/pkg/quota/coordinators.go
+++ b/pkg/quota/coordinators.go
@@ -102,17 +102,22 @@
 func (l *Limiter) recordDeparted(before, after map[string]peer.Address, now time.Time) {
 	for name := range before {
 		if after[name] == "" && name != l.options.Local {
+			delete(l.relisted, name)
 			l.silent[name] = true
 			l.departed[name] = now.Add(departedSpan)
 		}
 	}
 	for name := range after {
-		delete(l.departed, name)
+		if _, hasReturned := l.departed[name]; hasReturned {
+			delete(l.departed, name)
+			l.relisted[name] = now.Add(departedSpan)
+		}
 	}
 }
 
-// forgetDeparted removes nodes that left the list more than departedSpan ago. The caller holds the
-// mutex.
+// forgetDeparted removes nodes that left the list more than departedSpan ago. A node that coordinates
+// nothing also forgets that listed nodes were silent: they neither report to it nor receive verdicts
+// from it, so nothing else would show that they are back. The caller holds the mutex.
 func (l *Limiter) forgetDeparted(now time.Time) {
 	for name, until := range l.departed {
 		if now.After(until) {
@@ -120,6 +125,12 @@
 			delete(l.silent, name)
 		}
 	}
+	for name, until := range l.relisted {
+		if now.After(until) && !l.coordinates(l.options.Local) {
+			delete(l.relisted, name)
+			delete(l.silent, name)
+		}
+	}
 }
 
 // isSettling reports whether other nodes may have a different node list. The caller holds the
--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -101,6 +101,9 @@
 	silent map[string]bool
 	// departed holds nodes that have left the node list and until when they count as silent.
 	departed map[string]time.Time
+	// relisted holds nodes that are listed again and have not been in contact since, and until when
+	// they count as silent at a node that coordinates nothing.
+	relisted map[string]time.Time
 	// isBroadcasting and isProbingSilent are set while verdicts are being sent to nodes in contact
 	// and to silent nodes.
 	isBroadcasting  bool
@@ -175,7 +178,7 @@
 		addresses:    make(map[string]peer.Address),
 		coordinators: rendezvous.NewSet[string](nil), zoneCoordinators: rendezvous.NewSet[string](nil),
 		links: make(map[string]*link), meters: make(map[string]*tenantMeter), accounts: make(map[string]*tenantAccount),
-		silent: make(map[string]bool), departed: make(map[string]time.Time),
+		silent: make(map[string]bool), departed: make(map[string]time.Time), relisted: make(map[string]time.Time),
 		tallies: make(map[string]*tally),
 	}
 	options.Transport.Handle(kindReport, limiter.handleReport)
--- a/pkg/quota/reports.go
+++ b/pkg/quota/reports.go
@@ -137,6 +137,7 @@
 func (l *Limiter) recordContact(name string) {
 	delete(l.silent, name)
 	delete(l.departed, name)
+	delete(l.relisted, name)
 }
 
 // recordReport counts the report of a node and returns the verdicts on its tenants. The caller
