Quarantine: updates to few nodes are repeated until they are acknowledged

Cause: the node that saw the crash told all others once, and a message that was not acknowledged was left to the store. Evidence: with a tenth of the messages lost, 2 of 6 nodes did not know of the request after a second (TestASuspectRequestIsKnownToAllUnderLoss on the code before).

Change: the same queue (pkg/relay) delivers to all nodes where they are few. A message that is not lost is sent once, as before; there is one message in flight to each node, so that a silent one delays no other.

--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -40,7 +40,8 @@
 		return nil
 	}
 	m.ring.update(m.table)
-	m.queue.relay.Follow(m.ring.following(), func(id target.NodeID) bool { return m.table.records[id].state() == Alive })
+	isAlive := func(id target.NodeID) bool { return m.table.records[id].state() == Alive }
+	m.queue.relay.Follow(m.ring.following(), relay.RingSuccessors, isAlive)
 	return m.queue.relay.Take(now)
 }
 
--- a/pkg/quarantine/gossip.go
+++ b/pkg/quarantine/gossip.go
@@ -27,9 +27,10 @@
 // Bounds and times of sending updates.
 const (
 	// fanOut bounds the nodes to which a node sends its own updates, so that the connections to
-	// owners stay open. If there are more nodes, every node that has an update delivers it to those
-	// that follow it on the ring of all nodes, which reaches all, and forwards what it received to
-	// forwardFanOut others, which is faster.
+	// owners stay open. Up to that many are delivered to until they acknowledge. If there are more
+	// nodes, every node that has an update delivers it to those that follow it on the ring of all
+	// nodes, which reaches all. For speed, its origin then also sends it to fanOut others and each
+	// receiver to forwardFanOut others, once.
 	fanOut        = 24
 	forwardFanOut = 2
 	// maxNotesPerMessage bounds the notes of one message, and maxQueued those that wait for one: a
@@ -67,11 +68,11 @@
 	// local queues the updates of this node, forwarded those received from others; guarded by
 	// mutex.
 	local, forwarded []Update
-	// relay queues all updates for the nodes that follow this one; guarded by mutex.
+	// relay holds the updates to be delivered until they are acknowledged; guarded by mutex.
 	relay *relay.Queue[peer.Address, *Update]
 }
 
-// relayBatch is updates to be delivered to one of the nodes that follow this one.
+// relayBatch is updates to be delivered to one node.
 type relayBatch = relay.Batch[peer.Address, *Update]
 
 // NewGossiper registers a handler for the updates of other nodes, and takes those of the guard.
@@ -126,28 +127,15 @@
 		return false
 	}
 	g.local = append(g.local, update)
-	g.addToRelay([]Update{update})
 	return true
 }
 
-// addToRelay queues updates for the nodes that follow this one, if there are more nodes than their
-// origin sends them to. The caller holds the mutex.
-func (g *Gossiper) addToRelay(updates []Update) {
-	if len(g.peers) <= fanOut {
-		return
-	}
-	now := time.Now()
-	for index := range updates {
-		g.relay.Add(&updates[index], now)
-	}
-}
-
 // forward queues updates of another node until Run sends them on, if there are more nodes than that
-// one could reach.
+// one delivers to. The caller does not hold the mutex.
 func (g *Gossiper) forward(updates []Update) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if len(g.peers) <= fanOut || len(updates) == 0 {
+	if !g.usesRing() || len(updates) == 0 {
 		return
 	}
 	g.addToRelay(updates)
@@ -156,6 +144,18 @@
 	g.signal()
 }
 
+// usesRing reports whether there are more nodes than this one delivers its own updates to. The caller
+// holds the mutex.
+func (g *Gossiper) usesRing() bool { return len(g.peers) > fanOut }
+
+// addToRelay queues updates for delivery. The caller holds the mutex.
+func (g *Gossiper) addToRelay(updates []Update) {
+	now := time.Now()
+	for index := range updates {
+		g.relay.Add(&updates[index], now)
+	}
+}
+
 // signal tells Run that updates are queued.
 func (g *Gossiper) signal() {
 	select {
@@ -184,7 +184,8 @@
 	}
 }
 
-// nextBatches takes the updates for the next messages out of the queues.
+// nextBatches takes the updates for the next messages out of the queues, and returns those for nodes
+// drawn at random.
 func (g *Gossiper) nextBatches() (local, forwarded []Update) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -193,20 +194,30 @@
 	if len(g.local)+len(g.forwarded) > 0 {
 		g.signal()
 	}
+	g.sent.Add(uint64(len(local) + len(forwarded)))
+	g.addToRelay(local)
+	if !g.usesRing() {
+		return nil, nil
+	}
 	return local, forwarded
 }
 
-// nextRelayBatches returns what is to be delivered now to the nodes that follow this one.
+// nextRelayBatches returns what is to be delivered now: to all other nodes, or to those that follow
+// this one on the ring.
 func (g *Gossiper) nextRelayBatches() []relayBatch {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := time.Now()
 	g.relay.Expire(now)
-	g.relay.Follow(g.peers, func(peer.Address) bool { return true })
+	wanted := len(g.peers)
+	if g.usesRing() {
+		wanted = relay.RingSuccessors
+	}
+	g.relay.Follow(g.peers, wanted, func(peer.Address) bool { return true })
 	return g.relay.Take(now)
 }
 
-// deliver sends a batch to a node that follows this one. Run sends what it did not acknowledge again.
+// deliver sends a batch to one node. Run sends what the node did not acknowledge again.
 func (g *Gossiper) deliver(ctx context.Context, batch relayBatch) {
 	limited, cancel := context.WithTimeout(ctx, messageTimeout)
 	defer cancel()
@@ -214,7 +225,6 @@
 	for _, each := range batch.Items {
 		updates = append(updates, *each)
 	}
-	g.sent.Add(uint64(len(updates)))
 	err := g.transport.Call(limited, batch.Node, kindUpdates, encodeUpdates(updates, time.Now()), &quarantinepb.Taken{})
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -223,7 +233,7 @@
 		g.signalIfWaiting()
 		return
 	}
-	// The error shows nothing but that the node does not answer, for which Run tries those behind it.
+	// The error shows nothing but that the node does not answer. On a ring, Run tries those behind it.
 	backoff := g.relay.Fail(batch, time.Now())
 	g.signal()
 	time.AfterFunc(backoff, g.signal)
@@ -254,7 +264,6 @@
 	case <-ctx.Done():
 		return
 	}
-	g.sent.Add(uint64(len(updates)))
 	message := encodeUpdates(updates, time.Now())
 	sending.Go(func() {
 		defer func() { <-g.slots }()
--- a/pkg/quarantine/spread_test.go
+++ b/pkg/quarantine/spread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -62,6 +63,29 @@
 	}
 }
 
+// TestASuspectRequestIsKnownToAllUnderLoss loses a tenth of the messages while the store is
+// unavailable.
+func TestASuspectRequestIsKnownToAllUnderLoss(t *testing.T) {
+	for _, size := range []int{6, 25, 67} {
+		for seed := range uint64(5) {
+			withGossip(t, size, func(g *WithT, c *cluster, network *messageNetwork) {
+				c.ledger.setFailing(true)
+				c.ledgerUnavailable.Store(true)
+				random := rand.New(rand.NewPCG(seed, 0))
+				network.setDelivery(func(peer.Address) (int, time.Duration) {
+					if random.IntN(10) == 0 {
+						return 0, 0
+					}
+					return 1, 0
+				})
+				c.crash(c.guards[0], deadly, "a", "b", "c")
+				time.Sleep(spreadBound)
+				g.Expect(c.unaware(deadly)).To(BeEmpty(), "%d nodes", size)
+			})
+		}
+	}
+}
+
 // unaware returns the numbers of the nodes that do not hold a request as suspect.
 func (c *cluster) unaware(fingerprint exchange.Fingerprint) []int {
 	var unaware []int
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -9,12 +9,13 @@
 	"time"
 )
 
+// RingSuccessors is the number of reachable nodes to which each node of a ring delivers an item. With
+// two, a node still receives what one of those before it fails to deliver.
+const RingSuccessors = 2
+
 const (
-	// wanted is the number of reachable nodes to which each item is delivered. With two, a node still
-	// hears what one of those before it fails to deliver.
-	wanted = 2
-	// maxSuccessors bounds the nodes that are tried while the first ones do not answer.
-	maxSuccessors = 8
+	// maxPassedOver bounds the nodes that do not answer, or are not healthy, and are passed over.
+	maxPassedOver = 6
 	// minBackoff and maxBackoff bound the time between two attempts to deliver to a node that does
 	// not answer.
 	minBackoff = 200 * time.Millisecond
@@ -121,14 +122,13 @@
 	}
 }
 
-// Follow sets the nodes to deliver to, given those that follow this node on the ring: as many as it
-// takes until enough of them are both healthy, as far as the caller knows, and answer. Items are
-// delivered to those passed over too. All recent items are queued for a new one, because the node
-// that preceded it may not have delivered them.
-func (q *Queue[Node, Item]) Follow(following []Node, healthy func(node Node) bool) {
+// Follow sets the nodes to deliver to: the first of those given, until wanted of them are healthy, as
+// far as the caller knows, and answer. Items are delivered to those passed over too. All recent items
+// are queued for a new one, because the node that preceded it may not have delivered them.
+func (q *Queue[Node, Item]) Follow(following []Node, wanted int, healthy func(node Node) bool) {
 	var followed []*successor[Node, Item]
 	missing := wanted
-	for _, node := range following[:min(maxSuccessors, len(following))] {
+	for _, node := range following[:min(wanted+maxPassedOver, len(following))] {
 		known := q.successorOf(node)
 		if known == nil {
 			known = q.newSuccessor(node)
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -41,7 +41,7 @@
 func TestItemsAreSentUntilTheyAreAcknowledged(t *testing.T) {
 	now := time.Now()
 	queue := newTestQueue()
-	queue.Follow([]string{"b", "c", "d"}, isHealthy)
+	queue.Follow([]string{"b", "c", "d"}, RingSuccessors, isHealthy)
 	queue.Add(1, now)
 	batches := queue.Take(now)
 	expectNodes(t, batches, "b", "c")
@@ -60,12 +60,12 @@
 	now := time.Now()
 	following := []string{"b", "c", "d", "e", "f"}
 	queue := newTestQueue()
-	queue.Follow(following, isHealthy)
+	queue.Follow(following, RingSuccessors, isHealthy)
 	queue.Add(1, now)
 	for _, batch := range queue.Take(now) {
 		queue.Fail(batch, now)
 	}
-	queue.Follow(following, isHealthy)
+	queue.Follow(following, RingSuccessors, isHealthy)
 	batches := queue.Take(now)
 	expectNodes(t, batches, "b", "c", "d", "e")
 	for _, batch := range batches[:2] {
@@ -82,17 +82,17 @@
 	now := time.Now()
 	following := []string{"b", "c", "d"}
 	queue := newTestQueue()
-	queue.Follow(following, isHealthy)
+	queue.Follow(following, RingSuccessors, isHealthy)
 	queue.Add(1, now)
 	batches := queue.Take(now)
 	queue.Fail(batches[0], now)
 	queue.Acknowledge(batches[1])
-	queue.Follow(following, isHealthy)
+	queue.Follow(following, RingSuccessors, isHealthy)
 	batches = queue.Take(now)
 	expectNodes(t, batches, "b", "d")
 	queue.Acknowledge(batches[0])
 	queue.Acknowledge(batches[1])
-	queue.Follow(following, isHealthy)
+	queue.Follow(following, RingSuccessors, isHealthy)
 	queue.Add(2, now)
 	expectNodes(t, queue.Take(now), "b", "c")
 }
@@ -100,7 +100,7 @@
 func TestUnhealthyNodesAreSentItemsToo(t *testing.T) {
 	now := time.Now()
 	queue := newTestQueue()
-	queue.Follow([]string{"b", "c", "d", "e"}, func(node string) bool { return node != "b" })
+	queue.Follow([]string{"b", "c", "d", "e"}, RingSuccessors, func(node string) bool { return node != "b" })
 	queue.Add(1, now)
 	expectNodes(t, queue.Take(now), "b", "c", "d")
 }
@@ -108,13 +108,13 @@
 func TestItemsExpire(t *testing.T) {
 	now := time.Now()
 	queue := newTestQueue()
-	queue.Follow([]string{"b"}, isHealthy)
+	queue.Follow([]string{"b"}, RingSuccessors, isHealthy)
 	queue.Add(1, now)
 	queue.Expire(now.Add(retention))
 	if queue.Waiting() {
 		t.Error("an item waits beyond its retention")
 	}
-	queue.Follow([]string{"c"}, isHealthy)
+	queue.Follow([]string{"c"}, RingSuccessors, isHealthy)
 	expectNodes(t, queue.Take(now))
 }
 
@@ -123,7 +123,7 @@
 func TestEveryNodeReceivesEveryItem(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		size := rapid.IntRange(2, 20).Draw(t, "nodes")
-		silent := rapid.SliceOfNDistinct(rapid.IntRange(0, size-1), 0, min(size-1, maxSuccessors-wanted), rapid.ID).Draw(t, "silent")
+		silent := rapid.SliceOfNDistinct(rapid.IntRange(0, size-1), 0, min(size-1, maxPassedOver), rapid.ID).Draw(t, "silent")
 		lost := rapid.SliceOfN(rapid.IntRange(0, 4*size), 0, size).Draw(t, "lost")
 		group := newGroup(size, silent, lost)
 		for item := range rapid.IntRange(1, 5).Draw(t, "items") {
@@ -188,7 +188,7 @@
 		for _, node := range g.answering() {
 			queue := g.queues[node]
 			queue.Expire(g.now)
-			queue.Follow(g.following(node), isHealthy)
+			queue.Follow(g.following(node), RingSuccessors, isHealthy)
 			for _, batch := range queue.Take(g.now) {
 				g.send(queue, batch)
 			}
