--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -1,7 +1,7 @@
-// Package relay delivers messages along a ring of nodes: each node delivers every item to the nodes
-// that follow it and repeats it until they acknowledge it, so that no node depends on being drawn at
-// random. It decides what is sent to whom and when; its user sends. Nothing in it is safe for
-// concurrent use.
+// Package relay delivers items to other nodes and repeats each of them until the nodes acknowledge it.
+// Where every node delivers to those that follow it on a ring (package ring), each node has fixed
+// senders, and none depends on being drawn at random. The package decides what is to be sent to whom
+// and when; the caller sends. Nothing in it is safe for concurrent use.
 package relay
 
 import (
@@ -39,7 +39,7 @@
 	Obsolete func(item Item) bool
 }
 
-// Queue holds the items that a node delivers to the nodes that follow it.
+// Queue holds the items that a node delivers to some others, its successors.
 type Queue[Node, Item comparable] struct {
 	config Config[Node, Item]
 	// recent holds the items of the last Retention, oldest first.
