--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -229,6 +229,8 @@
 	})
 }
 
+// TestLeavingNodeIsSeenAndThenGone guards against members to which no node sends the announcement of
+// a planned stop.
 func TestLeavingNodeIsSeenAndThenGone(t *testing.T) {
 	inCluster(t, func(t *testing.T, c *cluster) {
 		c.startZone("oslo", 30)
