Ring: one order of nodes by the hash of their IDs

pkg/membership and pkg/quarantine each brought the same comparison of hashes with ties, and quarantine hashed both addresses at each comparison of the sort. pkg/ring orders IDs by their hash itself, hashed once each; membership keeps the ordered IDs of its zone and no longer copies them on every tick with gossip, and quarantine draws no random nodes for updates that it does not have.

The tests keep their checks; the literal order in pkg/ring is that of the code before for hashed IDs.

--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -41,7 +41,7 @@
 	}
 	m.ring.update(m.table)
 	isAlive := func(id target.NodeID) bool { return m.table.records[id].state() == Alive }
-	m.queue.relay.Follow(m.ring.following(), relay.RingSuccessors, isAlive)
+	m.queue.relay.Follow(m.ring.members, relay.RingSuccessors, isAlive)
 	return m.queue.relay.Take(now)
 }
 
--- a/pkg/membership/ring.go
+++ b/pkg/membership/ring.go
@@ -5,10 +5,10 @@
 	"github.com/bramblemast/bramblemast/pkg/target"
 )
 
-// zoneRing is the members of this node's zone that are not dead, in the order of their ranks and
+// zoneRing is the members of this node's zone that are not dead, in the order of the ring and
 // beginning after this node. Each member has the same predecessors at all nodes of a zone.
 type zoneRing struct {
-	members []*record
+	members []target.NodeID
 	// version is the version of the table from which members were ordered.
 	version uint64
 }
@@ -19,14 +19,9 @@
 		return
 	}
 	r.version = t.version
-	r.members = ring.After(t.others, t.self, (*record).outranks)
-}
-
-// following returns the IDs of the members that follow this node.
-func (r *zoneRing) following() []target.NodeID {
-	ids := make([]target.NodeID, 0, len(r.members))
-	for _, each := range r.members {
-		ids = append(ids, each.member.ID)
+	ids := make([]target.NodeID, 0, len(t.others))
+	for _, other := range t.others {
+		ids = append(ids, other.member.ID)
 	}
-	return ids
+	r.members = ring.After(ids, t.self.member.ID)
 }
--- a/pkg/membership/spread_test.go
+++ b/pkg/membership/spread_test.go
@@ -133,10 +133,10 @@
 			origin.mutex.Lock()
 			origin.ring.update(origin.table)
 			frozen := origin.ring.members[:3]
-			origin.mutex.Unlock()
-			for _, each := range frozen {
-				c.freeze(each.member.Address)
+			for _, id := range frozen {
+				c.freeze(origin.table.records[id].member.Address)
 			}
+			origin.mutex.Unlock()
 			if err := origin.Broadcast("test", []byte("change")); err != nil {
 				t.Fatal(err)
 			}
--- a/pkg/quarantine/gossip.go
+++ b/pkg/quarantine/gossip.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bramblemast/bramblemast/internal/pause"
@@ -95,22 +94,12 @@
 func (g *Gossiper) SetNodes(nodes []peer.Address) {
 	local := g.transport.Address()
 	peers := slices.DeleteFunc(slices.Clone(nodes), func(each peer.Address) bool { return each == local || each == "" })
-	ordered := ring.After(peers, local, outranks)
+	ordered := ring.After(peers, local)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.peers = ordered
 }
 
-// outranks orders nodes by the hash of their addresses, so that neighbours on the ring are seldom in
-// the same zone.
-func outranks(one, other peer.Address) bool {
-	oneRank, otherRank := xxhash.Sum64String(string(one)), xxhash.Sum64String(string(other))
-	if oneRank != otherRank {
-		return oneRank > otherRank
-	}
-	return one > other
-}
-
 // Counts returns how many notes were sent and received.
 func (g *Gossiper) Counts() (sent, received uint64) { return g.sent.Load(), g.received.Load() }
 
@@ -255,8 +244,11 @@
 
 // send sends updates to up to maxPeers other nodes, drawn anew each time.
 func (g *Gossiper) send(ctx context.Context, sending *sync.WaitGroup, updates []Update, maxPeers int) {
+	if len(updates) == 0 {
+		return
+	}
 	addresses := g.drawPeers(maxPeers)
-	if len(updates) == 0 || len(addresses) == 0 {
+	if len(addresses) == 0 {
 		return
 	}
 	select {
--- a/pkg/ring/ring_test.go
+++ b/pkg/ring/ring_test.go
@@ -7,10 +7,8 @@
 	"pgregory.net/rapid"
 )
 
-func greater(one, other int) bool { return one > other }
-
 func TestAfterBeginsWithTheNextMember(t *testing.T) {
-	if ordered := After([]int{9, 1, 7, 3}, 5, greater); !slices.Equal(ordered, []int{3, 1, 9, 7}) {
+	if ordered := After([]string{"a", "b", "d", "e"}, "c"); !slices.Equal(ordered, []string{"b", "d", "e", "a"}) {
 		t.Errorf("got %v", ordered)
 	}
 }
@@ -19,15 +17,15 @@
 // after self has self as the last one after it.
 func TestEachMemberFollowsTheOneBeforeIt(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		members := rapid.SliceOfNDistinct(rapid.IntRange(0, 1000), 2, 20, rapid.ID).Draw(t, "members")
-		without := func(self int) []int {
-			return slices.DeleteFunc(slices.Clone(members), func(each int) bool { return each == self })
+		members := rapid.SliceOfNDistinct(rapid.String(), 2, 20, rapid.ID).Draw(t, "members")
+		without := func(self string) []string {
+			return slices.DeleteFunc(slices.Clone(members), func(each string) bool { return each == self })
 		}
 		for _, self := range members {
-			next := After(without(self), self, greater)[0]
-			following := After(without(next), next, greater)
+			next := After(without(self), self)[0]
+			following := After(without(next), next)
 			if last := following[len(following)-1]; last != self {
-				t.Fatalf("%d is followed by %d, which is preceded by %d", self, next, last)
+				t.Fatalf("%q is followed by %q, which is preceded by %q", self, next, last)
 			}
 		}
 	})
