Tests: the flags of Ginkgo in one place

The seed and the specs that are passed over were given to each group of packages side by side; they are one list now. The flags are the same.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -22,7 +22,7 @@
 # Tests that KNOWN-RED.txt names, one "Name: what was seen; issue" a line, are passed over
 # and printed. A name that begins with "spec " is the end of a Ginkgo spec's full text.
 known_red="$(dirname "$0")/../KNOWN-RED.txt"
-ginkgo_flags=()
+ginkgo_flags=(-ginkgo.seed="$seed")
 if [ -s "$known_red" ]; then
   echo "known to fail, passed over:"
   cat "$known_red"
@@ -58,8 +58,8 @@
 }
 
 both="$(awk '$2 ~ /ginkgo/ && $2 ~ /rapid/ {print $1}' <<<"$packages")"
-run "$both" ${ginkgo_flags[@]+"${ginkgo_flags[@]}"} -ginkgo.seed="$seed" -rapid.seed="$seed" -rapid.nofailfile
-run "$(group ginkgo rapid)" ${ginkgo_flags[@]+"${ginkgo_flags[@]}"} -ginkgo.seed="$seed"
+run "$both" "${ginkgo_flags[@]}" -rapid.seed="$seed" -rapid.nofailfile
+run "$(group ginkgo rapid)" "${ginkgo_flags[@]}"
 run "$(group rapid ginkgo)" -rapid.seed="$seed" -rapid.nofailfile
 run "$(awk '$2 !~ /ginkgo|rapid/ && $2 != "," {print $1}' <<<"$packages")"
 exit "$status"
