--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -27,7 +27,8 @@
 
 // cases holds the cases by name. Each returns the descriptions of what broke the rule.
 var cases = map[string]func(*setup) ([]string, error){
-	"orders": runOrders,
+	"orders":  runOrders,
+	"waiting": runWaiting,
 }
 
 func main() { os.Exit(execute()) }
