Review, case 3: a large configuration in quick succession stops the nodes

An answer of a watch beyond 4 MiB is cut and fails to decode. The node asks again from the same revision until the store has forgotten that history, and all nodes are in the same state, so that none learns the version from another.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -28,6 +28,7 @@
 // cases holds the cases by name. Each returns the descriptions of what broke the rule.
 var cases = map[string]func(*setup) ([]string, error){
 	"orders":  runOrders,
+	"storm":   runStorm,
 	"waiting": runWaiting,
 }
 
