Exchange: a late copy of an answer is not taken for a later send's

Cause: an answer is matched by the request's ID, which all sends of a request share. After a refusal the connection went back to the pool, and the next send of the same request could go out on it; a late copy of the refusal then stood where the answer to the second send was due.

Change: a connection keeps the IDs that it answered without success, and the last one, and carries no second request with one of them. An answer of another connection cannot arrive on this one, so no copy can meet a send of its own request. A refusal without an ID was accepted for any request; now only on a connection's first one.

--- a/pkg/exchange/attempt.go
+++ b/pkg/exchange/attempt.go
@@ -111,6 +111,7 @@
 	} else {
 		// This fails only on a closed connection, which the next read or write detects.
 		_ = conn.SetDeadline(time.Time{})
+		conn.answered.record(a.Request.ID, answer)
 		a.Pool.put(conn, keepFor, time.Now())
 	}
 	if err != nil {
@@ -144,7 +145,7 @@
 // connect returns an idle connection or a new one. While the server turns connections away, a new
 // one is confirmed before use, so that a refusal is detected before anything has been sent.
 func (a *Attempt) connect() (*connection, error) {
-	if idle := a.Pool.take(time.Now()); idle != nil {
+	if idle := a.Pool.take(a.Request.ID, time.Now()); idle != nil {
 		return idle, nil
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), a.Deadline)
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +41,8 @@
 	idleSince time.Time
 	idleUntil time.Time
 	reused    bool
+	// answered are the requests to which the connection has carried an answer.
+	answered answeredIDs
 }
 
 // Pool keeps the idle connections to one server. It is safe for concurrent use.
@@ -132,10 +135,10 @@
 	closeAll(closed)
 }
 
-// take returns an idle connection that is still usable, or nil.
-func (p *Pool) take(now time.Time) *connection {
+// take returns an idle connection that is still usable for a request with the given ID, or nil.
+func (p *Pool) take(id string, now time.Time) *connection {
 	for {
-		candidate := p.pop()
+		candidate := p.pop(id)
 		if candidate == nil {
 			return nil
 		}
@@ -148,21 +151,22 @@
 	}
 }
 
-func (p *Pool) pop() *connection {
+// pop removes and returns the most recently used idle connection that has not answered a request
+// with the given ID, or nil.
+func (p *Pool) pop(id string) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if len(p.idle) == 0 {
-		return nil
+	for index, candidate := range slices.Backward(p.idle) {
+		if !candidate.answered.contains(id) {
+			p.idle = slices.Delete(p.idle, index, index+1)
+			return candidate
+		}
 	}
-	last := len(p.idle) - 1
-	candidate := p.idle[last]
-	p.idle[last] = nil
-	p.idle = p.idle[:last]
-	return candidate
+	return nil
 }
 
 // put keeps a connection for the next request, for the announced time at most, or closes it if the
-// pool is closed or full.
+// pool is closed or full, or the connection can keep no further ID.
 func (p *Pool) put(conn *connection, announced time.Duration, now time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -171,7 +175,8 @@
 		bound = p.bound.AfterReuse
 	}
 	conn.idleSince, conn.idleUntil = now, now.Add(min(announced, bound))
-	if p.closed || p.bound.MaxConnections > 0 && len(p.idle) >= p.bound.MaxConnections {
+	isPoolFull := p.bound.MaxConnections > 0 && len(p.idle) >= p.bound.MaxConnections
+	if p.closed || isPoolFull || conn.answered.isFull() {
 		// The connection is being discarded, so an error from Close is of no interest.
 		_ = conn.Close()
 		return
--- a/pkg/exchange/response.go
+++ b/pkg/exchange/response.go
@@ -42,7 +42,7 @@
 			return nil, 0, err
 		}
 		id := answer.Header.Get(dialect.RequestID)
-		if id == sent.ID || (id == "" && answer.Header.Get(dialect.NotRun) != "") {
+		if id == sent.ID || !conn.reused && isRefusalWithoutID(answer, dialect) {
 			answer.Evidence = answer.Header.Get(dialect.Evidence)
 			if conn.reader.Buffered() > 0 {
 				// Bytes that follow the response belong to no request.
@@ -57,6 +57,12 @@
 	return nil, 0, errors.New("too many answers to other requests")
 }
 
+// isRefusalWithoutID reports whether a server refused a request before it knew its ID. On a connection
+// that carried an earlier request, such a refusal may be a late answer to that one.
+func isRefusalWithoutID(answer *Response, dialect *Dialect) bool {
+	return answer.Header.Get(dialect.RequestID) == "" && answer.Header.Get(dialect.NotRun) != ""
+}
+
 // readFinalAnswer reads one response from the connection and skips 1xx responses before it.
 func readFinalAnswer(conn *connection, sent *Request) (*Response, time.Duration, error) {
 	request := &http.Request{Method: sent.Method}
