Query: sub-requests are numbered over all requests of a node

Callers of bramblemastd: two requests to which callers gave the same ID shared the IDs of their sub-requests, which were numbered from 1 in each request. A late answer to a sub-request of the first one, on a connection that the second one uses, matches it.

Cause: a response is matched by request ID and number, which docs/BACKENDS.md says are unique together; callers choose the first.

Change: one counter for the node. The new spec failed on the code before (four sub-requests, two numbers).

--- a/pkg/query/execute_test.go
+++ b/pkg/query/execute_test.go
@@ -282,6 +282,27 @@
 		Expect(failure.Version).To(Equal(target.Version(1)))
 	}))
 
+	// A late answer to the first request would otherwise match a sub-request of the second.
+	It("gives the sub-requests of two requests with one ID different numbers", inVirtualTime(func() {
+		f := newFixture().addTwoGroups(1)
+		policies, err := policy.Build(f.spec)
+		Expect(err).NotTo(HaveOccurred())
+		f.request.Policies = policies
+		executor := query.New(f.options)
+		for range 2 {
+			f.request.Deadline = time.Now().Add(100 * time.Millisecond)
+			_, err := executor.Execute(context.Background(), f.request, nil)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		synctest.Wait()
+		numbers := make(map[uint32]bool)
+		for _, each := range f.cluster.calls {
+			numbers[each.request.Attempt] = true
+		}
+		Expect(f.cluster.calls).To(HaveLen(4))
+		Expect(numbers).To(HaveLen(4))
+	}))
+
 	Describe("of a not-repeatable request", func() {
 		notRepeatable := func() *fixture {
 			f := newFixture().addTwoGroups(1)
--- a/pkg/query/executor.go
+++ b/pkg/query/executor.go
@@ -61,6 +61,9 @@
 	layouts layoutCache
 	// queries counts the queries; the number selects the random stream of a query.
 	queries atomic.Uint64
+	// attempts numbers the sub-requests of all requests. Callers choose request IDs, so two requests
+	// may share one; a late answer to the first must not match a sub-request of the second.
+	attempts atomic.Uint32
 }
 
 // New returns an executor.
@@ -159,8 +162,6 @@
 	random    *rand.Rand
 	extraLoad ExtraLoad
 	restarts  int
-	// attempts counts the sub-requests of the request, to number them.
-	attempts uint32
 	// mayHaveRun counts the sub-requests that ran or may have run.
 	mayHaveRun  int
 	lastFailure error
--- a/pkg/query/launch.go
+++ b/pkg/query/launch.go
@@ -53,7 +53,6 @@
 	part.attempts++
 	part.sent++
 	x := p.execution
-	x.attempts++
 	x.countAttempts(kind, 1)
 	started := p.newAttempt()
 	started.pass = p
@@ -84,7 +83,7 @@
 	return backend.Request{
 		Target:         newTarget(x.request.Template.Service, plan, server, p.pinned.version),
 		RequestID:      x.request.ID,
-		Attempt:        x.attempts,
+		Attempt:        x.executor.attempts.Add(1),
 		Tenant:         x.request.Template.Tenant,
 		Query:          x.request.Query,
 		Limit:          x.request.Limit,
