Stop: requests are answered before a stopping node closes their connections

Cause: the stop closed the connections that were left 0.3 s before the end of the grace time, and requests did not know of it: they were started at any moment and waited up to their own deadline. Ruled out: the listener closing connections early, and the servers.

Change: fanout.Drain has two moments. After half of the grace time, requests that no server was asked to run get 503 at once, and orders are not started any more; 0.5 s before its end, all requests that are left are answered: 503 if they have not run, 502 if they may have. Uploads that are not complete by then get 503.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -117,6 +117,8 @@
 	// it to other nodes and is nil if the node has no peer address.
 	admission *fanout.AdmissionControl
 	announcer *owner.Announcer
+	// drain ends clients' requests before the node closes its connections.
+	drain *fanout.Drain
 	// gossiper notifies other nodes of suspect requests; nil if the node has no peer address.
 	gossiper *quarantine.Gossiper
 }
@@ -128,7 +130,7 @@
 	if options.Suspended == nil {
 		options.Suspended = suspension.Total
 	}
-	node := &Node{options: options, logger: options.Logger, metrics: newMetricSet()}
+	node := &Node{options: options, logger: options.Logger, metrics: newMetricSet(), drain: fanout.NewDrain()}
 	node.settings.Store(settings)
 	options.Platform.SetObserver(node.metrics.countCall)
 	rules, err := newPolicies()
@@ -186,7 +188,7 @@
 	options := front.Options{
 		Dialect: n.options.Dialect, State: n.state, Fleet: n.state.fleet, Budget: n.state.budgets, Policies: rules,
 		Events: recorder, Random: newRandom(), MaxInFlight: maxInFlight,
-		Quarantine: n.quarantine, KeyFreshness: n.keyFreshness, Admission: n.admission,
+		Quarantine: n.quarantine, KeyFreshness: n.keyFreshness, Admission: n.admission, Drain: n.drain,
 	}
 	if n.owners != nil {
 		options.Owners = n.owners
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -16,6 +16,12 @@
 	notReadyDelay = 2600 * time.Millisecond
 	// stopReserve is the part of the grace time that is not used for draining.
 	stopReserve = 300 * time.Millisecond
+	// answerReserve is how long before the end of draining the requests that still run are answered:
+	// time to write the answers and for clients at some distance to read them.
+	answerReserve = 200 * time.Millisecond
+	// startingDivisor divides the grace time: after this fraction of it, requests that have not
+	// reached a server are left to other nodes. The rest is for those that have.
+	startingDivisor = 2
 )
 
 // openReady opens the listener for the readiness probes of the platform.
@@ -51,6 +57,8 @@
 	grace := n.settings.Load().grace()
 	n.logger.Info("stopping", "grace_s", grace.Seconds(), "connections", n.listener.Open())
 	n.state.draining.Store(true)
+	defer time.AfterFunc(grace/startingDivisor, n.drain.EndStarting).Stop()
+	defer time.AfterFunc(grace-stopReserve-answerReserve, n.drain.End).Stop()
 	time.Sleep(min(notReadyDelay, grace/2))
 	n.listener.StopAccepting()
 	drainCtx, cancel := context.WithDeadline(inner, stopStartedAt.Add(grace-stopReserve))
--- a/internal/front/client_request.go
+++ b/internal/front/client_request.go
@@ -176,6 +176,9 @@
 			wait = max(unservableWait, c.overloadWait(plan))
 		case result.Reason == fanout.StopQuarantined:
 			wait = c.quarantineWait()
+		case result.Reason == fanout.StopDraining:
+			// Another node can take the request now.
+			wait = minRetryAfter
 		case result.Admission.Share < 1:
 			wait = spreadWait(max(c.overloadWait(plan), minOverloadWait), result.Admission.Shortfall)
 		case result.Shed > 0:
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -51,6 +51,7 @@
 	limits       Limits
 	keyFreshness func() KeyFreshness
 	events       Recorder
+	drain        *fanout.Drain
 	// inFlight holds one element for each request being served.
 	inFlight chan struct{}
 }
@@ -79,6 +80,8 @@
 	Random *rand.Rand
 	// MaxInFlight bounds the number of requests served concurrently.
 	MaxInFlight int
+	// Drain ends requests when the node stops; nil if it never does.
+	Drain *fanout.Drain
 }
 
 // lingerAfterAnswer is how long a server whose answer is no longer needed may continue before its
@@ -91,7 +94,10 @@
 		dialect: options.Dialect, state: options.State, policies: options.Policies, events: options.Events,
 		splitter: newSplitter(options.Random), inFlight: make(chan struct{}, options.MaxInFlight),
 		overloads: newOverloadTracker(), fleet: options.Fleet, quarantine: options.Quarantine, limits: options.Limits,
-		keyFreshness: options.KeyFreshness,
+		keyFreshness: options.KeyFreshness, drain: options.Drain,
+	}
+	if handler.drain == nil {
+		handler.drain = fanout.NewDrain()
 	}
 	if handler.limits == nil {
 		handler.limits = noLimits{}
@@ -101,7 +107,7 @@
 	}
 	runner := fanout.Runner{
 		Fleet: options.Fleet, Budget: options.Budget, Dialect: &handler.dialect.Dialect, Linger: lingerAfterAnswer,
-		Quarantine: options.Quarantine, Admission: options.Admission,
+		Quarantine: options.Quarantine, Admission: options.Admission, Drain: options.Drain,
 	}
 	if runner.Admission == nil {
 		runner.Admission = fanout.NewAdmissionControl(options.Fleet)
@@ -160,7 +166,12 @@
 		return
 	}
 	current.deadline = deadline(matched, h.clientDeadline(received.Header), current.startedAt)
-	request, status, err := h.read(received, table.Limits)
+	request, status, err := h.read(writer, received, table.Limits)
+	if err != nil && h.drain.HasEnded() {
+		current.readError = err
+		current.refuse(http.StatusServiceUnavailable, outcome.ReasonDraining, minRetryAfter)
+		return
+	}
 	if err != nil {
 		current.readError = err
 		current.refuse(status, outcome.ReasonInvalid, 0)
@@ -193,7 +204,7 @@
 
 // read reads the complete request of a client, so that it can be sent to more than one server. If
 // that fails, it returns the HTTP status for the client and an error.
-func (h *Handler) read(received *http.Request, limits route.Limits) (*exchange.Request, int, error) {
+func (h *Handler) read(writer http.ResponseWriter, received *http.Request, limits route.Limits) (*exchange.Request, int, error) {
 	request := &exchange.Request{
 		Method: received.Method, Target: received.RequestURI, Host: received.Host,
 		ID: received.Header.Get(h.dialect.RequestID), Header: received.Header,
@@ -204,6 +215,7 @@
 	request.HasBody = received.ContentLength > 0 || len(received.TransferEncoding) > 0 ||
 		received.Header.Get("Content-Length") != ""
 	if request.HasBody {
+		defer h.drain.AfterEnd(func() { endReading(writer) })()
 		body, err := readBody(received, limits.BodyBytes)
 		if errors.Is(err, errBodyTooLarge) {
 			return nil, http.StatusRequestEntityTooLarge, err
@@ -222,6 +234,12 @@
 	return request, 0, nil
 }
 
+// endReading makes the reading of a request's body fail at once.
+func endReading(writer http.ResponseWriter) {
+	// This fails only on a closed connection, which the reading detects.
+	_ = http.NewResponseController(writer).SetReadDeadline(pastDeadline)
+}
+
 // readBody reads a body of up to limit bytes; zero means no limit.
 func readBody(received *http.Request, limit int64) ([]byte, error) {
 	if limit <= 0 {
--- a/pkg/fanout/decide.go
+++ b/pkg/fanout/decide.go
@@ -19,6 +19,8 @@
 		return StopDeadline, true
 	case r.isQuarantined():
 		return StopQuarantined, true
+	case r.isDraining && r.isUnstarted():
+		return StopDraining, true
 	case r.plan.Collect != nil:
 		return "", false
 	case !r.plan.Target.IsZero() && !now.Before(r.plan.Target) && r.answered >= r.plan.Required:
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -116,6 +116,8 @@
 	// sent to further ones.
 	StopQuarantined StopReason = "quarantined"
 	StopCancelled   StopReason = "cancelled"
+	// StopDraining means that the node stops as planned and could not finish the request.
+	StopDraining StopReason = "draining"
 )
 
 // Result is the outcome of Run.
@@ -194,6 +196,8 @@
 	Quarantine *quarantine.Guard
 	// Admission decides which requests are admitted; nil to admit everything.
 	Admission *AdmissionControl
+	// Drain ends requests when the node stops; nil if it never does.
+	Drain *Drain
 }
 
 // AdmissionControl is what a node knows about the load on services and the share of requests that
--- a/pkg/fanout/result.go
+++ b/pkg/fanout/result.go
@@ -135,6 +135,8 @@
 func (r *run) refusalReason() StopReason {
 	state, isForOther := r.quarantineState(), r.plan.Collect != nil
 	switch {
+	case r.isStartRefused():
+		return StopDraining
 	case state == quarantine.Quarantined || isForOther && state == quarantine.Suspect:
 		return StopQuarantined
 	case isForOther:
@@ -163,6 +165,8 @@
 		cause = outcome.ReasonNoReplica
 	case StopQuarantined:
 		cause = outcome.ReasonQuarantined
+	case StopDraining:
+		cause = outcome.ReasonDraining
 	}
 	for index := range r.parts {
 		part := &r.parts[index]
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -116,6 +116,8 @@
 	// did.
 	brokenConnections int
 	firstBrokenAt     time.Time
+	// isDraining says that the run ends once it is unstarted; see Drain.EndStarting.
+	isDraining bool
 }
 
 // newRun returns the state of a run that has sent nothing yet. The sampling value is the hash of
@@ -169,6 +171,10 @@
 		select {
 		case <-ctx.Done():
 			return StopCancelled
+		case <-r.drained():
+			return StopDraining
+		case <-r.startingEnded():
+			r.isDraining = true
 		case result := <-r.results:
 			r.handleResult(result, time.Now())
 		case <-r.inbox.arrived:
