Exchange: bytes without end from a server are cut

Callers: a process takes memory without bound, or works on one answer until the request's deadline, since a faulty server sends a head, a line, chunks or a body without end.

Cause, two: the parser of net/http does not bound the head of a response; and closing a body that was found too large reads all that the server still sends.

Change: what is read of one head is bounded by 32 KiB, what is read of one body with its framing by 12 MiB, below the parser; a body is not closed, since its connection is.

--- a/pkg/exchange/fuzz_test.go
+++ b/pkg/exchange/fuzz_test.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -25,7 +24,7 @@
 	f.Fuzz(func(t *testing.T, sent []byte) {
 		near, far := net.Pipe()
 		_ = far.Close()
-		conn := &connection{Conn: near, reader: bufio.NewReaderSize(bytes.NewReader(sent), readBufferSize)}
+		conn := newConnection(near, bytes.NewReader(sent))
 		answer, keepFor, err := readResponse(conn, &Request{Method: "GET", ID: "r"}, dialect)
 		if err != nil {
 			return
@@ -52,7 +51,7 @@
 	runtime.ReadMemStats(&before)
 	const answers = 20
 	for range answers {
-		conn := &connection{Conn: near, reader: bufio.NewReaderSize(bytes.NewReader(sent), readBufferSize)}
+		conn := newConnection(near, bytes.NewReader(sent))
 		_, _, err := readResponse(conn, &Request{Method: "GET", ID: "r"}, dialect)
 		g.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 	}
@@ -69,7 +68,7 @@
 	sent := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	near, far := net.Pipe()
 	g.Expect(far.Close()).To(Succeed())
-	conn := &connection{Conn: near, reader: bufio.NewReaderSize(bytes.NewReader(sent), readBufferSize)}
+	conn := newConnection(near, bytes.NewReader(sent))
 	answer, keepFor, err := readResponse(conn, &Request{Method: "GET", ID: "r"}, dialect)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(answer.Body).To(Equal(body))
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"os"
 	"slices"
@@ -37,6 +38,8 @@
 type connection struct {
 	net.Conn
 	reader *bufio.Reader
+	// limiter bounds what reader reads.
+	limiter *readLimiter
 	// idleSince is when the connection became idle; from idleUntil on it must not be used.
 	idleSince time.Time
 	idleUntil time.Time
@@ -189,7 +192,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferSize)}, nil
+	return newConnection(opened, opened), nil
+}
+
+// newConnection returns a connection whose responses are read from source.
+func newConnection(opened net.Conn, source io.Reader) *connection {
+	limiter := &readLimiter{source: source, left: maxHeadSize}
+	return &connection{Conn: opened, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize)}
 }
 
 // recordTurnedAway records that the server has turned a connection away.
--- a/pkg/exchange/response.go
+++ b/pkg/exchange/response.go
@@ -17,8 +17,12 @@
 	maxSurplusAnswers = 3
 	// maxInterimAnswers bounds the 1xx responses that are skipped.
 	maxInterimAnswers = 4
+	// maxHeadSize is the maximum size in bytes of the head of a response: twice what clients may send.
+	maxHeadSize = 32 << 10
 	// maxBodySize is the maximum size in bytes of a response body, which is held in memory.
 	maxBodySize = 8 << 20
+	// maxEncodedBodySize is the maximum size in bytes of a body with the framing of its chunks.
+	maxEncodedBodySize = maxBodySize + maxBodySize/2
 	// trustedBodySize is the announced length in bytes up to which memory is allocated before the
 	// body has arrived; a faulty server may announce a body that it never sends.
 	trustedBodySize = 64 << 10
@@ -67,6 +71,7 @@
 func readFinalAnswer(conn *connection, sent *Request) (*Response, time.Duration, error) {
 	request := &http.Request{Method: sent.Method}
 	for range maxInterimAnswers {
+		conn.limiter.allow(maxHeadSize)
 		head, err := http.ReadResponse(conn.reader, request)
 		if err != nil {
 			return nil, 0, errors.Wrap(err, "read head")
@@ -74,14 +79,15 @@
 		if head.StatusCode >= 100 && head.StatusCode < 200 && head.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		return readBody(conn, head)
+		conn.limiter.allow(maxEncodedBodySize)
+		return readBody(head)
 	}
 	return nil, 0, errors.New("too many interim answers")
 }
 
-func readBody(conn *connection, head *http.Response) (*Response, time.Duration, error) {
-	// The body has been read or is being discarded, so an error from Close is of no interest.
-	defer func() { _ = head.Body.Close() }()
+// readBody reads the body that follows a head. It does not close head.Body, which would read all that a
+// server still sends; a connection whose body was not read to its end is closed by the caller.
+func readBody(head *http.Response) (*Response, time.Duration, error) {
 	body, err := readWholeBody(head)
 	if err != nil {
 		return nil, 0, errors.Wrap(err, "read body")
