Peer: an announced frame takes no memory

Operators: faulty peers that announce frames of up to 16 MiB and send little of them take that memory on each connection.

Change: beyond 64 KiB the memory of a frame grows with what has arrived.

--- a/pkg/peer/codec.go
+++ b/pkg/peer/codec.go
@@ -14,6 +14,10 @@
 // unsigned 32-bit integer, most significant byte first.
 const lengthBytes = 4
 
+// trustedFrameBytes is the announced size up to which memory is allocated before
+// a frame has arrived; a faulty peer may announce one that it never sends.
+const trustedFrameBytes = 64 << 10
+
 // errFraming means that what was read cannot be a frame, so nothing that
 // follows on the connection can be trusted.
 var errFraming = errors.New("framing lost")
@@ -74,8 +78,8 @@
 	if uint64(size) > uint64(maxBytes) {
 		return nil, 0, errors.Wrapf(errFraming, "frame of %d bytes exceeds the limit of %d", size, maxBytes)
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(reader, body); err != nil {
+	body, err := readFrameBody(reader, int(size))
+	if err != nil {
 		return nil, 0, errors.Wrap(err, "read frame")
 	}
 	frame := &peerpb.Frame{}
@@ -84,3 +88,18 @@
 	}
 	return frame, lengthBytes + int(size), nil
 }
+
+// readFrameBody reads size bytes. Beyond trustedFrameBytes its memory grows with
+// what has arrived.
+func readFrameBody(reader io.Reader, size int) ([]byte, error) {
+	if size <= trustedFrameBytes {
+		body := make([]byte, size)
+		_, err := io.ReadFull(reader, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(reader, int64(size)))
+	if err == nil && len(body) < size {
+		err = io.ErrUnexpectedEOF
+	}
+	return body, err
+}
