Templates: an entry that cannot be read hides no others from operators

Operators: "bramblemastctl template list" on a store failed as a whole if another writer had left one entry below the templates that cannot be read.

Cause: Publisher.List returned the first error. The new spec failed on the code before. Nodes leave such entries out already.

Change: the entry is logged and left out; bramblemastctl writes the log to the standard error output.

--- a/internal/ctl/gateway.go
+++ b/internal/ctl/gateway.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
@@ -37,7 +38,9 @@
 
 // newGateway returns a gateway to a store that is not nil.
 func newGateway(store configstore.Store, timeout time.Duration) *gateway {
-	opened, err := publisher.New(publisher.Options{Store: store})
+	// The default of hclog writes to the standard error output.
+	logger := hclog.New(&hclog.LoggerOptions{Name: gatewayNode, Level: hclog.Warn})
+	opened, err := publisher.New(publisher.Options{Store: store, Logger: logger})
 	if err != nil {
 		panic(err) // only a missing store is an error
 	}
--- a/pkg/publish/publisher_test.go
+++ b/pkg/publish/publisher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -81,6 +82,17 @@
 		Expect(publisher.List(ctx)).To(HaveLen(1))
 	})
 
+	// Another writer may have left the entry; the others must still be listed.
+	It("lists the templates beside an entry that it cannot read", func() {
+		publish("first", 0)
+		for _, odd := range []string{"null", "[[", `{"current":1e400}`, strings.Repeat("[", 100_000)} {
+			key := stored.Key(template.Key{Tenant: "odd", Name: fmt.Sprint(len(odd))})
+			Expect(store.CompareAndSwap(ctx, key, []byte(odd), 0)).To(Succeed())
+		}
+		Expect(store.CompareAndSwap(ctx, stored.Root+"no key", []byte("{}"), 0)).To(Succeed())
+		Expect(publisher.List(ctx)).To(HaveLen(1))
+	})
+
 	It("refuses a template that is not valid, with every fault", func() {
 		faulty := content("x")
 		faulty.Class, faulty.Limit = "urgent", -1
--- a/pkg/publish/state.go
+++ b/pkg/publish/state.go
@@ -126,7 +126,9 @@
 	return revisions, nil
 }
 
-// List returns every template in the store, tombstones included, by key.
+// List returns every template in the store, tombstones included, by key. An
+// entry that cannot be read, which another writer may have left, is logged and
+// left out.
 func (p *Publisher) List(ctx context.Context) ([]*template.Template, error) {
 	entries, _, err := p.options.Store.List(ctx, stored.Root)
 	if err != nil {
@@ -136,11 +138,13 @@
 	for _, entry := range entries {
 		key, err := stored.ParseKey(entry.Key)
 		if err != nil {
-			return nil, err
+			p.options.Logger.Warn("entry left out", "key", entry.Key, "error", err)
+			continue
 		}
 		current, err := stored.DecodeCurrent(key, entry.Value)
 		if err != nil {
-			return nil, err
+			p.options.Logger.Warn("entry left out", "key", entry.Key, "error", err)
+			continue
 		}
 		templates = append(templates, current.Template)
 	}
