Restore: a node's entry of a later era than the store's proves nothing

Callers: after a restore of the store, a starting node could serve an older state than running ones know, if another writer had left a node's entry with a number that is no era.

Cause: the latest era among the entries of nodes tells whether all was written back, and an entry may name any number. The new test failed on the code before.

--- a/pkg/directory/era.go
+++ b/pkg/directory/era.go
@@ -19,12 +19,16 @@
 type Lease struct{ ID, Era uint64 }
 
 // newestNodeEra returns the latest era in which an entry of a node was written, and whether the
-// batch has entries of nodes. A node writes its entry again only after the data that a restore lost
+// batch has entries of nodes. An entry that names a later era than the store's was not written by a
+// node and tells nothing. A node writes its entry again only after the data that a restore lost
 // has been written back, so an entry of the store's own era shows that the write-back is complete.
 func (b Batch) newestNodeEra() (newest uint64, exists bool) {
 	for _, entry := range b.Entries {
 		if entry.Node != nil {
-			newest, exists = max(newest, entry.Node.Era), true
+			exists = true
+			if entry.Node.Era <= b.Era {
+				newest = max(newest, entry.Node.Era)
+			}
 		}
 	}
 	return newest, exists
