--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -255,12 +256,15 @@
 	return body, err
 }
 
+// maxDeadlineMillis is the longest deadline of a client in milliseconds; routes have shorter timeouts.
+const maxDeadlineMillis = 1e9
+
 // clientDeadline returns the time allowed by the client, or defaultDeadline if the header is missing
 // or invalid.
 func (h *Handler) clientDeadline(header http.Header) time.Duration {
 	millis, err := strconv.ParseFloat(header.Get(h.dialect.DeadlineMillis), 64)
-	if err != nil || millis < 0 {
+	if err != nil || math.IsNaN(millis) || millis < 0 {
 		return defaultDeadline
 	}
-	return time.Duration(millis * float64(time.Millisecond))
+	return time.Duration(min(millis, maxDeadlineMillis) * float64(time.Millisecond))
 }
