Memory and connections of clients are bounded in sum

Callers: clients that are not bound to the limits end a node's process, which runs out of memory: many large bodies with a length or in chunks, most of which stop just short of their end, and long answers that are read slowly.

Cause: each limit held for one request; nothing bounded the sum over connections, and where no connection was idle, every new one was taken.

Change: bodies of requests and answers take their memory from one budget as their bytes arrive (pkg/bytebudget). What waits for a client can be evicted, the one that was waited for longest first and none before a second; an eighth is left for small bodies, so that ordinary requests are served; a body that is alone is served whatever its size. Long heads have a budget of their own, the kernel's buffers of connections are bounded, and where no connection is idle, a new one evicts a body or is closed unread. A body that is not complete at its request's deadline ends with 408. Without limits.memory_mb nothing is bounded, as before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -15,6 +15,7 @@
 	"github.com/bramblemast/bramblemast/internal/front"
 	"github.com/bramblemast/bramblemast/internal/suspension"
 	"github.com/bramblemast/bramblemast/internal/version"
+	"github.com/bramblemast/bramblemast/pkg/bytebudget"
 	"github.com/bramblemast/bramblemast/pkg/directory"
 	"github.com/bramblemast/bramblemast/pkg/fanout"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
@@ -93,18 +94,16 @@
 	lastReloadError string
 	// keysLapsed says whether requests with keys were refused at the last check; only sweepServers
 	// uses it.
-	keysLapsed  bool
-	state       *state
-	quarantine  *quarantine.Guard
-	listener    *front.Listener
-	readyServer *http.Server
-	// readyListener accepts the readiness probes of the platform.
-	readyListener net.Listener
+	keysLapsed bool
+	state      *state
+	quarantine *quarantine.Guard
+	listener   *front.Listener
+	// readyListener serves the readiness probes of the platform.
+	readyListener *front.Listener
 	follower      *directory.Follower
 	metrics       *metricSet
-	// metricsServer and metricsListener are nil if no port is set.
-	metricsServer   *http.Server
-	metricsListener net.Listener
+	// metricsListener is nil if no port is set.
+	metricsListener *front.Listener
 	nodeEntry       *registration
 	writeBack       *writeBack
 	// transport, peers and owners are nil if the node has no peer address.
@@ -117,6 +116,8 @@
 	// it to other nodes and is nil if the node has no peer address.
 	admission *fanout.AdmissionControl
 	announcer *owner.Announcer
+	// memory bounds the bodies of requests and answers; nil for no bound.
+	memory *bytebudget.Budget
 	// drain ends clients' requests before the node closes its connections.
 	drain *fanout.Drain
 	// gossiper notifies other nodes of suspect requests; nil if the node has no peer address.
@@ -130,7 +131,9 @@
 	if options.Suspended == nil {
 		options.Suspended = suspension.Total
 	}
-	node := &Node{options: options, logger: options.Logger, metrics: newMetricSet(), drain: fanout.NewDrain()}
+	node := &Node{
+		options: options, logger: options.Logger, metrics: newMetricSet(), drain: fanout.NewDrain(), memory: bytebudget.New(settings.bodyMemory()),
+	}
 	node.settings.Store(settings)
 	options.Platform.SetObserver(node.metrics.countCall)
 	rules, err := newPolicies()
@@ -146,7 +149,7 @@
 	node.follower.SetFirstStart(settings.Node.FirstStart)
 	recorder := newRequestRecorder(node.logger, node.metrics, node.storeAge)
 	node.quarantine = quarantine.New(quarantine.Options{
-		Ledger: options.Platform, LedgerUnavailable: node.follower.IsStoreLost, Dialer: newServerDialer(),
+		Ledger: options.Platform, LedgerUnavailable: node.follower.IsStoreLost, Dialer: settings.newServerDialer(),
 		Events: suspectEvents{node: node, recorder: recorder},
 	})
 	node.state.quarantine = node.quarantine
@@ -173,14 +176,11 @@
 		Local:      fleet.Place{Zone: settings.Node.Zone, Region: settings.Node.Region},
 		Regions:    settings.Zones,
 		LeaveGrace: settings.leaveGrace(), WarmUpBounds: settings.warmUpBounds(),
-		Dialer: newServerDialer(),
+		Dialer: settings.newServerDialer(),
 		Random: newRandom(),
 	})
 }
 
-// newServerDialer returns a dialer for connections to servers.
-func newServerDialer() *net.Dialer { return &net.Dialer{Timeout: connectTimeout, KeepAlive: -1} }
-
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // openClients opens the listener for clients.
@@ -189,6 +189,7 @@
 		Dialect: n.options.Dialect, State: n.state, Fleet: n.state.fleet, Budget: n.state.budgets, Policies: rules,
 		Events: recorder, Random: newRandom(), MaxInFlight: maxInFlight,
 		Quarantine: n.quarantine, KeyFreshness: n.keyFreshness, Admission: n.admission, Drain: n.drain,
+		Memory: n.memory,
 	}
 	if n.owners != nil {
 		options.Owners = n.owners
@@ -200,11 +201,16 @@
 	if n.transport != nil {
 		n.serveOwned(handler, rules, recorder)
 	}
-	listener, err := front.Listen(n.options.Settings.Listen.Clients, handler)
+	settings := n.options.Settings
+	receiveBuffer, sendBuffer := settings.clientBuffers()
+	listener, err := front.Listen(front.ListenerOptions{
+		Address: settings.Listen.Clients, Handler: handler, MaxConnections: settings.clientConnections(),
+		ReceiveBuffer: receiveBuffer, SendBuffer: sendBuffer, Memory: n.memory,
+		HeadMemory: bytebudget.New(settings.headMemory()),
+	})
 	if err != nil {
-		return err
+		return errors.Wrap(err, "listen for clients")
 	}
-	listener.SetMaxConnections(n.options.Settings.clientConnections())
 	n.listener = listener
 	n.state.setIdleTimeout = listener.SetIdleTimeout
 	return nil
@@ -214,7 +220,7 @@
 func (n *Node) ClientAddress() string { return n.listener.Address() }
 
 // ReadyAddress returns the address of the readiness endpoint.
-func (n *Node) ReadyAddress() string { return n.readyListener.Addr().String() }
+func (n *Node) ReadyAddress() string { return n.readyListener.Address() }
 
 // Metrics returns the handler of the metrics and of the limits page, for programs that embed the
 // node.
@@ -275,10 +281,9 @@
 		group.Add(func() error { return execute(inner) }, func(error) { cancel() })
 	}
 	group.Add(n.listener.Serve, func(error) { n.listener.Close() })
-	// Close fails only for listeners that are already closed, so its errors are ignored.
-	group.Add(func() error { return n.readyServer.Serve(n.readyListener) }, func(error) { _ = n.readyServer.Close() })
-	if n.metricsServer != nil {
-		group.Add(func() error { return n.metricsServer.Serve(n.metricsListener) }, func(error) { _ = n.metricsServer.Close() })
+	group.Add(n.readyListener.Serve, func(error) { n.readyListener.Close() })
+	if n.metricsListener != nil {
+		group.Add(n.metricsListener.Serve, func(error) { n.metricsListener.Close() })
 	}
 	add(n.follower.Run)
 	add(n.nodeEntry.run)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	wire "github.com/bramblemast/bramblemast/api/limits"
+	"github.com/bramblemast/bramblemast/internal/front"
 )
 
 // openMetrics opens the listener for the metrics, if a port is configured.
@@ -18,12 +19,11 @@
 		return nil
 	}
 	address := net.JoinHostPort(settings.Node.Address, strconv.Itoa(settings.Listen.MetricsPort))
-	opened, err := net.Listen("tcp", address)
+	opened, err := front.Listen(settings.probeListener(address, n.metricsHandler()))
 	if err != nil {
 		return errors.Wrap(err, "listen for metrics")
 	}
 	n.metricsListener = opened
-	n.metricsServer = &http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: connectTimeout}
 	return nil
 }
 
@@ -65,6 +65,15 @@
 	n.metrics.gauge("store_news_age_seconds", "Time since the node knew all that the store held; -1 for never.", func() float64 {
 		return secondsSince(n.follower.ConfirmedAt())
 	})
+	n.metrics.gauge("body_bytes", "Memory that the bodies of requests and answers take.", func() float64 {
+		return float64(n.memory.Stats().UsedBytes)
+	})
+	n.metrics.counter("body_evictions_total", "Clients that were ended while the node waited for them, since memory was short.", func() uint64 {
+		return n.memory.Stats().Evictions
+	})
+	n.metrics.counter("body_exhaustions_total", "Bodies that were given up, since memory was short.", func() uint64 {
+		return n.memory.Stats().Exhaustions
+	})
 	n.metrics.gauge("servers", "Servers that the platform lists.", func() float64 { return float64(n.state.fleet.Len()) })
 	n.metrics.gauge("servers_pausing", "Servers that pause by a clock and whose next pause is foreseen.", func() float64 {
 		return float64(n.state.fleet.CountPredictedPauses(time.Now()))
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -315,12 +315,7 @@
 // MemoryBytes returns the memory limit in bytes beyond which garbage is collected at once; zero for
 // no limit.
 func (s *Settings) MemoryBytes() int64 {
-	return int64(memoryShare * float64(s.Limits.MemoryMB) * (1 << 20))
-}
-
-// clientConnections returns the maximum number of open connections of clients; zero for no limit.
-func (s *Settings) clientConnections() int {
-	return int(clientShare * float64(s.Limits.Descriptors))
+	return int64(memoryShare * s.memoryLimit())
 }
 
 // grace returns the time between the stop signal and the end of the process.
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/bramblemast/bramblemast/internal/front"
 )
 
 // Times of a graceful stop.
@@ -26,12 +27,12 @@
 
 // openReady opens the listener for the readiness probes of the platform.
 func (n *Node) openReady() error {
-	opened, err := net.Listen("tcp", n.options.Settings.Listen.Ready)
+	settings := n.options.Settings
+	opened, err := front.Listen(settings.probeListener(settings.Listen.Ready, n.readyHandler()))
 	if err != nil {
 		return errors.Wrap(err, "listen for readiness")
 	}
 	n.readyListener = opened
-	n.readyServer = &http.Server{Handler: n.readyHandler(), ReadHeaderTimeout: connectTimeout}
 	return nil
 }
 
--- a/internal/front/client_request.go
+++ b/internal/front/client_request.go
@@ -87,6 +87,7 @@
 		runner, answer = c.handler.gatherer, c.answerGathered
 	}
 	result := runner.Run(c.received.Context(), plan, request)
+	defer result.Release()
 	c.refundIf(result.Outcome == outcome.NotRun)
 	if lacksCapacity(plan, result) {
 		c.handler.events.Overload(plan.Services[0], c.handler.fleet.Waiting(plan.Services...))
@@ -119,12 +120,17 @@
 		header.Set(c.handler.dialect.MissingParts, strconv.Itoa(missing))
 	}
 	body := gather.Greatest(bodies, c.route.TopRecords)
+	hold := c.handler.memory.Open()
+	defer hold.Release()
+	result.Release()
+	// The parts took more than that, so it is denied hardly ever; the answer is sent all the same.
+	_ = hold.Grow(int64(len(body)), 0)
 	header.Set("Content-Type", "application/octet-stream")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	c.writer.WriteHeader(http.StatusOK)
-	// A write fails only if the client has disconnected, so nobody could receive an error.
-	_, _ = c.writer.Write(body)
+	isComplete := c.writeBody(hold, body)
 	c.record(http.StatusOK, plan, result)
+	c.closeUnless(isComplete)
 }
 
 // answerForwarded passes one server's answer on to the client.
@@ -148,9 +154,17 @@
 		header.Set("Connection", "close")
 	}
 	c.writer.WriteHeader(answer.Status)
-	// A write fails only if the client has disconnected, so nobody could receive an error.
-	_, _ = c.writer.Write(answer.Body)
+	isComplete := c.writeBody(answer.Hold(), answer.Body)
 	c.record(answer.Status, plan, result)
+	c.closeUnless(isComplete)
+}
+
+// closeUnless ends the connection of an answer that was not written to its end: its write deadline has
+// passed.
+func (c *clientRequest) closeUnless(isComplete bool) {
+	if !isComplete {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // isServerFailure reports whether a failure comes from a server that ran the request, so that the
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -81,11 +81,10 @@
 // that has been idle for longest, and no other.
 func TestTooManyConnectionsEndTheLongestIdle(t *testing.T) {
 	g := NewWithT(t)
-	listener, err := Listen("127.0.0.1:0", http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+	listener, err := Listen(ListenerOptions{Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		writer.WriteHeader(http.StatusNoContent)
-	}))
+	}), MaxConnections: 2})
 	g.Expect(err).NotTo(HaveOccurred())
-	listener.SetMaxConnections(2)
 	served := make(chan error, 1)
 	go func() { served <- listener.Serve() }()
 	sendRequest := func() (net.Conn, *bufio.Reader) {
@@ -130,18 +129,53 @@
 	return false
 }
 
+// TestAConnectionWithoutRoomIsClosed checks that a connection beyond the limit is closed unread if no other
+// one is idle, and that the others are served.
+func TestAConnectionWithoutRoomIsClosed(t *testing.T) {
+	g := NewWithT(t)
+	release, working := make(chan struct{}), make(chan struct{}, 2)
+	listener, err := Listen(ListenerOptions{Address: "127.0.0.1:0", MaxConnections: 2, Handler: http.HandlerFunc(
+		func(writer http.ResponseWriter, _ *http.Request) {
+			working <- struct{}{}
+			<-release
+			writer.WriteHeader(http.StatusNoContent)
+		})})
+	g.Expect(err).NotTo(HaveOccurred())
+	go func() { _ = listener.Serve() }()
+	defer listener.Close()
+	dial := func() *bufio.Reader {
+		opened, err := net.Dial("tcp", listener.Address())
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(func() { _ = opened.Close() })
+		_, err = fmt.Fprint(opened, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		g.Expect(err).NotTo(HaveOccurred())
+		return bufio.NewReader(opened)
+	}
+	readers := []*bufio.Reader{dial(), dial()}
+	<-working
+	<-working
+	_, err = http.ReadResponse(dial(), nil)
+	g.Expect(err).To(HaveOccurred())
+	close(release)
+	for _, reader := range readers {
+		answer, err := http.ReadResponse(reader, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.StatusCode).To(Equal(http.StatusNoContent))
+	}
+}
+
 // TestAnIdleConnectionIsEnded checks that a connection is ended after the idle timeout, while one
 // with a request in progress stays open until the request is answered.
 func TestAnIdleConnectionIsEnded(t *testing.T) {
 	g := NewWithT(t)
 	release, working := make(chan struct{}), make(chan struct{})
-	listener, err := Listen("127.0.0.1:0", http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+	listener, err := Listen(ListenerOptions{Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if request.URL.Path == "/slow" {
 			close(working)
 			<-release
 		}
 		writer.WriteHeader(http.StatusNoContent)
-	}))
+	})})
 	g.Expect(err).NotTo(HaveOccurred())
 	served := make(chan error, 1)
 	go func() { served <- listener.Serve() }()
@@ -178,10 +212,10 @@
 // the stop only briefly.
 func TestAStopServesWhatANewConnectionBrings(t *testing.T) {
 	g := NewWithT(t)
-	listener, err := Listen("127.0.0.1:0", http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+	listener, err := Listen(ListenerOptions{Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		writer.Header().Set("Connection", "close")
 		writer.WriteHeader(http.StatusNoContent)
-	}))
+	})})
 	g.Expect(err).NotTo(HaveOccurred())
 	go func() { _ = listener.Serve() }()
 	defer listener.Close()
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"io"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -9,8 +8,7 @@
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
+	"github.com/bramblemast/bramblemast/pkg/bytebudget"
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/fanout"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
@@ -53,6 +51,7 @@
 	keyFreshness func() KeyFreshness
 	events       Recorder
 	drain        *fanout.Drain
+	memory       *bytebudget.Budget
 	// inFlight holds one element for each request being served.
 	inFlight chan struct{}
 }
@@ -83,6 +82,8 @@
 	MaxInFlight int
 	// Drain ends requests when the node stops; nil if it never does.
 	Drain *fanout.Drain
+	// Memory bounds the memory of the bodies of requests and answers; nil for no bound.
+	Memory *bytebudget.Budget
 }
 
 // lingerAfterAnswer is how long a server whose answer is no longer needed may continue before its
@@ -95,7 +96,7 @@
 		dialect: options.Dialect, state: options.State, policies: options.Policies, events: options.Events,
 		splitter: newSplitter(options.Random), inFlight: make(chan struct{}, options.MaxInFlight),
 		overloads: newOverloadTracker(), fleet: options.Fleet, quarantine: options.Quarantine, limits: options.Limits,
-		keyFreshness: options.KeyFreshness, drain: options.Drain,
+		keyFreshness: options.KeyFreshness, drain: options.Drain, memory: options.Memory,
 	}
 	if handler.drain == nil {
 		handler.drain = fanout.NewDrain()
@@ -109,6 +110,7 @@
 	runner := fanout.Runner{
 		Fleet: options.Fleet, Budget: options.Budget, Dialect: &handler.dialect.Dialect, Linger: lingerAfterAnswer,
 		Quarantine: options.Quarantine, Admission: options.Admission, Drain: options.Drain,
+		Memory: options.Memory,
 	}
 	if runner.Admission == nil {
 		runner.Admission = fanout.NewAdmissionControl(options.Fleet)
@@ -147,6 +149,8 @@
 	case h.inFlight <- struct{}{}:
 		defer func() { <-h.inFlight }()
 	default:
+		// Clients that do not finish their requests must not keep all others out.
+		h.memory.EvictLongestWaiting(current.startedAt)
 		current.refuse(http.StatusServiceUnavailable, outcome.ReasonOverloaded, nodeOverloadWait)
 		return
 	}
@@ -167,15 +171,11 @@
 		return
 	}
 	current.deadline = deadline(matched, h.clientDeadline(received.Header), current.startedAt)
-	request, status, err := h.read(writer, received, table.Limits)
-	if err != nil && h.drain.HasEnded() {
-		current.readError = err
-		current.refuse(http.StatusServiceUnavailable, outcome.ReasonDraining, minRetryAfter)
-		return
-	}
+	hold := h.memory.Open()
+	defer hold.Release()
+	request, err := current.read(hold, table.Limits)
 	if err != nil {
-		current.readError = err
-		current.refuse(status, outcome.ReasonInvalid, 0)
+		current.refuseUnread(err)
 		return
 	}
 	// The key may have been removed while a slow client sent the body.
@@ -200,12 +200,10 @@
 // startupPollInterval is how often a waiting request checks for a configuration.
 const startupPollInterval = 5 * time.Millisecond
 
-// errBodyTooLarge means that the body of a client's request exceeds the configured limit.
-var errBodyTooLarge = errors.New("request body exceeds the configured limit")
-
-// read reads the complete request of a client, so that it can be sent to more than one server. If
-// that fails, it returns the HTTP status for the client and an error.
-func (h *Handler) read(writer http.ResponseWriter, received *http.Request, limits route.Limits) (*exchange.Request, int, error) {
+// read reads the complete request of a client, so that it can be sent to more than one server. Its body
+// takes memory of the hold.
+func (c *clientRequest) read(hold *bytebudget.Hold, limits route.Limits) (*exchange.Request, error) {
+	h, received := c.handler, c.received
 	request := &exchange.Request{
 		Method: received.Method, Target: received.RequestURI, Host: received.Host,
 		ID: received.Header.Get(h.dialect.RequestID), Header: received.Header,
@@ -216,13 +214,9 @@
 	request.HasBody = received.ContentLength > 0 || len(received.TransferEncoding) > 0 ||
 		received.Header.Get("Content-Length") != ""
 	if request.HasBody {
-		defer h.drain.AfterEnd(func() { endReading(writer) })()
-		body, err := readBody(received, limits.BodyBytes)
-		if errors.Is(err, errBodyTooLarge) {
-			return nil, http.StatusRequestEntityTooLarge, err
-		}
+		body, err := c.readBody(hold, limits.BodyBytes)
 		if err != nil {
-			return nil, http.StatusBadRequest, errors.Wrap(err, "read body")
+			return nil, err
 		}
 		request.Body = body
 	}
@@ -232,28 +226,7 @@
 	} {
 		request.Header.Del(name)
 	}
-	return request, 0, nil
-}
-
-// endReading makes the reading of a request's body fail at once.
-func endReading(writer http.ResponseWriter) {
-	// This fails only on a closed connection, which the reading detects.
-	_ = http.NewResponseController(writer).SetReadDeadline(pastDeadline)
-}
-
-// readBody reads a body of up to limit bytes; zero means no limit.
-func readBody(received *http.Request, limit int64) ([]byte, error) {
-	if limit <= 0 {
-		return io.ReadAll(received.Body)
-	}
-	if received.ContentLength > limit {
-		return nil, errBodyTooLarge
-	}
-	body, err := io.ReadAll(io.LimitReader(received.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		err = errBodyTooLarge
-	}
-	return body, err
+	return request, nil
 }
 
 // maxDeadlineMillis is the longest deadline of a client in milliseconds; routes have shorter timeouts.
--- a/internal/front/listener.go
+++ b/internal/front/listener.go
@@ -5,9 +5,13 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/bramblemast/bramblemast/internal/netbuffer"
+	"github.com/bramblemast/bramblemast/pkg/bytebudget"
 )
 
 // Limits and intervals of clients' connections.
@@ -39,6 +43,9 @@
 	// ended is closed by Close.
 	ended chan struct{}
 
+	// memory holds the bodies of clients that can be evicted for a new connection; nil for none.
+	memory *bytebudget.Budget
+
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
 	states      map[net.Conn]connectionState
@@ -56,6 +63,8 @@
 	idle  bool
 	isNew bool
 	since time.Time
+	// isEnding is set once the connection was ended to make room for another one.
+	isEnding bool
 }
 
 // shouldEnd reports whether an idle connection must be ended. A connection that is new when the node
@@ -68,18 +77,37 @@
 	return s.idle && idleTime > idleTimeout
 }
 
+// ListenerOptions are the options of a Listener.
+type ListenerOptions struct {
+	Address string
+	Handler http.Handler
+	// MaxConnections limits the number of connections; zero means no limit. Beyond it, a new one ends
+	// the one that has been idle for longest, or evicts from Memory the body whose client has been
+	// waited for longest. If there is neither, the new connection is closed unread.
+	MaxConnections int
+	// ReceiveBuffer and SendBuffer are the sizes in bytes of the kernel's buffers of each connection;
+	// zero leaves them to the system.
+	ReceiveBuffer, SendBuffer int
+	// Memory bounds the bodies of the connections, and HeadMemory the heads of requests that are not
+	// complete; nil for no bound.
+	Memory, HeadMemory *bytebudget.Budget
+}
+
 // Listen opens the address for clients; Serve accepts its connections.
-func Listen(address string, handler http.Handler) (*Listener, error) {
-	opened, err := net.Listen("tcp", address)
+func Listen(options ListenerOptions) (*Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return netbuffer.Set(raw, options.ReceiveBuffer, options.SendBuffer)
+	}}
+	opened, err := config.Listen(context.Background(), "tcp", options.Address)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen for clients")
+		return nil, errors.Wrap(err, "listen")
 	}
 	front := &Listener{
-		listener: opened, states: make(map[net.Conn]connectionState), idleTimeout: defaultIdleTimeout,
-		ended: make(chan struct{}),
+		listener: countingListener{Listener: opened, heads: options.HeadMemory}, states: make(map[net.Conn]connectionState), idleTimeout: defaultIdleTimeout,
+		ended: make(chan struct{}), maxConnections: options.MaxConnections, memory: options.Memory,
 	}
 	front.server = &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: front.observe,
+		Handler: options.Handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: front.observe,
 	}
 	return front, nil
 }
@@ -96,14 +124,6 @@
 	}
 }
 
-// SetMaxConnections limits the number of connections: beyond it, a new connection ends the one that
-// has been idle for longest. Zero means no limit.
-func (l *Listener) SetMaxConnections(maxConnections int) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.maxConnections = maxConnections
-}
-
 // Serve accepts connections and returns nil after Close was called. Requests in flight are still
 // served after StopAccepting.
 func (l *Listener) Serve() error {
@@ -194,6 +214,7 @@
 func (l *Listener) observe(connection net.Conn, state http.ConnState) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	noteHead(connection, state)
 	switch state {
 	case http.StateClosed, http.StateHijacked:
 		delete(l.states, connection)
@@ -201,22 +222,61 @@
 		isNew := state == http.StateNew
 		l.states[connection] = connectionState{idle: isNew || state == http.StateIdle, isNew: isNew, since: time.Now()}
 		if isNew && l.maxConnections > 0 && len(l.states) > l.maxConnections {
-			l.endLongestIdle(connection)
+			l.makeRoom(connection)
 		}
 	}
 }
 
-// endLongestIdle ends the connection that has been idle for longest, other than the new one. The
-// caller holds the mutex.
-func (l *Listener) endLongestIdle(newConnection net.Conn) {
+// noteHead tells a connection whether a head or the rest of a request is read.
+func noteHead(connection net.Conn, state http.ConnState) {
+	counting, ok := connection.(*clientConnection)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		counting.beginRequest()
+	case http.StateIdle:
+		counting.awaitRequest()
+	case http.StateClosed:
+		counting.releaseHead()
+	}
+}
+
+// While connections that were ended are being closed, minEnding and this fraction of the maximum number
+// of connections may be open beyond it.
+const (
+	minEnding      = 8
+	endingFraction = 1.0 / 16
+)
+
+// makeRoom ends a connection in favour of a new one, or closes the new one. The caller holds the mutex.
+func (l *Listener) makeRoom(newConnection net.Conn) {
+	ending := minEnding + int(endingFraction*float64(l.maxConnections))
+	isCrowded := len(l.states) > l.maxConnections+ending
+	if !isCrowded && (l.endLongestIdle(newConnection) || l.memory.EvictLongestWaiting(time.Now())) {
+		return
+	}
+	// The connection is being discarded, so an error from Close is of no interest.
+	_ = newConnection.Close()
+}
+
+// endLongestIdle ends the connection that has been idle for longest, other than the new one, and reports
+// whether there was one. The caller holds the mutex.
+func (l *Listener) endLongestIdle(newConnection net.Conn) bool {
 	var longest net.Conn
 	for each, state := range l.states {
-		if each != newConnection && state.idle && (longest == nil || state.since.Before(l.states[longest].since)) {
+		if each != newConnection && state.idle && !state.isEnding && (longest == nil || state.since.Before(l.states[longest].since)) {
 			longest = each
 		}
 	}
-	if longest != nil {
-		// This fails only on a closed connection, which the next read or write detects.
-		_ = longest.SetReadDeadline(pastDeadline)
+	if longest == nil {
+		return false
 	}
+	ended := l.states[longest]
+	ended.isEnding = true
+	l.states[longest] = ended
+	// This fails only on a closed connection, which the next read or write detects.
+	_ = longest.SetReadDeadline(pastDeadline)
+	return true
 }
--- a/pkg/exchange/attempt.go
+++ b/pkg/exchange/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bramblemast/bramblemast/pkg/bytebudget"
 	"github.com/bramblemast/bramblemast/pkg/outcome"
 )
 
@@ -36,6 +37,8 @@
 	Instance string
 	// Deadline is the time after which the response is of no use.
 	Deadline time.Time
+	// Memory bounds the memory of response bodies; nil for no bound.
+	Memory *bytebudget.Budget
 	// MaySend is called right before the request is sent and reports whether sending is still
 	// allowed, since opening a connection can take seconds. Nil if this cannot change meanwhile.
 	MaySend func() bool
@@ -213,7 +216,7 @@
 		if _, err := conn.Write(message); err != nil {
 			return nil, 0, errors.Wrap(err, "write")
 		}
-		return readResponse(conn, a.Request, a.Dialect)
+		return readResponse(conn, a.Request, a.Dialect, a.Memory)
 	}
 	if _, err := conn.Write(message); err != nil {
 		return nil, 0, errors.Wrap(err, "write head")
@@ -230,7 +233,7 @@
 		_, err := conn.Write(a.Request.Body)
 		sent <- err
 	}()
-	answer, keepFor, err := readResponse(conn, a.Request, a.Dialect)
+	answer, keepFor, err := readResponse(conn, a.Request, a.Dialect, a.Memory)
 	select {
 	case writeError := <-sent:
 		if writeError != nil {
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -58,6 +58,24 @@
 	})
 }
 
+// TestAnAnswerToHeadHasNoBody checks that the length in an answer to a HEAD request announces no body.
+func TestAnAnswerToHeadHasNoBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		pool := exchange.NewPool(address, pipeDialer(func(server net.Conn) {
+			received, _ := http.ReadRequest(bufio.NewReader(server))
+			_, _ = io.WriteString(server, "HTTP/1.1 200 X\r\nId: "+received.Header.Get("Id")+"\r\nMark: m\r\nContent-Length: 7\r\n\r\n")
+		}))
+		head := request("r1")
+		head.Method = http.MethodHead
+		answer, _, err := send(pool, head, time.Second)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.Body).To(BeEmpty())
+		g.Expect(answer.Header.Get("Content-Length")).To(Equal("7"))
+		pool.Close()
+	})
+}
+
 // TestAConnectionServesManyRequests checks that a connection is reused while it has been idle no
 // longer than the server's announced keep-alive time.
 func TestAConnectionServesManyRequests(t *testing.T) {
--- a/pkg/exchange/fuzz_test.go
+++ b/pkg/exchange/fuzz_test.go
@@ -25,7 +25,7 @@
 		near, far := net.Pipe()
 		_ = far.Close()
 		conn := newConnection(near, bytes.NewReader(sent))
-		answer, keepFor, err := readResponse(conn, &Request{Method: "GET", ID: "r"}, dialect)
+		answer, keepFor, err := readResponse(conn, &Request{Method: "GET", ID: "r"}, dialect, nil)
 		if err != nil {
 			return
 		}
@@ -52,24 +52,27 @@
 	const answers = 20
 	for range answers {
 		conn := newConnection(near, bytes.NewReader(sent))
-		_, _, err := readResponse(conn, &Request{Method: "GET", ID: "r"}, dialect)
+		_, _, err := readResponse(conn, &Request{Method: "GET", ID: "r"}, dialect, nil)
 		g.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 	}
 	runtime.ReadMemStats(&after)
 	g.Expect((after.TotalAlloc - before.TotalAlloc) / answers).To(BeNumerically("<", 1<<20))
 }
 
-// TestALongBodyIsReadWhole checks a body longer than trustedBodySize, for which memory is not
+// trustedBody is the announced length up to which memory is allocated in advance.
+const trustedBody = 64 << 10
+
+// TestALongBodyIsReadWhole checks a body longer than trustedBody, for which memory is not
 // allocated in advance.
 func TestALongBodyIsReadWhole(t *testing.T) {
 	g := NewWithT(t)
 	dialect := &Dialect{RequestID: "Id", Evidence: "Mark", NotRun: "Refused"}
-	body := bytes.Repeat([]byte("0123456789abcdef"), 2*trustedBodySize/16)
+	body := bytes.Repeat([]byte("0123456789abcdef"), 2*trustedBody/16)
 	sent := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	near, far := net.Pipe()
 	g.Expect(far.Close()).To(Succeed())
 	conn := newConnection(near, bytes.NewReader(sent))
-	answer, keepFor, err := readResponse(conn, &Request{Method: "GET", ID: "r"}, dialect)
+	answer, keepFor, err := readResponse(conn, &Request{Method: "GET", ID: "r"}, dialect, nil)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(answer.Body).To(Equal(body))
 	g.Expect(keepFor).To(Equal(MaxIdleTime))
--- a/pkg/exchange/response.go
+++ b/pkg/exchange/response.go
@@ -1,13 +1,14 @@
 package exchange
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/bramblemast/bramblemast/pkg/bytebudget"
 )
 
 // Bounds on what is read of a response.
@@ -23,9 +24,9 @@
 	maxBodySize = 8 << 20
 	// maxEncodedBodySize is the maximum size in bytes of a body with the framing of its chunks.
 	maxEncodedBodySize = maxBodySize + maxBodySize/2
-	// trustedBodySize is the announced length in bytes up to which memory is allocated before the
-	// body has arrived; a faulty server may announce a body that it never sends.
-	trustedBodySize = 64 << 10
+	// maxMemoryWait is how long a body waits for memory; longer than clients that do not go on are
+	// waited for when memory is short.
+	maxMemoryWait = 2 * time.Second
 )
 
 // Response is the complete response of a server.
@@ -35,13 +36,25 @@
 	Body   []byte
 	// Evidence is the server's mark that it ran the request; empty if there is none.
 	Evidence string
+
+	hold *bytebudget.Hold
+}
+
+// Hold is the memory that the body takes in the budget of the attempt; nil if the attempt had none.
+func (r *Response) Hold() *bytebudget.Hold { return r.hold }
+
+// Release returns the memory of the body to the budget. The body must not be used afterwards.
+func (r *Response) Release() {
+	if r != nil {
+		r.hold.Release()
+	}
 }
 
 // readResponse reads the response that carries the request's id. It also returns how long the
 // connection may be kept idle; zero if it must not be reused.
-func readResponse(conn *connection, sent *Request, dialect *Dialect) (*Response, time.Duration, error) {
+func readResponse(conn *connection, sent *Request, dialect *Dialect, memory *bytebudget.Budget) (*Response, time.Duration, error) {
 	for range maxSurplusAnswers {
-		answer, keepFor, err := readFinalAnswer(conn, sent)
+		answer, keepFor, err := readFinalAnswer(conn, sent, memory)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -54,6 +67,7 @@
 			}
 			return answer, keepFor, nil
 		}
+		answer.Release()
 		if id == "" || keepFor == 0 {
 			return nil, 0, errors.Errorf("the answer with status %d carries request id %q", answer.Status, id)
 		}
@@ -68,7 +82,7 @@
 }
 
 // readFinalAnswer reads one response from the connection and skips 1xx responses before it.
-func readFinalAnswer(conn *connection, sent *Request) (*Response, time.Duration, error) {
+func readFinalAnswer(conn *connection, sent *Request, memory *bytebudget.Budget) (*Response, time.Duration, error) {
 	request := &http.Request{Method: sent.Method}
 	for range maxInterimAnswers {
 		conn.limiter.allow(maxHeadSize)
@@ -80,16 +94,23 @@
 			continue
 		}
 		conn.limiter.allow(maxEncodedBodySize)
-		return readBody(head)
+		return readBody(head, memory)
 	}
 	return nil, 0, errors.New("too many interim answers")
 }
 
 // readBody reads the body that follows a head. It does not close head.Body, which would read all that a
 // server still sends; a connection whose body was not read to its end is closed by the caller.
-func readBody(head *http.Response) (*Response, time.Duration, error) {
-	body, err := readWholeBody(head)
+func readBody(head *http.Response, memory *bytebudget.Budget) (*Response, time.Duration, error) {
+	length := head.ContentLength
+	if head.Body == http.NoBody {
+		// The answer to a HEAD request announces the length of a body that it does not have.
+		length = 0
+	}
+	hold := memory.Open()
+	body, err := hold.ReadAll(head.Body, length, maxBodySize, maxMemoryWait)
 	if err != nil {
+		hold.Release()
 		return nil, 0, errors.Wrap(err, "read body")
 	}
 	untilClose := head.ContentLength < 0 && len(head.TransferEncoding) == 0
@@ -99,23 +120,7 @@
 	}
 	header := head.Header
 	StripConnectionHeaders(header)
-	return &Response{Status: head.StatusCode, Header: header, Body: body}, keepFor, nil
-}
-
-func readWholeBody(head *http.Response) ([]byte, error) {
-	if head.ContentLength > maxBodySize {
-		return nil, errors.Errorf("body of %d bytes is too large", head.ContentLength)
-	}
-	if head.ContentLength >= 0 && head.ContentLength <= trustedBodySize && head.Body != http.NoBody {
-		body := make([]byte, head.ContentLength)
-		_, err := io.ReadFull(head.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(head.Body, maxBodySize+1))
-	if err == nil && len(body) > maxBodySize {
-		err = errors.New("body is too large")
-	}
-	return body, err
+	return &Response{Status: head.StatusCode, Header: header, Body: body, hold: hold}, keepFor, nil
 }
 
 // announcedIdleTime returns how long the connection may be kept idle: the time that the server
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -9,6 +9,7 @@
 	"context"
 	"time"
 
+	"github.com/bramblemast/bramblemast/pkg/bytebudget"
 	"github.com/bramblemast/bramblemast/pkg/exchange"
 	"github.com/bramblemast/bramblemast/pkg/fleet"
 	"github.com/bramblemast/bramblemast/pkg/loadshed"
@@ -120,7 +121,7 @@
 	StopDraining StopReason = "draining"
 )
 
-// Result is the outcome of Run.
+// Result is the outcome of Run. Release must be called when its answers are no longer needed.
 type Result struct {
 	// Parts holds a usable answer for each service, or nil.
 	Parts []*exchange.Response
@@ -198,6 +199,8 @@
 	Admission *AdmissionControl
 	// Drain ends requests when the node stops; nil if it never does.
 	Drain *Drain
+	// Memory bounds the memory of servers' answers; nil for no bound.
+	Memory *bytebudget.Budget
 }
 
 // AdmissionControl is what a node knows about the load on services and the share of requests that
--- a/pkg/fanout/launch.go
+++ b/pkg/fanout/launch.go
@@ -213,6 +213,7 @@
 		Attempt: &exchange.Attempt{
 			Dialect: r.runner.Dialect, Pool: lease.Pool, Request: r.request,
 			Instance: lease.Server.ID, Deadline: r.plan.Deadline, MaySend: r.maySend(lease),
+			Memory: r.runner.Memory,
 		},
 		lease: lease, part: index,
 	}
@@ -242,7 +243,7 @@
 	select {
 	case r.results <- result:
 	case <-r.ended:
-		r.releaseUnusedTrial(result)
+		r.drop(result)
 		return
 	}
 	select {
@@ -258,13 +259,19 @@
 	for {
 		select {
 		case result := <-r.results:
-			r.releaseUnusedTrial(result)
+			r.drop(result)
 		default:
 			return
 		}
 	}
 }
 
+// drop releases what the result of an attempt holds after its run has ended.
+func (r *run) drop(result finished) {
+	r.releaseUnusedTrial(result)
+	result.answer.Release()
+}
+
 // releaseUnusedTrial releases the trial of an attempt that ended after its run without being
 // executed.
 func (r *run) releaseUnusedTrial(result finished) {
--- a/pkg/fanout/owners.go
+++ b/pkg/fanout/owners.go
@@ -263,6 +263,9 @@
 		if r.parts[index].answer == nil {
 			r.accept(index, answer, now)
 		}
+		if replaced := r.parts[index].answer; replaced != answer {
+			replaced.Release()
+		}
 		r.parts[index].answer = answer
 	}
 }
--- a/pkg/fanout/result.go
+++ b/pkg/fanout/result.go
@@ -16,6 +16,7 @@
 		r.noteError(part, result.attempt, result.err)
 		return
 	}
+	part.refusal.Release()
 	part.refusal = result.answer
 	if r.isRefusal(result.answer) {
 		r.returnTrial(result.attempt)
@@ -130,6 +131,15 @@
 	return result
 }
 
+// Release returns the memory of all answers to its budget. They must not be used afterwards.
+func (r *Result) Release() {
+	for _, answers := range [][]*exchange.Response{r.Parts, r.Refusals} {
+		for _, each := range answers {
+			each.Release()
+		}
+	}
+}
+
 // refusalReason returns why a request is refused before it is sent; empty if it is not. A question
 // of another node was admitted there, and that node also makes the trials of a suspect request.
 func (r *run) refusalReason() StopReason {
--- a/pkg/fanout/run.go
+++ b/pkg/fanout/run.go
@@ -246,6 +246,7 @@
 		r.recordAnswer()
 	}
 	if part.answer != nil {
+		result.answer.Release()
 		return
 	}
 	if result.err == nil && r.runner.IsUsable(result.answer) {
--- a/pkg/owner/server.go
+++ b/pkg/owner/server.go
@@ -108,6 +108,7 @@
 	runContext, release := untilCancelled(ctx)
 	defer release()
 	result := s.options.Runner.Run(runContext, plan, decodeRequest(question))
+	defer result.Release()
 	s.options.Recorder(Record{
 		RequestID: question.RequestId, Kind: question.Kind, AskedBy: string(from), Services: question.Services,
 		Took: time.Since(start), Result: result,
--- a/test/crowds/deployment_test.go
+++ b/test/crowds/deployment_test.go
@@ -47,6 +47,7 @@
 
 // deployment is a node's process with one service of one server.
 type deployment struct {
+	t       *testing.T
 	g       *WithT
 	store   *platformtest.Store
 	server  *platformtest.Server
@@ -57,7 +58,7 @@
 
 func startDeployment(t *testing.T) *deployment {
 	t.Helper()
-	d := &deployment{g: NewWithT(t), store: platformtest.StartStore(), clients: freeAddress(t), ended: make(chan struct{})}
+	d := &deployment{t: t, g: NewWithT(t), store: platformtest.StartStore(), clients: freeAddress(t), ended: make(chan struct{})}
 	t.Cleanup(d.store.Close)
 	d.server = platformtest.StartServer(d.store, "i-1", "a", "z")
 	t.Cleanup(d.server.Close)
@@ -161,6 +162,7 @@
 	clients.Wait()
 	d.expectOrdinaryAnswer("afterwards")
 	peak := watched.stop()
+	d.t.Logf("peak: %d MiB, %d descriptors", peak.bytes>>20, peak.descriptors)
 	d.g.Expect(d.ended).NotTo(BeClosed(), "the process lives")
 	d.g.Expect(peak.bytes).To(BeNumerically("<", memoryMB<<20), "memory of the process with what its sockets hold")
 	d.g.Expect(peak.descriptors).To(BeNumerically("<=", descriptors-reservedDescriptors))
