--- a/pkg/exchange/endless_test.go
+++ b/pkg/exchange/endless_test.go
@@ -26,7 +26,7 @@
 			pool := exchange.NewPool(address, pipeDialer(func(server net.Conn) { answer.Serve(server) }))
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
-			_, _, err := send(pool, request("r"), 5*time.Second)
+			_, _, err := send(pool, request("r"), time.Hour)
 			runtime.ReadMemStats(&after)
 			g.Expect(outcome.Of(err)).To(Equal(outcome.Unknown))
 			g.Expect(err).NotTo(MatchError(ContainSubstring("i/o timeout")), "the attempt ends before its deadline")
--- a/pkg/exchange/exchangetest/endless.go
+++ b/pkg/exchange/exchangetest/endless.go
@@ -9,13 +9,17 @@
 	"sync/atomic"
 )
 
-// EndlessAnswer is an answer of a faulty server that begins with a text and then repeats another one
-// without end. It answers one request.
+// maxEndlessSent is where an EndlessAnswer closes the connection after all, so that a client without a
+// bound fails soon: it is far more than a bounded client takes.
+const maxEndlessSent = 128 << 20
+
+// EndlessAnswer is an answer of a faulty server that begins with a text and then repeats another one,
+// until the client closes the connection or has taken maxEndlessSent bytes. It answers one request.
 type EndlessAnswer struct {
 	Begin, Repeat string
 	// Sent is the number of bytes that the client has taken.
 	Sent atomic.Int64
-	// Ended is closed when the client has closed the connection.
+	// Ended is closed when the connection has ended.
 	Ended chan struct{}
 }
 
@@ -48,15 +52,17 @@
 	return answers
 }
 
-// Serve reads a request and answers it until the client closes the connection.
+// Serve reads a request and answers it.
 func (e *EndlessAnswer) Serve(connection net.Conn) {
 	defer close(e.Ended)
+	// The connection is being discarded, so an error from Close is of no interest.
+	defer func() { _ = connection.Close() }()
 	if _, err := http.ReadRequest(bufio.NewReader(connection)); err != nil {
 		return
 	}
 	count, err := io.WriteString(connection, e.Begin)
 	piece := strings.Repeat(e.Repeat, 1+4096/len(e.Repeat))
-	for err == nil {
+	for err == nil && e.Sent.Load() < maxEndlessSent {
 		e.Sent.Add(int64(count))
 		count, err = io.WriteString(connection, piece)
 	}
