--- a/review/_stand2/leaving.go
+++ b/review/_stand2/leaving.go
@@ -46,10 +46,10 @@
 	a.byID[id] = arrival{server: at, at: time.Now()}
 }
 
-func (a *arrivals) end(id string, to *node, end string) {
+func (a *arrivals) end(result outcome) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.to[id], a.ends[id] = to, end
+	a.to[result.id], a.ends[result.id] = result.to, result.end
 }
 
 // playLeaving takes servers away that never say draining, while one machine is cut from the store
@@ -64,9 +64,9 @@
 	count := 0
 	start := func() (*server, error) {
 		count++
-		started, err := startServer(platform, fmt.Sprintf("i-%04d", count), "orders", zone, leavingWork, 12, 30)
+		started, err := startServer(s, platform, fmt.Sprintf("i-%04d", count), "orders", zone, leavingWork, 12, 30)
 		if err == nil {
-			started.observe = seen.observe
+			started.setObserver(seen.observe)
 		}
 		return started, err
 	}
@@ -116,7 +116,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	load := newClient(nodes)
+	load := newClient(s, nodes)
 	loaded := make(chan struct{})
 	go func() {
 		defer close(loaded)
--- a/review/_stand2/link.go
+++ b/review/_stand2/link.go
@@ -10,6 +10,8 @@
 // new ones by a reset.
 type link struct {
 	address, target string
+	// rate is the rate at which the link passes bytes on; nil for no bound.
+	rate *throttle
 
 	mutex sync.Mutex
 	isCut bool
@@ -59,7 +61,11 @@
 }
 
 func (l *link) pump(to, from net.Conn) {
-	_, _ = io.Copy(to, from)
+	if l.rate != nil {
+		l.rate.copy(to, from)
+	} else {
+		_, _ = io.Copy(to, from)
+	}
 	l.mutex.Lock()
 	delete(l.open, to)
 	delete(l.open, from)
@@ -68,6 +74,11 @@
 	_ = from.Close()
 }
 
+// setRate sets the rate of the link, before its first connection.
+func (l *link) setRate(megabitsPerSecond float64) {
+	l.rate = &throttle{bytesPerSecond: megabitsPerSecond * 1e6 / 8}
+}
+
 // cut resets all connections and refuses new ones, or ends that.
 func (l *link) cut(isCut bool) {
 	l.mutex.Lock()
--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -21,7 +21,7 @@
 	root := flag.String("root", "", "folder of the repository")
 	record := flag.String("record", "", "file of the record")
 	flag.Parse()
-	cases := map[string]func(*stage) (bool, error){"leaving": playLeaving}
+	cases := map[string]func(*stage) (bool, error){"leaving": playLeaving, "crowd": playCrowd, "entries": playEntries}
 	play := cases[flag.Arg(0)]
 	if play == nil || *root == "" || *record == "" {
 		fmt.Fprintln(os.Stderr, "usage: stand2 --root FOLDER --record FILE CASE")
--- a/review/_stand2/node.go
+++ b/review/_stand2/node.go
@@ -30,6 +30,11 @@
 	stopped bool
 }
 
+// smallBounds are the bounds in the settings of the site valgsok.
+var smallBounds = map[string]any{
+	"drain_ms": 3000, "apply_ms": 3000, "contact_ms": 5000, "grace_s": 6, "extra_ratio": 0.2, "extra": 58, "extra_window_s": 10,
+}
+
 // grownBounds are the bounds in the settings of the Valgsøk site once grown.
 var grownBounds = map[string]any{
 	"drain_ms": 5000, "apply_ms": 5000, "contact_ms": 6000, "grace_s": 6, "extra_ratio": 0.2, "extra": 180, "extra_window_s": 10,
@@ -54,12 +59,15 @@
 func freeAddress() string {
 	for {
 		port := firstPort + rand.IntN(lastPort-firstPort)
+		if usedPorts[port] {
+			continue
+		}
+		usedPorts[port] = true
 		address := fmt.Sprintf("127.0.0.1:%d", port)
 		listener, err := net.Listen("tcp", address)
-		if err != nil || usedPorts[port] {
+		if err != nil {
 			continue
 		}
-		usedPorts[port] = true
 		_ = listener.Close()
 		return address
 	}
--- a/review/_stand2/server.go
+++ b/review/_stand2/server.go
@@ -14,25 +14,26 @@
 
 // server is a stand-in of one server of a service.
 type server struct {
+	stage                      *stage
 	id, service, zone, address string
 	// work is how long a request runs, slots how many run at once, queue how many wait.
 	work         time.Duration
 	slots, queue int
 	running      chan struct{}
 	waiting      atomic.Int64
-	// observe is called when a request arrives; nil for none.
-	observe func(at *server, id string)
+	// observe is called when a request arrives.
+	observe atomic.Pointer[func(at *server, id string)]
 	process *http.Server
 }
 
 // startServer starts a server on a free loopback port and lists it in the store.
-func startServer(platform *store, id, service, zone string, work time.Duration, slots, queue int) (*server, error) {
+func startServer(s *stage, platform *store, id, service, zone string, work time.Duration, slots, queue int) (*server, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	created := &server{
-		id: id, service: service, zone: zone, address: listener.Addr().String(),
+		stage: s, id: id, service: service, zone: zone, address: listener.Addr().String(),
 		work: work, slots: slots, queue: queue, running: make(chan struct{}, slots),
 	}
 	created.process = &http.Server{Handler: created}
@@ -41,6 +42,9 @@
 	return created, nil
 }
 
+// setObserver sets what is called when a request arrives.
+func (s *server) setObserver(observe func(at *server, id string)) { s.observe.Store(&observe) }
+
 // end ends the server's process.
 func (s *server) end() { _ = s.process.Close() }
 
@@ -62,8 +66,9 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if s.observe != nil {
-		s.observe(s, id)
+	s.stage.detail("request %s reaches %s of %s", id, s.id, s.service)
+	if observe := s.observe.Load(); observe != nil {
+		(*observe)(s, id)
 	}
 	_, _ = io.Copy(io.Discard, request.Body)
 	if s.waiting.Add(1) > int64(s.slots+s.queue) {
@@ -79,6 +84,7 @@
 		return
 	}
 	defer func() { <-s.running }()
+	s.stage.detail("%s runs request %s", s.id, id)
 	if !sleep(request, s.spreadWork()) {
 		return
 	}
--- a/review/_stand2/stage.go
+++ b/review/_stand2/stage.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"sync"
 	"time"
 )
@@ -14,7 +15,8 @@
 	hasTrouble   bool
 	began        time.Time
 
-	mutex  sync.Mutex
+	mutex sync.Mutex
+	// record is guarded by mutex.
 	record io.Writer
 	nodes  []*node
 }
@@ -23,13 +25,16 @@
 	return &stage{root: root, folder: folder, record: record, hasTrouble: hasTrouble, began: time.Now()}
 }
 
-// note writes a line to the record, with the seconds since the start.
-func (s *stage) note(format string, values ...any) {
+// note writes a line to the record and to the output, with the seconds since the start.
+func (s *stage) note(format string, values ...any) { fmt.Println(s.detail(format, values...)) }
+
+// detail writes a line to the record only, with the seconds since the start, and returns it.
+func (s *stage) detail(format string, values ...any) string {
+	line := fmt.Sprintf("%7.2f s  ", time.Since(s.began).Seconds()) + fmt.Sprintf(format, values...)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	line := fmt.Sprintf("%7.2f s  ", time.Since(s.began).Seconds()) + fmt.Sprintf(format, values...)
 	fmt.Fprintln(s.record, line)
-	fmt.Println(line)
+	return line
 }
 
 // startNodes starts processes, and waits until all are ready.
@@ -62,7 +67,8 @@
 	for _, each := range nodes {
 		if !each.isReady() {
 			// Most likely another process has taken one of its ports.
-			s.note("%s is not ready", each.name)
+			log, _ := os.ReadFile(each.log)
+			s.note("%s is not ready; the end of its log: %s", each.name, log[max(0, len(log)-400):])
 		}
 	}
 	return errors.New("the nodes do not get ready")
--- a/review/_stand2/store.go
+++ b/review/_stand2/store.go
@@ -63,6 +63,13 @@
 	s.write(key, encoded, 0)
 }
 
+// putBytes writes a key as another writer does.
+func (s *store) putBytes(key string, value []byte) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.write(key, value, 0)
+}
+
 // remove deletes a key.
 func (s *store) remove(key string) {
 	s.mutex.Lock()
@@ -107,8 +114,13 @@
 	answer(writer, found)
 }
 
+// pageItems and pageBytes bound a page of a range.
+const (
+	pageItems = 500
+	pageBytes = 1 << 20
+)
+
 func (s *store) list(writer http.ResponseWriter, request *http.Request) {
-	const pageSize = 500
 	prefix, after := request.FormValue("PathPrefix"), request.FormValue("after")
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -124,10 +136,15 @@
 		More  bool
 		At    uint64
 	}{Items: []item{}, At: s.revision}
-	for _, key := range keys[:min(len(keys), pageSize)] {
+	size := 0
+	for _, key := range keys {
+		if len(page.Items) == pageItems || size > 0 && size+len(s.items[key].Value) > pageBytes {
+			page.More = true
+			break
+		}
+		size += len(s.items[key].Value)
 		page.Items = append(page.Items, s.items[key])
 	}
-	page.More = len(keys) > pageSize
 	answer(writer, page)
 }
 
