--- a/review/_stand2/crowd.go
+++ b/review/_stand2/crowd.go
@@ -25,11 +25,11 @@
 	// headerLimit is MaxHeaderBytes, and longHeadBytes the size of the heads of the crowd.
 	headerLimit    = 16384
 	longHeadBytes  = headerLimit - 1024
-	crowdBodyBytes = 65536
+	crowdBodyBytes = 40960
 	// crowdSize is the number of clients in the crowd at each of crowdedNodes nodes.
-	crowdSize    = 1200
+	crowdSize    = 1400
 	crowdedNodes = 2
-	crowdRounds  = 10
+	crowdRounds  = 12
 	// neededEnds is how often a process ends by itself on a machine that counts for the rule, and
 	// neededMachines on how many machines: a tenth of those in use, two at least.
 	neededEnds     = 3
@@ -89,7 +89,7 @@
 		})
 	}()
 	for range crowdRounds {
-		time.Sleep(5 * time.Second)
+		time.Sleep(3 * time.Second)
 		if s.hasTrouble {
 			s.note("%d clients at each of %d nodes send a request with a head of %d bytes", crowdSize, crowdedNodes, longHeadBytes)
 			s.note("how they ended: %v", sendCrowd(s, nodes[:crowdedNodes]))
